--- a/src/entryd/entry_daemon.cpp
+++ b/src/entryd/entry_daemon.cpp
@@ -75,7 +75,7 @@
 {
     demand_links links;
     links.notify = [this](const auto &home, const auto &key) { notifyHome(home, key); };
-    links.ask = [this](const auto &home, const auto &key, auto done) { askHome(home, key, std::move(done)); };
+    links.ask = [this](const auto &home, const auto &key, auto done) { askHome(home, key, done); };
     links.sheet = [this] { return m_sheet ? &*m_sheet : nullptr; };
     return links;
 }
@@ -112,12 +112,12 @@
     }
 }
 
-void entry_daemon::askHome(const failure_domain_id &home, const demand_key &key, report_handler done)
+void entry_daemon::askHome(const failure_domain_id &home, const demand_key &key, const report_handler &done)
 {
-    askNext(m_daemon.schedulersOf(home), key, std::move(done));
+    askNext(m_daemon.schedulersOf(home), key, done);
 }
 
-void entry_daemon::askNext(std::vector<peer_address> schedulers, const demand_key &key, report_handler done)
+void entry_daemon::askNext(std::vector<peer_address> schedulers, const demand_key &key, const report_handler &done)
 {
     if (schedulers.empty()) {
         done(std::nullopt);
--- a/src/entryd/entry_daemon.h
+++ b/src/entryd/entry_daemon.h
@@ -24,8 +24,8 @@
     void serve(const std::shared_ptr<http_request> &request);
     void receive(const wire::Message &message);
     void notifyHome(const failure_domain_id &home, const demand_key &key);
-    void askHome(const failure_domain_id &home, const demand_key &key, report_handler done);
-    void askNext(std::vector<peer_address> schedulers, const demand_key &key, report_handler done);
+    void askHome(const failure_domain_id &home, const demand_key &key, const report_handler &done);
+    void askNext(std::vector<peer_address> schedulers, const demand_key &key, const report_handler &done);
     void spreadLeaving(const upstream_id &upstream);
     std::string status() const;
 
--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -184,7 +184,7 @@
     return result;
 }
 
-void http_client::call(const http_call &request, std::function<void(http_outcome)> done)
+void http_client::call(const http_call &request, const std::function<void(http_outcome)> &done)
 {
     struct gathered
     {
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <variant>
 
-using SoupSession = struct _SoupSession;
+using SoupSession = struct _SoupSession; // NOLINT(bugprone-reserved-identifier): libsoup's own name
 
 namespace primrosecroft
 {
@@ -76,7 +76,7 @@
     http_client &operator=(const http_client &) = delete;
 
     /// Exactly one outcome reaches @p done, unless the client is destroyed first.
-    void call(const http_call &request, std::function<void(http_outcome)> done);
+    void call(const http_call &request, const std::function<void(http_outcome)> &done);
 
     std::shared_ptr<http_stream> stream(const http_call &request, http_stream::handlers handlers);
 
--- a/src/libprimrosecroft/io/http_server.h
+++ b/src/libprimrosecroft/io/http_server.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-using SoupServer = struct _SoupServer;
+using SoupServer = struct _SoupServer; // NOLINT(bugprone-reserved-identifier): libsoup's own name
 
 namespace primrosecroft
 {
--- a/src/libprimrosecroft/io/peer_hub.cpp
+++ b/src/libprimrosecroft/io/peer_hub.cpp
@@ -212,13 +212,13 @@
             const auto owner = weakSelf.lock();
             if (target && owner) {
                 answer.__set_replyTo(id);
-                target->send(owner->encode(std::move(answer)));
+                target->send(owner->encode(answer));
             }
         };
         handler(message, reply);
     }
 
-    void settle(std::int64_t id, std::optional<wire::Message> reply)
+    void settle(std::int64_t id, const std::optional<wire::Message> &reply)
     {
         const auto found = pending.find(id);
         if (found == pending.end()) {
@@ -226,7 +226,7 @@
         }
         const auto done = std::move(found->second.done);
         pending.erase(found);
-        done(std::move(reply));
+        done(reply);
     }
 
     std::string encode(wire::Message message)
@@ -369,9 +369,9 @@
     g_socket_service_start(m_parts->service.get());
 }
 
-void peer_hub::send(const peer_address &peer, wire::Message message)
+void peer_hub::send(const peer_address &peer, const wire::Message &message)
 {
-    m_parts->post(peer, m_parts->encode(std::move(message)));
+    m_parts->post(peer, m_parts->encode(message));
 }
 
 void peer_hub::ask(const peer_address &peer, wire::Message message, std::chrono::milliseconds timeout,
@@ -387,7 +387,7 @@
             owner->settle(id, std::nullopt);
         }
     });
-    m_parts->post(peer, m_parts->encode(std::move(message)));
+    m_parts->post(peer, m_parts->encode(message));
 }
 
 std::uint64_t peer_hub::bytesSent() const
--- a/src/libprimrosecroft/io/peer_hub.h
+++ b/src/libprimrosecroft/io/peer_hub.h
@@ -50,7 +50,7 @@
     void listen(const peer_address &address);
 
     /// Sends without waiting for a reply.
-    void send(const peer_address &peer, wire::Message message);
+    void send(const peer_address &peer, const wire::Message &message);
 
     /// Sends and waits; no reply in time gives none.
     void ask(const peer_address &peer, wire::Message message, std::chrono::milliseconds timeout, reply_handler done);
--- a/tests/demo/demo_load.cpp
+++ b/tests/demo/demo_load.cpp
@@ -283,7 +283,8 @@
             runUntil([&open] { return open < bookingsAtOnce; }, 15s);
             if ((number + 1) % 500 == 0) {
                 std::cout << "bookings: " << number + 1 << " of " << bookingCount << " sent, " << m_bookings.answered
-                          << " answered" << std::endl;
+                          << " answered" << '\n'
+                          << std::flush;
             }
         }
         runUntil([&open] { return open == 0; }, 15s);
@@ -329,7 +330,7 @@
                 }
                 placed += isPlaced(demand) ? 1 : 0;
             }
-            std::cout << "placed: " << placed << " of " << m_demands.size() << std::endl;
+            std::cout << "placed: " << placed << " of " << m_demands.size() << '\n' << std::flush;
             runUntil([] { return false; }, pollInterval);
         } while (placed + refusedCount() < m_demands.size() && std::chrono::steady_clock::now() < limit);
     }
--- /dev/null
+++ b/tests/unit/frame_test.cpp
@@ -0,0 +1,53 @@
+#include "core/error.h"
+#include "primrosecroft_types.h"
+#include "protocol/frame.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace primrosecroft;
+
+namespace
+{
+
+wire::Message makeMessage()
+{
+    wire::Message message;
+    message.id = 7;
+    message.sender.process = "grangemouth-e1-entryd";
+    message.demandNotice.key = "sheet.wash";
+    message.__isset.demandNotice = true;
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("a message survives its frame")
+{
+    const auto frame = encodeFrame(makeMessage());
+    REQUIRE(frameBodySize(frame) == frame.size() - frameHeadSize);
+    CHECK(decodeFrameBody(frame.substr(frameHeadSize)) == makeMessage());
+}
+
+TEST_CASE("lengths out of range are refused")
+{
+    CHECK_THROWS_AS(frameBodySize(std::string(4, '\0')), error);
+    CHECK_THROWS_AS(frameBodySize("\xff\xff\xff\xff"), error);
+}
+
+TEST_CASE("cut and damaged frames are refused and never crash")
+{
+    const auto body = encodeFrame(makeMessage()).substr(frameHeadSize);
+    CHECK_THROWS_AS(decodeFrameBody(body.substr(0, body.size() / 2)), error);
+    CHECK_THROWS_AS(decodeFrameBody(body + "x"), error);
+    std::mt19937 random(1);
+    for (int round = 0; round < 20'000; ++round) {
+        auto damaged = body;
+        damaged.at(random() % damaged.size()) = static_cast<char>(random());
+        try {
+            decodeFrameBody(damaged);
+        } catch (const error &) {
+            continue;
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
