--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,9 @@
 lint:
 	tools/lint.sh $(BUILD) $(JOBS)
 
+bench: build
+	cmake --build $(BUILD) --target bench
+
 # The generated code is committed; this needs thrift-compiler.
 protocol:
 	cd src/libprimrosecroft/protocol && thrift --gen cpp:no_skeleton -out gen-cpp primrosecroft.thrift
--- a/src/ctl/control_commands.cpp
+++ b/src/ctl/control_commands.cpp
@@ -125,13 +125,13 @@
     submit->add_option("key", values->key, "the demand's idempotency key")->required();
     submit->add_option("file", values->path, "JSON file")->required();
     submit->callback([&options, &status, values] { status = submitDemand(options, values->path, values->key); });
-    for (const auto &[name, method] : {std::pair("show", "GET"), std::pair("cancel", "DELETE")}) {
-        auto *command = demand->add_subcommand(name, std::string(name) + " a demand");
+    const auto add = [&options, &status, demand, values](const std::string &name, const std::string &method) {
+        auto *command = demand->add_subcommand(name, name + " a demand");
         command->add_option("key", values->key)->required();
-        command->callback([&options, &status, values, method = std::string(method)] {
-            status = onDemand(options, method, values->key);
-        });
-    }
+        command->callback([&options, &status, values, method] { status = onDemand(options, method, values->key); });
+    };
+    add("show", "GET");
+    add("cancel", "DELETE");
 }
 
 void addStatusCommand(CLI::App &app, control_options &options, int &status)
--- a/src/entryd/entry_daemon.cpp
+++ b/src/entryd/entry_daemon.cpp
@@ -75,7 +75,7 @@
 {
     demand_links links;
     links.notify = [this](const auto &home, const auto &key) { notifyHome(home, key); };
-    links.ask = [this](const auto &home, const auto &key, auto done) { askHome(home, key, done); };
+    links.ask = [this](const auto &home, const auto &key, const auto &done) { askHome(home, key, done); };
     links.sheet = [this] { return m_sheet ? &*m_sheet : nullptr; };
     return links;
 }
