--- a/src/libprimrosecroft/demands/demand_row.cpp
+++ b/src/libprimrosecroft/demands/demand_row.cpp
@@ -50,12 +50,16 @@
     for (const auto &[index, end] : row.ended) {
         ended[std::to_string(index)] = endNames.at(static_cast<std::size_t>(end));
     }
+    nlohmann::json started = nlohmann::json::object();
+    for (const auto &[index, attempt] : row.started) {
+        started[std::to_string(index)] = attempt;
+    }
     const nlohmann::json body {
         {"key", row.key},
         {"home", row.home},
         {"demand", nlohmann::json::parse(toJson(row.spec))},
         {"cancelled", row.cancelled},
-        {"started", row.started},
+        {"started", started},
         {"ended", ended},
         {"outcome", toString(row.outcome)},
         {"reason", row.reason},
@@ -72,7 +76,9 @@
         row.home = body.at("home").get<std::string>();
         row.spec = demandFromJson(body.at("demand").dump());
         row.cancelled = body.at("cancelled").get<bool>();
-        row.started = body.at("started").get<std::set<std::int32_t>>();
+        for (const auto &[index, attempt] : body.at("started").items()) {
+            row.started.emplace(std::stoi(index), attempt.get<attempt_id>());
+        }
         for (const auto &[index, end] : body.at("ended").items()) {
             row.ended.emplace(std::stoi(index), valueOf<task_end>(endNames, end.get<std::string>()));
         }
--- a/src/libprimrosecroft/demands/demand_row.h
+++ b/src/libprimrosecroft/demands/demand_row.h
@@ -3,7 +3,6 @@
 #include "demands/demand.h"
 
 #include <map>
-#include <set>
 
 namespace primrosecroft
 {
@@ -36,7 +35,7 @@
     failure_domain_id home;
     demand_spec spec;
     bool cancelled = false;
-    std::set<std::int32_t> started; ///< only for demands that must not be repeated
+    std::map<std::int32_t, attempt_id> started; ///< the one attempt of each task that must not be repeated
     std::map<std::int32_t, task_end> ended;
     demand_outcome outcome = demand_outcome::none;
     std::string reason;
--- a/src/libprimrosecroft/ownership/ownership.cpp
+++ b/src/libprimrosecroft/ownership/ownership.cpp
@@ -1,5 +1,7 @@
 #include "ownership/ownership.h"
 
+#include "core/contains.h"
+
 #include <algorithm>
 #include <ranges>
 
@@ -14,10 +16,15 @@
 namespace
 {
 
-std::size_t heldCount(const ownership_state &state, instant now)
+std::ptrdiff_t heldCount(const ownership_state &state, instant now)
+{
+    return std::ranges::count_if(state.workers | std::views::values,
+                                 [now](const held_worker &worker) { return worker.votes && holds(worker, now); });
+}
+
+std::ptrdiff_t voteCount(const ownership_state &state)
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        state.workers | std::views::values, [now](const held_worker &worker) { return holds(worker, now); }));
+    return std::ranges::count_if(state.workers | std::views::values, &held_worker::votes);
 }
 
 void takeStamp(const ownership_state &state, held_worker &worker, worker_stamp stamp, instant now)
@@ -33,22 +40,31 @@
 
 bool holdsMajority(const ownership_state &state, instant now)
 {
-    return heldCount(state, now) * 2 > state.workers.size();
+    return heldCount(state, now) * 2 > voteCount(state);
 }
 
 bool holdsAll(const ownership_state &state, instant now)
 {
-    return heldCount(state, now) == state.workers.size();
+    return heldCount(state, now) == voteCount(state);
 }
 
-void setWorkers(ownership_state &state, const std::vector<worker_id> &workers)
+void setWorkers(ownership_state &state, const std::vector<worker_id> &workers, instant now)
 {
-    std::map<worker_id, held_worker> result;
+    for (auto &[id, worker] : state.workers) {
+        if (worker.votes && !contains(workers, id)) {
+            worker.votes = false;
+            worker.retiredUntil = now + doubtTerm(state.settings) + state.settings.configurationLag;
+            dropClaim(worker);
+        }
+    }
     for (const auto &worker : workers) {
-        const auto known = state.workers.find(worker);
-        result.emplace(worker, known == state.workers.end() ? held_worker {} : known->second);
+        state.workers[worker].votes = true;
     }
-    state.workers = std::move(result);
+}
+
+std::chrono::milliseconds doubtTerm(const ownership_settings &settings)
+{
+    return settings.holderTerm + settings.taskTerm + settings.margin;
 }
 
 std::uint64_t beginRequest(ownership_state &state, held_worker &worker, instant now)
--- a/src/libprimrosecroft/ownership/ownership.h
+++ b/src/libprimrosecroft/ownership/ownership.h
@@ -24,6 +24,7 @@
     std::chrono::milliseconds margin {1'000}; ///< for drift between clocks
     std::chrono::milliseconds exchangeInterval {3'000};
     std::chrono::milliseconds requestTimeout {2'000};
+    std::chrono::milliseconds configurationLag {10'000}; ///< between two schedulers' learning of a new worker set
     std::chrono::milliseconds claimInterval {1'500}; ///< pause before a worker is claimed again
     std::chrono::milliseconds backoffStep {700}; ///< per rank, between candidacies
 };
@@ -31,6 +32,8 @@
 /// What this scheduler knows of one worker's holder lease.
 struct held_worker
 {
+    bool votes = true; ///< false when the configuration no longer has it; it is neither claimed nor renewed
+    instant retiredUntil; ///< without a vote: until then it may run tasks of some scheduler
     bool claimed = false; ///< a claim was granted and not yet refused, lapsed or released
     fencing_token token = 0;
     worker_stamp stamp {0};
@@ -63,8 +66,11 @@
 /// True when every worker of the failure domain is held.
 bool holdsAll(const ownership_state &state, instant now);
 
-/// Replaces the set of workers that the majority is counted over.
-void setWorkers(ownership_state &state, const std::vector<worker_id> &workers);
+/// Replaces the set of workers that the majority is counted over. Removed ones stay without a vote.
+void setWorkers(ownership_state &state, const std::vector<worker_id> &workers, instant now);
+
+/// After so long without renewal by the old holder, no task of it runs anywhere.
+std::chrono::milliseconds doubtTerm(const ownership_settings &settings);
 
 /// Marks a request as sent; its number tells late answers from current ones.
 std::uint64_t beginRequest(ownership_state &state, held_worker &worker, instant now);
--- a/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
+++ b/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
@@ -10,7 +10,10 @@
 
 // takeover.cpp: claims, the majority, and reading what workers run.
 
-void configureWorkers(scheduler_state &state, const workers_configured &message);
+void configureWorkers(scheduler_state &state, const workers_configured &message, instant now);
+
+/// Removed workers are remembered until what they run has surely stopped.
+void dropRetired(scheduler_state &state, instant now);
 void acceptClaim(scheduler_state &state, const claim_answered &message, instant now);
 void updateMajority(scheduler_state &state, instant now, action_list &actions);
 void releaseAll(scheduler_state &state, action_list &actions);
@@ -27,6 +30,8 @@
 // lifecycle.cpp: what becomes of tasks and demands.
 
 void learnRow(scheduler_state &state, const row_read &message, instant now);
+void rememberClosed(scheduler_state &state, const demand_key &key, std::int64_t version, instant now);
+void loseDoubtfulTasks(scheduler_state &state, demand_record &demand);
 void adoptTask(scheduler_state &state, const worker_id &worker, const task_listing &listing);
 void endAttempt(scheduler_state &state, const worker_id &worker, const ended_attempt &ended);
 void loseAttempt(scheduler_state &state, const worker_id &worker, attempt_id attempt);
@@ -41,6 +46,15 @@
 /// A task whose attempt surely runs nowhere any more, without a known end.
 void taskLost(scheduler_state &state, demand_record &demand, std::int32_t index);
 
+// rows.cpp: the demands' rows in the table.
+
+void writeIfChanged(scheduler_state &state, demand_record &demand, instant now, action_list &actions);
+void writeCommitted(scheduler_state &state, const row_written &message);
+void writeLost(scheduler_state &state, const row_write_lost &message, instant now);
+void writeRefused(scheduler_state &state, const row_write_refused &message, action_list &actions);
+void readLost(scheduler_state &state, const row_read_lost &message, instant now);
+void retryStore(scheduler_state &state, instant now, action_list &actions);
+
 // placing.cpp: waiting tasks get workers.
 
 void placeWaiting(scheduler_state &state, instant now);
--- a/src/libprimrosecroft/scheduling/lifecycle.cpp
+++ b/src/libprimrosecroft/scheduling/lifecycle.cpp
@@ -133,17 +133,6 @@
     }
 }
 
-void writeIfChanged(scheduler_state &state, demand_record &demand, instant now, action_list &actions)
-{
-    if (demand.writing || !demand.verified || now < demand.retryWriteAt || demand.wanted == demand.committed
-        || !state.ownership.placing) {
-        return;
-    }
-    demand.writing = true;
-    demand.sent = demand.wanted;
-    actions.emplace_back(write_row {demand.wanted, demand.version});
-}
-
 void forgetCommitted(scheduler_state &state, demand_record &demand)
 {
     if (demand.wanted != demand.committed) {
@@ -160,7 +149,16 @@
 {
     for (const auto index : std::views::iota(0, static_cast<std::int32_t>(demand.tasks.size()))) {
         auto &task = demand.tasks.at(index);
-        if (task.phase != task_phase::recording || !demand.committed.started.contains(index)) {
+        const auto recorded = demand.committed.started.find(index);
+        if (task.phase != task_phase::recording || recorded == demand.committed.started.end()
+            || demand.wanted.started != demand.committed.started) {
+            continue;
+        }
+        if (recorded->second != task.attempt) {
+            // Another scheduler recorded a start of its own.
+            vacate(state, task.worker, task.attempt);
+            demand.wanted.reason = "task " + std::to_string(index) + " may have been started before";
+            recordEnd(demand, index, task_end::unknown);
             continue;
         }
         if (isOver(demand)) {
@@ -195,21 +193,13 @@
     return false;
 }
 
-void addTasks(scheduler_state &state, demand_record &demand)
+/// Until the workers' lists were looked through, any task may run somewhere.
+void addTasks(demand_record &demand)
 {
     const auto &row = demand.wanted;
     demand.tasks.resize(row.spec.tasks);
     for (const auto index : std::views::iota(0, row.spec.tasks)) {
-        auto &task = demand.tasks.at(index);
-        if (row.ended.contains(index)) {
-            task.phase = task_phase::ended;
-        } else if (state.inDoubt || !state.ownership.placing) {
-            task.phase = task_phase::doubtful;
-        } else if (row.started.contains(index)) {
-            recordEnd(demand, index, task_end::unknown);
-        } else {
-            makeWaiting(state, demand, task);
-        }
+        demand.tasks.at(index).phase = row.ended.contains(index) ? task_phase::ended : task_phase::doubtful;
     }
 }
 
@@ -260,13 +250,15 @@
     demand.verified = true;
     demand.learnedAt = now;
     demand.sequence = ++state.lastSequence;
-    addTasks(state, demand);
+    addTasks(demand);
     adoptOrphans(state, message.key);
+    if (state.ownership.placing && !state.inDoubt) {
+        loseDoubtfulTasks(state, demand);
+    }
 }
 
 void refreshRow(scheduler_state &state, demand_record &demand, const row_read &message)
 {
-    demand.writing = false;
     demand.verified = true;
     demand.committed = *message.row;
     demand.version = message.version;
@@ -280,6 +272,14 @@
             task = {task_phase::ended, {}, 0, {}};
         }
     }
+    for (const auto index : demand.committed.started | std::views::keys) {
+        if (demand.tasks.at(index).phase == task_phase::waiting) {
+            taskLost(state, demand, index); // another scheduler recorded its start
+        }
+    }
+    if (state.ownership.placing && !state.inDoubt) {
+        loseDoubtfulTasks(state, demand);
+    }
     if (std::ranges::any_of(demand.tasks, [](const task_record &task) { return task.phase == task_phase::waiting; })) {
         state.waiting.insert(rankOf(demand));
     }
@@ -328,12 +328,25 @@
     makeWaiting(state, demand, task);
 }
 
+void loseDoubtfulTasks(scheduler_state &state, demand_record &demand)
+{
+    for (const auto index : std::views::iota(0, static_cast<std::int32_t>(demand.tasks.size()))) {
+        if (demand.tasks.at(index).phase == task_phase::doubtful) {
+            taskLost(state, demand, index);
+        }
+    }
+}
+
 void learnRow(scheduler_state &state, const row_read &message, instant now)
 {
     state.touched.insert(message.key);
     const auto known = state.demands.find(message.key);
     const auto isOpen = message.row && message.row->outcome == demand_outcome::none;
+    if (message.takeover != state.takeover) {
+        return; // it may have been read before another scheduler's changes
+    }
     if (!isOpen) {
+        rememberClosed(state, message.key, message.version, now);
         if (known != state.demands.end()) {
             state.waiting.erase(rankOf(known->second));
             state.demands.erase(known);
@@ -342,7 +355,10 @@
         return;
     }
     if (known == state.demands.end()) {
-        learnNewRow(state, message, now);
+        const auto closed = state.closed.find(message.key);
+        if (closed == state.closed.end() || closed->second.version < message.version) {
+            learnNewRow(state, message, now);
+        }
         return;
     }
     if (message.version >= known->second.version) {
@@ -372,7 +388,7 @@
         }
         return;
     }
-    if (task.phase == task_phase::doubtful) {
+    if (task.phase == task_phase::doubtful || task.phase == task_phase::waiting) {
         task = {task_phase::running, worker, listing.attempt, task.failedOn};
         return;
     }
@@ -414,7 +430,7 @@
     }
     state.touched.insert(task.demand);
     const auto &record = demand->second.tasks.at(task.index);
-    if (record.attempt == attempt && isLive(record)) {
+    if (record.attempt == attempt && (isLive(record) || record.phase == task_phase::recording)) {
         taskLost(state, demand->second, task.index);
     }
 }
@@ -426,12 +442,21 @@
     record.stops.insert(attempt);
 }
 
+/// Keeps a read that was under way when the demand ended from starting it anew.
+void rememberClosed(scheduler_state &state, const demand_key &key, std::int64_t version, instant now)
+{
+    constexpr auto latestRead = std::chrono::seconds(60);
+    auto &closed = state.closed[key];
+    closed = {std::max(closed.version, version), now + latestRead};
+}
+
 void reviewDemands(scheduler_state &state, instant now, action_list &actions)
 {
     const auto touched = std::exchange(state.touched, {});
     for (const auto &key : touched) {
         const auto found = state.demands.find(key);
         if (found != state.demands.end() && reviewDemand(state, found->second, now, actions)) {
+            rememberClosed(state, key, found->second.version, now);
             state.demands.erase(found);
         }
     }
@@ -457,6 +482,7 @@
         return;
     }
     state.nextScan = now + state.settings.scanInterval;
+    std::erase_if(state.closed, [now](const auto &entry) { return entry.second.forgetAt <= now; });
     const auto isFirst = !std::exchange(state.scanned, true);
     std::set<demand_key> unknown;
     for (const auto &record : state.records | std::views::values) {
--- a/src/libprimrosecroft/scheduling/placing.cpp
+++ b/src/libprimrosecroft/scheduling/placing.cpp
@@ -60,7 +60,7 @@
         orderStart(state, demand, index);
         return;
     }
-    demand.wanted.started.insert(index);
+    demand.wanted.started[index] = demand.tasks.at(index).attempt;
     state.touched.insert(demand.wanted.key);
 }
 
--- a/src/libprimrosecroft/scheduling/scheduler.cpp
+++ b/src/libprimrosecroft/scheduling/scheduler.cpp
@@ -2,7 +2,7 @@
 
 #include "scheduling/detail/scheduling_parts.h"
 
-#include <utility>
+#include <variant>
 
 namespace primrosecroft
 {
@@ -21,7 +21,7 @@
 
     void operator()(const workers_configured &message) const
     {
-        detail::configureWorkers(state, message);
+        detail::configureWorkers(state, message, now);
     }
 
     void operator()(const claim_answered &message) const
@@ -46,27 +46,22 @@
 
     void operator()(const row_written &message) const
     {
-        const auto found = state.demands.find(message.key);
-        if (found == state.demands.end() || !found->second.writing) {
-            return;
-        }
-        auto &demand = found->second;
-        demand.writing = false;
-        demand.committed = demand.sent;
-        demand.version = message.version;
-        state.touched.insert(message.key);
+        detail::writeCommitted(state, message);
     }
 
     void operator()(const row_write_lost &message) const
     {
-        const auto found = state.demands.find(message.key);
-        if (found == state.demands.end()) {
-            return;
-        }
-        // It may have taken effect: the next write finds out by its version.
-        found->second.writing = false;
-        found->second.retryWriteAt = now + state.settings.storeRetryInterval;
-        state.retryWrites.insert(message.key);
+        detail::writeLost(state, message, now);
+    }
+
+    void operator()(const row_write_refused &message) const
+    {
+        detail::writeRefused(state, message, actions);
+    }
+
+    void operator()(const row_read_lost &message) const
+    {
+        detail::readLost(state, message, now);
     }
 
     void operator()(const scan_finished &message) const
@@ -86,13 +81,7 @@
 
     void operator()(const timer_ticked & /*message*/) const
     {
-        for (const auto &key : std::exchange(state.retryWrites, {})) {
-            state.touched.insert(key);
-            const auto found = state.demands.find(key);
-            if (found != state.demands.end() && now < found->second.retryWriteAt) {
-                state.retryWrites.insert(key);
-            }
-        }
+        detail::retryStore(state, now, actions);
     }
 };
 
@@ -115,6 +104,7 @@
     detail::requestClaims(state, now, actions);
     detail::loseSilentWorkers(state, now);
     detail::resolveDoubt(state, now);
+    detail::dropRetired(state, now);
     detail::requestScan(state, now, actions);
     detail::reviewDemands(state, now, actions);
     detail::placeWaiting(state, now);
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -57,9 +57,9 @@
     demand_row committed; ///< what the table is known to hold
     demand_row sent; ///< what an outstanding write carries
     std::int64_t version = 0;
-    bool writing = false;
-    bool verified = false; ///< the row was read since the take-over
-    instant retryWriteAt;
+    std::uint64_t writing = 0; ///< number of the outstanding write, 0 without one
+    bool verified = false; ///< the row was read since the take-over, and no write was refused since
+    instant retryStoreAt;
     instant learnedAt;
     std::uint64_t sequence = 0;
     std::vector<task_record> tasks;
@@ -87,6 +87,13 @@
     bool draining = false;
 };
 
+/// A demand that ended a short while ago.
+struct closed_demand
+{
+    std::int64_t version = 0;
+    instant forgetAt;
+};
+
 /// Order in which demands are placed.
 struct waiting_rank
 {
@@ -104,8 +111,9 @@
     cell workers;
     std::map<worker_id, worker_record> records;
     std::map<demand_key, demand_record> demands;
+    std::map<demand_key, closed_demand> closed;
     std::set<waiting_rank> waiting;
-    std::set<demand_key> retryWrites; ///< whose last write was lost
+    std::set<demand_key> retryStore; ///< whose last write or read was lost
     std::set<demand_key> touched; ///< demands to look at again in this step
     std::set<worker_id> unreached; ///< since the take-over
     bool inDoubt = false;
@@ -115,9 +123,11 @@
     bool scanned = false; ///< since the take-over
     instant nextScan;
     instant otherPlacingUntil;
+    std::uint64_t takeover = 0; ///< number of take-overs so far
     std::uint64_t lastAttempt = 0;
     std::uint64_t lastSequence = 0;
     std::uint64_t lastScan = 0;
+    std::uint64_t lastWrite = 0;
 };
 
 scheduler_state makeScheduler(const scheduler_settings &settings);
--- a/src/libprimrosecroft/scheduling/scheduler_messages.h
+++ b/src/libprimrosecroft/scheduling/scheduler_messages.h
@@ -49,16 +49,31 @@
     demand_key key;
     std::optional<demand_row> row;
     std::int64_t version = 0;
+    std::uint64_t takeover = 0; ///< scheduler_state::takeover when the read was sent
 };
 
 struct row_written
 {
     demand_key key;
+    std::uint64_t request = 0;
     std::int64_t version = 0;
 };
 
-/// The table could not be reached or its answer was lost.
+/// The table could not be reached or its answer was lost: the write may have taken effect.
 struct row_write_lost
+{
+    demand_key key;
+    std::uint64_t request = 0;
+};
+
+/// The table holds another version; nothing was written.
+struct row_write_refused
+{
+    demand_key key;
+    std::uint64_t request = 0;
+};
+
+struct row_read_lost
 {
     demand_key key;
 };
@@ -83,9 +98,9 @@
 {
 };
 
-using scheduler_message =
-    std::variant<workers_configured, claim_answered, exchange_answered, worker_request_lost, row_read, row_written,
-                 row_write_lost, scan_finished, peer_placing, leave_requested, timer_ticked>;
+using scheduler_message = std::variant<workers_configured, claim_answered, exchange_answered, worker_request_lost,
+                                       row_read, row_written, row_write_lost, row_write_refused, row_read_lost,
+                                       scan_finished, peer_placing, leave_requested, timer_ticked>;
 
 struct send_claim
 {
@@ -111,6 +126,7 @@
 /// Replaces the row if the table still holds @ref version of it.
 struct write_row
 {
+    std::uint64_t request = 0;
     demand_row row;
     std::int64_t version = 0;
 };
--- a/src/libprimrosecroft/scheduling/takeover.cpp
+++ b/src/libprimrosecroft/scheduling/takeover.cpp
@@ -57,17 +57,18 @@
 /// Nothing known before the take-over is taken for certain: another scheduler may have placed since.
 void beginTakeover(scheduler_state &state, instant now)
 {
-    const auto &settings = state.ownership.settings;
-    state.ownership.doubtUntil = now + settings.holderTerm + settings.taskTerm + settings.margin;
+    state.ownership.doubtUntil = now + doubtTerm(state.ownership.settings);
     state.inDoubt = true;
+    ++state.takeover;
     state.scanned = false;
     state.scanning = false;
     state.nextScan = now;
     state.waiting.clear();
     for (auto &demand : state.demands | std::views::values) {
         demand.verified = false;
-        demand.writing = false;
+        demand.writing = 0;
         demand.forgetWhenCommitted.clear();
+        demand.wanted.started = demand.committed.started; // what isn't recorded was not started
         for (auto &task : demand.tasks) {
             if (task.phase != task_phase::ended) {
                 task = {task_phase::doubtful, {}, 0, task.failedOn};
@@ -89,7 +90,7 @@
 {
     const auto &settings = state.ownership.settings;
     for (auto &[id, worker] : state.ownership.workers) {
-        if (worker.claimed || worker.request || now < worker.nextRequest) {
+        if (!worker.votes || worker.claimed || worker.request || now < worker.nextRequest) {
             continue;
         }
         const auto request = beginRequest(state.ownership, worker, now);
@@ -100,15 +101,11 @@
 
 } // namespace
 
-void configureWorkers(scheduler_state &state, const workers_configured &message)
+void configureWorkers(scheduler_state &state, const workers_configured &message, instant now)
 {
     std::vector<worker_id> ids;
     std::ranges::transform(message.workers, std::back_inserter(ids), &configured_worker::id);
-    setWorkers(state.ownership, ids);
-    const auto removed = [&ids](const auto &entry) { return !contains(ids, entry.first); };
-    std::erase_if(state.records, removed);
-    std::erase_if(state.workers, removed);
-    std::erase_if(state.unreached, [&ids](const worker_id &id) { return !contains(ids, id); });
+    setWorkers(state.ownership, ids, now);
     for (const auto &worker : message.workers) {
         auto &record = state.records[worker.id];
         record.rack = worker.rack;
@@ -117,16 +114,33 @@
         placed.id = worker.id;
         placed.rack = worker.rack;
     }
+    dropRetired(state, now);
     state.placementDue = true;
 }
 
+void dropRetired(scheduler_state &state, instant now)
+{
+    auto &workers = state.ownership.workers;
+    for (auto each = workers.begin(); each != workers.end();) {
+        const auto &[id, worker] = *each;
+        if (worker.votes || now < worker.retiredUntil || !state.records.at(id).occupied.empty()) {
+            ++each;
+            continue;
+        }
+        state.unreached.erase(id);
+        state.records.erase(id);
+        state.workers.erase(id);
+        each = workers.erase(each);
+    }
+}
+
 void acceptClaim(scheduler_state &state, const claim_answered &message, instant now)
 {
     const auto held = state.ownership.workers.find(message.worker);
     if (held == state.ownership.workers.end() || !endRequest(held->second, message.request)) {
         return;
     }
-    if (!message.answer.granted || state.leaving) {
+    if (!message.answer.granted || state.leaving || !held->second.votes) {
         return;
     }
     claimGranted(state.ownership, held->second, message.answer, now);
@@ -211,6 +225,7 @@
         if (held.claimed || record.occupied.empty() || now < held.tasksDeadBy) {
             continue;
         }
+        record.sent.reset();
         const auto occupied = record.occupied;
         std::ranges::for_each(occupied | std::views::keys,
                               [&](attempt_id attempt) { loseAttempt(state, id, attempt); });
@@ -226,11 +241,10 @@
         return;
     }
     state.inDoubt = false;
+    state.unreached.clear();
     for (auto &[key, demand] : state.demands) {
-        for (const auto index : std::views::iota(0, static_cast<std::int32_t>(demand.tasks.size()))) {
-            if (demand.tasks.at(index).phase == task_phase::doubtful) {
-                taskLost(state, demand, index);
-            }
+        if (demand.verified) {
+            loseDoubtfulTasks(state, demand);
         }
         state.touched.insert(key);
     }
--- a/src/schedd/scheduler_daemon.cpp
+++ b/src/schedd/scheduler_daemon.cpp
@@ -290,40 +290,42 @@
         transaction.push_back({activeRowKey(row.home, row.key), table_write::anyVersion, std::nullopt});
     }
     ++m_writesInFlight;
-    m_daemon.platform().commit(std::move(transaction), [this, row](const commit_result &result) {
-        --m_writesInFlight;
-        switch (result.status) {
-        case commit_status::committed:
-            if (row.outcome != demand_outcome::none) {
-                m_daemon.measures().count("primrosecroft_demands_ended_total", "outcome", toString(row.outcome));
+    m_daemon.platform().commit(
+        std::move(transaction), [this, row, request = action.request](const commit_result &result) {
+            --m_writesInFlight;
+            switch (result.status) {
+            case commit_status::committed:
+                if (row.outcome != demand_outcome::none) {
+                    m_daemon.measures().count("primrosecroft_demands_ended_total", "outcome", toString(row.outcome));
+                }
+                handle(row_written {row.key, request, result.versions.front()});
+                return;
+            case commit_status::conflict:
+                handle(row_write_refused {row.key, request});
+                return;
+            case commit_status::lost:
+            case commit_status::notSent:
+                handle(row_write_lost {row.key, request});
+                return;
             }
-            handle(row_written {row.key, result.versions.front()});
-            return;
-        case commit_status::conflict:
-            readRow(row.key);
-            return;
-        case commit_status::lost:
-        case commit_status::notSent:
-            handle(row_write_lost {row.key});
-            return;
-        }
-    });
+        });
 }
 
 void scheduler_daemon::readRow(const demand_key &key)
 {
-    m_daemon.platform().read(demandRowKey(key), [this, key](const row_result &result) {
+    const auto takeover = m_state.takeover;
+    m_daemon.platform().read(demandRowKey(key), [this, key, takeover](const row_result &result) {
         if (!result) {
-            handle(row_write_lost {key});
+            handle(row_read_lost {key});
             return;
         }
         if (!*result) {
-            handle(row_read {key, std::nullopt, 0});
+            handle(row_read {key, std::nullopt, 0, takeover});
             return;
         }
         const auto row = rowFromJson((*result)->value);
         if (row.home == m_daemon.settings().failureDomain) {
-            handle(row_read {key, row, (*result)->version});
+            handle(row_read {key, row, (*result)->version, takeover});
         }
     });
 }
@@ -353,14 +355,15 @@
     const auto count = std::min(keysPerRead, keys.size());
     const std::vector<std::string> page(keys.end() - static_cast<std::ptrdiff_t>(count), keys.end());
     keys.resize(keys.size() - count);
-    m_daemon.platform().readMany(page, [this, scan, keys](const std::optional<std::vector<table_row>> &rows) {
+    const auto takeover = m_state.takeover;
+    m_daemon.platform().readMany(page, [this, scan, keys, takeover](const std::optional<std::vector<table_row>> &rows) {
         if (!rows) {
             handle(scan_finished {scan, false});
             return;
         }
         for (const auto &row : *rows) {
             const auto demand = rowFromJson(row.value);
-            handle(row_read {demand.key, demand, row.version});
+            handle(row_read {demand.key, demand, row.version, takeover});
         }
         readScanned(scan, keys);
     });
--- a/tests/standins/worker_model.cpp
+++ b/tests/standins/worker_model.cpp
@@ -93,6 +93,7 @@
             end(worker, attempt, attempt_end::lapsed);
         }
     }
+    std::erase_if(worker.barred, [now](const auto &entry) { return entry.second < now; });
     if (worker.isHeld && worker.heldUntil <= now) {
         worker.isHeld = false;
     }
@@ -136,10 +137,15 @@
         return start_answer {order.attempt, start(worker, order, request, now)};
     });
     for (const auto attempt : request.stops) {
-        worker.barred.insert(attempt);
+        worker.barred[attempt] = now + worker.barLife;
         end(worker, attempt, attempt_end::stopped);
     }
-    std::ranges::for_each(request.forgets, [&worker](attempt_id attempt) { worker.ended.erase(attempt); });
+    for (const auto attempt : request.forgets) {
+        if (worker.barsForgotten) {
+            worker.barred[attempt] = now + worker.barLife;
+        }
+        worker.ended.erase(attempt);
+    }
     std::ranges::copy(worker.ended | std::views::values, std::back_inserter(answer.ended));
     answer.stamp = stampAt(worker, now);
     return answer;
--- a/tests/standins/worker_model.h
+++ b/tests/standins/worker_model.h
@@ -3,7 +3,6 @@
 #include "workers/worker_messages.h"
 
 #include <map>
-#include <set>
 
 /**
  * A platform worker as the project assumes it, without I/O: holder lease, tasks under
@@ -23,7 +22,9 @@
 {
     resources total;
     std::chrono::milliseconds startLife {8'000}; ///< a start with an older stamp is refused
+    std::chrono::milliseconds barLife {8'000}; ///< no shorter than startLife
     instant bootedAt; ///< stamps count from here
+    bool barsForgotten = true; ///< off only to show what it is for
     bool failsEveryTask = false;
     double runTimeFactor = 1.0; ///< real over declared run time
 
@@ -32,7 +33,7 @@
     instant heldUntil;
     std::map<attempt_id, running_attempt> running;
     std::map<attempt_id, ended_attempt> ended; ///< until forgotten
-    std::set<attempt_id> barred;
+    std::map<attempt_id, instant> barred; ///< until a start sent before is too old anyway
 
     std::uint64_t overcommitRefusals = 0;
 };
--- a/tests/unit/demand_test.cpp
+++ b/tests/unit/demand_test.cpp
@@ -47,7 +47,7 @@
     auto wanted = committed;
     wanted.cancelled = false;
     wanted.ended = {{2, task_end::failed}};
-    wanted.started = {2};
+    wanted.started = {{2, 77}};
     const auto merged = merge(committed, wanted);
     CHECK(merged.cancelled);
     CHECK(merged.ended.size() == 2);
@@ -68,7 +68,7 @@
     demand_row row;
     row.key = "sheet.wash";
     row.home = "dyce";
-    row.started = {0, 3};
+    row.started = {{0, 5}, {3, 9}};
     row.ended = {{0, task_end::unknown}};
     row.outcome = demand_outcome::unknown;
     row.reason = "lost";
