--- a/src/entryd/entry_daemon.cpp
+++ b/src/entryd/entry_daemon.cpp
@@ -23,6 +23,7 @@
 routing_settings makeRoutingSettings(const daemon_settings &settings)
 {
     routing_settings routing;
+    routing.address = settings.address;
     routing.failureDomain = settings.failureDomain;
     routing.region = settings.region;
     routing.seed = std::random_device {}();
@@ -157,7 +158,7 @@
         upstreams.push_back({{"id", upstream.description.id},
                              {"failureDomain", upstream.description.failureDomain},
                              {"inFlight", upstream.inFlight},
-                             {"leaving", upstream.leaving || upstream.description.leaving}});
+                             {"leaving", isLeaving(m_bookings.state(), upstream)}});
     }
     return nlohmann::json {{"bookingsInFlight", m_bookings.inFlight()}, {"upstreams", upstreams}}.dump();
 }
--- a/src/libprimrosecroft/routing/booking_proxy.cpp
+++ b/src/libprimrosecroft/routing/booking_proxy.cpp
@@ -121,6 +121,8 @@
         if (vm.role == vm_role::executor) {
             message.upstreams.push_back({vm.id, vm.failureDomain, vm.region, vm.leaving});
             m_addresses[vm.id] = "http://" + vm.address + ':' + std::to_string(vm.port);
+        } else if (vm.role == vm_role::entry && !vm.leaving) {
+            message.entries.push_back({vm.address, vm.failureDomain, vm.region});
         }
     }
     handle(message);
@@ -265,7 +267,7 @@
         take(entry->id);
         m_measures.count("primrosecroft_bookings_total", "outcome", "broken");
     }
-    finish(entry, failure.sent ? attempt_result::lost : attempt_result::notRun);
+    finish(entry, failure.sent ? attempt_result::lost : attempt_result::unreachable);
 }
 
 void booking_proxy::finish(const std::shared_ptr<booking> &entry, attempt_result result)
--- a/src/libprimrosecroft/routing/routing.cpp
+++ b/src/libprimrosecroft/routing/routing.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <ranges>
+#include <tuple>
 
 namespace primrosecroft
 {
@@ -17,6 +18,7 @@
 
 constexpr double largestRetryBudget = 20;
 constexpr double smoothing = 0.1;
+constexpr double meanLoadSmoothing = 0.02;
 constexpr auto shortestRetryAfter = 1000ms;
 
 /// SplitMix64 (Steele, Lea, Flood: Fast Splittable Pseudorandom Number Generators, 2014).
@@ -29,62 +31,156 @@
     return value ^ (value >> 31U);
 }
 
-bool isLeaving(const upstream_record &upstream)
+bool isProbeDue(const upstream_record &upstream, instant now)
 {
-    return upstream.leaving || upstream.description.leaving;
+    return upstream.ejections > 0 && !upstream.probing && now >= upstream.ejectedUntil;
 }
 
-bool isProbeDue(const upstream_record &upstream, instant now)
+bool readsReports(routing_policy policy)
 {
-    return upstream.ejections > 0 && !upstream.probing && now >= upstream.ejectedUntil;
+    return policy == routing_policy::twoChoicesReported || policy == routing_policy::ownedFirst;
+}
+
+/// How far a report still holds: half of the requests that it counted are over after a service time.
+double reportWeight(const routing_state &state, const upstream_record &upstream, instant now)
+{
+    using seconds = std::chrono::duration<double>;
+    const auto served = seconds(state.serviceTime).count();
+    return served / (served + seconds(now - upstream.loadReportedAt).count());
+}
+
+/// Other daemons' requests at the executor. An ageing report gives way to what is usual.
+double believedOthers(const routing_state &state, const upstream_record &upstream, instant now)
+{
+    if (!readsReports(state.settings.policy) || now >= state.loadReportedAt + state.settings.loadMemory) {
+        return 0;
+    }
+    const auto usual = upstream.isOwned ? 0 : state.meanLoad;
+    const auto weight = reportWeight(state, upstream, now);
+    return upstream.othersLoad * weight + usual * (1 - weight);
 }
 
-/// What the executor is believed to have in hand: its own word while fresh, and never less than ours.
-std::int32_t believedLoad(const routing_state &state, const upstream_record &upstream, instant now)
+/// What the executor is believed to have in hand.
+double believedLoad(const routing_state &state, const upstream_record &upstream, instant now)
 {
-    const auto isFresh = now < upstream.loadReportedAt + state.settings.loadMemory;
-    return isFresh ? std::max(upstream.inFlight, upstream.reportedLoad) : upstream.inFlight;
+    return upstream.inFlight + believedOthers(state, upstream, now);
+}
+
+/// Slots that this daemon may fill. The owner of an executor finds one free when others fill up.
+double slotLimit(const routing_settings &settings, const upstream_record &upstream)
+{
+    const auto isOthers = settings.policy == routing_policy::ownedFirst && upstream.hasOwner && !upstream.isOwned;
+    return settings.slotsPerUpstream - (isOthers ? settings.slotsLeftToOwner : 0);
 }
 
 bool isUsable(const routing_state &state, const upstream_record &upstream, instant now)
 {
-    if (isLeaving(upstream) || now < upstream.ejectedUntil) {
+    if (isLeaving(state, upstream) || upstream.ejections > 0) {
         return false;
     }
-    if (upstream.ejections > 0 && !isProbeDue(upstream, now)) {
+    if (state.settings.policy == routing_policy::subset && !upstream.isOwned) {
         return false;
     }
     return upstream.inFlight < state.settings.slotsPerDaemon
-        && believedLoad(state, upstream, now) < state.settings.slotsPerUpstream;
+        && believedLoad(state, upstream, now) < slotLimit(state.settings, upstream);
 }
 
-/// Nearness of an upstream: own failure domain, own region, across the link.
-std::size_t distance(const routing_settings &settings, const upstream_description &upstream)
+/// Ranks of nearness: owned in the own failure domain and in the region, then the same of others, then the link.
+constexpr std::size_t firstOfOthers = 2;
+constexpr std::size_t acrossTheLink = 4;
+constexpr std::size_t rankCount = acrossTheLink + 1;
+
+std::size_t rankOf(const routing_settings &settings, const upstream_record &upstream)
 {
-    if (upstream.failureDomain == settings.failureDomain) {
-        return 0;
+    if (upstream.description.region != settings.region) {
+        return acrossTheLink;
     }
-    return upstream.region == settings.region ? 1 : 2;
+    const auto isOwned = settings.policy == routing_policy::ownedFirst && upstream.isOwned;
+    const std::size_t isElsewhere = upstream.description.failureDomain == settings.failureDomain ? 0 : 1;
+    return (isOwned ? 0 : firstOfOthers) + isElsewhere;
 }
 
 /// Power of two choices on the believed load (Mitzenmacher, 2001).
 upstream_record *pickOfTwo(routing_state &state, const std::vector<upstream_record *> &usable, instant now)
 {
     auto *first = usable.at(nextRandom(state.randomState) % usable.size());
+    if (state.settings.policy == routing_policy::random) {
+        return first;
+    }
     auto *second = usable.at(nextRandom(state.randomState) % usable.size());
     return believedLoad(state, *second, now) < believedLoad(state, *first, now) ? second : first;
 }
 
+/// The daemon's owned executors are few and their load is its own doing, so all are compared.
+upstream_record *pickLeastLoaded(const routing_state &state, const std::vector<upstream_record *> &usable, instant now)
+{
+    return *std::ranges::min_element(usable, {}, [&state, now](const upstream_record *upstream) {
+        return believedLoad(state, *upstream, now);
+    });
+}
+
+void refillLinkBudget(routing_state &state, instant now)
+{
+    using seconds = std::chrono::duration<double>;
+    const auto &settings = state.settings;
+    const auto most = settings.linkBytesPerSecond * seconds(settings.linkBurst).count();
+    if (state.linkBudgetAt == instant {}) {
+        state.linkBudget = most;
+    }
+    const auto passed = seconds(now - state.linkBudgetAt).count();
+    state.linkBudget = std::min(most, state.linkBudget + settings.linkBytesPerSecond * passed);
+    state.linkBudgetAt = now;
+}
+
+/// How long a request that is queued now is expected to wait for its turn.
+duration expectedWait(const routing_state &state)
+{
+    const auto interval = state.answerInterval.value_or(std::chrono::microseconds(0));
+    return interval * static_cast<std::int64_t>(state.queue.size() + 1);
+}
+
+bool mayCrossLink(routing_state &state, bool hasNearUpstreams, instant now)
+{
+    refillLinkBudget(state, now);
+    const auto isWorthIt = !hasNearUpstreams || expectedWait(state) > state.settings.linkRoundTrip;
+    return isWorthIt && state.linkBudget >= state.bytesPerRequest;
+}
+
+/// An ejected executor is tried by a request that can still go elsewhere.
+upstream_record *chooseProbed(routing_state &state, const routed_request &request, instant now)
+{
+    const auto isDue = [&](const upstream_record &upstream) {
+        return isProbeDue(upstream, now) && !isLeaving(state, upstream) && upstream.inFlight == 0
+            && rankOf(state.settings, upstream) != acrossTheLink && !request.tried.contains(upstream.description.id);
+    };
+    auto records = state.upstreams | std::views::values;
+    const auto found = std::ranges::find_if(records, isDue);
+    return found == records.end() ? nullptr : &*found;
+}
+
 upstream_record *chooseUpstream(routing_state &state, const routed_request &request, instant now)
 {
-    std::array<std::vector<upstream_record *>, 3> byDistance;
+    if (request.repeatable && state.retryBudget >= 1) {
+        if (auto *probed = chooseProbed(state, request, now)) {
+            return probed;
+        }
+    }
+    std::array<std::vector<upstream_record *>, rankCount> byRank;
+    auto hasNearUpstreams = false;
     for (auto &upstream : state.upstreams | std::views::values) {
+        const auto rank = rankOf(state.settings, upstream);
+        hasNearUpstreams = hasNearUpstreams
+            || (rank != acrossTheLink && upstream.ejections == 0 && !isLeaving(state, upstream));
         if (isUsable(state, upstream, now) && !request.tried.contains(upstream.description.id)) {
-            byDistance.at(distance(state.settings, upstream.description)).push_back(&upstream);
+            byRank.at(rank).push_back(&upstream);
         }
     }
-    const auto nearest = std::ranges::find_if_not(byDistance, &std::vector<upstream_record *>::empty);
-    return nearest == byDistance.end() ? nullptr : pickOfTwo(state, *nearest, now);
+    const auto nearest = std::ranges::find_if_not(byRank, &std::vector<upstream_record *>::empty);
+    const auto rank = static_cast<std::size_t>(nearest - byRank.begin());
+    if (nearest == byRank.end() || (rank == acrossTheLink && !mayCrossLink(state, hasNearUpstreams, now))) {
+        return hasNearUpstreams ? nullptr : chooseProbed(state, request, now);
+    }
+    return rank < firstOfOthers ? pickLeastLoaded(state, *nearest, now) : pickOfTwo(state, *nearest, now);
 }
 
 /// Spread over one to two times the pause, so that refused callers don't return together.
@@ -106,6 +202,10 @@
         return false;
     }
     upstream->probing = upstream->probing || isProbeDue(*upstream, now);
+    if (rankOf(state.settings, *upstream) == acrossTheLink) {
+        refillLinkBudget(state, now);
+        state.linkBudget -= state.bytesPerRequest;
+    }
     ++upstream->inFlight;
     ++request.attempts;
     request.tried.insert(upstream->description.id);
@@ -115,27 +215,20 @@
     return true;
 }
 
-/// Slots that this daemon may fill, in upstreams that take work.
-std::int32_t usableSlots(const routing_state &state, instant now)
+/// False when no executor takes work at all, so that waiting is no use.
+bool hasWorkingUpstream(const routing_state &state)
 {
-    std::int32_t slots = 0;
-    for (const auto &upstream : state.upstreams | std::views::values) {
-        if (!isLeaving(upstream) && now >= upstream.ejectedUntil) {
-            slots += std::min(state.settings.slotsPerDaemon, state.settings.slotsPerUpstream);
-        }
-    }
-    return slots;
+    return std::ranges::any_of(state.upstreams | std::views::values, [&state](const upstream_record &upstream) {
+        return !isLeaving(state, upstream) && upstream.ejections == 0;
+    });
 }
 
 bool canBeServedInTime(const routing_state &state, const routed_request &request, instant now)
 {
-    const auto slots = usableSlots(state, now);
-    if (slots == 0 || state.queue.size() >= state.settings.longestQueue) {
+    if (!hasWorkingUpstream(state) || state.queue.size() >= state.settings.longestQueue) {
         return false;
     }
-    const auto ahead = static_cast<double>(state.queue.size() + 1) / slots;
-    const auto wait = std::chrono::duration_cast<duration>(state.serviceTime * ahead);
-    return now + wait + state.serviceTime <= request.deadline;
+    return now + expectedWait(state) + state.serviceTime <= request.deadline;
 }
 
 void arrive(routing_state &state, const request_arrived &message, instant now, action_list &actions)
@@ -152,6 +245,18 @@
     state.queue.push_back(std::move(request));
 }
 
+/// Requests that can't make their deadlines any more are refused wherever they stand in the queue.
+void expireQueue(routing_state &state, instant now, action_list &actions)
+{
+    const auto isLate = [&state, now](const routed_request &request) {
+        return now + state.serviceTime > request.deadline;
+    };
+    for (const auto &request : state.queue | std::views::filter(isLate)) {
+        refuse(state, request.id, "its deadline comes first", actions);
+    }
+    std::erase_if(state.queue, isLate);
+}
+
 void drainQueue(routing_state &state, instant now, action_list &actions)
 {
     while (!state.queue.empty()) {
@@ -179,7 +284,7 @@
 void noteHealth(const routing_state &state, upstream_record &upstream, const attempt_finished &message, instant now)
 {
     const auto isGood = message.result == attempt_result::answered;
-    const auto isFault = message.result == attempt_result::failed || message.result == attempt_result::lost;
+    const auto isFault = message.result != attempt_result::notRun;
     if (isGood) {
         upstream.failuresInRow = 0;
         upstream.ejections = 0;
@@ -195,14 +300,55 @@
     }
 }
 
+std::chrono::microseconds smooth(std::chrono::microseconds old, std::chrono::microseconds sample, double weight)
+{
+    const auto mixed = static_cast<double>(old.count()) * (1 - weight) + static_cast<double>(sample.count()) * weight;
+    return std::chrono::microseconds(std::llround(mixed));
+}
+
+/// The rate of answers is the rate at which the queue can shrink. An idle time says nothing of it.
+void noteAnswerRate(routing_state &state, instant now)
+{
+    constexpr double weight = 0.02;
+    constexpr std::chrono::microseconds longestInterval = 1s;
+    const auto passed = std::chrono::duration_cast<std::chrono::microseconds>(now - state.lastAnswerAt);
+    state.lastAnswerAt = now;
+    if (state.queue.empty()) {
+        return;
+    }
+    const auto sample = std::min(passed, longestInterval);
+    state.answerInterval = state.answerInterval ? smooth(*state.answerInterval, sample, weight) : sample;
+}
+
+void noteLinkBytes(routing_state &state, const upstream_record &upstream, std::int64_t bytes)
+{
+    if (bytes == 0) {
+        return;
+    }
+    const auto actual = static_cast<double>(bytes);
+    if (rankOf(state.settings, upstream) == acrossTheLink) {
+        state.linkBudget += state.bytesPerRequest - actual;
+    }
+    state.bytesPerRequest += (actual - state.bytesPerRequest) * smoothing;
+}
+
+void noteLeaving(routing_state &state, const upstream_id &upstream, instant now, action_list &actions)
+{
+    if (state.leavingSince.emplace(upstream, now).second) {
+        actions.emplace_back(spread_leaving {upstream});
+    }
+}
+
 void noteAnswer(routing_state &state, const attempt_finished &message, instant now, action_list &actions)
 {
     const auto target = state.target.extract(message.id);
     const auto found = target ? state.upstreams.find(target.mapped()) : state.upstreams.end();
     if (message.result == attempt_result::answered) {
-        const auto took = static_cast<double>(message.took.count());
-        const auto smoothed = static_cast<double>(state.serviceTime.count()) * (1 - smoothing) + took * smoothing;
-        state.serviceTime = std::chrono::microseconds(std::llround(smoothed));
+        state.serviceTime = smooth(state.serviceTime, message.took, smoothing);
+        noteAnswerRate(state, now);
+    }
+    if (target && message.leaving) {
+        noteLeaving(state, target.mapped(), now, actions);
     }
     if (found == state.upstreams.end()) {
         return;
@@ -210,19 +356,19 @@
     auto &upstream = found->second;
     --upstream.inFlight;
     if (message.reportedLoad) {
-        upstream.reportedLoad = *message.reportedLoad;
+        upstream.othersLoad = std::max(0, *message.reportedLoad - upstream.inFlight);
         upstream.loadReportedAt = now;
+        state.meanLoad += (*message.reportedLoad - state.meanLoad) * meanLoadSmoothing;
+        state.loadReportedAt = now;
     }
-    if (message.leaving && !upstream.leaving) {
-        upstream.leaving = true;
-        actions.emplace_back(spread_leaving {upstream.description.id});
-    }
+    noteLinkBytes(state, upstream, message.bytes);
     noteHealth(state, upstream, message, now);
 }
 
 bool mayTryAgain(routing_state &state, const routed_request &request, attempt_result result, instant now)
 {
-    const auto isSafe = request.repeatable || result == attempt_result::notRun;
+    const auto isSafe =
+        request.repeatable || result == attempt_result::notRun || result == attempt_result::unreachable;
     if (!isSafe || request.attempts >= state.settings.mostAttempts || state.retryBudget < 1
         || now + state.serviceTime > request.deadline) {
         return false;
@@ -239,14 +385,22 @@
         return;
     }
     auto &request = node.mapped();
-    const auto goesOn = mayTryAgain(state, request, message.result, now) && dispatch(state, request, now, actions);
-    if (goesOn) {
+    const auto mayGoOn = mayTryAgain(state, request, message.result, now);
+    if (mayGoOn && dispatch(state, request, now, actions)) {
+        return;
+    }
+    if (mayGoOn && message.result == attempt_result::notRun && canBeServedInTime(state, request, now)) {
+        request.tried.clear();
+        state.queue.push_front(std::move(request));
         return;
     }
     switch (message.result) {
     case attempt_result::notRun:
         refuse(state, message.id, "the executors refused it", actions);
         return;
+    case attempt_result::unreachable:
+        refuse(state, message.id, "the executors could not be reached", actions);
+        return;
     case attempt_result::failed:
         actions.emplace_back(deliver_answer {message.id});
         return;
@@ -258,16 +412,79 @@
     }
 }
 
-void listUpstreams(routing_state &state, const upstreams_listed &message)
+/**
+ * Shares out the executors of a region among its daemons: both in the order of their
+ * failure domains, an equal run for each, so that most are in the daemon's own.
+ * Daemons whose lists differ for a while only meet more full executors.
+ */
+void assignOwners(routing_state &state, std::vector<entry_description> entries)
+{
+    const auto &settings = state.settings;
+    std::erase_if(entries, [&settings](const entry_description &entry) { return entry.region != settings.region; });
+    std::ranges::sort(entries, {}, [](const entry_description &entry) {
+        return std::tie(entry.failureDomain, entry.address);
+    });
+    std::vector<upstream_record *> shared;
+    for (auto &upstream : state.upstreams | std::views::values) {
+        upstream.isOwned = false;
+        upstream.hasOwner = !entries.empty();
+        if (upstream.description.region == settings.region && !upstream.description.leaving) {
+            shared.push_back(&upstream);
+        }
+    }
+    std::ranges::sort(shared, {}, [](const upstream_record *upstream) {
+        return std::tie(upstream->description.failureDomain, upstream->description.id);
+    });
+    for (std::size_t index = 0; index < shared.size() && !entries.empty(); ++index) {
+        shared[index]->isOwned = entries[index * entries.size() / shared.size()].address == settings.address;
+    }
+}
+
+/// What said that it leaves is taken back once the list has shown it gone, and then live again.
+void listUpstreams(routing_state &state, const upstreams_listed &message, instant now, action_list &actions)
 {
     std::map<upstream_id, upstream_record> result;
     for (const auto &description : message.upstreams) {
         auto known = state.upstreams.extract(description.id);
         auto record = known ? known.mapped() : upstream_record {};
+        const auto isBack = known && record.description.leaving && !description.leaving;
+        if (isBack) {
+            state.leavingSince.erase(description.id);
+        }
+        if (description.leaving) {
+            noteLeaving(state, description.id, now, actions);
+        }
         record.description = description;
         result.emplace(description.id, record);
     }
+    for (auto &[id, gone] : state.upstreams) {
+        state.leavingSince.erase(id);
+        if (gone.inFlight > 0) {
+            // Its requests still have to be counted off, also if it is listed again.
+            gone.description.leaving = true;
+            result.emplace(id, gone);
+        }
+    }
     state.upstreams = std::move(result);
+    assignOwners(state, message.entries);
+}
+
+/// An executor that is still listed as live long after it said that it leaves was restarted: it is probed.
+void forgetLeaving(routing_state &state, instant now)
+{
+    for (auto each = state.leavingSince.begin(); each != state.leavingSince.end();) {
+        const auto found = state.upstreams.find(each->first);
+        const auto isListedLeaving = found != state.upstreams.end() && found->second.description.leaving;
+        if (isListedLeaving || now < each->second + state.settings.leavingMemory) {
+            ++each;
+            continue;
+        }
+        if (found != state.upstreams.end()) {
+            found->second.ejections = std::max(1, found->second.ejections);
+            found->second.probing = false;
+        }
+        each = state.leavingSince.erase(each);
+    }
 }
 
 struct message_handler
@@ -278,15 +495,12 @@
 
     void operator()(const upstreams_listed &message) const
     {
-        listUpstreams(state, message);
+        listUpstreams(state, message, now, actions);
     }
 
     void operator()(const upstream_left &message) const
     {
-        const auto found = state.upstreams.find(message.upstream);
-        if (found != state.upstreams.end()) {
-            found->second.leaving = true;
-        }
+        state.leavingSince.emplace(message.upstream, now);
     }
 
     void operator()(const request_arrived &message) const
@@ -301,11 +515,18 @@
 
     void operator()(const routing_ticked & /*message*/) const
     {
+        forgetLeaving(state, now);
+        expireQueue(state, now, actions);
     }
 };
 
 } // namespace
 
+bool isLeaving(const routing_state &state, const upstream_record &upstream)
+{
+    return upstream.description.leaving || state.leavingSince.contains(upstream.description.id);
+}
+
 routing_state makeRouting(const routing_settings &settings)
 {
     routing_state state;
--- a/src/libprimrosecroft/routing/routing.h
+++ b/src/libprimrosecroft/routing/routing.h
@@ -18,20 +18,38 @@
 namespace primrosecroft
 {
 
+/// How an executor is chosen among those that are near enough and have room.
+enum class routing_policy
+{
+    random, ///< any, blind to load
+    fixedShare, ///< two choices, within an equal share of each executor's slots
+    twoChoices, ///< two choices on own requests in flight
+    twoChoicesReported, ///< two choices on the load that executors report
+    subset, ///< two choices among the executors of which this daemon is the owner
+    ownedFirst, ///< owned executors while they have room, then two choices on the reported load
+};
+
 struct routing_settings
 {
+    routing_policy policy = routing_policy::ownedFirst;
+    std::string address; ///< of this daemon, as the entry VMs are listed
     failure_domain_id failureDomain;
     std::string region;
     std::uint64_t seed = 0;
     std::int32_t slotsPerUpstream = 8;
     std::int32_t slotsPerDaemon = 8; ///< of one upstream that this daemon uses at the most
+    double slotsLeftToOwner = 1; ///< of an upstream that another daemon owns
     std::size_t longestQueue = 1'000;
     std::int32_t failuresBeforeEjection = 3; ///< in a row
     std::chrono::milliseconds ejectionTime {2'000}; ///< doubles with each further one
     std::chrono::milliseconds longestEjection {30'000};
     double retryShare = 0.1; ///< of requests; what goes beyond isn't tried again
     std::int32_t mostAttempts = 3;
-    std::chrono::milliseconds loadMemory {1'000}; ///< a reported load is believed for so long
+    std::chrono::milliseconds loadMemory {1'000}; ///< without a report for so long, nothing is believed
+    std::chrono::milliseconds leavingMemory {300'000}; ///< ten times the lag of the VM list
+    std::chrono::milliseconds linkRoundTrip {40}; ///< a shorter wait is preferred to crossing the link
+    double linkBytesPerSecond = 125'000; ///< of this daemon's requests and answers between regions
+    std::chrono::milliseconds linkBurst {1'000}; ///< of unused budget that is kept
 };
 
 /// An upstream as membership knows it.
@@ -43,16 +61,25 @@
     bool leaving = false;
 };
 
+/// An entry daemon as membership knows it.
+struct entry_description
+{
+    std::string address;
+    failure_domain_id failureDomain;
+    std::string region;
+};
+
 struct upstream_record
 {
     upstream_description description;
+    bool isOwned = false; ///< this daemon is the first to fill its slots
+    bool hasOwner = false; ///< some daemon is
     std::int32_t inFlight = 0; ///< from this daemon
-    std::int32_t reportedLoad = 0; ///< all daemons' requests at the executor
+    std::int32_t othersLoad = 0; ///< other daemons' requests at the executor, by its last report
     instant loadReportedAt;
     std::int32_t failuresInRow = 0;
     std::int32_t ejections = 0; ///< without a success between
     instant ejectedUntil;
-    bool leaving = false; ///< said so itself or through a peer; holds until it is listed anew
     bool probing = false; ///< one request is let through after an ejection
 };
 
@@ -69,17 +96,27 @@
 {
     routing_settings settings;
     std::map<upstream_id, upstream_record> upstreams;
+    double meanLoad = 0; ///< smoothed over the reports of all upstreams
+    instant loadReportedAt; ///< by any upstream
+    std::map<upstream_id, instant> leavingSince; ///< said so themselves or through a peer
     std::map<std::uint64_t, routed_request> active; ///< sent to an upstream
     std::map<std::uint64_t, upstream_id> target; ///< of active requests
     std::deque<routed_request> queue;
     double retryBudget = 0;
     std::uint64_t randomState = 0;
     std::chrono::microseconds serviceTime {50'000}; ///< smoothed, of one request
+    std::optional<std::chrono::microseconds> answerInterval; ///< smoothed, while requests wait
+    instant lastAnswerAt;
+    double linkBudget = 0; ///< in bytes; below zero after an answer that was larger than expected
+    instant linkBudgetAt;
+    double bytesPerRequest = 4'096; ///< smoothed, request and answer
 };
 
+/// The platform's list. The entry daemons of a region share out its executors by it.
 struct upstreams_listed
 {
     std::vector<upstream_description> upstreams;
+    std::vector<entry_description> entries = {};
 };
 
 struct upstream_left
@@ -97,7 +134,8 @@
 enum class attempt_result
 {
     answered, ///< whole, whatever its status
-    notRun, ///< refused by the executor, or never sent
+    notRun, ///< refused by the executor
+    unreachable, ///< no connection, so it was never sent
     failed, ///< sent and answered with a server fault
     lost, ///< sent, and no whole answer came
 };
@@ -110,6 +148,7 @@
     bool answerBegun = false; ///< parts of the answer reached the caller
     std::optional<std::int32_t> reportedLoad;
     std::chrono::microseconds took {0};
+    std::int64_t bytes = 0; ///< request and answer; 0 when not known
 };
 
 struct routing_ticked
@@ -155,6 +194,9 @@
 
 routing_state makeRouting(const routing_settings &settings);
 
+/// True when a source has said that the upstream leaves, and none has taken it back.
+bool isLeaving(const routing_state &state, const upstream_record &upstream);
+
 std::vector<routing_action> step(routing_state &state, const routing_message &message, instant now);
 
 } // namespace primrosecroft
