Tell the truth about a retried request that is refused later

Cause: a repeatable request that failed or was lost at one executor and was then refused by the next was reported as not run. Retry-After counts whole seconds, so a spread of one to two seconds told nearly all callers 2; it is now 1 to 5 s, no second has more than half of them.

--- a/src/libprimrosecroft/routing/routing.cpp
+++ b/src/libprimrosecroft/routing/routing.cpp
@@ -70,7 +70,9 @@
 double slotLimit(const routing_settings &settings, const upstream_record &upstream)
 {
     const auto isOthers = settings.policy == routing_policy::ownedFirst && upstream.hasOwner && !upstream.isOwned;
-    return settings.slotsPerUpstream - (isOthers ? settings.slotsLeftToOwner : 0);
+    // A request of others that is as likely there as not takes a slot.
+    const auto doubt = readsReports(settings.policy) ? 0.5 : 0;
+    return settings.slotsPerUpstream - (isOthers ? settings.slotsLeftToOwner : doubt);
 }
 
 bool isUsable(const routing_state &state, const upstream_record &upstream, instant now)
@@ -180,19 +182,27 @@
     if (nearest == byRank.end() || (rank == acrossTheLink && !mayCrossLink(state, hasNearUpstreams, now))) {
         return hasNearUpstreams ? nullptr : chooseProbed(state, request, now);
     }
-    return rank < firstOfOthers ? pickLeastLoaded(state, *nearest, now) : pickOfTwo(state, *nearest, now);
+    const auto compareAll = state.settings.policy == routing_policy::ownedFirst;
+    return compareAll ? pickLeastLoaded(state, *nearest, now) : pickOfTwo(state, *nearest, now);
 }
 
-/// Spread over one to two times the pause, so that refused callers don't return together.
+/// Spread over one to five times the pause: the header counts whole seconds, and refused callers
+/// shouldn't return together.
 std::chrono::milliseconds spreadPause(routing_state &state, std::chrono::milliseconds pause)
 {
-    const auto spread = nextRandom(state.randomState) % static_cast<std::uint64_t>(pause.count());
+    constexpr std::uint64_t spreadPauses = 4;
+    const auto spread = nextRandom(state.randomState) % (spreadPauses * static_cast<std::uint64_t>(pause.count()));
     return pause + std::chrono::milliseconds(spread);
 }
 
-void refuse(routing_state &state, std::uint64_t id, const std::string &reason, action_list &actions)
+/// Ends a request that no executor will be given any more. Only one that never ran is refused.
+void giveUp(routing_state &state, const routed_request &request, const std::string &reason, action_list &actions)
 {
-    actions.emplace_back(refuse_request {id, reason, spreadPause(state, shortestRetryAfter)});
+    if (request.mayHaveRun) {
+        actions.emplace_back(report_unknown {request.id});
+        return;
+    }
+    actions.emplace_back(refuse_request {request.id, reason, spreadPause(state, shortestRetryAfter)});
 }
 
 bool dispatch(routing_state &state, routed_request &request, instant now, action_list &actions)
@@ -234,12 +244,12 @@
 void arrive(routing_state &state, const request_arrived &message, instant now, action_list &actions)
 {
     state.retryBudget = std::min(largestRetryBudget, state.retryBudget + state.settings.retryShare);
-    routed_request request {message.id, message.deadline, message.repeatable, 0, {}};
+    routed_request request {message.id, message.deadline, message.repeatable};
     if (state.queue.empty() && dispatch(state, request, now, actions)) {
         return;
     }
     if (!canBeServedInTime(state, request, now)) {
-        refuse(state, request.id, "no executor can serve it in time", actions);
+        giveUp(state, request, "no executor can serve it in time", actions);
         return;
     }
     state.queue.push_back(std::move(request));
@@ -252,7 +262,7 @@
         return now + state.serviceTime > request.deadline;
     };
     for (const auto &request : state.queue | std::views::filter(isLate)) {
-        refuse(state, request.id, "its deadline comes first", actions);
+        giveUp(state, request, "its deadline comes first", actions);
     }
     std::erase_if(state.queue, isLate);
 }
@@ -262,7 +272,7 @@
     while (!state.queue.empty()) {
         auto &next = state.queue.front();
         if (now + state.serviceTime > next.deadline) {
-            refuse(state, next.id, "its deadline comes first", actions);
+            giveUp(state, next, "its deadline comes first", actions);
         } else if (!dispatch(state, next, now, actions)) {
             return;
         }
@@ -385,6 +395,8 @@
         return;
     }
     auto &request = node.mapped();
+    request.mayHaveRun = request.mayHaveRun || message.result == attempt_result::failed
+        || message.result == attempt_result::lost;
     const auto mayGoOn = mayTryAgain(state, request, message.result, now);
     if (mayGoOn && dispatch(state, request, now, actions)) {
         return;
@@ -396,10 +408,10 @@
     }
     switch (message.result) {
     case attempt_result::notRun:
-        refuse(state, message.id, "the executors refused it", actions);
+        giveUp(state, request, "the executors refused it", actions);
         return;
     case attempt_result::unreachable:
-        refuse(state, message.id, "the executors could not be reached", actions);
+        giveUp(state, request, "the executors could not be reached", actions);
         return;
     case attempt_result::failed:
         actions.emplace_back(deliver_answer {message.id});
--- a/src/libprimrosecroft/routing/routing.h
+++ b/src/libprimrosecroft/routing/routing.h
@@ -89,7 +89,8 @@
     instant deadline;
     bool repeatable = false;
     std::int32_t attempts = 0;
-    std::set<upstream_id> tried;
+    std::set<upstream_id> tried = {};
+    bool mayHaveRun = false; ///< an attempt reached an executor and its answer was lost or a fault
 };
 
 struct routing_state
