--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -1,6 +1,7 @@
 #include "routing/routing.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <ranges>
 
 using namespace primrosecroft;
@@ -109,3 +110,151 @@
     step(state, attempt_finished {id, attempt_result::answered, false, true, {}, 1ms}, now);
     CHECK(state.upstreams.at("x0").ejections == 0);
 }
+
+namespace
+{
+
+upstreams_listed listOf(const std::string &id, bool leaving)
+{
+    return {{{id, "a", "r", leaving}}};
+}
+
+bool takesWork(routing_state &state, std::uint64_t id, instant now)
+{
+    const auto actions = step(state, request_arrived {id, now + 5s, true}, now);
+    return std::ranges::any_of(actions,
+                               [](const auto &action) { return std::holds_alternative<send_attempt>(action); });
+}
+
+} // namespace
+
+TEST_CASE("a stale list doesn't bring back an executor that said it leaves", "[promise-6]")
+{
+    auto state = makeState(1);
+    auto now = instant {} + 1h;
+    step(state, upstream_left {"x0"}, now);
+    for (std::uint64_t id = 1; id <= 30; ++id) {
+        now += 1s;
+        step(state, listOf("x0", false), now);
+        CHECK_FALSE(takesWork(state, id, now));
+    }
+}
+
+TEST_CASE("a leaving executor is remembered before it is listed", "[promise-6]")
+{
+    auto state = makeState(0);
+    const auto now = instant {} + 1h;
+    step(state, upstream_left {"x0"}, now);
+    step(state, listOf("x0", false), now);
+    CHECK_FALSE(takesWork(state, 1, now));
+}
+
+TEST_CASE("what the list says of a leaving executor is spread to peers, once", "[promise-6]")
+{
+    auto state = makeState(1);
+    const auto now = instant {} + 1h;
+    const auto actions = step(state, listOf("x0", true), now);
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<spread_leaving>(actions.front()).upstream == "x0");
+    CHECK(step(state, listOf("x0", true), now + 5s).empty());
+    CHECK_FALSE(takesWork(state, 1, now));
+}
+
+TEST_CASE("an executor restarted at the same id comes back when the list has shown it gone")
+{
+    auto state = makeState(1);
+    auto now = instant {} + 1h;
+    step(state, upstream_left {"x0"}, now);
+    step(state, listOf("x0", true), now + 30s);
+    CHECK_FALSE(takesWork(state, 1, now + 31s));
+    step(state, listOf("x0", false), now + 60s);
+    CHECK(takesWork(state, 2, now + 61s));
+}
+
+TEST_CASE("an executor that the list never showed gone is probed by one request after five minutes")
+{
+    auto state = makeState(1);
+    const auto now = instant {} + 1h;
+    step(state, upstream_left {"x0"}, now);
+    step(state, routing_ticked {}, now + 299s);
+    CHECK_FALSE(takesWork(state, 1, now + 299s));
+    step(state, routing_ticked {}, now + 301s);
+    CHECK(takesWork(state, 2, now + 301s));
+    CHECK_FALSE(takesWork(state, 3, now + 301s));
+    step(state, attempt_finished {2, attempt_result::notRun, true, false, {}, 1ms}, now + 302s);
+    CHECK_FALSE(takesWork(state, 4, now + 303s));
+}
+
+TEST_CASE("an executor that vanishes from the list and returns is counted rightly")
+{
+    auto state = makeState(1);
+    const auto now = instant {} + 1h;
+    CHECK(takesWork(state, 1, now));
+    step(state, upstreams_listed {}, now);
+    step(state, listOf("x0", false), now);
+    CHECK(state.upstreams.at("x0").inFlight == 1);
+    step(state, attempt_finished {1, attempt_result::answered, false, true, {}, 1ms}, now);
+    CHECK(state.upstreams.at("x0").inFlight == 0);
+}
+
+TEST_CASE("a queued request that can't make its deadline is refused at once, wherever it stands")
+{
+    auto state = makeState(1);
+    const auto now = instant {} + 1h;
+    for (std::uint64_t id = 1; id <= 9; ++id) {
+        step(state, request_arrived {id, now + 5s, true}, now);
+    }
+    step(state, request_arrived {10, now + 100ms, true}, now);
+    REQUIRE(state.queue.size() == 2);
+    const auto actions = step(state, routing_ticked {}, now + 60ms);
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<refuse_request>(actions.front()).id == 10);
+}
+
+TEST_CASE("a repeatable request that failed once and is refused then is unknown", "[promise-4]")
+{
+    auto state = makeState(2);
+    state.retryBudget = 1;
+    const auto now = instant {} + 1h;
+    step(state, request_arrived {1, now + 60ms, true}, now);
+    step(state, attempt_finished {1, attempt_result::lost, false, false, {}, 1ms}, now);
+    const auto actions = step(state, attempt_finished {1, attempt_result::notRun, false, false, {}, 1ms}, now + 20ms);
+    REQUIRE(actions.size() == 1);
+    CHECK(std::holds_alternative<report_unknown>(actions.front()));
+}
+
+TEST_CASE("only a request that can still go elsewhere probes an ejected executor")
+{
+    auto state = makeState(2);
+    state.retryBudget = 5;
+    const auto now = instant {} + 1h;
+    state.upstreams.at("x0").ejections = 1;
+    const auto first = sent(step(state, request_arrived {1, now + 5s, false}, now)).upstream;
+    CHECK(first == "x1");
+    const auto second = sent(step(state, request_arrived {2, now + 5s, true}, now)).upstream;
+    CHECK(second == "x0");
+}
+
+TEST_CASE("the daemons of a region share out its executors without overlap")
+{
+    std::map<upstream_id, int> owners;
+    for (const std::string address : {"1", "2", "3"}) {
+        routing_settings settings;
+        settings.address = address;
+        settings.region = "r";
+        auto state = makeRouting(settings);
+        upstreams_listed list;
+        for (const auto number : std::views::iota(0, 10)) {
+            list.upstreams.push_back({"x" + std::to_string(number), "a", "r", false});
+        }
+        list.upstreams.push_back({"far", "c", "s", false});
+        list.entries = {{"1", "a", "r"}, {"2", "a", "r"}, {"3", "b", "r"}, {"4", "c", "s"}};
+        step(state, list, instant {});
+        for (const auto &[id, upstream] : state.upstreams) {
+            owners[id] += upstream.isOwned ? 1 : 0;
+        }
+    }
+    CHECK(owners.at("far") == 0);
+    owners.erase("far");
+    CHECK(std::ranges::all_of(owners | std::views::values, [](int count) { return count == 1; }));
+}
