Probe ejected executors also when no request may be repeated; golden sessions

Cause: the golden session of failures showed a request crossing the link although a near executor's probe was due: only repeatable requests probed, so with bookings that must not be repeated an ejected executor never came back (share 0 after 10 s, test failed first). A probe that is overdue by 1 s is now made by any request. An executor that is listed anew starts with a clean record.

--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -28,7 +28,9 @@
     GSocket *socket = soup_server_message_get_socket(message);
     if (socket != nullptr) {
         const sockaddr nowhere {AF_UNSPEC, {}};
-        connect(g_socket_get_fd(socket), &nowhere, sizeof nowhere);
+        if (connect(g_socket_get_fd(socket), &nowhere, sizeof nowhere) != 0) {
+            g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+        }
     }
 }
 
--- a/src/libprimrosecroft/routing/routing.cpp
+++ b/src/libprimrosecroft/routing/routing.cpp
@@ -20,6 +20,8 @@
 constexpr double smoothing = 0.1;
 constexpr double meanLoadSmoothing = 0.02;
 constexpr auto shortestRetryAfter = 1000ms;
+/// An ejected executor waits so long for a probe that can still go elsewhere; then any request is one.
+constexpr auto probeGrace = 1s;
 
 /// SplitMix64 (Steele, Lea, Flood: Fast Splittable Pseudorandom Number Generators, 2014).
 std::uint64_t nextRandom(std::uint64_t &state)
@@ -147,11 +149,11 @@
     return isWorthIt && state.linkBudget >= state.bytesPerRequest;
 }
 
-/// An ejected executor is tried by a request that can still go elsewhere.
-upstream_record *chooseProbed(routing_state &state, const routed_request &request, instant now)
+/// An ejected executor whose probe has been due for @p overdue.
+upstream_record *chooseProbed(routing_state &state, const routed_request &request, instant now, duration overdue)
 {
     const auto isDue = [&](const upstream_record &upstream) {
-        return isProbeDue(upstream, now) && !isLeaving(state, upstream) && upstream.inFlight == 0
+        return isProbeDue(upstream, now - overdue) && !isLeaving(state, upstream) && upstream.inFlight == 0
             && rankOf(state.settings, upstream) != acrossTheLink && !request.tried.contains(upstream.description.id);
     };
     auto records = state.upstreams | std::views::values;
@@ -161,10 +163,9 @@
 
 upstream_record *chooseUpstream(routing_state &state, const routed_request &request, instant now)
 {
-    if (request.repeatable && state.retryBudget >= 1) {
-        if (auto *probed = chooseProbed(state, request, now)) {
-            return probed;
-        }
+    const auto canGoElsewhere = request.repeatable && state.retryBudget >= 1;
+    if (auto *probed = chooseProbed(state, request, now, canGoElsewhere ? 0s : probeGrace)) {
+        return probed;
     }
     std::array<std::vector<upstream_record *>, rankCount> byRank;
     auto hasNearUpstreams = false;
@@ -179,7 +180,7 @@
     const auto nearest = std::ranges::find_if_not(byRank, &std::vector<upstream_record *>::empty);
     const auto rank = static_cast<std::size_t>(nearest - byRank.begin());
     if (nearest == byRank.end() || (rank == acrossTheLink && !mayCrossLink(state, hasNearUpstreams, now))) {
-        return hasNearUpstreams ? nullptr : chooseProbed(state, request, now);
+        return hasNearUpstreams ? nullptr : chooseProbed(state, request, now, 0s);
     }
     const auto compareAll = state.settings.policy == routing_policy::ownedFirst;
     return compareAll ? pickLeastLoaded(state, *nearest, now) : pickOfTwo(state, *nearest, now);
@@ -459,6 +460,9 @@
         const auto isBack = known && record.description.leaving && !description.leaving;
         if (isBack) {
             state.leavingSince.erase(description.id);
+            record.failuresInRow = 0;
+            record.ejections = 0;
+            record.probing = false;
         }
         if (description.leaving) {
             noteLeaving(state, description.id, now, actions);
--- a/tests/bench/routing_bench.cpp
+++ b/tests/bench/routing_bench.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <ranges>
 
 /// Routing policies beside one ideal shared queue, and routing under faults, in virtual time.
@@ -56,7 +57,7 @@
 
 void comparePolicies(double load)
 {
-    const auto percent = std::to_string(static_cast<int>(load * 100 + 0.5));
+    const auto percent = std::to_string(std::lround(load * 100));
     const auto ideal = runSharedQueue(makePlan(routing_policy::ownedFirst, load));
     const auto idealName = "routing/" + percent + "/shared_queue/";
     printFigure(idealName + "wait_p50", ideal.waitAt(0.5), "ms");
--- a/tests/standins/routing_cell.cpp
+++ b/tests/standins/routing_cell.cpp
@@ -180,7 +180,7 @@
         scheduleArrival();
         m_clock.runUntil(m_start + m_plan.span + m_plan.deadline);
         std::ranges::sort(m_result.waitMs);
-        m_result.slotsUsed /= std::max<std::int64_t>(1, m_samples);
+        m_result.slotsUsed /= static_cast<double>(std::max<std::int64_t>(1, m_samples));
         return std::move(m_result);
     }
 
--- a/tests/unit/booking_test.cpp
+++ b/tests/unit/booking_test.cpp
@@ -22,6 +22,7 @@
     {
         server.listen("127.0.0.1", 0);
         std::vector<listed_vm> vms;
+        vms.reserve(ports.size());
         for (const auto each : ports) {
             vms.push_back(
                 {"x" + std::to_string(vms.size()), vm_role::executor, "a", "r", "", "127.0.0.1", each, false});
@@ -90,7 +91,7 @@
 }
 
 /// Answers each request of each connection by what @p reply makes of it; an empty reply closes.
-scripted_peer::script answering(std::function<std::string(const std::string &request)> reply)
+scripted_peer::script answering(const std::function<std::string(const std::string &request)> &reply)
 {
     return [reply](raw_connection &connection, int /*number*/) {
         for (auto text = connection.readRequest(); !text.empty(); text = connection.readRequest()) {
--- a/tests/unit/routing_cell_test.cpp
+++ b/tests/unit/routing_cell_test.cpp
@@ -95,6 +95,18 @@
     }
 }
 
+TEST_CASE("an executor is taken back also when no request may be repeated")
+{
+    auto plan = makePlan(0.8);
+    plan.span = 20s;
+    plan.repeatableShare = 0;
+    plan.faults.push_back({3, executor_fault_kind::failing, 5s, 9s});
+    const auto result = runCell(plan);
+    const auto perSecond = result.attempts / plan.span.count();
+    CHECK(share(result.attemptsBySecond[3][7] + result.attemptsBySecond[3][8], 2 * perSecond) <= 0.002);
+    CHECK(share(result.attemptsBySecond[3][19] * 50, perSecond) >= 0.5);
+}
+
 TEST_CASE("the share of a slow executor falls with its speed")
 {
     auto plan = makePlan(0.5);
--- /dev/null
+++ b/tests/unit/routing_golden_test.cpp
@@ -0,0 +1,160 @@
+#include "routing/routing.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+/// Whole sessions of the routing core as text. `UPDATE_GOLDEN=1` writes them anew; git shows the difference.
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Tells messages to one daemon and writes down what it does.
+class session
+{
+public:
+    session()
+    {
+        routing_settings settings;
+        settings.address = "10.0.0.1";
+        settings.failureDomain = "grangemouth";
+        settings.region = "central-belt";
+        settings.seed = 7;
+        m_state = makeRouting(settings);
+    }
+
+    void list(bool leaving = false)
+    {
+        upstreams_listed message;
+        message.upstreams = {{"executor-1", "grangemouth", "central-belt", leaving},
+                             {"executor-2", "motherwell", "central-belt", false},
+                             {"executor-3", "dyce", "north-east", false}};
+        message.entries = {{"10.0.0.1", "grangemouth", "central-belt"}, {"10.0.0.2", "motherwell", "central-belt"}};
+        tell(leaving ? "the VM list shows 3 executors, executor-1 leaving" : "the VM list shows 3 executors", message);
+    }
+
+    void request(std::uint64_t id, bool repeatable, std::chrono::milliseconds deadline = 5'000ms)
+    {
+        std::ostringstream text;
+        text << "request " << id << (repeatable ? ", repeatable" : ", not repeatable") << ", within "
+             << deadline.count() << " ms";
+        tell(text.str(), request_arrived {id, m_now + deadline, repeatable});
+    }
+
+    void finish(std::uint64_t id, attempt_result result, const std::string &what, bool leaving = false)
+    {
+        attempt_finished message {id, result, leaving, result == attempt_result::answered, 1, 20ms, 4'096};
+        tell("request " + std::to_string(id) + ' ' + what, message);
+    }
+
+    void tell(const std::string &what, const routing_message &message)
+    {
+        m_text << '+' << std::chrono::duration_cast<std::chrono::milliseconds>(m_now - start).count() << " ms  " << what
+               << '\n';
+        for (const auto &action : step(m_state, message, m_now)) {
+            m_text << "      -> " << describe(action) << '\n';
+        }
+    }
+
+    void pass(std::chrono::milliseconds time)
+    {
+        m_now += time;
+    }
+
+    std::string text() const
+    {
+        return m_text.str();
+    }
+
+private:
+    static std::string describe(const routing_action &action)
+    {
+        if (const auto *sent = std::get_if<send_attempt>(&action)) {
+            return "send " + std::to_string(sent->id) + " to " + sent->upstream;
+        }
+        if (const auto *refused = std::get_if<refuse_request>(&action)) {
+            return "refuse " + std::to_string(refused->id) + ", " + refused->reason + ", retry after "
+                + std::to_string(refused->retryAfter.count()) + " ms";
+        }
+        if (const auto *unknown = std::get_if<report_unknown>(&action)) {
+            return "report " + std::to_string(unknown->id) + " as unknown";
+        }
+        if (const auto *delivered = std::get_if<deliver_answer>(&action)) {
+            return "deliver the fault of " + std::to_string(delivered->id);
+        }
+        return "tell peers that " + std::get<spread_leaving>(action).upstream + " leaves";
+    }
+
+    static constexpr instant start = instant {} + 1h;
+
+    routing_state m_state;
+    instant m_now = start;
+    std::ostringstream m_text;
+};
+
+void compare(const session &played, const std::string &name)
+{
+    const auto path = "../golden/" + name;
+    if (std::getenv("UPDATE_GOLDEN") != nullptr) {
+        std::ofstream(path) << played.text();
+    }
+    std::ostringstream expected;
+    expected << std::ifstream(path).rdbuf();
+    CHECK(played.text() == expected.str());
+}
+
+} // namespace
+
+TEST_CASE("a session in which all goes well reads as written down")
+{
+    session played;
+    played.list();
+    played.request(1, true);
+    played.request(2, false);
+    played.pass(20ms);
+    played.finish(1, attempt_result::answered, "answered");
+    played.finish(2, attempt_result::answered, "answered");
+    for (std::uint64_t id = 3; id <= 18; ++id) {
+        played.request(id, false);
+    }
+    played.pass(20ms);
+    played.finish(3, attempt_result::answered, "answered");
+    compare(played, "routing-happy.txt");
+}
+
+TEST_CASE("a session with failures reads as written down")
+{
+    session played;
+    played.request(1, true);
+    played.list();
+    for (std::uint64_t id = 2; id <= 11; ++id) {
+        played.request(id, true);
+        played.pass(5ms);
+        played.finish(id, attempt_result::answered, "answered");
+    }
+    played.request(12, true);
+    played.finish(12, attempt_result::lost, "lost its answer");
+    played.finish(12, attempt_result::lost, "lost its answer");
+    played.request(13, false);
+    played.finish(13, attempt_result::lost, "lost its answer");
+    played.request(14, false);
+    played.finish(14, attempt_result::failed, "failed");
+    played.request(15, false);
+    played.finish(15, attempt_result::notRun, "was refused by the executor, which leaves", true);
+    played.pass(1'000ms);
+    played.list();
+    played.request(16, false);
+    played.pass(2'000ms);
+    played.finish(16, attempt_result::unreachable, "found no connection");
+    played.tell("a peer saw executor-2 leave", upstream_left {"executor-2"});
+    played.request(17, false);
+    played.pass(30'000ms);
+    played.list(true);
+    played.pass(30'000ms);
+    played.list();
+    played.request(18, false);
+    compare(played, "routing-failing.txt");
+}
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -229,6 +229,7 @@
     state.retryBudget = 5;
     const auto now = instant {} + 1h;
     state.upstreams.at("x0").ejections = 1;
+    state.upstreams.at("x0").ejectedUntil = now; // due, and not yet for longer than the grace
     const auto first = sent(step(state, request_arrived {1, now + 5s, false}, now)).upstream;
     CHECK(first == "x1");
     const auto second = sent(step(state, request_arrived {2, now + 5s, true}, now)).upstream;
