Refuse more of what can't be served in time on its arrival

Cause: the queue was filled to the deadline exactly, so ordinary variance made a third of the refusals late.

--- a/src/libprimrosecroft/routing/routing.cpp
+++ b/src/libprimrosecroft/routing/routing.cpp
@@ -238,7 +238,9 @@
     if (!hasWorkingUpstream(state) || state.queue.size() >= state.settings.longestQueue) {
         return false;
     }
-    return now + expectedWait(state) + state.serviceTime <= request.deadline;
+    // A wait that turns out longer than expected would end in a refusal that comes late.
+    const auto cautiousWait = expectedWait(state) * 5 / 4;
+    return now + cautiousWait + state.serviceTime <= request.deadline;
 }
 
 void arrive(routing_state &state, const request_arrived &message, instant now, action_list &actions)
