Decide a demand's acceptance in a pure step, and never call a possible row not run

Cause: the decisions stood in the shell, and three answers could be untrue. A cancellation whose first write was lost was refused as not run when the next read failed. A demand that fits nowhere under a newer sheet was refused although its key had been accepted before. A retry of a key that had been answered as unknown was refused as not run during an outage. An unreadable row threw through the main loop. Now step(state, message, now) gives the one next action; a key answered as unknown is remembered (1,024 a daemon), and the row is read before a demand is refused as fitting nowhere. Ruled out: treating a 503 of the store as not written. A balancer before the store may answer it after the effect, so it stays lost and is resolved by key. Unproved: a retry of an unknown key at another entry daemon in the same outage is still refused; only the store could tell it.

--- a/src/libprimrosecroft/demands/demand_service.cpp
+++ b/src/libprimrosecroft/demands/demand_service.cpp
@@ -27,7 +27,8 @@
 constexpr unsigned statusUnprocessable = 422;
 constexpr unsigned statusUnavailable = 503;
 constexpr std::size_t longestKey = 128;
-constexpr auto resolveInterval = 250ms;
+constexpr auto cancelRetryInterval = 250ms;
+constexpr std::size_t mostUnresolvedKeys = 1'024;
 constexpr auto storeRetryAfter = 2s;
 constexpr int mostCancelTries = 5;
 constexpr std::string_view demandsPath = "/v1/demands";
@@ -113,8 +114,15 @@
 struct demand_service::submission
 {
     std::shared_ptr<http_request> request;
-    demand_row row;
-    instant deadline;
+    acceptance_state state;
+    timer pause;
+};
+
+struct demand_service::cancellation
+{
+    std::shared_ptr<http_request> request;
+    demand_key key;
+    int triesLeft = mostCancelTries;
     bool mayHaveTakenEffect = false;
     timer pause;
 };
@@ -144,7 +152,10 @@
     if (request->method() == "GET") {
         query(request, key);
     } else if (request->method() == "DELETE") {
-        cancel(request, key, mostCancelTries);
+        const auto entry = std::make_shared<cancellation>();
+        entry->request = request;
+        entry->key = key;
+        cancel(entry);
     } else {
         refuse(request, statusNotAllowed, "read request", "expected GET or DELETE", std::nullopt);
     }
@@ -166,106 +177,157 @@
     }
     const auto entry = std::make_shared<submission>();
     entry->request = request;
-    entry->deadline = std::chrono::steady_clock::now() + m_acceptDeadline;
+    entry->state.deadline = std::chrono::steady_clock::now() + m_acceptDeadline;
+    auto &row = entry->state.row;
     try {
         const auto keyText = nlohmann::json(request->header("Idempotency-Key"))
                                  .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
-        entry->row.key = checked_node::parseJson(keyText, "header Idempotency-Key").name(longestKey);
-        entry->row.spec = readDemand(checked_node::parseJson(request->body(), "request"));
+        row.key = checked_node::parseJson(keyText, "header Idempotency-Key").name(longestKey);
+        row.spec = readDemand(checked_node::parseJson(request->body(), "request"));
     } catch (const error &fault) {
         refuse(request, statusBadRequest, "read request", fault.what(), std::nullopt);
         return;
     }
-    const auto home = chooseHome(*sheet, entry->row.spec, m_ownDomain);
+    entry->state.mayExist = std::ranges::find(m_unresolved, row.key) != m_unresolved.end();
+    const auto home = chooseHome(*sheet, row.spec, m_ownDomain);
     if (!home) {
-        refuse(request, statusUnprocessable, "choose failure domain", "no failure domain could ever hold it",
-               std::nullopt);
+        refuseUnlessAccepted(entry);
         return;
     }
-    entry->row.home = *home;
-    commit(entry);
+    row.home = *home;
+    carryOut(entry, send_commit {});
 }
 
-void demand_service::commit(const std::shared_ptr<submission> &entry)
+/// A demand that fits nowhere now may have been accepted under an earlier sheet.
+void demand_service::refuseUnlessAccepted(const std::shared_ptr<submission> &entry)
 {
-    const auto &row = entry->row;
-    table_transaction transaction {{demandRowKey(row.key), table_write::noRow, toJson(row)},
-                                   {activeRowKey(row.home, row.key), table_write::anyVersion, ""}};
-    m_platform.commit(std::move(transaction), [this, entry](const commit_result &result) {
-        switch (result.status) {
-        case commit_status::committed:
-            accepted(entry);
-            return;
-        case commit_status::conflict:
-            compareWithRow(entry);
-            return;
-        case commit_status::lost:
-            entry->mayHaveTakenEffect = true;
-            resolveLater(entry);
-            return;
-        case commit_status::notSent:
-            if (entry->mayHaveTakenEffect) {
-                resolveLater(entry);
-                return;
-            }
-            refuse(entry->request, statusUnavailable, "commit demand", "the store is out of reach", storeRetryAfter);
-            return;
+    readDemandRow(entry->state.row.key, [this, entry](const row_reading &found) {
+        if (found && *found && (*found)->row.spec == entry->state.row.spec) {
+            entry->state.row = (*found)->row;
+            carryOut(entry, answer_accepted {});
+        } else if (!found && entry->state.mayExist) {
+            carryOut(entry, answer_unknown {});
+        } else {
+            refuse(entry->request, statusUnprocessable, "choose failure domain", "no failure domain could ever hold it",
+                   std::nullopt);
         }
     });
 }
 
-/// The key has a row: ours from a lost answer, the same demand sent again, or another.
-void demand_service::compareWithRow(const std::shared_ptr<submission> &entry)
+void demand_service::settle(const std::shared_ptr<submission> &entry, const acceptance_message &message)
 {
-    m_platform.read(demandRowKey(entry->row.key), [this, entry](const row_result &result) {
-        if (!result) {
-            entry->mayHaveTakenEffect = true;
-            resolveLater(entry);
-            return;
+    carryOut(entry, step(entry->state, message, std::chrono::steady_clock::now()));
+}
+
+void demand_service::carryOut(const std::shared_ptr<submission> &entry, const acceptance_action &action)
+{
+    struct visitor
+    {
+        demand_service &self;
+        const std::shared_ptr<submission> &entry;
+
+        void operator()(const send_commit & /*each*/) const
+        {
+            self.commit(entry);
         }
-        if (!*result) {
-            commit(entry);
-            return;
+
+        void operator()(const read_key & /*each*/) const
+        {
+            self.readDemandRow(entry->state.row.key, [&service = self, entry = entry](const row_reading &found) {
+                key_read message;
+                if (found) {
+                    message.row = *found ? std::optional((*found)->row) : std::nullopt;
+                }
+                service.settle(entry, message);
+            });
         }
-        const auto row = rowFromJson((*result)->value);
-        if (row.spec == entry->row.spec) {
-            entry->row = row;
-            accepted(entry);
-            return;
+
+        void operator()(const wait_before_retry &each) const
+        {
+            // The submission owns the timer, so its action must not own the submission for good.
+            entry->pause.once(each.pause, [&service = self, entry = entry] { service.settle(entry, retry_due {}); });
         }
-        refuse(entry->request, statusConflict, "commit demand", "the key names another demand", std::nullopt);
-    });
+
+        void operator()(const answer_accepted & /*each*/) const
+        {
+            self.accepted(entry);
+        }
+
+        void operator()(const answer_conflict & /*each*/) const
+        {
+            self.refuse(entry->request, statusConflict, "commit demand", "the key names another demand", std::nullopt);
+        }
+
+        void operator()(const answer_not_run & /*each*/) const
+        {
+            self.refuse(entry->request, statusUnavailable, "commit demand", "the store is out of reach",
+                        storeRetryAfter);
+        }
+
+        void operator()(const answer_unknown & /*each*/) const
+        {
+            self.unresolved(entry);
+        }
+    };
+    std::visit(visitor {*this, entry}, action);
 }
 
-void demand_service::resolveLater(const std::shared_ptr<submission> &entry)
+void demand_service::commit(const std::shared_ptr<submission> &entry)
 {
-    if (std::chrono::steady_clock::now() + resolveInterval >= entry->deadline) {
-        m_measures.count("primrosecroft_demands_unknown_total", "step", "commit demand");
-        entry->request->answer(
-            toAnswer({statusUnavailable, request_outcome::unknown, "commit demand", "platform",
-                      "the answer of the store was lost", storeRetryAfter, demandPath(entry->row.key)}));
-        return;
-    }
-    entry->pause.once(resolveInterval, [this, entry] {
-        if (!m_platform.isReachable()) {
-            // A read probes the store, and finds the row if the commit took effect.
-            compareWithRow(entry);
-            return;
-        }
-        commit(entry);
-    });
+    const auto &row = entry->state.row;
+    table_transaction transaction {{demandRowKey(row.key), table_write::noRow, toJson(row)},
+                                   {activeRowKey(row.home, row.key), table_write::anyVersion, ""}};
+    m_platform.commit(std::move(transaction),
+                      [this, entry](const commit_result &result) { settle(entry, commit_answered {result.status}); });
 }
 
 void demand_service::accepted(const std::shared_ptr<submission> &entry)
 {
-    m_measures.count("primrosecroft_demands_accepted_total", "kind", toString(entry->row.spec.kind));
-    entry->request->answer(acceptedAnswer(entry->row));
-    m_links.notify(entry->row.home, entry->row.key);
+    const auto &row = entry->state.row;
+    std::erase(m_unresolved, row.key);
+    m_measures.count("primrosecroft_demands_accepted_total", "kind", toString(row.spec.kind));
+    entry->request->answer(acceptedAnswer(row));
+    m_links.notify(row.home, row.key);
+}
+
+/// Remembers the key: until it is settled, another request with it isn't told "not run" from here.
+void demand_service::unresolved(const std::shared_ptr<submission> &entry)
+{
+    const auto &key = entry->state.row.key;
+    std::erase(m_unresolved, key);
+    m_unresolved.push_back(key);
+    if (m_unresolved.size() > mostUnresolvedKeys) {
+        m_unresolved.pop_front();
+    }
+    m_measures.count("primrosecroft_demands_unknown_total", "step", "commit demand");
+    entry->request->answer(toAnswer({statusUnavailable, request_outcome::unknown, "commit demand", "platform",
+                                     "the answer of the store was lost", storeRetryAfter, demandPath(key)}));
+}
+
+/// Reads the row under @p key; a row that can't be understood counts as not read.
+void demand_service::readDemandRow(const demand_key &key, std::function<void(const row_reading &)> done)
+{
+    m_platform.read(demandRowKey(key), [key, done = std::move(done)](const row_result &result) {
+        if (!result) {
+            done(std::nullopt);
+            return;
+        }
+        if (!*result) {
+            done(row_reading {std::optional<versioned_row> {}});
+            return;
+        }
+        try {
+            done(row_reading {versioned_row {rowFromJson((*result)->value), (*result)->version}});
+        } catch (const error &fault) {
+            LOG(ERROR) << "demands: unreadable row, key=" << key << " reason=" << fault.what();
+            done(std::nullopt);
+        }
+    });
 }
 
 void demand_service::query(const std::shared_ptr<http_request> &request, const demand_key &key)
 {
-    m_platform.read(demandRowKey(key), [this, request, key](const row_result &result) {
+    readDemandRow(key, [this, request, key](const row_reading &result) {
         if (!result) {
             request->answer(toAnswer({statusUnavailable, request_outcome::unknown, "read demand", "platform",
                                       "the store is out of reach", storeRetryAfter, demandPath(key)}));
@@ -276,7 +338,7 @@
                                       "no demand is recorded under this key", std::nullopt, demandPath(key)}));
             return;
         }
-        const auto row = rowFromJson((*result)->value);
+        const auto &row = (*result)->row;
         if (row.outcome != demand_outcome::none) {
             request->answer(queryAnswer(row, std::nullopt));
             return;
@@ -287,44 +349,56 @@
     });
 }
 
-void demand_service::cancel(const std::shared_ptr<http_request> &request, const demand_key &key, int triesLeft)
+void demand_service::cancel(const std::shared_ptr<cancellation> &entry)
 {
-    m_platform.read(demandRowKey(key), [this, request, key, triesLeft](const row_result &result) {
+    readDemandRow(entry->key, [this, entry](const row_reading &result) {
         if (!result) {
-            refuse(request, statusUnavailable, "cancel demand", "the store is out of reach", storeRetryAfter);
+            giveUpCancel(entry);
             return;
         }
         if (!*result) {
-            refuse(request, statusNotFound, "cancel demand", "no demand is recorded under this key", std::nullopt);
+            refuse(entry->request, statusNotFound, "cancel demand", "no demand is recorded under this key",
+                   std::nullopt);
             return;
         }
-        auto row = rowFromJson((*result)->value);
-        if (row.cancelled || row.outcome != demand_outcome::none) {
-            request->answer(queryAnswer(row, std::nullopt));
+        auto found = **result;
+        if (found.row.cancelled || found.row.outcome != demand_outcome::none) {
+            entry->request->answer(queryAnswer(found.row, std::nullopt));
             return;
         }
-        row.cancelled = true;
-        commitCancel(request, row, (*result)->version, triesLeft);
+        found.row.cancelled = true;
+        commitCancel(entry, found);
     });
 }
 
-void demand_service::commitCancel(const std::shared_ptr<http_request> &request, const demand_row &row,
-                                  std::int64_t version, int triesLeft)
+void demand_service::commitCancel(const std::shared_ptr<cancellation> &entry, const versioned_row &found)
 {
-    m_platform.commit(
-        {{demandRowKey(row.key), version, toJson(row)}}, [this, request, row, triesLeft](const commit_result &result) {
-            if (result.status == commit_status::committed) {
-                m_links.notify(row.home, row.key);
-                request->answer(queryAnswer(row, std::nullopt));
-            } else if (result.status == commit_status::notSent) {
-                refuse(request, statusUnavailable, "cancel demand", "the store is out of reach", storeRetryAfter);
-            } else if (triesLeft > 0) {
-                cancel(request, row.key, triesLeft - 1);
-            } else {
-                request->answer(toAnswer({statusUnavailable, request_outcome::unknown, "cancel demand", "platform",
-                                          "the answer of the store was lost", storeRetryAfter, demandPath(row.key)}));
-            }
-        });
+    m_platform.commit({{demandRowKey(entry->key), found.version, toJson(found.row)}},
+                      [this, entry, row = found.row](const commit_result &result) {
+                          if (result.status == commit_status::committed) {
+                              m_links.notify(row.home, row.key);
+                              entry->request->answer(queryAnswer(row, std::nullopt));
+                              return;
+                          }
+                          entry->mayHaveTakenEffect |= result.status == commit_status::lost;
+                          if (result.status == commit_status::notSent || --entry->triesLeft <= 0) {
+                              giveUpCancel(entry);
+                              return;
+                          }
+                          entry->pause.once(cancelRetryInterval, [this, entry] { cancel(entry); });
+                      });
+}
+
+/// Not run only when no cancelling write was sent.
+void demand_service::giveUpCancel(const std::shared_ptr<cancellation> &entry)
+{
+    if (!entry->mayHaveTakenEffect) {
+        refuse(entry->request, statusUnavailable, "cancel demand", "the store is out of reach", storeRetryAfter);
+        return;
+    }
+    m_measures.count("primrosecroft_demands_unknown_total", "step", "cancel demand");
+    entry->request->answer(toAnswer({statusUnavailable, request_outcome::unknown, "cancel demand", "platform",
+                                     "the answer of the store was lost", storeRetryAfter, demandPath(entry->key)}));
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/demands/demand_service.h
+++ b/src/libprimrosecroft/demands/demand_service.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "configuration/sheet.h"
+#include "demands/acceptance.h"
 #include "demands/demand_row.h"
 #include "io/http_server.h"
 #include "io/timer.h"
 #include "observability/metrics.h"
 #include "platform/platform_client.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -47,16 +49,29 @@
 
 private:
     struct submission;
+    struct cancellation;
+
+    struct versioned_row
+    {
+        demand_row row;
+        std::int64_t version = 0;
+    };
+
+    /// Empty when the row couldn't be read; an empty row when there is none.
+    using row_reading = std::optional<std::optional<versioned_row>>;
 
     void submit(const std::shared_ptr<http_request> &request);
+    void refuseUnlessAccepted(const std::shared_ptr<submission> &entry);
+    void settle(const std::shared_ptr<submission> &entry, const acceptance_message &message);
+    void carryOut(const std::shared_ptr<submission> &entry, const acceptance_action &action);
     void commit(const std::shared_ptr<submission> &entry);
-    void compareWithRow(const std::shared_ptr<submission> &entry);
-    void resolveLater(const std::shared_ptr<submission> &entry);
     void accepted(const std::shared_ptr<submission> &entry);
+    void unresolved(const std::shared_ptr<submission> &entry);
+    void readDemandRow(const demand_key &key, std::function<void(const row_reading &)> done);
     void query(const std::shared_ptr<http_request> &request, const demand_key &key);
-    void cancel(const std::shared_ptr<http_request> &request, const demand_key &key, int triesLeft);
-    void commitCancel(const std::shared_ptr<http_request> &request, const demand_row &row, std::int64_t version,
-                      int triesLeft);
+    void cancel(const std::shared_ptr<cancellation> &entry);
+    void commitCancel(const std::shared_ptr<cancellation> &entry, const versioned_row &found);
+    void giveUpCancel(const std::shared_ptr<cancellation> &entry);
     void refuse(const std::shared_ptr<http_request> &request, unsigned status, const std::string &step,
                 const std::string &detail, std::optional<std::chrono::milliseconds> retryAfter);
 
@@ -65,6 +80,7 @@
     demand_links m_links;
     failure_domain_id m_ownDomain;
     std::chrono::milliseconds m_acceptDeadline;
+    std::deque<demand_key> m_unresolved; ///< answered as unknown, oldest first
 };
 
 /// Where a demand that names no failure domain is at home: @p own if it could ever hold it, else the first that could.
--- /dev/null
+++ b/tests/unit/acceptance_test.cpp
@@ -0,0 +1,134 @@
+#include "demands/acceptance.h"
+#include "table_model.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A store that fails as a seed says, in virtual time.
+struct flaky_store
+{
+    standins::table_model table;
+    std::mt19937_64 random;
+    bool out = false;
+
+    bool chance(unsigned percent)
+    {
+        return random() % 100 < percent;
+    }
+
+    commit_status commit(const demand_row &row)
+    {
+        if (out) {
+            return commit_status::notSent;
+        }
+        if (chance(20)) {
+            return commit_status::lost; // the request was lost
+        }
+        const auto written = standins::commit(table, {{demandRowKey(row.key), table_write::noRow, toJson(row)}});
+        if (chance(30)) {
+            return commit_status::lost; // the answer was lost
+        }
+        return written ? commit_status::committed : commit_status::conflict;
+    }
+
+    key_read read(const demand_key &key)
+    {
+        if (out || chance(20)) {
+            return {};
+        }
+        const auto found = table.rows.find(demandRowKey(key));
+        return {
+            std::optional(found == table.rows.end() ? std::nullopt : std::optional(rowFromJson(found->second.value)))};
+    }
+};
+
+acceptance_state makeState(instant now, const std::string &team)
+{
+    acceptance_state state;
+    state.row.key = "wash";
+    state.row.home = "dyce";
+    state.row.spec.team = team;
+    state.deadline = now + 5s;
+    return state;
+}
+
+/// Runs one request to its answer, and says which it was.
+acceptance_action run(acceptance_state &state, flaky_store &store, instant &now)
+{
+    acceptance_action action = send_commit {};
+    for (;;) {
+        now += 5ms;
+        store.out = store.chance(store.out ? 80 : 10);
+        if (std::holds_alternative<send_commit>(action)) {
+            action = step(state, commit_answered {store.commit(state.row)}, now);
+        } else if (std::holds_alternative<read_key>(action)) {
+            action = step(state, store.read(state.row.key), now);
+        } else if (const auto *wait = std::get_if<wait_before_retry>(&action)) {
+            now += wait->pause;
+            action = step(state, retry_due {}, now);
+        } else {
+            return action;
+        }
+        REQUIRE(now < state.deadline + 1s);
+    }
+}
+
+} // namespace
+
+TEST_CASE("what a caller is told of its demand is true, whatever the store loses")
+{
+    int told = 0;
+    for (std::uint64_t seed = 1; seed <= 5'000; ++seed) {
+        INFO("seed " << seed);
+        flaky_store store;
+        store.random.seed(seed);
+        instant now {};
+        const auto taken = seed % 3 == 0;
+        if (taken) {
+            const auto other = makeState(now, seed % 2 == 0 ? "yard" : "stores");
+            standins::commit(store.table, {{demandRowKey("wash"), table_write::noRow, toJson(other.row)}});
+        }
+        auto state = makeState(now, "yard");
+        const auto answer = run(state, store, now);
+        const auto row = store.table.rows.find(demandRowKey("wash"));
+        const auto isThere = row != store.table.rows.end() && rowFromJson(row->second.value).spec.team == "yard";
+        if (std::holds_alternative<answer_accepted>(answer)) {
+            CHECK(isThere);
+        } else if (!std::holds_alternative<answer_unknown>(answer)) {
+            ++told;
+            // A refusal before anything was sent says nothing of what an earlier request wrote.
+            CHECK((!isThere || taken));
+        }
+    }
+    CHECK(told > 0);
+}
+
+TEST_CASE("a commit that met a row is not called not run while the row can't be read")
+{
+    auto state = makeState(instant {}, "yard");
+    const instant late = state.deadline;
+    CHECK(std::holds_alternative<read_key>(step(state, commit_answered {commit_status::conflict}, instant {})));
+    CHECK(std::holds_alternative<answer_unknown>(step(state, key_read {}, late)));
+}
+
+TEST_CASE("the store out before anything was sent is refused at once")
+{
+    auto state = makeState(instant {}, "yard");
+    CHECK(std::holds_alternative<answer_not_run>(step(state, commit_answered {commit_status::notSent}, instant {})));
+}
+
+TEST_CASE("a key that an earlier answer called unknown is never called not run")
+{
+    auto state = makeState(instant {}, "yard");
+    state.mayExist = true;
+    const auto action = step(state, commit_answered {commit_status::notSent}, instant {});
+    CHECK(std::holds_alternative<wait_before_retry>(action));
+    CHECK(
+        std::holds_alternative<answer_unknown>(step(state, commit_answered {commit_status::notSent}, state.deadline)));
+}
