Decide configuration and membership in pure steps; queue what is sent in the pause after a failed connect

Found besides, each with a test: - a peer's incarnation was wall-clock time, so a replaced VM whose clock was behind stayed unheard for good; now a random name, the replaced one is retired. A late heartbeat of the old one undid its goodbye. - a daemon was ready before it knew any version; now it needs the table's answer, or its peers' highest version after 4.5 s of listening. - records of replaced peers were kept for ever. - a frame's stated length took its memory (2 MB) before a byte had come, and a half-sent frame held its connection for good. - a refused sheet version was fetched again at each poll. - an unreadable row of the table threw through the main loop. - a lost answer of the compare-and-set was told as unknown at once; now the same conditional write settles it. The loser's conflict names the version in force, not the one that it asked for. - orderly end: a request that came on a kept connection in the last 100 ms was cut; idleness now has to last. Heartbeats go to the own failure domain; one entry daemon a domain speaks across the link, to one VM of each other domain in turn.

--- a/src/libprimrosecroft/configuration/configuration_follower.cpp
+++ b/src/libprimrosecroft/configuration/configuration_follower.cpp
@@ -8,6 +8,30 @@
 namespace primrosecroft
 {
 
+namespace
+{
+
+constexpr std::chrono::milliseconds tickInterval {250};
+
+/// A row that can't be understood counts as not read.
+table_read readingOf(const row_result &result)
+{
+    if (!result) {
+        return {};
+    }
+    if (!*result) {
+        return {std::optional<configuration_row> {}};
+    }
+    try {
+        return {std::optional(configurationRowFromJson((*result)->value))};
+    } catch (const error &fault) {
+        LOG(ERROR) << "configuration: unreadable row, reason=" << fault.what();
+        return {};
+    }
+}
+
+} // namespace
+
 configuration_follower::configuration_follower(platform_client &platform, applied_handler applied)
     : m_platform(platform)
     , m_applied(std::move(applied))
@@ -17,6 +41,7 @@
 void configuration_follower::start(std::chrono::milliseconds interval)
 {
     m_timer.every(interval, [this] { refresh(); });
+    m_ticker.every(tickInterval, [this] { handle(configuration_ticked {}); });
     refresh();
 }
 
@@ -25,55 +50,71 @@
     if (std::exchange(m_reading, true)) {
         return;
     }
-    m_platform.read(configurationRowKey, [this](const row_result &result) { rowRead(result); });
+    m_platform.read(configurationRowKey, [this](const row_result &result) {
+        m_reading = false;
+        handle(readingOf(result));
+    });
 }
 
-void configuration_follower::rowRead(const row_result &result)
+void configuration_follower::offer(const configuration_version &offered)
 {
-    if (!result || !*result) {
-        m_reading = false;
+    if (!supersedes(offered, m_state.current)) {
         return;
     }
     try {
-        const auto row = configurationRowFromJson((*result)->value);
-        if (m_current && row.version <= m_current->version) {
-            m_reading = false;
-            return;
-        }
-        m_platform.getObject("sheets/" + row.hash, [this, row](const std::optional<std::string> &text) {
-            m_reading = false;
-            if (text) {
-                offer({row.version, row.hash, *text});
-            }
-        });
+        auto sheet = readSheet(offered.text, "sheet");
+        m_offered = std::move(sheet);
+        handle(body_arrived {offered});
     } catch (const error &fault) {
-        m_reading = false;
-        LOG(ERROR) << "configuration: unreadable row, reason=" << fault.what();
+        LOG(ERROR) << "configuration: refused, version=" << offered.version << " reason=" << fault.what();
+        handle(version_refused {offered.version});
     }
 }
 
-void configuration_follower::offer(const configuration_version &offered)
+void configuration_follower::peerHas(std::int64_t version)
 {
-    if (supersedes(offered, m_current)) {
-        apply(offered);
-    }
+    handle(peer_version_heard {version});
 }
 
-void configuration_follower::apply(const configuration_version &offered)
+void configuration_follower::setFetchesFirst(bool first)
 {
-    try {
-        const auto sheet = readSheet(offered.text, "sheet");
-        m_current = offered;
-        LOG(INFO) << "configuration: in force, version=" << offered.version << " sheet=" << sheet.name;
-        m_applied(sheet);
-    } catch (const error &fault) {
-        LOG(ERROR) << "configuration: refused, version=" << offered.version << " reason=" << fault.what();
+    m_state.fetchesFirst = first;
+}
+
+void configuration_follower::handle(const configuration_message &message)
+{
+    const auto action = step(m_state, message, std::chrono::steady_clock::now());
+    if (const auto *wanted = std::get_if<fetch_body>(&action)) {
+        fetch(wanted->row);
+    } else if (std::holds_alternative<put_in_force>(action)) {
+        apply();
     }
 }
 
+void configuration_follower::fetch(const configuration_row &row)
+{
+    m_platform.getObject("sheets/" + row.hash, [this, row](const std::optional<std::string> &text) {
+        if (text) {
+            offer({row.version, row.hash, *text});
+        }
+        handle(fetch_ended {});
+    });
+}
+
+void configuration_follower::apply()
+{
+    LOG(INFO) << "configuration: in force, version=" << m_state.current->version << " sheet=" << m_offered.name;
+    m_applied(m_offered);
+}
+
 const std::optional<configuration_version> &configuration_follower::current() const
 {
-    return m_current;
+    return m_state.current;
+}
+
+bool configuration_follower::isKnown() const
+{
+    return knowsConfiguration(m_state, std::chrono::steady_clock::now());
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/configuration/configuration_follower.h
+++ b/src/libprimrosecroft/configuration/configuration_follower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/configuration.h"
+#include "configuration/configuration_step.h"
 #include "configuration/sheet.h"
 #include "io/timer.h"
 #include "platform/platform_client.h"
@@ -30,17 +30,29 @@
     /// A peer's version; it goes into force only above the own one.
     void offer(const configuration_version &offered);
 
+    /// A peer's heartbeat named its version.
+    void peerHas(std::int64_t version);
+
+    /// Whether this daemon fetches bodies across the link before its peers do.
+    void setFetchesFirst(bool first);
+
     /// Highest version in force here, none before the first.
     const std::optional<configuration_version> &current() const;
 
+    /// False while a version may be in force that this daemon hasn't learned.
+    bool isKnown() const;
+
 private:
-    void rowRead(const row_result &result);
-    void apply(const configuration_version &offered);
+    void handle(const configuration_message &message);
+    void fetch(const configuration_row &row);
+    void apply();
 
     platform_client &m_platform;
     applied_handler m_applied;
-    std::optional<configuration_version> m_current;
+    configuration_state m_state;
+    planning_sheet m_offered; ///< read from the body that is being offered
     timer m_timer;
+    timer m_ticker;
     bool m_reading = false;
 };
 
--- /dev/null
+++ b/src/libprimrosecroft/configuration/configuration_step.cpp
@@ -0,0 +1,106 @@
+#include "configuration/configuration_step.h"
+
+#include <algorithm>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+std::int64_t versionOf(const configuration_state &state)
+{
+    return state.current ? state.current->version : 0;
+}
+
+configuration_action fetchIfDue(configuration_state &state, instant now)
+{
+    if (!state.wanted || state.fetching || now < state.fetchAt) {
+        return no_action {};
+    }
+    state.fetching = true;
+    return fetch_body {*state.wanted};
+}
+
+struct visitor
+{
+    configuration_state &state;
+    instant now;
+
+    configuration_action operator()(const table_read &read) const
+    {
+        if (!read.row) {
+            return no_action {};
+        }
+        state.tableAnswered = true;
+        const auto known = std::max(versionOf(state), state.refused);
+        if (!*read.row || (*read.row)->version <= known) {
+            return no_action {};
+        }
+        if (!state.wanted || state.wanted->version < (*read.row)->version) {
+            state.wanted = *read.row;
+            state.fetchAt = state.fetchesFirst || !state.current ? now : now + peerGrace;
+        }
+        return fetchIfDue(state, now);
+    }
+
+    configuration_action operator()(const body_arrived &arrived) const
+    {
+        if (!supersedes(arrived.body, state.current)) {
+            return no_action {};
+        }
+        state.current = arrived.body;
+        if (state.wanted && state.wanted->version <= arrived.body.version) {
+            state.wanted.reset();
+        }
+        return put_in_force {};
+    }
+
+    configuration_action operator()(const fetch_ended & /*each*/) const
+    {
+        state.fetching = false;
+        state.fetchAt = now + peerGrace;
+        return no_action {};
+    }
+
+    configuration_action operator()(const peer_version_heard &heard) const
+    {
+        state.highestHeard = std::max(state.highestHeard, heard.version);
+        if (!state.firstHeard) {
+            state.firstHeard = now;
+        }
+        return no_action {};
+    }
+
+    configuration_action operator()(const version_refused &each) const
+    {
+        state.refused = std::max(state.refused, each.version);
+        if (state.wanted && state.wanted->version <= state.refused) {
+            state.wanted.reset();
+        }
+        return no_action {};
+    }
+
+    configuration_action operator()(const configuration_ticked & /*each*/) const
+    {
+        return fetchIfDue(state, now);
+    }
+};
+
+} // namespace
+
+configuration_action step(configuration_state &state, const configuration_message &message, instant now)
+{
+    return std::visit(visitor {state, now}, message);
+}
+
+bool knowsConfiguration(const configuration_state &state, instant now)
+{
+    if (state.tableAnswered) {
+        return !state.wanted || state.current.has_value();
+    }
+    return state.current && state.firstHeard && now >= *state.firstHeard + peersHeardAfter
+        && state.current->version >= state.highestHeard;
+}
+
+} // namespace primrosecroft
--- a/src/libprimrosecroft/configuration/sheet_service.cpp
+++ b/src/libprimrosecroft/configuration/sheet_service.cpp
@@ -4,6 +4,8 @@
 #include "observability/problem.h"
 
 #include <charconv>
+#include <glog/logging.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -23,6 +25,8 @@
 constexpr unsigned statusNeedsVersion = 428;
 constexpr unsigned statusUnavailable = 503;
 constexpr auto storeRetryAfter = 2s;
+constexpr auto lostRetryInterval = 300ms;
+constexpr int mostCommits = 8;
 
 std::string entityTag(std::int64_t version)
 {
@@ -37,7 +41,8 @@
     std::int64_t version = 0;
     const auto *end = tag.data() + tag.size() - 1;
     const auto [stop, status] = std::from_chars(tag.data() + 1, end, version);
-    return status == std::errc {} && stop == end ? std::optional(version) : std::nullopt;
+    const auto inRange = version >= 0 && version < std::numeric_limits<std::int64_t>::max();
+    return status == std::errc {} && stop == end && inRange ? std::optional(version) : std::nullopt;
 }
 
 http_answer unreachable(request_outcome outcome, const std::string &step)
@@ -54,6 +59,20 @@
     return answer;
 }
 
+/// None when the row is missing, can't be read or can't be understood.
+std::optional<configuration_row> readableRow(const row_result &result)
+{
+    if (!result || !*result) {
+        return std::nullopt;
+    }
+    try {
+        return configurationRowFromJson((*result)->value);
+    } catch (const error &fault) {
+        LOG(ERROR) << "configuration: unreadable row, reason=" << fault.what();
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 struct sheet_service::change
@@ -61,6 +80,9 @@
     std::shared_ptr<http_request> request;
     std::string text;
     configuration_row row;
+    int commitsLeft = mostCommits;
+    bool mayHaveTakenEffect = false;
+    timer pause;
 };
 
 sheet_service::sheet_service(platform_client &platform, configuration_follower &configuration, std::string writer)
@@ -120,11 +142,12 @@
 void sheet_service::compare(const std::shared_ptr<change> &entry)
 {
     m_platform.read(configurationRowKey, [this, entry](const row_result &result) {
-        if (!result) {
+        const auto readable = readableRow(result);
+        if (!result || (*result && !readable)) {
             entry->request->answer(unreachable(request_outcome::refused, "compare version"));
             return;
         }
-        const auto current = *result ? configurationRowFromJson((*result)->value) : configuration_row {};
+        const auto current = readable.value_or(configuration_row {});
         if (current.version + 1 != entry->row.version) {
             entry->request->answer(conflict(current.version));
             return;
@@ -151,40 +174,72 @@
     table_transaction transaction {
         {configurationRowKey, rowVersion, text},
         {"configuration/history/" + std::to_string(entry->row.version), table_write::noRow, text}};
-    m_platform.commit(std::move(transaction), [this, entry](const commit_result &result) {
+    m_platform.commit(std::move(transaction), [this, entry, rowVersion](const commit_result &result) {
         switch (result.status) {
         case commit_status::committed:
             inForce(entry);
             return;
+        case commit_status::conflict:
+            confirm(entry);
+            return;
+        case commit_status::lost:
+            entry->mayHaveTakenEffect = true;
+            retryLost(entry, rowVersion);
+            return;
         case commit_status::notSent:
+            if (entry->mayHaveTakenEffect) {
+                retryLost(entry, rowVersion);
+                return;
+            }
             entry->request->answer(unreachable(request_outcome::refused, "commit version"));
             return;
-        case commit_status::conflict:
-        case commit_status::lost:
-            confirm(entry);
+        }
+    });
+}
+
+/// The same conditional write again: if the lost one took effect, it conflicts, and the history tells whose it was.
+void sheet_service::retryLost(const std::shared_ptr<change> &entry, std::int64_t rowVersion)
+{
+    if (--entry->commitsLeft <= 0) {
+        entry->request->answer(unreachable(request_outcome::unknown, "commit version"));
+        return;
+    }
+    entry->pause.once(lostRetryInterval, [this, entry, rowVersion] {
+        if (m_platform.isReachable()) {
+            commit(entry, rowVersion);
             return;
         }
+        // A read finds out whether the store is back.
+        m_platform.read(configurationRowKey,
+                        [this, entry, rowVersion](const row_result & /*result*/) { retryLost(entry, rowVersion); });
     });
 }
 
-/// Whose version is in force: the writer's mark tells one's own from another's.
+/// The version has a winner: the writer's mark tells one's own from another's.
 void sheet_service::confirm(const std::shared_ptr<change> &entry)
 {
     m_platform.read("configuration/history/" + std::to_string(entry->row.version),
                     [this, entry](const row_result &result) {
-                        if (!result || !*result) {
-                            entry->request->answer(unreachable(request_outcome::unknown, "commit version"));
-                            return;
-                        }
-                        const auto winner = configurationRowFromJson((*result)->value);
-                        if (winner == entry->row) {
+                        const auto winner = readableRow(result);
+                        if (winner && *winner == entry->row) {
                             inForce(entry);
+                        } else if (entry->mayHaveTakenEffect && !winner) {
+                            entry->request->answer(unreachable(request_outcome::unknown, "commit version"));
                         } else {
-                            entry->request->answer(conflict(winner.version));
+                            nameWinner(entry);
                         }
                     });
 }
 
+/// This change was not written; later ones may have followed the winner's.
+void sheet_service::nameWinner(const std::shared_ptr<change> &entry)
+{
+    m_platform.read(configurationRowKey, [entry](const row_result &result) {
+        const auto current = readableRow(result);
+        entry->request->answer(conflict(current ? current->version : entry->row.version));
+    });
+}
+
 void sheet_service::inForce(const std::shared_ptr<change> &entry)
 {
     const auto &row = entry->row;
--- a/src/libprimrosecroft/configuration/sheet_service.h
+++ b/src/libprimrosecroft/configuration/sheet_service.h
@@ -29,7 +29,9 @@
     void compare(const std::shared_ptr<change> &entry);
     void store(const std::shared_ptr<change> &entry, std::int64_t rowVersion);
     void commit(const std::shared_ptr<change> &entry, std::int64_t rowVersion);
+    void retryLost(const std::shared_ptr<change> &entry, std::int64_t rowVersion);
     void confirm(const std::shared_ptr<change> &entry);
+    void nameWinner(const std::shared_ptr<change> &entry);
     void inForce(const std::shared_ptr<change> &entry);
 
     platform_client &m_platform;
--- a/src/libprimrosecroft/daemon/daemon.cpp
+++ b/src/libprimrosecroft/daemon/daemon.cpp
@@ -27,12 +27,13 @@
 constexpr int exitCutOff = 3;
 constexpr auto drainCheckInterval = 50ms;
 constexpr auto goodbyePause = 100ms;
+constexpr std::size_t heartbeatsPerDomain = 1;
 
 std::int64_t makeIncarnation()
 {
-    // Grows from one start to the next, so that a replaced process is told from its successor.
-    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
+    // Only a name: no clock decides which of two incarnations came first.
+    std::random_device random;
+    return std::uniform_int_distribution<std::int64_t>(1)(random);
 }
 
 wire::Sender makeSender(const daemon_settings &settings, const std::string &role, std::int64_t incarnation)
@@ -68,6 +69,8 @@
         , configuration(platform, [this](const planning_sheet &sheet) { sheetApplied(sheet); })
         , server({}, [this](const std::shared_ptr<http_request> &request) { requested(request); })
     {
+        membership.self = settings.process;
+        membership.failureDomain = settings.failureDomain;
     }
 
     void received(const wire::Message &message, const std::function<void(wire::Message)> &reply)
@@ -95,8 +98,17 @@
         peer.configurationVersion = heartbeat.configurationVersion;
         peer.placing = heartbeat.placing;
         peer.leaving = heartbeat.leaving;
-        heardFrom(membership, peer, std::chrono::steady_clock::now());
-        role.membershipChanged();
+        const auto effect = heardFrom(membership, peer, std::chrono::steady_clock::now());
+        if (effect.dropped) {
+            return;
+        }
+        if (effect.changed) {
+            role.membershipChanged();
+        }
+        if (role.peerHeard) {
+            role.peerHeard(peer);
+        }
+        configuration.peerHas(heartbeat.configurationVersion);
         const auto own = configuration.current() ? configuration.current()->version : 0;
         if (heartbeat.configurationVersion < own) {
             offerConfiguration(heartbeat.configurationVersion, reply);
@@ -143,14 +155,39 @@
         return result;
     }
 
+    bool isRepresentative() const
+    {
+        return representsDomain(membership, role.name == "entryd", leaving, std::chrono::steady_clock::now());
+    }
+
+    /// Both daemons of each VM in the own failure domain; across the link one entry daemon a failure domain.
+    std::vector<peer_address> heartbeatPeers()
+    {
+        std::vector<peer_address> result;
+        // A goodbye is for everybody.
+        const auto perDomain = leaving ? membership.vms.size() : heartbeatsPerDomain;
+        for (const auto &vm : heartbeatTargets(membership, leaving || isRepresentative(), perDomain, ++heartbeatTurn)) {
+            const auto isNear = vm.failureDomain == settings.failureDomain;
+            if (vm.address != settings.address || settings.peerPort != settings.entryPeerPort) {
+                result.push_back({vm.address, settings.entryPeerPort});
+            }
+            if (isNear && (vm.address != settings.address || settings.peerPort != settings.schedulerPeerPort)) {
+                result.push_back({vm.address, settings.schedulerPeerPort});
+            }
+        }
+        return result;
+    }
+
     void sendHeartbeats()
     {
+        forgetSilent(membership, std::chrono::steady_clock::now());
+        configuration.setFetchesFirst(isRepresentative());
         wire::Message message;
         message.heartbeat.configurationVersion = configuration.current() ? configuration.current()->version : 0;
         message.heartbeat.leaving = leaving;
         message.heartbeat.__set_placing(role.isPlacing());
         message.__isset.heartbeat = true;
-        for (const auto &peer : addresses([](const listed_vm &) { return true; })) {
+        for (const auto &peer : heartbeatPeers()) {
             peers.ask(peer, message, settings.heartbeatInterval, [this, peer](std::optional<wire::Message> reply) {
                 if (!reply) {
                     return;
@@ -188,7 +225,7 @@
 
     bool isReady() const
     {
-        return !leaving && greeted;
+        return !leaving && greeted && configuration.isKnown();
     }
 
     void requested(const std::shared_ptr<http_request> &request)
@@ -210,6 +247,7 @@
 
     std::string metricsText()
     {
+        measures.set("primrosecroft_peer_messages_sent", static_cast<double>(peers.messagesSent()));
         measures.set("primrosecroft_peer_bytes_sent", static_cast<double>(peers.bytesSent()));
         measures.set("primrosecroft_peer_bytes_received", static_cast<double>(peers.bytesReceived()));
         measures.set("primrosecroft_store_reads", static_cast<double>(platform.reads()));
@@ -259,9 +297,17 @@
             server.stopListening();
             role.drain();
             drainCheck.every(drainCheckInterval, [this] {
-                if (role.isDrained() && server.inFlight() == 0) {
+                if (!role.isDrained() || server.inFlight() != 0) {
+                    idleSince.reset();
+                    return;
+                }
+                // A request on a kept connection may have come just now: idle must last.
+                const auto now = std::chrono::steady_clock::now();
+                if (now >= idleSince.value_or(now) + goodbyePause) {
                     drainCheck.stop();
-                    pause.once(goodbyePause, [this] { end(0); });
+                    end(0);
+                } else if (!idleSince) {
+                    idleSince = now;
                 }
             });
         });
@@ -312,6 +358,8 @@
     timer pause;
     timer limit;
     timer drainCheck;
+    std::optional<instant> idleSince; ///< while draining
+    std::uint64_t heartbeatTurn = 0;
     bool leaving = false;
     bool greeted = false; ///< the VM list was read once
     int exitStatus = 0;
--- a/src/libprimrosecroft/daemon/daemon.h
+++ b/src/libprimrosecroft/daemon/daemon.h
@@ -29,6 +29,9 @@
     std::function<void(const planning_sheet &sheet)> sheetApplied;
     std::function<void()> membershipChanged;
 
+    /// Each heartbeat; none when the role needs only changes.
+    std::function<void(const peer_record &peer)> peerHeard;
+
     /// The balancer's pause is over: finish what is in flight.
     std::function<void()> drain;
 
--- a/src/libprimrosecroft/io/peer_hub.cpp
+++ b/src/libprimrosecroft/io/peer_hub.cpp
@@ -5,8 +5,11 @@
 #include "primrosecroft_types.h"
 #include "protocol/frame.h"
 
+#include <algorithm>
 #include <deque>
 #include <glog/logging.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <set>
 #include <utility>
 
@@ -19,7 +22,11 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t mostQueuedFrames = 512;
+constexpr std::size_t mostWaitingFrames = 32;
 constexpr std::size_t mostAcceptedPeers = 256;
+constexpr std::size_t readPiece = std::size_t {16} * 1024;
+constexpr auto frameDeadline = 10s;
+constexpr int unacknowledgedLimitMs = 6'000;
 constexpr auto connectTimeout = 2s;
 constexpr auto reconnectPause = 500ms;
 
@@ -27,6 +34,7 @@
 {
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
+    std::uint64_t framesSent = 0;
 };
 
 /// One stream of frames, in either direction. Ends itself on the first fault.
@@ -46,6 +54,9 @@
     {
         m_handler = std::move(handler);
         m_closed = std::move(closed);
+        // A cut that drops packets ends the link soon, so that a healed one is used at once.
+        g_socket_set_option(g_socket_connection_get_socket(m_connection.get()), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                            unacknowledgedLimitMs, nullptr);
         readHead();
     }
 
@@ -62,6 +73,7 @@
         if (std::exchange(m_isClosed, true)) {
             return;
         }
+        m_deadline.stop();
         g_cancellable_cancel(m_cancellable.get());
         g_io_stream_close_async(G_IO_STREAM(m_connection.get()), G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
         if (const auto closed = std::exchange(m_closed, nullptr)) {
@@ -76,25 +88,43 @@
     void readHead()
     {
         m_buffer.assign(frameHeadSize, '\0');
+        m_begun = 0;
+        m_deadline.stop();
         read([](frame_link &self) {
             const auto size = frameBodySize(self.m_buffer);
-            self.m_buffer.assign(size, '\0');
-            self.read([](frame_link &again) {
-                const auto message = decodeFrameBody(again.m_buffer);
-                again.m_handler(message);
-                if (!again.m_isClosed) {
-                    again.readHead();
-                }
-            });
+            // A stalled sender may not hold a buffer or a connection for good.
+            self.m_deadline.once(frameDeadline, [&self] { self.close(); });
+            self.m_buffer.clear();
+            self.m_begun = 0;
+            self.readBody(size);
+        });
+    }
+
+    /// Grows with what has arrived, so that a length alone takes no memory.
+    void readBody(std::size_t size)
+    {
+        m_bodySize = size;
+        m_buffer.resize(std::min(size, m_begun + readPiece));
+        read([](frame_link &self) {
+            if (self.m_buffer.size() < self.m_bodySize) {
+                self.m_begun = self.m_buffer.size();
+                self.readBody(self.m_bodySize);
+                return;
+            }
+            const auto message = decodeFrameBody(self.m_buffer);
+            self.m_handler(message);
+            if (!self.m_isClosed) {
+                self.readHead();
+            }
         });
     }
 
     void read(void (*then)(frame_link &))
     {
         m_then = then;
-        g_input_stream_read_all_async(g_io_stream_get_input_stream(G_IO_STREAM(m_connection.get())), m_buffer.data(),
-                                      m_buffer.size(), G_PRIORITY_DEFAULT, m_cancellable.get(), &frame_link::onRead,
-                                      new keeper(shared_from_this()));
+        g_input_stream_read_all_async(g_io_stream_get_input_stream(G_IO_STREAM(m_connection.get())),
+                                      m_buffer.data() + m_begun, m_buffer.size() - m_begun, G_PRIORITY_DEFAULT,
+                                      m_cancellable.get(), &frame_link::onRead, new keeper(shared_from_this()));
     }
 
     static void onRead(GObject *stream, GAsyncResult *result, gpointer data)
@@ -106,7 +136,7 @@
         const auto good = g_input_stream_read_all_finish(G_INPUT_STREAM(stream), result, &count, &raw);
         const error_pointer fault(raw);
         link.m_counts->received += count;
-        if (good == FALSE || count < link.m_buffer.size() || link.m_isClosed) {
+        if (good == FALSE || link.m_begun + count < link.m_buffer.size() || link.m_isClosed) {
             link.close();
             return;
         }
@@ -140,6 +170,7 @@
         const auto good = g_output_stream_write_all_finish(G_OUTPUT_STREAM(stream), result, &count, &raw);
         const error_pointer fault(raw);
         link.m_counts->sent += count;
+        ++link.m_counts->framesSent;
         link.m_writing = false;
         if (good == FALSE) {
             link.close();
@@ -154,6 +185,9 @@
     frame_handler m_handler;
     std::function<void()> m_closed;
     std::string m_buffer;
+    std::size_t m_begun = 0; ///< bytes of the buffer that are there
+    std::size_t m_bodySize = 0;
+    timer m_deadline;
     std::string m_outgoing;
     std::deque<std::string> m_queue;
     void (*m_then)(frame_link &) = nullptr;
@@ -166,7 +200,7 @@
     std::shared_ptr<frame_link> link;
     std::deque<std::string> queue; ///< until the connection stands
     bool connecting = false;
-    std::chrono::steady_clock::time_point notBefore;
+    std::unique_ptr<timer> retry; ///< runs while the peer was unreachable a moment ago
 };
 
 struct pending_reply
@@ -259,21 +293,38 @@
             peer.link->send(std::move(frame));
             return;
         }
-        if (!peer.connecting && std::chrono::steady_clock::now() < peer.notBefore) {
-            return; // unreachable a moment ago
-        }
-        if (peer.queue.size() < mostQueuedFrames) {
-            peer.queue.push_back(std::move(frame));
+        if (peer.queue.size() >= mostWaitingFrames) {
+            peer.queue.pop_front(); // what is newest matters most
         }
-        if (std::exchange(peer.connecting, true)) {
+        peer.queue.push_back(std::move(frame));
+        connect(address);
+    }
+
+    void connect(const peer_address &address)
+    {
+        auto &peer = peers[address];
+        if (peer.connecting || (peer.retry && peer.retry->isRunning())) {
             return;
         }
+        peer.connecting = true;
         const object_pointer<GSocketAddress> target(
             g_inet_socket_address_new_from_string(address.address.c_str(), address.port));
         g_socket_client_connect_async(client.get(), G_SOCKET_CONNECTABLE(target.get()), nullptr, &parts::onConnected,
                                       new connect_call {weak_from_this(), address});
     }
 
+    /// After a failure: what is sent meanwhile waits for the next try instead of being lost.
+    void connectLater(const peer_address &address)
+    {
+        auto &peer = peers[address];
+        peer.retry = std::make_unique<timer>();
+        peer.retry->once(reconnectPause, [this, address] {
+            if (!peers[address].queue.empty()) {
+                connect(address);
+            }
+        });
+    }
+
     static void onConnected(GObject *source, GAsyncResult *result, gpointer data)
     {
         const std::unique_ptr<connect_call> call(static_cast<connect_call *>(data));
@@ -289,7 +340,7 @@
         peer.connecting = false;
         auto queue = std::exchange(peer.queue, {});
         if (!connection) {
-            peer.notBefore = std::chrono::steady_clock::now() + reconnectPause;
+            owner->connectLater(call->peer);
             return;
         }
         // The client's time limit was for connecting; the stream may stay idle.
@@ -339,6 +390,7 @@
     if (m_parts->service) {
         g_signal_handlers_disconnect_by_data(m_parts->service.get(), m_parts.get());
         g_socket_service_stop(m_parts->service.get());
+        g_socket_listener_close(G_SOCKET_LISTENER(m_parts->service.get()));
     }
     const auto peers = std::exchange(m_parts->peers, {});
     for (const auto &[address, peer] : peers) {
@@ -395,6 +447,11 @@
     return m_parts->counts->sent;
 }
 
+std::uint64_t peer_hub::messagesSent() const
+{
+    return m_parts->counts->framesSent;
+}
+
 std::uint64_t peer_hub::bytesReceived() const
 {
     return m_parts->counts->received;
--- a/src/libprimrosecroft/io/peer_hub.h
+++ b/src/libprimrosecroft/io/peer_hub.h
@@ -55,6 +55,7 @@
     /// Sends and waits; no reply in time gives none.
     void ask(const peer_address &peer, wire::Message message, std::chrono::milliseconds timeout, reply_handler done);
 
+    std::uint64_t messagesSent() const;
     std::uint64_t bytesSent() const;
     std::uint64_t bytesReceived() const;
 
--- a/src/libprimrosecroft/membership/membership.cpp
+++ b/src/libprimrosecroft/membership/membership.cpp
@@ -6,24 +6,80 @@
 namespace primrosecroft
 {
 
-void heardFrom(membership_state &state, peer_record peer, instant now)
+namespace
 {
-    const auto known = state.peers.find(peer.process);
-    if (known != state.peers.end() && known->second.incarnation > peer.incarnation) {
-        return;
+
+constexpr std::size_t mostRetired = 8;
+
+void retire(membership_state &state, const peer_record &peer)
+{
+    auto &retired = state.retired[peer.process];
+    if (retired.size() >= mostRetired) {
+        retired.erase(retired.begin());
+    }
+    retired.insert(peer.incarnation);
+}
+
+bool sayDifferent(const peer_record &before, const peer_record &after)
+{
+    return before.incarnation != after.incarnation || before.leaving != after.leaving
+        || before.placing != after.placing;
+}
+
+} // namespace
+
+heartbeat_effect heardFrom(membership_state &state, peer_record peer, instant now)
+{
+    const auto retired = state.retired.find(peer.process);
+    if (peer.process == state.self || (retired != state.retired.end() && retired->second.contains(peer.incarnation))) {
+        return {true, false};
     }
     peer.heardAt = now;
-    state.peers[peer.process] = std::move(peer);
+    const auto known = state.peers.find(peer.process);
+    if (known == state.peers.end()) {
+        state.peers.emplace(peer.process, peer);
+        return {false, true};
+    }
+    if (known->second.incarnation != peer.incarnation) {
+        retire(state, known->second);
+    } else {
+        peer.leaving = peer.leaving || known->second.leaving; // a goodbye is final
+    }
+    const auto changed = sayDifferent(known->second, peer) || !inTouch(known->second, now);
+    known->second = std::move(peer);
+    return {false, changed};
+}
+
+void forgetSilent(membership_state &state, instant now)
+{
+    std::erase_if(state.peers, [now](const auto &entry) { return entry.second.heardAt + peerMemory <= now; });
+    std::erase_if(state.retired, [&state](const auto &entry) { return !state.peers.contains(entry.first); });
+}
+
+bool inTouch(const peer_record &peer, instant now)
+{
+    return now < peer.heardAt + peerSilence;
 }
 
 std::vector<peer_record> livePeers(const membership_state &state, instant now)
 {
     std::vector<peer_record> result;
     std::ranges::copy_if(state.peers | std::views::values, std::back_inserter(result),
-                         [now](const peer_record &peer) { return !peer.leaving && now < peer.heardAt + peerSilence; });
+                         [now](const peer_record &peer) { return !peer.leaving && inTouch(peer, now); });
     return result;
 }
 
+bool representsDomain(const membership_state &state, bool isEntry, bool isLeaving, instant now)
+{
+    if (!isEntry || isLeaving) {
+        return false;
+    }
+    return std::ranges::none_of(state.peers | std::views::values, [&state, now](const peer_record &peer) {
+        return peer.role == "entryd" && peer.failureDomain == state.failureDomain && !peer.leaving && inTouch(peer, now)
+            && peer.process < state.self;
+    });
+}
+
 std::vector<listed_vm> entryVms(const membership_state &state)
 {
     std::vector<listed_vm> result;
@@ -33,4 +89,24 @@
     return result;
 }
 
+std::vector<listed_vm> heartbeatTargets(const membership_state &state, bool isRepresentative, std::size_t perDomain,
+                                        std::uint64_t turn)
+{
+    std::vector<listed_vm> result;
+    std::map<failure_domain_id, std::vector<listed_vm>> others;
+    for (const auto &vm : entryVms(state)) {
+        if (vm.failureDomain == state.failureDomain) {
+            result.push_back(vm);
+        } else if (isRepresentative) {
+            others[vm.failureDomain].push_back(vm);
+        }
+    }
+    for (const auto &vms : others | std::views::values) {
+        for (const auto index : std::views::iota(std::size_t {0}, std::min(perDomain, vms.size()))) {
+            result.push_back(vms.at((turn * perDomain + index) % vms.size()));
+        }
+    }
+    return result;
+}
+
 } // namespace primrosecroft
--- a/src/schedd/scheduler_daemon.cpp
+++ b/src/schedd/scheduler_daemon.cpp
@@ -48,6 +48,17 @@
     return chooseHome(sheet, spec, preferred);
 }
 
+/// None when the row can't be understood; that may not end the process.
+std::optional<demand_row> readableRow(const std::string &text)
+{
+    try {
+        return rowFromJson(text);
+    } catch (const error &fault) {
+        LOG(ERROR) << "demands: unreadable row, reason=" << fault.what();
+        return std::nullopt;
+    }
+}
+
 template<typename parser>
 auto parsedAnswer(const http_outcome &outcome, parser parse) -> std::optional<decltype(parse(std::string()))>
 {
@@ -87,7 +98,8 @@
     };
     role.message = [this](const wire::Message &message, const auto &reply) { receive(message, reply); };
     role.sheetApplied = [this](const planning_sheet &sheet) { applySheet(sheet); };
-    role.membershipChanged = [this] { notePeers(); };
+    role.membershipChanged = [] { };
+    role.peerHeard = [this](const peer_record & /*peer*/) { notePeers(); };
     role.drain = [this] { handle(leave_requested {}); };
     role.isDrained = [this] { return m_writesInFlight == 0; };
     role.unfinished = [this] { return "table writes=" + std::to_string(m_writesInFlight); };
@@ -321,9 +333,13 @@
             handle(row_read {key, std::nullopt, 0});
             return;
         }
-        const auto row = rowFromJson((*result)->value);
-        if (row.home == m_daemon.settings().failureDomain) {
-            handle(row_read {key, row, (*result)->version});
+        const auto row = readableRow((*result)->value);
+        if (!row) {
+            handle(row_write_lost {key});
+            return;
+        }
+        if (row->home == m_daemon.settings().failureDomain) {
+            handle(row_read {key, *row, (*result)->version});
         }
     });
 }
@@ -359,8 +375,9 @@
             return;
         }
         for (const auto &row : *rows) {
-            const auto demand = rowFromJson(row.value);
-            handle(row_read {demand.key, demand, row.version});
+            if (const auto demand = readableRow(row.value)) {
+                handle(row_read {demand->key, *demand, row.version});
+            }
         }
         readScanned(scan, keys);
     });
--- /dev/null
+++ b/tests/unit/configuration_test.cpp
@@ -0,0 +1,126 @@
+#include "configuration/configuration_step.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+configuration_version makeVersion(std::int64_t version)
+{
+    const auto text = "sheet " + std::to_string(version);
+    return {version, sheetHash(text), text};
+}
+
+configuration_row makeRow(std::int64_t version)
+{
+    return {version, makeVersion(version).hash, "operator"};
+}
+
+table_read tableWith(std::int64_t version)
+{
+    return {std::optional(makeRow(version))};
+}
+
+} // namespace
+
+TEST_CASE("a daemon that the table has not answered is ready only after it listened to its peers")
+{
+    configuration_state state;
+    instant now {};
+    CHECK_FALSE(knowsConfiguration(state, now + 1h));
+    step(state, table_read {}, now);
+    step(state, peer_version_heard {3}, now);
+    step(state, body_arrived {makeVersion(3)}, now);
+    CHECK_FALSE(knowsConfiguration(state, now + 1s));
+    step(state, peer_version_heard {4}, now + 2s);
+    CHECK_FALSE(knowsConfiguration(state, now + 1h));
+    step(state, body_arrived {makeVersion(4)}, now + 2s);
+    CHECK(knowsConfiguration(state, now + peersHeardAfter));
+}
+
+TEST_CASE("a new cell without any sheet is ready once the table has said so")
+{
+    configuration_state state;
+    step(state, table_read {std::optional<configuration_row> {}}, instant {});
+    CHECK(knowsConfiguration(state, instant {}));
+}
+
+TEST_CASE("a new daemon that the table named a version waits for its body")
+{
+    configuration_state state;
+    const auto action = step(state, tableWith(7), instant {});
+    REQUIRE(std::holds_alternative<fetch_body>(action));
+    CHECK_FALSE(knowsConfiguration(state, instant {}));
+    step(state, body_arrived {makeVersion(7)}, instant {});
+    CHECK(knowsConfiguration(state, instant {}));
+}
+
+TEST_CASE("one daemon of a failure domain fetches, the others take the body from it")
+{
+    configuration_state state;
+    step(state, body_arrived {makeVersion(1)}, instant {});
+    state.fetchesFirst = false;
+    CHECK(std::holds_alternative<no_action>(step(state, tableWith(2), instant {})));
+    CHECK(std::holds_alternative<put_in_force>(step(state, body_arrived {makeVersion(2)}, instant {})));
+    CHECK(std::holds_alternative<no_action>(step(state, configuration_ticked {}, instant {} + 1h)));
+    // The one that fetches may be dead or paused.
+    step(state, tableWith(3), instant {});
+    CHECK(std::holds_alternative<fetch_body>(step(state, configuration_ticked {}, instant {} + peerGrace)));
+}
+
+TEST_CASE("a body that doesn't match its hash, or whose sheet was refused, is left alone")
+{
+    configuration_state state;
+    auto wrong = makeVersion(2);
+    wrong.text += " tampered";
+    CHECK(std::holds_alternative<no_action>(step(state, body_arrived {wrong}, instant {})));
+    step(state, version_refused {5}, instant {});
+    CHECK(std::holds_alternative<no_action>(step(state, tableWith(5), instant {})));
+}
+
+TEST_CASE("versions only grow, whatever is lost, late, doubled or cut")
+{
+    for (std::uint64_t seed = 1; seed <= 2'000; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        configuration_state state;
+        instant now {};
+        std::int64_t inTable = 1;
+        std::int64_t shown = 0;
+        std::deque<configuration_message> late;
+        for (int turn = 0; turn < 200; ++turn) {
+            now += std::chrono::milliseconds(random() % 1'000);
+            inTable += random() % 10 == 0 ? 1 : 0;
+            const auto older = std::max<std::int64_t>(1, inTable - static_cast<std::int64_t>(random() % 5));
+            switch (random() % 5) {
+            case 0:
+                late.emplace_back(tableWith(older));
+                break;
+            case 1:
+                late.emplace_back(table_read {});
+                break;
+            case 2:
+                late.emplace_back(peer_version_heard {older});
+                break;
+            case 3:
+                late.emplace_back(body_arrived {makeVersion(older)});
+                break;
+            default:
+                late.emplace_back(configuration_ticked {});
+            }
+            const auto message = late.at(random() % late.size());
+            if (std::holds_alternative<fetch_body>(step(state, message, now)) && random() % 3 == 0) {
+                step(state, fetch_ended {}, now);
+            }
+            const auto version = state.current ? state.current->version : 0;
+            REQUIRE(version >= shown);
+            shown = version;
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/membership_test.cpp
@@ -0,0 +1,114 @@
+#include "membership/membership.h"
+
+#include <catch2/catch.hpp>
+
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+peer_record makePeer(const process_id &process, std::int64_t incarnation)
+{
+    peer_record peer;
+    peer.process = process;
+    peer.role = "entryd";
+    peer.failureDomain = "dyce";
+    peer.incarnation = incarnation;
+    return peer;
+}
+
+membership_state makeState()
+{
+    membership_state state;
+    state.self = "dyce-e2-entryd";
+    state.failureDomain = "dyce";
+    return state;
+}
+
+listed_vm makeVm(const std::string &id, const failure_domain_id &domain)
+{
+    listed_vm vm;
+    vm.id = id;
+    vm.failureDomain = domain;
+    return vm;
+}
+
+} // namespace
+
+TEST_CASE("a process replaced at the same address is believed, whatever its clock says")
+{
+    auto state = makeState();
+    const instant now {};
+    CHECK(heardFrom(state, makePeer("dyce-e1-entryd", 900), now).changed);
+    // The successor's number is lower, as from a clock that went back.
+    CHECK(heardFrom(state, makePeer("dyce-e1-entryd", 100), now + 1s).changed);
+    CHECK(state.peers.at("dyce-e1-entryd").incarnation == 100);
+    CHECK(heardFrom(state, makePeer("dyce-e1-entryd", 900), now + 2s).dropped);
+    CHECK(state.peers.at("dyce-e1-entryd").incarnation == 100);
+}
+
+TEST_CASE("a goodbye is final for its incarnation and says nothing of the next")
+{
+    auto state = makeState();
+    const instant now {};
+    auto goodbye = makePeer("dyce-e1-entryd", 1);
+    goodbye.leaving = true;
+    heardFrom(state, goodbye, now);
+    heardFrom(state, makePeer("dyce-e1-entryd", 1), now + 1ms);
+    CHECK(livePeers(state, now + 1ms).empty());
+    heardFrom(state, makePeer("dyce-e1-entryd", 2), now + 2ms);
+    CHECK(livePeers(state, now + 2ms).size() == 1);
+}
+
+TEST_CASE("a paused peer is out after its silence, and back with its next heartbeat")
+{
+    auto state = makeState();
+    const instant now {};
+    heardFrom(state, makePeer("dyce-e1-entryd", 1), now);
+    CHECK(livePeers(state, now + peerSilence).empty());
+    CHECK(heardFrom(state, makePeer("dyce-e1-entryd", 1), now + 8s).changed);
+    CHECK(livePeers(state, now + 8s).size() == 1);
+    CHECK_FALSE(heardFrom(state, makePeer("dyce-e1-entryd", 1), now + 9s).changed);
+}
+
+TEST_CASE("one entry daemon speaks for its failure domain, and another when it is gone")
+{
+    auto state = makeState();
+    const instant now {};
+    CHECK(representsDomain(state, true, false, now));
+    CHECK_FALSE(representsDomain(state, false, false, now));
+    CHECK_FALSE(representsDomain(state, true, true, now));
+    heardFrom(state, makePeer("dyce-e1-entryd", 1), now);
+    CHECK_FALSE(representsDomain(state, true, false, now));
+    CHECK(representsDomain(state, true, false, now + peerSilence));
+    auto goodbye = makePeer("dyce-e1-entryd", 1);
+    goodbye.leaving = true;
+    heardFrom(state, goodbye, now + 1ms);
+    CHECK(representsDomain(state, true, false, now + 1ms));
+}
+
+TEST_CASE("heartbeats across the link are the representative's, one a failure domain, and pass over a dead VM")
+{
+    auto state = makeState();
+    state.vms = {makeVm("dyce-e1", "dyce"), makeVm("dyce-e2", "dyce"), makeVm("motherwell-e1", "motherwell"),
+                 makeVm("motherwell-e2", "motherwell"), makeVm("grangemouth-e1", "grangemouth")};
+    CHECK(heartbeatTargets(state, false, 1, 0).size() == 2);
+    const auto first = heartbeatTargets(state, true, 1, 0);
+    const auto second = heartbeatTargets(state, true, 1, 1);
+    CHECK(first.size() == 4);
+    CHECK(first.back().id != second.back().id);
+}
+
+TEST_CASE("82 replaced VMs a day leave nothing behind")
+{
+    auto state = makeState();
+    instant now {};
+    for (int day = 0; day < 30 * 82; ++day) {
+        now += 1'000s;
+        heardFrom(state, makePeer("dyce-e" + std::to_string(day) + "-entryd", day), now);
+        forgetSilent(state, now);
+        REQUIRE(state.peers.size() <= 2);
+        REQUIRE(state.retired.size() <= 2);
+    }
+}
