--- a/src/libprimrosecroft/daemon/daemon.cpp
+++ b/src/libprimrosecroft/daemon/daemon.cpp
@@ -28,6 +28,7 @@
 constexpr auto drainCheckInterval = 50ms;
 constexpr auto goodbyePause = 100ms;
 constexpr std::size_t heartbeatsPerDomain = 1;
+constexpr double storeBudgetAtReturn = 80.0; ///< operations a second of all daemons together
 
 std::int64_t makeIncarnation()
 {
@@ -209,6 +210,8 @@
                 return;
             }
             membership.vms = std::move(*vms);
+            const auto daemons = 2 * std::max<std::size_t>(1, entryVms(membership).size());
+            platform.setReturnBudget(storeBudgetAtReturn / static_cast<double>(daemons));
             role.membershipChanged();
             if (!std::exchange(greeted, true)) {
                 sendHeartbeats();
--- a/src/libprimrosecroft/platform/platform_client.cpp
+++ b/src/libprimrosecroft/platform/platform_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <glib.h>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <ranges>
 #include <utility>
 
@@ -19,7 +20,7 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned firstServerFault = 500;
-constexpr auto probeInterval = 1s;
+constexpr std::size_t mostWaitingReads = 2'000;
 
 std::string escaped(const std::string &text)
 {
@@ -106,48 +107,86 @@
     , m_baseUrl(std::move(baseUrl))
     , m_timeout(timeout)
 {
+    m_breaker.seed = std::random_device {}();
 }
 
 bool platform_client::isReachable() const
 {
-    return m_reachable;
+    return m_breaker.reachable;
+}
+
+void platform_client::setReturnBudget(double operationsPerSecond)
+{
+    m_breaker.operationsPerSecond = operationsPerSecond;
 }
 
 std::uint64_t platform_client::reads() const
 {
-    return m_reads;
+    return m_readCount;
 }
 
 std::uint64_t platform_client::writes() const
 {
-    return m_writes;
+    return m_writeCount;
 }
 
 void platform_client::note(const http_outcome &outcome)
 {
     const auto *answer = answerOf(outcome);
-    m_reachable = answer != nullptr && answer->status < firstServerFault;
-    if (!m_reachable) {
-        m_nextProbe = std::chrono::steady_clock::now() + probeInterval;
-    }
+    storeAnswered(m_breaker, answer != nullptr && answer->status < firstServerFault, std::chrono::steady_clock::now());
 }
 
-bool platform_client::mayProbe()
+bool platform_client::maySend()
 {
-    const auto now = std::chrono::steady_clock::now();
-    if (m_reachable) {
-        return true;
+    return m_breaker.reachable || takeProbe(m_breaker, std::chrono::steady_clock::now());
+}
+
+void platform_client::sendRead(const http_call &call, std::function<void(http_outcome)> done)
+{
+    const auto outOfReach = [this] {
+        return http_failure {error("call", m_baseUrl, "the platform is out of reach"), false, false};
+    };
+    if (!maySend() || m_reads.size() >= mostWaitingReads) {
+        done(outOfReach());
+        return;
     }
-    if (now < m_nextProbe) {
-        return false;
+    const auto send = [this, call, done = std::move(done), outOfReach](bool isReachable) {
+        if (!isReachable) {
+            done(outOfReach());
+            return;
+        }
+        ++m_readCount;
+        m_http.call(call, [this, done](http_outcome outcome) {
+            note(outcome);
+            done(std::move(outcome));
+        });
+    };
+    if (!m_breaker.reachable) {
+        send(true); // a probe
+        return;
+    }
+    m_reads.emplace_back([this, send] { send(m_breaker.reachable); });
+    sendReads();
+}
+
+void platform_client::sendReads()
+{
+    while (!m_reads.empty() && !m_readPause.isRunning()) {
+        const auto pause = m_breaker.reachable ? takeOperation(m_breaker, std::chrono::steady_clock::now())
+                                               : std::chrono::milliseconds(0);
+        if (pause > std::chrono::milliseconds(0)) {
+            m_readPause.once(pause, [this] { sendReads(); });
+            return;
+        }
+        const auto next = std::move(m_reads.front());
+        m_reads.pop_front();
+        next();
     }
-    m_nextProbe = now + probeInterval;
-    return true;
 }
 
 void platform_client::commit(table_transaction transaction, std::function<void(commit_result)> done)
 {
-    if (!m_reachable) {
+    if (!m_breaker.reachable) {
         done({commit_status::notSent, {}});
         return;
     }
@@ -157,7 +196,12 @@
 
 void platform_client::sendCommits()
 {
-    if (m_committing || m_queue.empty()) {
+    if (m_committing || m_queue.empty() || m_commitPause.isRunning()) {
+        return;
+    }
+    const auto pause = takeOperation(m_breaker, std::chrono::steady_clock::now());
+    if (pause > std::chrono::milliseconds(0)) {
+        m_commitPause.once(pause, [this] { sendCommits(); });
         return;
     }
     m_committing = true;
@@ -177,7 +221,7 @@
     call.url = m_baseUrl + "/table/commit";
     call.body = body.dump();
     call.timeout = m_timeout;
-    ++m_writes;
+    ++m_writeCount;
     m_http.call(call, [this, batch = std::move(batch)](const http_outcome &outcome) mutable {
         settleCommits(std::move(batch), outcome);
     });
@@ -199,7 +243,7 @@
     }
     m_committing = false;
     std::deque<queued_commit> refused;
-    if (!m_reachable) {
+    if (!m_breaker.reachable) {
         refused = std::exchange(m_queue, {});
     }
     for (const auto index : std::views::iota(std::size_t {0}, batch.size())) {
@@ -211,18 +255,10 @@
 
 void platform_client::get(const std::string &path, std::function<void(http_outcome)> done)
 {
-    if (!mayProbe()) {
-        done(http_failure {error("call", m_baseUrl, "the platform is out of reach"), false, false});
-        return;
-    }
     http_call call;
     call.url = m_baseUrl + path;
     call.timeout = m_timeout;
-    ++m_reads;
-    m_http.call(call, [this, done = std::move(done)](http_outcome outcome) {
-        note(outcome);
-        done(std::move(outcome));
-    });
+    sendRead(call, std::move(done));
 }
 
 void platform_client::read(const std::string &key, std::function<void(row_result)> done)
@@ -241,20 +277,12 @@
 void platform_client::readMany(const std::vector<std::string> &keys,
                                std::function<void(std::optional<std::vector<table_row>>)> done)
 {
-    if (!mayProbe()) {
-        done(std::nullopt);
-        return;
-    }
     http_call call;
     call.method = "POST";
     call.url = m_baseUrl + "/table/read";
     call.body = nlohmann::json {{"keys", keys}}.dump();
     call.timeout = m_timeout;
-    ++m_reads;
-    m_http.call(call, [this, done = std::move(done)](const http_outcome &outcome) {
-        note(outcome);
-        done(parsedAnswer(outcome, rowsFrom));
-    });
+    sendRead(call, [done = std::move(done)](const http_outcome &outcome) { done(parsedAnswer(outcome, rowsFrom)); });
 }
 
 void platform_client::list(const std::string &prefix, std::function<void(std::optional<std::vector<table_row>>)> done)
@@ -285,7 +313,7 @@
 
 void platform_client::putObject(const std::string &name, const std::string &body, std::function<void(bool)> done)
 {
-    if (!m_reachable) {
+    if (!m_breaker.reachable) {
         done(false);
         return;
     }
@@ -295,7 +323,7 @@
     call.body = body;
     call.contentType = "application/octet-stream";
     call.timeout = m_timeout;
-    ++m_writes;
+    ++m_writeCount;
     m_http.call(call, [this, done = std::move(done)](const http_outcome &outcome) {
         note(outcome);
         const auto *answer = answerOf(outcome);
--- a/src/libprimrosecroft/platform/platform_client.h
+++ b/src/libprimrosecroft/platform/platform_client.h
@@ -2,6 +2,8 @@
 
 #include "core/types.h"
 #include "io/http_client.h"
+#include "io/timer.h"
+#include "platform/store_breaker.h"
 
 #include <cstdint>
 #include <deque>
@@ -76,7 +78,8 @@
 /**
  * Client of the platform. Transactions that come while one commit is on its way are
  * sent together in the next (group commit). After a failure no write is sent until
- * a probe has succeeded, so that callers are told at once that nothing was run.
+ * a probe has succeeded, so that callers are told at once that nothing was run. For a
+ * while after the store's return its operations are spread over time.
  */
 class platform_client
 {
@@ -97,6 +100,9 @@
     void getObject(const std::string &name, std::function<void(std::optional<std::string>)> done);
     void listVms(std::function<void(std::optional<std::vector<listed_vm>>)> done);
 
+    /// Operations a second of this daemon in the time after the store's return.
+    void setReturnBudget(double operationsPerSecond);
+
     /// False from a failure until the next success.
     bool isReachable() const;
 
@@ -116,17 +122,21 @@
                   std::function<void(std::optional<std::vector<table_row>>)> done);
     void get(const std::string &path, std::function<void(http_outcome)> done);
     void note(const http_outcome &outcome);
-    bool mayProbe();
+    bool maySend();
+    void sendRead(const http_call &call, std::function<void(http_outcome)> done);
+    void sendReads();
 
     http_client &m_http;
     std::string m_baseUrl;
     std::chrono::milliseconds m_timeout;
     std::deque<queued_commit> m_queue;
     bool m_committing = false;
-    bool m_reachable = true;
-    instant m_nextProbe;
-    std::uint64_t m_reads = 0;
-    std::uint64_t m_writes = 0;
+    store_breaker m_breaker;
+    std::deque<std::function<void()>> m_reads; ///< that wait for the budget
+    timer m_readPause;
+    timer m_commitPause;
+    std::uint64_t m_readCount = 0;
+    std::uint64_t m_writeCount = 0;
 };
 
 } // namespace primrosecroft
--- /dev/null
+++ b/tests/bench/control_cost.sh
@@ -0,0 +1,83 @@
+#!/usr/bin/env bash
+# Prints what each daemon of a whole cell of the example sends and receives for control:
+# between daemons, to the platform and to workers; idle, and under the demo's demands.
+# Usage: tests/bench/control_cost.sh [SECONDS]
+set -u
+cd "$(dirname "$0")/../.." || exit 1
+BUILD=${BUILD:-build}
+EXAMPLE=${EXAMPLE:-examples/clydemuir}
+PERIOD=${1:-20}
+. tests/demo/cell.sh
+trap endCell EXIT
+startPlatform
+startWorkers
+startExecutors
+startDaemons
+cellFile sheet.yaml >"$CELL/sheet.yaml"
+
+daemonUrls() {
+    local id domain region address
+    while read -r id domain region address; do
+        echo "$id-entryd http://$address:7400"
+        echo "$id-schedd http://$address:7410"
+    done < <(vmFields entry)
+}
+
+waitReady() {
+    local name url tries
+    while read -r name url; do
+        for tries in $(seq 1 300); do
+            curl -sf -m 2 -o /dev/null "$url/readyz" && break
+            sleep 0.1
+        done
+    done < <(daemonUrls)
+}
+
+# snapshot FILE: one line "daemon metric value" for each counter of control.
+snapshot() {
+    local name url
+    while read -r name url; do
+        curl -s -m 5 "$url/metrics" | sed -n "s/^primrosecroft_\(control_[a-z_]*\|peer_[a-z_]*\|store_[a-z_]*\)\(\|{[^}]*}\) \([0-9.e+]*\).*/$name \1 \3/p"
+        echo "$name cpu_ticks $(cut -d' ' -f14,15 "/proc/$(cat "$CELL/$name.pid")/stat" | tr ' ' '+' | bc 2>/dev/null || awk '{print $14 + $15}' "/proc/$(cat "$CELL/$name.pid")/stat")"
+        echo "$name resident_kib $(awk '/VmRSS/ {print $2}' "/proc/$(cat "$CELL/$name.pid")/status")"
+    done < <(daemonUrls) >"$1"
+}
+
+# report TITLE: what changed between the two snapshots, for a second.
+report() {
+    echo "$1, over $PERIOD s"
+    awk -v period="$PERIOD" '
+        NR == FNR { before[$1 " " $2] = $3; next }
+        { key = $1 " " $2; value[key] = ($2 == "resident_kib") ? $3 : ($3 - before[key]) / period; names[$1] = 1 }
+        END {
+            printf "%-24s %10s %10s %9s %9s %9s %7s %7s\n", "daemon", "peer out B", "peer in B", "http out", "http in", "peer msg", "core %", "MiB"
+            for (name in names) {
+                out = value[name " peer_bytes_sent"]; into = value[name " peer_bytes_received"]
+                hout = value[name " control_http_bytes_sent"]; hin = value[name " control_http_bytes_received"]
+                printf "%-24s %10.0f %10.0f %9.0f %9.0f %9.1f %7.2f %7.1f\n", name, out, into, hout, hin, value[name " peer_messages_sent"], value[name " cpu_ticks"], value[name " resident_kib"] / 1024 | "sort"
+            }
+        }' "$CELL/before" "$CELL/after"
+}
+
+measure() {
+    snapshot "$CELL/before"
+    sleep "$PERIOD"
+    snapshot "$CELL/after"
+    report "$1"
+}
+
+waitReady
+curl -s -o /dev/null -X PUT -H 'If-Match: "0"' --data-binary @"$CELL/sheet.yaml" "$(daemonUrls | head -n 1 | cut -d' ' -f2)/v1/sheet"
+sleep 12
+measure "idle: the sheet's own demands run"
+(
+    url=$(daemonUrls | head -n 1 | cut -d' ' -f2)
+    for turn in $(seq 1 $((PERIOD * 4))); do
+        curl -s -m 5 -o /dev/null -X POST -H "Idempotency-Key: load$turn" \
+            -d '{"kind":"batch","team":"yard","tasks":2,"cores":1,"memory":"512MiB","runTime":"2s"}' "$url/v1/demands"
+        sleep 0.25
+    done
+) &
+load=$!
+measure "some 4 demands a second"
+wait $load
