--- a/src/libprimrosecroft/daemon/daemon.cpp
+++ b/src/libprimrosecroft/daemon/daemon.cpp
@@ -253,6 +253,9 @@
         measures.set("primrosecroft_peer_messages_sent", static_cast<double>(peers.messagesSent()));
         measures.set("primrosecroft_peer_bytes_sent", static_cast<double>(peers.bytesSent()));
         measures.set("primrosecroft_peer_bytes_received", static_cast<double>(peers.bytesReceived()));
+        measures.set("primrosecroft_control_http_bytes_sent", static_cast<double>(http.controlBytes().sent));
+        measures.set("primrosecroft_control_http_bytes_received", static_cast<double>(http.controlBytes().received));
+        measures.set("primrosecroft_control_http_calls", static_cast<double>(http.controlBytes().calls));
         measures.set("primrosecroft_store_reads", static_cast<double>(platform.reads()));
         measures.set("primrosecroft_store_writes", static_cast<double>(platform.writes()));
         return measures.text();
--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -67,6 +67,15 @@
     session_stream(const session_stream &) = delete;
     session_stream &operator=(const session_stream &) = delete;
 
+    /// Counts what travels into @p bytes when it ends.
+    void count(std::shared_ptr<http_byte_counts> bytes)
+    {
+        m_bytes = std::move(bytes);
+        if (m_message) {
+            soup_message_add_flags(m_message.get(), SOUP_MESSAGE_COLLECT_METRICS);
+        }
+    }
+
     void start(SoupSession *session, std::chrono::milliseconds timeout)
     {
         m_self = shared_from_this();
@@ -137,8 +146,22 @@
         stream.m_handlers.arrived(std::string_view(data, size));
     }
 
+    void addBytes() const
+    {
+        auto *metrics = m_bytes && m_message ? soup_message_get_metrics(m_message.get()) : nullptr;
+        if (metrics == nullptr) {
+            return;
+        }
+        m_bytes->sent += soup_message_metrics_get_request_header_bytes_sent(metrics)
+            + soup_message_metrics_get_request_body_bytes_sent(metrics);
+        m_bytes->received += soup_message_metrics_get_response_header_bytes_received(metrics)
+            + soup_message_metrics_get_response_body_bytes_received(metrics);
+        ++m_bytes->calls;
+    }
+
     void finish()
     {
+        addBytes();
         const auto self = std::exchange(m_self, nullptr);
         m_deadline.stop();
         m_handlers.ended();
@@ -146,6 +169,7 @@
 
     void fail(const std::string &reason)
     {
+        addBytes();
         const auto self = std::exchange(m_self, nullptr);
         m_deadline.stop();
         const std::string text = m_timedOut ? "no answer in time" : reason;
@@ -153,6 +177,7 @@
     }
 
     handlers m_handlers;
+    std::shared_ptr<http_byte_counts> m_bytes;
     std::string m_step;
     object_pointer<GCancellable> m_cancellable;
     object_pointer<SoupMessage> m_message;
@@ -172,6 +197,11 @@
 {
 }
 
+const http_byte_counts &http_client::controlBytes() const
+{
+    return *m_controlBytes;
+}
+
 http_client::~http_client()
 {
     soup_session_abort(m_session.get());
@@ -214,7 +244,10 @@
     };
     handlers.ended = [state, done] { done(std::move(state->answer)); };
     handlers.failed = [done](http_failure failure) { done(std::move(failure)); };
-    state->source = stream(request, std::move(handlers));
+    auto source = std::make_shared<session_stream>(request, std::move(handlers));
+    source->count(m_controlBytes);
+    source->start(m_session.get(), request.timeout);
+    state->source = source;
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -5,6 +5,7 @@
 #include "io/http.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <variant>
@@ -63,6 +64,14 @@
     virtual void cancel() = 0;
 };
 
+/// What calls have cost on the network, heads included.
+struct http_byte_counts
+{
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    std::uint64_t calls = 0;
+};
+
 /**
  * HTTP calls to workers, upstreams and the platform. Never follows redirects and
  * never repeats a request by itself.
@@ -78,10 +87,14 @@
     /// Exactly one outcome reaches @p done, unless the client is destroyed first.
     void call(const http_call &request, const std::function<void(http_outcome)> &done);
 
+    /// Of calls to platform and workers; streamed requests of callers aren't control.
+    const http_byte_counts &controlBytes() const;
+
     std::shared_ptr<http_stream> stream(const http_call &request, http_stream::handlers handlers);
 
 private:
     object_pointer<SoupSession> m_session;
+    std::shared_ptr<http_byte_counts> m_controlBytes = std::make_shared<http_byte_counts>();
 };
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/platform/platform_client.cpp
+++ b/src/libprimrosecroft/platform/platform_client.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t mostTransactionsPerCommit = 100;
 constexpr std::size_t rowsPerPage = 500;
 constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotModified = 304;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned firstServerFault = 500;
 constexpr std::size_t mostWaitingReads = 2'000;
@@ -341,12 +342,28 @@
 
 void platform_client::listVms(std::function<void(std::optional<std::vector<listed_vm>>)> done)
 {
-    get("/vms", [done = std::move(done)](const http_outcome &outcome) {
-        done(parsedAnswer(outcome, [](const nlohmann::json &body) {
-            std::vector<listed_vm> vms;
-            std::ranges::transform(body.at("vms"), std::back_inserter(vms), vmFrom);
-            return vms;
-        }));
+    http_call call;
+    call.url = m_baseUrl + "/vms";
+    call.timeout = m_timeout;
+    if (!m_vmsTag.empty()) {
+        call.headers.push_back({"If-None-Match", m_vmsTag});
+    }
+    sendRead(call, [this, done = std::move(done)](const http_outcome &outcome) {
+        const auto *answer = answerOf(outcome);
+        if (answer != nullptr && answer->status == statusNotModified) {
+            done(m_vms);
+            return;
+        }
+        auto vms = parsedAnswer(outcome, [](const nlohmann::json &body) {
+            std::vector<listed_vm> read;
+            std::ranges::transform(body.at("vms"), std::back_inserter(read), vmFrom);
+            return read;
+        });
+        if (vms) {
+            m_vmsTag = headerValue(answer->headers, "ETag");
+            m_vms = *vms;
+        }
+        done(std::move(vms));
     });
 }
 
--- a/src/libprimrosecroft/platform/platform_client.h
+++ b/src/libprimrosecroft/platform/platform_client.h
@@ -98,6 +98,7 @@
 
     void putObject(const std::string &name, const std::string &body, std::function<void(bool)> done);
     void getObject(const std::string &name, std::function<void(std::optional<std::string>)> done);
+    /// The list of VMs. While it is as it was (ETag, RFC 9110), its body doesn't travel again.
     void listVms(std::function<void(std::optional<std::vector<listed_vm>>)> done);
 
     /// Operations a second of this daemon in the time after the store's return.
@@ -133,6 +134,8 @@
     bool m_committing = false;
     store_breaker m_breaker;
     std::deque<std::function<void()>> m_reads; ///< that wait for the budget
+    std::string m_vmsTag;
+    std::vector<listed_vm> m_vms; ///< under that tag
     timer m_readPause;
     timer m_commitPause;
     std::uint64_t m_readCount = 0;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -47,7 +47,11 @@
             return serveObject(request, path);
         }
         if (path == "/vms") {
-            return {200, {}, nlohmann::json {{"vms", m_vms}}.dump()};
+            const auto tag = '"' + std::to_string(m_vmsVersion) + '"';
+            if (request.header("If-None-Match") == tag) {
+                return {304, {{"ETag", tag}}, ""};
+            }
+            return {200, {{"ETag", tag}}, nlohmann::json {{"vms", m_vms}}.dump()};
         }
         if (path == "/counts") {
             return {200, {}, nlohmann::json {{"reads", m_table.reads}, {"writes", m_table.writes}}.dump()};
@@ -59,6 +63,7 @@
     void replaceVms(nlohmann::json vms)
     {
         m_vms = std::move(vms);
+        ++m_vmsVersion;
     }
 
 private:
@@ -122,6 +127,7 @@
     }
 
     nlohmann::json m_vms;
+    std::uint64_t m_vmsVersion = 1;
     standins::table_model m_table;
     std::map<std::string, std::string> m_objects;
 };
