--- a/tests/golden/scheduler_session_test.cpp
+++ b/tests/golden/scheduler_session_test.cpp
@@ -149,6 +149,8 @@
     feed(session, "the table has it", row_written {write.row.key, write.request, 2});
     session.now += 3s;
     feed(session, "tick", timer_ticked {});
+    feed(session, "an older read comes late", rowOf(session, true));
+    CHECK(session.actions.empty());
     checkGolden("scheduler_happy.txt", session.text);
 }
 
@@ -175,3 +177,16 @@
     answerExchange(session, "w1 let it lapse", {}, {{start.task, start.attempt, attempt_end::lapsed}});
     checkGolden("scheduler_failing.txt", session.text);
 }
+
+TEST_CASE("a start that another scheduler recorded isn't sent")
+{
+    auto session = takeOver();
+    feed(session, "a demand that must not be repeated", rowOf(session, false));
+    const auto write = lastOf<write_row>(session);
+    feed(session, "the write is refused", row_write_refused {write.row.key, write.request});
+    auto read = rowOf(session, false);
+    read.row->started = {{0, 99}};
+    read.version = 2;
+    feed(session, "another attempt is recorded", read);
+    CHECK(lastOf<write_row>(session).row.outcome == demand_outcome::unknown);
+}
--- a/tests/schedules/cell_schedule.cpp
+++ b/tests/schedules/cell_schedule.cpp
@@ -125,7 +125,7 @@
 
 /// One request to a worker and its answer, each lost, late or doubled on its own.
 template<typename handler>
-void callWorker(cell_schedule &cell, int index, const worker_id &worker, std::uint64_t request, handler handle)
+void callWorker(cell_schedule &cell, int index, const worker_id &worker, std::uint64_t request, const handler &handle)
 {
     const auto incarnation = cell.schedulers.at(index).incarnation;
     after(cell, cell.schedulers.at(index).state.settings.ownership.requestTimeout,
