--- a/src/libprimrosecroft/routing/booking_proxy.cpp
+++ b/src/libprimrosecroft/routing/booking_proxy.cpp
@@ -71,11 +71,38 @@
                                [&name](const char *each) { return g_ascii_strcasecmp(name.c_str(), each) == 0; });
 }
 
+/// True when a Connection header names it (RFC 9110, 7.6.1).
+bool isNamedByConnection(const http_headers &headers, const std::string &name)
+{
+    const auto wanted = ' ' + name + ' ';
+    return std::ranges::any_of(headers, [&wanted](const http_header &header) {
+        if (g_ascii_strcasecmp(header.name.c_str(), "Connection") != 0) {
+            return false;
+        }
+        auto names = ' ' + header.value + ' ';
+        std::ranges::replace_if(names, [](char letter) { return letter == ',' || letter == '\t'; }, ' ');
+        const auto found = std::ranges::search(names, wanted, {}, g_ascii_tolower, g_ascii_tolower);
+        return !found.empty();
+    });
+}
+
 http_headers forwarded(const http_headers &headers)
 {
     http_headers result;
-    std::ranges::copy_if(headers, std::back_inserter(result),
-                         [](const http_header &header) { return !isHopByHop(header.name); });
+    std::ranges::copy_if(headers, std::back_inserter(result), [&headers](const http_header &header) {
+        return !isHopByHop(header.name) && !isNamedByConnection(headers, header.name);
+    });
+    return result;
+}
+
+/// With its length, a streamed answer that breaks off can be told from a whole one.
+http_headers forwardedWithLength(const http_headers &headers)
+{
+    auto result = forwarded(headers);
+    const auto length = headerValue(headers, "Content-Length");
+    if (!length.empty() && headerValue(headers, "Transfer-Encoding").empty()) {
+        result.push_back({"Content-Length", length});
+    }
     return result;
 }
 
@@ -121,6 +148,8 @@
         if (vm.role == vm_role::executor) {
             message.upstreams.push_back({vm.id, vm.failureDomain, vm.region, vm.leaving});
             m_addresses[vm.id] = "http://" + vm.address + ':' + std::to_string(vm.port);
+        } else if (vm.role == vm_role::entry && !vm.leaving) {
+            message.entries.push_back({vm.address, vm.failureDomain, vm.region});
         }
     }
     handle(message);
@@ -221,7 +250,7 @@
         entry->fault = {status, forwarded(headers), {}};
     } else {
         entry->streaming = true;
-        entry->caller->beginStream(status, forwarded(headers));
+        entry->caller->beginStream(status, forwardedWithLength(headers));
     }
     entry->stream->readMore();
 }
@@ -265,7 +294,7 @@
         take(entry->id);
         m_measures.count("primrosecroft_bookings_total", "outcome", "broken");
     }
-    finish(entry, failure.sent ? attempt_result::lost : attempt_result::notRun);
+    finish(entry, failure.sent ? attempt_result::lost : attempt_result::unreachable);
 }
 
 void booking_proxy::finish(const std::shared_ptr<booking> &entry, attempt_result result)
