--- a/src/schedd/scheduler_daemon.cpp
+++ b/src/schedd/scheduler_daemon.cpp
@@ -339,7 +339,7 @@
             return;
         }
         if (row->home == m_daemon.settings().failureDomain) {
-            handle(row_read {key, *row, (*result)->version});
+            handle(row_read {key, row, (*result)->version});
         }
     });
 }
@@ -376,7 +376,7 @@
         }
         for (const auto &row : *rows) {
             if (const auto demand = readableRow(row.value)) {
-                handle(row_read {demand->key, *demand, row.version});
+                handle(row_read {demand->key, demand, row.version});
             }
         }
         readScanned(scan, keys);
