--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -28,7 +28,8 @@
     std::uint64_t seed = 0;
     std::int32_t workersBeforeFailing = 3; ///< a task that failed on so many is given up
     std::chrono::milliseconds scanInterval {30'000};
-    std::chrono::milliseconds storeRetryInterval {1'000};
+    std::chrono::milliseconds storeRetryInterval {1'000}; ///< between probes while the store doesn't answer
+    std::chrono::milliseconds storeCatchUpInterval {100}; ///< between retries once it answers again
     std::chrono::milliseconds peerSilence {5'000}; ///< a placing peer unheard for so long is taken for gone
 };
 
@@ -57,9 +58,8 @@
     demand_row committed; ///< what the table is known to hold
     demand_row sent; ///< what an outstanding write carries
     std::int64_t version = 0;
-    bool writing = false;
-    bool verified = false; ///< the row was read since the take-over
-    instant retryWriteAt;
+    std::uint64_t writing = 0; ///< number of the outstanding write, 0 without one
+    bool verified = false; ///< the row was read since the take-over, and no write was refused since
     instant learnedAt;
     std::uint64_t sequence = 0;
     std::vector<task_record> tasks;
@@ -87,6 +87,13 @@
     bool draining = false;
 };
 
+/// A demand that ended a short while ago.
+struct closed_demand
+{
+    std::int64_t version = 0;
+    instant forgetAt;
+};
+
 /// Order in which demands are placed.
 struct waiting_rank
 {
@@ -104,8 +111,11 @@
     cell workers;
     std::map<worker_id, worker_record> records;
     std::map<demand_key, demand_record> demands;
+    std::map<demand_key, closed_demand> closed;
     std::set<waiting_rank> waiting;
-    std::set<demand_key> retryWrites; ///< whose last write was lost
+    std::set<demand_key> retryStore; ///< whose write or read was lost, or waits for the store
+    bool storeFailing = false; ///< its last answer was lost
+    instant nextStoreRetry;
     std::set<demand_key> touched; ///< demands to look at again in this step
     std::set<worker_id> unreached; ///< since the take-over
     bool inDoubt = false;
@@ -115,9 +125,11 @@
     bool scanned = false; ///< since the take-over
     instant nextScan;
     instant otherPlacingUntil;
+    std::uint64_t takeover = 0; ///< number of take-overs so far
     std::uint64_t lastAttempt = 0;
     std::uint64_t lastSequence = 0;
     std::uint64_t lastScan = 0;
+    std::uint64_t lastWrite = 0;
 };
 
 scheduler_state makeScheduler(const scheduler_settings &settings);
