--- a/src/schedd/scheduler_daemon.cpp
+++ b/src/schedd/scheduler_daemon.cpp
@@ -341,7 +341,7 @@
             return;
         }
         if (row->home == m_daemon.settings().failureDomain) {
-            handle(row_read {key, *row, (*result)->version, takeover});
+            handle(row_read {key, row, (*result)->version, takeover});
         }
     });
 }
@@ -379,7 +379,7 @@
         }
         for (const auto &row : *rows) {
             if (const auto demand = readableRow(row.value)) {
-                handle(row_read {demand->key, *demand, row.version, takeover});
+                handle(row_read {demand->key, demand, row.version, takeover});
             }
         }
         readScanned(scan, keys);
