Look only at what a message can have changed when placing

Cause (perf, 1,100 workers): every step walked all workers four times through maps keyed by text, every new demand copied the books of all workers to look for orphans, and every exchange answer tried the whole queue again. The choice of a worker itself was 6 %, so an index over workers was ruled out.

--- a/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
+++ b/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
@@ -24,6 +24,9 @@
 void exchangeLost(scheduler_state &state, const worker_request_lost &message, instant now);
 void sendExchanges(scheduler_state &state, instant now, action_list &actions);
 
+/// As sendExchanges, but looks only at workers that have orders.
+void sendOrders(scheduler_state &state, instant now, action_list &actions);
+
 // lifecycle.cpp: what becomes of tasks and demands.
 
 void learnRow(scheduler_state &state, const row_read &message, instant now);
@@ -43,7 +46,13 @@
 
 // placing.cpp: waiting tasks get workers.
 
-void placeWaiting(scheduler_state &state, instant now);
+void placeWaiting(scheduler_state &state);
+
+/// Brings up to date which workers may be given tasks, and until when that holds.
+void refreshSchedulable(scheduler_state &state, instant now);
+
+/// Room was gained at the worker: sizes that fit there now are tried again.
+void roomGained(scheduler_state &state, const worker_id &worker);
 void orderStart(scheduler_state &state, demand_record &demand, std::int32_t index);
 waiting_rank rankOf(const demand_record &demand);
 
--- a/src/libprimrosecroft/scheduling/exchanges.cpp
+++ b/src/libprimrosecroft/scheduling/exchanges.cpp
@@ -22,6 +22,7 @@
     if (result == start_result::stale) {
         if (!record.stops.contains(order.attempt)) {
             record.starts.push_back(order);
+            state.ordered.insert(worker);
         }
         return;
     }
@@ -47,6 +48,7 @@
         auto &held = state.ownership.workers.at(worker);
         actions.emplace_back(send_release {worker, held.token});
         dropClaim(held);
+        state.nextWalk = now;
     }
 }
 
@@ -75,6 +77,24 @@
                          [&record](const start_order &order) { return !record.stops.contains(order.attempt); });
 }
 
+/// True when an exchange was sent, with all orders there are for the worker.
+bool sendIfDue(scheduler_state &state, const worker_id &id, held_worker &held, instant now, action_list &actions)
+{
+    if (!holds(held, now) || held.request || now < held.notBefore) {
+        return false;
+    }
+    auto &record = state.records.at(id);
+    const auto hasOrders = !record.starts.empty() || !record.stops.empty();
+    if (!hasOrders && now < held.nextRequest) {
+        return false;
+    }
+    const auto request = beginRequest(state.ownership, held, now);
+    held.nextRequest = now + state.ownership.settings.exchangeInterval;
+    record.sent = makeExchange(state, record, held);
+    actions.emplace_back(send_exchange {id, request, *record.sent});
+    return true;
+}
+
 } // namespace
 
 void acceptExchange(scheduler_state &state, const exchange_answered &message, instant now, action_list &actions)
@@ -92,6 +112,7 @@
     if (!message.answer.accepted) {
         putBack(record);
         dropClaim(held);
+        state.nextWalk = now;
         held.nextRequest = now;
         return;
     }
@@ -109,7 +130,6 @@
     for (const auto attempt : sent.stops) {
         loseAttempt(state, message.worker, attempt);
     }
-    state.placementDue = true;
 }
 
 void exchangeLost(scheduler_state &state, const worker_request_lost &message, instant now)
@@ -129,20 +149,19 @@
         return;
     }
     for (auto &[id, held] : state.ownership.workers) {
-        auto &record = state.records.at(id);
-        state.workers.at(id).schedulable = holds(held, now) && !record.draining;
-        if (!holds(held, now) || held.request) {
-            continue;
-        }
-        const auto hasOrders = !record.starts.empty() || !record.stops.empty();
-        if (now < held.notBefore || (!hasOrders && now < held.nextRequest)) {
-            continue;
-        }
-        const auto request = beginRequest(state.ownership, held, now);
-        held.nextRequest = now + state.ownership.settings.exchangeInterval;
-        record.sent = makeExchange(state, record, held);
-        actions.emplace_back(send_exchange {id, request, *record.sent});
+        sendIfDue(state, id, held, now, actions);
+    }
+}
+
+void sendOrders(scheduler_state &state, instant now, action_list &actions)
+{
+    if (!state.ownership.placing) {
+        return;
     }
+    std::erase_if(state.ordered, [&](const worker_id &id) {
+        const auto held = state.ownership.workers.find(id);
+        return held == state.ownership.workers.end() || sendIfDue(state, id, held->second, now, actions);
+    });
 }
 
 } // namespace primrosecroft::detail
--- a/src/libprimrosecroft/scheduling/lifecycle.cpp
+++ b/src/libprimrosecroft/scheduling/lifecycle.cpp
@@ -216,6 +216,9 @@
 /// Tasks and ends that workers listed before the demand's row was read.
 void adoptOrphans(scheduler_state &state, const demand_key &key)
 {
+    if (state.orphaned.erase(key) == 0) {
+        return;
+    }
     for (auto &[worker, record] : state.records) {
         const auto occupied = record.occupied;
         for (const auto &[attempt, each] : occupied) {
@@ -236,9 +239,14 @@
 /// What runs for a demand that has ended, or that nobody accepted, is stopped and forgotten.
 void dropOrphans(scheduler_state &state, const demand_key &key)
 {
+    if (!state.orphaned.contains(key)) {
+        return;
+    }
+    auto isListed = false;
     for (auto &[worker, record] : state.records) {
         for (const auto &[attempt, each] : record.occupied) {
             if (each.task.demand == key) {
+                isListed = true;
                 orderStop(state, worker, attempt);
             }
         }
@@ -249,6 +257,9 @@
         }
         std::erase_if(record.unclaimedEnds, [&key](const auto &entry) { return entry.second.task.demand == key; });
     }
+    if (!isListed) {
+        state.orphaned.erase(key);
+    }
 }
 
 void learnNewRow(scheduler_state &state, const row_read &message, instant now)
@@ -307,7 +318,7 @@
     }
     state.workers.at(worker).free += found->second.size;
     record->second.occupied.erase(found);
-    state.placementDue = true;
+    roomGained(state, worker);
 }
 
 void makeWaiting(scheduler_state &state, demand_record &demand, task_record &task)
@@ -337,6 +348,7 @@
         if (known != state.demands.end()) {
             state.waiting.erase(rankOf(known->second));
             state.demands.erase(known);
+            state.orphaned.insert(message.key);
         }
         dropOrphans(state, message.key);
         return;
@@ -355,6 +367,7 @@
     occupy(state, worker, listing.attempt, {listing.task, listing.size});
     const auto found = state.demands.find(listing.task.demand);
     if (found == state.demands.end()) {
+        state.orphaned.insert(listing.task.demand);
         return; // adopted or stopped when its row is read
     }
     state.touched.insert(listing.task.demand);
@@ -390,6 +403,7 @@
             record.forgets.insert(ended.attempt);
         } else {
             record.unclaimedEnds.emplace(ended.attempt, ended);
+            state.orphaned.insert(ended.task.demand);
         }
         return;
     }
@@ -424,6 +438,7 @@
     auto &record = state.records.at(worker);
     std::erase_if(record.starts, [attempt](const start_order &order) { return order.attempt == attempt; });
     record.stops.insert(attempt);
+    state.ordered.insert(worker);
 }
 
 void reviewDemands(scheduler_state &state, instant now, action_list &actions)
--- a/src/libprimrosecroft/scheduling/placing.cpp
+++ b/src/libprimrosecroft/scheduling/placing.cpp
@@ -10,6 +10,11 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
+/// How often all workers are looked at for leases that lapse and renewals that are due.
+constexpr auto walkInterval = 50ms;
+
 struct assignment
 {
     std::int32_t index = 0;
@@ -73,13 +78,33 @@
     return result;
 }
 
-bool reserveOne(scheduler_state &state, demand_record &demand, std::int32_t index)
+bool isBlocked(const scheduler_state &state, const resources &size)
+{
+    return std::ranges::any_of(state.blocked, [&size](const resources &each) { return fits(each, size); });
+}
+
+/// Notes a size that fits nowhere; larger ones noted before are implied by it.
+void block(scheduler_state &state, const resources &size)
+{
+    std::erase_if(state.blocked, [&size](const resources &each) { return fits(size, each); });
+    state.blocked.push_back(size);
+}
+
+using rack_counts = std::map<std::string, std::int32_t>;
+
+bool reserveOne(scheduler_state &state, demand_record &demand, std::int32_t index, rack_counts &racks)
 {
-    const auto racks = tasksByRack(state, demand);
+    const auto &size = demand.wanted.spec.size;
+    if (isBlocked(state, size)) {
+        return false;
+    }
     const auto avoided = failedWorkers(demand.tasks.at(index));
-    const auto worker = chooseWorker(state.workers, {demand.wanted.spec.size, &racks, &avoided}, state.settings.policy);
+    const auto worker = chooseWorker(state.workers, {size, &racks, &avoided}, state.settings.policy);
     if (worker) {
         reserve(state, demand, {index, *worker});
+        ++racks[state.records.at(*worker).rack];
+    } else if (avoided.empty()) {
+        block(state, size);
     }
     return worker.has_value();
 }
@@ -87,8 +112,9 @@
 /// True when all tasks of the demand that wait got a worker.
 bool placeEach(scheduler_state &state, demand_record &demand)
 {
+    auto racks = tasksByRack(state, demand);
     for (const auto index : waitingTasks(demand)) {
-        if (!reserveOne(state, demand, index)) {
+        if (!reserveOne(state, demand, index, racks)) {
             return false;
         }
         startOrRecord(state, demand, index);
@@ -105,14 +131,20 @@
     if (waiting.size() + static_cast<std::size_t>(ended) != demand.tasks.size()) {
         return false; // members still stop from an earlier try
     }
+    auto racks = tasksByRack(state, demand);
+    const auto blocked = state.blocked;
     const auto firstFailed =
-        std::ranges::find_if_not(waiting, [&](std::int32_t index) { return reserveOne(state, demand, index); });
+        std::ranges::find_if_not(waiting, [&](std::int32_t index) { return reserveOne(state, demand, index, racks); });
     if (firstFailed != waiting.end()) {
         std::ranges::for_each(waiting.begin(), firstFailed, [&](std::int32_t index) {
             auto &task = demand.tasks.at(index);
             vacate(state, task.worker, task.attempt);
             task = {task_phase::waiting, {}, 0, task.failedOn};
         });
+        if (firstFailed != waiting.begin()) {
+            state.blocked = blocked; // its siblings took the room
+        }
+        state.placementDue = false;
         return false;
     }
     std::ranges::for_each(waiting, [&](std::int32_t index) { startOrRecord(state, demand, index); });
@@ -123,7 +155,8 @@
 
 waiting_rank rankOf(const demand_record &demand)
 {
-    return {demand.wanted.spec.priority == demand_priority::normal, demand.sequence, demand.wanted.key};
+    const auto &spec = demand.wanted.spec;
+    return {spec.priority == demand_priority::normal, demand.sequence, demand.wanted.key, spec.size};
 }
 
 void orderStart(scheduler_state &state, demand_record &demand, std::int32_t index)
@@ -131,6 +164,7 @@
     auto &task = demand.tasks.at(index);
     const auto &spec = demand.wanted.spec;
     task.phase = task_phase::starting;
+    state.ordered.insert(task.worker);
     state.records.at(task.worker)
         .starts.push_back({{demand.wanted.key, index},
                            task.attempt,
@@ -139,17 +173,40 @@
                            spec.kind == demand_kind::service});
 }
 
-void placeWaiting(scheduler_state &state, instant now)
+void roomGained(scheduler_state &state, const worker_id &worker)
+{
+    const auto &room = state.workers.at(worker).free;
+    std::erase_if(state.blocked, [&room](const resources &size) { return fits(size, room); });
+    state.placementDue = true;
+}
+
+void refreshSchedulable(scheduler_state &state, instant now)
+{
+    state.nextWalk = now + walkInterval;
+    for (auto &[id, worker] : state.workers) {
+        const auto &held = state.ownership.workers.at(id);
+        const auto isSchedulable = holds(held, now) && !state.records.at(id).draining;
+        if (isSchedulable && !std::exchange(worker.schedulable, isSchedulable)) {
+            roomGained(state, id);
+        }
+        worker.schedulable = isSchedulable;
+        if (holds(held, now)) {
+            state.nextWalk = std::min(state.nextWalk, held.heldUntil);
+        }
+    }
+}
+
+void placeWaiting(scheduler_state &state)
 {
     if (!state.ownership.placing || !std::exchange(state.placementDue, false)) {
         return;
     }
-    for (auto &[id, worker] : state.workers) {
-        worker.schedulable = holds(state.ownership.workers.at(id), now) && !state.records.at(id).draining;
-    }
-    const auto ranks = state.waiting;
-    for (const auto &rank : ranks) {
-        auto &demand = state.demands.at(rank.key);
+    for (auto next = state.waiting.begin(); next != state.waiting.end();) {
+        const auto rank = next++;
+        if (isBlocked(state, rank->size)) {
+            continue;
+        }
+        auto &demand = state.demands.at(rank->key);
         if (!demand.verified || demand.wanted.cancelled) {
             continue;
         }
--- a/src/libprimrosecroft/scheduling/scheduler.cpp
+++ b/src/libprimrosecroft/scheduling/scheduler.cpp
@@ -22,11 +22,13 @@
     void operator()(const workers_configured &message) const
     {
         detail::configureWorkers(state, message);
+        state.blocked.clear();
     }
 
     void operator()(const claim_answered &message) const
     {
         detail::acceptClaim(state, message, now);
+        state.blocked.clear();
     }
 
     void operator()(const exchange_answered &message) const
@@ -96,6 +98,13 @@
     }
 };
 
+/// Messages that change no lease and that come at the rate of placements.
+bool isFrequent(const scheduler_message &message)
+{
+    return std::holds_alternative<row_read>(message) || std::holds_alternative<row_written>(message)
+        || std::holds_alternative<row_write_lost>(message) || std::holds_alternative<exchange_answered>(message);
+}
+
 } // namespace
 
 scheduler_state makeScheduler(const scheduler_settings &settings)
@@ -111,15 +120,24 @@
 {
     action_list actions;
     std::visit(message_handler {state, now, actions}, message);
-    detail::updateMajority(state, now, actions);
-    detail::requestClaims(state, now, actions);
-    detail::loseSilentWorkers(state, now);
+    // No lease that is counted on lapses before nextWalk, and one that is dropped sets it to now.
+    const auto walks = !isFrequent(message) || now >= state.nextWalk;
+    if (walks) {
+        detail::updateMajority(state, now, actions);
+        detail::requestClaims(state, now, actions);
+        detail::loseSilentWorkers(state, now);
+        detail::refreshSchedulable(state, now);
+    }
     detail::resolveDoubt(state, now);
     detail::requestScan(state, now, actions);
     detail::reviewDemands(state, now, actions);
-    detail::placeWaiting(state, now);
+    detail::placeWaiting(state);
     detail::reviewDemands(state, now, actions);
-    detail::sendExchanges(state, now, actions);
+    if (walks) {
+        detail::sendExchanges(state, now, actions);
+    } else {
+        detail::sendOrders(state, now, actions);
+    }
     return actions;
 }
 
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 #include <vector>
 
 /**
@@ -93,8 +94,12 @@
     bool normal = true; ///< urgent sorts first
     std::uint64_t sequence = 0;
     demand_key key;
+    resources size; ///< of one task; no part of the order
 
-    friend auto operator<=>(const waiting_rank &, const waiting_rank &) = default;
+    friend bool operator<(const waiting_rank &left, const waiting_rank &right)
+    {
+        return std::tie(left.normal, left.sequence, left.key) < std::tie(right.normal, right.sequence, right.key);
+    }
 };
 
 struct scheduler_state
@@ -107,6 +112,10 @@
     std::set<waiting_rank> waiting;
     std::set<demand_key> retryWrites; ///< whose last write was lost
     std::set<demand_key> touched; ///< demands to look at again in this step
+    std::set<demand_key> orphaned; ///< keys without a record here that workers may still list
+    std::set<worker_id> ordered; ///< workers with starts or stops to be sent
+    std::vector<resources> blocked; ///< sizes that found no worker since room was last gained for them
+    instant nextWalk; ///< when all workers have to be looked at again
     std::set<worker_id> unreached; ///< since the take-over
     bool inDoubt = false;
     bool placementDue = false;
--- /dev/null
+++ b/tests/unit/placement_test.cpp
@@ -0,0 +1,110 @@
+#include "virtual_cell.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <ranges>
+
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+using standins::virtual_cell;
+
+namespace
+{
+
+constexpr resources wholeWorker {32'000, 65'536, 0};
+constexpr std::size_t rackSize = 8;
+
+virtual_cell makeCell(std::size_t workers, const scheduler_settings &settings = {})
+{
+    virtual_cell cell;
+    cell.now = instant(1h);
+    cell.scheduler = makeScheduler(settings);
+    standins::addWorkers(cell, workers, wholeWorker, rackSize);
+    standins::takeOver(cell);
+    return cell;
+}
+
+demand_spec batchOf(std::int32_t tasks, const resources &size, std::chrono::milliseconds runTime)
+{
+    demand_spec spec;
+    spec.tasks = tasks;
+    spec.size = size;
+    spec.declaredRunTime = runTime;
+    return spec;
+}
+
+demand_spec gangOf(std::int32_t tasks, const resources &size, std::chrono::milliseconds runTime)
+{
+    auto spec = batchOf(tasks, size, runTime);
+    spec.kind = demand_kind::gang;
+    return spec;
+}
+
+/// Runs the cell and notes the promise that no worker is given more than it has.
+void checkNothingOvercommitted(const virtual_cell &cell)
+{
+    for (const auto &[id, worker] : cell.workers) {
+        CHECK(fits(standins::inUse(worker), worker.total));
+        CHECK(worker.overcommitRefusals == 0);
+        const auto &free = cell.scheduler.workers.at(id).free;
+        CHECK(fits({}, free));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a full cell's queue is not tried again until room for it is gained", "[placement]")
+{
+    auto cell = makeCell(4);
+    standins::submit(cell, "filling", batchOf(4, wholeWorker, 10s));
+    standins::submit(cell, "waiting", batchOf(1, wholeWorker, 1s));
+    standins::runUntil(cell, cell.now + 1s);
+    CHECK(cell.scheduler.blocked == std::vector<resources> {wholeWorker});
+    CHECK(standins::runningTasks(cell, "waiting") == 0);
+    standins::runUntil(cell, cell.now + 14s);
+    CHECK(cell.placed.count({"waiting", 0}) == 1);
+    CHECK(cell.scheduler.blocked.empty());
+    checkNothingOvercommitted(cell);
+}
+
+TEST_CASE("a size that fits nowhere does not block a smaller one", "[placement]")
+{
+    auto cell = makeCell(2);
+    standins::submit(cell, "filling", batchOf(2, {31'000, 1'024, 0}, 60s));
+    standins::submit(cell, "large", batchOf(1, {2'000, 1'024, 0}, 1s));
+    standins::submit(cell, "small", batchOf(2, {1'000, 1'024, 0}, 1s));
+    standins::runUntil(cell, cell.now + 1s);
+    CHECK(cell.placed.count({"large", 0}) == 0);
+    CHECK(cell.placed.count({"small", 0}) == 1);
+    CHECK(cell.placed.count({"small", 1}) == 1);
+    checkNothingOvercommitted(cell);
+}
+
+TEST_CASE("a worker that lapsed between two walks is given nothing", "[placement]")
+{
+    auto cell = makeCell(3);
+    cell.unreachable.insert("w0000");
+    const auto lapses = cell.scheduler.ownership.workers.at("w0000").heldUntil;
+    standins::runUntil(cell, lapses + 1ms);
+    standins::submit(cell, "late", batchOf(3, wholeWorker, 60s));
+    standins::runUntil(cell, cell.now + 1s);
+    CHECK(cell.scheduler.records.at("w0000").occupied.empty());
+    CHECK(standins::runningTasks(cell, "late") == 2);
+}
+
+TEST_CASE("a gang whose start fails at one worker leaves no member behind", "[placement]")
+{
+    auto cell = makeCell(3);
+    // The worker lost memory since its last listing, so it refuses the start as full.
+    cell.workers.at("w0001").total.memoryMib = 1'024;
+    standins::submit(cell, "gang", gangOf(3, wholeWorker, 60s));
+    standins::runUntil(cell, cell.now + 10s);
+    CHECK(cell.workers.at("w0001").overcommitRefusals > 0);
+    CHECK(standins::runningTasks(cell, "gang") == 0);
+    cell.workers.at("w0001").total = wholeWorker;
+    standins::cancel(cell, "gang");
+    standins::submit(cell, "next", gangOf(3, wholeWorker, 60s));
+    standins::runUntil(cell, cell.now + 20s);
+    CHECK(standins::runningTasks(cell, "gang") == 0);
+}
