--- a/src/libprimrosecroft/configuration/sheet.cpp
+++ b/src/libprimrosecroft/configuration/sheet.cpp
@@ -16,13 +16,17 @@
 
 placement_policy readPolicy(const checked_node &node)
 {
-    node.allowKeys({"packingWeight", "spreadWeight"});
     placement_policy policy;
-    if (node.has("packingWeight")) {
-        policy.packingWeight = node.at("packingWeight").number(0, largestWeight);
-    }
-    if (node.has("spreadWeight")) {
-        policy.spreadWeight = node.at("spreadWeight").number(0, largestWeight);
+    const std::vector<std::pair<std::string, double *>> weights {{"packingWeight", &policy.packingWeight},
+                                                                 {"balanceWeight", &policy.balanceWeight},
+                                                                 {"spreadWeight", &policy.spreadWeight},
+                                                                 {"strandingWeight", &policy.strandingWeight},
+                                                                 {"shortFirst", &policy.shortFirst}};
+    node.allowKeys({"packingWeight", "balanceWeight", "spreadWeight", "strandingWeight", "shortFirst"});
+    for (const auto &[key, weight] : weights) {
+        if (node.has(key)) {
+            *weight = node.at(key).number(0, largestWeight);
+        }
     }
     return policy;
 }
--- a/src/libprimrosecroft/placement/placement.cpp
+++ b/src/libprimrosecroft/placement/placement.cpp
@@ -1,7 +1,7 @@
 #include "placement/placement.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
 #include <ranges>
 
 namespace primrosecroft
@@ -22,6 +22,13 @@
                     fraction(worker.free.memoryMib - size.memoryMib, worker.total.memoryMib));
 }
 
+/// How far cores and memory that stay free are out of proportion.
+double imbalance(const cell_worker &worker, const resources &size)
+{
+    return std::abs(fraction(worker.free.milliCores - size.milliCores, worker.total.milliCores)
+                    - fraction(worker.free.memoryMib - size.memoryMib, worker.total.memoryMib));
+}
+
 /// Accelerators that a task without need of them would leave stranded.
 double stranded(const cell_worker &worker, const resources &size)
 {
@@ -39,12 +46,19 @@
 
 double cost(const cell_worker &worker, const placement_request &request, const placement_policy &policy)
 {
-    return stranded(worker, request.size) + policy.packingWeight * leftover(worker, request.size)
+    return policy.strandingWeight * stranded(worker, request.size)
+        + policy.packingWeight * leftover(worker, request.size) + policy.balanceWeight * imbalance(worker, request.size)
         + policy.spreadWeight * countIn(request.tasksByRack, worker.rack);
 }
 
 } // namespace
 
+instant placeInQueue(instant arrival, std::chrono::milliseconds declaredRunTime, const placement_policy &policy)
+{
+    const auto counted = std::chrono::duration<double>(std::min(declaredRunTime, longestHeadStart));
+    return arrival + std::chrono::duration_cast<duration>(counted * policy.shortFirst);
+}
+
 std::optional<worker_id> chooseWorker(const cell &workers, const placement_request &request,
                                       const placement_policy &policy)
 {
--- a/src/libprimrosecroft/placement/placement.h
+++ b/src/libprimrosecroft/placement/placement.h
@@ -17,10 +17,19 @@
 /// What a deployment weighs. Weights are relative to each other.
 struct placement_policy
 {
-    double packingWeight = 1.0;
-    double spreadWeight = 0.0;
+    double packingWeight = 1.0; ///< fills the fullest worker first
+    double balanceWeight = 0.0; ///< keeps free cores and memory of a worker in proportion
+    double spreadWeight = 0.0; ///< keeps a demand's tasks on different racks
+    double strandingWeight = 10.0; ///< keeps accelerators free for what needs them
+    double shortFirst = 0.0; ///< seconds that a demand's place in the queue falls back for each declared second
 };
 
+/// Longer declared run times push a demand no further back than this.
+inline constexpr std::chrono::milliseconds longestHeadStart {120'000};
+
+/// When a demand that arrived at @p arrival takes its place in the queue.
+instant placeInQueue(instant arrival, std::chrono::milliseconds declaredRunTime, const placement_policy &policy);
+
 /// A worker as placement sees it.
 struct cell_worker
 {
--- a/src/libprimrosecroft/scheduling/lifecycle.cpp
+++ b/src/libprimrosecroft/scheduling/lifecycle.cpp
@@ -270,6 +270,7 @@
     demand.version = message.version;
     demand.verified = true;
     demand.learnedAt = now;
+    demand.queuedAs = placeInQueue(now, demand.wanted.spec.declaredRunTime, state.settings.policy);
     demand.sequence = ++state.lastSequence;
     addTasks(state, demand);
     adoptOrphans(state, message.key);
--- a/src/libprimrosecroft/scheduling/placing.cpp
+++ b/src/libprimrosecroft/scheduling/placing.cpp
@@ -156,7 +156,7 @@
 waiting_rank rankOf(const demand_record &demand)
 {
     const auto &spec = demand.wanted.spec;
-    return {spec.priority == demand_priority::normal, demand.sequence, demand.wanted.key, spec.size};
+    return {spec.priority == demand_priority::normal, demand.queuedAs, demand.sequence, demand.wanted.key, spec.size};
 }
 
 void orderStart(scheduler_state &state, demand_record &demand, std::int32_t index)
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -62,6 +62,7 @@
     bool verified = false; ///< the row was read since the take-over
     instant retryWriteAt;
     instant learnedAt;
+    instant queuedAs; ///< its place in the queue, by the policy in force when it was learned
     std::uint64_t sequence = 0;
     std::vector<task_record> tasks;
     std::vector<std::pair<worker_id, attempt_id>> forgetWhenCommitted;
@@ -92,13 +93,15 @@
 struct waiting_rank
 {
     bool normal = true; ///< urgent sorts first
+    instant queuedAs;
     std::uint64_t sequence = 0;
     demand_key key;
     resources size; ///< of one task; no part of the order
 
     friend bool operator<(const waiting_rank &left, const waiting_rank &right)
     {
-        return std::tie(left.normal, left.sequence, left.key) < std::tie(right.normal, right.sequence, right.key);
+        return std::tie(left.normal, left.queuedAs, left.sequence, left.key)
+            < std::tie(right.normal, right.queuedAs, right.sequence, right.key);
     }
 };
 
