Keep room for the oldest gang and backfill around it

Before, two gangs of whole workers never started under a stream of small tasks (the tests fail with the reservation taken out). Now the first gang in the queue that can't start gets slots on the workers that are free soonest by declared run times; only what is declared to end before may use that room, so the wait is bounded by what ran there when the time came, also when run times are declared ten times too short. Ruled out: reservations for every gang (they can hold each other's rooms), and moving the time on (smaller work would then starve the gang).

--- a/src/libprimrosecroft/placement/placement.cpp
+++ b/src/libprimrosecroft/placement/placement.cpp
@@ -35,6 +35,15 @@
     return size.accelerators == 0 && worker.total.accelerators > 0 ? 1.0 : 0.0;
 }
 
+resources roomFor(const cell_worker &worker, const placement_request &request)
+{
+    auto room = worker.free;
+    if (!request.usesHeld) {
+        room -= worker.held;
+    }
+    return room;
+}
+
 std::int32_t countIn(const std::map<std::string, std::int32_t> *counts, const std::string &key)
 {
     if (counts == nullptr) {
@@ -63,7 +72,8 @@
                                       const placement_policy &policy)
 {
     const auto usable = [&request](const cell_worker &worker) {
-        return worker.schedulable && fits(request.size, worker.free) && countIn(request.avoided, worker.id) == 0;
+        return worker.schedulable && fits(request.size, roomFor(worker, request))
+            && countIn(request.avoided, worker.id) == 0;
     };
     std::optional<worker_id> best;
     double bestCost = 0;
--- a/src/libprimrosecroft/placement/placement.h
+++ b/src/libprimrosecroft/placement/placement.h
@@ -37,6 +37,7 @@
     std::string rack;
     resources total;
     resources free;
+    resources held; ///< kept for a reservation, whether free yet or not
     bool schedulable = false;
 };
 
@@ -48,6 +49,7 @@
     resources size;
     const std::map<std::string, std::int32_t> *tasksByRack = nullptr; ///< of the same demand
     const std::map<worker_id, std::int32_t> *avoided = nullptr; ///< workers where it failed
+    bool usesHeld = false; ///< may take what is kept for a reservation
 };
 
 /**
--- a/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
+++ b/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
@@ -46,7 +46,7 @@
 
 // placing.cpp: waiting tasks get workers.
 
-void placeWaiting(scheduler_state &state);
+void placeWaiting(scheduler_state &state, instant now);
 
 /// Brings up to date which workers may be given tasks, and until when that holds.
 void refreshSchedulable(scheduler_state &state, instant now);
@@ -56,4 +56,16 @@
 void orderStart(scheduler_state &state, demand_record &demand, std::int32_t index);
 waiting_rank rankOf(const demand_record &demand);
 
+// reservations.cpp: room for gangs.
+
+/// Keeps room for the gang on the workers that are to be free soonest, unless an older one has a reservation.
+void reserveForGang(scheduler_state &state, const waiting_rank &gang, instant now);
+void releaseReservation(scheduler_state &state);
+
+/// Gives the reservation up when its gang waits no more or one of its workers can't be used.
+void reviewReservation(scheduler_state &state);
+
+/// True when the demand's tasks may take room that is kept for a gang.
+bool mayUseHeld(const scheduler_state &state, const demand_record &demand, instant now);
+
 } // namespace primrosecroft::detail
--- a/src/libprimrosecroft/scheduling/placing.cpp
+++ b/src/libprimrosecroft/scheduling/placing.cpp
@@ -19,6 +19,15 @@
 {
     std::int32_t index = 0;
     worker_id worker;
+    instant when;
+};
+
+/// What a pass over the waiting demands knows of the one in hand.
+struct placing_pass
+{
+    instant now;
+    bool usesHeld = false;
+    std::map<std::string, std::int32_t> racks; ///< tasks of the demand by rack
 };
 
 std::map<std::string, std::int32_t> tasksByRack(const scheduler_state &state, const demand_record &demand)
@@ -56,7 +65,8 @@
     task.worker = chosen.worker;
     task.attempt = nextAttempt(state);
     task.phase = task_phase::recording;
-    occupy(state, chosen.worker, task.attempt, {{demand.wanted.key, chosen.index}, demand.wanted.spec.size});
+    occupy(state, chosen.worker, task.attempt,
+           {{demand.wanted.key, chosen.index}, demand.wanted.spec.size, chosen.when});
 }
 
 void startOrRecord(scheduler_state &state, demand_record &demand, std::int32_t index)
@@ -78,43 +88,44 @@
     return result;
 }
 
-bool isBlocked(const scheduler_state &state, const resources &size)
+bool isBlocked(const scheduler_state &state, const resources &size, bool usesHeld)
 {
-    return std::ranges::any_of(state.blocked, [&size](const resources &each) { return fits(each, size); });
+    const auto implies = [&size](const resources &each) { return fits(each, size); };
+    return std::ranges::any_of(state.blocked, implies)
+        || (!usesHeld && std::ranges::any_of(state.blockedByHeld, implies));
 }
 
 /// Notes a size that fits nowhere; larger ones noted before are implied by it.
-void block(scheduler_state &state, const resources &size)
+void block(scheduler_state &state, const resources &size, bool usesHeld)
 {
-    std::erase_if(state.blocked, [&size](const resources &each) { return fits(size, each); });
-    state.blocked.push_back(size);
+    auto &sizes = usesHeld || !state.reservation ? state.blocked : state.blockedByHeld;
+    std::erase_if(sizes, [&size](const resources &each) { return fits(size, each); });
+    sizes.push_back(size);
 }
 
-using rack_counts = std::map<std::string, std::int32_t>;
-
-bool reserveOne(scheduler_state &state, demand_record &demand, std::int32_t index, rack_counts &racks)
+bool reserveOne(scheduler_state &state, demand_record &demand, std::int32_t index, placing_pass &pass)
 {
     const auto &size = demand.wanted.spec.size;
-    if (isBlocked(state, size)) {
+    if (isBlocked(state, size, pass.usesHeld)) {
         return false;
     }
     const auto avoided = failedWorkers(demand.tasks.at(index));
-    const auto worker = chooseWorker(state.workers, {size, &racks, &avoided}, state.settings.policy);
+    const auto worker =
+        chooseWorker(state.workers, {size, &pass.racks, &avoided, pass.usesHeld}, state.settings.policy);
     if (worker) {
-        reserve(state, demand, {index, *worker});
-        ++racks[state.records.at(*worker).rack];
+        reserve(state, demand, {index, *worker, pass.now});
+        ++pass.racks[state.records.at(*worker).rack];
     } else if (avoided.empty()) {
-        block(state, size);
+        block(state, size, pass.usesHeld);
     }
     return worker.has_value();
 }
 
 /// True when all tasks of the demand that wait got a worker.
-bool placeEach(scheduler_state &state, demand_record &demand)
+bool placeEach(scheduler_state &state, demand_record &demand, placing_pass pass)
 {
-    auto racks = tasksByRack(state, demand);
     for (const auto index : waitingTasks(demand)) {
-        if (!reserveOne(state, demand, index, racks)) {
+        if (!reserveOne(state, demand, index, pass)) {
             return false;
         }
         startOrRecord(state, demand, index);
@@ -123,7 +134,7 @@
 }
 
 /// All members get a worker or none does.
-bool placeGang(scheduler_state &state, demand_record &demand)
+bool placeGang(scheduler_state &state, demand_record &demand, placing_pass pass)
 {
     const auto waiting = waitingTasks(demand);
     const auto ended =
@@ -131,10 +142,10 @@
     if (waiting.size() + static_cast<std::size_t>(ended) != demand.tasks.size()) {
         return false; // members still stop from an earlier try
     }
-    auto racks = tasksByRack(state, demand);
     const auto blocked = state.blocked;
+    const auto blockedByHeld = state.blockedByHeld;
     const auto firstFailed =
-        std::ranges::find_if_not(waiting, [&](std::int32_t index) { return reserveOne(state, demand, index, racks); });
+        std::ranges::find_if_not(waiting, [&](std::int32_t index) { return reserveOne(state, demand, index, pass); });
     if (firstFailed != waiting.end()) {
         std::ranges::for_each(waiting.begin(), firstFailed, [&](std::int32_t index) {
             auto &task = demand.tasks.at(index);
@@ -143,6 +154,7 @@
         });
         if (firstFailed != waiting.begin()) {
             state.blocked = blocked; // its siblings took the room
+            state.blockedByHeld = blockedByHeld;
         }
         state.placementDue = false;
         return false;
@@ -156,7 +168,12 @@
 waiting_rank rankOf(const demand_record &demand)
 {
     const auto &spec = demand.wanted.spec;
-    return {spec.priority == demand_priority::normal, demand.queuedAs, demand.sequence, demand.wanted.key, spec.size};
+    return {spec.priority == demand_priority::normal,
+            demand.queuedAs,
+            demand.sequence,
+            demand.wanted.key,
+            spec.size,
+            spec.kind == demand_kind::gang};
 }
 
 void orderStart(scheduler_state &state, demand_record &demand, std::int32_t index)
@@ -176,7 +193,9 @@
 void roomGained(scheduler_state &state, const worker_id &worker)
 {
     const auto &room = state.workers.at(worker).free;
-    std::erase_if(state.blocked, [&room](const resources &size) { return fits(size, room); });
+    const auto hasRoom = [&room](const resources &size) { return fits(size, room); };
+    std::erase_if(state.blocked, hasRoom);
+    std::erase_if(state.blockedByHeld, hasRoom);
     state.placementDue = true;
 }
 
@@ -196,23 +215,26 @@
     }
 }
 
-void placeWaiting(scheduler_state &state)
+void placeWaiting(scheduler_state &state, instant now)
 {
     if (!state.ownership.placing || !std::exchange(state.placementDue, false)) {
         return;
     }
+    reviewReservation(state);
     for (auto next = state.waiting.begin(); next != state.waiting.end();) {
         const auto rank = next++;
-        if (isBlocked(state, rank->size)) {
+        if (!rank->gang && isBlocked(state, rank->size, true)) {
             continue;
         }
         auto &demand = state.demands.at(rank->key);
         if (!demand.verified || demand.wanted.cancelled) {
             continue;
         }
-        const auto isGang = demand.wanted.spec.kind == demand_kind::gang;
-        if (isGang ? placeGang(state, demand) : placeEach(state, demand)) {
+        const placing_pass pass {now, mayUseHeld(state, demand, now), tasksByRack(state, demand)};
+        if (rank->gang ? placeGang(state, demand, pass) : placeEach(state, demand, pass)) {
             state.waiting.erase(rank);
+        } else if (rank->gang) {
+            reserveForGang(state, *rank, now);
         }
     }
 }
--- a/src/libprimrosecroft/scheduling/scheduler.cpp
+++ b/src/libprimrosecroft/scheduling/scheduler.cpp
@@ -21,6 +21,7 @@
 
     void operator()(const workers_configured &message) const
     {
+        detail::releaseReservation(state);
         detail::configureWorkers(state, message);
         state.blocked.clear();
     }
@@ -131,7 +132,7 @@
     detail::resolveDoubt(state, now);
     detail::requestScan(state, now, actions);
     detail::reviewDemands(state, now, actions);
-    detail::placeWaiting(state);
+    detail::placeWaiting(state, now);
     detail::reviewDemands(state, now, actions);
     if (walks) {
         detail::sendExchanges(state, now, actions);
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -68,11 +68,37 @@
     std::vector<std::pair<worker_id, attempt_id>> forgetWhenCommitted;
 };
 
+/// Order in which demands are placed.
+struct waiting_rank
+{
+    bool normal = true; ///< urgent sorts first
+    instant queuedAs;
+    std::uint64_t sequence = 0;
+    demand_key key;
+    resources size; ///< of one task; no part of the order
+    bool gang = false; ///< no part of the order
+
+    friend bool operator<(const waiting_rank &left, const waiting_rank &right)
+    {
+        return std::tie(left.normal, left.queuedAs, left.sequence, left.key)
+            < std::tie(right.normal, right.queuedAs, right.sequence, right.key);
+    }
+};
+
 /// An attempt that takes up a worker's capacity.
 struct occupation
 {
     task_id task;
     resources size;
+    instant since {}; ///< when it was placed; unset when it was found running
+};
+
+/// Room kept for the oldest gang that waits. See docs/design/placement.md.
+struct gang_reservation
+{
+    waiting_rank gang;
+    instant readyBy; ///< by the declared run times; what ends before may use the room
+    std::map<worker_id, resources> held;
 };
 
 /// What this scheduler believes of one worker, and what it has to tell it.
@@ -89,22 +115,6 @@
     bool draining = false;
 };
 
-/// Order in which demands are placed.
-struct waiting_rank
-{
-    bool normal = true; ///< urgent sorts first
-    instant queuedAs;
-    std::uint64_t sequence = 0;
-    demand_key key;
-    resources size; ///< of one task; no part of the order
-
-    friend bool operator<(const waiting_rank &left, const waiting_rank &right)
-    {
-        return std::tie(left.normal, left.queuedAs, left.sequence, left.key)
-            < std::tie(right.normal, right.queuedAs, right.sequence, right.key);
-    }
-};
-
 struct scheduler_state
 {
     scheduler_settings settings;
@@ -118,6 +128,9 @@
     std::set<demand_key> orphaned; ///< keys without a record here that workers may still list
     std::set<worker_id> ordered; ///< workers with starts or stops to be sent
     std::vector<resources> blocked; ///< sizes that found no worker since room was last gained for them
+    std::vector<resources> blockedByHeld; ///< the same, but only for want of what is held
+    std::optional<gang_reservation> reservation;
+    instant nextReservation; ///< when one is tried again after no set of workers could be found
     instant nextWalk; ///< when all workers have to be looked at again
     std::set<worker_id> unreached; ///< since the take-over
     bool inDoubt = false;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -108,3 +108,70 @@
     standins::runUntil(cell, cell.now + 20s);
     CHECK(standins::runningTasks(cell, "gang") == 0);
 }
+
+namespace
+{
+
+/// Keeps small tasks waiting all the time, whose real run times are declared ones times the factor of the workers.
+void streamSmallTasks(virtual_cell &cell, std::chrono::milliseconds length, std::chrono::milliseconds runTime)
+{
+    constexpr auto pause = 250ms;
+    const auto end = cell.now + length;
+    for (int number = 0; cell.now < end; ++number) {
+        standins::submit(cell, "small" + std::to_string(cell.lastEvent) + '-' + std::to_string(number),
+                         batchOf(8, {4'000, 4'096, 0}, runTime));
+        standins::runUntil(cell, cell.now + pause);
+    }
+}
+
+} // namespace
+
+TEST_CASE("two large gangs start in turn under a stream of small tasks", "[placement]")
+{
+    auto cell = makeCell(4);
+    constexpr auto smallRun = 8s;
+    constexpr auto gangRun = 10s;
+    streamSmallTasks(cell, 10s, smallRun);
+    standins::submit(cell, "first", gangOf(4, wholeWorker, gangRun));
+    standins::submit(cell, "second", gangOf(4, wholeWorker, gangRun));
+    streamSmallTasks(cell, 60s, smallRun);
+    constexpr auto noticed = 4s; // an end is seen at the next exchange
+    REQUIRE(cell.placed.count({"first", 3}) == 1);
+    REQUIRE(cell.placed.count({"second", 3}) == 1);
+    CHECK(cell.placed.find({"first", 3})->second.waited <= smallRun + noticed);
+    CHECK(cell.placed.find({"second", 3})->second.waited <= 2 * (smallRun + noticed) + gangRun + noticed);
+    checkNothingOvercommitted(cell);
+}
+
+TEST_CASE("a gang's wait stays bounded when run times are declared ten times too short", "[placement]")
+{
+    auto cell = makeCell(4);
+    for (auto &[id, worker] : cell.workers) {
+        worker.runTimeFactor = 10;
+    }
+    streamSmallTasks(cell, 10s, 1s);
+    standins::submit(cell, "gang", gangOf(4, wholeWorker, 1s));
+    streamSmallTasks(cell, 60s, 1s);
+    REQUIRE(cell.placed.count({"gang", 3}) == 1);
+    // What was let in before the reservation's time runs its real time to the end.
+    CHECK(cell.placed.find({"gang", 3})->second.waited <= 10s + 1s + 4s);
+    checkNothingOvercommitted(cell);
+}
+
+TEST_CASE("short tasks use the room kept for a gang until its time comes", "[placement]")
+{
+    auto cell = makeCell(2);
+    standins::submit(cell, "long", batchOf(1, wholeWorker, 30s));
+    standins::submit(cell, "gang", gangOf(2, wholeWorker, 5s));
+    standins::submit(cell, "service", [] {
+        auto spec = batchOf(1, {1'000, 1'024, 0}, 1s);
+        spec.kind = demand_kind::service;
+        return spec;
+    }());
+    standins::submit(cell, "short", batchOf(1, {8'000, 1'024, 0}, 5s));
+    standins::runUntil(cell, cell.now + 2s);
+    CHECK(standins::runningTasks(cell, "short") == 1);
+    CHECK(standins::runningTasks(cell, "service") == 0);
+    standins::runUntil(cell, cell.now + 36s);
+    CHECK(cell.placed.count({"gang", 1}) == 1);
+}
