Quarantine workers that fail unrelated demands, and probe them

A worker is quarantined when three demands failed there in a row that failed on fewer than two other workers; their tasks are not blamed for it. At most a tenth of the workers, but always one. A task that fails on three workers out of quarantine ends its demand with the reason. Ruled out: counting failed tasks (one bad demand with many tasks would condemn every worker that it meets). Test with one bad worker and two bad demands among 40 good ones: only the worker is quarantined, only the demands fail, and the worker comes back once it is mended. Services that crash at once are still restarted without end: left.

--- a/src/libprimrosecroft/placement/placement.cpp
+++ b/src/libprimrosecroft/placement/placement.cpp
@@ -72,8 +72,8 @@
                                       const placement_policy &policy)
 {
     const auto usable = [&request](const cell_worker &worker) {
-        return worker.schedulable && fits(request.size, roomFor(worker, request))
-            && countIn(request.avoided, worker.id) == 0;
+        return worker.schedulable && (request.mayProbe || !worker.onProbation)
+            && fits(request.size, roomFor(worker, request)) && countIn(request.avoided, worker.id) == 0;
     };
     std::optional<worker_id> best;
     double bestCost = 0;
--- a/src/libprimrosecroft/placement/placement.h
+++ b/src/libprimrosecroft/placement/placement.h
@@ -39,6 +39,7 @@
     resources free;
     resources held; ///< kept for a reservation, whether free yet or not
     bool schedulable = false;
+    bool onProbation = false; ///< takes one task that may fail, to see whether the worker mended
 };
 
 using cell = std::map<worker_id, cell_worker>;
@@ -50,6 +51,7 @@
     const std::map<std::string, std::int32_t> *tasksByRack = nullptr; ///< of the same demand
     const std::map<worker_id, std::int32_t> *avoided = nullptr; ///< workers where it failed
     bool usesHeld = false; ///< may take what is kept for a reservation
+    bool mayProbe = false; ///< may be tried on a worker that failed tasks before
 };
 
 /**
--- a/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
+++ b/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
@@ -56,6 +56,20 @@
 void orderStart(scheduler_state &state, demand_record &demand, std::int32_t index);
 waiting_rank rankOf(const demand_record &demand);
 
+// quarantine.cpp: workers that fail whatever they are given.
+
+/// Takes note of an attempt's end, before its capacity is freed.
+void noteEnd(scheduler_state &state, const worker_id &worker, const ended_attempt &ended);
+
+/// True when the worker's failures say nothing about the tasks.
+bool isQuarantined(const scheduler_state &state, const worker_id &worker);
+
+/// Says whether the worker may get tasks at all, or one on probation.
+void reviewHealth(scheduler_state &state, const worker_id &worker, instant now);
+
+/// The attempt was given to the worker; on probation nothing else is until it ends.
+void noteProbe(scheduler_state &state, const worker_id &worker, attempt_id attempt);
+
 // reservations.cpp: room for gangs.
 
 /// Keeps room for the gang on the workers that are to be free soonest, unless an older one has a reservation.
--- a/src/libprimrosecroft/scheduling/lifecycle.cpp
+++ b/src/libprimrosecroft/scheduling/lifecycle.cpp
@@ -32,7 +32,9 @@
 void taskFailed(scheduler_state &state, demand_record &demand, std::int32_t index, const worker_id &worker)
 {
     auto &task = demand.tasks.at(index);
-    task.failedOn.insert(worker);
+    if (!isQuarantined(state, worker)) {
+        task.failedOn.insert(worker);
+    }
     const auto spent = static_cast<std::int32_t>(task.failedOn.size()) >= state.settings.workersBeforeFailing
         || task.failedOn.size() >= state.workers.size();
     if (!demand.wanted.spec.repeatable || spent) {
@@ -395,6 +397,7 @@
 
 void endAttempt(scheduler_state &state, const worker_id &worker, const ended_attempt &ended)
 {
+    noteEnd(state, worker, ended);
     vacate(state, worker, ended.attempt);
     auto &record = state.records.at(worker);
     std::erase_if(record.starts, [&ended](const start_order &order) { return order.attempt == ended.attempt; });
--- a/src/libprimrosecroft/scheduling/placing.cpp
+++ b/src/libprimrosecroft/scheduling/placing.cpp
@@ -103,6 +103,12 @@
     sizes.push_back(size);
 }
 
+/// Only what can be repeated, ends by itself and isn't pressing is risked on a doubtful worker.
+bool mayProbe(const demand_spec &spec)
+{
+    return spec.repeatable && spec.kind == demand_kind::batch && spec.priority == demand_priority::normal;
+}
+
 bool reserveOne(scheduler_state &state, demand_record &demand, std::int32_t index, placing_pass &pass)
 {
     const auto &size = demand.wanted.spec.size;
@@ -111,9 +117,11 @@
     }
     const auto avoided = failedWorkers(demand.tasks.at(index));
     const auto worker =
-        chooseWorker(state.workers, {size, &pass.racks, &avoided, pass.usesHeld}, state.settings.policy);
+        chooseWorker(state.workers, {size, &pass.racks, &avoided, pass.usesHeld, mayProbe(demand.wanted.spec)},
+                     state.settings.policy);
     if (worker) {
         reserve(state, demand, {index, *worker, pass.now});
+        noteProbe(state, *worker, demand.tasks.at(index).attempt);
         ++pass.racks[state.records.at(*worker).rack];
     } else if (avoided.empty()) {
         block(state, size, pass.usesHeld);
@@ -204,11 +212,11 @@
     state.nextWalk = now + walkInterval;
     for (auto &[id, worker] : state.workers) {
         const auto &held = state.ownership.workers.at(id);
-        const auto isSchedulable = holds(held, now) && !state.records.at(id).draining;
-        if (isSchedulable && !std::exchange(worker.schedulable, isSchedulable)) {
+        const auto was = std::exchange(worker.schedulable, holds(held, now) && !state.records.at(id).draining);
+        reviewHealth(state, id, now);
+        if (worker.schedulable && !was) {
             roomGained(state, id);
         }
-        worker.schedulable = isSchedulable;
         if (holds(held, now)) {
             state.nextWalk = std::min(state.nextWalk, held.heldUntil);
         }
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -28,6 +28,9 @@
     std::uint32_t rank = 0;
     std::uint64_t seed = 0;
     std::int32_t workersBeforeFailing = 3; ///< a task that failed on so many is given up
+    std::size_t demandsBeforeQuarantine = 3; ///< unrelated ones that failed in a row at a worker
+    double mostQuarantined = 0.1; ///< share of the workers, but always one
+    std::chrono::milliseconds probePause {30'000}; ///< before a quarantined worker is tried again
     std::chrono::milliseconds scanInterval {30'000};
     std::chrono::milliseconds storeRetryInterval {1'000};
     std::chrono::milliseconds peerSilence {5'000}; ///< a placing peer unheard for so long is taken for gone
@@ -101,6 +104,16 @@
     std::map<worker_id, resources> held;
 };
 
+/// Whether a worker fails what it is given.
+struct worker_health
+{
+    std::set<demand_key> failedDemands; ///< since a task last succeeded there
+    bool quarantined = false;
+    instant probeAt; ///< when one task is tried again
+    std::chrono::milliseconds pause {0}; ///< doubles with each failed probe
+    std::optional<attempt_id> probe;
+};
+
 /// What this scheduler believes of one worker, and what it has to tell it.
 struct worker_record
 {
@@ -113,6 +126,7 @@
     std::set<attempt_id> forgets;
     std::optional<exchange_request> sent;
     bool draining = false;
+    worker_health health {};
 };
 
 struct scheduler_state
--- a/src/libprimrosecroft/scheduling/takeover.cpp
+++ b/src/libprimrosecroft/scheduling/takeover.cpp
@@ -75,7 +75,7 @@
         }
     }
     for (auto &[id, record] : state.records) {
-        record = {record.rack, {}, record.listing, {}, {}, {}, {}, {}, record.draining};
+        record = {record.rack, {}, record.listing, {}, {}, {}, {}, {}, record.draining, record.health};
         state.unreached.insert(id);
     }
     for (auto &[id, record] : state.records) {
--- a/tests/standins/worker_model.cpp
+++ b/tests/standins/worker_model.cpp
@@ -36,9 +36,14 @@
     worker.running.erase(found);
 }
 
+bool fails(const worker_model &worker, const start_order &order)
+{
+    return worker.failsEveryTask || worker.failingDemands.contains(order.task.demand);
+}
+
 instant endOf(const worker_model &worker, const start_order &order, instant now)
 {
-    if (worker.failsEveryTask) {
+    if (fails(worker, order)) {
         return now + failureDelay;
     }
     if (order.endless) {
@@ -88,7 +93,7 @@
     const auto running = worker.running;
     for (const auto &[attempt, each] : running) {
         if (each.endsAt <= now && each.endsAt <= each.leaseUntil) {
-            end(worker, attempt, worker.failsEveryTask ? attempt_end::failed : attempt_end::succeeded);
+            end(worker, attempt, fails(worker, each.order) ? attempt_end::failed : attempt_end::succeeded);
         } else if (each.leaseUntil <= now) {
             end(worker, attempt, attempt_end::lapsed);
         }
--- a/tests/standins/worker_model.h
+++ b/tests/standins/worker_model.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds startLife {8'000}; ///< a start with an older stamp is refused
     instant bootedAt; ///< stamps count from here
     bool failsEveryTask = false;
+    std::set<std::string> failingDemands; ///< whose tasks fail here
     double runTimeFactor = 1.0; ///< real over declared run time
 
     fencing_token token = 0;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -175,3 +175,73 @@
     standins::runUntil(cell, cell.now + 36s);
     CHECK(cell.placed.count({"gang", 1}) == 1);
 }
+
+namespace
+{
+
+std::size_t quarantinedWorkers(const virtual_cell &cell)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(cell.scheduler.records | std::views::values,
+                              [](const worker_record &record) { return record.health.quarantined; }));
+}
+
+/// Many small demands, so that every worker gets tasks of several.
+void submitGoodDemands(virtual_cell &cell, const std::string &prefix, int count)
+{
+    for (int number = 0; number < count; ++number) {
+        standins::submit(cell, prefix + std::to_string(number), batchOf(4, {8'000, 4'096, 0}, 2s));
+        standins::runUntil(cell, cell.now + 200ms);
+    }
+}
+
+demand_outcome outcomeOf(const virtual_cell &cell, const demand_key &key)
+{
+    return cell.rows.at(key).row.outcome;
+}
+
+} // namespace
+
+TEST_CASE("a worker that fails every task and a demand that fails everywhere are told apart", "[placement]")
+{
+    auto cell = makeCell(10);
+    cell.workers.at("w0003").failsEveryTask = true;
+    for (auto &[id, worker] : cell.workers) {
+        worker.failingDemands = {"never0", "never1"};
+    }
+    standins::submit(cell, "never0", batchOf(2, {1'000, 1'024, 0}, 1s));
+    submitGoodDemands(cell, "good", 40);
+    standins::submit(cell, "never1", batchOf(2, {1'000, 1'024, 0}, 1s));
+    standins::runUntil(cell, cell.now + 40s);
+    CHECK(quarantinedWorkers(cell) == 1);
+    CHECK(cell.scheduler.records.at("w0003").health.quarantined);
+    for (const auto *const key : {"never0", "never1"}) {
+        CHECK(outcomeOf(cell, key) == demand_outcome::failed);
+        CHECK(cell.rows.at(key).row.reason.ends_with("failed on 3 workers"));
+    }
+    for (int number = 0; number < 40; ++number) {
+        CHECK(outcomeOf(cell, "good" + std::to_string(number)) == demand_outcome::done);
+    }
+
+    cell.workers.at("w0003").failsEveryTask = false;
+    standins::runUntil(cell, cell.now + 2min);
+    submitGoodDemands(cell, "later", 40);
+    standins::runUntil(cell, cell.now + 20s);
+    CHECK(quarantinedWorkers(cell) == 0);
+    for (int number = 0; number < 40; ++number) {
+        CHECK(outcomeOf(cell, "later" + std::to_string(number)) == demand_outcome::done);
+    }
+}
+
+TEST_CASE("no more than the stated share of workers is quarantined at once", "[placement]")
+{
+    auto cell = makeCell(20);
+    for (auto &[id, worker] : cell.workers) {
+        worker.failsEveryTask = id < "w0008";
+    }
+    for (int round = 0; round < 5; ++round) {
+        submitGoodDemands(cell, "round" + std::to_string(round) + '-', 20);
+        CHECK(quarantinedWorkers(cell) <= 2);
+    }
+    CHECK(quarantinedWorkers(cell) == 2);
+}
