Preempt cheap repeatable tasks by checkpoint for urgent work

An urgent task that finds no room has the cheapest victims at one worker saved and stopped (batch by memory, services last; never gangs, never work that must not be repeated, a task at most twice); the room is held for it meanwhile. A checkpoint that takes over a second is cut short by a stop. The worker interface gains checkpoint orders in the exchange, with the model to match: an assumption about the platform. Tests: on a full cell of 10 workers 20 urgent tasks each start within 2.5 s with checkpoints of 0.3 s and of 20 s. Left: urgent gangs wait for a reservation; the budget of evictions starts anew with a take-over.

--- a/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
+++ b/src/libprimrosecroft/scheduling/detail/scheduling_parts.h
@@ -56,6 +56,17 @@
 void orderStart(scheduler_state &state, demand_record &demand, std::int32_t index);
 waiting_rank rankOf(const demand_record &demand);
 
+// preemption.cpp: urgent work takes the place of other work.
+
+/// Has tasks checkpointed so that the urgent demand's waiting tasks get room.
+void preemptFor(scheduler_state &state, const demand_record &urgent, instant now);
+
+/// Drops evictions that made their room or failed to, and hurries those that take long.
+void reviewEvictions(scheduler_state &state, instant now);
+
+/// Gives up the room of all evictions; tasks that were told to save themselves still end.
+void dropEvictions(scheduler_state &state);
+
 // quarantine.cpp: workers that fail whatever they are given.
 
 /// Takes note of an attempt's end, before its capacity is freed.
--- a/src/libprimrosecroft/scheduling/exchanges.cpp
+++ b/src/libprimrosecroft/scheduling/exchanges.cpp
@@ -59,8 +59,10 @@
     request.starts = std::exchange(record.starts, {});
     request.stops.assign(record.stops.begin(), record.stops.end());
     request.forgets.assign(record.forgets.begin(), record.forgets.end());
+    request.checkpoints.assign(record.checkpoints.begin(), record.checkpoints.end());
     record.stops.clear();
     record.forgets.clear();
+    record.checkpoints.clear();
     return request;
 }
 
@@ -73,6 +75,7 @@
     }
     record.stops.insert(sent->stops.begin(), sent->stops.end());
     record.forgets.insert(sent->forgets.begin(), sent->forgets.end());
+    record.checkpoints.insert(sent->checkpoints.begin(), sent->checkpoints.end());
     std::ranges::copy_if(sent->starts, std::back_inserter(record.starts),
                          [&record](const start_order &order) { return !record.stops.contains(order.attempt); });
 }
@@ -84,7 +87,7 @@
         return false;
     }
     auto &record = state.records.at(id);
-    const auto hasOrders = !record.starts.empty() || !record.stops.empty();
+    const auto hasOrders = !record.starts.empty() || !record.stops.empty() || !record.checkpoints.empty();
     if (!hasOrders && now < held.nextRequest) {
         return false;
     }
--- a/src/libprimrosecroft/scheduling/lifecycle.cpp
+++ b/src/libprimrosecroft/scheduling/lifecycle.cpp
@@ -167,7 +167,7 @@
         }
         if (isOver(demand)) {
             vacate(state, task.worker, task.attempt);
-            task = {task_phase::waiting, {}, 0, task.failedOn};
+            task = {task_phase::waiting, {}, 0, task.failedOn, task.evictions};
             continue;
         }
         orderStart(state, demand, index);
@@ -326,7 +326,7 @@
 
 void makeWaiting(scheduler_state &state, demand_record &demand, task_record &task)
 {
-    task = {task_phase::waiting, {}, 0, task.failedOn};
+    task = {task_phase::waiting, {}, 0, task.failedOn, task.evictions};
     state.waiting.insert(rankOf(demand));
     state.placementDue = true;
 }
@@ -389,7 +389,7 @@
         return;
     }
     if (task.phase == task_phase::doubtful) {
-        task = {task_phase::running, worker, listing.attempt, task.failedOn};
+        task = {task_phase::running, worker, listing.attempt, task.failedOn, task.evictions};
         return;
     }
     orderStop(state, worker, listing.attempt);
--- a/src/libprimrosecroft/scheduling/placing.cpp
+++ b/src/libprimrosecroft/scheduling/placing.cpp
@@ -98,7 +98,7 @@
 /// Notes a size that fits nowhere; larger ones noted before are implied by it.
 void block(scheduler_state &state, const resources &size, bool usesHeld)
 {
-    auto &sizes = usesHeld || !state.reservation ? state.blocked : state.blockedByHeld;
+    auto &sizes = usesHeld ? state.blocked : state.blockedByHeld;
     std::erase_if(sizes, [&size](const resources &each) { return fits(size, each); });
     sizes.push_back(size);
 }
@@ -158,7 +158,7 @@
         std::ranges::for_each(waiting.begin(), firstFailed, [&](std::int32_t index) {
             auto &task = demand.tasks.at(index);
             vacate(state, task.worker, task.attempt);
-            task = {task_phase::waiting, {}, 0, task.failedOn};
+            task = {task_phase::waiting, {}, 0, task.failedOn, task.evictions};
         });
         if (firstFailed != waiting.begin()) {
             state.blocked = blocked; // its siblings took the room
@@ -210,6 +210,7 @@
 void refreshSchedulable(scheduler_state &state, instant now)
 {
     state.nextWalk = now + walkInterval;
+    state.placementDue = state.placementDue || !state.evictions.empty();
     for (auto &[id, worker] : state.workers) {
         const auto &held = state.ownership.workers.at(id);
         const auto was = std::exchange(worker.schedulable, holds(held, now) && !state.records.at(id).draining);
@@ -228,10 +229,11 @@
     if (!state.ownership.placing || !std::exchange(state.placementDue, false)) {
         return;
     }
+    reviewEvictions(state, now);
     reviewReservation(state);
     for (auto next = state.waiting.begin(); next != state.waiting.end();) {
         const auto rank = next++;
-        if (!rank->gang && isBlocked(state, rank->size, true)) {
+        if (!rank->gang && rank->normal && isBlocked(state, rank->size, true)) {
             continue;
         }
         auto &demand = state.demands.at(rank->key);
@@ -243,6 +245,8 @@
             state.waiting.erase(rank);
         } else if (rank->gang) {
             reserveForGang(state, *rank, now);
+        } else if (!rank->normal) {
+            preemptFor(state, demand, now);
         }
     }
 }
--- a/src/libprimrosecroft/scheduling/reservations.cpp
+++ b/src/libprimrosecroft/scheduling/reservations.cpp
@@ -100,10 +100,10 @@
     if (!state.reservation) {
         return;
     }
-    for (const auto &id : state.reservation->held | std::views::keys) {
+    for (const auto &[id, held] : state.reservation->held) {
         const auto worker = state.workers.find(id);
         if (worker != state.workers.end()) {
-            worker->second.held = {};
+            worker->second.held -= held;
         }
     }
     state.reservation.reset();
@@ -126,6 +126,9 @@
 
 bool mayUseHeld(const scheduler_state &state, const demand_record &demand, instant now)
 {
+    if (!state.evictions.empty()) {
+        return demand.wanted.spec.priority == demand_priority::urgent;
+    }
     if (!state.reservation || state.reservation->gang.key == demand.wanted.key) {
         return true;
     }
--- a/src/libprimrosecroft/scheduling/scheduler.cpp
+++ b/src/libprimrosecroft/scheduling/scheduler.cpp
@@ -22,6 +22,7 @@
     void operator()(const workers_configured &message) const
     {
         detail::releaseReservation(state);
+        detail::dropEvictions(state);
         detail::configureWorkers(state, message);
         state.blocked.clear();
     }
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -28,6 +28,7 @@
     std::uint32_t rank = 0;
     std::uint64_t seed = 0;
     std::int32_t workersBeforeFailing = 3; ///< a task that failed on so many is given up
+    std::int32_t mostEvictions = 2; ///< of one task
     std::size_t demandsBeforeQuarantine = 3; ///< unrelated ones that failed in a row at a worker
     double mostQuarantined = 0.1; ///< share of the workers, but always one
     std::chrono::milliseconds probePause {30'000}; ///< before a quarantined worker is tried again
@@ -53,6 +54,7 @@
     worker_id worker; ///< from recording to stopping
     attempt_id attempt = 0; ///< from recording to stopping
     std::set<worker_id> failedOn;
+    std::int32_t evictions = 0; ///< since the take-over
 };
 
 struct demand_record
@@ -127,6 +129,18 @@
     std::optional<exchange_request> sent;
     bool draining = false;
     worker_health health {};
+    std::set<attempt_id> checkpoints {};
+};
+
+/// Tasks that make room for an urgent one at a worker.
+struct eviction
+{
+    demand_key beneficiary;
+    worker_id worker;
+    resources size; ///< of the urgent task
+    std::set<attempt_id> victims;
+    instant since;
+    bool stopped = false; ///< the checkpoints took too long
 };
 
 struct scheduler_state
@@ -144,6 +158,7 @@
     std::vector<resources> blocked; ///< sizes that found no worker since room was last gained for them
     std::vector<resources> blockedByHeld; ///< the same, but only for want of what is held
     std::optional<gang_reservation> reservation;
+    std::vector<eviction> evictions;
     instant nextReservation; ///< when one is tried again after no set of workers could be found
     instant nextWalk; ///< when all workers have to be looked at again
     std::set<worker_id> unreached; ///< since the take-over
--- a/src/libprimrosecroft/scheduling/takeover.cpp
+++ b/src/libprimrosecroft/scheduling/takeover.cpp
@@ -70,7 +70,7 @@
         demand.forgetWhenCommitted.clear();
         for (auto &task : demand.tasks) {
             if (task.phase != task_phase::ended) {
-                task = {task_phase::doubtful, {}, 0, task.failedOn};
+                task = {task_phase::doubtful, {}, 0, task.failedOn, task.evictions};
             }
         }
     }
--- a/src/libprimrosecroft/workers/worker_messages.cpp
+++ b/src/libprimrosecroft/workers/worker_messages.cpp
@@ -133,6 +133,9 @@
     if (!request.forgets.empty()) {
         body["forgets"] = request.forgets;
     }
+    if (!request.checkpoints.empty()) {
+        body["checkpoints"] = request.checkpoints;
+    }
     return body.dump();
 }
 
@@ -150,6 +153,7 @@
         std::ranges::transform(starts, std::back_inserter(request.starts), startFrom);
         request.stops = body.value("stops", std::vector<attempt_id> {});
         request.forgets = body.value("forgets", std::vector<attempt_id> {});
+        request.checkpoints = body.value("checkpoints", std::vector<attempt_id> {});
         return request;
     });
 }
--- a/src/libprimrosecroft/workers/worker_messages.h
+++ b/src/libprimrosecroft/workers/worker_messages.h
@@ -74,6 +74,7 @@
     std::vector<start_order> starts;
     std::vector<attempt_id> stops; ///< also bars an attempt that has not arrived yet
     std::vector<attempt_id> forgets;
+    std::vector<attempt_id> checkpoints {}; ///< each is saved, then ends as stopped; a later answer lists it
 };
 
 enum class start_result
--- a/tests/standins/worker_model.cpp
+++ b/tests/standins/worker_model.cpp
@@ -68,11 +68,22 @@
         ++worker.overcommitRefusals;
         return start_result::full;
     }
-    worker.running[order.attempt] = {order, timeOf(worker, request.stamp) + request.taskTerm,
-                                     endOf(worker, order, now)};
+    worker.running[order.attempt] = {order, timeOf(worker, request.stamp) + request.taskTerm, endOf(worker, order, now),
+                                     false};
     return start_result::running;
 }
 
+void checkpoint(worker_model &worker, attempt_id attempt, instant now)
+{
+    const auto found = worker.running.find(attempt);
+    if (found == worker.running.end() || found->second.saved || found->second.endsAt <= now + worker.checkpointTime) {
+        return;
+    }
+    ++worker.checkpoints;
+    found->second.saved = true;
+    found->second.endsAt = now + worker.checkpointTime;
+}
+
 } // namespace
 
 worker_stamp stampAt(const worker_model &worker, instant now)
@@ -93,7 +104,10 @@
     const auto running = worker.running;
     for (const auto &[attempt, each] : running) {
         if (each.endsAt <= now && each.endsAt <= each.leaseUntil) {
-            end(worker, attempt, fails(worker, each.order) ? attempt_end::failed : attempt_end::succeeded);
+            end(worker, attempt,
+                each.saved                      ? attempt_end::stopped
+                    : fails(worker, each.order) ? attempt_end::failed
+                                                : attempt_end::succeeded);
         } else if (each.leaseUntil <= now) {
             end(worker, attempt, attempt_end::lapsed);
         }
@@ -144,6 +158,7 @@
         worker.barred.insert(attempt);
         end(worker, attempt, attempt_end::stopped);
     }
+    std::ranges::for_each(request.checkpoints, [&](attempt_id attempt) { checkpoint(worker, attempt, now); });
     std::ranges::for_each(request.forgets, [&worker](attempt_id attempt) { worker.ended.erase(attempt); });
     std::ranges::copy(worker.ended | std::views::values, std::back_inserter(answer.ended));
     answer.stamp = stampAt(worker, now);
--- a/tests/standins/worker_model.h
+++ b/tests/standins/worker_model.h
@@ -17,6 +17,7 @@
     start_order order;
     instant leaseUntil;
     instant endsAt;
+    bool saved = false; ///< ends as stopped, by a checkpoint order
 };
 
 struct worker_model
@@ -26,6 +27,7 @@
     instant bootedAt; ///< stamps count from here
     bool failsEveryTask = false;
     std::set<std::string> failingDemands; ///< whose tasks fail here
+    std::chrono::milliseconds checkpointTime {300}; ///< from the order to the end of the task
     double runTimeFactor = 1.0; ///< real over declared run time
 
     fencing_token token = 0;
@@ -35,6 +37,7 @@
     std::map<attempt_id, ended_attempt> ended; ///< until forgotten
     std::set<attempt_id> barred;
 
+    std::uint64_t checkpoints = 0;
     std::uint64_t overcommitRefusals = 0;
 };
 
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -245,3 +245,70 @@
     }
     CHECK(quarantinedWorkers(cell) == 2);
 }
+
+namespace
+{
+
+demand_spec urgentBatchOf(std::int32_t tasks, const resources &size, std::chrono::milliseconds runTime)
+{
+    auto spec = batchOf(tasks, size, runTime);
+    spec.priority = demand_priority::urgent;
+    return spec;
+}
+
+constexpr resources quarterWorker {8'000, 16'384, 0};
+constexpr auto urgentTarget = 2'500ms;
+
+} // namespace
+
+TEST_CASE("urgent work starts in time on a full cell, however slow checkpoints are", "[placement]")
+{
+    const auto checkpointTime = GENERATE(300ms, 20'000ms);
+    auto cell = makeCell(10);
+    for (auto &[id, worker] : cell.workers) {
+        worker.checkpointTime = checkpointTime;
+    }
+    standins::submit(cell, "filling", batchOf(60, quarterWorker, 10min));
+    standins::runUntil(cell, cell.now + 5s);
+    for (int number = 0; number < 5; ++number) {
+        const auto key = "urgent" + std::to_string(number);
+        standins::submit(cell, key, urgentBatchOf(4, quarterWorker, 10min));
+        standins::runUntil(cell, cell.now + 3s);
+        for (std::int32_t index = 0; index < 4; ++index) {
+            REQUIRE(cell.placed.count({key, index}) == 1);
+            CHECK(cell.placed.find({key, index})->second.waited <= urgentTarget);
+        }
+    }
+    CHECK(standins::runningTasks(cell, "filling") == 20);
+    checkNothingOvercommitted(cell);
+}
+
+TEST_CASE("gangs and work that must not be repeated are never preempted", "[placement]")
+{
+    auto cell = makeCell(4);
+    auto once = batchOf(8, quarterWorker, 10min);
+    once.repeatable = false;
+    standins::submit(cell, "once", once);
+    standins::submit(cell, "gang", gangOf(8, quarterWorker, 10min));
+    standins::runUntil(cell, cell.now + 5s);
+    standins::submit(cell, "urgent", urgentBatchOf(1, quarterWorker, 1s));
+    standins::runUntil(cell, cell.now + 20s);
+    CHECK(standins::runningTasks(cell, "once") == 8);
+    CHECK(standins::runningTasks(cell, "gang") == 8);
+    CHECK(cell.placed.count({"urgent", 0}) == 0);
+    CHECK(cell.scheduler.evictions.empty());
+}
+
+TEST_CASE("one task is evicted no more often than its budget allows", "[placement]")
+{
+    auto cell = makeCell(1);
+    standins::submit(cell, "victim", batchOf(1, wholeWorker, 10min));
+    standins::runUntil(cell, cell.now + 4s);
+    for (int number = 0; number < 4; ++number) {
+        standins::submit(cell, "urgent" + std::to_string(number), urgentBatchOf(1, wholeWorker, 2s));
+        standins::runUntil(cell, cell.now + 12s);
+    }
+    CHECK(cell.workers.at("w0000").checkpoints == 2);
+    CHECK(standins::runningTasks(cell, "victim") == 1);
+    CHECK(cell.scheduler.demands.at("victim").tasks.at(0).evictions == 2);
+}
