--- a/src/libprimrosecroft/scheduling/exchanges.cpp
+++ b/src/libprimrosecroft/scheduling/exchanges.cpp
@@ -80,22 +80,21 @@
                          [&record](const start_order &order) { return !record.stops.contains(order.attempt); });
 }
 
-/// True when an exchange was sent, with all orders there are for the worker.
-bool sendIfDue(scheduler_state &state, const worker_id &id, held_worker &held, instant now, action_list &actions)
+/// Sends the worker all orders there are for it, or renews its lease.
+void sendIfDue(scheduler_state &state, const worker_id &id, held_worker &held, instant now, action_list &actions)
 {
     if (!holds(held, now) || held.request || now < held.notBefore) {
-        return false;
+        return;
     }
     auto &record = state.records.at(id);
     const auto hasOrders = !record.starts.empty() || !record.stops.empty() || !record.checkpoints.empty();
     if (!hasOrders && now < held.nextRequest) {
-        return false;
+        return;
     }
     const auto request = beginRequest(state.ownership, held, now);
     held.nextRequest = now + state.ownership.settings.exchangeInterval;
     record.sent = makeExchange(state, record, held);
     actions.emplace_back(send_exchange {id, request, *record.sent});
-    return true;
 }
 
 } // namespace
@@ -133,6 +132,7 @@
     for (const auto attempt : sent.stops) {
         loseAttempt(state, message.worker, attempt);
     }
+    state.ordered.insert(message.worker);
 }
 
 void exchangeLost(scheduler_state &state, const worker_request_lost &message, instant now)
@@ -161,10 +161,13 @@
     if (!state.ownership.placing) {
         return;
     }
-    std::erase_if(state.ordered, [&](const worker_id &id) {
+    // What can't be sent now is met by the next answer of the worker or by the next walk.
+    for (const auto &id : std::exchange(state.ordered, {})) {
         const auto held = state.ownership.workers.find(id);
-        return held == state.ownership.workers.end() || sendIfDue(state, id, held->second, now, actions);
-    });
+        if (held != state.ownership.workers.end()) {
+            sendIfDue(state, id, held->second, now, actions);
+        }
+    }
 }
 
 } // namespace primrosecroft::detail
--- a/src/libprimrosecroft/scheduling/lifecycle.cpp
+++ b/src/libprimrosecroft/scheduling/lifecycle.cpp
@@ -294,10 +294,12 @@
             task = {task_phase::ended, {}, 0, {}};
         }
     }
-    if (std::ranges::any_of(demand.tasks, [](const task_record &task) { return task.phase == task_phase::waiting; })) {
+    const auto waits =
+        std::ranges::any_of(demand.tasks, [](const task_record &task) { return task.phase == task_phase::waiting; });
+    if (waits && !isOver(demand)) {
         state.waiting.insert(rankOf(demand));
+        state.placementDue = true;
     }
-    state.placementDue = true;
 }
 
 } // namespace
--- a/src/libprimrosecroft/scheduling/placing.cpp
+++ b/src/libprimrosecroft/scheduling/placing.cpp
@@ -115,6 +115,8 @@
     if (isBlocked(state, size, pass.usesHeld)) {
         return false;
     }
+    ++state.counts.choices;
+    state.counts.candidates += state.workers.size();
     const auto avoided = failedWorkers(demand.tasks.at(index));
     const auto worker =
         chooseWorker(state.workers, {size, &pass.racks, &avoided, pass.usesHeld, mayProbe(demand.wanted.spec)},
@@ -210,7 +212,7 @@
 void refreshSchedulable(scheduler_state &state, instant now)
 {
     state.nextWalk = now + walkInterval;
-    state.placementDue = state.placementDue || !state.evictions.empty();
+    state.placementDue = state.placementDue || !state.evictions.empty() || state.reservation;
     for (auto &[id, worker] : state.workers) {
         const auto &held = state.ownership.workers.at(id);
         const auto was = std::exchange(worker.schedulable, holds(held, now) && !state.records.at(id).draining);
@@ -233,6 +235,7 @@
     reviewReservation(state);
     for (auto next = state.waiting.begin(); next != state.waiting.end();) {
         const auto rank = next++;
+        ++state.counts.visited;
         if (!rank->gang && rank->normal && isBlocked(state, rank->size, true)) {
             continue;
         }
--- a/src/libprimrosecroft/scheduling/preemption.cpp
+++ b/src/libprimrosecroft/scheduling/preemption.cpp
@@ -24,6 +24,12 @@
 /// Evictions begun in one pass, so that a wave of urgent work can't hold the scheduler up.
 constexpr std::size_t mostEvictionsAtOnce = 16;
 
+/// Workers among which the cheapest victims are sought; the next ones only when these offer none.
+constexpr std::size_t workersInSample = 64;
+
+/// Pause before victims are sought again after no worker had any.
+constexpr auto preemptionPause = 250ms;
+
 /// A service serves callers, so any batch task goes before it.
 constexpr std::int64_t costOfService = std::int64_t {1} << 40;
 
@@ -70,10 +76,10 @@
     return what.size.memoryMib + (isService ? costOfService : 0);
 }
 
-victims_by_worker findVictims(const scheduler_state &state)
+victims_by_worker findVictims(const scheduler_state &state, std::size_t first)
 {
     victims_by_worker result;
-    for (const auto &[id, worker] : state.workers) {
+    for (const auto &[id, worker] : state.workers | std::views::drop(first) | std::views::take(workersInSample)) {
         if (!worker.schedulable || worker.onProbation) {
             continue;
         }
@@ -181,19 +187,27 @@
 {
     const auto waiting = std::ranges::count(urgent.tasks, task_phase::waiting, &task_record::phase);
     const auto begun = std::ranges::count(state.evictions, urgent.wanted.key, &eviction::beneficiary);
-    if (begun >= waiting) {
+    if (begun >= waiting || now < state.nextPreemption) {
         return;
     }
     const auto wanted = std::min(static_cast<std::size_t>(waiting - begun), mostEvictionsAtOnce);
-    auto victims = findVictims(state);
-    for (std::size_t done = 0; done < wanted; ++done) {
-        const auto offer = cheapestOffer(state, victims, urgent.wanted.spec.size);
-        if (!offer) {
-            return;
+    const auto samples = (state.workers.size() + workersInSample - 1) / workersInSample;
+    std::size_t done = 0;
+    for (std::size_t turn = 0; turn < samples && done < wanted; ++turn) {
+        const auto first = (state.lastSequence + turn) % samples * workersInSample;
+        auto victims = findVictims(state, first);
+        for (; done < wanted; ++done) {
+            const auto offer = cheapestOffer(state, victims, urgent.wanted.spec.size);
+            if (!offer) {
+                break;
+            }
+            beginEviction(state, urgent, *offer, now);
+            std::erase_if(victims.at(offer->worker),
+                          [&state](const victim &each) { return isVictimAlready(state, each.attempt); });
         }
-        beginEviction(state, urgent, *offer, now);
-        std::erase_if(victims.at(offer->worker),
-                      [&state](const victim &each) { return isVictimAlready(state, each.attempt); });
+    }
+    if (done == 0) {
+        state.nextPreemption = now + preemptionPause;
     }
 }
 
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -143,6 +143,14 @@
     bool stopped = false; ///< the checkpoints took too long
 };
 
+/// Work done for placement since the start, for benchmarks and regression checks.
+struct placing_counts
+{
+    std::uint64_t visited = 0; ///< waiting demands looked at
+    std::uint64_t choices = 0; ///< times that a worker was sought
+    std::uint64_t candidates = 0; ///< workers looked at for it
+};
+
 struct scheduler_state
 {
     scheduler_settings settings;
@@ -159,6 +167,7 @@
     std::vector<resources> blockedByHeld; ///< the same, but only for want of what is held
     std::optional<gang_reservation> reservation;
     std::vector<eviction> evictions;
+    instant nextPreemption; ///< when victims are sought again after none were found
     instant nextReservation; ///< when one is tried again after no set of workers could be found
     instant nextWalk; ///< when all workers have to be looked at again
     std::set<worker_id> unreached; ///< since the take-over
@@ -169,6 +178,7 @@
     bool scanned = false; ///< since the take-over
     instant nextScan;
     instant otherPlacingUntil;
+    placing_counts counts;
     std::uint64_t lastAttempt = 0;
     std::uint64_t lastSequence = 0;
     std::uint64_t lastScan = 0;
--- a/tests/bench/placement_bench.cpp
+++ b/tests/bench/placement_bench.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <iostream>
 #include <numeric>
+#include <sstream>
 
 namespace primrosecroft::bench
 {
@@ -236,19 +237,224 @@
     }
 }
 
+struct timed_steps
+{
+    std::vector<double> milliseconds;
+    double total = 0;
+};
+
+void timeSteps(virtual_cell &cell, timed_steps &times)
+{
+    cell.run = [&times](scheduler_state &state, const scheduler_message &message, instant now) {
+        const auto begin = std::chrono::steady_clock::now();
+        auto actions = step(state, message, now);
+        const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - begin;
+        times.milliseconds.push_back(took.count());
+        times.total += took.count();
+        return actions;
+    };
+}
+
+demand_spec plainBatch(std::int32_t tasks, const resources &size, std::chrono::milliseconds runTime)
+{
+    demand_spec spec;
+    spec.tasks = tasks;
+    spec.size = size;
+    spec.declaredRunTime = runTime;
+    return spec;
+}
+
+/// Urgent demands at the peak rate on a cell that is full and has a queue.
+void measureUrgent(const cell_size &size, std::chrono::milliseconds pause)
+{
+    auto cell = makeCell(size, {});
+    standins::takeOver(cell);
+    std::mt19937_64 random(seed);
+    const workload_shape shape {.urgent = 0, .accelerated = size.accelerators};
+    const auto total = standins::capacity(cell).milliCores;
+    std::int64_t offered = 0;
+    for (int number = 0; offered < total * 3 / 2; ++number) {
+        auto spec = drawDemand(random, shape);
+        spec.declaredRunTime = 1h;
+        offered += spec.tasks * spec.size.milliCores;
+        standins::submit(cell, "d" + std::to_string(number), spec);
+    }
+    standins::runUntil(cell, cell.now + 5s);
+    timed_steps times;
+    timeSteps(cell, times);
+    constexpr int urgentDemands = 100;
+    for (int number = 0; number < urgentDemands; ++number) {
+        auto spec = plainBatch(1, {2'000, 4'096, 0}, 1min);
+        spec.priority = demand_priority::urgent;
+        standins::submit(cell, "u" + std::to_string(number), spec);
+        standins::runUntil(cell, cell.now + pause);
+    }
+    standins::runUntil(cell, cell.now + 10s);
+    double slowest = 0;
+    int placed = 0;
+    constexpr double millisecondsPerSecond = 1000;
+    for (const auto &[task, each] : cell.placed) {
+        if (task.demand.starts_with('u')) {
+            ++placed;
+            slowest = std::max(slowest, static_cast<double>(each.waited.count()) / millisecondsPerSecond);
+        }
+    }
+    const auto prefix = "urgent/" + size.name + "-workers/";
+    constexpr double targetStart = 2.5;
+    printFigure(prefix + "placed", placed, "tasks", bound_side::atLeast, urgentDemands);
+    printFigure(prefix + "slowest", slowest, "s", bound_side::atMost, targetStart);
+    printFigure(prefix + "step-p99", percentile(times.milliseconds, 0.99), "ms", bound_side::atMost,
+                size.slowestDecision);
+}
+
+/// Ten thousand cancellations, half of running demands, half of waiting ones, all before anything else is heard.
+void measureCancellations(const cell_size &size)
+{
+    constexpr int wave = 10'000;
+    constexpr double mostDelay = 50;
+    auto cell = makeCell(size, {});
+    standins::takeOver(cell);
+    for (int number = 0; number < wave; ++number) {
+        const auto share = standins::capacity(cell).milliCores / (wave / 2);
+        standins::submit(cell, "d" + std::to_string(number), plainBatch(1, {share, 64, 0}, 1h));
+    }
+    standins::runUntil(cell, cell.now + 10s);
+    timed_steps times;
+    timeSteps(cell, times);
+    const auto exchanges = cell.exchanges;
+    for (int number = 0; number < wave; ++number) {
+        standins::cancel(cell, "d" + std::to_string(number));
+    }
+    const auto prefix = "cancellations/" + size.name + "-workers/";
+    printFigure(prefix + "wave", times.total, "ms", bound_side::atMost, mostDelay);
+    printFigure(prefix + "slowest-step", *std::ranges::max_element(times.milliseconds), "ms");
+    standins::runUntil(cell, cell.now + 2s);
+    printFigure(prefix + "exchanges-per-worker",
+                static_cast<double>(cell.exchanges - exchanges) / static_cast<double>(cell.workers.size()), "messages");
+}
+
+/// What is placed in twenty minutes when declared run times are wrong by a factor.
+void measureWrongRunTimes(const cell_size &size)
+{
+    for (const auto factor : {0.1, 1.0, 10.0}) {
+        auto cell = makeCell(size, policies().at(5).policy);
+        standins::takeOver(cell);
+        for (auto &[id, worker] : cell.workers) {
+            worker.runTimeFactor = 1;
+        }
+        std::mt19937_64 random(seed);
+        std::bernoulli_distribution isWrong(0.5);
+        const workload_shape shape {.services = 0, .urgent = 0};
+        const auto cores = static_cast<double>(standins::capacity(cell).milliCores);
+        double used = 0;
+        int samples = 0;
+        for (int number = 0; number < 1200; ++number) {
+            auto spec = drawDemand(random, shape);
+            spec.tasks = 8;
+            spec.declaredRunTime = std::chrono::milliseconds(60'000);
+            for (auto &[id, worker] : cell.workers) {
+                worker.runTimeFactor = isWrong(random) ? factor : 1;
+            }
+            standins::submit(cell, "d" + std::to_string(number), spec);
+            standins::runUntil(cell, cell.now + 1s);
+            used += static_cast<double>(standins::inUse(cell).milliCores) / cores;
+            ++samples;
+        }
+        std::ostringstream name;
+        name << "wrong-run-times/" << size.name << "-workers/half-times-" << factor;
+        std::uint64_t refused = 0;
+        std::ranges::for_each(cell.workers,
+                              [&refused](const auto &entry) { refused += entry.second.overcommitRefusals; });
+        printFigure(name.str() + "/cores-used", used / samples, "share");
+        printFigure(name.str() + "/overcommit-refusals", static_cast<double>(refused), "starts", bound_side::atMost, 0);
+    }
+}
+
+/// Fills a cell to seven tenths, loses workers and places their tasks again.
+void measureLoss(const cell_size &size, std::size_t lostWorkers, const named_policy &restart)
+{
+    auto workers = emptyWorkers(size);
+    const auto total = freeIn(workers);
+    std::map<worker_id, std::vector<resources>> tasks;
+    std::mt19937_64 random(seed);
+    constexpr double fill = 0.7;
+    const auto filling = policies().at(5).policy;
+    const auto place = [&](const resources &wanted, const placement_policy &policy) {
+        const auto chosen = chooseWorker(workers, {wanted, nullptr, nullptr}, policy);
+        if (chosen) {
+            workers.at(*chosen).free -= wanted;
+            tasks[*chosen].push_back(wanted);
+        }
+        return chosen;
+    };
+    while (static_cast<double>(freeIn(workers).milliCores) > (1 - fill) * static_cast<double>(total.milliCores)) {
+        place(drawDemand(random, {}).size, filling);
+    }
+    std::vector<resources> lost;
+    for (std::size_t count = 0; count < lostWorkers; ++count) {
+        const auto first = workers.begin()->first;
+        lost.insert(lost.end(), tasks[first].begin(), tasks[first].end());
+        workers.erase(first);
+    }
+    std::map<worker_id, int> restarts;
+    for (const auto &task : lost) {
+        if (const auto chosen = place(task, restart.policy)) {
+            ++restarts[*chosen];
+        }
+    }
+    int most = 0;
+    std::ranges::for_each(restarts, [&most](const auto &entry) { most = std::max(most, entry.second); });
+    const auto whole =
+        std::ranges::count_if(workers, [](const auto &entry) { return entry.second.free == entry.second.total; });
+    const auto prefix = "loss/" + size.name + "-workers/" + std::to_string(lostWorkers) + "-lost/" + restart.name;
+    printFigure(prefix + "/restarts", static_cast<double>(lost.size()), "tasks");
+    printFigure(prefix + "/most-at-one-worker", most, "tasks");
+    printFigure(prefix + "/workers-left-empty", static_cast<double>(whole), "workers");
+}
+
 } // namespace
 
 } // namespace primrosecroft::bench
 
-int main()
+/// Runs all parts, or only the one named: speed, packing, waiting, urgent, cancellations, run-times, loss.
+int main(int argc, char **argv)
 {
     using namespace primrosecroft::bench;
-    measureSpeed(today);
-    measureSpeed(inTwoYears);
-    constexpr std::uint64_t packingRuns = 20;
-    constexpr std::uint64_t packingRunsAtScale = 2;
-    measurePacking(today, packingRuns);
-    measurePacking(inTwoYears, packingRunsAtScale);
-    measureWaiting(today);
+    using namespace std::chrono_literals;
+    const std::string only = argc > 1 ? argv[1] : "";
+    const auto runs = [&only](const std::string &part) { return only.empty() || only == part; };
+    if (runs("speed")) {
+        measureSpeed(today);
+        measureSpeed(inTwoYears);
+    }
+    if (runs("packing")) {
+        constexpr std::uint64_t packingRuns = 20;
+        constexpr std::uint64_t packingRunsAtScale = 2;
+        measurePacking(today, packingRuns);
+        measurePacking(inTwoYears, packingRunsAtScale);
+    }
+    if (runs("waiting")) {
+        measureWaiting(today);
+    }
+    if (runs("urgent")) {
+        measureUrgent(today, 100ms);
+        measureUrgent(inTwoYears, 100ms);
+    }
+    if (runs("cancellations")) {
+        measureCancellations(today);
+        measureCancellations(inTwoYears);
+    }
+    if (runs("loss")) {
+        for (const auto &size : {today, inTwoYears}) {
+            for (const auto &restart :
+                 {named_policy {"packed", {1, 0.5, 0.05, 10, 0}}, named_policy {"spread", {-1, 0, 0, 10, 0}}}) {
+                measureLoss(size, 1, restart);
+                measureLoss(size, rackSize, restart);
+            }
+        }
+    }
+    if (runs("run-times")) {
+        measureWrongRunTimes(today);
+    }
     return figuresOver() == 0 ? 0 : 1;
 }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -312,3 +312,35 @@
     CHECK(standins::runningTasks(cell, "victim") == 1);
     CHECK(cell.scheduler.demands.at("victim").tasks.at(0).evictions == 2);
 }
+
+TEST_CASE("a wave of cancellations is constant work each and coalesced towards workers", "[placement]")
+{
+    auto cell = makeCell(50);
+    constexpr int wave = 10'000;
+    constexpr resources tiny {320, 64, 0}; // half of the wave fills the cell, the rest waits
+    for (int number = 0; number < wave; ++number) {
+        standins::submit(cell, "d" + std::to_string(number), batchOf(1, tiny, 1h));
+    }
+    standins::runUntil(cell, cell.now + 10s);
+    const auto before = cell.scheduler.counts;
+    const auto exchanges = cell.exchanges;
+    for (int number = 0; number < wave; ++number) {
+        standins::cancel(cell, "d" + std::to_string(number));
+    }
+    CHECK(cell.scheduler.counts.visited - before.visited <= wave);
+    CHECK(cell.scheduler.counts.choices == before.choices);
+    standins::submit(cell, "new", batchOf(1, tiny, 1s));
+    standins::runUntil(cell, cell.now + 1s);
+    CHECK(cell.exchanges - exchanges <= 4 * cell.workers.size());
+    CHECK(cell.placed.count({"new", 0}) == 1);
+    CHECK(standins::inUse(cell) == tiny);
+}
+
+TEST_CASE("placing a task looks at each worker once", "[placement]")
+{
+    auto cell = makeCell(50);
+    const auto before = cell.scheduler.counts;
+    standins::submit(cell, "d", batchOf(100, {1'000, 1'024, 0}, 1h));
+    CHECK(cell.scheduler.counts.choices - before.choices == 100);
+    CHECK(cell.scheduler.counts.candidates - before.candidates == 100 * 50);
+}
