--- a/src/libprimrosecroft/scheduling/reservations.cpp
+++ b/src/libprimrosecroft/scheduling/reservations.cpp
@@ -116,7 +116,10 @@
     if (!state.reservation) {
         return;
     }
-    const auto isUsable = [&state](const worker_id &id) { return state.workers.at(id).schedulable; };
+    const auto isUsable = [&state](const worker_id &id) {
+        const auto worker = state.workers.find(id);
+        return worker != state.workers.end() && worker->second.schedulable;
+    };
     if (!state.waiting.contains(state.reservation->gang)
         || !std::ranges::all_of(state.reservation->held | std::views::keys, isUsable)) {
         releaseReservation(state);
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -33,7 +33,8 @@
     double mostQuarantined = 0.1; ///< share of the workers, but always one
     std::chrono::milliseconds probePause {30'000}; ///< before a quarantined worker is tried again
     std::chrono::milliseconds scanInterval {30'000};
-    std::chrono::milliseconds storeRetryInterval {1'000};
+    std::chrono::milliseconds storeRetryInterval {1'000}; ///< between probes while the store doesn't answer
+    std::chrono::milliseconds storeCatchUpInterval {100}; ///< between retries once it answers again
     std::chrono::milliseconds peerSilence {5'000}; ///< a placing peer unheard for so long is taken for gone
 };
 
@@ -63,9 +64,8 @@
     demand_row committed; ///< what the table is known to hold
     demand_row sent; ///< what an outstanding write carries
     std::int64_t version = 0;
-    bool writing = false;
-    bool verified = false; ///< the row was read since the take-over
-    instant retryWriteAt;
+    std::uint64_t writing = 0; ///< number of the outstanding write, 0 without one
+    bool verified = false; ///< the row was read since the take-over, and no write was refused since
     instant learnedAt;
     instant queuedAs; ///< its place in the queue, by the policy in force when it was learned
     std::uint64_t sequence = 0;
@@ -132,6 +132,13 @@
     std::set<attempt_id> checkpoints {};
 };
 
+/// A demand that ended a short while ago.
+struct closed_demand
+{
+    std::int64_t version = 0;
+    instant forgetAt;
+};
+
 /// Tasks that make room for an urgent one at a worker.
 struct eviction
 {
@@ -158,8 +165,11 @@
     cell workers;
     std::map<worker_id, worker_record> records;
     std::map<demand_key, demand_record> demands;
+    std::map<demand_key, closed_demand> closed;
     std::set<waiting_rank> waiting;
-    std::set<demand_key> retryWrites; ///< whose last write was lost
+    std::set<demand_key> retryStore; ///< whose write or read was lost, or waits for the store
+    bool storeFailing = false; ///< its last answer was lost
+    instant nextStoreRetry;
     std::set<demand_key> touched; ///< demands to look at again in this step
     std::set<demand_key> orphaned; ///< keys without a record here that workers may still list
     std::set<worker_id> ordered; ///< workers with starts or stops to be sent
@@ -179,9 +189,11 @@
     instant nextScan;
     instant otherPlacingUntil;
     placing_counts counts;
+    std::uint64_t takeover = 0; ///< number of take-overs so far
     std::uint64_t lastAttempt = 0;
     std::uint64_t lastSequence = 0;
     std::uint64_t lastScan = 0;
+    std::uint64_t lastWrite = 0;
 };
 
 scheduler_state makeScheduler(const scheduler_settings &settings);
--- a/tests/bench/placement_bench.cpp
+++ b/tests/bench/placement_bench.cpp
@@ -387,7 +387,12 @@
         }
         return chosen;
     };
-    while (static_cast<double>(freeIn(workers).milliCores) > (1 - fill) * static_cast<double>(total.milliCores)) {
+    const auto isBelow = [&total](const resources &free) {
+        const auto left = 1 - fill;
+        return static_cast<double>(free.milliCores) > left * static_cast<double>(total.milliCores)
+            && static_cast<double>(free.memoryMib) > left * static_cast<double>(total.memoryMib);
+    };
+    while (isBelow(freeIn(workers))) {
         place(drawDemand(random, {}).size, filling);
     }
     std::vector<resources> lost;
--- a/tests/standins/virtual_cell.cpp
+++ b/tests/standins/virtual_cell.cpp
@@ -72,12 +72,12 @@
         later(cell, cell.storeLatency, [this_ = &cell, action] {
             auto &held = this_->rows[action.row.key];
             if (held.version != action.version) {
-                deliver(*this_, row_read {action.row.key, held.row, held.version});
+                deliver(*this_, row_write_refused {action.row.key, action.request});
                 return;
             }
             held = {action.row, held.version + 1};
             this_->ended += action.row.outcome == demand_outcome::none ? 0 : 1;
-            deliver(*this_, row_written {action.row.key, held.version});
+            deliver(*this_, row_written {action.row.key, action.request, held.version});
         });
     }
 
