--- a/src/libprimrosecroft/scheduling/exchanges.cpp
+++ b/src/libprimrosecroft/scheduling/exchanges.cpp
@@ -22,6 +22,7 @@
     if (result == start_result::stale) {
         if (!record.stops.contains(order.attempt)) {
             record.starts.push_back(order);
+            state.ordered.insert(worker);
         }
         return;
     }
@@ -47,6 +48,7 @@
         auto &held = state.ownership.workers.at(worker);
         actions.emplace_back(send_release {worker, held.token});
         dropClaim(held);
+        state.nextWalk = now;
     }
 }
 
@@ -57,8 +59,10 @@
     request.starts = std::exchange(record.starts, {});
     request.stops.assign(record.stops.begin(), record.stops.end());
     request.forgets.assign(record.forgets.begin(), record.forgets.end());
+    request.checkpoints.assign(record.checkpoints.begin(), record.checkpoints.end());
     record.stops.clear();
     record.forgets.clear();
+    record.checkpoints.clear();
     return request;
 }
 
@@ -71,10 +75,28 @@
     }
     record.stops.insert(sent->stops.begin(), sent->stops.end());
     record.forgets.insert(sent->forgets.begin(), sent->forgets.end());
+    record.checkpoints.insert(sent->checkpoints.begin(), sent->checkpoints.end());
     std::ranges::copy_if(sent->starts, std::back_inserter(record.starts),
                          [&record](const start_order &order) { return !record.stops.contains(order.attempt); });
 }
 
+/// Sends the worker all orders there are for it, or renews its lease.
+void sendIfDue(scheduler_state &state, const worker_id &id, held_worker &held, instant now, action_list &actions)
+{
+    if (!holds(held, now) || held.request || now < held.notBefore) {
+        return;
+    }
+    auto &record = state.records.at(id);
+    const auto hasOrders = !record.starts.empty() || !record.stops.empty() || !record.checkpoints.empty();
+    if (!hasOrders && now < held.nextRequest) {
+        return;
+    }
+    const auto request = beginRequest(state.ownership, held, now);
+    held.nextRequest = now + state.ownership.settings.exchangeInterval;
+    record.sent = makeExchange(state, record, held);
+    actions.emplace_back(send_exchange {id, request, *record.sent});
+}
+
 } // namespace
 
 void acceptExchange(scheduler_state &state, const exchange_answered &message, instant now, action_list &actions)
@@ -92,6 +114,7 @@
     if (!message.answer.accepted) {
         putBack(record);
         dropClaim(held);
+        state.nextWalk = now;
         held.nextRequest = now;
         return;
     }
@@ -109,7 +132,7 @@
     for (const auto attempt : sent.stops) {
         loseAttempt(state, message.worker, attempt);
     }
-    state.placementDue = true;
+    state.ordered.insert(message.worker);
 }
 
 void exchangeLost(scheduler_state &state, const worker_request_lost &message, instant now)
@@ -129,19 +152,21 @@
         return;
     }
     for (auto &[id, held] : state.ownership.workers) {
-        auto &record = state.records.at(id);
-        state.workers.at(id).schedulable = holds(held, now) && !record.draining;
-        if (!holds(held, now) || held.request) {
-            continue;
-        }
-        const auto hasOrders = !record.starts.empty() || !record.stops.empty();
-        if (now < held.notBefore || (!hasOrders && now < held.nextRequest)) {
-            continue;
+        sendIfDue(state, id, held, now, actions);
+    }
+}
+
+void sendOrders(scheduler_state &state, instant now, action_list &actions)
+{
+    if (!state.ownership.placing) {
+        return;
+    }
+    // What can't be sent now is met by the next answer of the worker or by the next walk.
+    for (const auto &id : std::exchange(state.ordered, {})) {
+        const auto held = state.ownership.workers.find(id);
+        if (held != state.ownership.workers.end()) {
+            sendIfDue(state, id, held->second, now, actions);
         }
-        const auto request = beginRequest(state.ownership, held, now);
-        held.nextRequest = now + state.ownership.settings.exchangeInterval;
-        record.sent = makeExchange(state, record, held);
-        actions.emplace_back(send_exchange {id, request, *record.sent});
     }
 }
 
--- a/src/libprimrosecroft/scheduling/lifecycle.cpp
+++ b/src/libprimrosecroft/scheduling/lifecycle.cpp
@@ -32,7 +32,9 @@
 void taskFailed(scheduler_state &state, demand_record &demand, std::int32_t index, const worker_id &worker)
 {
     auto &task = demand.tasks.at(index);
-    task.failedOn.insert(worker);
+    if (!isQuarantined(state, worker)) {
+        task.failedOn.insert(worker);
+    }
     const auto spent = static_cast<std::int32_t>(task.failedOn.size()) >= state.settings.workersBeforeFailing
         || task.failedOn.size() >= state.workers.size();
     if (!demand.wanted.spec.repeatable || spent) {
@@ -163,7 +165,7 @@
         }
         if (isOver(demand)) {
             vacate(state, task.worker, task.attempt);
-            task = {task_phase::waiting, {}, 0, task.failedOn};
+            task = {task_phase::waiting, {}, 0, task.failedOn, task.evictions};
             continue;
         }
         orderStart(state, demand, index);
@@ -206,6 +208,9 @@
 /// Tasks and ends that workers listed before the demand's row was read.
 void adoptOrphans(scheduler_state &state, const demand_key &key)
 {
+    if (state.orphaned.erase(key) == 0) {
+        return;
+    }
     for (auto &[worker, record] : state.records) {
         const auto occupied = record.occupied;
         for (const auto &[attempt, each] : occupied) {
@@ -226,9 +231,14 @@
 /// What runs for a demand that has ended, or that nobody accepted, is stopped and forgotten.
 void dropOrphans(scheduler_state &state, const demand_key &key)
 {
+    if (!state.orphaned.contains(key)) {
+        return;
+    }
+    auto isListed = false;
     for (auto &[worker, record] : state.records) {
         for (const auto &[attempt, each] : record.occupied) {
             if (each.task.demand == key) {
+                isListed = true;
                 orderStop(state, worker, attempt);
             }
         }
@@ -239,6 +249,9 @@
         }
         std::erase_if(record.unclaimedEnds, [&key](const auto &entry) { return entry.second.task.demand == key; });
     }
+    if (!isListed) {
+        state.orphaned.erase(key);
+    }
 }
 
 void learnNewRow(scheduler_state &state, const row_read &message, instant now)
@@ -249,6 +262,7 @@
     demand.version = message.version;
     demand.verified = true;
     demand.learnedAt = now;
+    demand.queuedAs = placeInQueue(now, demand.wanted.spec.declaredRunTime, state.settings.policy);
     demand.sequence = ++state.lastSequence;
     addTasks(demand);
     adoptOrphans(state, message.key);
@@ -280,10 +294,12 @@
     if (state.ownership.placing && !state.inDoubt) {
         loseDoubtfulTasks(state, demand);
     }
-    if (std::ranges::any_of(demand.tasks, [](const task_record &task) { return task.phase == task_phase::waiting; })) {
+    const auto waits =
+        std::ranges::any_of(demand.tasks, [](const task_record &task) { return task.phase == task_phase::waiting; });
+    if (waits && !isOver(demand)) {
         state.waiting.insert(rankOf(demand));
+        state.placementDue = true;
     }
-    state.placementDue = true;
 }
 
 } // namespace
@@ -307,12 +323,12 @@
     }
     state.workers.at(worker).free += found->second.size;
     record->second.occupied.erase(found);
-    state.placementDue = true;
+    roomGained(state, worker);
 }
 
 void makeWaiting(scheduler_state &state, demand_record &demand, task_record &task)
 {
-    task = {task_phase::waiting, {}, 0, task.failedOn};
+    task = {task_phase::waiting, {}, 0, task.failedOn, task.evictions};
     state.waiting.insert(rankOf(demand));
     state.placementDue = true;
 }
@@ -351,6 +367,7 @@
         if (known != state.demands.end()) {
             state.waiting.erase(rankOf(known->second));
             state.demands.erase(known);
+            state.orphaned.insert(message.key);
         }
         dropOrphans(state, message.key);
         return;
@@ -372,6 +389,7 @@
     occupy(state, worker, listing.attempt, {listing.task, listing.size});
     const auto found = state.demands.find(listing.task.demand);
     if (found == state.demands.end()) {
+        state.orphaned.insert(listing.task.demand);
         return; // adopted or stopped when its row is read
     }
     state.touched.insert(listing.task.demand);
@@ -390,7 +408,7 @@
         return;
     }
     if (task.phase == task_phase::doubtful || task.phase == task_phase::waiting) {
-        task = {task_phase::running, worker, listing.attempt, task.failedOn};
+        task = {task_phase::running, worker, listing.attempt, task.failedOn, task.evictions};
         return;
     }
     orderStop(state, worker, listing.attempt);
@@ -398,6 +416,7 @@
 
 void endAttempt(scheduler_state &state, const worker_id &worker, const ended_attempt &ended)
 {
+    noteEnd(state, worker, ended);
     vacate(state, worker, ended.attempt);
     auto &record = state.records.at(worker);
     std::erase_if(record.starts, [&ended](const start_order &order) { return order.attempt == ended.attempt; });
@@ -407,6 +426,7 @@
             record.forgets.insert(ended.attempt);
         } else {
             record.unclaimedEnds.emplace(ended.attempt, ended);
+            state.orphaned.insert(ended.task.demand);
         }
         return;
     }
@@ -441,6 +461,7 @@
     auto &record = state.records.at(worker);
     std::erase_if(record.starts, [attempt](const start_order &order) { return order.attempt == attempt; });
     record.stops.insert(attempt);
+    state.ordered.insert(worker);
 }
 
 /// Keeps a read that was under way when the demand ended from starting it anew.
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 #include <vector>
 
 /**
@@ -27,6 +28,10 @@
     std::uint32_t rank = 0;
     std::uint64_t seed = 0;
     std::int32_t workersBeforeFailing = 3; ///< a task that failed on so many is given up
+    std::int32_t mostEvictions = 2; ///< of one task
+    std::size_t demandsBeforeQuarantine = 3; ///< unrelated ones that failed in a row at a worker
+    double mostQuarantined = 0.1; ///< share of the workers, but always one
+    std::chrono::milliseconds probePause {30'000}; ///< before a quarantined worker is tried again
     std::chrono::milliseconds scanInterval {30'000};
     std::chrono::milliseconds storeRetryInterval {1'000}; ///< between probes while the store doesn't answer
     std::chrono::milliseconds storeCatchUpInterval {100}; ///< between retries once it answers again
@@ -50,6 +55,7 @@
     worker_id worker; ///< from recording to stopping
     attempt_id attempt = 0; ///< from recording to stopping
     std::set<worker_id> failedOn;
+    std::int32_t evictions = 0; ///< since the take-over
 };
 
 struct demand_record
@@ -61,16 +67,53 @@
     std::uint64_t writing = 0; ///< number of the outstanding write, 0 without one
     bool verified = false; ///< the row was read since the take-over, and no write was refused since
     instant learnedAt;
+    instant queuedAs; ///< its place in the queue, by the policy in force when it was learned
     std::uint64_t sequence = 0;
     std::vector<task_record> tasks;
     std::vector<std::pair<worker_id, attempt_id>> forgetWhenCommitted;
 };
 
+/// Order in which demands are placed.
+struct waiting_rank
+{
+    bool normal = true; ///< urgent sorts first
+    instant queuedAs;
+    std::uint64_t sequence = 0;
+    demand_key key;
+    resources size; ///< of one task; no part of the order
+    bool gang = false; ///< no part of the order
+
+    friend bool operator<(const waiting_rank &left, const waiting_rank &right)
+    {
+        return std::tie(left.normal, left.queuedAs, left.sequence, left.key)
+            < std::tie(right.normal, right.queuedAs, right.sequence, right.key);
+    }
+};
+
 /// An attempt that takes up a worker's capacity.
 struct occupation
 {
     task_id task;
     resources size;
+    instant since {}; ///< when it was placed; unset when it was found running
+};
+
+/// Room kept for the oldest gang that waits. See docs/design/placement.md.
+struct gang_reservation
+{
+    waiting_rank gang;
+    instant readyBy; ///< by the declared run times; what ends before may use the room
+    std::map<worker_id, resources> held;
+};
+
+/// Whether a worker fails what it is given.
+struct worker_health
+{
+    std::set<demand_key> failedDemands; ///< since a task last succeeded there
+    bool quarantined = false;
+    instant probeAt; ///< when one task is tried again
+    std::chrono::milliseconds pause {0}; ///< doubles with each failed probe
+    std::optional<attempt_id> probe;
 };
 
 /// What this scheduler believes of one worker, and what it has to tell it.
@@ -85,6 +128,8 @@
     std::set<attempt_id> forgets;
     std::optional<exchange_request> sent;
     bool draining = false;
+    worker_health health {};
+    std::set<attempt_id> checkpoints {};
 };
 
 /// A demand that ended a short while ago.
@@ -94,14 +139,23 @@
     instant forgetAt;
 };
 
-/// Order in which demands are placed.
-struct waiting_rank
+/// Tasks that make room for an urgent one at a worker.
+struct eviction
 {
-    bool normal = true; ///< urgent sorts first
-    std::uint64_t sequence = 0;
-    demand_key key;
+    demand_key beneficiary;
+    worker_id worker;
+    resources size; ///< of the urgent task
+    std::set<attempt_id> victims;
+    instant since;
+    bool stopped = false; ///< the checkpoints took too long
+};
 
-    friend auto operator<=>(const waiting_rank &, const waiting_rank &) = default;
+/// Work done for placement since the start, for benchmarks and regression checks.
+struct placing_counts
+{
+    std::uint64_t visited = 0; ///< waiting demands looked at
+    std::uint64_t choices = 0; ///< times that a worker was sought
+    std::uint64_t candidates = 0; ///< workers looked at for it
 };
 
 struct scheduler_state
@@ -117,6 +171,15 @@
     bool storeFailing = false; ///< its last answer was lost
     instant nextStoreRetry;
     std::set<demand_key> touched; ///< demands to look at again in this step
+    std::set<demand_key> orphaned; ///< keys without a record here that workers may still list
+    std::set<worker_id> ordered; ///< workers with starts or stops to be sent
+    std::vector<resources> blocked; ///< sizes that found no worker since room was last gained for them
+    std::vector<resources> blockedByHeld; ///< the same, but only for want of what is held
+    std::optional<gang_reservation> reservation;
+    std::vector<eviction> evictions;
+    instant nextPreemption; ///< when victims are sought again after none were found
+    instant nextReservation; ///< when one is tried again after no set of workers could be found
+    instant nextWalk; ///< when all workers have to be looked at again
     std::set<worker_id> unreached; ///< since the take-over
     bool inDoubt = false;
     bool placementDue = false;
@@ -125,6 +188,7 @@
     bool scanned = false; ///< since the take-over
     instant nextScan;
     instant otherPlacingUntil;
+    placing_counts counts;
     std::uint64_t takeover = 0; ///< number of take-overs so far
     std::uint64_t lastAttempt = 0;
     std::uint64_t lastSequence = 0;
--- a/src/libprimrosecroft/scheduling/takeover.cpp
+++ b/src/libprimrosecroft/scheduling/takeover.cpp
@@ -71,12 +71,12 @@
         demand.wanted.started = demand.committed.started; // what isn't recorded was not started
         for (auto &task : demand.tasks) {
             if (task.phase != task_phase::ended) {
-                task = {task_phase::doubtful, {}, 0, task.failedOn};
+                task = {task_phase::doubtful, {}, 0, task.failedOn, task.evictions};
             }
         }
     }
     for (auto &[id, record] : state.records) {
-        record = {record.rack, {}, record.listing, {}, {}, {}, {}, {}, record.draining};
+        record = {record.rack, {}, record.listing, {}, {}, {}, {}, {}, record.draining, record.health};
         state.unreached.insert(id);
     }
     for (auto &[id, record] : state.records) {
