Tell all faults of a sheet or settings file at once; end a hang on stray tokens

Cause: checked_node threw at the first fault, so a planner mended a sheet one upload at a time. Readers now go through required(), optional(), children() and attempt(); below a gathering() node their faults are kept (200 at most) and thrown as one error, a line each, in the document's order. The same readers still throw at once for a caller's JSON demand. Repeated keys and names with other characters are faults now; before, yaml-cpp silently took one of two equal keys.

Reading now refuses a second document; the test in checked_node_test holds it. Ruled out: deep nesting and aliases, refused before.

--- a/src/libprimrosecroft/configuration/sheet.cpp
+++ b/src/libprimrosecroft/configuration/sheet.cpp
@@ -18,34 +18,35 @@
 {
     node.allowKeys({"packingWeight", "spreadWeight"});
     placement_policy policy;
-    if (node.has("packingWeight")) {
-        policy.packingWeight = node.at("packingWeight").number(0, largestWeight);
-    }
-    if (node.has("spreadWeight")) {
-        policy.spreadWeight = node.at("spreadWeight").number(0, largestWeight);
-    }
+    node.optional("packingWeight", [&](const auto &child) { policy.packingWeight = child.number(0, largestWeight); });
+    node.optional("spreadWeight", [&](const auto &child) { policy.spreadWeight = child.number(0, largestWeight); });
     return policy;
 }
 
+void readDomain(const checked_node &node, const planning_sheet &sheet, failure_domain_id &target)
+{
+    target = node.name();
+    if (!sheet.regions.contains(target)) {
+        node.fail("a failure domain of this sheet");
+    }
+}
+
 sheet_worker readWorker(const checked_node &node, const planning_sheet &sheet)
 {
     node.allowKeys({"failureDomain", "rack", "address", "port", "cores", "memory", "accelerators", "draining"});
     sheet_worker worker;
-    worker.failureDomain = node.at("failureDomain").name();
-    if (!sheet.regions.contains(worker.failureDomain)) {
-        node.at("failureDomain").fail("a failure domain of this sheet");
-    }
-    worker.rack = node.at("rack").name();
-    worker.address = node.at("address").name();
-    worker.port = static_cast<std::uint16_t>(node.at("port").integer(1, lastPort));
-    worker.total.milliCores = static_cast<std::int64_t>(node.at("cores").number(1, mostCores) * milliCoresPerCore);
-    worker.total.memoryMib = node.at("memory").memoryMib();
-    if (node.has("accelerators")) {
-        worker.total.accelerators = node.at("accelerators").integer(0, mostAccelerators);
-    }
-    if (node.has("draining")) {
-        worker.draining = node.at("draining").boolean();
-    }
+    node.required("failureDomain", [&](const auto &child) { readDomain(child, sheet, worker.failureDomain); });
+    node.required("rack", [&](const auto &child) { worker.rack = child.name(); });
+    node.required("address", [&](const auto &child) { worker.address = child.name(); });
+    node.required("port",
+                  [&](const auto &child) { worker.port = static_cast<std::uint16_t>(child.integer(1, lastPort)); });
+    node.required("cores", [&](const auto &child) {
+        worker.total.milliCores = static_cast<std::int64_t>(child.number(1, mostCores) * milliCoresPerCore);
+    });
+    node.required("memory", [&](const auto &child) { worker.total.memoryMib = child.memoryMib(); });
+    node.optional("accelerators",
+                  [&](const auto &child) { worker.total.accelerators = child.integer(0, mostAccelerators); });
+    node.optional("draining", [&](const auto &child) { worker.draining = child.boolean(); });
     return worker;
 }
 
@@ -53,29 +54,30 @@
 
 planning_sheet readSheet(const std::string &text, const std::string &name)
 {
-    const auto root = checked_node::parse(text, name);
-    root.allowKeys({"sheet", "policy", "failureDomains", "workers", "demands"});
+    const auto root = checked_node::parse(text, name).gathering();
     planning_sheet sheet;
-    sheet.name = root.at("sheet").name();
-    if (root.has("policy")) {
-        sheet.policy = readPolicy(root.at("policy"));
-    }
-    const auto domains = root.at("failureDomains");
-    for (const auto &domain : domains.keys()) {
-        const auto node = domains.at(domain);
-        node.allowKeys({"region"});
-        sheet.regions.emplace(domain, node.at("region").name());
-    }
-    const auto workers = root.at("workers");
-    for (const auto &worker : workers.keys()) {
-        sheet.workers.emplace(worker, readWorker(workers.at(worker), sheet));
-    }
-    if (root.has("demands")) {
-        const auto demands = root.at("demands");
-        for (const auto &demand : demands.keys()) {
-            sheet.demands.emplace(demand, readDemand(demands.at(demand)));
-        }
-    }
+    root.attempt([&] {
+        root.allowKeys({"sheet", "policy", "failureDomains", "workers", "demands"});
+        root.required("sheet", [&](const auto &node) { sheet.name = node.name(); });
+        root.optional("policy", [&](const auto &node) { sheet.policy = readPolicy(node); });
+        root.required("failureDomains", [&](const auto &node) {
+            node.children([&](const auto &domain, const auto &child) {
+                auto &region = sheet.regions[domain];
+                child.allowKeys({"region"});
+                child.required("region", [&](const auto &each) { region = each.name(); });
+            });
+        });
+        root.required("workers", [&](const auto &node) {
+            node.children([&](const auto &id, const auto &child) {
+                sheet.workers.insert_or_assign(id, readWorker(child, sheet));
+            });
+        });
+        root.optional("demands", [&](const auto &node) {
+            node.children(
+                [&](const auto &id, const auto &child) { sheet.demands.insert_or_assign(id, readDemand(child)); });
+        });
+    });
+    root.throwFaults();
     return sheet;
 }
 
--- a/src/libprimrosecroft/daemon/daemon.cpp
+++ b/src/libprimrosecroft/daemon/daemon.cpp
@@ -402,11 +402,17 @@
     CLI::App app(description);
     std::string path;
     bool checkOnly = false;
+    bool printOnly = false;
     app.add_option("settings", path, "YAML file with this process's settings")->required();
     app.add_flag("--check-settings", checkOnly, "check the settings and end");
+    app.add_flag("--print-settings", printOnly, "print all settings, defaults included, and end");
     CLI11_PARSE(app, argumentCount, arguments);
     try {
         const auto settings = loadDaemonSettings(path);
+        if (printOnly) {
+            std::cout << toYaml(settings);
+            return 0;
+        }
         if (checkOnly) {
             std::cout << path << ": good\n";
             return 0;
--- a/src/libprimrosecroft/demands/demand.cpp
+++ b/src/libprimrosecroft/demands/demand.cpp
@@ -26,6 +26,15 @@
     return text == "gang" ? demand_kind::gang : demand_kind::batch;
 }
 
+std::int64_t readMilliCores(const checked_node &node)
+{
+    const auto milliCores = static_cast<std::int64_t>(node.number(0.001, mostCores) * milliCoresPerCore);
+    if (milliCores > mostMilliCores || milliCores < 1) {
+        node.fail("at least 0.001 cores");
+    }
+    return milliCores;
+}
+
 } // namespace
 
 std::string toString(demand_kind kind)
@@ -46,37 +55,31 @@
     node.allowKeys({"kind", "priority", "onPartition", "team", "tasks", "cores", "memory", "accelerators", "runTime",
                     "repeatable", "failureDomain"});
     demand_spec spec;
-    spec.kind = kindFrom(node.at("kind").choice({"service", "batch", "gang"}));
-    spec.team = node.at("team").name();
-    spec.tasks = static_cast<std::int32_t>(node.at("tasks").integer(1, mostTasksPerDemand));
-    spec.size.milliCores = static_cast<std::int64_t>(node.at("cores").number(0.001, mostCores) * milliCoresPerCore);
-    spec.size.memoryMib = node.at("memory").memoryMib();
-    if (node.has("accelerators")) {
-        spec.size.accelerators = node.at("accelerators").integer(0, mostAccelerators);
-    }
-    if (node.has("priority")) {
-        spec.priority = node.at("priority").choice({"normal", "urgent"}) == "urgent" ? demand_priority::urgent
-                                                                                     : demand_priority::normal;
-    }
-    if (node.has("onPartition")) {
-        spec.onPartition = node.at("onPartition").choice({"stay", "move"}) == "move" ? partition_preference::move
-                                                                                     : partition_preference::stay;
-    }
-    if (node.has("runTime")) {
-        spec.declaredRunTime = node.at("runTime").time(0ms, longestRunTime);
-    }
-    if (node.has("repeatable")) {
-        spec.repeatable = node.at("repeatable").boolean();
-    }
-    if (node.has("failureDomain")) {
-        spec.failureDomain = node.at("failureDomain").name();
-    }
-    if (spec.size.milliCores > mostMilliCores || spec.size.milliCores < 1) {
-        node.at("cores").fail("at least 0.001 cores");
-    }
-    if (spec.kind == demand_kind::service && !spec.repeatable) {
-        node.at("repeatable").fail("true for a service, whose lost tasks are started again");
-    }
+    node.required("kind", [&](const auto &child) { spec.kind = kindFrom(child.choice({"service", "batch", "gang"})); });
+    node.required("team", [&](const auto &child) { spec.team = child.name(); });
+    node.required("tasks", [&](const auto &child) {
+        spec.tasks = static_cast<std::int32_t>(child.integer(1, mostTasksPerDemand));
+    });
+    node.required("cores", [&](const auto &child) { spec.size.milliCores = readMilliCores(child); });
+    node.required("memory", [&](const auto &child) { spec.size.memoryMib = child.memoryMib(); });
+    node.optional("accelerators",
+                  [&](const auto &child) { spec.size.accelerators = child.integer(0, mostAccelerators); });
+    node.optional("priority", [&](const auto &child) {
+        spec.priority =
+            child.choice({"normal", "urgent"}) == "urgent" ? demand_priority::urgent : demand_priority::normal;
+    });
+    node.optional("onPartition", [&](const auto &child) {
+        spec.onPartition =
+            child.choice({"stay", "move"}) == "move" ? partition_preference::move : partition_preference::stay;
+    });
+    node.optional("runTime", [&](const auto &child) { spec.declaredRunTime = child.time(0ms, longestRunTime); });
+    node.optional("repeatable", [&](const auto &child) { spec.repeatable = child.boolean(); });
+    node.optional("failureDomain", [&](const auto &child) { spec.failureDomain = child.name(); });
+    node.attempt([&] {
+        if (spec.kind == demand_kind::service && !spec.repeatable) {
+            node.at("repeatable").fail("true for a service, whose lost tasks are started again");
+        }
+    });
     return spec;
 }
 
--- a/src/libprimrosecroft/settings/checked_node.cpp
+++ b/src/libprimrosecroft/settings/checked_node.cpp
@@ -1,14 +1,15 @@
 #include "settings/checked_node.h"
 
-#include "core/error.h"
-
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <ranges>
+#include <set>
 #include <sstream>
+#include <tuple>
+#include <utility>
 #include <yaml-cpp/anchor.h>
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
@@ -20,6 +21,7 @@
 {
 
 constexpr int deepestNesting = 24;
+constexpr std::size_t mostKeptFaults = 200;
 constexpr std::size_t largestDocument = std::size_t {8} * 1024 * 1024;
 
 /// Counts parser events, to refuse aliases and deep nesting before a tree is built.
@@ -31,8 +33,12 @@
     {
     }
 
-    void OnDocumentStart(const YAML::Mark & /*mark*/) override
+    void OnDocumentStart(const YAML::Mark &mark) override
     {
+        // The parser also begins a document at a stray token, again and again without taking it.
+        if (std::exchange(m_begun, true)) {
+            refuse(mark, "expected one document");
+        }
     }
 
     void OnDocumentEnd() override
@@ -85,11 +91,12 @@
 
     [[noreturn]] void refuse(const YAML::Mark &mark, const std::string &reason) const
     {
-        throw error("read " + m_file, "", "line " + std::to_string(mark.line + 1) + ": " + reason);
+        throw document_fault(m_file, mark.line + 1, mark.column + 1, ": " + reason);
     }
 
     std::string m_file;
     int m_depth = 0;
+    bool m_begun = false;
 };
 
 bool isNameCharacter(char character)
@@ -107,11 +114,93 @@
 
 } // namespace
 
-checked_node::checked_node(std::shared_ptr<const YAML::Node> node, std::string file, std::string path)
+document_fault::document_fault(const std::string &file, int line, int column, const std::string &reason)
+    : error("read " + file, "", "line " + std::to_string(line) + ", column " + std::to_string(column) + reason)
+    , m_line(line)
+    , m_column(column)
+{
+}
+
+checked_node::checked_node(std::shared_ptr<const YAML::Node> node, std::string file, std::string path,
+                           kept_faults faults)
     : m_node(std::move(node))
     , m_file(std::move(file))
     , m_path(std::move(path))
+    , m_faults(std::move(faults))
+{
+}
+
+checked_node checked_node::child(const YAML::Node &node, const std::string &path) const
+{
+    return {std::make_shared<const YAML::Node>(node), m_file, path, m_faults};
+}
+
+std::string checked_node::pathOf(const std::string &key) const
+{
+    return m_path.empty() ? key : m_path + '.' + key;
+}
+
+checked_node checked_node::gathering() const
+{
+    return {m_node, m_file, m_path, std::make_shared<std::vector<document_fault>>()};
+}
+
+void checked_node::throwFaults() const
+{
+    if (!m_faults || m_faults->empty()) {
+        return;
+    }
+    std::ranges::stable_sort(*m_faults, {},
+                             [](const document_fault &fault) { return std::tuple(fault.line(), fault.column()); });
+    const auto &step = m_faults->front().step();
+    std::string reason;
+    for (const auto &fault : *m_faults) {
+        const std::string text = fault.what();
+        // All but the first line repeat the step, so that each can be read alone.
+        reason += reason.empty() ? text.substr(step.size() + 2) : '\n' + text;
+    }
+    if (m_faults->size() == mostKeptFaults) {
+        reason += "\n" + step + ": more faults are not shown";
+    }
+    throw error(step, "", reason);
+}
+
+void checked_node::attempt(const std::function<void()> &check) const
 {
+    if (!m_faults) {
+        check();
+        return;
+    }
+    try {
+        check();
+    } catch (const document_fault &fault) {
+        if (m_faults->size() < mostKeptFaults) {
+            m_faults->push_back(fault);
+        }
+    }
+}
+
+void checked_node::required(std::string_view key, const reader &read) const
+{
+    attempt([&] { read(at(key)); });
+}
+
+void checked_node::optional(std::string_view key, const reader &read) const
+{
+    if (has(key)) {
+        required(key, read);
+    }
+}
+
+void checked_node::children(const std::function<void(const std::string &name, const checked_node &child)> &read) const
+{
+    refuseRepeatedKeys();
+    for (const auto &entry : *m_node) {
+        attempt([&] {
+            const auto key = child(entry.first, pathOf("name")).name();
+            read(key, child(entry.second, pathOf(key)));
+        });
+    }
 }
 
 checked_node checked_node::parse(const std::string &text, const std::string &name)
@@ -125,11 +214,9 @@
         event_guard guard(name);
         while (parser.HandleNextDocument(guard)) {
         }
-        return {std::make_shared<const YAML::Node>(YAML::Load(text)), name, ""};
+        return {std::make_shared<const YAML::Node>(YAML::Load(text)), name, "", nullptr};
     } catch (const YAML::Exception &fault) {
-        throw error("read " + name, "",
-                    "line " + std::to_string(fault.mark.line + 1) + ", column " + std::to_string(fault.mark.column + 1)
-                        + ": " + fault.msg);
+        throw document_fault(name, fault.mark.line + 1, fault.mark.column + 1, ": " + fault.msg);
     }
 }
 
@@ -158,12 +245,11 @@
     if (!m_node->IsMap()) {
         fail("a map");
     }
-    const auto child = (*m_node)[std::string(key)];
-    if (!child.IsDefined()) {
+    const auto found = (*m_node)[std::string(key)];
+    if (!found.IsDefined()) {
         fail("the key '" + std::string(key) + "'");
     }
-    const auto path = m_path.empty() ? std::string(key) : m_path + '.' + std::string(key);
-    return {std::make_shared<const YAML::Node>(child), m_file, path};
+    return child(found, pathOf(std::string(key)));
 }
 
 std::vector<checked_node> checked_node::items() const
@@ -173,8 +259,7 @@
     }
     std::vector<checked_node> result;
     for (const auto index : std::views::iota(std::size_t {0}, m_node->size())) {
-        const auto path = m_path + '[' + std::to_string(index) + ']';
-        result.push_back({std::make_shared<const YAML::Node>((*m_node)[index]), m_file, path});
+        result.push_back(child((*m_node)[index], m_path + '[' + std::to_string(index) + ']'));
     }
     return result;
 }
@@ -190,11 +275,25 @@
     return result;
 }
 
-void checked_node::allowKeys(std::initializer_list<std::string_view> allowed) const
+void checked_node::refuseRepeatedKeys() const
 {
     if (!m_node->IsMap()) {
         fail("a map");
     }
+    std::set<std::string> seen;
+    for (const auto &entry : *m_node) {
+        const auto key = entry.first.IsScalar() ? entry.first.Scalar() : std::string();
+        attempt([&] {
+            if (!seen.insert(key).second) {
+                child(entry.first, pathOf(key)).fail("the key once");
+            }
+        });
+    }
+}
+
+void checked_node::allowKeys(std::initializer_list<std::string_view> allowed) const
+{
+    refuseRepeatedKeys();
     for (const auto &entry : *m_node) {
         const auto key = entry.first.IsScalar() ? entry.first.Scalar() : std::string("?");
         if (std::ranges::find(allowed, key) != allowed.end()) {
@@ -202,8 +301,7 @@
         }
         std::string list;
         std::ranges::for_each(allowed, [&list](auto name) { list += (list.empty() ? "" : ", ") + std::string(name); });
-        const auto path = m_path.empty() ? key : m_path + '.' + key;
-        checked_node(std::make_shared<const YAML::Node>(entry.first), m_file, path).fail("one of the keys " + list);
+        attempt([&] { child(entry.first, pathOf(key)).fail("one of the keys " + list); });
     }
 }
 
@@ -305,9 +403,9 @@
 {
     const auto mark = m_node->Mark();
     const auto key = m_path.empty() ? std::string("the document") : m_path;
-    throw error("read " + m_file, "",
-                "line " + std::to_string(mark.line + 1) + ", column " + std::to_string(mark.column + 1) + ", " + key
-                    + ": expected " + expected);
+    // A document without text has no mark.
+    throw document_fault(m_file, std::max(mark.line, 0) + 1, std::max(mark.column, 0) + 1,
+                         ", " + key + ": expected " + expected);
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/settings/checked_node.h
+++ b/src/libprimrosecroft/settings/checked_node.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "core/error.h"
+
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <memory>
 #include <string>
@@ -16,9 +19,32 @@
 namespace primrosecroft
 {
 
+/// A fault at one place of a document; lines and columns count from 1.
+class document_fault : public error
+{
+public:
+    document_fault(const std::string &file, int line, int column, const std::string &reason);
+
+    int line() const
+    {
+        return m_line;
+    }
+
+    int column() const
+    {
+        return m_column;
+    }
+
+private:
+    int m_line;
+    int m_column;
+};
+
 /**
  * A place in a YAML or JSON document that is read with checks. Each fault is
- * thrown as error naming file, line, column, key and what was expected.
+ * thrown as document_fault naming file, line, column, key and what was expected.
+ * Below a gathering() node, required(), optional() and allowKeys() keep the faults
+ * instead, and throwFaults() throws all of them as one error.
  *
  * Aliases are refused, and nesting is bounded, so that a small document cannot
  * stand for a huge one.
@@ -32,12 +58,32 @@
     /// Parses strict JSON text, read afterwards by the same checks.
     static checked_node parseJson(const std::string &text, const std::string &name);
 
+    using reader = std::function<void(const checked_node &child)>;
+
+    /// This place, with the faults below it kept until throwFaults().
+    checked_node gathering() const;
+
+    /// Throws error with all faults that were kept, in the document's order, a line each.
+    void throwFaults() const;
+
+    /// Reads the child under @p key, which has to be there.
+    void required(std::string_view key, const reader &read) const;
+
+    /// Reads the child under @p key if there is one.
+    void optional(std::string_view key, const reader &read) const;
+
+    /// Reads each child of a map under its name; names are checked as name() does.
+    void children(const std::function<void(const std::string &name, const checked_node &child)> &read) const;
+
+    /// Runs a check on what was read; its fault is kept or thrown.
+    void attempt(const std::function<void()> &check) const;
+
     bool has(std::string_view key) const;
     checked_node at(std::string_view key) const;
     std::vector<checked_node> items() const;
     std::vector<std::string> keys() const;
 
-    /// Throws unless this is a map and each of its keys is among @p allowed.
+    /// Throws unless this is a map and each of its keys is among @p allowed and stands there once.
     void allowKeys(std::initializer_list<std::string_view> allowed) const;
 
     std::string text() const;
@@ -60,11 +106,17 @@
     [[noreturn]] void fail(const std::string &expected) const;
 
 private:
-    checked_node(std::shared_ptr<const YAML::Node> node, std::string file, std::string path);
+    using kept_faults = std::shared_ptr<std::vector<document_fault>>;
+
+    checked_node(std::shared_ptr<const YAML::Node> node, std::string file, std::string path, kept_faults faults);
+    checked_node child(const YAML::Node &node, const std::string &path) const;
+    std::string pathOf(const std::string &key) const;
+    void refuseRepeatedKeys() const;
 
     std::shared_ptr<const YAML::Node> m_node;
     std::string m_file;
     std::string m_path;
+    kept_faults m_faults; ///< none when each fault is thrown at once
 };
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/settings/daemon_settings.cpp
+++ b/src/libprimrosecroft/settings/daemon_settings.cpp
@@ -3,9 +3,12 @@
 #include "core/error.h"
 #include "settings/checked_node.h"
 
+#include <algorithm>
 #include <fstream>
 #include <gio/gio.h>
 #include <iterator>
+#include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace primrosecroft
 {
@@ -17,6 +20,8 @@
 
 constexpr std::int64_t lastPort = 65535;
 constexpr std::int64_t highestRank = 100;
+constexpr std::size_t shortestToken = 16;
+constexpr std::size_t longestToken = 512;
 
 std::string readAddress(const checked_node &node)
 {
@@ -35,9 +40,7 @@
 void readTime(const checked_node &parent, const char *key, std::chrono::milliseconds &target,
               std::chrono::milliseconds low, std::chrono::milliseconds high)
 {
-    if (parent.has(key)) {
-        target = parent.at(key).time(low, high);
-    }
+    parent.optional(key, [&](const auto &child) { target = child.time(low, high); });
 }
 
 void readIntervals(const checked_node &node, daemon_settings &settings)
@@ -63,60 +66,132 @@
     readTime(node, "margin", ownership.margin, 10ms, 1min);
     readTime(node, "exchangeInterval", ownership.exchangeInterval, 50ms, 5min);
     readTime(node, "requestTimeout", ownership.requestTimeout, 50ms, 1min);
-    // A stamp is echoed one exchange late, and one exchange may be lost.
-    if (ownership.exchangeInterval * 3 + ownership.margin > ownership.holderTerm) {
-        node.at("holderTerm").fail("more than three exchange intervals and the margin");
+    node.attempt([&] {
+        // A stamp is echoed one exchange late, and one exchange may be lost.
+        if (ownership.exchangeInterval * 3 + ownership.margin > ownership.holderTerm) {
+            (node.has("holderTerm") ? node.at("holderTerm") : node)
+                .fail("a holderTerm of more than three exchange intervals and the margin");
+        }
+    });
+}
+
+void readListen(const checked_node &node, daemon_settings &settings)
+{
+    node.allowKeys({"address", "http", "peers"});
+    node.required("address", [&](const auto &child) { settings.address = readAddress(child); });
+    node.required("http", [&](const auto &child) { settings.httpPort = readPort(child); });
+    node.required("peers", [&](const auto &child) { settings.peerPort = readPort(child); });
+}
+
+void readPlatform(const checked_node &node, daemon_settings &settings)
+{
+    node.allowKeys({"address", "port", "timeout"});
+    node.required("address", [&](const auto &child) { settings.platformAddress = readAddress(child); });
+    node.required("port", [&](const auto &child) { settings.platformPort = readPort(child); });
+    readTime(node, "timeout", settings.platformTimeout, 50ms, 1min);
+}
+
+void readPeerPorts(const checked_node &node, daemon_settings &settings)
+{
+    node.allowKeys({"entry", "scheduler"});
+    node.required("entry", [&](const auto &child) { settings.entryPeerPort = readPort(child); });
+    node.required("scheduler", [&](const auto &child) { settings.schedulerPeerPort = readPort(child); });
+}
+
+void readDeadlines(const checked_node &node, daemon_settings &settings)
+{
+    node.allowKeys({"booking", "accept"});
+    readTime(node, "booking", settings.bookingDeadline, 10ms, 10min);
+    readTime(node, "accept", settings.acceptDeadline, 10ms, 10min);
+}
+
+void readAdministration(const checked_node &node, daemon_settings &settings)
+{
+    node.allowKeys({"tokenFile", "open"});
+    node.optional("tokenFile", [&](const auto &child) { settings.tokenFile = child.text(); });
+    node.optional("open", [&](const auto &child) { settings.openAdministration = child.boolean(); });
+    if (settings.openAdministration == !settings.tokenFile.empty()) {
+        node.fail("either tokenFile or open: true");
+    }
+}
+
+/// The token without the newline that editors leave at its end.
+std::string readToken(const std::string &path)
+{
+    auto token = readFile(path);
+    while (!token.empty() && (token.back() == '\n' || token.back() == '\r')) {
+        token.pop_back();
+    }
+    const auto isPlain = std::ranges::all_of(token, [](unsigned char each) { return each > ' ' && each < 0x7f; });
+    if (token.size() < shortestToken || token.size() > longestToken || !isPlain) {
+        throw error("read token", "",
+                    path + ": expected " + std::to_string(shortestToken) + " to " + std::to_string(longestToken)
+                        + " printable characters without blanks");
     }
+    return token;
+}
+
+std::string toText(std::chrono::milliseconds time)
+{
+    return std::to_string(time.count()) + "ms";
 }
 
 } // namespace
 
 daemon_settings readDaemonSettings(const std::string &text, const std::string &file)
 {
-    const auto root = checked_node::parse(text, file);
-    root.allowKeys({"process", "failureDomain", "region", "rank", "listen", "platform", "peerPorts", "intervals",
-                    "shutdown", "deadlines", "leases"});
+    const auto root = checked_node::parse(text, file).gathering();
     daemon_settings settings;
-    settings.process = root.at("process").name();
-    settings.failureDomain = root.at("failureDomain").name();
-    settings.region = root.at("region").name();
-    if (root.has("rank")) {
-        settings.rank = static_cast<std::uint32_t>(root.at("rank").integer(0, highestRank));
-    }
-    const auto listen = root.at("listen");
-    listen.allowKeys({"address", "http", "peers"});
-    settings.address = readAddress(listen.at("address"));
-    settings.httpPort = readPort(listen.at("http"));
-    settings.peerPort = readPort(listen.at("peers"));
-    const auto platform = root.at("platform");
-    platform.allowKeys({"address", "port", "timeout"});
-    settings.platformAddress = readAddress(platform.at("address"));
-    settings.platformPort = readPort(platform.at("port"));
-    readTime(platform, "timeout", settings.platformTimeout, 50ms, 1min);
-    if (root.has("peerPorts")) {
-        const auto ports = root.at("peerPorts");
-        ports.allowKeys({"entry", "scheduler"});
-        settings.entryPeerPort = readPort(ports.at("entry"));
-        settings.schedulerPeerPort = readPort(ports.at("scheduler"));
-    }
-    if (root.has("intervals")) {
-        readIntervals(root.at("intervals"), settings);
-    }
-    if (root.has("shutdown")) {
-        readShutdown(root.at("shutdown"), settings);
-    }
-    if (root.has("deadlines")) {
-        const auto deadlines = root.at("deadlines");
-        deadlines.allowKeys({"booking", "accept"});
-        readTime(deadlines, "booking", settings.bookingDeadline, 10ms, 10min);
-        readTime(deadlines, "accept", settings.acceptDeadline, 10ms, 10min);
-    }
-    if (root.has("leases")) {
-        readLeases(root.at("leases"), settings.ownership);
-    }
+    root.attempt([&] {
+        root.allowKeys({"process", "failureDomain", "region", "rank", "listen", "platform", "peerPorts", "intervals",
+                        "shutdown", "deadlines", "leases", "administration"});
+        root.required("process", [&](const auto &node) { settings.process = node.name(); });
+        root.required("failureDomain", [&](const auto &node) { settings.failureDomain = node.name(); });
+        root.required("region", [&](const auto &node) { settings.region = node.name(); });
+        root.optional("rank", [&](const auto &node) {
+            settings.rank = static_cast<std::uint32_t>(node.integer(0, highestRank));
+        });
+        root.required("listen", [&](const auto &node) { readListen(node, settings); });
+        root.required("platform", [&](const auto &node) { readPlatform(node, settings); });
+        root.optional("peerPorts", [&](const auto &node) { readPeerPorts(node, settings); });
+        root.optional("intervals", [&](const auto &node) { readIntervals(node, settings); });
+        root.optional("shutdown", [&](const auto &node) { readShutdown(node, settings); });
+        root.optional("deadlines", [&](const auto &node) { readDeadlines(node, settings); });
+        root.optional("leases", [&](const auto &node) { readLeases(node, settings.ownership); });
+        root.optional("administration", [&](const auto &node) { readAdministration(node, settings); });
+    });
+    root.throwFaults();
     return settings;
 }
 
+std::string toYaml(const daemon_settings &settings)
+{
+    std::ostringstream out;
+    out << "process: " << settings.process << "\nfailureDomain: " << settings.failureDomain
+        << "\nregion: " << settings.region << "\nrank: " << settings.rank << "\nlisten: {address: '" << settings.address
+        << "', http: " << settings.httpPort << ", peers: " << settings.peerPort << "}\nplatform: {address: '"
+        << settings.platformAddress << "', port: " << settings.platformPort
+        << ", timeout: " << toText(settings.platformTimeout) << "}\npeerPorts: {entry: " << settings.entryPeerPort
+        << ", scheduler: " << settings.schedulerPeerPort
+        << "}\nintervals: {heartbeat: " << toText(settings.heartbeatInterval)
+        << ", configuration: " << toText(settings.configurationInterval)
+        << ", vmList: " << toText(settings.vmListInterval)
+        << "}\nshutdown: {balancerPause: " << toText(settings.balancerPause)
+        << ", limit: " << toText(settings.shutdownLimit)
+        << "}\ndeadlines: {booking: " << toText(settings.bookingDeadline)
+        << ", accept: " << toText(settings.acceptDeadline)
+        << "}\nleases: {holderTerm: " << toText(settings.ownership.holderTerm)
+        << ", taskTerm: " << toText(settings.ownership.taskTerm) << ", margin: " << toText(settings.ownership.margin)
+        << ", exchangeInterval: " << toText(settings.ownership.exchangeInterval)
+        << ", requestTimeout: " << toText(settings.ownership.requestTimeout) << "}\n";
+    if (settings.openAdministration) {
+        out << "administration: {open: true}\n";
+    } else if (!settings.tokenFile.empty()) {
+        out << "administration: {tokenFile: " << nlohmann::json(settings.tokenFile).dump() << "}\n";
+    }
+    return out.str();
+}
+
 std::string readFile(const std::string &path)
 {
     std::ifstream stream(path, std::ios::binary);
@@ -128,7 +203,11 @@
 
 daemon_settings loadDaemonSettings(const std::string &path)
 {
-    return readDaemonSettings(readFile(path), path);
+    auto settings = readDaemonSettings(readFile(path), path);
+    if (!settings.tokenFile.empty()) {
+        settings.administrationToken = readToken(settings.tokenFile);
+    }
+    return settings;
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/settings/daemon_settings.h
+++ b/src/libprimrosecroft/settings/daemon_settings.h
@@ -37,13 +37,21 @@
     std::chrono::milliseconds bookingDeadline {5'000}; ///< for requests that name none
     std::chrono::milliseconds acceptDeadline {5'000}; ///< for a demand to be committed
 
+    /// File with the bearer token of the administration paths; empty when they are open or closed.
+    std::string tokenFile;
+    std::string administrationToken; ///< what the file holds
+    bool openAdministration = false; ///< no token is asked for; only where the settings say so
+
     ownership_settings ownership;
 };
 
-/// Throws error naming file, line, key and what was expected.
+/// Throws error naming file, line, column, key and what was expected, for each fault a line.
 daemon_settings readDaemonSettings(const std::string &text, const std::string &file);
 
-/// Reads the file and its settings. Throws error, also when it can't be read.
+/// All settings as YAML, defaults included. Reading the text gives the same settings.
+std::string toYaml(const daemon_settings &settings);
+
+/// Reads the file, its settings and the token file. Throws error, also when one can't be read.
 daemon_settings loadDaemonSettings(const std::string &path);
 
 /// A whole file. Throws error when it can't be read.
--- a/tests/unit/checked_node_test.cpp
+++ b/tests/unit/checked_node_test.cpp
@@ -55,3 +55,11 @@
     CHECK_THROWS_AS(checked_node::parseJson("a: 5", "request"), error);
     CHECK_THROWS_AS(checked_node::parseJson(R"({"a": 5)", "request"), error);
 }
+
+TEST_CASE("text after the document ends reading instead of hanging it")
+{
+    // Found by the fuzz test: a stray comma kept the parser busy for ever.
+    CHECK_THROWS_AS(checked_node::parse(",a: 1\n", "stray.yaml"), error);
+    CHECK_THROWS_WITH(checked_node::parse("a: 1\n---\na: 2\n", "two.yaml"),
+                      Contains("line 2") && Contains("one document"));
+}
--- /dev/null
+++ b/tests/unit/fuzz_inputs.cpp
@@ -0,0 +1,86 @@
+#include "fuzz_inputs.h"
+
+#include "configuration/sheet.h"
+#include "core/error.h"
+#include "primrosecroft_types.h"
+#include "protocol/frame.h"
+#include "settings/checked_node.h"
+#include "settings/daemon_settings.h"
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+std::string exampleFrame()
+{
+    wire::Message message;
+    message.id = 7;
+    message.sender.process = "grangemouth-e1-entryd";
+    message.sender.role = "entryd";
+    message.sender.failureDomain = "grangemouth";
+    message.sender.incarnation = 1;
+    wire::TaskReport report;
+    report.index = 1;
+    report.state = "running";
+    message.demandReport.key = "key";
+    message.demandReport.known = true;
+    message.demandReport.tasks = {report, report};
+    message.__isset.demandReport = true;
+    return encodeFrame(message);
+}
+
+void readInput(std::size_t target, const std::string &input)
+{
+    switch (target) {
+    case 0:
+        readSheet(input, "sheet");
+        break;
+    case 1:
+        readDaemonSettings(input, "settings");
+        break;
+    case 2:
+        readDemand(checked_node::parseJson(input, "request"));
+        break;
+    default:
+        if (input.size() < frameHeadSize) {
+            throw error("read frame", "", "no head");
+        }
+        frameBodySize(std::string_view(input).substr(0, frameHeadSize));
+        decodeFrameBody(std::string_view(input).substr(frameHeadSize));
+        break;
+    }
+}
+
+} // namespace
+
+std::string fuzzExample(std::size_t target)
+{
+    switch (target) {
+    case 0:
+        return "sheet: s\npolicy: {packingWeight: 1.0}\nfailureDomains:\n  a: {region: r}\nworkers:\n"
+               "  w1: {failureDomain: a, rack: r1, address: 127.0.0.1, port: 1, cores: 32, memory: 64GiB}\n"
+               "demands:\n  d: {kind: batch, team: t, tasks: 2, cores: 0.5, memory: 1GiB, runTime: 3s}\n";
+    case 1:
+        return "process: p\nfailureDomain: a\nregion: r\nlisten: {address: 127.0.0.1, http: 1, peers: 2}\n"
+               "platform: {address: 127.0.0.1, port: 3, timeout: 2s}\nleases: {holderTerm: 12s, margin: 1s}\n"
+               "administration: {open: true}\n";
+    case 2:
+        return R"({"kind":"gang","team":"t","tasks":3,"cores":1.5,"memory":"2GiB","runTime":"4s","repeatable":false})";
+    default:
+        return exampleFrame();
+    }
+}
+
+bool readFuzzed(std::size_t target, const std::string &input)
+{
+    try {
+        readInput(target, input);
+        return true;
+    } catch (const error &) {
+        return false;
+    }
+}
+
+} // namespace primrosecroft
