Give operators their commands, and guard administration by a bearer token

Cause: anybody who reached an entry daemon could load a sheet, and operators could not list demands, drain a worker or read the history. A drain is a small change of the text of the sheet in force, put in force by compare-and-set; the changed text is read again and refused unless it says just what was meant, so comments stay. A lost race names the winner (writer and operator are in the history row) and shows the difference. Ruled out: a drain path of its own beside the sheet, which would be a second truth; writing the sheet anew from its parts, which would lose comments.

--- a/src/ctl/control_commands.cpp
+++ b/src/ctl/control_commands.cpp
@@ -1,13 +1,20 @@
 #include "control_commands.h"
 
-#include "configuration/sheet.h"
+#include "configuration/sheet_change.h"
+#include "control_call.h"
 #include "core/error.h"
-#include "io/http_client.h"
+#include "io/glib_pointer.h"
 #include "settings/daemon_settings.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <iomanip>
 #include <iostream>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <ranges>
 
 namespace primrosecroft
 {
@@ -15,130 +22,318 @@
 namespace
 {
 
-using namespace std::chrono_literals;
+struct arguments
+{
+    std::string path;
+    std::string name;
+    std::int64_t version = -1;
+};
+
+using command_action = std::function<int(const arguments &values)>;
+
+/// A subcommand whose action runs after the whole command line was read.
+CLI::App *addCommand(CLI::App &group, const std::string &name, const std::string &help, int &status,
+                     const std::shared_ptr<arguments> &values, const command_action &action)
+{
+    auto *command = group.add_subcommand(name, help);
+    command->final_callback([&status, values, action] { status = action(*values); });
+    return command;
+}
+
+/// A key or name as it may stand in a path or query.
+std::string escaped(const std::string &text)
+{
+    return text_pointer(g_uri_escape_string(text.c_str(), nullptr, FALSE)).get();
+}
 
-constexpr auto callTimeout = 10s;
-constexpr unsigned firstFault = 400;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusConflict = 409;
+int refuseUnconfirmed(const std::string &what)
+{
+    std::cerr << what << "; nothing was done, give --yes to do it\n";
+    return exitNotConfirmed;
+}
+
+int show(const control_options &options, const http_answer &answer)
+{
+    if (!isGood(answer)) {
+        return tellFault(options, answer);
+    }
+    std::cout << (options.json || !answer.body.starts_with('{') ? answer.body : bodyOf(answer).dump(2)) << '\n';
+    return 0;
+}
 
-/// Calls and waits. Throws error when no whole answer came.
-http_answer callAndWait(http_call request)
+int loadSheet(const control_options &options, const arguments &values)
 {
-    http_client http;
-    request.timeout = callTimeout;
-    std::optional<http_outcome> outcome;
-    http.call(request, [&outcome](http_outcome result) { outcome = std::move(result); });
-    while (!outcome) {
-        g_main_context_iteration(nullptr, TRUE);
+    const auto text = readFile(values.path);
+    const auto wanted = readSheet(text, values.path);
+    auto against = fetchSheet(options);
+    const auto changes = differences(against.sheet, wanted);
+    const auto removes = std::ranges::any_of(changes, [](const sheet_change &each) {
+        return each.kind == change_kind::removed && each.what.starts_with("workers.");
+    });
+    if (removes && !options.confirmed) {
+        printDifferences(options, against.sheet, wanted);
+        return refuseUnconfirmed("the sheet removes workers");
     }
-    if (const auto *failure = std::get_if<http_failure>(&*outcome)) {
-        throw failure->fault;
+    if (values.version >= 0) {
+        against.version = values.version;
     }
-    return std::get<http_answer>(*outcome);
+    return putSheet(options, text, against);
 }
 
-int exitStatusOf(const http_answer &answer)
+int diffSheet(const control_options &options, const arguments &values)
 {
-    if (answer.status < firstFault) {
+    printDifferences(options, fetchSheet(options).sheet, readSheet(readFile(values.path), values.path));
+    return 0;
+}
+
+int showSheet(const control_options &options, const arguments &values)
+{
+    const auto path =
+        values.version < 0 ? std::string("/v1/sheet") : "/v1/sheet/versions/" + std::to_string(values.version);
+    return show(options, callEntry(options, "GET", path));
+}
+
+int showHistory(const control_options &options, const arguments & /*values*/)
+{
+    const auto answer = callEntry(options, "GET", "/v1/sheet/history");
+    if (!isGood(answer) || options.json) {
+        return show(options, answer);
+    }
+    const auto body = bodyOf(answer);
+    for (const auto &each : body.at("versions")) {
+        std::cout << std::setw(6) << each.at("version").get<std::int64_t>() << "  "
+                  << each.at("hash").get<std::string>().substr(0, 12) << "  " << each.at("writer").get<std::string>()
+                  << '\n';
+    }
+    return 0;
+}
+
+int listDemands(const control_options &options, const arguments &values)
+{
+    auto all = nlohmann::json::array();
+    const auto base = values.name.empty() ? std::string("/v1/demands?") : "/v1/demands?home=" + escaped(values.name) + '&';
+    std::string after;
+    do {
+        const auto answer = callEntry(options, "GET", base + "after=" + escaped(after));
+        if (!isGood(answer)) {
+            return tellFault(options, answer);
+        }
+        const auto page = bodyOf(answer);
+        std::ranges::copy(page.at("demands"), std::back_inserter(all));
+        after = page.value("next", std::string());
+    } while (!after.empty());
+    if (options.json) {
+        std::cout << nlohmann::json {{"demands", all}}.dump() << '\n';
         return 0;
     }
-    if (answer.status == statusConflict) {
-        return exitConflict;
+    for (const auto &each : all) {
+        std::cout << std::left << std::setw(32) << each.at("key").get<std::string>() << ' ' << std::setw(12)
+                  << each.at("home").get<std::string>() << ' ' << std::setw(8) << each.at("kind").get<std::string>()
+                  << ' ' << std::setw(11) << each.at("state").get<std::string>() << " tasks=" << each.at("tasks")
+                  << " team=" << each.at("team").get<std::string>() << '\n';
+    }
+    return 0;
+}
+
+int submitDemand(const control_options &options, const arguments &values)
+{
+    return show(options,
+                callEntry(options, "POST", "/v1/demands", {{"Idempotency-Key", values.name}}, readFile(values.path),
+                          "application/json"));
+}
+
+int cancelDemand(const control_options &options, const arguments &values)
+{
+    if (!options.confirmed) {
+        return refuseUnconfirmed("cancelling " + values.name + " ends its tasks");
     }
-    return answer.body.find("\"outcome\":\"unknown\"") == std::string::npos ? exitRefused : exitUnknown;
+    return show(options, callEntry(options, "DELETE", "/v1/demands/" + escaped(values.name)));
 }
 
-int show(const http_answer &answer)
+void printWorker(const std::string &id, const sheet_worker &worker)
 {
-    (answer.status < firstFault ? std::cout : std::cerr) << answer.body << '\n';
-    return exitStatusOf(answer);
+    std::cout << std::left << std::setw(20) << id << ' ' << std::setw(12) << worker.failureDomain << ' '
+              << std::setw(16) << worker.rack << " mcores=" << worker.total.milliCores
+              << " memory=" << worker.total.memoryMib << "MiB accelerators=" << worker.total.accelerators
+              << (worker.draining ? " draining" : "") << '\n';
 }
 
-std::string versionInForce(const control_options &options)
+nlohmann::json toJson(const std::string &id, const sheet_worker &worker)
 {
-    const auto answer = callAndWait({"GET", options.entry + "/v1/sheet", {}, {}, {}, callTimeout, false});
-    return answer.status == statusNotFound ? "\"0\"" : headerValue(answer.headers, "ETag");
+    return {{"id", id},
+            {"failureDomain", worker.failureDomain},
+            {"rack", worker.rack},
+            {"address", worker.address},
+            {"milliCores", worker.total.milliCores},
+            {"memoryMib", worker.total.memoryMib},
+            {"accelerators", worker.total.accelerators},
+            {"draining", worker.draining}};
 }
 
-int loadSheet(const control_options &options, const std::string &path, const std::string &against)
+/// All workers of the sheet in force, or the one that is named.
+int listWorkers(const control_options &options, const arguments &values)
 {
-    const auto text = readFile(path);
-    readSheet(text, path);
-    const auto version = against.empty() ? versionInForce(options) : '"' + against + '"';
-    http_call call {"PUT", options.entry + "/v1/sheet", {{"If-Match", version}}, text, "application/yaml", callTimeout,
-                    false};
-    return show(callAndWait(std::move(call)));
+    const auto current = fetchSheet(options);
+    auto list = nlohmann::json::array();
+    for (const auto &[id, worker] : current.sheet.workers) {
+        if (!values.name.empty() && values.name != id) {
+            continue;
+        }
+        list.push_back(toJson(id, worker));
+        if (!options.json) {
+            printWorker(id, worker);
+        }
+    }
+    if (options.json) {
+        std::cout << nlohmann::json {{"version", current.version}, {"workers", list}}.dump() << '\n';
+    }
+    if (!values.name.empty() && list.empty()) {
+        std::cerr << "no worker " << values.name << " in the sheet in force\n";
+        return exitRefused;
+    }
+    return 0;
 }
 
-int submitDemand(const control_options &options, const std::string &path, const std::string &key)
+int setDraining(const control_options &options, const worker_id &worker, bool draining)
 {
-    http_call call {"POST",
-                    options.entry + "/v1/demands",
-                    {{"Idempotency-Key", key}},
-                    readFile(path),
-                    "application/json",
-                    callTimeout,
-                    false};
-    return show(callAndWait(std::move(call)));
+    if (draining && !options.confirmed) {
+        return refuseUnconfirmed("draining " + worker + " takes its room away from new tasks");
+    }
+    const auto current = fetchSheet(options);
+    const auto text = withDraining(current.text, worker, draining);
+    if (text == current.text) {
+        std::cout << (options.json ? nlohmann::json {{"outcome", "done"}, {"version", current.version}}.dump()
+                                   : worker + " is so already in version " + std::to_string(current.version))
+                  << '\n';
+        return 0;
+    }
+    return putSheet(options, text, current);
 }
 
-int onDemand(const control_options &options, const std::string &method, const std::string &key)
+int listUpstreams(const control_options &options, const arguments & /*values*/)
 {
-    return show(callAndWait({method, options.entry + "/v1/demands/" + key, {}, {}, {}, callTimeout, false}));
+    const auto answer = callEntry(options, "GET", "/v1/status");
+    if (!isGood(answer)) {
+        return tellFault(options, answer);
+    }
+    const auto upstreams = bodyOf(answer).at("upstreams");
+    if (options.json) {
+        std::cout << nlohmann::json {{"upstreams", upstreams}}.dump() << '\n';
+        return 0;
+    }
+    for (const auto &each : upstreams) {
+        std::cout << std::left << std::setw(24) << each.at("id").get<std::string>() << ' ' << std::setw(12)
+                  << each.at("failureDomain").get<std::string>() << " inFlight=" << each.at("inFlight")
+                  << (each.at("leaving").get<bool>() ? " leaving" : "") << '\n';
+    }
+    return 0;
+}
+
+/// The version that this daemon and each peer it hears has in force, and who lags.
+int listVersions(const control_options &options, const arguments & /*values*/)
+{
+    const auto answer = callEntry(options, "GET", "/v1/status");
+    if (!isGood(answer)) {
+        return tellFault(options, answer);
+    }
+    const auto status = bodyOf(answer);
+    auto daemons = status.at("peers");
+    daemons.push_back(status);
+    std::int64_t highest = 0;
+    for (const auto &each : daemons) {
+        highest = std::max(highest, each.at("configurationVersion").get<std::int64_t>());
+    }
+    auto list = nlohmann::json::array();
+    for (const auto &each : daemons) {
+        const auto version = each.at("configurationVersion").get<std::int64_t>();
+        list.push_back({{"process", each.at("process")},
+                        {"failureDomain", each.at("failureDomain")},
+                        {"version", version},
+                        {"lags", version < highest}});
+    }
+    if (options.json) {
+        std::cout << nlohmann::json {{"highest", highest}, {"daemons", list}}.dump() << '\n';
+        return 0;
+    }
+    for (const auto &each : list) {
+        std::cout << std::left << std::setw(32) << each.at("process").get<std::string>() << ' ' << std::setw(12)
+                  << each.at("failureDomain").get<std::string>() << " version=" << each.at("version")
+                  << (each.at("lags").get<bool>() ? " LAGS behind " + std::to_string(highest) : "") << '\n';
+    }
+    return 0;
 }
 
 } // namespace
 
 void addSheetCommands(CLI::App &app, control_options &options, int &status)
 {
-    auto *sheet = app.add_subcommand("sheet", "planning sheets")->require_subcommand(1);
-    struct arguments
-    {
-        std::string path;
-        std::string against;
-    };
+    auto &sheet = *app.add_subcommand("sheet", "planning sheets")->require_subcommand(1);
     const auto values = std::make_shared<arguments>();
-    auto *load = sheet->add_subcommand("load", "put a sheet in force");
-    load->add_option("file", values->path)->required();
-    load->add_option("--against", values->against, "version that the change was made against; default: in force now");
-    load->callback([&options, &status, values] { status = loadSheet(options, values->path, values->against); });
-    auto *check = sheet->add_subcommand("check", "check a sheet without loading it");
-    check->add_option("file", values->path)->required();
-    check->callback([values] { readSheet(readFile(values->path), values->path); });
-    auto *display = sheet->add_subcommand("show", "print the sheet in force");
-    display->callback([&options, &status] {
-        status = show(callAndWait({"GET", options.entry + "/v1/sheet", {}, {}, {}, callTimeout, false}));
-    });
+    const auto add = [&](const std::string &name, const std::string &help, auto action) {
+        return addCommand(sheet, name, help, status, values,
+                          [&options, action](const arguments &each) { return action(options, each); });
+    };
+    auto *check = add("check", "check a sheet and print all its faults",
+                      [](const control_options & /*options*/, const arguments &each) {
+                          readSheet(readFile(each.path), each.path);
+                          std::cout << each.path << ": good\n";
+                          return 0;
+                      });
+    auto *load = add("load", "put a sheet in force", loadSheet);
+    load->add_option("--against", values->version, "version the change was made against; default: in force now");
+    auto *diff = add("diff", "what a sheet would change", diffSheet);
+    std::ranges::for_each(std::array {check, load, diff},
+                          [&values](CLI::App *each) { each->add_option("file", values->path)->required(); });
+    add("show", "print the sheet in force", showSheet)
+        ->add_option("--version", values->version, "an earlier version instead");
+    add("history", "the last versions and who wrote them", showHistory);
 }
 
 void addDemandCommands(CLI::App &app, control_options &options, int &status)
 {
-    auto *demand = app.add_subcommand("demand", "placement demands")->require_subcommand(1);
-    struct arguments
-    {
-        std::string path;
-        std::string key;
-    };
+    auto &demand = *app.add_subcommand("demand", "placement demands")->require_subcommand(1);
     const auto values = std::make_shared<arguments>();
-    auto *submit = demand->add_subcommand("submit", "submit a demand");
-    submit->add_option("key", values->key, "the demand's idempotency key")->required();
-    submit->add_option("file", values->path, "JSON file")->required();
-    submit->callback([&options, &status, values] { status = submitDemand(options, values->path, values->key); });
-    const auto add = [&options, &status, demand, values](const std::string &name, const std::string &method) {
-        auto *command = demand->add_subcommand(name, name + " a demand");
-        command->add_option("key", values->key)->required();
-        command->callback([&options, &status, values, method] { status = onDemand(options, method, values->key); });
+    const auto add = [&](const std::string &name, const std::string &help, auto action) {
+        return addCommand(demand, name, help, status, values,
+                          [&options, action](const arguments &each) { return action(options, each); });
     };
-    add("show", "GET");
-    add("cancel", "DELETE");
+    auto *submit = add("submit", "submit a demand", submitDemand);
+    auto *display = add("show", "what became of a demand", [](const control_options &all, const arguments &each) {
+        return show(all, callEntry(all, "GET", "/v1/demands/" + escaped(each.name)));
+    });
+    auto *cancel = add("cancel", "cancel a demand (needs --yes)", cancelDemand);
+    std::ranges::for_each(std::array {submit, display, cancel}, [&values](CLI::App *each) {
+        each->add_option("key", values->name, "the demand's idempotency key")->required();
+    });
+    submit->add_option("file", values->path, "JSON file")->required();
+    add("list", "demands that have not ended", listDemands)
+        ->add_option("--home", values->name, "failure domain; default: the entry daemon's own");
 }
 
-void addStatusCommand(CLI::App &app, control_options &options, int &status)
+void addClusterCommands(CLI::App &app, control_options &options, int &status)
 {
-    auto *command = app.add_subcommand("status", "what the entry daemon sees");
-    command->callback([&options, &status] {
-        status = show(callAndWait({"GET", options.entry + "/v1/status", {}, {}, {}, callTimeout, false}));
+    const auto values = std::make_shared<arguments>();
+    const auto add = [&](CLI::App &group, const std::string &name, const std::string &help, auto action) {
+        return addCommand(group, name, help, status, values,
+                          [&options, action](const arguments &each) { return action(options, each); });
+    };
+    auto &worker = *app.add_subcommand("worker", "workers of the sheet in force")->require_subcommand(1);
+    add(worker, "list", "all workers", listWorkers);
+    auto *display = add(worker, "show", "one worker", listWorkers);
+    auto *drain =
+        add(worker, "drain", "give a worker no new tasks (needs --yes)",
+            [](const control_options &all, const arguments &each) { return setDraining(all, each.name, true); });
+    auto *undrain =
+        add(worker, "undrain", "give a worker new tasks again",
+            [](const control_options &all, const arguments &each) { return setDraining(all, each.name, false); });
+    std::ranges::for_each(std::array {display, drain, undrain},
+                          [&values](CLI::App *each) { each->add_option("name", values->name)->required(); });
+    auto &upstream = *app.add_subcommand("upstream", "back ends of booking requests")->require_subcommand(1);
+    add(upstream, "list", "all upstreams as the entry daemon sees them", listUpstreams);
+    auto &config = *app.add_subcommand("config", "the configuration in force")->require_subcommand(1);
+    add(config, "versions", "which daemon has which version in force", listVersions);
+    add(app, "status", "what the entry daemon sees", [](const control_options &all, const arguments & /*each*/) {
+        return show(all, callEntry(all, "GET", "/v1/status"));
     });
 }
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -11,20 +11,40 @@
     CLI::App app("Operators' command line of primrosecroft.");
     app.require_subcommand(1);
     control_options options;
+    std::string output = "text";
     app.add_option("--entry", options.entry, "address of an entry daemon, such as http://127.0.0.1:7400")
-        ->envname("PRIMROSECROFT_ENTRY")
-        ->required();
+        ->envname("PRIMROSECROFT_ENTRY");
+    app.add_option("--token-file", options.tokenFile, "file with the administration's bearer token")
+        ->envname("PRIMROSECROFT_TOKEN_FILE");
+    app.add_option("--operator", options.operatorName, "who changes the sheet, kept in its history")
+        ->envname("PRIMROSECROFT_OPERATOR");
+    app.add_option("--output", output, "text for people, json for scripts")
+        ->check(CLI::IsMember({"text", "json"}))
+        ->capture_default_str();
+    app.add_flag("--yes", options.confirmed, "do what is hard to undo");
+    app.parse_complete_callback([&] { options.json = output == "json"; });
     int status = 0;
     addSheetCommands(app, options, status);
     addDemandCommands(app, options, status);
-    addStatusCommand(app, options, status);
+    addClusterCommands(app, options, status);
+    // Options may also stand after the command, where people type them.
+    app.fallthrough();
+    for (auto *group : app.get_subcommands({})) {
+        group->fallthrough();
+        for (auto *command : group->get_subcommands({})) {
+            command->fallthrough();
+        }
+    }
     try {
         app.parse(argc, argv);
         return status;
     } catch (const CLI::ParseError &fault) {
-        return app.exit(fault);
+        return app.exit(fault) == 0 ? 0 : exitUsage;
     } catch (const error &fault) {
         std::cerr << fault.what() << '\n';
         return exitFailed;
+    } catch (const std::exception &fault) {
+        std::cerr << "read answer: " << fault.what() << '\n';
+        return exitFailed;
     }
 }
--- a/src/entryd/entry_daemon.cpp
+++ b/src/entryd/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "entry_daemon.h"
 
+#include "administration/administration.h"
 #include "observability/problem.h"
 #include "primrosecroft_types.h"
 
@@ -83,11 +84,22 @@
 void entry_daemon::serve(const std::shared_ptr<http_request> &request)
 {
     const auto path = request->path();
+    if (isAdministration(request->method(), path)) {
+        const auto &settings = m_daemon.settings();
+        const auto refusal = refuseUnlessAdministrator({settings.administrationToken, settings.openAdministration},
+                                                       request->header("Authorization"));
+        if (refusal) {
+            m_daemon.measures().count("primrosecroft_administration_refused_total", "status",
+                                      std::to_string(refusal->status));
+            request->answer(*refusal);
+            return;
+        }
+    }
     if (path.starts_with("/booking/")) {
         m_bookings.serve(request);
     } else if (path == "/v1/demands" || path.starts_with("/v1/demands/")) {
         m_demands.serve(request);
-    } else if (path == "/v1/sheet") {
+    } else if (path == "/v1/sheet" || path.starts_with("/v1/sheet/")) {
         m_sheets.serve(request);
     } else {
         request->answer(toAnswer({statusNotFound, request_outcome::refused, "read request", "",
--- /dev/null
+++ b/src/libprimrosecroft/administration/administration.cpp
@@ -0,0 +1,56 @@
+#include "administration/administration.h"
+
+#include "configuration/configuration.h"
+#include "observability/problem.h"
+
+#include <functional>
+#include <numeric>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+constexpr unsigned statusUnauthorized = 401;
+constexpr unsigned statusForbidden = 403;
+constexpr std::string_view bearer = "Bearer ";
+
+} // namespace
+
+bool equalInConstantTime(const std::string &left, const std::string &right)
+{
+    // Hashes have one length, so not even the lengths show.
+    const auto first = sheetHash(left);
+    const auto second = sheetHash(right);
+    const auto differing = std::transform_reduce(
+        first.begin(), first.end(), second.begin(), 0U, std::bit_or<> {},
+        [](char one, char other) { return static_cast<unsigned>(static_cast<unsigned char>(one ^ other)); });
+    return differing == 0;
+}
+
+std::optional<http_answer> refuseUnlessAdministrator(const administration_settings &settings,
+                                                     const std::string &authorization)
+{
+    if (settings.open) {
+        return std::nullopt;
+    }
+    if (settings.token.empty()) {
+        return toAnswer({statusForbidden, request_outcome::refused, "check token", "",
+                         "administration is closed by this process's settings", std::nullopt, ""});
+    }
+    if (authorization.starts_with(bearer) && equalInConstantTime(authorization.substr(bearer.size()), settings.token)) {
+        return std::nullopt;
+    }
+    auto answer = toAnswer({statusUnauthorized, request_outcome::refused, "check token", "",
+                            "this path needs the administration's bearer token", std::nullopt, ""});
+    answer.headers.push_back({"WWW-Authenticate", "Bearer"});
+    return answer;
+}
+
+bool isAdministration(const std::string &method, const std::string &path)
+{
+    return path == "/v1/sheet" || path.starts_with("/v1/sheet/") || (path == "/v1/demands" && method == "GET");
+}
+
+} // namespace primrosecroft
--- a/src/libprimrosecroft/configuration/sheet_service.cpp
+++ b/src/libprimrosecroft/configuration/sheet_service.cpp
@@ -3,6 +3,8 @@
 #include "core/error.h"
 #include "observability/problem.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -23,6 +25,9 @@
 constexpr unsigned statusNeedsVersion = 428;
 constexpr unsigned statusUnavailable = 503;
 constexpr auto storeRetryAfter = 2s;
+constexpr std::size_t longestOperator = 64;
+constexpr std::int64_t historyLength = 20;
+constexpr std::string_view versionPath = "/v1/sheet/versions/";
 
 std::string entityTag(std::int64_t version)
 {
@@ -46,14 +51,29 @@
                      outcome == request_outcome::unknown ? "/v1/sheet" : ""});
 }
 
-http_answer conflict(std::int64_t version)
+http_answer conflict(const configuration_row &winner)
 {
     auto answer = toAnswer({statusConflict, request_outcome::refused, "compare version", "",
-                            "version " + std::to_string(version) + " is in force", std::nullopt, ""});
-    answer.headers.push_back({"ETag", entityTag(version)});
+                            "version " + std::to_string(winner.version) + " is in force, written by " + winner.writer,
+                            std::nullopt, ""});
+    answer.headers.push_back({"ETag", entityTag(winner.version)});
     return answer;
 }
 
+std::string historyKey(std::int64_t version)
+{
+    return "configuration/history/" + std::to_string(version);
+}
+
+/// The operator's name as it may stand in a row; empty when none or an odd one was given.
+std::string operatorOf(const http_request &request)
+{
+    const auto name = request.header("Primrosecroft-Operator");
+    const auto isPlain = std::ranges::all_of(
+        name, [](unsigned char each) { return std::isalnum(each) != 0 || each == '.' || each == '_' || each == '-'; });
+    return isPlain && name.size() <= longestOperator ? name : "";
+}
+
 } // namespace
 
 struct sheet_service::change
@@ -72,7 +92,14 @@
 
 void sheet_service::serve(const std::shared_ptr<http_request> &request)
 {
-    if (request->method() == "GET") {
+    if (request->method() == "GET" && request->path() == "/v1/sheet/history") {
+        history(request);
+    } else if (request->method() == "GET" && request->path().starts_with(versionPath)) {
+        showVersion(request);
+    } else if (request->path() != "/v1/sheet") {
+        request->answer(toAnswer({statusNotFound, request_outcome::refused, "read request", "",
+                                  "no such path is served", std::nullopt, ""}));
+    } else if (request->method() == "GET") {
         show(request);
     } else if (request->method() == "PUT") {
         load(request);
@@ -94,6 +121,63 @@
         {statusOk, {{"Content-Type", "application/yaml"}, {"ETag", entityTag(current->version)}}, current->text});
 }
 
+void sheet_service::history(const std::shared_ptr<http_request> &request)
+{
+    const auto &current = m_configuration.current();
+    const auto last = current ? current->version : 0;
+    std::vector<std::string> keys;
+    for (auto version = last; version > std::max<std::int64_t>(0, last - historyLength); --version) {
+        keys.push_back(historyKey(version));
+    }
+    m_platform.readMany(keys, [request](const std::optional<std::vector<table_row>> &rows) {
+        if (!rows) {
+            request->answer(unreachable(request_outcome::refused, "read history"));
+            return;
+        }
+        std::vector<configuration_row> versions;
+        std::ranges::transform(*rows, std::back_inserter(versions),
+                               [](const table_row &row) { return configurationRowFromJson(row.value); });
+        std::ranges::sort(versions, std::greater<> {}, &configuration_row::version);
+        auto list = nlohmann::json::array();
+        for (const auto &each : versions) {
+            list.push_back({{"version", each.version}, {"hash", each.hash}, {"writer", each.writer}});
+        }
+        request->answer(jsonAnswer(statusOk, nlohmann::json {{"versions", list}}.dump()));
+    });
+}
+
+void sheet_service::showVersion(const std::shared_ptr<http_request> &request)
+{
+    const auto version = versionFromTag('"' + request->path().substr(versionPath.size()) + '"');
+    const auto absent = [request] {
+        request->answer(toAnswer({statusNotFound, request_outcome::refused, "read history", "",
+                                  "no sheet is recorded under this version", std::nullopt, ""}));
+    };
+    if (!version) {
+        absent();
+        return;
+    }
+    m_platform.read(historyKey(*version), [this, request, absent](const row_result &result) {
+        if (!result) {
+            request->answer(unreachable(request_outcome::refused, "read history"));
+            return;
+        }
+        if (!*result) {
+            absent();
+            return;
+        }
+        const auto row = configurationRowFromJson((*result)->value);
+        m_platform.getObject("sheets/" + row.hash, [request, row](const std::optional<std::string> &text) {
+            if (!text) {
+                request->answer(unreachable(request_outcome::refused, "read sheet"));
+                return;
+            }
+            request->answer(
+                {statusOk, {{"Content-Type", "application/yaml"}, {"ETag", entityTag(row.version)}}, *text});
+        });
+    });
+}
+
 void sheet_service::load(const std::shared_ptr<http_request> &request)
 {
     const auto version = versionFromTag(request->header("If-Match"));
@@ -114,6 +198,9 @@
         return;
     }
     entry->row = {*version + 1, sheetHash(entry->text), m_writer + '/' + std::to_string(++m_lastChange)};
+    if (const auto name = operatorOf(*request); !name.empty()) {
+        entry->row.writer += '/' + name;
+    }
     compare(entry);
 }
 
@@ -126,7 +213,7 @@
         }
         const auto current = *result ? configurationRowFromJson((*result)->value) : configuration_row {};
         if (current.version + 1 != entry->row.version) {
-            entry->request->answer(conflict(current.version));
+            entry->request->answer(conflict(current));
             return;
         }
         store(entry, *result ? (*result)->version : table_write::noRow);
@@ -180,7 +267,7 @@
                         if (winner == entry->row) {
                             inForce(entry);
                         } else {
-                            entry->request->answer(conflict(winner.version));
+                            entry->request->answer(conflict(winner));
                         }
                     });
 }
--- a/src/libprimrosecroft/configuration/sheet_service.h
+++ b/src/libprimrosecroft/configuration/sheet_service.h
@@ -11,8 +11,8 @@
 {
 
 /**
- * GET and PUT of the sheet in force. A change is put in force by compare-and-set of
- * its version; of racing operators one wins, and the others learn the version in force.
+ * GET and PUT of the sheet in force, and GET of its history and earlier versions. A change is put in force by
+ * compare-and-set of its version; of racing operators one wins, and the others learn the version in force.
  */
 class sheet_service
 {
@@ -25,6 +25,8 @@
     struct change;
 
     void show(const std::shared_ptr<http_request> &request) const;
+    void history(const std::shared_ptr<http_request> &request);
+    void showVersion(const std::shared_ptr<http_request> &request);
     void load(const std::shared_ptr<http_request> &request);
     void compare(const std::shared_ptr<change> &entry);
     void store(const std::shared_ptr<change> &entry, std::int64_t rowVersion);
--- a/src/libprimrosecroft/demands/demand_service.cpp
+++ b/src/libprimrosecroft/demands/demand_service.cpp
@@ -30,6 +30,7 @@
 constexpr auto resolveInterval = 250ms;
 constexpr auto storeRetryAfter = 2s;
 constexpr int mostCancelTries = 5;
+constexpr std::size_t demandsPerPage = 500;
 constexpr std::string_view demandsPath = "/v1/demands";
 
 std::string demandPath(const demand_key &key)
@@ -133,11 +134,13 @@
 {
     const auto path = request->path();
     if (path == demandsPath) {
-        if (request->method() != "POST") {
-            refuse(request, statusNotAllowed, "read request", "expected POST", std::nullopt);
-            return;
+        if (request->method() == "GET") {
+            list(request);
+        } else if (request->method() == "POST") {
+            submit(request);
+        } else {
+            refuse(request, statusNotAllowed, "read request", "expected GET or POST", std::nullopt);
         }
-        submit(request);
         return;
     }
     const auto key = path.substr(demandsPath.size() + 1);
@@ -287,6 +290,64 @@
     });
 }
 
+/// A page of one failure domain's demands that have not ended, by key, after the key that the query names.
+void demand_service::list(const std::shared_ptr<http_request> &request)
+{
+    const auto home = request->query("home").empty() ? m_ownDomain : request->query("home");
+    const auto *sheet = m_links.sheet();
+    if (sheet == nullptr || !sheet->regions.contains(home)) {
+        refuse(request, statusNotFound, "list demands", "no such failure domain in the sheet in force", std::nullopt);
+        return;
+    }
+    const auto prefix = activeRowPrefix(home);
+    m_platform.list(prefix, [this, request, prefix](const std::optional<std::vector<table_row>> &index) {
+        if (!index) {
+            refuse(request, statusUnavailable, "list demands", "the store is out of reach", storeRetryAfter);
+            return;
+        }
+        std::vector<demand_key> keys;
+        const auto after = request->query("after");
+        for (const auto &row : *index) {
+            if (const auto key = row.key.substr(prefix.size()); key > after) {
+                keys.push_back(key);
+            }
+        }
+        std::ranges::sort(keys);
+        const auto hasMore = keys.size() > demandsPerPage;
+        keys.resize(std::min(keys.size(), demandsPerPage));
+        listPage(request, keys, hasMore);
+    });
+}
+
+void demand_service::listPage(const std::shared_ptr<http_request> &request, const std::vector<demand_key> &keys,
+                              bool hasMore)
+{
+    std::vector<std::string> rowKeys;
+    std::ranges::transform(keys, std::back_inserter(rowKeys), demandRowKey);
+    const auto next = hasMore ? keys.back() : demand_key();
+    m_platform.readMany(rowKeys, [this, request, next](const std::optional<std::vector<table_row>> &rows) {
+        if (!rows) {
+            refuse(request, statusUnavailable, "list demands", "the store is out of reach", storeRetryAfter);
+            return;
+        }
+        auto demands = nlohmann::json::array();
+        for (const auto &each : *rows) {
+            const auto row = rowFromJson(each.value);
+            demands.push_back({{"key", row.key},
+                               {"home", row.home},
+                               {"state", stateOf(row)},
+                               {"kind", toString(row.spec.kind)},
+                               {"team", row.spec.team},
+                               {"tasks", row.spec.tasks}});
+        }
+        nlohmann::json body {{"demands", demands}};
+        if (!next.empty()) {
+            body["next"] = next;
+        }
+        request->answer(jsonAnswer(statusOk, body.dump()));
+    });
+}
+
 void demand_service::cancel(const std::shared_ptr<http_request> &request, const demand_key &key, int triesLeft)
 {
     m_platform.read(demandRowKey(key), [this, request, key, triesLeft](const row_result &result) {
--- a/src/libprimrosecroft/demands/demand_service.h
+++ b/src/libprimrosecroft/demands/demand_service.h
@@ -42,7 +42,7 @@
     demand_service(platform_client &platform, metrics &measures, demand_links links, failure_domain_id ownDomain,
                    std::chrono::milliseconds acceptDeadline);
 
-    /// Serves POST /v1/demands and GET or DELETE /v1/demands/{key}.
+    /// Serves POST /v1/demands and GET or DELETE /v1/demands/{key}; GET /v1/demands is the administration's.
     void serve(const std::shared_ptr<http_request> &request);
 
 private:
@@ -54,6 +54,8 @@
     void resolveLater(const std::shared_ptr<submission> &entry);
     void accepted(const std::shared_ptr<submission> &entry);
     void query(const std::shared_ptr<http_request> &request, const demand_key &key);
+    void list(const std::shared_ptr<http_request> &request);
+    void listPage(const std::shared_ptr<http_request> &request, const std::vector<demand_key> &keys, bool hasMore);
     void cancel(const std::shared_ptr<http_request> &request, const demand_key &key, int triesLeft);
     void commitCancel(const std::shared_ptr<http_request> &request, const demand_row &row, std::int64_t version,
                       int triesLeft);
