Report how fast error budgets burn, from the daemons' metrics

Cause: nobody could see from outside whether the objectives hold. primrosecroft-burn asks all daemons for their metrics (or reads what it saved before) and reports each objective over 5 min and 1 h (14.4) and 30 min and 6 h (6), for each failure domain and for all, as text, JSON and a PNG or SVG by cairo; alerts need both windows of a pair (The Site Reliability Workbook, chapter 5). A counter that fell began anew at nought, so a restart loses only what was not scraped; resets, gaps and missing daemons are told, and a missing daemon makes a row UNSEEN, never good. Ruled out: rates of single daemons averaged, which would weigh an idle daemon like a busy one.

--- /dev/null
+++ b/src/burn/burn_picture.cpp
@@ -0,0 +1,198 @@
+#include "burn_picture.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+#include <cairo-svg.h>
+#include <cairo.h>
+#include <cmath>
+#include <iomanip>
+#include <memory>
+#include <sstream>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+// All lengths in pixels.
+constexpr double width = 1080;
+constexpr double headHeight = 76;
+constexpr double rowHeight = 74;
+constexpr double barHeight = 12;
+constexpr double barStep = 16;
+constexpr double labelLeft = 16;
+constexpr double windowLeft = 268;
+constexpr double barLeft = 320;
+constexpr double barWidth = 530;
+constexpr double stateLeft = 930;
+constexpr double fontSize = 13;
+constexpr double smallFontSize = 11;
+constexpr double lowestBurn = 0.1;
+constexpr double highestBurn = 100;
+
+struct colour
+{
+    double red;
+    double green;
+    double blue;
+};
+
+constexpr colour ink {0.13, 0.15, 0.18};
+constexpr colour faint {0.80, 0.82, 0.85};
+constexpr colour calm {0.20, 0.55, 0.45};
+constexpr colour warm {0.87, 0.58, 0.10};
+constexpr colour hot {0.78, 0.16, 0.16};
+
+using context_pointer = std::unique_ptr<cairo_t, decltype(&cairo_destroy)>;
+using surface_pointer = std::unique_ptr<cairo_surface_t, decltype(&cairo_surface_destroy)>;
+
+void use(cairo_t *context, const colour &value)
+{
+    cairo_set_source_rgb(context, value.red, value.green, value.blue);
+}
+
+void write(cairo_t *context, double left, double base, const std::string &text, double size = fontSize)
+{
+    cairo_set_font_size(context, size);
+    cairo_move_to(context, left, base);
+    cairo_show_text(context, text.c_str());
+}
+
+double lengthOf(double burn)
+{
+    const auto shown = std::clamp(burn, lowestBurn, highestBurn);
+    return barWidth * std::log(shown / lowestBurn) / std::log(highestBurn / lowestBurn);
+}
+
+std::string shortNumber(double value)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(value < 10 ? 2 : 1) << value;
+    return out.str();
+}
+
+void drawScale(cairo_t *context, double bottom)
+{
+    for (const auto burn : {0.1, 1.0, 6.0, 14.4, 100.0}) {
+        const auto left = barLeft + lengthOf(burn);
+        use(context, faint);
+        cairo_set_line_width(context, burn == 1.0 ? 2 : 1);
+        cairo_move_to(context, left, headHeight - 8);
+        cairo_line_to(context, left, bottom);
+        cairo_stroke(context);
+        use(context, ink);
+        std::ostringstream label;
+        label << burn;
+        write(context, left - 8, headHeight - 14, label.str(), smallFontSize);
+    }
+}
+
+const colour &colourOf(double burn, double threshold)
+{
+    if (burn > threshold) {
+        return hot;
+    }
+    return burn > 1 ? warm : calm;
+}
+
+void drawWindow(cairo_t *context, const window_burn &window, const burn_window &wanted, double top)
+{
+    const auto base = top + barHeight - 2;
+    use(context, ink);
+    write(context, windowLeft, base, wanted.name, smallFontSize);
+    auto labelAt = barLeft + 4;
+    std::string label = "no events";
+    if (window.burn) {
+        const auto length = std::max(2.0, lengthOf(*window.burn));
+        use(context, colourOf(*window.burn, wanted.threshold));
+        cairo_rectangle(context, barLeft, top, length, barHeight);
+        cairo_fill(context);
+        labelAt += length;
+        label = shortNumber(*window.burn);
+    }
+    if (window.covered < wanted.length) {
+        label += " (holds " + std::to_string(std::chrono::duration_cast<std::chrono::minutes>(window.covered).count())
+            + " min)";
+    }
+    use(context, ink);
+    write(context, labelAt, base, label, smallFontSize);
+}
+
+void drawRow(cairo_t *context, const burn_row &row, double top)
+{
+    use(context, faint);
+    cairo_set_line_width(context, 1);
+    cairo_move_to(context, labelLeft, top - 4);
+    cairo_line_to(context, width - labelLeft, top - 4);
+    cairo_stroke(context);
+    use(context, ink);
+    write(context, labelLeft, top + 14, row.objective);
+    write(context, labelLeft, top + 32, row.failureDomain.empty() ? "all failure domains" : row.failureDomain);
+    std::ostringstream target;
+    target << "target " << row.target * 100 << " %";
+    write(context, labelLeft, top + 50, target.str(), smallFontSize);
+    for (std::size_t index = 0; index < burnWindows.size(); ++index) {
+        drawWindow(context, row.windows.at(index), burnWindows.at(index), top + barStep * static_cast<double>(index));
+    }
+    const auto isAlert = row.state == burn_state::fastBurn || row.state == burn_state::unseen;
+    const auto &calmOrWarm = row.state == burn_state::slowBurn ? warm : ink;
+    use(context, isAlert ? hot : calmOrWarm);
+    write(context, stateLeft, top + 14, toString(row.state));
+    use(context, ink);
+    const auto note = [&](const char *what, std::size_t count, double base) {
+        if (count > 0) {
+            write(context, stateLeft, base, std::string(what) + ": " + std::to_string(count), smallFontSize);
+        }
+    };
+    note("daemons missing", row.missing.size(), top + 30);
+    note("with gaps", row.gaps.size(), top + 44);
+    note("restarted", row.resets.size(), top + 58);
+}
+
+void drawReport(cairo_t *context, const burn_report &report, double height)
+{
+    cairo_set_source_rgb(context, 1, 1, 1);
+    cairo_paint(context);
+    cairo_select_font_face(context, "sans-serif", CAIRO_FONT_SLANT_NORMAL, CAIRO_FONT_WEIGHT_NORMAL);
+    use(context, ink);
+    write(context, labelLeft, 26,
+          "Error budget burn (1 spends it just within its period; fast alert 14.4, slow alert 6)", fontSize + 2);
+    drawScale(context, height - 8);
+    auto top = headHeight;
+    for (const auto &row : report.rows) {
+        drawRow(context, row, top);
+        top += rowHeight;
+    }
+}
+
+} // namespace
+
+void drawPicture(const burn_report &report, const std::string &path)
+{
+    const auto height = headHeight + rowHeight * static_cast<double>(report.rows.size()) + 8;
+    const auto isPng = path.ends_with(".png");
+    if (!isPng && !path.ends_with(".svg")) {
+        throw error("draw picture", "", path + ": expected a file name that ends with .png or .svg");
+    }
+    const surface_pointer surface(
+        isPng ? cairo_image_surface_create(CAIRO_FORMAT_RGB24, static_cast<int>(width), static_cast<int>(height))
+              : cairo_svg_surface_create(path.c_str(), width, height),
+        &cairo_surface_destroy);
+    const context_pointer context(cairo_create(surface.get()), &cairo_destroy);
+    drawReport(context.get(), report, height);
+    auto status = cairo_status(context.get());
+    if (isPng && status == CAIRO_STATUS_SUCCESS) {
+        status = cairo_surface_write_to_png(surface.get(), path.c_str());
+    }
+    if (!isPng) {
+        cairo_surface_finish(surface.get());
+        status = cairo_surface_status(surface.get());
+    }
+    if (status != CAIRO_STATUS_SUCCESS) {
+        throw error("draw picture", "", path + ": " + cairo_status_to_string(status));
+    }
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/burn/main.cpp
@@ -0,0 +1,115 @@
+#include "burn_output.h"
+#include "burn_picture.h"
+#include "core/error.h"
+#include "io/http_client.h"
+#include "settings/daemon_settings.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+namespace
+{
+
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+constexpr auto scrapeTimeout = 2s;
+constexpr unsigned statusOk = 200;
+constexpr int exitFailed = 1;
+constexpr int exitBurning = 3; ///< an objective burns fast or slowly
+constexpr int exitUnseen = 4; ///< no alert, but daemons are missing
+
+/// Asks all daemons at once; one that gives no whole answer in time has none.
+std::string scrapeAll(const burn_settings &settings)
+{
+    http_client http;
+    std::vector<std::optional<std::string>> texts(settings.daemons.size());
+    std::vector<daemon_scrape> daemons;
+    std::size_t open = settings.daemons.size();
+    for (std::size_t index = 0; index < settings.daemons.size(); ++index) {
+        const auto &daemon = settings.daemons[index];
+        daemons.push_back({daemon.process, daemon.failureDomain, std::nullopt});
+        http.call({"GET", daemon.url + "/metrics", {}, {}, {}, scrapeTimeout, false},
+                  [&texts, &open, index](const http_outcome &outcome) {
+                      --open;
+                      const auto *answer = std::get_if<http_answer>(&outcome);
+                      if (answer != nullptr && answer->status == statusOk) {
+                          texts[index] = answer->body;
+                      }
+                  });
+    }
+    while (open > 0) {
+        g_main_context_iteration(nullptr, TRUE);
+    }
+    const auto at =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    return toLine(at, daemons, texts);
+}
+
+void collect(const burn_settings &settings, const std::string &path, int times, std::chrono::seconds interval)
+{
+    for (int turn = 0; turn < times; ++turn) {
+        if (turn > 0) {
+            std::this_thread::sleep_for(interval);
+        }
+        std::ofstream file(path, std::ios::app);
+        file << scrapeAll(settings) << '\n';
+        if (!file.flush()) {
+            throw error("save series", "", "can't write " + path);
+        }
+    }
+}
+
+int statusOf(const burn_report &report)
+{
+    const auto any = [&report](burn_state state) {
+        return std::ranges::any_of(report.rows, [state](const burn_row &row) { return row.state == state; });
+    };
+    if (any(burn_state::fastBurn) || any(burn_state::slowBurn)) {
+        return exitBurning;
+    }
+    return any(burn_state::unseen) ? exitUnseen : 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Reports how fast the error budgets of the objectives burn.");
+    std::string settingsPath;
+    std::string seriesPath;
+    std::string picture;
+    std::string output = "text";
+    int scrapes = 0;
+    int interval = 30;
+    app.add_option("settings", settingsPath, "YAML file with daemons and objectives")->required();
+    app.add_option("--series", seriesPath, "file with the saved scrapes")->required();
+    app.add_option("--scrape", scrapes, "ask all daemons so many times first and add what they say to the series")
+        ->check(CLI::Range(0, 100'000));
+    app.add_option("--every", interval, "seconds between two scrapes")
+        ->check(CLI::Range(1, 3600))
+        ->capture_default_str();
+    app.add_option("--picture", picture, "draw the report into this .png or .svg file");
+    app.add_option("--output", output)->check(CLI::IsMember({"text", "json"}))->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+    try {
+        const auto settings = readBurnSettings(readFile(settingsPath), settingsPath);
+        collect(settings, seriesPath, scrapes, std::chrono::seconds(interval));
+        const auto series = readSeries(readFile(seriesPath), seriesPath);
+        if (series.empty()) {
+            throw error("read " + seriesPath, "", "no scrape is in it");
+        }
+        const auto report = makeBurnReport(settings, series);
+        std::cout << (output == "json" ? toJson(report) + '\n' : toText(report));
+        if (!picture.empty()) {
+            drawPicture(report, picture);
+        }
+        return statusOf(report);
+    } catch (const error &fault) {
+        std::cerr << fault.what() << '\n';
+        return exitFailed;
+    }
+}
--- a/src/ctl/control_commands.cpp
+++ b/src/ctl/control_commands.cpp
@@ -111,7 +111,8 @@
 int listDemands(const control_options &options, const arguments &values)
 {
     auto all = nlohmann::json::array();
-    const auto base = values.name.empty() ? std::string("/v1/demands?") : "/v1/demands?home=" + escaped(values.name) + '&';
+    const auto base =
+        values.name.empty() ? std::string("/v1/demands?") : "/v1/demands?home=" + escaped(values.name) + '&';
     std::string after;
     do {
         const auto answer = callEntry(options, "GET", base + "after=" + escaped(after));
