--- a/src/burn/burn_picture.cpp
+++ b/src/burn/burn_picture.cpp
@@ -73,6 +73,15 @@
     return out.str();
 }
 
+std::string shortTime(std::chrono::milliseconds time)
+{
+    const auto minutes = std::chrono::duration_cast<std::chrono::minutes>(time);
+    if (minutes.count() > 0) {
+        return std::to_string(minutes.count()) + " min";
+    }
+    return std::to_string(std::chrono::duration_cast<std::chrono::seconds>(time).count()) + " s";
+}
+
 void drawScale(cairo_t *context, double bottom)
 {
     for (const auto burn : {0.1, 1.0, 6.0, 14.4, 100.0}) {
@@ -113,8 +122,7 @@
         label = shortNumber(*window.burn);
     }
     if (window.covered < wanted.length) {
-        label += " (holds " + std::to_string(std::chrono::duration_cast<std::chrono::minutes>(window.covered).count())
-            + " min)";
+        label += " (holds " + shortTime(window.covered) + ")";
     }
     use(context, ink);
     write(context, labelAt, base, label, smallFontSize);
--- a/src/burn/burn_series.cpp
+++ b/src/burn/burn_series.cpp
@@ -106,7 +106,7 @@
             throw error("read " + name, "", "line " + std::to_string(number) + ": " + fault.what());
         }
     }
-    std::ranges::stable_sort(result, {}, &scrape::at);
+    std::ranges::sort(result, {}, &scrape::at);
     return result;
 }
 
--- a/src/libprimrosecroft/configuration/configuration_follower.cpp
+++ b/src/libprimrosecroft/configuration/configuration_follower.cpp
@@ -1,6 +1,7 @@
 #include "configuration/configuration_follower.h"
 
 #include "core/error.h"
+#include "observability/log_text.h"
 
 #include <glog/logging.h>
 #include <utility>
@@ -48,7 +49,7 @@
         });
     } catch (const error &fault) {
         m_reading = false;
-        LOG(ERROR) << "configuration: unreadable row, reason=" << fault.what();
+        LOG(ERROR) << "configuration: unreadable row, reason=" << logText(fault.what());
     }
 }
 
@@ -67,7 +68,7 @@
         LOG(INFO) << "configuration: in force, version=" << offered.version << " sheet=" << sheet.name;
         m_applied(sheet);
     } catch (const error &fault) {
-        LOG(ERROR) << "configuration: refused, version=" << offered.version << " reason=" << fault.what();
+        LOG(ERROR) << "configuration: refused, version=" << offered.version << " reason=" << logText(fault.what());
     }
 }
 
--- a/src/libprimrosecroft/io/peer_hub.cpp
+++ b/src/libprimrosecroft/io/peer_hub.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "io/timer.h"
+#include "observability/log_text.h"
 #include "primrosecroft_types.h"
 #include "protocol/frame.h"
 
@@ -113,7 +114,7 @@
         try {
             link.m_then(link);
         } catch (const error &refused) {
-            LOG(WARNING) << "peers: closed a connection, reason=" << refused.what();
+            LOG(WARNING) << "peers: closed a connection, reason=" << logText(refused.what());
             link.close();
         }
     }
--- a/src/libprimrosecroft/observability/metrics.cpp
+++ b/src/libprimrosecroft/observability/metrics.cpp
@@ -1,17 +1,37 @@
 #include "observability/metrics.h"
 
+#include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+#include <set>
 
 namespace primrosecroft
 {
 
+namespace
+{
+
+constexpr std::size_t mostLabelValues = 64;
+
+} // namespace
+
 struct metrics::parts
 {
+    /// The value itself, or `other` when the metric has as many values as it may have.
+    std::string bounded(const std::string &name, const std::string &value)
+    {
+        auto &known = values[name];
+        if (!known.contains(value) && known.size() >= mostLabelValues) {
+            return "other";
+        }
+        return *known.insert(value).first;
+    }
+
     prometheus::Registry registry;
+    std::map<std::string, std::set<std::string>> values; ///< of the label, by metric
 };
 
 namespace
@@ -35,7 +55,11 @@
 
 void metrics::count(const std::string &name, const std::string &label, const std::string &value, double amount)
 {
-    prometheus::BuildCounter().Name(name).Register(m_parts->registry).Add({{label, value}}).Increment(amount);
+    prometheus::BuildCounter()
+        .Name(name)
+        .Register(m_parts->registry)
+        .Add({{label, m_parts->bounded(name, value)}})
+        .Increment(amount);
 }
 
 void metrics::set(const std::string &name, double value)
@@ -49,7 +73,7 @@
     prometheus::BuildHistogram()
         .Name(name)
         .Register(m_parts->registry)
-        .Add({{label, value}}, waitingBuckets())
+        .Add({{label, m_parts->bounded(name, value)}}, waitingBuckets())
         .Observe(std::chrono::duration<double>(took).count());
 }
 
--- a/src/libprimrosecroft/observability/metrics.h
+++ b/src/libprimrosecroft/observability/metrics.h
@@ -7,7 +7,8 @@
 namespace primrosecroft
 {
 
-/// A process's own measures, shown in Prometheus' text format.
+/// A process's own measures, shown in Prometheus' text format. Past 64 values of a label, further ones count as
+/// `other`.
 class metrics
 {
 public:
--- a/src/libprimrosecroft/routing/booking_proxy.cpp
+++ b/src/libprimrosecroft/routing/booking_proxy.cpp
@@ -1,5 +1,6 @@
 #include "routing/booking_proxy.h"
 
+#include "observability/log_text.h"
 #include "observability/problem.h"
 
 #include <algorithm>
@@ -184,7 +185,7 @@
     } else if (const auto *delivered = std::get_if<deliver_answer>(&action)) {
         deliver(*delivered);
     } else if (const auto *left = std::get_if<spread_leaving>(&action)) {
-        LOG(INFO) << "routing: upstream leaves, upstream=" << left->upstream;
+        LOG(INFO) << "routing: upstream leaves, upstream=" << logText(left->upstream);
         m_spreadLeaving(left->upstream);
     }
 }
@@ -259,7 +260,8 @@
 
 void booking_proxy::failed(const std::shared_ptr<booking> &entry, const http_failure &failure)
 {
-    LOG_EVERY_N(WARNING, 50) << "routing: attempt failed, id=" << entry->id << " reason=" << failure.fault.what();
+    LOG_EVERY_N(WARNING, 50) << "routing: attempt failed, id=" << entry->id
+                             << " reason=" << logText(failure.fault.what());
     if (entry->streaming) {
         entry->caller->abort();
         take(entry->id);
--- a/src/libprimrosecroft/settings/checked_node.cpp
+++ b/src/libprimrosecroft/settings/checked_node.cpp
@@ -150,8 +150,9 @@
     if (!m_faults || m_faults->empty()) {
         return;
     }
-    std::ranges::stable_sort(*m_faults, {},
-                             [](const document_fault &fault) { return std::tuple(fault.line(), fault.column()); });
+    std::ranges::sort(*m_faults, {}, [](const document_fault &fault) {
+        return std::tuple(fault.line(), fault.column(), std::string(fault.what()));
+    });
     const auto &step = m_faults->front().step();
     std::string reason;
     for (const auto &fault : *m_faults) {
--- a/src/schedd/scheduler_daemon.cpp
+++ b/src/schedd/scheduler_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "demands/demand_service.h"
+#include "observability/log_text.h"
 #include "observability/problem.h"
 #include "primrosecroft_types.h"
 
@@ -58,7 +59,7 @@
     try {
         return parse(answer->body);
     } catch (const error &fault) {
-        LOG(WARNING) << "workers: unreadable answer, reason=" << fault.what();
+        LOG(WARNING) << "workers: unreadable answer, reason=" << logText(fault.what());
         return std::nullopt;
     }
 }
--- a/tests/process/operators_check.sh
+++ b/tests/process/operators_check.sh
@@ -58,10 +58,14 @@
 expect 0 "sheet: clydemuir-morning" $ctl sheet show --version 1
 expect 0 "version 3" $ctl worker undrain dyce-w01
 expect 0 '"version":3' $ctl --output json config versions
+$ctl sheet show --version 2 >"$CELL/old.yaml"
+expect 0 "in force: version 4" $ctl sheet load "$CELL/old.yaml"
+expect 0 "draining" $ctl worker show dyce-w01
 expect 4 "no worker" $ctl worker show nowhere
 echo '{"kind":"batch","team":"yard","tasks":1,"cores":1,"memory":"1GiB"}' >"$CELL/demand.json"
 expect 0 accepted "$bare" demand submit wash-1 "$CELL/demand.json"
 expect 0 "wash-1" $ctl demand list
+expect 0 '"state": "accepted"' "$bare" demand show wash-1
 expect 7 "give --yes" "$bare" demand cancel wash-1
 expect 0 cancel "$bare" demand cancel wash-1 --yes
 expect 0 grangemouth-x01 $ctl upstream list
--- /dev/null
+++ b/tests/unit/observability_test.cpp
@@ -0,0 +1,26 @@
+#include "observability/log_text.h"
+#include "observability/metrics.h"
+
+#include <catch2/catch.hpp>
+
+using namespace primrosecroft;
+
+TEST_CASE("text from outside can neither end a log line nor steer a terminal")
+{
+    CHECK(logText("plain text") == "plain text");
+    CHECK(logText("a\nE1204 forged") == "a\\x0aE1204 forged");
+    CHECK(logText("\x1b[31m\x7f\xc3\\") == "\\x1b[31m\\x7f\\xc3\\\\");
+    CHECK(logText(std::string(5000, 'a')) == std::string(400, 'a') + "...");
+}
+
+TEST_CASE("a metric has a bounded number of label values")
+{
+    metrics measures;
+    for (int turn = 0; turn < 1000; ++turn) {
+        measures.count("events_total", "reason", "reason " + std::to_string(turn));
+    }
+    const auto text = measures.text();
+    CHECK(text.find("{reason=\"reason 63\"} 1\n") != std::string::npos);
+    CHECK(text.find("reason 64\"") == std::string::npos);
+    CHECK(text.find("events_total{reason=\"other\"} 936\n") != std::string::npos);
+}
