--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 using namespace primrosecroft;
+using namespace std::string_literals;
 
 namespace
 {
@@ -13,7 +14,7 @@
 /// One to eight changes of the kinds that break readers: flips, cuts, repeats, and telling characters.
 std::string mutate(std::string text, std::mt19937 &random)
 {
-    static const std::string telling = "{}[]:,&*!|>'\"%@`#\n\t -\\\x00\xff\x80";
+    static const std::string telling = "{}[]:,&*!|>'\"%@`#\n\t -\\\0\xff\x80"s;
     const auto below = [&random](std::size_t bound) { return bound == 0 ? 0 : random() % bound; };
     for (auto changes = 1 + below(8); changes > 0; --changes) {
         const auto at = below(text.size() + 1);
