--- a/src/libprimrosecroft/configuration/configuration_follower.cpp
+++ b/src/libprimrosecroft/configuration/configuration_follower.cpp
@@ -1,6 +1,7 @@
 #include "configuration/configuration_follower.h"
 
 #include "core/error.h"
+#include "observability/log_text.h"
 
 #include <glog/logging.h>
 #include <utility>
@@ -25,7 +26,7 @@
     try {
         return {std::optional(configurationRowFromJson((*result)->value))};
     } catch (const error &fault) {
-        LOG(ERROR) << "configuration: unreadable row, reason=" << fault.what();
+        LOG(ERROR) << "configuration: unreadable row, reason=" << logText(fault.what());
         return {};
     }
 }
@@ -66,7 +67,7 @@
         m_offered = std::move(sheet);
         handle(body_arrived {offered});
     } catch (const error &fault) {
-        LOG(ERROR) << "configuration: refused, version=" << offered.version << " reason=" << fault.what();
+        LOG(ERROR) << "configuration: refused, version=" << offered.version << " reason=" << logText(fault.what());
         handle(version_refused {offered.version});
     }
 }
