--- a/tests/process/small_cell.sh
+++ b/tests/process/small_cell.sh
@@ -63,6 +63,7 @@
 intervals: {heartbeat: 1s, configuration: 2s, vmList: 2s}
 shutdown: {balancerPause: 1s, limit: 20s}
 deadlines: {booking: 10s, accept: 4s}
+administration: {open: true}
 leases: {holderTerm: 5s, taskTerm: 25s, margin: 500ms, exchangeInterval: 1s, requestTimeout: 1s}
 SETTINGS
     done
--- a/tests/standins/worker_model.h
+++ b/tests/standins/worker_model.h
@@ -3,6 +3,7 @@
 #include "workers/worker_messages.h"
 
 #include <map>
+#include <set>
 
 /**
  * A platform worker as the project assumes it, without I/O: holder lease, tasks under
