Lose a lapsed majority before handling a message, and bar a refused start

(1) A claim's answer that came first after a pause could make up a new majority in the same step, without the old one being noticed as lost, so nothing was put in doubt. (2) A start refused as full went elsewhere at once; a copy of it still under way could start when there was room. (3) A list read under a claim that lapsed was kept. Ruled out: releasing the worker without a bar, as a release may be lost.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 check: setup-check build format-check lint test
 
 test:
+	@if [ -s KNOWN-RED.txt ]; then echo 'known to be red, not run:'; cat KNOWN-RED.txt; fi
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 format:
--- a/src/libprimrosecroft/configuration/sheet.cpp
+++ b/src/libprimrosecroft/configuration/sheet.cpp
@@ -108,7 +108,7 @@
     cell result;
     for (const auto &[id, worker] : sheet.workers) {
         if (worker.failureDomain == domain) {
-            result.emplace(id, cell_worker {id, worker.rack, worker.total, worker.total, !worker.draining});
+            result.emplace(id, cell_worker {id, worker.rack, worker.total, worker.total, {}, !worker.draining});
         }
     }
     return result;
--- a/src/libprimrosecroft/scheduling/exchanges.cpp
+++ b/src/libprimrosecroft/scheduling/exchanges.cpp
@@ -42,14 +42,24 @@
         }
         return;
     }
-    loseAttempt(state, worker, order.attempt);
     if (result == start_result::full) {
-        // The worker runs what isn't in the books: read its list again.
-        auto &held = state.ownership.workers.at(worker);
-        actions.emplace_back(send_release {worker, held.token});
-        dropClaim(held);
-        state.nextWalk = now;
+        // A copy of the start may still arrive when there is room: it is barred first.
+        orderStop(state, worker, order.attempt);
+        task.phase = task_phase::stopping;
+        record.listAgain = true;
+        return;
     }
+    loseAttempt(state, worker, order.attempt);
+}
+
+/// The worker runs what isn't in the books: its list is read again under a new claim.
+void listAgain(scheduler_state &state, const worker_id &worker, instant now, action_list &actions)
+{
+    auto &held = state.ownership.workers.at(worker);
+    state.records.at(worker).listAgain = false;
+    actions.emplace_back(send_release {worker, held.token});
+    dropClaim(held);
+    state.nextWalk = now;
 }
 
 exchange_request makeExchange(const scheduler_state &state, worker_record &record, const held_worker &held)
@@ -133,6 +143,9 @@
         loseAttempt(state, message.worker, attempt);
     }
     state.ordered.insert(message.worker);
+    if (record.listAgain && record.stops.empty()) {
+        listAgain(state, message.worker, now, actions);
+    }
 }
 
 void exchangeLost(scheduler_state &state, const worker_request_lost &message, instant now)
--- a/src/libprimrosecroft/scheduling/scheduler.cpp
+++ b/src/libprimrosecroft/scheduling/scheduler.cpp
@@ -110,6 +110,10 @@
 std::vector<scheduler_action> step(scheduler_state &state, const scheduler_message &message, instant now)
 {
     action_list actions;
+    if (now >= state.nextWalk) {
+        // What lapsed in a pause is lost before the message can hide it.
+        detail::updateMajority(state, now, actions);
+    }
     std::visit(message_handler {state, now, actions}, message);
     // No lease that is counted on lapses before nextWalk, and one that is dropped sets it to now.
     const auto walks = !isFrequent(message) || now >= state.nextWalk;
--- a/src/libprimrosecroft/scheduling/scheduler.h
+++ b/src/libprimrosecroft/scheduling/scheduler.h
@@ -128,6 +128,7 @@
     std::set<attempt_id> forgets;
     std::optional<exchange_request> sent;
     bool draining = false;
+    bool listAgain = false; ///< it refused a start that the books had room for
     worker_health health {};
     std::set<attempt_id> checkpoints {};
 };
--- a/src/libprimrosecroft/scheduling/takeover.cpp
+++ b/src/libprimrosecroft/scheduling/takeover.cpp
@@ -76,7 +76,12 @@
         }
     }
     for (auto &[id, record] : state.records) {
-        record = {record.rack, {}, record.listing, {}, {}, {}, {}, {}, record.draining, record.health};
+        worker_record fresh;
+        fresh.rack = record.rack;
+        fresh.listing = std::move(record.listing);
+        fresh.draining = record.draining;
+        fresh.health = record.health;
+        record = std::move(fresh);
         state.unreached.insert(id);
     }
     for (auto &[id, record] : state.records) {
@@ -164,9 +169,10 @@
 
 void updateMajority(scheduler_state &state, instant now, action_list &actions)
 {
-    for (auto &worker : state.ownership.workers | std::views::values) {
+    for (auto &[id, worker] : state.ownership.workers) {
         if (worker.claimed && !holds(worker, now)) {
             dropClaim(worker);
+            state.records.at(id).listing.reset();
         }
     }
     const auto held = !state.leaving && holdsMajority(state.ownership, now);
--- a/tests/bench/placement_bench.cpp
+++ b/tests/bench/placement_bench.cpp
@@ -120,7 +120,8 @@
     const auto model = makeCell(size, {});
     cell workers;
     for (const auto &[id, worker] : model.workers) {
-        workers.emplace(id, cell_worker {id, model.scheduler.records.at(id).rack, worker.total, worker.total, true});
+        workers.emplace(id,
+                        cell_worker {id, model.scheduler.records.at(id).rack, worker.total, worker.total, {}, true});
     }
     return workers;
 }
--- a/tests/standins/virtual_cell.cpp
+++ b/tests/standins/virtual_cell.cpp
@@ -28,7 +28,7 @@
 
 /// Sends to a worker's model and brings its answer back, or says that none came.
 template<typename ask>
-void callWorker(virtual_cell &cell, const worker_id &worker, std::uint64_t request, ask askModel)
+void callWorker(virtual_cell &cell, const worker_id &worker, std::uint64_t request, const ask &askModel)
 {
     later(cell, cell.workerLatency, [&cell, worker, request, askModel] {
         if (cell.unreachable.contains(worker)) {
@@ -47,8 +47,8 @@
 
     void operator()(const send_claim &action) const
     {
-        callWorker(cell, action.worker, action.request, [this_ = &cell, action](worker_model &worker) {
-            return claim_answered {action.worker, action.request, claim(worker, action.message, this_->now)};
+        callWorker(cell, action.worker, action.request, [target = &cell, action](worker_model &worker) {
+            return claim_answered {action.worker, action.request, claim(worker, action.message, target->now)};
         });
     }
 
@@ -57,8 +57,8 @@
         ++cell.exchanges;
         cell.startsSent += action.message.starts.size();
         cell.stopsSent += action.message.stops.size();
-        callWorker(cell, action.worker, action.request, [this_ = &cell, action](worker_model &worker) {
-            return exchange_answered {action.worker, action.request, exchange(worker, action.message, this_->now)};
+        callWorker(cell, action.worker, action.request, [target = &cell, action](worker_model &worker) {
+            return exchange_answered {action.worker, action.request, exchange(worker, action.message, target->now)};
         });
     }
 
@@ -69,40 +69,40 @@
 
     void operator()(const write_row &action) const
     {
-        later(cell, cell.storeLatency, [this_ = &cell, action] {
-            auto &held = this_->rows[action.row.key];
+        later(cell, cell.storeLatency, [target = &cell, action] {
+            auto &held = target->rows[action.row.key];
             if (held.version != action.version) {
-                deliver(*this_, row_write_refused {action.row.key, action.request});
+                deliver(*target, row_write_refused {action.row.key, action.request});
                 return;
             }
             held = {action.row, held.version + 1};
-            this_->ended += action.row.outcome == demand_outcome::none ? 0 : 1;
-            deliver(*this_, row_written {action.row.key, action.request, held.version});
+            target->ended += action.row.outcome == demand_outcome::none ? 0 : 1;
+            deliver(*target, row_written {action.row.key, action.request, held.version});
         });
     }
 
     void operator()(const read_row &action) const
     {
-        later(cell, cell.storeLatency, [this_ = &cell, key = action.key, takeover = cell.scheduler.takeover] {
-            const auto found = this_->rows.find(key);
-            if (found == this_->rows.end()) {
-                deliver(*this_, row_read {key, std::nullopt, 0, takeover});
+        later(cell, cell.storeLatency, [target = &cell, key = action.key, takeover = cell.scheduler.takeover] {
+            const auto found = target->rows.find(key);
+            if (found == target->rows.end()) {
+                deliver(*target, row_read {key, std::nullopt, 0, takeover});
             } else {
-                deliver(*this_, row_read {key, found->second.row, found->second.version, takeover});
+                deliver(*target, row_read {key, found->second.row, found->second.version, takeover});
             }
         });
     }
 
     void operator()(const scan_rows &action) const
     {
-        later(cell, cell.storeLatency, [this_ = &cell, scan = action.scan, takeover = cell.scheduler.takeover] {
-            const auto rows = this_->rows;
+        later(cell, cell.storeLatency, [target = &cell, scan = action.scan, takeover = cell.scheduler.takeover] {
+            const auto rows = target->rows;
             for (const auto &[key, held] : rows) {
                 if (held.row.outcome == demand_outcome::none) {
-                    deliver(*this_, row_read {key, held.row, held.version, takeover});
+                    deliver(*target, row_read {key, held.row, held.version, takeover});
                 }
             }
-            deliver(*this_, scan_finished {scan, true});
+            deliver(*target, scan_finished {scan, true});
         });
     }
 
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -342,5 +342,5 @@
     const auto before = cell.scheduler.counts;
     standins::submit(cell, "d", batchOf(100, {1'000, 1'024, 0}, 1h));
     CHECK(cell.scheduler.counts.choices - before.choices == 100);
-    CHECK(cell.scheduler.counts.candidates - before.candidates == 100 * 50);
+    CHECK(cell.scheduler.counts.candidates - before.candidates == std::uint64_t {100} * 50);
 }
