--- a/src/burn/main.cpp
+++ b/src/burn/main.cpp
@@ -17,7 +17,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto scrapeTimeout = 2s;
-constexpr unsigned statusOk = 200;
 constexpr int exitFailed = 1;
 constexpr int exitBurning = 3; ///< an objective burns fast or slowly
 constexpr int exitUnseen = 4; ///< no alert, but daemons are missing
--- a/src/ctl/control_call.cpp
+++ b/src/ctl/control_call.cpp
@@ -22,9 +22,6 @@
 
 constexpr auto callTimeout = 10s;
 constexpr auto progressInterval = 1s;
-constexpr unsigned firstFault = 400;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusConflict = 409;
 constexpr std::array changeNames {"added", "removed", "changed"};
 
 std::string tokenFrom(const std::string &path)
--- a/src/entryd/entry_daemon.cpp
+++ b/src/entryd/entry_daemon.cpp
@@ -18,7 +18,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned statusNotFound = 404;
 constexpr auto askTimeout = 500ms;
 
 routing_settings makeRoutingSettings(const daemon_settings &settings)
--- a/src/libprimrosecroft/administration/administration.cpp
+++ b/src/libprimrosecroft/administration/administration.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-constexpr unsigned statusUnauthorized = 401;
-constexpr unsigned statusForbidden = 403;
 constexpr std::string_view bearer = "Bearer ";
 
 } // namespace
--- a/src/libprimrosecroft/configuration/sheet_service.cpp
+++ b/src/libprimrosecroft/configuration/sheet_service.cpp
@@ -20,13 +20,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusNotAllowed = 405;
-constexpr unsigned statusConflict = 409;
-constexpr unsigned statusNeedsVersion = 428;
-constexpr unsigned statusUnavailable = 503;
 constexpr auto storeRetryAfter = 2s;
 constexpr std::size_t longestOperator = 64;
 constexpr std::int64_t historyLength = 20;
--- a/src/libprimrosecroft/daemon/daemon.cpp
+++ b/src/libprimrosecroft/daemon/daemon.cpp
@@ -22,8 +22,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusUnavailable = 503;
 constexpr int exitCutOff = 3;
 constexpr auto drainCheckInterval = 50ms;
 constexpr auto goodbyePause = 100ms;
--- a/src/libprimrosecroft/demands/demand_service.cpp
+++ b/src/libprimrosecroft/demands/demand_service.cpp
@@ -18,14 +18,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusAccepted = 202;
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusNotAllowed = 405;
-constexpr unsigned statusConflict = 409;
-constexpr unsigned statusUnprocessable = 422;
-constexpr unsigned statusUnavailable = 503;
 constexpr std::size_t longestKey = 128;
 constexpr auto cancelRetryInterval = 250ms;
 constexpr std::size_t mostUnresolvedKeys = 1'024;
--- a/src/libprimrosecroft/io/http.h
+++ b/src/libprimrosecroft/io/http.h
@@ -8,6 +8,23 @@
 namespace primrosecroft
 {
 
+/// Status codes in use (RFC 9110); the first ones of the two classes of faults.
+inline constexpr unsigned statusOk = 200;
+inline constexpr unsigned statusAccepted = 202;
+inline constexpr unsigned statusNotModified = 304;
+inline constexpr unsigned firstFault = 400;
+inline constexpr unsigned statusBadRequest = 400;
+inline constexpr unsigned statusUnauthorized = 401;
+inline constexpr unsigned statusForbidden = 403;
+inline constexpr unsigned statusNotFound = 404;
+inline constexpr unsigned statusNotAllowed = 405;
+inline constexpr unsigned statusConflict = 409;
+inline constexpr unsigned statusUnprocessable = 422;
+inline constexpr unsigned statusNeedsVersion = 428;
+inline constexpr unsigned firstServerFault = 500;
+inline constexpr unsigned statusUnavailable = 503;
+inline constexpr unsigned statusGatewayTimeout = 504;
+
 struct http_header
 {
     std::string name;
--- a/src/libprimrosecroft/platform/platform_client.cpp
+++ b/src/libprimrosecroft/platform/platform_client.cpp
@@ -17,10 +17,6 @@
 
 constexpr std::size_t mostTransactionsPerCommit = 100;
 constexpr std::size_t rowsPerPage = 500;
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusNotModified = 304;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned firstServerFault = 500;
 constexpr std::size_t mostWaitingReads = 2'000;
 
 std::string escaped(const std::string &text)
--- a/src/libprimrosecroft/routing/booking_proxy.cpp
+++ b/src/libprimrosecroft/routing/booking_proxy.cpp
@@ -19,9 +19,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned statusUnavailable = 503;
-constexpr unsigned statusGatewayTimeout = 504;
-constexpr unsigned firstServerFault = 500;
 constexpr std::size_t largestFaultBody = std::size_t {64} * 1024;
 constexpr auto tickInterval = 20ms;
 constexpr auto longestDeadline = 10min;
--- a/src/schedd/scheduler_daemon.cpp
+++ b/src/schedd/scheduler_daemon.cpp
@@ -21,8 +21,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusNotFound = 404;
 constexpr std::size_t keysPerRead = 500;
 constexpr auto tickInterval = 50ms;
 constexpr std::array phaseNames {"waiting", "unknown", "starting", "starting", "running", "stopping", "ended"};
@@ -254,36 +252,33 @@
     return "http://" + known.address + ':' + std::to_string(known.port) + path;
 }
 
-void scheduler_daemon::sendClaim(const send_claim &action)
+template<typename answered, typename order, typename parser>
+void scheduler_daemon::callWorker(const order &action, const std::string &path, parser parse)
 {
     http_call call;
     call.method = "POST";
-    call.url = workerUrl(action.worker, "/claim");
+    call.url = workerUrl(action.worker, path);
     call.body = toJson(action.message);
     call.timeout = m_daemon.settings().ownership.requestTimeout;
-    m_daemon.http().call(call, [this, action](const http_outcome &outcome) {
-        if (const auto answer = parsedAnswer(outcome, claimAnswerFromJson)) {
-            handle(claim_answered {action.worker, action.request, *answer});
+    const auto worker = action.worker;
+    const auto request = action.request;
+    m_daemon.http().call(call, [this, worker, request, parse](const http_outcome &outcome) {
+        if (const auto answer = parsedAnswer(outcome, parse)) {
+            handle(answered {worker, request, *answer});
         } else {
-            handle(worker_request_lost {action.worker, action.request});
+            handle(worker_request_lost {worker, request});
         }
     });
 }
 
+void scheduler_daemon::sendClaim(const send_claim &action)
+{
+    callWorker<claim_answered>(action, "/claim", claimAnswerFromJson);
+}
+
 void scheduler_daemon::sendExchange(const send_exchange &action)
 {
-    http_call call;
-    call.method = "POST";
-    call.url = workerUrl(action.worker, "/exchange");
-    call.body = toJson(action.message);
-    call.timeout = m_daemon.settings().ownership.requestTimeout;
-    m_daemon.http().call(call, [this, action](const http_outcome &outcome) {
-        if (const auto answer = parsedAnswer(outcome, exchangeAnswerFromJson)) {
-            handle(exchange_answered {action.worker, action.request, *answer});
-        } else {
-            handle(worker_request_lost {action.worker, action.request});
-        }
-    });
+    callWorker<exchange_answered>(action, "/exchange", exchangeAnswerFromJson);
 }
 
 void scheduler_daemon::sendRelease(const send_release &action)
--- a/src/schedd/scheduler_daemon.h
+++ b/src/schedd/scheduler_daemon.h
@@ -25,6 +25,10 @@
 
     void handle(const scheduler_message &message);
     void carryOut(const scheduler_action &action);
+    /// Sends an order and feeds back its answer, or that it was lost.
+    template<typename answered, typename order, typename parser>
+    void callWorker(const order &action, const std::string &path, parser parse);
+
     void sendClaim(const send_claim &action);
     void sendExchange(const send_exchange &action);
     void sendRelease(const send_release &action);
--- a/tests/bench/capacity_bench.cpp
+++ b/tests/bench/capacity_bench.cpp
@@ -59,10 +59,9 @@
             } else if (const auto *exchange = std::get_if<send_exchange>(&action)) {
                 exchange_answer answer;
                 answer.accepted = true;
-                std::ranges::transform(exchange->message.starts, std::back_inserter(answer.starts),
-                                       [](const start_order &order) {
-                                           return start_answer {order.attempt, start_result::running};
-                                       });
+                std::ranges::transform(
+                    exchange->message.starts, std::back_inserter(answer.starts),
+                    [](const start_order &order) { return start_answer {order.attempt, start_result::running}; });
                 counted.sent += toJson(exchange->message).size();
                 counted.received += toJson(answer).size();
                 ++counted.messages;
@@ -114,8 +113,8 @@
     const auto withTasks = heapInUse();
     bench::printFigure(name + "bytes_a_worker",
                        static_cast<double>(withWorkers - before) / static_cast<double>(workers), "B");
-    bench::printFigure(name + "bytes_a_task",
-                       static_cast<double>(withTasks - withWorkers) / static_cast<double>(tasks), "B");
+    bench::printFigure(name + "bytes_a_task", static_cast<double>(withTasks - withWorkers) / static_cast<double>(tasks),
+                       "B");
     bench::printFigure(name + "state", static_cast<double>(withTasks - before) / 1e6, "MB", bench::bound_side::atMost,
                        20);
     // A round of renewals, with ticks as often as the daemon has them.
