--- a/src/libprimrosecroft/scheduling/scheduler.cpp
+++ b/src/libprimrosecroft/scheduling/scheduler.cpp
@@ -121,10 +121,10 @@
         detail::updateMajority(state, now, actions);
         detail::requestClaims(state, now, actions);
         detail::loseSilentWorkers(state, now);
+        detail::dropRetired(state, now);
         detail::refreshSchedulable(state, now);
     }
     detail::resolveDoubt(state, now);
-    detail::dropRetired(state, now);
     detail::requestScan(state, now, actions);
     detail::reviewDemands(state, now, actions);
     detail::placeWaiting(state, now);
--- a/tests/process/operators_check.sh
+++ b/tests/process/operators_check.sh
@@ -8,20 +8,7 @@
 EXAMPLE=$SOURCE/examples/clydemuir
 . "$SOURCE/tests/demo/cell.sh"
 trap endCell EXIT
-failures=0
-
-# expect STATUS TEXT COMMAND...: the exit status, and a text that the output holds.
-expect() {
-    local wanted=$1 text=$2 output status
-    shift 2
-    output=$(timeout 60 "$@" 2>&1)
-    status=$?
-    if [ $status -ne "$wanted" ] || ! grep -qF -- "$text" <<<"$output"; then
-        echo "FAILED: $* gave $status, wanted $wanted with '$text':" >&2
-        echo "$output" >&2
-        failures=$((failures + 1))
-    fi
-}
+. "$SOURCE/tests/process/expect.sh"
 
 # waitFor COMMAND...: until it succeeds, with a generous deadline.
 waitFor() {
--- a/tests/process/settings_check.sh
+++ b/tests/process/settings_check.sh
@@ -6,20 +6,7 @@
 SOURCE=$2
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-failures=0
-
-# expect STATUS TEXT COMMAND...: the exit status, and a text that the output holds.
-expect() {
-    local wanted=$1 text=$2 output status
-    shift 2
-    output=$(timeout 60 "$@" 2>&1)
-    status=$?
-    if [ $status -ne "$wanted" ] || ! grep -qF -- "$text" <<<"$output"; then
-        echo "FAILED: $* gave $status, wanted $wanted with '$text':" >&2
-        echo "$output" >&2
-        failures=$((failures + 1))
-    fi
-}
+. "$SOURCE/tests/process/expect.sh"
 
 for role in entryd schedd; do
     program=$BUILD/src/$role/primrosecroft-$role
