--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # Lets several work trees share what the compiler cache holds.
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
-APT_PACKAGES = g++ cmake make pkg-config ccache libglib2.0-dev libsoup-3.0-dev libthrift-dev libboost-dev \
+APT_PACKAGES = g++ cmake make pkg-config ccache libglib2.0-dev libhttp-parser-dev libthrift-dev libboost-dev \
     prometheus-cpp-dev libgoogle-glog-dev libcli11-dev libyaml-cpp-dev nlohmann-json3-dev catch2 \
     libbenchmark-dev libcairo2-dev curl
 CHECK_PACKAGES = clang-format-19 clang-tidy-19 spin
--- a/src/burn/main.cpp
+++ b/src/burn/main.cpp
@@ -7,6 +7,7 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <fstream>
+#include <glib.h>
 #include <iostream>
 #include <thread>
 
--- a/src/ctl/control_call.cpp
+++ b/src/ctl/control_call.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <glib.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -1,10 +1,17 @@
 #include "io/http_client.h"
 
+#include "io/tcp_socket.h"
 #include "io/timer.h"
 
-#include <libsoup/soup.h>
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <deque>
+#include <glib.h>
+#include <http_parser.h>
+#include <list>
 #include <map>
-#include <sys/socket.h>
+#include <optional>
 #include <utility>
 
 namespace primrosecroft
@@ -13,248 +20,501 @@
 namespace
 {
 
-constexpr unsigned mostConnections = 2048;
-constexpr std::size_t pieceSize = std::size_t {32} * 1024;
-constexpr std::size_t largestAnswer = std::size_t {16} * 1024 * 1024;
+constexpr std::size_t largestAnswer = std::size_t {16} * 1024 * 1024; ///< bytes that call() gathers
 
-http_headers readHeaders(SoupMessageHeaders *source)
+/// Where a URL leads.
+struct http_target
 {
-    http_headers result;
-    soup_message_headers_foreach(
-        source,
-        [](const char *name, const char *value, gpointer target) {
-            static_cast<http_headers *>(target)->push_back({name, value});
-        },
-        &result);
+    std::string address;
+    std::uint16_t port = 80;
+    std::string path;
+
+    std::string host() const
+    {
+        return address + ':' + std::to_string(port);
+    }
+};
+
+std::optional<http_target> parseTarget(const std::string &url)
+{
+    http_parser_url parts;
+    http_parser_url_init(&parts);
+    if (http_parser_parse_url(url.data(), url.size(), 0, &parts) != 0 || (parts.field_set & (1U << UF_HOST)) == 0) {
+        return std::nullopt;
+    }
+    const auto field = [&](unsigned index) {
+        return url.substr(parts.field_data[index].off, parts.field_data[index].len);
+    };
+    http_target result;
+    result.address = field(UF_HOST);
+    if (parts.port != 0) {
+        result.port = parts.port;
+    }
+    const auto authorityEnd = url.find('/', url.find("//") + 2);
+    result.path = authorityEnd == std::string::npos ? "/" : url.substr(authorityEnd);
     return result;
 }
 
-/// The sockets of open connections, by libsoup's number of the connection.
-using socket_table = std::map<guint64, object_pointer<GSocket>>;
-
-/// True when the peer has closed its side; data that waits unread isn't an end.
-bool hasEnded(GSocket *socket)
+std::string requestHead(const http_call &request, const http_target &target)
 {
-    char peeked = 0;
-    return recv(g_socket_get_fd(socket), &peeked, sizeof peeked, MSG_PEEK | MSG_DONTWAIT) == 0;
+    std::string head = request.method + ' ' + target.path + " HTTP/1.1\r\n";
+    if (headerValue(request.headers, "Host").empty()) {
+        head += "Host: " + target.host() + "\r\n";
+    }
+    for (const auto &header : request.headers) {
+        head += header.name + ": " + header.value + "\r\n";
+    }
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        if (!request.body.empty() && headerValue(request.headers, "Content-Type").empty()) {
+            head += "Content-Type: " + request.contentType + "\r\n";
+        }
+        head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return head + "\r\n";
 }
 
-/// One request in flight. Keeps itself alive until its last callback has run.
-class session_stream : public http_stream, public std::enable_shared_from_this<session_stream>
+class answer_stream;
+
+/// One connection to a host: idle, or serving one exchange.
+struct client_connection
+{
+    explicit client_connection(int descriptor)
+        : socket(descriptor)
+    {
+        http_parser_init(&parser, HTTP_RESPONSE);
+    }
+
+    tcp_socket socket;
+    http_parser parser {};
+    answer_stream *user = nullptr;
+};
+
+struct host_pool
+{
+    std::list<std::unique_ptr<client_connection>> connections;
+    std::deque<std::weak_ptr<answer_stream>> waiting;
+};
+
+struct connection_pools : std::enable_shared_from_this<connection_pools>
+{
+    unsigned connectionsPerHost = 8;
+    std::map<std::string, host_pool> hosts;
+    bool isClosing = false;
+
+    void remove(const std::string &host, client_connection *connection)
+    {
+        auto &pool = hosts[host];
+        std::erase_if(pool.connections, [connection](const auto &each) { return each.get() == connection; });
+    }
+
+    void startWaiting(const std::string &host);
+};
+
+/// One exchange. Keeps itself alive until its last callback has run.
+class answer_stream : public http_stream, public std::enable_shared_from_this<answer_stream>
 {
 public:
-    session_stream(const http_call &request, handlers callbacks, std::shared_ptr<socket_table> sockets)
+    answer_stream(const http_call &request, handlers callbacks, std::shared_ptr<connection_pools> pools)
         : m_handlers(std::move(callbacks))
-        , m_sockets(std::move(sockets))
+        , m_pools(std::move(pools))
+        , m_method(request.method)
         , m_step(request.method + ' ' + request.url)
-        , m_cancellable(g_cancellable_new())
+        , m_fresh(request.freshConnection)
+        , m_target(parseTarget(request.url))
     {
-        m_message.reset(soup_message_new(request.method.c_str(), request.url.c_str()));
-        if (!m_message) {
-            return;
-        }
-        auto flags = static_cast<unsigned>(SOUP_MESSAGE_NO_REDIRECT);
-        if (request.freshConnection) {
-            flags |= static_cast<unsigned>(SOUP_MESSAGE_NEW_CONNECTION);
-        }
-        soup_message_set_flags(m_message.get(), static_cast<SoupMessageFlags>(flags));
-        auto *headers = soup_message_get_request_headers(m_message.get());
-        for (const auto &header : request.headers) {
-            soup_message_headers_append(headers, header.name.c_str(), header.value.c_str());
-        }
-        if (!request.body.empty()) {
-            const bytes_pointer body(g_bytes_new(request.body.data(), request.body.size()));
-            soup_message_set_request_body_from_bytes(m_message.get(), request.contentType.c_str(), body.get());
+        if (m_target) {
+            m_request = requestHead(request, *m_target) + request.body;
         }
-        g_signal_connect(m_message.get(), "starting", G_CALLBACK(&session_stream::onStarting), this);
-        g_signal_connect(m_message.get(), "network-event", G_CALLBACK(&session_stream::onNetworkEvent), this);
     }
 
-    ~session_stream() override
+    ~answer_stream() override
     {
-        if (m_message) {
-            g_signal_handlers_disconnect_by_data(m_message.get(), this);
-        }
+        cancelDelivery();
     }
 
-    session_stream(const session_stream &) = delete;
-    session_stream &operator=(const session_stream &) = delete;
+    answer_stream(const answer_stream &) = delete;
+    answer_stream &operator=(const answer_stream &) = delete;
 
     /// Counts what travels into @p bytes when it ends.
     void count(std::shared_ptr<http_byte_counts> bytes)
     {
         m_bytes = std::move(bytes);
-        if (m_message) {
-            soup_message_add_flags(m_message.get(), SOUP_MESSAGE_COLLECT_METRICS);
-        }
     }
 
-    void start(SoupSession *session, std::chrono::milliseconds timeout)
+    void start(std::chrono::milliseconds timeout)
     {
         m_self = shared_from_this();
-        if (!m_message) {
-            m_deadline.once(std::chrono::milliseconds(0), [this] { fail("not a usable address"); });
+        if (!m_target) {
+            failLater("not a usable address");
             return;
         }
         m_deadline.once(timeout, [this] {
             m_timedOut = true;
-            cancel();
+            fail("no answer in time");
         });
-        soup_session_send_async(session, m_message.get(), G_PRIORITY_DEFAULT, m_cancellable.get(),
-                                &session_stream::onSent, this);
+        begin();
+    }
+
+    /// Takes a connection, opens one, or waits for one.
+    void begin()
+    {
+        auto &pool = m_pools->hosts[m_target->host()];
+        if (!m_fresh) {
+            const auto idle =
+                std::ranges::find_if(pool.connections, [](const auto &each) { return each->user == nullptr; });
+            if (idle != pool.connections.end()) {
+                use(**idle);
+                return;
+            }
+        }
+        if (pool.connections.size() >= m_pools->connectionsPerHost && !m_fresh) {
+            pool.waiting.push_back(weak_from_this());
+            return;
+        }
+        open(pool);
     }
 
     void readMore() override
     {
-        if (!m_input || m_reading) {
+        if (m_wanted || m_finished) {
             return;
         }
-        m_reading = true;
-        g_input_stream_read_bytes_async(m_input.get(), pieceSize, G_PRIORITY_DEFAULT, m_cancellable.get(),
-                                        &session_stream::onRead, this);
+        m_wanted = true;
+        if (!m_buffer.empty() || m_complete) {
+            deliverLater();
+        } else if (m_connection != nullptr) {
+            m_connection->socket.wantRead(true);
+        }
     }
 
     void cancel() override
     {
-        g_cancellable_cancel(m_cancellable.get());
+        failLater("cancelled");
+    }
+
+    bool isWaiting() const
+    {
+        return !m_finished && m_connection == nullptr;
     }
 
 private:
-    static void onStarting(SoupMessage *message, gpointer self)
+    void open(host_pool &pool)
     {
-        auto &stream = *static_cast<session_stream *>(self);
-        stream.m_sent = true;
-        if (stream.m_opened) {
-            std::erase_if(*stream.m_sockets, [](const auto &each) { return g_socket_is_closed(each.second.get()); });
-            (*stream.m_sockets)[soup_message_get_connection_id(message)] = std::move(stream.m_opened);
+        int descriptor = -1;
+        try {
+            descriptor = beginConnect(m_target->address, m_target->port);
+        } catch (const error &fault) {
+            failLater(fault.what());
+            return;
         }
+        pool.connections.push_back(std::make_unique<client_connection>(descriptor));
+        auto &connection = *pool.connections.back();
+        const auto pools = m_pools;
+        const auto host = m_target->host();
+        tcp_socket::handlers callbacks;
+        callbacks.arrived = [&connection, pools, host](std::string_view bytes) {
+            if (connection.user == nullptr) {
+                pools->remove(host, &connection); // nothing was asked, so the framing is lost
+                return;
+            }
+            connection.user->onBytes(bytes);
+        };
+        callbacks.ended = [&connection, pools, host] {
+            if (connection.user == nullptr) {
+                pools->remove(host, &connection);
+                return;
+            }
+            connection.user->onEnd();
+        };
+        callbacks.failed = [&connection, pools, host](int fault) {
+            if (connection.user == nullptr) {
+                pools->remove(host, &connection);
+                return;
+            }
+            connection.user->onFault(fault);
+        };
+        connection.socket.start(std::move(callbacks));
+        use(connection);
+    }
+
+    void use(client_connection &connection)
+    {
+        m_connection = &connection;
+        connection.user = this;
+        http_parser_init(&connection.parser, HTTP_RESPONSE);
+        connection.parser.data = this;
+        connection.socket.wantRead(true);
+        connection.socket.write(m_request);
     }
 
-    /// Only the message for which a connection is opened sees the socket.
-    static void onNetworkEvent(SoupMessage * /*message*/, GSocketClientEvent event, GIOStream *connection,
-                               gpointer self)
+    static const http_parser_settings &parserSettings()
     {
-        if (event == G_SOCKET_CLIENT_CONNECTED && G_IS_SOCKET_CONNECTION(connection)) {
-            auto *socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection));
-            static_cast<session_stream *>(self)->m_opened = shareObject(socket);
+        static const http_parser_settings settings = [] {
+            http_parser_settings result;
+            http_parser_settings_init(&result);
+            result.on_header_field = [](http_parser *parser, const char *at, size_t length) {
+                of(parser).onHeaderField({at, length});
+                return 0;
+            };
+            result.on_header_value = [](http_parser *parser, const char *at, size_t length) {
+                of(parser).onHeaderValue({at, length});
+                return 0;
+            };
+            result.on_headers_complete = [](http_parser *parser) {
+                auto &self = of(parser);
+                const bool isInterim = parser->status_code < 200;
+                if (!isInterim) {
+                    self.m_headComplete = true;
+                    self.m_status = parser->status_code;
+                }
+                return self.m_method == "HEAD" ? 1 : 0;
+            };
+            result.on_body = [](http_parser *parser, const char *at, size_t length) {
+                of(parser).m_buffer.append(at, length);
+                return 0;
+            };
+            result.on_message_complete = [](http_parser *parser) {
+                auto &self = of(parser);
+                if (!self.m_headComplete) {
+                    self.m_headers.clear(); // an interim answer; the final one follows
+                    return 0;
+                }
+                self.m_complete = true;
+                self.m_keepAlive = http_should_keep_alive(parser) != 0;
+                http_parser_pause(parser, 1);
+                return 0;
+            };
+            return result;
+        }();
+        return settings;
+    }
+
+    static answer_stream &of(http_parser *parser)
+    {
+        return *static_cast<answer_stream *>(parser->data);
+    }
+
+    void onHeaderField(std::string_view text)
+    {
+        if (m_headComplete) {
+            return; // a trailer
+        }
+        if (!m_inField) {
+            m_headers.emplace_back();
         }
+        m_inField = true;
+        m_headers.back().name.append(text);
     }
 
-    /**
-     * libsoup takes a connection that closes between two chunks for the end of the
-     * answer. The last chunk has come only if the connection is still open, or was
-     * announced to close.
-     */
-    bool isCutBetweenChunks() const
+    void onHeaderValue(std::string_view text)
     {
-        auto *headers = soup_message_get_response_headers(m_message.get());
-        if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_CHUNKED
-            || soup_message_headers_header_contains(headers, "Connection", "close")) {
-            return false;
+        if (m_headComplete || m_headers.empty()) {
+            return;
         }
-        const auto found = m_sockets->find(m_connection);
-        return found != m_sockets->end() && (g_socket_is_closed(found->second.get()) || hasEnded(found->second.get()));
+        m_inField = false;
+        m_headers.back().value.append(text);
     }
 
-    static void onSent(GObject *session, GAsyncResult *result, gpointer self)
+    void onBytes(std::string_view bytes)
     {
-        auto &stream = *static_cast<session_stream *>(self);
-        GError *raw = nullptr;
-        stream.m_input.reset(soup_session_send_finish(SOUP_SESSION(session), result, &raw));
-        const error_pointer fault(raw);
-        if (fault) {
-            stream.fail(fault->message);
+        const auto self = shared_from_this();
+        m_received += bytes.size();
+        auto &parser = m_connection->parser;
+        const auto used = http_parser_execute(&parser, &parserSettings(), bytes.data(), bytes.size());
+        if (m_complete) {
+            release(m_keepAlive && used == bytes.size());
+        } else if (HTTP_PARSER_ERRNO(&parser) != HPE_OK) {
+            fail(http_errno_description(HTTP_PARSER_ERRNO(&parser)));
             return;
         }
-        stream.m_connection = soup_message_get_connection_id(stream.m_message.get());
-        stream.m_handlers.begun(soup_message_get_status(stream.m_message.get()),
-                                readHeaders(soup_message_get_response_headers(stream.m_message.get())));
+        advance();
+    }
+
+    void onFault(int fault)
+    {
+        m_refused = fault == ECONNREFUSED;
+        fail(strerror(fault));
     }
 
-    static void onRead(GObject *input, GAsyncResult *result, gpointer self)
+    void onEnd()
     {
-        auto &stream = *static_cast<session_stream *>(self);
-        stream.m_reading = false;
-        GError *raw = nullptr;
-        const bytes_pointer bytes(g_input_stream_read_bytes_finish(G_INPUT_STREAM(input), result, &raw));
-        const error_pointer fault(raw);
-        if (fault) {
-            stream.fail(fault->message);
+        const auto self = shared_from_this();
+        auto &parser = m_connection->parser;
+        const bool isBroken = http_parser_execute(&parser, &parserSettings(), nullptr, 0) != 0
+            || (HTTP_PARSER_ERRNO(&parser) != HPE_OK && HTTP_PARSER_ERRNO(&parser) != HPE_PAUSED);
+        if (isBroken || !m_complete) {
+            fail("the connection ended within the answer");
             return;
         }
-        gsize size = 0;
-        const auto *data = static_cast<const char *>(g_bytes_get_data(bytes.get(), &size));
-        if (size == 0 && stream.isCutBetweenChunks()) {
-            stream.fail("the connection closed between two chunks");
+        release(false);
+        advance();
+    }
+
+    /// Tells the head as soon as it is there, and a piece when it is wanted.
+    void advance()
+    {
+        if (m_finished || !m_headComplete) {
             return;
         }
-        if (size == 0) {
-            stream.finish();
+        if (!std::exchange(m_begun, true)) {
+            m_handlers.begun(m_status, std::move(m_headers));
+        }
+        if (!m_finished && m_wanted && m_idle == 0) {
+            deliver();
+        }
+        if (m_connection != nullptr && !m_buffer.empty()) {
+            m_connection->socket.wantRead(false);
+        }
+    }
+
+    void deliver()
+    {
+        if (m_finished || !m_wanted) {
             return;
         }
-        stream.m_handlers.arrived(std::string_view(data, size));
+        if (!m_buffer.empty()) {
+            m_wanted = false;
+            const auto piece = std::exchange(m_buffer, {});
+            m_handlers.arrived(piece);
+            return;
+        }
+        if (m_complete) {
+            finish();
+        }
+    }
+
+    /// From the main loop, so that a reader's call never runs inside its own callback.
+    void deliverLater()
+    {
+        if (m_idle == 0) {
+            m_idle = g_idle_add_full(
+                G_PRIORITY_DEFAULT,
+                [](gpointer self) -> gboolean {
+                    const auto stream = static_cast<answer_stream *>(self)->shared_from_this();
+                    stream->m_idle = 0;
+                    stream->deliver();
+                    return G_SOURCE_REMOVE;
+                },
+                this, nullptr);
+        }
     }
 
-    void addBytes() const
+    void cancelDelivery()
     {
-        auto *metrics = m_bytes && m_message ? soup_message_get_metrics(m_message.get()) : nullptr;
-        if (metrics == nullptr) {
+        if (m_idle != 0) {
+            g_source_remove(std::exchange(m_idle, 0));
+        }
+    }
+
+    void release(bool isReusable)
+    {
+        if (m_connection == nullptr) {
             return;
         }
-        m_bytes->sent += soup_message_metrics_get_request_header_bytes_sent(metrics)
-            + soup_message_metrics_get_request_body_bytes_sent(metrics);
-        m_bytes->received += soup_message_metrics_get_response_header_bytes_received(metrics)
-            + soup_message_metrics_get_response_body_bytes_received(metrics);
-        ++m_bytes->calls;
+        auto *connection = std::exchange(m_connection, nullptr);
+        connection->user = nullptr;
+        const auto host = m_target->host();
+        if (isReusable && connection->socket.isDrained() && !m_fresh) {
+            connection->socket.wantRead(true);
+        } else {
+            m_pools->remove(host, connection);
+        }
+        m_pools->startWaiting(host);
+    }
+
+    void failLater(const std::string &reason)
+    {
+        if (!m_finished) {
+            m_deadline.once(std::chrono::milliseconds(0), [this, reason] { fail(reason); });
+        }
     }
 
     void finish()
     {
-        addBytes();
-        const auto self = std::exchange(m_self, nullptr);
-        m_deadline.stop();
-        m_handlers.ended();
+        const auto self = end();
+        if (!m_pools->isClosing) {
+            m_handlers.ended();
+        }
     }
 
     void fail(const std::string &reason)
     {
-        addBytes();
-        const auto self = std::exchange(m_self, nullptr);
+        if (m_finished) {
+            return;
+        }
+        m_sent = m_connection != nullptr && m_connection->socket.hasSent();
+        const auto self = end();
+        if (!m_pools->isClosing) {
+            release(false);
+            m_handlers.failed({error("call", m_step, reason), m_sent, m_timedOut, m_refused});
+        }
+    }
+
+    std::shared_ptr<answer_stream> end()
+    {
+        m_finished = true;
         m_deadline.stop();
-        const std::string text = m_timedOut ? "no answer in time" : reason;
-        m_handlers.failed({error("call", m_step, text), m_sent, m_timedOut});
+        cancelDelivery();
+        if (m_bytes) {
+            m_bytes->sent += m_request.size();
+            m_bytes->received += m_received;
+            ++m_bytes->calls;
+        }
+        return std::exchange(m_self, nullptr);
     }
 
     handlers m_handlers;
-    std::shared_ptr<socket_table> m_sockets;
-    object_pointer<GSocket> m_opened;
-    guint64 m_connection = 0;
+    std::shared_ptr<connection_pools> m_pools;
     std::shared_ptr<http_byte_counts> m_bytes;
+    std::string m_method;
     std::string m_step;
-    object_pointer<GCancellable> m_cancellable;
-    object_pointer<SoupMessage> m_message;
-    object_pointer<GInputStream> m_input;
+    bool m_fresh;
+    std::optional<http_target> m_target;
+    std::string m_request;
+    client_connection *m_connection = nullptr;
     timer m_deadline;
-    std::shared_ptr<session_stream> m_self;
+    std::shared_ptr<answer_stream> m_self;
+    unsigned m_idle = 0;
+    unsigned m_status = 0;
+    http_headers m_headers;
+    std::string m_buffer;
+    std::size_t m_received = 0;
+    bool m_inField = false;
+    bool m_headComplete = false;
+    bool m_complete = false;
+    bool m_keepAlive = false;
+    bool m_begun = false;
+    bool m_wanted = false;
     bool m_sent = false;
     bool m_timedOut = false;
-    bool m_reading = false;
+    bool m_refused = false;
+    bool m_finished = false;
 };
 
+void connection_pools::startWaiting(const std::string &host)
+{
+    auto &pool = hosts[host];
+    while (!isClosing && !pool.waiting.empty()) {
+        const auto next = pool.waiting.front().lock();
+        pool.waiting.pop_front();
+        if (next && next->isWaiting()) {
+            next->begin();
+            return;
+        }
+    }
+}
+
 } // namespace
 
 struct http_client::parts
 {
-    std::shared_ptr<socket_table> sockets = std::make_shared<socket_table>();
+    std::shared_ptr<connection_pools> pools = std::make_shared<connection_pools>();
 };
 
 http_client::http_client(unsigned connectionsPerHost)
     : m_parts(std::make_unique<parts>())
-    , m_session(soup_session_new_with_options("max-conns", mostConnections, "max-conns-per-host", connectionsPerHost,
-                                              "timeout", 0, "idle-timeout", 60, nullptr))
 {
-    // Answers are handed on as they came: a decoded body no longer fits its headers.
-    soup_session_remove_feature_by_type(m_session.get(), SOUP_TYPE_CONTENT_DECODER);
+    m_parts->pools->connectionsPerHost = connectionsPerHost;
 }
 
 const http_byte_counts &http_client::controlBytes() const
@@ -264,13 +524,18 @@
 
 http_client::~http_client()
 {
-    soup_session_abort(m_session.get());
+    m_parts->pools->isClosing = true;
+    for (auto &[host, pool] : m_parts->pools->hosts) {
+        for (auto &connection : pool.connections) {
+            connection->socket.close();
+        }
+    }
 }
 
 std::shared_ptr<http_stream> http_client::stream(const http_call &request, http_stream::handlers handlers)
 {
-    auto result = std::make_shared<session_stream>(request, std::move(handlers), m_parts->sockets);
-    result->start(m_session.get(), request.timeout);
+    auto result = std::make_shared<answer_stream>(request, std::move(handlers), m_parts->pools);
+    result->start(request.timeout);
     return result;
 }
 
@@ -288,10 +553,9 @@
         }
     };
     http_stream::handlers handlers;
-    handlers.begun = [state, readMore](unsigned status, http_headers headers) {
+    handlers.begun = [state](unsigned status, http_headers headers) {
         state->answer.status = status;
         state->answer.headers = std::move(headers);
-        readMore();
     };
     handlers.arrived = [state, readMore](std::string_view piece) {
         state->answer.body.append(piece);
@@ -304,10 +568,11 @@
     };
     handlers.ended = [state, done] { done(std::move(state->answer)); };
     handlers.failed = [done](http_failure failure) { done(std::move(failure)); };
-    auto source = std::make_shared<session_stream>(request, std::move(handlers), m_parts->sockets);
+    auto source = std::make_shared<answer_stream>(request, std::move(handlers), m_parts->pools);
     source->count(m_controlBytes);
-    source->start(m_session.get(), request.timeout);
     state->source = source;
+    source->readMore();
+    source->start(request.timeout);
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/error.h"
-#include "io/glib_pointer.h"
 #include "io/http.h"
 
 #include <chrono>
@@ -10,8 +9,6 @@
 #include <memory>
 #include <variant>
 
-using SoupSession = struct _SoupSession; // NOLINT(bugprone-reserved-identifier): libsoup's own name
-
 namespace primrosecroft
 {
 
@@ -34,6 +31,7 @@
     error fault;
     bool sent = false; ///< a part of the request may have reached the peer
     bool timedOut = false;
+    bool refused = false; ///< nobody listens there
 };
 
 using http_outcome = std::variant<http_answer, http_failure>;
@@ -95,7 +93,6 @@
 private:
     struct parts;
     std::unique_ptr<parts> m_parts;
-    object_pointer<SoupSession> m_session;
     std::shared_ptr<http_byte_counts> m_controlBytes = std::make_shared<http_byte_counts>();
 };
 
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -1,11 +1,16 @@
 #include "io/http_server.h"
 
 #include "core/error.h"
+#include "io/tcp_socket.h"
 #include "io/timer.h"
 
-#include <libsoup/soup.h>
+#include <algorithm>
+#include <array>
+#include <glib-unix.h>
+#include <http_parser.h>
 #include <map>
-#include <sys/socket.h>
+#include <optional>
+#include <unistd.h>
 #include <utility>
 
 namespace primrosecroft
@@ -14,353 +19,578 @@
 namespace
 {
 
-void closeConnection(SoupServerMessage *message)
+constexpr std::size_t mostPipelined = std::size_t {256} * 1024; ///< bytes of further requests that wait here
+constexpr std::size_t largestQuery = 8'192;
+constexpr auto idleTime = std::chrono::seconds(60); ///< a connection without a request ends then
+constexpr std::string_view tooLong = R"({"outcome":"refused","step":"read request","detail":"the body is too long"})";
+
+/// RFC 9110, 6.4.1.
+bool hasBody(unsigned status)
 {
-    GSocket *socket = soup_server_message_get_socket(message);
-    if (socket != nullptr) {
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-    }
+    return status >= 200 && status != 204 && status != statusNotModified;
 }
 
-/// An ordered close would be the end of the answer to a caller of HTTP 1.0, so it is reset (RFC 9293, 3.10.5).
-void resetConnection(SoupServerMessage *message)
+std::string decodePercent(std::string_view text)
 {
-    GSocket *socket = soup_server_message_get_socket(message);
-    if (socket != nullptr) {
-        const sockaddr nowhere {AF_UNSPEC, {}};
-        if (connect(g_socket_get_fd(socket), &nowhere, sizeof nowhere) != 0) {
-            g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size() && g_ascii_isxdigit(text[i + 1]) && g_ascii_isxdigit(text[i + 2])) {
+            result += static_cast<char>(g_ascii_xdigit_value(text[i + 1]) * 16 + g_ascii_xdigit_value(text[i + 2]));
+            i += 2;
+        } else {
+            result += text[i] == '+' ? ' ' : text[i];
         }
     }
+    return result;
 }
 
-/// RFC 9110, 6.4.1.
-bool hasBody(unsigned status)
+/// A request as it arrived.
+struct request_text
 {
-    return status != SOUP_STATUS_NO_CONTENT && status != SOUP_STATUS_NOT_MODIFIED;
-}
+    std::string method;
+    std::string target;
+    http_headers headers;
+    std::string body;
+    bool keepAlive = false;
+    bool isHttp10 = false;
+};
 
-class server_request : public http_request
+class server_connection;
+
+/// The open connections and what a server asks of each.
+struct server_state
+{
+    http_server_limits limits;
+    http_handler handler;
+    std::map<server_connection *, std::shared_ptr<server_connection>> connections;
+    std::size_t inFlight = 0;
+    bool isStopping = false;
+};
+
+/// One connection of a caller: reads a request, waits for its answer, then goes on with the next.
+class server_connection : public std::enable_shared_from_this<server_connection>
 {
 public:
-    explicit server_request(SoupServerMessage *message)
-        : m_message(shareObject(message))
+    server_connection(int descriptor, std::shared_ptr<server_state> state)
+        : m_socket(descriptor)
+        , m_state(std::move(state))
+    {
+        http_parser_init(&m_parser, HTTP_REQUEST);
+        m_parser.data = this;
+    }
+
+    void start()
     {
-        m_finished = g_signal_connect(message, "finished", G_CALLBACK(&server_request::onFinished), this);
-        m_disconnected = g_signal_connect(message, "disconnected", G_CALLBACK(&server_request::onFinished), this);
-        m_wrote = g_signal_connect(message, "wrote-chunk", G_CALLBACK(&server_request::onWrote), this);
+        tcp_socket::handlers callbacks;
+        callbacks.arrived = [this](std::string_view bytes) { onBytes(bytes); };
+        callbacks.ended = [this] { onEnd(); };
+        callbacks.failed = [this](int) { finish(); };
+        callbacks.drained = [this] { onDrained(); };
+        m_socket.start(std::move(callbacks));
+        m_deadline.once(m_state->limits.requestTime, [this] { finish(); });
     }
 
-    ~server_request() override
+    bool isGone() const
     {
-        for (const auto handler : {m_finished, m_disconnected, m_wrote}) {
-            g_signal_handler_disconnect(m_message.get(), handler);
+        return m_socket.isClosed();
+    }
+
+    const request_text &request() const
+    {
+        return m_request;
+    }
+
+    /// Writes a whole answer and goes on with the next request.
+    void answer(const http_answer &answer)
+    {
+        const bool isBodyless = m_request.method == "HEAD" || !hasBody(answer.status);
+        std::string text = head(answer.status, answer.headers, hasBody(answer.status) ? answer.body.size() : 0, false);
+        if (!isBodyless) {
+            text += answer.body;
         }
+        m_socket.write(text);
+        endExchange();
     }
 
-    server_request(const server_request &) = delete;
-    server_request &operator=(const server_request &) = delete;
+    void beginStream(unsigned status, const http_headers &headers)
+    {
+        const auto length = headerValue(headers, "Content-Length");
+        m_streamsBody = m_request.method != "HEAD" && hasBody(status);
+        m_chunked = m_streamsBody && length.empty() && !m_request.isHttp10;
+        if (m_streamsBody && length.empty() && m_request.isHttp10) {
+            m_request.keepAlive = false; // only the end of the connection ends this body
+        }
+        m_socket.write(head(status, headers, std::nullopt, m_chunked));
+    }
 
-    std::string method() const override
+    void writePiece(std::string_view piece, std::function<void()> written)
     {
-        return soup_server_message_get_method(m_message.get());
+        if (m_streamsBody && !piece.empty()) {
+            if (m_chunked) {
+                std::array<char, 20> size {};
+                g_snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+                m_socket.write(std::string(size.data()) + std::string(piece) + "\r\n");
+            } else {
+                m_socket.write(piece);
+            }
+        }
+        if (m_socket.isDrained() || isGone()) {
+            written();
+            return;
+        }
+        m_written = std::move(written);
     }
 
-    std::string path() const override
+    void endStream()
     {
-        return g_uri_get_path(soup_server_message_get_uri(m_message.get()));
+        if (m_chunked) {
+            m_socket.write("0\r\n\r\n");
+        }
+        endExchange();
     }
 
-    std::string query(const std::string &name) const override
+    /// The caller sees a broken answer: a plain close would be the end of one without length.
+    void abort()
     {
-        const char *text = g_uri_get_query(soup_server_message_get_uri(m_message.get()));
-        if (text == nullptr) {
-            return {};
+        m_socket.reset();
+        finish();
+    }
+
+private:
+    std::string head(unsigned status, const http_headers &headers, std::optional<std::size_t> length, bool chunked)
+    {
+        if (m_state->isStopping) {
+            m_request.keepAlive = false;
         }
-        if (name.empty()) {
-            return text;
+        const auto *reason = http_status_str(static_cast<http_status>(status));
+        std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + reason + "\r\n";
+        for (const auto &header : headers) {
+            text += header.name + ": " + header.value + "\r\n";
         }
-        GHashTable *table = soup_form_decode(text);
-        const auto *value = static_cast<const char *>(g_hash_table_lookup(table, name.c_str()));
-        std::string result = value == nullptr ? "" : value;
-        g_hash_table_destroy(table);
-        return result;
+        if (headerValue(headers, "Server").empty()) {
+            text += "Server: primrosecroft\r\n";
+        }
+        if (length && hasBody(status) && headerValue(headers, "Content-Length").empty()) {
+            text += "Content-Length: " + std::to_string(*length) + "\r\n";
+        }
+        if (chunked) {
+            text += "Transfer-Encoding: chunked\r\n";
+        }
+        if (!m_request.keepAlive) {
+            text += "Connection: close\r\n";
+        } else if (m_request.isHttp10) {
+            text += "Connection: keep-alive\r\n";
+        }
+        return text + "\r\n";
     }
 
-    http_headers headers() const override
+    static server_connection &of(http_parser *parser)
     {
-        http_headers result;
-        soup_message_headers_foreach(
-            soup_server_message_get_request_headers(m_message.get()),
-            [](const char *name, const char *value, gpointer target) {
-                static_cast<http_headers *>(target)->push_back({name, value});
-            },
-            &result);
-        return result;
+        return *static_cast<server_connection *>(parser->data);
     }
 
-    std::string header(const std::string &name) const override
+    static const http_parser_settings &parserSettings()
     {
-        const char *value =
-            soup_message_headers_get_one(soup_server_message_get_request_headers(m_message.get()), name.c_str());
-        return value == nullptr ? "" : value;
+        static const http_parser_settings settings = [] {
+            http_parser_settings result;
+            http_parser_settings_init(&result);
+            result.on_message_begin = [](http_parser *parser) {
+                of(parser).onBegin();
+                return 0;
+            };
+            result.on_url = [](http_parser *parser, const char *at, size_t length) {
+                of(parser).m_request.target.append(at, length);
+                return 0;
+            };
+            result.on_header_field = [](http_parser *parser, const char *at, size_t length) {
+                of(parser).onHeaderField({at, length});
+                return 0;
+            };
+            result.on_header_value = [](http_parser *parser, const char *at, size_t length) {
+                of(parser).onHeaderValue({at, length});
+                return 0;
+            };
+            result.on_headers_complete = [](http_parser *parser) {
+                of(parser).onHead();
+                return 0;
+            };
+            result.on_body = [](http_parser *parser, const char *at, size_t length) {
+                return of(parser).onBody({at, length}) ? 0 : 1;
+            };
+            result.on_message_complete = [](http_parser *parser) {
+                of(parser).m_complete = true;
+                http_parser_pause(parser, 1);
+                return 0;
+            };
+            return result;
+        }();
+        return settings;
     }
 
-    std::string body() const override
+    void onBegin()
     {
-        const bytes_pointer bytes(soup_message_body_flatten(soup_server_message_get_request_body(m_message.get())));
-        gsize size = 0;
-        const auto *data = static_cast<const char *>(g_bytes_get_data(bytes.get(), &size));
-        return size == 0 ? std::string() : std::string(data, size);
+        m_request = {};
+        m_headDone = false;
+        m_inField = false;
+        m_isTooLong = false;
+        m_deadline.once(m_state->limits.requestTime, [this] { finish(); });
     }
 
-    void answer(const http_answer &answer) override
+    void onHeaderField(std::string_view text)
     {
-        if (std::exchange(m_answered, true) || m_gone) {
-            return;
+        if (m_headDone) {
+            return; // a trailer
         }
-        setHead(answer.status, answer.headers);
-        auto type = headerValue(answer.headers, "Content-Type");
-        if (type.empty()) {
-            type = "application/json";
+        if (!m_inField) {
+            m_request.headers.emplace_back();
         }
-        soup_server_message_set_response(m_message.get(), type.c_str(), SOUP_MEMORY_COPY, answer.body.data(),
-                                         answer.body.size());
-        unpause();
+        m_inField = true;
+        m_request.headers.back().name.append(text);
     }
 
-    void beginStream(unsigned status, const http_headers &headers) override
+    void onHeaderValue(std::string_view text)
     {
-        if (std::exchange(m_answered, true) || m_gone) {
+        if (m_headDone || m_request.headers.empty()) {
             return;
         }
-        setHead(status, headers);
-        auto *responseHeaders = soup_server_message_get_response_headers(m_message.get());
-        const auto length = headerValue(headers, "Content-Length");
-        if (!hasBody(status)) {
-            soup_message_headers_set_encoding(responseHeaders, SOUP_ENCODING_NONE);
-        } else if (length.empty()) {
-            soup_message_headers_set_encoding(responseHeaders, SOUP_ENCODING_CHUNKED);
-        } else {
-            soup_message_headers_set_content_length(responseHeaders, g_ascii_strtoll(length.c_str(), nullptr, 10));
+        m_inField = false;
+        m_request.headers.back().value.append(text);
+    }
+
+    void onHead()
+    {
+        m_headDone = true;
+        m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
+        m_request.isHttp10 = m_parser.http_major == 1 && m_parser.http_minor == 0;
+        m_request.keepAlive = http_should_keep_alive(&m_parser) != 0;
+        const auto limit = static_cast<std::uint64_t>(m_state->limits.largestBody);
+        const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
+        m_isTooLong = hasLength && m_parser.content_length > limit;
+        if (g_ascii_strcasecmp(headerValue(m_request.headers, "Expect").c_str(), "100-continue") == 0 && !m_isTooLong) {
+            m_socket.write("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        auto *responseBody = soup_server_message_get_response_body(m_message.get());
-        soup_message_body_set_accumulate(responseBody, FALSE);
     }
 
-    void writePiece(std::string_view piece, std::function<void()> written) override
+    /// False when a body without length passes the limit; one that announced its length is read and dropped.
+    bool onBody(std::string_view piece)
     {
-        if (m_gone) {
-            written();
-            return;
+        if (m_isTooLong) {
+            return true;
         }
-        m_written = std::move(written);
-        soup_message_body_append(soup_server_message_get_response_body(m_message.get()), SOUP_MEMORY_COPY, piece.data(),
-                                 piece.size());
-        unpause();
+        m_request.body.append(piece);
+        return m_request.body.size() <= static_cast<std::size_t>(m_state->limits.largestBody);
     }
 
-    void endStream() override
+    void onBytes(std::string_view bytes)
     {
-        if (m_gone) {
+        const auto self = shared_from_this();
+        m_arrived.append(bytes);
+        if (m_serving) {
+            m_socket.wantRead(m_arrived.size() < mostPipelined);
             return;
         }
-        soup_message_body_complete(soup_server_message_get_response_body(m_message.get()));
-        unpause();
+        parse();
     }
 
-    void abort() override
+    /// Reads on until a request is whole or more bytes are needed.
+    void parse()
     {
-        if (m_gone) {
-            return;
+        while (!m_serving && !isGone() && !m_arrived.empty()) {
+            const auto used = http_parser_execute(&m_parser, &parserSettings(), m_arrived.data(), m_arrived.size());
+            m_arrived.erase(0, used);
+            if (!m_complete) {
+                if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
+                    refuseGarbage();
+                }
+                return;
+            }
+            m_complete = false;
+            http_parser_pause(&m_parser, 0);
+            serve();
+        }
+        if (m_ended && !m_serving && !isGone()) {
+            closeWhenDrained();
         }
-        resetConnection(m_message.get());
-        unpause();
     }
 
-    bool isGone() const override
+    void serve();
+
+    void refuseGarbage()
     {
-        return m_gone;
+        if (!m_headDone) {
+            m_socket.write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        }
+        closeWhenDrained();
     }
 
-    void pause()
+    void endExchange()
     {
-        m_paused = true;
-        soup_server_message_pause(m_message.get());
+        const auto self = shared_from_this();
+        m_serving = false;
+        m_chunked = false;
+        --m_state->inFlight;
+        if (!m_request.keepAlive) {
+            closeWhenDrained();
+            return;
+        }
+        m_deadline.once(idleTime, [this] { finish(); });
+        if (!m_ended) {
+            m_socket.wantRead(true);
+        }
+        parse();
     }
 
-private:
-    static void onFinished(SoupServerMessage * /*message*/, gpointer self)
+    void closeWhenDrained()
     {
-        auto &request = *static_cast<server_request *>(self);
-        request.m_gone = true;
-        if (const auto written = std::exchange(request.m_written, nullptr)) {
-            written();
+        m_closing = true;
+        if (m_socket.isDrained()) {
+            finish();
+            return;
         }
+        m_deadline.once(m_state->limits.requestTime, [this] { finish(); });
     }
 
-    static void onWrote(SoupServerMessage * /*message*/, gpointer self)
+    void onEnd()
     {
-        auto &request = *static_cast<server_request *>(self);
-        if (const auto written = std::exchange(request.m_written, nullptr)) {
-            request.pause();
-            written();
+        const auto self = shared_from_this();
+        m_ended = true;
+        if (!m_serving) {
+            closeWhenDrained();
         }
     }
 
-    void setHead(unsigned status, const http_headers &headers)
+    void onDrained()
     {
-        soup_server_message_set_status(m_message.get(), status, nullptr);
-        auto *target = soup_server_message_get_response_headers(m_message.get());
-        // What libsoup has set by itself gives way; what comes several times stays so.
-        for (const auto &header : headers) {
-            soup_message_headers_remove(target, header.name.c_str());
+        const auto self = shared_from_this();
+        if (m_closing) {
+            finish();
+            return;
         }
-        for (const auto &header : headers) {
-            soup_message_headers_append(target, header.name.c_str(), header.value.c_str());
+        if (const auto written = std::exchange(m_written, nullptr)) {
+            written();
         }
     }
 
-    void unpause()
+    void finish()
     {
-        if (std::exchange(m_paused, false)) {
-            soup_server_message_unpause(m_message.get());
+        const auto self = shared_from_this();
+        m_socket.close();
+        m_deadline.stop();
+        if (std::exchange(m_serving, false)) {
+            --m_state->inFlight;
+        }
+        m_state->connections.erase(this);
+        if (const auto written = std::exchange(m_written, nullptr)) {
+            written();
         }
     }
 
-    object_pointer<SoupServerMessage> m_message;
+    tcp_socket m_socket;
+    std::shared_ptr<server_state> m_state;
+    http_parser m_parser {};
+    timer m_deadline;
+    request_text m_request;
+    std::string m_arrived;
     std::function<void()> m_written;
-    gulong m_finished = 0;
-    gulong m_disconnected = 0;
-    gulong m_wrote = 0;
-    bool m_answered = false;
-    bool m_gone = false;
-    bool m_paused = false;
+    bool m_inField = false;
+    bool m_headDone = false;
+    bool m_isTooLong = false;
+    bool m_complete = false;
+    bool m_serving = false;
+    bool m_ended = false;
+    bool m_closing = false;
+    bool m_chunked = false;
+    bool m_streamsBody = false;
 };
 
-} // namespace
-
-struct http_server::parts
+/// The handler's view of a request; it outlives neither answer nor connection.
+class server_request : public http_request
 {
-    http_server_limits limits;
-    http_handler handler;
-    object_pointer<SoupServer> server;
-    std::map<SoupServerMessage *, std::unique_ptr<timer>> arriving;
-    std::size_t inFlight = 0;
+public:
+    explicit server_request(std::shared_ptr<server_connection> connection)
+        : m_connection(std::move(connection))
+        , m_request(m_connection->request())
+    {
+    }
 
-    static void onStarted(SoupServer * /*server*/, SoupServerMessage *message, gpointer self)
+    std::string method() const override
     {
-        auto &owner = *static_cast<parts *>(self);
-        ++owner.inFlight;
-        auto &deadline = owner.arriving[message];
-        deadline = std::make_unique<timer>();
-        deadline->once(owner.limits.requestTime, [message] { closeConnection(message); });
-        g_signal_connect(message, "got-body", G_CALLBACK(&parts::onGotBody), self);
-        g_signal_connect(message, "got-chunk", G_CALLBACK(&parts::onGotChunk), self);
+        return m_request.method;
     }
 
-    static void onGotBody(SoupServerMessage *message, gpointer self)
+    std::string path() const override
     {
-        static_cast<parts *>(self)->arriving.erase(message);
+        const auto start = m_request.target.starts_with("http://") ? m_request.target.find('/', 7) : 0;
+        if (start == std::string::npos) {
+            return "/";
+        }
+        return m_request.target.substr(start, m_request.target.find('?') - start);
     }
 
-    static void onGotChunk(SoupServerMessage *message, GBytes * /*chunk*/, gpointer self)
+    std::string query(const std::string &name) const override
     {
-        const auto &owner = *static_cast<parts *>(self);
-        const auto isRefused = soup_server_message_get_status(message) != 0; // its rest is read and dropped
-        if (!isRefused && soup_server_message_get_request_body(message)->length > owner.limits.largestBody) {
-            closeConnection(message);
+        const auto mark = m_request.target.find('?');
+        if (mark == std::string::npos || m_request.target.size() - mark > largestQuery) {
+            return {};
+        }
+        std::string_view text = std::string_view(m_request.target).substr(mark + 1);
+        if (name.empty()) {
+            return std::string(text);
         }
+        std::string result;
+        while (!text.empty()) {
+            const auto pair = text.substr(0, text.find('&'));
+            const auto equals = pair.find('=');
+            if (decodePercent(pair.substr(0, equals)) == name) {
+                result = equals == std::string_view::npos ? "" : decodePercent(pair.substr(equals + 1));
+            }
+            text.remove_prefix(std::min(text.size(), pair.size() + 1));
+        }
+        return result;
+    }
+
+    http_headers headers() const override
+    {
+        return m_request.headers;
+    }
+
+    std::string header(const std::string &name) const override
+    {
+        return headerValue(m_request.headers, name);
     }
 
-    static void onDone(SoupServer * /*server*/, SoupServerMessage *message, gpointer self)
+    std::string body() const override
     {
-        auto &owner = *static_cast<parts *>(self);
-        owner.arriving.erase(message);
-        --owner.inFlight;
+        return m_request.body;
     }
 
-    /// Runs when the head has arrived: refuses what is too long before its body is read.
-    static void onHead(SoupServer * /*server*/, SoupServerMessage *message, const char * /*path*/,
-                       GHashTable * /*query*/, gpointer self)
+    void answer(const http_answer &answer) override
     {
-        const auto &owner = *static_cast<parts *>(self);
-        auto *headers = soup_server_message_get_request_headers(message);
-        if (soup_message_headers_get_content_length(headers) > owner.limits.largestBody) {
-            static constexpr std::string_view text =
-                R"({"outcome":"refused","step":"read request","detail":"the body is too long"})";
-            soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
-            soup_server_message_set_status(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
-            soup_server_message_set_response(message, "application/problem+json", SOUP_MEMORY_STATIC, text.data(),
-                                             text.size());
+        if (!std::exchange(m_answered, true) && !isGone()) {
+            m_connection->answer(answer);
         }
     }
 
-    static void onRequest(SoupServer * /*server*/, SoupServerMessage *message, const char * /*path*/,
-                          GHashTable * /*query*/, gpointer self)
+    void beginStream(unsigned status, const http_headers &headers) override
     {
-        if (soup_server_message_get_status(message) != 0) {
-            return; // refused when its head arrived
+        if (!std::exchange(m_answered, true) && !isGone()) {
+            m_connection->beginStream(status, headers);
         }
-        const auto request = std::make_shared<server_request>(message);
-        request->pause();
-        static_cast<parts *>(self)->handler(request);
+    }
+
+    void writePiece(std::string_view piece, std::function<void()> written) override
+    {
+        if (isGone()) {
+            written();
+            return;
+        }
+        m_connection->writePiece(piece, std::move(written));
+    }
+
+    void endStream() override
+    {
+        if (!std::exchange(m_ended, true) && !isGone()) {
+            m_connection->endStream();
+        }
+    }
+
+    void abort() override
+    {
+        m_answered = true;
+        if (!std::exchange(m_ended, true) && !isGone()) {
+            m_connection->abort();
+        }
+    }
+
+    bool isGone() const override
+    {
+        return m_connection->isGone();
+    }
+
+private:
+    std::shared_ptr<server_connection> m_connection;
+    request_text m_request;
+    bool m_answered = false;
+    bool m_ended = false;
+};
+
+void server_connection::serve()
+{
+    m_serving = true;
+    m_deadline.stop();
+    ++m_state->inFlight;
+    if (m_isTooLong) {
+        answer({413, {{"Content-Type", "application/problem+json"}}, std::string(tooLong)});
+        return;
+    }
+    const auto handler = m_state->handler;
+    handler(std::make_shared<server_request>(shared_from_this()));
+}
+
+} // namespace
+
+struct http_server::parts
+{
+    std::shared_ptr<server_state> state = std::make_shared<server_state>();
+    int listener = -1;
+    unsigned source = 0;
+
+    static gboolean onConnection(gint listener, GIOCondition /*condition*/, gpointer self)
+    {
+        const auto &state = static_cast<parts *>(self)->state;
+        for (int descriptor = acceptConnection(listener); descriptor >= 0; descriptor = acceptConnection(listener)) {
+            if (state->connections.size() >= state->limits.mostConnections) {
+                ::close(descriptor);
+                continue;
+            }
+            const auto connection = std::make_shared<server_connection>(descriptor, state);
+            state->connections[connection.get()] = connection;
+            connection->start();
+        }
+        return G_SOURCE_CONTINUE;
     }
 };
 
 http_server::http_server(const http_server_limits &limits, http_handler handler)
     : m_parts(std::make_unique<parts>())
 {
-    m_parts->limits = limits;
-    m_parts->handler = std::move(handler);
-    m_parts->server.reset(soup_server_new("server-header", "primrosecroft", nullptr));
-    auto *server = m_parts->server.get();
-    soup_server_add_early_handler(server, nullptr, &parts::onHead, m_parts.get(), nullptr);
-    soup_server_add_handler(server, nullptr, &parts::onRequest, m_parts.get(), nullptr);
-    g_signal_connect(server, "request-started", G_CALLBACK(&parts::onStarted), m_parts.get());
-    g_signal_connect(server, "request-finished", G_CALLBACK(&parts::onDone), m_parts.get());
-    g_signal_connect(server, "request-aborted", G_CALLBACK(&parts::onDone), m_parts.get());
+    m_parts->state->limits = limits;
+    m_parts->state->handler = std::move(handler);
 }
 
 http_server::~http_server()
 {
-    g_signal_handlers_disconnect_by_data(m_parts->server.get(), m_parts.get());
-    soup_server_disconnect(m_parts->server.get());
+    stopListening();
+    m_parts->state->handler = [](const std::shared_ptr<http_request> &) { };
+    const auto connections = std::exchange(m_parts->state->connections, {});
+    for (const auto &[key, connection] : connections) {
+        connection->abort();
+    }
 }
 
 void http_server::listen(const std::string &address, std::uint16_t port)
 {
-    const object_pointer<GSocketAddress> target(g_inet_socket_address_new_from_string(address.c_str(), port));
-    if (!target) {
-        throw error("listen", address, "not an IP number");
-    }
-    GError *raw = nullptr;
-    if (!soup_server_listen(m_parts->server.get(), target.get(), static_cast<SoupServerListenOptions>(0), &raw)) {
-        const error_pointer fault(raw);
-        throw error("listen", address + ':' + std::to_string(port), fault->message);
-    }
+    m_parts->listener = beginListen(address, port);
+    m_parts->source = g_unix_fd_add(m_parts->listener, G_IO_IN, &parts::onConnection, m_parts.get());
 }
 
 std::uint16_t http_server::port() const
 {
-    GSList *uris = soup_server_get_uris(m_parts->server.get());
-    const auto result = uris == nullptr ? 0 : g_uri_get_port(static_cast<GUri *>(uris->data));
-    g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
-    return static_cast<std::uint16_t>(result);
+    return m_parts->listener < 0 ? 0 : boundPort(m_parts->listener);
 }
 
 void http_server::stopListening()
 {
-    GSList *listeners = soup_server_get_listeners(m_parts->server.get());
-    for (GSList *each = listeners; each != nullptr; each = each->next) {
-        g_socket_close(static_cast<GSocket *>(each->data), nullptr);
+    m_parts->state->isStopping = true;
+    if (m_parts->source != 0) {
+        g_source_remove(std::exchange(m_parts->source, 0));
+        ::close(std::exchange(m_parts->listener, -1));
     }
-    g_slist_free(listeners);
 }
 
 std::size_t http_server::inFlight() const
 {
-    return m_parts->inFlight;
+    return m_parts->state->inFlight;
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/io/http_server.h
+++ b/src/libprimrosecroft/io/http_server.h
@@ -1,16 +1,14 @@
 #pragma once
 
-#include "io/glib_pointer.h"
 #include "io/http.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
-using SoupServer = struct _SoupServer; // NOLINT(bugprone-reserved-identifier): libsoup's own name
-
 namespace primrosecroft
 {
 
@@ -54,6 +52,7 @@
 {
     std::int64_t largestBody = std::int64_t {1024} * 1024;
     std::chrono::milliseconds requestTime {10'000}; ///< for a request to arrive whole
+    std::size_t mostConnections = 2'000; ///< open ones; further ones are closed at once
 };
 
 /// Listens for callers and hands each whole request to one handler.
--- a/src/libprimrosecroft/io/peer_hub.cpp
+++ b/src/libprimrosecroft/io/peer_hub.cpp
@@ -1,17 +1,19 @@
 #include "io/peer_hub.h"
 
 #include "core/error.h"
+#include "io/tcp_socket.h"
 #include "io/timer.h"
 #include "observability/log_text.h"
 #include "primrosecroft_types.h"
 #include "protocol/frame.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <deque>
+#include <glib-unix.h>
 #include <glog/logging.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <set>
+#include <unistd.h>
 #include <utility>
 
 namespace primrosecroft
@@ -22,14 +24,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t mostQueuedFrames = 512;
-constexpr std::size_t mostWaitingFrames = 32;
+constexpr std::size_t mostWaitingBytes = std::size_t {4} * 1024 * 1024; ///< to a peer that doesn't read
+constexpr std::size_t mostWaitingFrames = 32; ///< until a connection stands
 constexpr std::size_t mostAcceptedPeers = 256;
-constexpr std::size_t readPiece = std::size_t {16} * 1024;
-constexpr auto frameDeadline = 10s;
-constexpr int unacknowledgedLimitMs = 6'000;
-constexpr auto connectTimeout = 2s;
-constexpr auto reconnectPause = 500ms;
+constexpr auto frameDeadline = 10s; ///< for a begun frame to arrive whole
+constexpr auto reconnectPause = 100ms;
 
 struct byte_counts
 {
@@ -44,168 +43,99 @@
 public:
     using frame_handler = std::function<void(const wire::Message &)>;
 
-    frame_link(object_pointer<GSocketConnection> connection, std::shared_ptr<byte_counts> counts)
-        : m_connection(std::move(connection))
-        , m_cancellable(g_cancellable_new())
+    frame_link(int descriptor, std::shared_ptr<byte_counts> counts)
+        : m_socket(descriptor)
         , m_counts(std::move(counts))
     {
     }
 
-    void start(frame_handler handler, std::function<void()> closed)
+    /// @p closed gets the system's error number, 0 when the peer closed in order.
+    void start(frame_handler handler, std::function<void(int fault)> closed)
     {
         m_handler = std::move(handler);
         m_closed = std::move(closed);
-        // A cut that drops packets ends the link soon, so that a healed one is used at once.
-        g_socket_set_option(g_socket_connection_get_socket(m_connection.get()), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                            unacknowledgedLimitMs, nullptr);
-        readHead();
+        tcp_socket::handlers callbacks;
+        callbacks.arrived = [this](std::string_view bytes) { onBytes(bytes); };
+        callbacks.ended = [this] { close(0); };
+        callbacks.failed = [this](int fault) { close(fault); };
+        m_socket.start(std::move(callbacks));
     }
 
-    void send(std::string frame)
+    void send(const std::string &frame)
     {
-        if (m_queue.size() < mostQueuedFrames) {
-            m_queue.push_back(std::move(frame));
+        if (m_socket.waitingBytes() > mostWaitingBytes) {
+            return; // the asker gets no reply
         }
-        writeNext();
+        m_counts->sent += frame.size();
+        ++m_counts->framesSent;
+        m_socket.write(frame);
     }
 
-    void close()
+    void close(int fault)
     {
         if (std::exchange(m_isClosed, true)) {
             return;
         }
+        const auto self = shared_from_this();
         m_deadline.stop();
-        g_cancellable_cancel(m_cancellable.get());
-        g_io_stream_close_async(G_IO_STREAM(m_connection.get()), G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
+        m_socket.close();
         if (const auto closed = std::exchange(m_closed, nullptr)) {
-            closed();
+            closed(fault);
         }
     }
 
 private:
-    /// Keeps the link alive while an asynchronous call is under way.
-    using keeper = std::shared_ptr<frame_link>;
-
-    void readHead()
-    {
-        m_buffer.assign(frameHeadSize, '\0');
-        m_begun = 0;
-        m_deadline.stop();
-        read([](frame_link &self) {
-            const auto size = frameBodySize(self.m_buffer);
-            // A stalled sender may not hold a buffer or a connection for good.
-            self.m_deadline.once(frameDeadline, [&self] { self.close(); });
-            self.m_buffer.clear();
-            self.m_begun = 0;
-            self.readBody(size);
-        });
-    }
-
-    /// Grows with what has arrived, so that a length alone takes no memory.
-    void readBody(std::size_t size)
-    {
-        m_bodySize = size;
-        m_buffer.resize(std::min(size, m_begun + readPiece));
-        read([](frame_link &self) {
-            if (self.m_buffer.size() < self.m_bodySize) {
-                self.m_begun = self.m_buffer.size();
-                self.readBody(self.m_bodySize);
-                return;
-            }
-            const auto message = decodeFrameBody(self.m_buffer);
-            self.m_handler(message);
-            if (!self.m_isClosed) {
-                self.readHead();
-            }
-        });
-    }
-
-    void read(void (*then)(frame_link &))
+    void onBytes(std::string_view bytes)
     {
-        m_then = then;
-        g_input_stream_read_all_async(g_io_stream_get_input_stream(G_IO_STREAM(m_connection.get())),
-                                      m_buffer.data() + m_begun, m_buffer.size() - m_begun, G_PRIORITY_DEFAULT,
-                                      m_cancellable.get(), &frame_link::onRead, new keeper(shared_from_this()));
-    }
-
-    static void onRead(GObject *stream, GAsyncResult *result, gpointer data)
-    {
-        const std::unique_ptr<keeper> self(static_cast<keeper *>(data));
-        auto &link = **self;
-        gsize count = 0;
-        GError *raw = nullptr;
-        const auto good = g_input_stream_read_all_finish(G_INPUT_STREAM(stream), result, &count, &raw);
-        const error_pointer fault(raw);
-        link.m_counts->received += count;
-        if (good == FALSE || link.m_begun + count < link.m_buffer.size() || link.m_isClosed) {
-            link.close();
-            return;
-        }
+        const auto self = shared_from_this();
+        m_counts->received += bytes.size();
+        m_buffer.append(bytes);
         try {
-            link.m_then(link);
+            std::size_t begin = 0;
+            while (!m_isClosed && m_buffer.size() - begin >= frameHeadSize) {
+                const auto size = frameBodySize(std::string_view(m_buffer).substr(begin, frameHeadSize));
+                if (m_buffer.size() - begin < frameHeadSize + size) {
+                    break;
+                }
+                const auto message = decodeFrameBody(std::string_view(m_buffer).substr(begin + frameHeadSize, size));
+                begin += frameHeadSize + size;
+                m_handler(message);
+            }
+            m_buffer.erase(0, begin);
         } catch (const error &refused) {
             LOG(WARNING) << "peers: closed a connection, reason=" << logText(refused.what());
-            link.close();
-        }
-    }
-
-    void writeNext()
-    {
-        if (m_writing || m_queue.empty() || m_isClosed) {
+            close(0);
             return;
         }
-        m_writing = true;
-        m_outgoing = std::move(m_queue.front());
-        m_queue.pop_front();
-        g_output_stream_write_all_async(g_io_stream_get_output_stream(G_IO_STREAM(m_connection.get())),
-                                        m_outgoing.data(), m_outgoing.size(), G_PRIORITY_DEFAULT, m_cancellable.get(),
-                                        &frame_link::onWritten, new keeper(shared_from_this()));
-    }
-
-    static void onWritten(GObject *stream, GAsyncResult *result, gpointer data)
-    {
-        const std::unique_ptr<keeper> self(static_cast<keeper *>(data));
-        auto &link = **self;
-        gsize count = 0;
-        GError *raw = nullptr;
-        const auto good = g_output_stream_write_all_finish(G_OUTPUT_STREAM(stream), result, &count, &raw);
-        const error_pointer fault(raw);
-        link.m_counts->sent += count;
-        ++link.m_counts->framesSent;
-        link.m_writing = false;
-        if (good == FALSE) {
-            link.close();
-            return;
+        // A stalled sender may not hold a buffer or a connection for good.
+        if (m_buffer.empty()) {
+            m_deadline.stop();
+        } else if (!m_deadline.isRunning()) {
+            m_deadline.once(frameDeadline, [this] { close(0); });
         }
-        link.writeNext();
     }
 
-    object_pointer<GSocketConnection> m_connection;
-    object_pointer<GCancellable> m_cancellable;
+    tcp_socket m_socket;
     std::shared_ptr<byte_counts> m_counts;
     frame_handler m_handler;
-    std::function<void()> m_closed;
+    std::function<void(int fault)> m_closed;
     std::string m_buffer;
-    std::size_t m_begun = 0; ///< bytes of the buffer that are there
-    std::size_t m_bodySize = 0;
     timer m_deadline;
-    std::string m_outgoing;
-    std::deque<std::string> m_queue;
-    void (*m_then)(frame_link &) = nullptr;
-    bool m_writing = false;
     bool m_isClosed = false;
 };
 
 struct outgoing_peer
 {
     std::shared_ptr<frame_link> link;
-    std::deque<std::string> queue; ///< until the connection stands
-    bool connecting = false;
+    std::deque<std::string> queue; ///< until the connection may be tried again
     std::unique_ptr<timer> retry; ///< runs while the peer was unreachable a moment ago
+    bool refuses = false;
+    bool hasAnswered = false; ///< on this connection
 };
 
 struct pending_reply
 {
+    peer_address peer;
     peer_hub::reply_handler done;
     std::unique_ptr<timer> deadline;
 };
@@ -222,19 +152,13 @@
     wire::Sender self;
     message_handler handler;
     std::shared_ptr<byte_counts> counts = std::make_shared<byte_counts>();
-    object_pointer<GSocketService> service;
-    object_pointer<GSocketClient> client {g_socket_client_new()};
+    int listener = -1;
+    unsigned source = 0;
     std::map<peer_address, outgoing_peer> peers;
     std::set<std::shared_ptr<frame_link>> accepted;
     std::map<std::int64_t, pending_reply> pending;
     std::int64_t lastId = 0;
 
-    struct connect_call
-    {
-        std::weak_ptr<parts> owner;
-        peer_address peer;
-    };
-
     void received(const wire::Message &message, const std::shared_ptr<frame_link> &link)
     {
         if (message.__isset.replyTo) {
@@ -260,10 +184,30 @@
             return; // too late, or doubled
         }
         const auto done = std::move(found->second.done);
+        const auto peer = found->second.peer;
         pending.erase(found);
+        if (reply) {
+            peers[peer].hasAnswered = true;
+        } else if (const auto link = peers[peer].link) {
+            link->close(ETIMEDOUT); // it may have gone silent for good; a new connection tells
+        }
         done(reply);
     }
 
+    /// Nobody will answer what was asked over a connection that ended.
+    void giveUp(const peer_address &peer)
+    {
+        std::vector<std::int64_t> lost;
+        for (const auto &[id, each] : pending) {
+            if (each.peer == peer) {
+                lost.push_back(id);
+            }
+        }
+        for (const auto id : lost) {
+            settle(id, std::nullopt);
+        }
+    }
+
     std::string encode(wire::Message message)
     {
         message.__set_sender(self);
@@ -273,7 +217,7 @@
         return encodeFrame(message);
     }
 
-    void adopt(const std::shared_ptr<frame_link> &link, std::function<void()> closed)
+    void adopt(const std::shared_ptr<frame_link> &link, std::function<void(int)> closed)
     {
         const std::weak_ptr weakLink(link);
         link->start(
@@ -291,27 +235,51 @@
     {
         auto &peer = peers[address];
         if (peer.link) {
-            peer.link->send(std::move(frame));
+            peer.link->send(frame);
             return;
         }
         if (peer.queue.size() >= mostWaitingFrames) {
             peer.queue.pop_front(); // what is newest matters most
         }
         peer.queue.push_back(std::move(frame));
-        connect(address);
+        if (!peer.retry || !peer.retry->isRunning()) {
+            connect(address);
+        }
     }
 
     void connect(const peer_address &address)
     {
         auto &peer = peers[address];
-        if (peer.connecting || (peer.retry && peer.retry->isRunning())) {
+        int descriptor = -1;
+        try {
+            descriptor = beginConnect(address.address, address.port);
+        } catch (const error &fault) {
+            LOG(WARNING) << "peers: no connection, reason=" << logText(fault.what());
+            connectLater(address);
             return;
         }
-        peer.connecting = true;
-        const object_pointer<GSocketAddress> target(
-            g_inet_socket_address_new_from_string(address.address.c_str(), address.port));
-        g_socket_client_connect_async(client.get(), G_SOCKET_CONNECTABLE(target.get()), nullptr, &parts::onConnected,
-                                      new connect_call {weak_from_this(), address});
+        peer.link = std::make_shared<frame_link>(descriptor, counts);
+        peer.hasAnswered = false;
+        adopt(peer.link, [weakSelf = weak_from_this(), address](int fault) {
+            if (const auto owner = weakSelf.lock()) {
+                owner->closed(address, fault);
+            }
+        });
+        for (const auto &frame : std::exchange(peer.queue, {})) {
+            peer.link->send(frame);
+        }
+    }
+
+    void closed(const peer_address &address, int fault)
+    {
+        auto &peer = peers[address];
+        const bool hadAnswered = peer.hasAnswered;
+        peer.link.reset();
+        peer.refuses = fault == ECONNREFUSED;
+        if (!hadAnswered) {
+            connectLater(address);
+        }
+        giveUp(address);
     }
 
     /// After a failure: what is sent meanwhile waits for the next try instead of being lost.
@@ -326,54 +294,25 @@
         });
     }
 
-    static void onConnected(GObject *source, GAsyncResult *result, gpointer data)
+    static gboolean onIncoming(gint listener, GIOCondition /*condition*/, gpointer self)
     {
-        const std::unique_ptr<connect_call> call(static_cast<connect_call *>(data));
-        GError *raw = nullptr;
-        object_pointer<GSocketConnection> connection(
-            g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, &raw));
-        const error_pointer fault(raw);
-        const auto owner = call->owner.lock();
-        if (!owner) {
-            return;
-        }
-        auto &peer = owner->peers[call->peer];
-        peer.connecting = false;
-        auto queue = std::exchange(peer.queue, {});
-        if (!connection) {
-            owner->connectLater(call->peer);
-            return;
-        }
-        // The client's time limit was for connecting; the stream may stay idle.
-        g_socket_set_timeout(g_socket_connection_get_socket(connection.get()), 0);
-        peer.link = std::make_shared<frame_link>(std::move(connection), owner->counts);
-        owner->adopt(peer.link, [weakSelf = call->owner, address = call->peer] {
-            if (const auto strong = weakSelf.lock()) {
-                strong->peers[address].link.reset();
+        auto &owner = *static_cast<parts *>(self);
+        for (int descriptor = acceptConnection(listener); descriptor >= 0; descriptor = acceptConnection(listener)) {
+            if (owner.accepted.size() >= mostAcceptedPeers) {
+                ::close(descriptor);
+                continue;
             }
-        });
-        for (auto &frame : queue) {
-            peer.link->send(std::move(frame));
-        }
-    }
-
-    static int onIncoming(GSocketService * /*service*/, GSocketConnection *connection, GObject * /*source*/,
-                          gpointer data)
-    {
-        auto &owner = *static_cast<parts *>(data);
-        if (owner.accepted.size() >= mostAcceptedPeers) {
-            return TRUE; // dropping the reference closes it
+            const auto link = std::make_shared<frame_link>(descriptor, owner.counts);
+            owner.accepted.insert(link);
+            owner.adopt(link, [weakSelf = owner.weak_from_this(), weakLink = std::weak_ptr(link)](int) {
+                const auto strong = weakSelf.lock();
+                const auto ended = weakLink.lock();
+                if (strong && ended) {
+                    strong->accepted.erase(ended);
+                }
+            });
         }
-        const auto link = std::make_shared<frame_link>(shareObject(connection), owner.counts);
-        owner.accepted.insert(link);
-        owner.adopt(link, [weakSelf = owner.weak_from_this(), weakLink = std::weak_ptr(link)] {
-            const auto strong = weakSelf.lock();
-            const auto closed = weakLink.lock();
-            if (strong && closed) {
-                strong->accepted.erase(closed);
-            }
-        });
-        return TRUE;
+        return G_SOURCE_CONTINUE;
     }
 };
 
@@ -382,44 +321,31 @@
 {
     m_parts->self = self;
     m_parts->handler = std::move(handler);
-    g_socket_client_set_timeout(m_parts->client.get(),
-                                static_cast<guint>(std::chrono::seconds(connectTimeout).count()));
 }
 
 peer_hub::~peer_hub()
 {
-    if (m_parts->service) {
-        g_signal_handlers_disconnect_by_data(m_parts->service.get(), m_parts.get());
-        g_socket_service_stop(m_parts->service.get());
-        g_socket_listener_close(G_SOCKET_LISTENER(m_parts->service.get()));
+    if (m_parts->source != 0) {
+        g_source_remove(std::exchange(m_parts->source, 0));
+        ::close(std::exchange(m_parts->listener, -1));
     }
+    m_parts->pending.clear();
     const auto peers = std::exchange(m_parts->peers, {});
     for (const auto &[address, peer] : peers) {
         if (peer.link) {
-            peer.link->close();
+            peer.link->close(0);
         }
     }
     const auto accepted = std::exchange(m_parts->accepted, {});
     for (const auto &link : accepted) {
-        link->close();
+        link->close(0);
     }
 }
 
 void peer_hub::listen(const peer_address &address)
 {
-    m_parts->service.reset(g_socket_service_new());
-    const object_pointer<GSocketAddress> target(
-        g_inet_socket_address_new_from_string(address.address.c_str(), address.port));
-    GError *raw = nullptr;
-    if (!target
-        || g_socket_listener_add_address(G_SOCKET_LISTENER(m_parts->service.get()), target.get(), G_SOCKET_TYPE_STREAM,
-                                         G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &raw)
-            == FALSE) {
-        const error_pointer fault(raw);
-        throw error("listen for peers", toString(address), fault ? fault->message : "not an IP number");
-    }
-    g_signal_connect(m_parts->service.get(), "incoming", G_CALLBACK(&parts::onIncoming), m_parts.get());
-    g_socket_service_start(m_parts->service.get());
+    m_parts->listener = beginListen(address.address, address.port);
+    m_parts->source = g_unix_fd_add(m_parts->listener, G_IO_IN, &parts::onIncoming, m_parts.get());
 }
 
 void peer_hub::send(const peer_address &peer, const wire::Message &message)
@@ -432,6 +358,7 @@
 {
     message.id = ++m_parts->lastId;
     auto &entry = m_parts->pending[message.id];
+    entry.peer = peer;
     entry.done = std::move(done);
     entry.deadline = std::make_unique<timer>();
     const auto id = message.id;
@@ -443,6 +370,12 @@
     m_parts->post(peer, m_parts->encode(message));
 }
 
+bool peer_hub::refuses(const peer_address &peer) const
+{
+    const auto found = m_parts->peers.find(peer);
+    return found != m_parts->peers.end() && found->second.refuses;
+}
+
 std::uint64_t peer_hub::bytesSent() const
 {
     return m_parts->counts->sent;
--- a/src/libprimrosecroft/io/peer_hub.h
+++ b/src/libprimrosecroft/io/peer_hub.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "io/glib_pointer.h"
-
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -55,6 +54,9 @@
     /// Sends and waits; no reply in time gives none.
     void ask(const peer_address &peer, wire::Message message, std::chrono::milliseconds timeout, reply_handler done);
 
+    /// True when nobody listened there at the last try: the peer's process has ended.
+    bool refuses(const peer_address &peer) const;
+
     std::uint64_t messagesSent() const;
     std::uint64_t bytesSent() const;
     std::uint64_t bytesReceived() const;
--- /dev/null
+++ b/src/libprimrosecroft/io/tcp_socket.cpp
@@ -0,0 +1,266 @@
+#include "io/tcp_socket.h"
+
+#include "core/error.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+constexpr std::size_t readPiece = std::size_t {64} * 1024;
+constexpr int listenBacklog = 512; ///< connections that may wait; a full queue costs callers seconds
+constexpr int unacknowledgedLimitMs = 4'000; ///< a path that drops packets ends the connection then
+
+sockaddr_in toSocketAddress(const std::string &step, const std::string &address, std::uint16_t port)
+{
+    sockaddr_in result {};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(port);
+    if (inet_pton(AF_INET, address.c_str(), &result.sin_addr) != 1) {
+        throw error(step, address, "not an IP number");
+    }
+    return result;
+}
+
+void setOption(int descriptor, int level, int name, int value)
+{
+    setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+int openSocket(const std::string &step, const std::string &peer)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        throw error(step, peer, strerror(errno));
+    }
+    return descriptor;
+}
+
+} // namespace
+
+tcp_socket::tcp_socket(int descriptor)
+    : m_descriptor(descriptor)
+{
+    if (descriptor >= 0) {
+        setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMs);
+    }
+}
+
+tcp_socket::~tcp_socket()
+{
+    close();
+}
+
+void tcp_socket::start(handlers callbacks)
+{
+    m_handlers = std::move(callbacks);
+    watch();
+}
+
+bool tcp_socket::isDrained() const
+{
+    return m_written == m_waiting.size();
+}
+
+bool tcp_socket::isClosed() const
+{
+    return m_descriptor < 0;
+}
+
+std::size_t tcp_socket::waitingBytes() const
+{
+    return m_waiting.size() - m_written;
+}
+
+bool tcp_socket::hasSent() const
+{
+    return m_hasSent;
+}
+
+void tcp_socket::write(std::string_view bytes)
+{
+    if (isClosed()) {
+        return;
+    }
+    if (isDrained()) {
+        m_waiting.clear();
+        m_written = 0;
+    }
+    m_waiting.append(bytes);
+    flush();
+    watch();
+}
+
+void tcp_socket::flush()
+{
+    while (!isDrained()) {
+        const auto count = send(m_descriptor, m_waiting.data() + m_written, m_waiting.size() - m_written, MSG_NOSIGNAL);
+        if (count < 0) {
+            return; // a fault shows again at the next readiness of the socket
+        }
+        m_written += static_cast<std::size_t>(count);
+        m_hasSent = true;
+    }
+}
+
+void tcp_socket::wantRead(bool wanted)
+{
+    m_wantRead = wanted;
+    watch();
+}
+
+void tcp_socket::watch()
+{
+    if (isClosed()) {
+        return;
+    }
+    constexpr unsigned readable = G_IO_IN;
+    constexpr unsigned writable = G_IO_OUT;
+    const unsigned wanted = (m_wantRead && !m_ended ? readable : 0U) | (isDrained() ? 0U : writable);
+    if (wanted == m_watched && m_source != 0) {
+        return;
+    }
+    unwatch();
+    m_watched = wanted;
+    if (wanted != 0 || !m_ended) {
+        m_source = g_unix_fd_add(
+            m_descriptor, static_cast<GIOCondition>(wanted | G_IO_ERR | G_IO_HUP),
+            [](int descriptor, GIOCondition condition, gpointer self) { return onReady(descriptor, condition, self); },
+            this);
+    }
+}
+
+void tcp_socket::unwatch()
+{
+    if (m_source != 0) {
+        g_source_remove(std::exchange(m_source, 0));
+    }
+}
+
+/// The callbacks may close or destroy the socket, so each readiness makes at most one of them, as the last thing.
+int tcp_socket::onReady(int /*descriptor*/, unsigned condition, void *self)
+{
+    auto &owner = *static_cast<tcp_socket *>(self);
+    if ((condition & (G_IO_IN | G_IO_ERR | G_IO_HUP)) != 0 && (owner.m_wantRead || (condition & G_IO_IN) == 0)) {
+        owner.onReadable();
+        return G_SOURCE_CONTINUE;
+    }
+    owner.flush();
+    const auto drained = owner.isDrained() ? owner.m_handlers.drained : nullptr;
+    owner.watch(); // replaces the source under way
+    if (drained) {
+        drained();
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+void tcp_socket::onReadable()
+{
+    int fault = 0;
+    socklen_t size = sizeof fault;
+    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &fault, &size);
+    if (fault != 0) {
+        fail(fault);
+        return;
+    }
+    std::array<char, readPiece> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): read into
+    const auto count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+        const auto arrived = m_handlers.arrived; // the owner may end in the call
+        arrived(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
+        return;
+    }
+    if (count == 0) {
+        m_ended = true;
+        watch();
+        const auto ended = m_handlers.ended;
+        ended();
+        return;
+    }
+    if (errno != EAGAIN && errno != EINTR) {
+        fail(errno);
+    }
+}
+
+void tcp_socket::fail(int fault)
+{
+    const auto failed = m_handlers.failed;
+    close();
+    if (failed) {
+        failed(fault);
+    }
+}
+
+void tcp_socket::close()
+{
+    unwatch();
+    if (m_descriptor >= 0) {
+        ::close(std::exchange(m_descriptor, -1));
+    }
+    m_handlers = {};
+}
+
+void tcp_socket::reset()
+{
+    if (m_descriptor >= 0) {
+        const linger none {1, 0};
+        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    }
+    close();
+}
+
+int beginConnect(const std::string &address, std::uint16_t port)
+{
+    const auto target = toSocketAddress("connect", address, port);
+    const int descriptor = openSocket("connect", address);
+    const auto *generic = reinterpret_cast<const sockaddr *>(&target);
+    if (connect(descriptor, generic, sizeof target) != 0 && errno != EINPROGRESS) {
+        const std::string reason = strerror(errno);
+        close(descriptor);
+        throw error("connect", address + ':' + std::to_string(port), reason);
+    }
+    return descriptor;
+}
+
+int beginListen(const std::string &address, std::uint16_t port)
+{
+    const auto target = toSocketAddress("listen", address, port);
+    const int descriptor = openSocket("listen", address);
+    setOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof target) != 0
+        || listen(descriptor, listenBacklog) != 0) {
+        const std::string reason = strerror(errno);
+        close(descriptor);
+        throw error("listen", address + ':' + std::to_string(port), reason);
+    }
+    return descriptor;
+}
+
+std::uint16_t boundPort(int descriptor)
+{
+    sockaddr_in bound {};
+    socklen_t size = sizeof bound;
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&bound), &size);
+    return ntohs(bound.sin_port);
+}
+
+int acceptConnection(int listener)
+{
+    return accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+}
+
+} // namespace primrosecroft
--- a/src/schedd/scheduler_daemon.cpp
+++ b/src/schedd/scheduler_daemon.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <glib.h>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <random>
--- a/tests/demo/demo_load.cpp
+++ b/tests/demo/demo_load.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <glib.h>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
--- a/tests/unit/peer_hub_test.cpp
+++ b/tests/unit/peer_hub_test.cpp
@@ -1,3 +1,4 @@
+#include "io/glib_pointer.h"
 #include "io/peer_hub.h"
 #include "io/timer.h"
 #include "primrosecroft_types.h"
