--- /dev/null
+++ b/src/celld/cell_daemon.cpp
@@ -0,0 +1,766 @@
+#include "cell_daemon.h"
+
+#include "advice_desk.h"
+#include "callers/caller_service.h"
+#include "cell/cell_runner.h"
+#include "core/clock.h"
+#include "core/error.h"
+#include "io/http_client.h"
+#include "io/http_server.h"
+#include "io/peer_hub.h"
+#include "io/timer.h"
+#include "leadership/leadership.h"
+#include "observability/decision_log.h"
+#include "observability/metrics.h"
+#include "platform/store_client.h"
+#include "platform/wire.h"
+#include "platform/worker_client.h"
+#include "primrosecroft_types.h"
+#include "queues/queue_follower.h"
+#include "settings/daemon_settings.h"
+#include "store/watched_store.h"
+
+#include <algorithm>
+#include <glib-unix.h>
+#include <random>
+#include <utility>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr unsigned storeConnections = 16;
+constexpr unsigned workerConnections = 5; ///< to each worker: one waits for ends, the others carry orders
+constexpr unsigned adviceConnections = 2;
+constexpr auto presenceInterval = 200ms; ///< between two words to the owner
+constexpr auto presenceTimeout = 600ms;
+constexpr auto peerSilence = 1'200ms; ///< a daemon unheard so long is asked for nothing
+constexpr auto noticeTimeout = 500ms;
+constexpr int mostNotices = 2; ///< tries, then the store's inbox takes it
+constexpr auto inboxTimeout = 900ms;
+constexpr auto waitingFreshness = 2'000ms; ///< counts of waiting jobs are shown no older
+constexpr auto readyFreshness = 2'200ms; ///< of the configuration, so that it is in force within its bound
+constexpr auto lookTimeout = 500ms;
+constexpr auto takeTimeout = 1'000ms;
+constexpr auto confirmPatience = 900ms; ///< an owner without confirmation for so long looks for a better one
+constexpr auto peerStoreFreshness = 1'600ms; ///< a daemon that reached the store so lately can take over
+constexpr auto leaveTime = 3'500ms; ///< after SIGTERM: the balancer stops sending within two of its probes
+constexpr auto resignAfter = 2'800ms; ///< after SIGTERM an owner whom nobody relieved gives up the row
+constexpr auto leaveCheck = 50ms;
+
+struct loop_unref
+{
+    void operator()(GMainLoop *loop) const
+    {
+        g_main_loop_unref(loop);
+    }
+};
+
+std::int64_t makeIncarnation()
+{
+    // Only a name: no clock decides which of two incarnations came first.
+    std::random_device random;
+    return std::uniform_int_distribution<std::int64_t>(1)(random);
+}
+
+wire::Sender makeSender(const cell_daemon_settings &settings, std::int64_t incarnation)
+{
+    wire::Sender sender;
+    sender.process = settings.process;
+    sender.role = "celld";
+    sender.failureDomain = settings.failureDomain;
+    sender.incarnation = incarnation;
+    return sender;
+}
+
+leadership_settings makeLeadershipSettings(const cell_daemon_settings &settings, std::int64_t incarnation)
+{
+    leadership_settings result;
+    result.process = settings.process;
+    result.incarnation = incarnation;
+    result.address = settings.peers;
+    return result;
+}
+
+cell_settings makeCellSettings(const cell_daemon_settings &settings)
+{
+    cell_settings result;
+    result.longestLease = settings.longestLease;
+    result.gangPatience = settings.gangPatience;
+    return result;
+}
+
+template<typename... handlers>
+struct overloaded : handlers...
+{
+    using handlers::operator()...;
+};
+
+std::string ageText(instant since)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - since).count());
+}
+
+/// Another daemon, as its last presence described it.
+struct known_peer
+{
+    peer_address address;
+    instant heardAt;
+    std::chrono::milliseconds storeAge {0}; ///< then
+    bool leaving = false;
+};
+
+} // namespace
+
+struct cell_daemon::parts
+{
+    explicit parts(const cell_daemon_options &options)
+        : settings(platform::decodeSettings(readFile(options.settingsFile), options.settingsFile))
+        , settingsFile(options.settingsFile)
+        , metricsPort(options.metricsPort)
+        , incarnation(makeIncarnation())
+        , storeHttp(storeConnections)
+        , workerHttp(workerConnections)
+        , adviceHttp(adviceConnections)
+        , storeClient(storeHttp, settings.store)
+        , rows(storeClient)
+        , workers(workerHttp)
+        , advice(adviceHttp, settings.advice)
+        , peers(makeSender(settings, incarnation),
+                [this](const wire::Message &message, const auto &reply) { received(message, reply); })
+        , queues(rows, {platform::configurationTable, platform::configurationKey, platform::decodeQueueTable}, log)
+        , leadership(makeLeadership(makeLeadershipSettings(settings, incarnation), bootNow()))
+        , runner(rows, workers, {platform::workerTable, platform::decodeWorker},
+                 {[this](const ask_advice &question, auto done) { desk.ask(question, bootNow(), std::move(done)); },
+                  [this] { return desk.askers(); }, [this](const std::string &reason) { lostOwnership(reason); }},
+                 makeCellSettings(settings), log, measures)
+        , callers(rows,
+                  {platform::decodeJobBody, platform::encodeStatus, platform::encodeWaiting, platform::deadlineHeader},
+                  makeCallerLinks(), log, measures)
+        , callerServer({}, [this](const std::shared_ptr<http_request> &request) { callers.serve(request); })
+        , readinessServer({}, [this](const std::shared_ptr<http_request> &request) { readiness(request); })
+        , metricsServer({}, [this](const std::shared_ptr<http_request> &request) { showMetrics(request); })
+    {
+    }
+
+    caller_links makeCallerLinks()
+    {
+        caller_links links;
+        links.queues = [this] { return queues.current() ? &*queues.current() : nullptr; };
+        links.storeTime = [this] { return rows.storeTime(); };
+        links.notifyOwner = [this](const job_id &id, const std::string &row, bool cancelled) {
+            notifyOwner(id, row, cancelled, 1);
+        };
+        links.askOwner = [this](const job_id &id, std::chrono::milliseconds timeout, auto done) {
+            askOwner(id, timeout, std::move(done));
+        };
+        links.storeThroughOwner = [this](const job_id &id, const std::string &row, bool cancelled,
+                                         std::chrono::milliseconds timeout, auto done) {
+            storeThroughOwner(id, row, cancelled, timeout, std::move(done));
+        };
+        links.waiting = [this](const queue_name &queue) { return waitingIn(queue); };
+        return links;
+    }
+
+    // --- ownership
+
+    bool ownsHere() const
+    {
+        return leadership.owns;
+    }
+
+    std::optional<peer_address> ownerAddress() const
+    {
+        if (!leadership.owner || leadership.owner->resigned || ownsHere()) {
+            return std::nullopt;
+        }
+        return leadership.owner->address;
+    }
+
+    void lead(const leadership_message &message)
+    {
+        for (const auto &action : step(leadership, message, bootNow())) {
+            std::visit(overloaded {
+                           [this](const look_at_owner &) { lookAtOwner(); },
+                           [this](const take_ownership &taking) { takeOwnership(taking); },
+                           [this](const begin_ownership &begun) { beginOwnership(begun); },
+                           [this](const end_ownership &ended) { endOwnership(ended); },
+                           [this](const write_resignation &resignation) { resign(resignation); },
+                           [this](const report_owner &report) {
+                               log.writeAlways("cell", "owner",
+                                               {{"process", report.row.process},
+                                                {"token", std::to_string(report.version)},
+                                                {"term", std::to_string(report.row.term)},
+                                                {"resigned", report.row.resigned ? "1" : "0"}});
+                               sayPresent();
+                           },
+                       },
+                       action);
+        }
+    }
+
+    void lookAtOwner()
+    {
+        // "owner" and "renewal" are the first rows of the part; one read shows both.
+        const auto sentAt = bootNow();
+        rows.read({cellTable, shardPart, ownerPlace().key, renewalPlace().key + '\x01', 2}, lookTimeout,
+                  [this, sentAt](const range_result &result) {
+                      owner_seen seen;
+                      seen.outcome = result.outcome;
+                      seen.took = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - sentAt);
+                      for (const auto &row : result.rows) {
+                          if (row.place.key == renewalPlace().key) {
+                              seen.renewal = row.version;
+                          } else if (row.place.key == ownerPlace().key) {
+                              seen.row = decodeOwner(row.value);
+                              seen.version = row.version;
+                          }
+                      }
+                      takenSince = sentAt;
+                      lead(seen);
+                  });
+    }
+
+    void takeOwnership(const take_ownership &taking)
+    {
+        log.writeAlways("cell", "take-over",
+                        {{"expected", std::to_string(taking.expected)},
+                         {"term", std::to_string(taking.row.term)},
+                         {"heard_ms", ageText(leadership.heardAt)},
+                         {"refused", leadership.refused ? "1" : "0"}});
+        const auto sentAt = bootNow();
+        rows.commit({{{ownerPlace(), taking.expected}}, {{ownerPlace(), encodeOwner(taking.row)}}, {}}, takeTimeout,
+                    [this, sentAt](const commit_result &result) {
+                        takenSince = sentAt;
+                        lead(take_answered {result.outcome, result.version});
+                    });
+    }
+
+    void beginOwnership(const begin_ownership &begun)
+    {
+        log.writeAlways("cell", "owns", {{"token", std::to_string(begun.token)}, {"term", std::to_string(begun.term)}});
+        runner.begin(begun.token, begun.term, takenSince);
+        tellPeersOfOwner(*leadership.owner, begun.token);
+        refreshAskers();
+    }
+
+    void endOwnership(const end_ownership &ended)
+    {
+        log.writeAlways("cell", "no-longer-owns", {{"reason", ended.reason}});
+        runner.end();
+    }
+
+    void resign(const write_resignation &resignation)
+    {
+        rows.commit({{{ownerPlace(), resignation.expected}}, {{ownerPlace(), encodeOwner(resignation.row)}}, {}},
+                    takeTimeout, [this, row = resignation.row](const commit_result &result) {
+                        if (result.outcome == store_outcome::done) {
+                            tellPeersOfOwner(row, result.version);
+                        }
+                    });
+    }
+
+    void tellPeersOfOwner(const owner_row &row, row_version version)
+    {
+        wire::Message message;
+        message.ownerNotice.row = encodeOwner(row);
+        message.ownerNotice.version = version;
+        message.__isset.ownerNotice = true;
+        for (const auto &[name, peer] : knownPeers) {
+            peers.send(peer.address, message);
+        }
+    }
+
+    void lostOwnership(const std::string &reason)
+    {
+        // From the main loop: the runner may be at work right now.
+        lostTimer.once(0ms, [this, reason] {
+            log.writeAlways("cell", "ownership-doubted", {{"reason", reason}});
+            lead(ownership_lost {});
+        });
+    }
+
+    /// An owner that leaves, or can't reach the store, hands over to a daemon that can take its place.
+    void considerHandover()
+    {
+        const auto now = bootNow();
+        const bool isCut = runner.isServing() && runner.confirmedAt() + confirmPatience <= now;
+        if (!ownsHere() || (!leaving && !isCut) || handedOverAt + confirmPatience > now) {
+            return;
+        }
+        const known_peer *best = nullptr;
+        std::string bestName;
+        for (const auto &[name, peer] : knownPeers) {
+            const bool isUsable = !peer.leaving && peer.heardAt + peerSilence > now
+                && peer.storeAge < peerStoreFreshness && name != lastHeir;
+            if (isUsable && (best == nullptr || peer.storeAge < best->storeAge)) {
+                best = &peer;
+                bestName = name;
+            }
+        }
+        if (best == nullptr) {
+            lastHeir.clear();
+            return;
+        }
+        handedOverAt = now;
+        lastHeir = bestName;
+        log.writeAlways(
+            "cell", "hand-over",
+            {{"to", bestName}, {"leaving", leaving ? "1" : "0"}, {"unconfirmed_ms", ageText(runner.confirmedAt())}});
+        wire::Message message;
+        message.handover.token = leadership.version;
+        message.__isset.handover = true;
+        peers.send(best->address, message);
+    }
+
+    // --- other daemons
+
+    void received(const wire::Message &message, const std::function<void(wire::Message)> &reply)
+    {
+        if (message.__isset.presence) {
+            takePresence(message, reply);
+        } else if (message.__isset.jobNotice) {
+            takeNotice(message.jobNotice, reply);
+        } else if (message.__isset.jobQuery) {
+            answerQuery(message.jobQuery.id, reply);
+        } else if (message.__isset.jobSubmission) {
+            storeFor(message.jobSubmission, reply);
+        } else if (message.__isset.adviceQuery) {
+            adviseFor(message.adviceQuery, reply);
+        } else if (message.__isset.ownerNotice) {
+            takeOwnerNotice(message.ownerNotice);
+        } else if (message.__isset.handover) {
+            log.writeAlways("cell", "hand-over-asked", {{"from", message.sender.process}});
+            lead(handover_asked {message.handover.token});
+        }
+    }
+
+    void takeOwnerNotice(const wire::OwnerNotice &notice)
+    {
+        try {
+            lead(owner_told {decodeOwner(notice.row), notice.version});
+        } catch (const error &fault) {
+            log.write("cell", "notice-unreadable", {{"reason", fault.what()}});
+        }
+    }
+
+    void takePresence(const wire::Message &message, const std::function<void(wire::Message)> &reply)
+    {
+        const auto &presence = message.presence;
+        auto &peer = knownPeers[message.sender.process];
+        peer.address = {presence.address, static_cast<std::uint16_t>(presence.port)};
+        peer.heardAt = bootNow();
+        peer.storeAge = std::chrono::milliseconds(presence.storeAgeMs);
+        peer.leaving = presence.leaving;
+        wire::Message answer;
+        answer.ownerReport.owns = ownsHere();
+        answer.ownerReport.token = leadership.version;
+        if (const auto *state = runner.state(); state != nullptr && ownsHere()) {
+            for (const auto &[queue, count] : waitingJobs(*state)) {
+                answer.ownerReport.waiting[queue] = count;
+            }
+        }
+        answer.__isset.ownerReport = true;
+        reply(answer);
+    }
+
+    void sayPresent()
+    {
+        const auto address = ownerAddress();
+        if (!address) {
+            return;
+        }
+        wire::Message message;
+        message.presence.address = settings.peers.address;
+        message.presence.port = settings.peers.port;
+        message.presence.storeAgeMs =
+            std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - rows.reachedAt()).count();
+        message.presence.leaving = leaving;
+        message.__isset.presence = true;
+        const auto process = leadership.owner->process;
+        peers.ask(*address, message, presenceTimeout,
+                  [this, address, process](const std::optional<wire::Message> &reply) {
+                      if (!reply || !reply->__isset.ownerReport) {
+                          if (peers.refuses(*address) && ownerAddress() == address) {
+                              lead(owner_refuses {});
+                          }
+                          return;
+                      }
+                      if (!reply->ownerReport.owns) {
+                          return;
+                      }
+                      waitingCounts = {reply->ownerReport.waiting.begin(), reply->ownerReport.waiting.end()};
+                      waitingAt = bootNow();
+                      lead(owner_heard {process, reply->ownerReport.token});
+                  });
+    }
+
+    void refreshAskers()
+    {
+        std::map<process_id, advice_desk::asker> askers;
+        askers[settings.process] = [this](const ask_advice &question, std::chrono::milliseconds patience, auto done) {
+            advice.ask(question.step, question.workers, patience, std::move(done));
+        };
+        const auto now = bootNow();
+        for (const auto &[name, peer] : knownPeers) {
+            if (!peer.leaving && peer.heardAt + peerSilence > now) {
+                askers[name] = [this, address = peer.address](const ask_advice &question,
+                                                              std::chrono::milliseconds patience, auto done) {
+                    askThroughPeer(address, question, patience, std::move(done));
+                };
+            }
+        }
+        desk.setAskers(std::move(askers));
+    }
+
+    void askThroughPeer(const peer_address &address, const ask_advice &question, std::chrono::milliseconds patience,
+                        std::function<void(advice_answered)> done)
+    {
+        wire::Message message;
+        auto &query = message.adviceQuery;
+        query.job = question.step.job;
+        query.occurrence = question.step.occurrence;
+        query.step = question.step.step;
+        query.workers = question.workers;
+        query.patienceMs = patience.count();
+        message.__isset.adviceQuery = true;
+        peers.ask(address, message, patience + 200ms,
+                  [question, done = std::move(done)](const std::optional<wire::Message> &reply) {
+                      advice_answered answer {question.step, question.workers, false, {}, 0ms};
+                      if (reply && reply->__isset.adviceReport && reply->adviceReport.answered) {
+                          answer.answered = true;
+                          answer.valid = std::chrono::milliseconds(reply->adviceReport.validMs);
+                          for (const auto &each : reply->adviceReport.allowed) {
+                              answer.allowed.push_back({each.worker, each.ticket});
+                          }
+                      }
+                      done(std::move(answer));
+                  });
+    }
+
+    void adviseFor(const wire::AdviceQuery &query, const std::function<void(wire::Message)> &reply)
+    {
+        advice.ask({query.job, query.occurrence, query.step}, query.workers,
+                   std::chrono::milliseconds(std::clamp<std::int64_t>(query.patienceMs, 1, 60'000)),
+                   [reply](const advice_answered &answer) {
+                       wire::Message message;
+                       message.adviceReport.answered = answer.answered;
+                       message.adviceReport.validMs = answer.valid.count();
+                       for (const auto &each : answer.allowed) {
+                           wire::AdvisedWorker row;
+                           row.worker = each.worker;
+                           row.ticket = each.ticket;
+                           message.adviceReport.allowed.push_back(row);
+                       }
+                       message.__isset.adviceReport = true;
+                       reply(message);
+                   });
+    }
+
+    // --- callers' jobs
+
+    void notifyOwner(const job_id &id, const std::string &row, bool cancelled, int tries)
+    {
+        if (ownsHere()) {
+            runner.notice(id, row, cancelled);
+            return;
+        }
+        const auto address = ownerAddress();
+        if (!address || tries > mostNotices) {
+            // The next owner reads all rows; the present one, if it lives unseen by us, reads its inbox.
+            store_transaction inbox;
+            inbox.writes.push_back({inboxPlace(id), "1"});
+            rows.commit(inbox, inboxTimeout, [this, id](const commit_result &result) {
+                log.write("cell", "inbox", {{"id", id}, {"stored", result.outcome == store_outcome::done ? "1" : "0"}});
+            });
+            return;
+        }
+        wire::Message message;
+        message.jobNotice.id = id;
+        message.jobNotice.__set_row(row);
+        message.jobNotice.cancelled = cancelled;
+        message.__isset.jobNotice = true;
+        peers.ask(*address, message, noticeTimeout,
+                  [this, id, row, cancelled, tries](const std::optional<wire::Message> &reply) {
+                      if (!reply || !reply->__isset.jobReport || !reply->jobReport.known) {
+                          notifyOwner(id, row, cancelled, tries + 1);
+                      }
+                  });
+    }
+
+    void takeNotice(const wire::JobNotice &notice, const std::function<void(wire::Message)> &reply)
+    {
+        const bool isOwner = ownsHere();
+        if (isOwner) {
+            runner.notice(notice.id, notice.row, notice.cancelled);
+        }
+        wire::Message message;
+        message.jobReport.known = isOwner;
+        message.__isset.jobReport = true;
+        reply(message);
+    }
+
+    owner_word wordOf(const job_id &id) const
+    {
+        owner_word word;
+        if (const auto *state = runner.state(); state != nullptr) {
+            word.reached = true;
+            word.status = statusOf(*state, id);
+        }
+        return word;
+    }
+
+    void askOwner(const job_id &id, std::chrono::milliseconds timeout, std::function<void(owner_word)> done)
+    {
+        const auto address = ownerAddress();
+        if (!address) {
+            done(wordOf(id));
+            return;
+        }
+        wire::Message message;
+        message.jobQuery.id = id;
+        message.__isset.jobQuery = true;
+        peers.ask(*address, message, timeout, [done = std::move(done)](const std::optional<wire::Message> &reply) {
+            owner_word word;
+            if (reply && reply->__isset.jobReport) {
+                word.reached = true;
+                if (reply->jobReport.known) {
+                    word.status = statusFromString(reply->jobReport.state);
+                }
+            }
+            done(word);
+        });
+    }
+
+    void answerQuery(const job_id &id, const std::function<void(wire::Message)> &reply)
+    {
+        const auto word = wordOf(id);
+        wire::Message message;
+        message.jobReport.known = word.status.has_value();
+        if (word.status) {
+            message.jobReport.__set_state(toString(*word.status));
+        }
+        message.__isset.jobReport = true;
+        reply(message);
+    }
+
+    void storeHere(const job_id &id, const std::string &row, bool cancelled, std::function<void(store_outcome)> done)
+    {
+        if (cancelled) {
+            runner.cancel(id, std::move(done));
+        } else {
+            runner.submit(id, row, std::move(done));
+        }
+    }
+
+    void storeThroughOwner(const job_id &id, const std::string &row, bool cancelled, std::chrono::milliseconds timeout,
+                           std::function<void(store_outcome)> done)
+    {
+        if (ownsHere()) {
+            storeHere(id, row, cancelled, std::move(done));
+            return;
+        }
+        const auto address = ownerAddress();
+        if (!address) {
+            done(store_outcome::refused);
+            return;
+        }
+        wire::Message message;
+        message.jobSubmission.id = id;
+        message.jobSubmission.row = row;
+        message.jobSubmission.cancelled = cancelled;
+        message.__isset.jobSubmission = true;
+        peers.ask(*address, message, timeout, [done = std::move(done)](const std::optional<wire::Message> &reply) {
+            const bool isAnswered = reply && reply->__isset.jobReport;
+            done(isAnswered ? static_cast<store_outcome>(reply->jobReport.outcome) : store_outcome::lost);
+        });
+    }
+
+    void storeFor(const wire::JobSubmission &submission, const std::function<void(wire::Message)> &reply)
+    {
+        storeHere(submission.id, submission.row, submission.cancelled, [reply](store_outcome outcome) {
+            wire::Message message;
+            message.jobReport.known = true;
+            message.jobReport.__set_outcome(static_cast<std::int32_t>(outcome));
+            message.__isset.jobReport = true;
+            reply(message);
+        });
+    }
+
+    std::optional<std::int64_t> waitingIn(const queue_name &queue) const
+    {
+        if (const auto *state = runner.state(); state != nullptr) {
+            const auto counts = waitingJobs(*state);
+            const auto found = counts.find(queue);
+            return found == counts.end() ? 0 : found->second;
+        }
+        if (waitingAt + waitingFreshness < bootNow()) {
+            return std::nullopt;
+        }
+        const auto found = waitingCounts.find(queue);
+        return found == waitingCounts.end() ? 0 : found->second;
+    }
+
+    // --- the process
+
+    bool isReady() const
+    {
+        return !leaving && queues.current() && queues.confirmedAt() + readyFreshness > bootNow();
+    }
+
+    void readiness(const std::shared_ptr<http_request> &request) const
+    {
+        request->answer({isReady() ? statusOk : statusUnavailable, {}, ""});
+    }
+
+    void showMetrics(const std::shared_ptr<http_request> &request)
+    {
+        measures.set("primrosecroft_owns", ownsHere() ? 1 : 0);
+        measures.set("primrosecroft_store_writes", static_cast<double>(rows.writes()));
+        measures.set("primrosecroft_store_reads", static_cast<double>(rows.reads()));
+        measures.set("primrosecroft_log_lines_dropped", static_cast<double>(log.dropped()));
+        measures.set("primrosecroft_configuration_version",
+                     static_cast<double>(queues.current() ? queues.current()->version : 0));
+        if (const auto *state = runner.state(); state != nullptr) {
+            measures.set("primrosecroft_jobs_live", static_cast<double>(state->jobs.size()));
+            measures.set("primrosecroft_workers_known", static_cast<double>(state->workers.size()));
+        }
+        request->answer({statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, measures.text()});
+    }
+
+    void beat()
+    {
+        lead(leadership_tick {});
+        if (ownsHere()) {
+            considerHandover();
+            refreshAskers();
+        } else {
+            sayPresent();
+        }
+    }
+
+    static gboolean onTerminate(gpointer self)
+    {
+        static_cast<parts *>(self)->leave();
+        return G_SOURCE_CONTINUE;
+    }
+
+    static gboolean onReload(gpointer self)
+    {
+        static_cast<parts *>(self)->reload();
+        return G_SOURCE_CONTINUE;
+    }
+
+    void reload()
+    {
+        try {
+            const auto fresh = platform::decodeSettings(readFile(settingsFile), settingsFile);
+            log.writeAlways("process", "reload", {{"process", fresh.process}, {"store", toString(fresh.store)}});
+        } catch (const error &fault) {
+            log.writeAlways("process", "reload-refused", {{"reason", fault.what()}});
+        }
+    }
+
+    void leave()
+    {
+        if (std::exchange(leaving, true)) {
+            return;
+        }
+        log.writeAlways("process", "leaving", {{"requests", std::to_string(callers.inFlight())}});
+        const auto begun = bootNow();
+        lead(leave_asked {});
+        considerHandover();
+        sayPresent();
+        leaveTimer.every(leaveCheck, [this, begun] {
+            considerHandover();
+            if (bootNow() >= begun + resignAfter) {
+                lead(resign_asked {}); // nobody took over
+            }
+            const bool isOver = bootNow() >= begun + leaveTime && callers.inFlight() == 0 && !ownsHere();
+            if (isOver || bootNow() >= begun + settings.terminationGrace - 500ms) {
+                leaveTimer.stop();
+                log.writeAlways("process", "stopped", {{"cut_off", std::to_string(callers.inFlight())}});
+                g_main_loop_quit(loop.get());
+            }
+        });
+    }
+
+    int run()
+    {
+        peers.listen(settings.peers);
+        callerServer.listen(settings.callers.address, settings.callers.port);
+        readinessServer.listen(settings.readiness.address, settings.readiness.port);
+        if (metricsPort != 0) {
+            metricsServer.listen(settings.peers.address, metricsPort);
+        }
+        log.writeAlways("process", "started",
+                        {{"process", settings.process},
+                         {"domain", settings.failureDomain},
+                         {"callers", toString(settings.callers)},
+                         {"peers", toString(settings.peers)},
+                         {"store", toString(settings.store)}});
+        const auto sources = {g_unix_signal_add(SIGTERM, &parts::onTerminate, this),
+                              g_unix_signal_add(SIGINT, &parts::onTerminate, this),
+                              g_unix_signal_add(SIGHUP, &parts::onReload, this)};
+        queues.start([this](const queue_table &) { });
+        beatTimer.every(presenceInterval, [this] { beat(); });
+        beat();
+        g_main_loop_run(loop.get());
+        for (const auto source : sources) {
+            g_source_remove(source);
+        }
+        return 0;
+    }
+
+    cell_daemon_settings settings;
+    std::string settingsFile;
+    std::uint16_t metricsPort;
+    std::int64_t incarnation;
+    std::unique_ptr<GMainLoop, loop_unref> loop {g_main_loop_new(nullptr, FALSE)};
+    decision_log log;
+    metrics measures;
+    http_client storeHttp;
+    http_client workerHttp;
+    http_client adviceHttp;
+    platform::store_client storeClient;
+    watched_store rows;
+    platform::worker_client workers;
+    platform::advice_client advice;
+    peer_hub peers;
+    queue_follower queues;
+    leadership_state leadership;
+    advice_desk desk;
+    cell_runner runner;
+    caller_service callers;
+    http_server callerServer;
+    http_server readinessServer;
+    http_server metricsServer;
+    timer beatTimer;
+    timer lostTimer;
+    timer leaveTimer;
+    instant takenSince; ///< when the call that showed this process as owner was sent
+    instant handedOverAt;
+    process_id lastHeir; ///< the daemon that was asked to take over last
+    std::map<process_id, known_peer> knownPeers;
+    std::map<queue_name, std::int64_t> waitingCounts; ///< as the owner told
+    instant waitingAt;
+    bool leaving = false;
+};
+
+cell_daemon::cell_daemon(const cell_daemon_options &options)
+    : m_parts(std::make_unique<parts>(options))
+{
+}
+
+cell_daemon::~cell_daemon() = default;
+
+int cell_daemon::run()
+{
+    return m_parts->run();
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/celld/main.cpp
@@ -0,0 +1,27 @@
+#include "cell_daemon.h"
+#include "core/error.h"
+#include "platform/wire.h"
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+
+int main(int argc, char **argv)
+{
+    CLI::App program("Takes callers' jobs and schedules them on the workers of a deployment.", "primrosecroft-celld");
+    primrosecroft::cell_daemon_options options;
+    if (const char *path = std::getenv(primrosecroft::platform::settingsVariable)) {
+        options.settingsFile = path;
+    }
+    program.add_option("--settings", options.settingsFile,
+                       std::string("Settings file; without it ") + primrosecroft::platform::settingsVariable
+                           + " names it.");
+    program.add_option("--metrics-port", options.metricsPort, "Port that shows metrics; 0 for none.");
+    CLI11_PARSE(program, argc, argv);
+    try {
+        return primrosecroft::cell_daemon(options).run();
+    } catch (const primrosecroft::error &fault) {
+        std::cerr << "primrosecroft-celld: " << fault.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -0,0 +1,323 @@
+#include "callers/caller_service.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "observability/problem.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto usualDeadline = 3'000ms; ///< of a request that names none
+constexpr auto commitTimeout = 900ms;
+constexpr auto ownerCommitTimeout = 1'000ms;
+constexpr auto readTimeout = 600ms;
+constexpr auto ownerTimeout = 400ms;
+constexpr auto answerReserve = 150ms; ///< kept for the way back to the caller
+constexpr auto comeBackAfter = 1s;
+constexpr int mostCommits = 4; ///< tries of one request, elsewhere included
+constexpr std::size_t idLength = 16;
+
+bool isJobId(std::string_view text)
+{
+    return text.size() == idLength && std::ranges::all_of(text, [](unsigned char each) {
+               return std::isdigit(each) != 0 || (each >= 'a' && each <= 'f') || (each >= 'A' && each <= 'F');
+           });
+}
+
+std::chrono::milliseconds deadlineOf(const std::string &text)
+{
+    std::int64_t amount = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), amount);
+    if (fault != std::errc() || amount <= 0) {
+        return usualDeadline;
+    }
+    return std::min<std::chrono::milliseconds>(std::chrono::milliseconds(amount), 60s);
+}
+
+} // namespace
+
+struct caller_service::exchange
+{
+    std::shared_ptr<http_request> request;
+    std::string kind;
+    job_id id;
+    queue_name queue;
+    std::string row;
+    instant begun;
+    instant deadline;
+    int tries = 0;
+    std::shared_ptr<std::size_t> inFlight;
+
+    ~exchange()
+    {
+        --*inFlight;
+    }
+
+    std::chrono::milliseconds left() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - bootNow());
+    }
+
+    std::chrono::milliseconds within(std::chrono::milliseconds timeout) const
+    {
+        return std::clamp<std::chrono::milliseconds>(left(), 1ms, timeout);
+    }
+};
+
+caller_service::caller_service(store &rows, caller_codec codec, caller_links links, decision_log &log,
+                               metrics &measures)
+    : m_store(rows)
+    , m_codec(std::move(codec))
+    , m_links(std::move(links))
+    , m_log(log)
+    , m_measures(measures)
+{
+}
+
+std::size_t caller_service::inFlight() const
+{
+    return *m_inFlight;
+}
+
+void caller_service::serve(const std::shared_ptr<http_request> &request)
+{
+    const auto entry = std::make_shared<exchange>();
+    entry->inFlight = m_inFlight;
+    ++*m_inFlight;
+    entry->request = request;
+    entry->begun = bootNow();
+    entry->deadline = entry->begun + deadlineOf(request->header(m_codec.deadlineHeader)) - answerReserve;
+    const auto method = request->method();
+    const auto path = request->path();
+    const auto *queues = m_links.queues();
+    entry->kind = method == "POST" ? "submit" : method == "DELETE" ? "cancel" : "status";
+    if (queues == nullptr) {
+        answer(entry, statusUnavailable, "", "no-configuration", true);
+        return;
+    }
+    const auto *route = findQueue(*queues, request->header("Host"), path);
+    if (route == nullptr) {
+        answer(entry, statusNotFound, "", "no-such-queue");
+        return;
+    }
+    entry->queue = route->queue.name;
+    entry->id = path.substr(route->prefix.size());
+    if (entry->id.empty() && method == "GET") {
+        waiting(entry, *route);
+        return;
+    }
+    if (!isJobId(entry->id)) {
+        entry->id.clear();
+        answer(entry, method == "POST" ? statusBadRequest : statusNotFound, "", "no-job-id");
+        return;
+    }
+    if (method == "POST") {
+        submit(entry, *route);
+    } else if (method == "GET") {
+        status(entry);
+    } else if (method == "DELETE") {
+        cancelThroughOwner(entry);
+    } else {
+        answer(entry, statusNotAllowed, "", "no-such-method");
+    }
+}
+
+void caller_service::submit(const exchange_pointer &entry, const queue_route &route)
+{
+    accepted_job job;
+    try {
+        job.spec = m_codec.decodeJob(entry->request->body());
+    } catch (const error &fault) {
+        answer(entry, statusBadRequest, jsonAnswer(statusBadRequest, "").body, "bad-body");
+        return;
+    }
+    job.id = entry->id;
+    job.queue = route.queue;
+    job.acceptedAt = m_links.storeTime();
+    entry->row = encodeJob(job);
+    commitThroughOwner(entry);
+}
+
+/// The owner writes for all at once; a process that can't reach it writes by itself.
+void caller_service::commitThroughOwner(const exchange_pointer &entry)
+{
+    if (entry->left() <= 0ms || ++entry->tries > mostCommits) {
+        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        return;
+    }
+    m_links.storeThroughOwner(entry->id, entry->row, false, entry->within(ownerCommitTimeout),
+                              [this, entry](store_outcome outcome) {
+                                  if (outcome == store_outcome::done) {
+                                      answer(entry, statusOk, "", "accepted");
+                                  } else if (outcome == store_outcome::conflict) {
+                                      answer(entry, statusOk, "", "accepted-before");
+                                  } else {
+                                      commit(entry);
+                                  }
+                              });
+}
+
+void caller_service::commit(const exchange_pointer &entry)
+{
+    if (entry->left() <= 0ms || ++entry->tries > mostCommits) {
+        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        return;
+    }
+    m_store.commit(acceptance(entry->id, entry->row), entry->within(commitTimeout),
+                   [this, entry](const commit_result &result) {
+                       if (result.outcome == store_outcome::done) {
+                           m_links.notifyOwner(entry->id, entry->row, false);
+                           answer(entry, statusOk, "", "accepted-here");
+                       } else if (result.outcome == store_outcome::conflict) {
+                           m_links.notifyOwner(entry->id, entry->row, false); // perhaps nobody could before
+                           answer(entry, statusOk, "", "accepted-before");
+                       } else {
+                           commitThroughOwner(entry);
+                       }
+                   });
+}
+
+void caller_service::status(const exchange_pointer &entry)
+{
+    m_links.askOwner(entry->id, entry->within(ownerTimeout), [this, entry](const owner_word &word) {
+        if (word.status) {
+            answer(entry, statusOk, m_codec.encodeStatus(*word.status), toString(*word.status));
+        } else {
+            statusFromRows(entry);
+        }
+    });
+}
+
+void caller_service::statusFromRows(const exchange_pointer &entry)
+{
+    m_store.read(liveRows(entry->id), entry->within(readTimeout), [this, entry](const range_result &result) {
+        if (result.outcome != store_outcome::done) {
+            answer(entry, statusUnavailable, "", "store-unreachable", true);
+            return;
+        }
+        std::set<live_row> kinds;
+        for (const auto &row : result.rows) {
+            if (const auto key = parseLiveKey(row.place.key); key && key->id == entry->id) {
+                kinds.insert(key->kind);
+            }
+        }
+        if (kinds.contains(live_row::job)) {
+            const auto status = kinds.contains(live_row::cancel) ? job_status::cancelled
+                : kinds.contains(live_row::progress)             ? job_status::running
+                                                                 : job_status::queued;
+            answer(entry, statusOk, m_codec.encodeStatus(status), toString(status) + "-by-rows");
+            return;
+        }
+        endedFromRows(entry, [this, entry](const std::optional<ended_job> &ended) {
+            if (ended) {
+                answer(entry, statusOk, m_codec.encodeStatus(ended->status), toString(ended->status) + "-by-rows");
+            } else {
+                answer(entry, 410, "", "no-such-job");
+            }
+        });
+    });
+}
+
+void caller_service::endedFromRows(const exchange_pointer &entry, std::function<void(std::optional<ended_job>)> done)
+{
+    const auto place = endedPlace(entry->id);
+    m_store.read({place.table, place.part, place.key, place.key + '\x01', 1}, entry->within(readTimeout),
+                 [this, entry, done = std::move(done)](const range_result &result) {
+                     if (result.outcome != store_outcome::done) {
+                         answer(entry, statusUnavailable, "", "store-unreachable", true);
+                         return;
+                     }
+                     try {
+                         done(result.rows.empty() ? std::nullopt
+                                                  : std::optional(decodeEnded(result.rows.front().value)));
+                     } catch (const error &fault) {
+                         m_log.write("callers", "row-unreadable", {{"id", entry->id}, {"reason", fault.what()}});
+                         answer(entry, statusUnavailable, "", "row-unreadable", true);
+                     }
+                 });
+}
+
+void caller_service::cancelThroughOwner(const exchange_pointer &entry)
+{
+    m_links.storeThroughOwner(entry->id, "", true, entry->within(ownerCommitTimeout),
+                              [this, entry](store_outcome outcome) {
+                                  if (outcome == store_outcome::done || outcome == store_outcome::conflict) {
+                                      answer(entry, statusOk, "", "cancelled");
+                                  } else {
+                                      cancel(entry);
+                                  }
+                              });
+}
+
+void caller_service::cancel(const exchange_pointer &entry)
+{
+    if (entry->left() <= 0ms || ++entry->tries > mostCommits) {
+        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        return;
+    }
+    m_store.read(liveRows(entry->id), entry->within(readTimeout), [this, entry](const range_result &result) {
+        if (result.outcome != store_outcome::done) {
+            cancel(entry);
+            return;
+        }
+        const auto job = std::ranges::find(result.rows, jobPlace(entry->id), &store_row::place);
+        if (job == result.rows.end()) {
+            endedFromRows(entry, [this, entry](const std::optional<ended_job> &ended) {
+                answer(entry, ended ? statusOk : 410, "", ended ? "ended-before" : "no-such-job");
+            });
+            return;
+        }
+        const store_transaction mark {{{jobPlace(entry->id), job->version}}, {{cancelPlace(entry->id), "1"}}, {}};
+        m_store.commit(mark, entry->within(commitTimeout), [this, entry](const commit_result &committed) {
+            if (committed.outcome == store_outcome::done) {
+                m_links.notifyOwner(entry->id, "", true);
+                answer(entry, statusOk, "", "cancelled");
+            } else {
+                cancel(entry); // the job has just ended, or the store must be asked again
+            }
+        });
+    });
+}
+
+void caller_service::waiting(const exchange_pointer &entry, const queue_route &route)
+{
+    const auto count = m_links.waiting(route.queue.name);
+    if (!count) {
+        answer(entry, statusUnavailable, "", "owner-unreachable", true);
+        return;
+    }
+    answer(entry, statusOk, m_codec.encodeWaiting(*count), "counted");
+}
+
+void caller_service::answer(const exchange_pointer &entry, unsigned status, const std::string &body,
+                            const std::string &outcome, bool comeBack)
+{
+    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(bootNow() - entry->begun);
+    m_measures.observe("primrosecroft_request_seconds", "kind", entry->kind, took);
+    if (entry->kind != "status" || status != statusOk) {
+        m_log.write("callers", entry->kind,
+                    {{"id", entry->id},
+                     {"queue", entry->queue},
+                     {"status", std::to_string(status)},
+                     {"outcome", outcome},
+                     {"tries", std::to_string(entry->tries)},
+                     {"ms", std::to_string(took.count() / 1'000)}});
+    }
+    m_measures.count("primrosecroft_requests", "outcome", entry->kind + '-' + outcome);
+    http_answer result {status, {{"Content-Type", "application/json"}}, body.empty() ? "{}" : body};
+    if (comeBack) {
+        result.headers.push_back({"Retry-After", std::to_string(std::chrono::seconds(comeBackAfter).count())});
+    }
+    entry->request->answer(result);
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -0,0 +1,193 @@
+#include "cell/cell.h"
+
+#include "cell/detail/cell_parts.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace detail;
+
+constexpr double slowestClock = 0.98; ///< a worker's clock may lose 2 %
+constexpr auto doubtMargin = 100ms; ///< for rounding in clocks and deadlines
+
+template<typename... handlers>
+struct overloaded : handlers...
+{
+    using handlers::operator()...;
+};
+
+} // namespace
+
+cell_state makeCell(const cell_settings &settings, const cell_origin &origin)
+{
+    cell_state state;
+    state.settings = settings;
+    state.origin = origin;
+    state.book = origin.book;
+    state.unresolved = origin.book;
+    state.chain = origin.chain;
+    state.doubtUntil =
+        origin.takenAt + std::chrono::duration_cast<duration>(settings.longestLease / slowestClock) + doubtMargin;
+    return state;
+}
+
+void step(cell_state &state, const cell_message &message, instant now, std::vector<cell_action> &actions)
+{
+    std::visit(overloaded {
+                   [&](const worker_seen &seen) { seeWorker(state, seen.worker, now, actions); },
+                   [&](const worker_unlisted &gone) { unlistWorker(state, gone.id, actions); },
+                   [&](const job_arrived &job) { arrive(state, job, now); },
+                   [&](const job_cancelled &job) { cancel(state, job.id, now, actions); },
+                   [&](const start_answered &answer) { takeStartAnswer(state, answer, now, actions); },
+                   [&](const stop_answered &answer) { takeStopAnswer(state, answer, now); },
+                   [&](const list_answered &answer) { takeList(state, answer, now, actions); },
+                   [&](const advice_answered &answer) { takeAdvice(state, answer, now); },
+                   [&](const commit_answered &answer) { takeCommitAnswer(state, answer, now, actions); },
+                   [&](const ownership_confirmed &confirmed) {
+                       state.confirmedAt = std::max(state.confirmedAt, confirmed.sentAt);
+                   },
+                   [&](const clock_ticked &clock) {
+                       state.timeOfDay = clock.timeOfDay;
+                       state.storeTime = clock.storeTime;
+                       state.advisers = clock.advisers;
+                   },
+               },
+               message);
+}
+
+void settle(cell_state &state, instant now, std::vector<cell_action> &actions)
+{
+    expireLeases(state, now, actions);
+    for (auto &[id, job] : state.jobs) {
+        if (job.accepted.spec.occurrences > 0) {
+            beginDue(state, job, now);
+        }
+    }
+    supervise(state, now, actions);
+    place(state, now, actions);
+    askForLists(state, now, actions);
+    record(state, now, actions);
+}
+
+std::map<queue_name, std::int64_t> waitingJobs(const cell_state &state)
+{
+    std::map<queue_name, std::int64_t> result;
+    for (const auto &[id, job] : state.jobs) {
+        if (!job.hasStarted && !job.cancelled && !job.failed) {
+            ++result[job.accepted.queue.name];
+        }
+    }
+    return result;
+}
+
+std::optional<job_status> statusOf(const cell_state &state, const job_id &id)
+{
+    if (const auto ended = state.finished.find(id); ended != state.finished.end()) {
+        return ended->second;
+    }
+    const auto found = state.jobs.find(id);
+    if (found == state.jobs.end()) {
+        return std::nullopt;
+    }
+    if (found->second.cancelled) {
+        return job_status::cancelled;
+    }
+    return found->second.hasStarted ? job_status::running : job_status::queued;
+}
+
+cell_summary summarize(const cell_state &state, instant now)
+{
+    cell_summary result;
+    result.jobs = state.jobs.size();
+    result.workers = state.workers.size();
+    result.unresolved = state.unresolved.size();
+    for (const auto &[id, job] : state.jobs) {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (const auto &each : occurrence.steps) {
+                result.asking += each.advice.asking ? 1 : 0;
+                if (each.ready && !each.idle.empty() && !occurrence.complete) {
+                    ++result.waitingSteps;
+                    result.waitingTasks += each.idle.size();
+                }
+            }
+        }
+    }
+    for (const auto &[id, worker] : state.workers) {
+        result.usedCores += worker.used.milliCores;
+        if (mayStartOn(state, worker, now)) {
+            ++result.usable;
+            result.offeredCores += worker.described.capacity.milliCores;
+        }
+    }
+    return result;
+}
+
+std::string explainWaiting(const cell_state &state, const job_id &id, instant now)
+{
+    const auto found = state.jobs.find(id);
+    if (found == state.jobs.end()) {
+        return "not known here";
+    }
+    const auto &job = found->second;
+    const auto usable = std::ranges::count_if(state.workers, [&](const auto &each) {
+        return each.second.described.pool == job.accepted.queue.pool && mayStartOn(state, each.second, now);
+    });
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+            const auto &each = occurrence.steps[index];
+            if (!each.ready || each.idle.empty()) {
+                continue;
+            }
+            const auto allowed =
+                std::ranges::count_if(each.advice.workers, [](const auto &advised) { return advised.second.allowed; });
+            return "occurrence " + std::to_string(number) + " step " + std::to_string(index) + ": "
+                + std::to_string(each.idle.size()) + " tasks wait, " + std::to_string(usable) + " workers usable, "
+                + (job.accepted.queue.advice ? std::to_string(allowed) + " of them known to be allowed" : "all allowed")
+                + (each.advice.asking ? ", advice is asked for" : "")
+                + (now < state.doubtUntil && !state.unresolved.empty() ? ", an earlier owner's leases may still run"
+                                                                       : "");
+        }
+    }
+    return "nothing waits";
+}
+
+namespace detail
+{
+
+std::optional<task_view> findTask(cell_state &state, const task_ref &ref)
+{
+    const auto job = state.jobs.find(ref.job);
+    if (job == state.jobs.end()) {
+        return std::nullopt;
+    }
+    const auto occurrence = job->second.occurrences.find(ref.occurrence);
+    if (occurrence == job->second.occurrences.end() || occurrence->second.complete || ref.step < 0
+        || static_cast<std::size_t>(ref.step) >= occurrence->second.steps.size()) {
+        return std::nullopt;
+    }
+    auto &step = occurrence->second.steps[static_cast<std::size_t>(ref.step)];
+    if (ref.index < 0 || static_cast<std::size_t>(ref.index) >= step.tasks.size()) {
+        return std::nullopt;
+    }
+    return task_view {&job->second, &occurrence->second, &step,
+                      &job->second.accepted.spec.steps[static_cast<std::size_t>(ref.step)],
+                      &step.tasks[static_cast<std::size_t>(ref.index)]};
+}
+
+task_run *findRun(task_state &task, const worker_id &worker, std::uint32_t attempt)
+{
+    const auto found = std::ranges::find_if(
+        task.runs, [&](const task_run &run) { return run.attempt == attempt && run.worker == worker; });
+    return found == task.runs.end() ? nullptr : &*found;
+}
+
+} // namespace detail
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/cell.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include "cell/cell_messages.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/**
+ * The owner of a shard: keeps its jobs, places their tasks on workers, holds the leases
+ * of what runs, and records how it ended.
+ *
+ * Everything is decided by step(), without I/O, clock or global state. The program around it
+ * carries out the actions and feeds back what came of them. State lives as long as one
+ * ownership: the next owner begins with makeCell() and the rows in the store.
+ */
+namespace primrosecroft
+{
+
+struct cell_settings
+{
+    std::chrono::milliseconds longestLease {6'000}; ///< the platform's bound on a lease
+    std::chrono::milliseconds gangPatience {3'000}; ///< a member of a gang waits so long for the others
+    std::uint64_t seed = 0;
+};
+
+/// Where an ownership begins.
+struct cell_origin
+{
+    row_version token = 0; ///< the fencing token: version under which the ownership row was taken
+    std::int64_t term = 0; ///< number of take-overs before this one
+    instant takenAt; ///< when the store's answer to the take-over came
+    std::set<worker_id> book; ///< workers that an earlier owner may have given orders to
+    row_version chain = 0; ///< of the chain's row; 0 when there is none
+};
+
+enum class run_phase
+{
+    starting, ///< sent; counts as taken until the worker says otherwise
+    unsure, ///< no answer came: it may run, now or later
+    running,
+};
+
+struct task_run
+{
+    worker_id worker;
+    worker_boot boot = 0;
+    std::uint32_t attempt = 0;
+    run_phase phase = run_phase::starting;
+    instant sentAt;
+    instant knownAt; ///< when the worker accepted it, or was first seen running it
+    bool stopWanted = false;
+    bool stopSent = false; ///< and not answered yet
+    instant barredAt; ///< when its stop was answered; zero before
+    instant nextStop;
+    std::int32_t percent = 0;
+    instant percentAt; ///< when it last grew
+    std::int32_t pace = 100;
+    std::int64_t load = 0;
+};
+
+struct task_state
+{
+    bool done = false;
+    std::set<std::uint32_t> failedAttempts;
+    std::string checkpoint;
+    std::uint32_t lastAttempt = 0;
+    std::vector<task_run> runs; ///< more than one only where copies may run
+    std::set<worker_id> avoid; ///< where it failed
+    instant idleSince;
+    instant notBefore;
+};
+
+struct advised_worker
+{
+    bool allowed = false;
+    std::string ticket;
+    instant validUntil;
+};
+
+/// What the advice service has said about a step. Which workers are allowed never changes.
+struct step_advice
+{
+    std::map<worker_id, advised_worker> workers;
+    bool asking = false;
+    instant askAgain; ///< not before
+};
+
+struct step_state
+{
+    std::vector<task_state> tasks;
+    std::vector<std::int32_t> idle; ///< tasks to be started, by index
+    std::int32_t doneCount = 0;
+    bool ready = false; ///< the steps before it have ended
+    instant readyAt;
+    std::set<std::uint32_t> failedGangs;
+    std::uint32_t gangAttempt = 0;
+    step_advice advice;
+    std::vector<std::chrono::milliseconds> durations; ///< of runs that ended well
+};
+
+struct occurrence_state
+{
+    std::vector<step_state> steps;
+    bool complete = false;
+};
+
+struct job_state
+{
+    accepted_job accepted;
+    row_version version = 0;
+    instant arrivedAt; ///< its acceptance on this process's clock
+    std::chrono::milliseconds objective {0}; ///< from arrivedAt
+    std::map<std::int32_t, occurrence_state> occurrences;
+    std::int32_t nextOccurrence = 0;
+    std::int32_t openOccurrences = 0; ///< begun and not complete
+    bool hasStarted = false;
+    bool hasProgress = false; ///< a progress row is or may be stored
+    bool cancelled = false;
+    bool failed = false;
+    bool changed = false; ///< what is stored has to be written anew
+    std::uint64_t writing = 0; ///< number of the commit under way; 0 without one
+};
+
+/// When a worker's clock was read. Bounds of its time at other moments follow.
+struct clock_sample
+{
+    worker_time clock {0};
+    instant receivedAt;
+};
+
+struct occupied_room
+{
+    resources size;
+    resources declared; ///< what a task that fills asks for beside the room it takes
+    bool serves = false; ///< it has a latency target
+    bool fills = false;
+};
+
+struct worker_health
+{
+    std::set<job_id> failedJobs; ///< unrelated ones since a task last ended well there
+    std::int32_t stalls = 0; ///< tasks that stood still since then
+    instant quarantinedUntil;
+    std::chrono::milliseconds pause {0}; ///< of the last quarantine
+    double slowness = 1; ///< how long work takes against other workers, smoothed
+};
+
+struct worker_state
+{
+    described_worker described;
+    bool listed = false; ///< by the platform
+    instant drainsAt; ///< the end of the notice; zero unless it drains
+    std::optional<clock_sample> clock;
+    worker_time latestDeadline {0}; ///< of all orders sent in this boot
+    instant leaseEndsBy; ///< nothing runs there after this, unless orders have been sent since
+    instant answeredAt; ///< last list
+    bool listing = false; ///< a list is asked for
+    bool isSilent = false; ///< the last list got no answer: leases there are not extended until one does
+    instant nextList;
+    std::int64_t seenEnd = 0;
+    std::int64_t notedEnd = 0;
+    resources used;
+    std::map<run_id, occupied_room> rooms;
+    std::set<run_id> strangers; ///< runs of jobs that aren't known here; their size isn't either
+    worker_health health;
+    bool resolved = false; ///< it answered under this owner's token
+};
+
+struct advice_record
+{
+    double allowedShare = 0.5; ///< smoothed, of the workers asked for
+};
+
+struct cell_state
+{
+    cell_settings settings;
+    cell_origin origin;
+    instant confirmedAt; ///< ownership was in force at this moment or later
+    std::chrono::milliseconds timeOfDay {0};
+    std::chrono::milliseconds storeTime {0};
+    std::map<worker_id, worker_state> workers;
+    std::set<worker_id> unresolved; ///< may hold an earlier owner's tasks
+    instant doubtUntil; ///< by then its leases have run out
+    std::set<worker_id> book; ///< as stored
+    std::uint64_t bookWriting = 0; ///< number of the commit that carries it
+    std::set<worker_id> bookSent;
+    std::map<job_id, job_state> jobs;
+    std::map<job_id, job_status> finished; ///< stored ends, the latest ones
+    std::deque<job_id> finishedOrder;
+    std::map<queue_name, advice_record> advice;
+    std::int32_t advisers = 1; ///< processes that can ask for advice
+    std::int32_t askingCheap = 0; ///< calls for advice under way
+    std::int32_t askingCostly = 0;
+    std::set<job_id> changed; ///< jobs with something to store
+    row_version chain = 0; ///< version of the chain's row, as last known
+    std::uint64_t lastCommit = 0;
+    bool committing = false;
+    std::set<job_id> committingJobs;
+    std::map<worker_id, std::int64_t> committingEnds; ///< seen ends that the commit under way covers
+    bool committingAll = false; ///< it leaves nothing unsaved that was known when it was made
+    instant nextCommit;
+    instant nextSupervision;
+};
+
+cell_state makeCell(const cell_settings &settings, const cell_origin &origin);
+
+/// Takes one message at @p now and says what is to be done at once.
+void step(cell_state &state, const cell_message &message, instant now, std::vector<cell_action> &actions);
+
+/// Places what waits, asks workers for news and stores what changed. To be called after a batch of messages.
+void settle(cell_state &state, instant now, std::vector<cell_action> &actions);
+
+/// Jobs of a queue none of whose tasks has started.
+std::map<queue_name, std::int64_t> waitingJobs(const cell_state &state);
+
+/// What callers are told; none when the job isn't known here.
+std::optional<job_status> statusOf(const cell_state &state, const job_id &id);
+
+/// The cell at a glance, for logs and metrics.
+struct cell_summary
+{
+    std::size_t jobs = 0;
+    std::size_t waitingSteps = 0; ///< ready, with tasks to be started
+    std::size_t waitingTasks = 0;
+    std::size_t asking = 0; ///< steps for which advice is under way
+    std::size_t workers = 0;
+    std::size_t usable = 0; ///< workers that may take tasks now
+    std::size_t unresolved = 0;
+    std::int64_t usedCores = 0; ///< in thousandths
+    std::int64_t offeredCores = 0; ///< by usable workers, in thousandths
+};
+
+cell_summary summarize(const cell_state &state, instant now);
+
+/// Why a job's next task isn't running, for operators.
+std::string explainWaiting(const cell_state &state, const job_id &id, instant now);
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -0,0 +1,815 @@
+#include "cell/cell_runner.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "jobs/job_rows.h"
+#include "leadership/leadership.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto settlePause = 6ms; ///< messages that come in this time are acted on together
+constexpr auto tickInterval = 40ms; ///< without messages
+constexpr auto renewInterval = 300ms; ///< between two proofs of life in the store
+constexpr auto summaryInterval = 2s; ///< between two lines that show the cell at a glance
+constexpr auto confirmInterval = 450ms; ///< without a confirmed write ownership is confirmed by a read
+constexpr auto confirmTimeout = 600ms;
+constexpr std::size_t mostAccepted = 30; ///< jobs in one transaction, three entries each
+constexpr auto commitTimeout = 1'200ms;
+constexpr auto readTimeout = 1'500ms;
+constexpr auto loadRetry = 80ms;
+constexpr auto workerFeedInterval = 250ms; ///< between two looks at what workers announce
+constexpr auto feedTimeout = 700ms;
+constexpr auto inboxWait = 1'000ms;
+constexpr auto reconcileInterval = 2s; ///< between two looks for stored jobs that nobody told of
+constexpr auto startTimeout = 600ms;
+constexpr auto stopTimeout = 600ms;
+constexpr auto listTimeout = 700ms; ///< on top of its wait
+
+template<typename... handlers>
+struct overloaded : handlers...
+{
+    using handlers::operator()...;
+};
+
+std::string millisecondsText(duration amount)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(amount).count());
+}
+
+/// 0 when the row isn't among @p rows.
+row_version versionOf(const std::vector<store_row> &rows, const row_place &place)
+{
+    const auto found = std::ranges::find(rows, place, &store_row::place);
+    return found == rows.end() ? row_condition::absent : found->version;
+}
+
+} // namespace
+
+/// A job to be accepted, and who waits for that.
+struct submission
+{
+    std::string row;
+    std::vector<stored_handler> waiting;
+};
+
+struct early_notice
+{
+    job_id id;
+    std::string row;
+    bool cancelled = false;
+};
+
+/// One ownership. Answers that come after its end find it closed.
+struct cell_runner::session : std::enable_shared_from_this<session>
+{
+    session(cell_runner &ownRunner, const cell_origin &origin, instant confirmedAt)
+        : runner(ownRunner)
+        , state(makeCell(ownRunner.m_settings, origin))
+        , begun(origin.takenAt)
+    {
+        state.confirmedAt = confirmedAt;
+    }
+
+    cell_runner &runner;
+    cell_state state;
+    instant begun;
+    bool isClosed = false;
+    bool isLoaded = false;
+    std::map<job_id, job_arrived> loading; ///< jobs as their rows come in
+    std::set<job_id> loadingCancelled;
+    std::map<job_id, job_progress> loadingProgress;
+    int loadsLeft = 0;
+    row_version workersAfter = 0;
+    row_version inboxAfter = 0;
+    instant renewedAt;
+    instant summarizedAt;
+    std::uint64_t unreadable = 0;
+    timer settleTimer;
+    timer tickTimer;
+    timer feedTimer;
+    timer loadTimer;
+    timer inboxTimer;
+    timer bookTimer;
+    timer workersTimer;
+    timer reconcileTimer;
+    std::vector<early_notice> early; ///< came before what is stored was loaded
+    bool isRenewing = false;
+    bool isConfirming = false;
+    std::map<job_id, submission> submissions; ///< for the next transaction
+    std::map<job_id, submission> submitting; ///< in the one under way
+    std::map<job_id, std::vector<stored_handler>> cancelling;
+    std::vector<cell_action> actions;
+
+    /// A callback that does nothing once the session has closed.
+    template<typename function>
+    auto guarded(function call)
+    {
+        return [weak = weak_from_this(), call = std::move(call)](auto &&...arguments) {
+            const auto self = weak.lock();
+            if (self && !self->isClosed) {
+                call(*self, std::forward<decltype(arguments)>(arguments)...);
+            }
+        };
+    }
+
+    void close()
+    {
+        isClosed = true;
+        for (auto *batch : {&submissions, &submitting}) {
+            for (auto &[id, entry] : std::exchange(*batch, {})) {
+                std::ranges::for_each(entry.waiting, [](const auto &done) { done(store_outcome::lost); });
+            }
+        }
+        for (auto &[id, waiting] : std::exchange(cancelling, {})) {
+            std::ranges::for_each(waiting, [](const auto &done) { done(store_outcome::lost); });
+        }
+        for (auto *each : {&settleTimer, &tickTimer, &feedTimer, &loadTimer, &inboxTimer, &bookTimer, &workersTimer,
+                           &reconcileTimer}) {
+            each->stop();
+        }
+    }
+
+    void load()
+    {
+        loadsLeft = 3;
+        loadBook();
+        loadJobs({});
+        readWorkers();
+    }
+
+    void retryLoad(std::function<void()> next)
+    {
+        runner.m_log.write("cell", "load-retry", {});
+        loadTimer.once(loadRetry, std::move(next));
+    }
+
+    void loaded()
+    {
+        if (--loadsLeft > 0) {
+            return;
+        }
+        for (auto &[id, job] : loading) {
+            job.progress = std::move(loadingProgress[id]);
+            job.cancelled = loadingCancelled.contains(id);
+            step(state, job, bootNow(), actions);
+        }
+        runner.m_log.writeAlways("cell", "serving",
+                                 {{"token", std::to_string(state.origin.token)},
+                                  {"term", std::to_string(state.origin.term)},
+                                  {"jobs", std::to_string(state.jobs.size())},
+                                  {"workers", std::to_string(state.workers.size())},
+                                  {"book", std::to_string(state.book.size())},
+                                  {"ms", millisecondsText(bootNow() - begun)}});
+        loading.clear();
+        loadingProgress.clear();
+        loadingCancelled.clear();
+        isLoaded = true;
+        for (const auto &each : std::exchange(early, {})) {
+            runner.notice(each.id, each.row, each.cancelled);
+        }
+        reconcileTimer.every(reconcileInterval, [this] { reconcile({}); });
+        tickTimer.every(tickInterval, [this] { settleNow(); });
+        feedTimer.once(workerFeedInterval, [this] { followWorkers(); });
+        followInbox();
+        settleNow();
+    }
+
+    void loadBook()
+    {
+        // The chain's row is the first of these few, the book the last.
+        runner.m_store.read({cellTable, shardPart, chainPlace().key, bookPlace().key + '\x01', 10}, readTimeout,
+                            guarded([](session &self, const range_result &result) {
+                                if (result.outcome != store_outcome::done) {
+                                    self.bookTimer.once(loadRetry, [&self] { self.loadBook(); });
+                                    return;
+                                }
+                                self.state.chain = versionOf(result.rows, chainPlace());
+                                const auto book = std::ranges::find(result.rows, bookPlace(), &store_row::place);
+                                if (book != result.rows.end()) {
+                                    self.state.book = decodeBook(book->value);
+                                    self.state.unresolved = self.state.book;
+                                }
+                                self.loaded();
+                            }));
+    }
+
+    void loadJobs(const std::string &from)
+    {
+        runner.m_store.read({jobTable, shardPart, from, "", 500}, readTimeout,
+                            guarded([from](session &self, const range_result &result) {
+                                if (result.outcome != store_outcome::done) {
+                                    self.retryLoad([&self, from] { self.loadJobs(from); });
+                                    return;
+                                }
+                                for (const auto &row : result.rows) {
+                                    self.takeLiveRow(row);
+                                }
+                                self.inboxAfter = self.inboxAfter == 0 ? result.version : self.inboxAfter;
+                                if (result.hasMore && !result.rows.empty()) {
+                                    self.loadJobs(result.rows.back().place.key + '\x01');
+                                    return;
+                                }
+                                self.loaded();
+                            }));
+    }
+
+    void takeLiveRow(const store_row &row)
+    {
+        const auto key = parseLiveKey(row.place.key);
+        if (!key) {
+            return;
+        }
+        try {
+            switch (key->kind) {
+            case live_row::job:
+                loading[key->id] = {decodeJob(row.value), {}, row.version, false};
+                break;
+            case live_row::cancel:
+                loadingCancelled.insert(key->id);
+                break;
+            case live_row::progress:
+                loadingProgress[key->id] = decodeProgress(row.value);
+                break;
+            }
+        } catch (const error &fault) {
+            runner.m_log.write("cell", "row-unreadable", {{"id", key->id}, {"reason", fault.what()}});
+        }
+    }
+
+    void takeWorkerRow(const store_row &row)
+    {
+        const auto now = bootNow();
+        if (row.dropped) {
+            step(state, worker_unlisted {row.place.key}, now, actions);
+            return;
+        }
+        if (const auto worker = runner.m_source.decode(row.place.key, row.value)) {
+            step(state, worker_seen {*worker}, now, actions);
+            return;
+        }
+        ++unreadable;
+        runner.m_measures.count("primrosecroft_worker_entries", "kind", "unreadable");
+        runner.m_log.write("cell", "worker-unreadable",
+                           {{"worker", row.place.key}, {"version", std::to_string(row.version)}});
+    }
+
+    /// All workers, page by page; those known and not among them are no longer listed.
+    void readWorkers()
+    {
+        readWorkersFrom({}, std::make_shared<std::set<worker_id>>(), 0);
+    }
+
+    void readWorkersFrom(const std::string &from, const std::shared_ptr<std::set<worker_id>> &seen, row_version first)
+    {
+        runner.m_store.read({runner.m_source.table, "", from, "", 500}, readTimeout,
+                            guarded([from, seen, first](session &self, const range_result &result) {
+                                if (result.outcome != store_outcome::done) {
+                                    self.workersTimer.once(loadRetry, [&self] { self.readWorkers(); });
+                                    return;
+                                }
+                                const auto version = first == 0 ? result.version : first;
+                                for (const auto &row : result.rows) {
+                                    seen->insert(row.place.key);
+                                    self.takeWorkerRow(row);
+                                }
+                                if (result.hasMore && !result.rows.empty()) {
+                                    self.readWorkersFrom(result.rows.back().place.key + '\x01', seen, version);
+                                    return;
+                                }
+                                self.workersAfter = version;
+                                std::vector<worker_id> missing;
+                                std::ranges::copy_if(std::views::keys(self.state.workers), std::back_inserter(missing),
+                                                     [&](const worker_id &id) { return !seen->contains(id); });
+                                for (const auto &id : missing) {
+                                    step(self.state, worker_unlisted {id}, bootNow(), self.actions);
+                                }
+                                if (!self.isLoaded) {
+                                    self.loaded();
+                                } else {
+                                    self.feedTimer.once(workerFeedInterval, [&self] { self.followWorkers(); });
+                                }
+                            }));
+    }
+
+    void followWorkers()
+    {
+        runner.m_store.follow(runner.m_source.table, workersAfter, 0ms, feedTimeout,
+                              guarded([](session &self, const feed_result &result) {
+                                  if (result.historyGone) {
+                                      self.readWorkers();
+                                      return;
+                                  }
+                                  if (result.outcome == store_outcome::done) {
+                                      self.workersAfter = std::max(self.workersAfter, result.version);
+                                      std::ranges::for_each(result.rows,
+                                                            [&self](const store_row &row) { self.takeWorkerRow(row); });
+                                      self.settleSoon();
+                                  }
+                                  self.feedTimer.once(workerFeedInterval, [&self] { self.followWorkers(); });
+                              }));
+    }
+
+    /// Ids of jobs that their entry process couldn't tell this one of.
+    void followInbox()
+    {
+        runner.m_store.follow(
+            inboxTable, inboxAfter, inboxWait, feedTimeout, guarded([](session &self, const feed_result &result) {
+                auto pause = 0ms;
+                if (result.historyGone) {
+                    self.readInbox();
+                    return;
+                }
+                if (result.outcome == store_outcome::done) {
+                    self.inboxAfter = std::max(self.inboxAfter, result.version);
+                    std::ranges::for_each(result.rows, [&self](const store_row &row) { self.takeInboxRow(row); });
+                } else {
+                    pause = loadRetry;
+                }
+                self.inboxTimer.once(pause, [&self] { self.followInbox(); });
+            }));
+    }
+
+    void readInbox()
+    {
+        runner.m_store.read(
+            {inboxTable, shardPart, "", "", 500}, readTimeout, guarded([](session &self, const range_result &result) {
+                if (result.outcome == store_outcome::done) {
+                    self.inboxAfter = result.version;
+                    std::ranges::for_each(result.rows, [&self](const store_row &row) { self.takeInboxRow(row); });
+                }
+                self.inboxTimer.once(loadRetry, [&self] { self.followInbox(); });
+            }));
+    }
+
+    void takeInboxRow(const store_row &row)
+    {
+        if (row.dropped) {
+            return;
+        }
+        const auto id = row.place.key;
+        readJob(id, [id](session &self) {
+            store_transaction removal;
+            removal.removals.push_back(inboxPlace(id));
+            self.commit(removal, [](session &, const commit_result &) { });
+        });
+    }
+
+    /// Learns of a job, or of its cancelling, from its rows; @p done follows when they could be read.
+    void readJob(const job_id &id, std::function<void(session &)> done = [](session &) { })
+    {
+        runner.m_store.read(liveRows(id), readTimeout,
+                            guarded([id, done = std::move(done)](session &self, const range_result &result) {
+                                if (result.outcome != store_outcome::done) {
+                                    self.inboxAfter = 0; // all of the inbox is read again
+                                    return;
+                                }
+                                self.takeRowsOf(id, result.rows);
+                                done(self);
+                            }));
+    }
+
+    void takeRowsOf(const job_id &id, const std::vector<store_row> &rows)
+    {
+        for (const auto &row : rows) {
+            takeLiveRow(row);
+        }
+        const auto found = loading.find(id);
+        if (found != loading.end()) {
+            found->second.progress = std::move(loadingProgress[id]);
+            found->second.cancelled = loadingCancelled.contains(id);
+            const bool isCancelled = found->second.cancelled;
+            step(state, found->second, bootNow(), actions);
+            if (isCancelled) {
+                step(state, job_cancelled {id}, bootNow(), actions);
+            }
+        }
+        loading.clear();
+        loadingProgress.clear();
+        loadingCancelled.clear();
+        settleSoon();
+    }
+
+    /// Looks for jobs that were stored without anybody's word reaching this process.
+    void reconcile(const std::string &from)
+    {
+        runner.m_store.read({jobTable, shardPart, from, "", 500}, readTimeout,
+                            guarded([](session &self, const range_result &result) {
+                                if (result.outcome != store_outcome::done) {
+                                    return; // there is a next time
+                                }
+                                for (const auto &row : result.rows) {
+                                    self.reconcileRow(row);
+                                }
+                                if (result.hasMore && !result.rows.empty()) {
+                                    self.reconcile(result.rows.back().place.key + '\x01');
+                                }
+                            }));
+    }
+
+    void reconcileRow(const store_row &row)
+    {
+        const auto key = parseLiveKey(row.place.key);
+        if (!key || state.finished.contains(key->id)) {
+            return;
+        }
+        const auto job = state.jobs.find(key->id);
+        const bool isUnknown = key->kind == live_row::job && job == state.jobs.end();
+        const bool isUnheard = key->kind == live_row::cancel && job != state.jobs.end() && !job->second.cancelled;
+        if (isUnknown || isUnheard) {
+            runner.m_log.write(
+                "cell", "reconciled",
+                {{"id", key->id}, {"version", std::to_string(row.version)}, {"cancel", isUnheard ? "1" : "0"}});
+            readJob(key->id);
+        }
+    }
+
+    void settleSoon()
+    {
+        if (isLoaded && !settleTimer.isRunning()) {
+            settleTimer.once(settlePause, [this] { settleNow(); });
+        }
+    }
+
+    void settleNow()
+    {
+        settleTimer.stop();
+        const auto now = bootNow();
+        step(state, clock_ticked {timeOfDay(), runner.m_store.storeTime(), runner.m_links.advisers()}, now, actions);
+        settle(state, now, actions);
+        carryOut();
+        if (now >= summarizedAt + summaryInterval) {
+            summarizedAt = now;
+            tellSummary(now);
+        }
+        if (now >= renewedAt + renewInterval && !isRenewing) {
+            renew();
+        }
+        if (now >= state.confirmedAt + confirmInterval && !isConfirming) {
+            confirm();
+        }
+    }
+
+    /// A write under the condition of ownership: it confirms it, and shows others that this process lives.
+    void renew()
+    {
+        isRenewing = true;
+        commit({}, [](session &self, const commit_result &) { self.isRenewing = false; });
+    }
+
+    // --- acceptance: what comes while one transaction is under way goes into the next
+
+    void submit(const job_id &id, const std::string &row, stored_handler done)
+    {
+        if (state.jobs.contains(id) || state.finished.contains(id)) {
+            done(store_outcome::conflict);
+            return;
+        }
+        for (auto *batch : {&submissions, &submitting}) {
+            if (const auto found = batch->find(id); found != batch->end()) {
+                found->second.waiting.push_back(std::move(done));
+                return;
+            }
+        }
+        auto &entry = submissions[id];
+        entry.row = row;
+        entry.waiting.push_back(std::move(done));
+        acceptNext();
+    }
+
+    void acceptNext()
+    {
+        if (!submitting.empty() || submissions.empty()) {
+            return;
+        }
+        store_transaction transaction;
+        while (!submissions.empty() && submitting.size() < mostAccepted) {
+            auto node = submissions.extract(submissions.begin());
+            const auto one = acceptance(node.key(), node.mapped().row);
+            std::ranges::copy(one.conditions, std::back_inserter(transaction.conditions));
+            std::ranges::copy(one.writes, std::back_inserter(transaction.writes));
+            submitting.insert(std::move(node));
+        }
+        commit(std::move(transaction), [](session &self, const commit_result &result) { self.accepted(result); });
+    }
+
+    void accepted(const commit_result &result)
+    {
+        auto batch = std::exchange(submitting, {});
+        if (result.outcome == store_outcome::conflict) {
+            splitConflict(batch, result.found);
+            acceptNext();
+            return;
+        }
+        for (auto &[id, entry] : batch) {
+            if (result.outcome == store_outcome::done) {
+                step(state, job_arrived {decodeJob(entry.row), {}, result.version, false}, bootNow(), actions);
+            }
+            std::ranges::for_each(entry.waiting, [&result](const auto &done) { done(result.outcome); });
+        }
+        settleSoon();
+        acceptNext();
+    }
+
+    /// Jobs that are stored already leave the batch; the others go into the next one.
+    void splitConflict(std::map<job_id, submission> &batch, const std::vector<store_row> &found)
+    {
+        std::set<job_id> known;
+        for (const auto &row : found) {
+            if (row.version == row_condition::absent) {
+                continue;
+            }
+            if (row.place.table == endedTable) {
+                known.insert(row.place.key);
+            } else if (const auto key = parseLiveKey(row.place.key); key && row.place.table == jobTable) {
+                known.insert(key->id);
+                readJob(key->id);
+            }
+        }
+        for (auto &[id, entry] : batch) {
+            if (known.contains(id)) {
+                std::ranges::for_each(entry.waiting, [](const auto &done) { done(store_outcome::conflict); });
+            } else if (known.empty()) {
+                std::ranges::for_each(entry.waiting, [](const auto &done) { done(store_outcome::lost); });
+            } else {
+                submissions[id] = std::move(entry);
+            }
+        }
+    }
+
+    void cancel(const job_id &id, stored_handler done)
+    {
+        if (state.finished.contains(id)) {
+            done(store_outcome::conflict);
+            return;
+        }
+        if (!state.jobs.contains(id)) {
+            done(store_outcome::refused);
+            return;
+        }
+        cancelling[id].push_back(std::move(done));
+        step(state, job_cancelled {id}, bootNow(), actions);
+        settleSoon();
+    }
+
+    void commit(store_transaction transaction, std::function<void(session &, const commit_result &)> done)
+    {
+        const auto sentAt = bootNow();
+        transaction.conditions.push_back({ownerPlace(), state.origin.token});
+        if (sentAt >= renewedAt + renewInterval || transaction.writes.empty()) {
+            renewedAt = sentAt;
+            transaction.writes.push_back({renewalPlace(), "1"});
+        }
+        runner.m_store.commit(transaction, commitTimeout,
+                              guarded([sentAt, done = std::move(done)](session &self, const commit_result &result) {
+                                  if (result.outcome == store_outcome::conflict && !self.isOwnRow(result.found)) {
+                                      self.runner.m_links.ownershipLost("a write met another owner's row");
+                                      return;
+                                  }
+                                  if (result.outcome == store_outcome::done) {
+                                      step(self.state, ownership_confirmed {sentAt}, bootNow(), self.actions);
+                                  }
+                                  done(self, result);
+                              }));
+    }
+
+    /// False when the ownership row among @p found isn't the one under which this session began.
+    bool isOwnRow(const std::vector<store_row> &found) const
+    {
+        const auto row = std::ranges::find(found, ownerPlace(), &store_row::place);
+        return row != found.end() && row->version == state.origin.token;
+    }
+
+    /// A read of the ownership row doesn't wait in the part's line of writes.
+    void confirm()
+    {
+        isConfirming = true;
+        const auto sentAt = bootNow();
+        const auto place = ownerPlace();
+        runner.m_store.read({place.table, place.part, place.key, place.key + '\x01', 1}, confirmTimeout,
+                            guarded([sentAt](session &self, const range_result &result) {
+                                self.isConfirming = false;
+                                if (result.outcome != store_outcome::done) {
+                                    return;
+                                }
+                                if (!self.isOwnRow(result.rows)) {
+                                    self.runner.m_links.ownershipLost("the ownership row is another owner's");
+                                    return;
+                                }
+                                step(self.state, ownership_confirmed {sentAt}, bootNow(), self.actions);
+                            }));
+    }
+
+    template<typename message>
+    auto answering()
+    {
+        return guarded([](session &self, const message &answer) {
+            step(self.state, answer, bootNow(), self.actions);
+            self.settleSoon();
+        });
+    }
+
+    void carryOut()
+    {
+        const auto due = std::exchange(actions, {});
+        for (const auto &action : due) {
+            if (isClosed) {
+                return;
+            }
+            std::visit(
+                overloaded {
+                    [this](const send_start &order) {
+                        runner.m_workers.start(order, state.origin.token, startTimeout, answering<start_answered>());
+                    },
+                    [this](const send_stop &order) {
+                        runner.m_workers.stop(order, state.origin.token, stopTimeout, answering<stop_answered>());
+                    },
+                    [this](const send_pace &order) { runner.m_workers.pace(order, state.origin.token, stopTimeout); },
+                    [this](const send_list &order) {
+                        runner.m_workers.list(order, state.origin.token, order.wait + listTimeout,
+                                              answering<list_answered>());
+                    },
+                    [this](const ask_advice &question) {
+                        runner.m_links.askAdvice(question, answering<advice_answered>());
+                    },
+                    [this](const commit_rows &rows) {
+                        commit(rows.transaction, [number = rows.number](session &self, const commit_result &result) {
+                            const auto chain = result.outcome == store_outcome::done
+                                ? result.version
+                                : versionOf(result.found, chainPlace());
+                            step(self.state, commit_answered {number, result.outcome, chain}, bootNow(), self.actions);
+                            self.settleSoon();
+                        });
+                    },
+                    [this](const report_placed &report) { tell(report); },
+                    [this](const report_ended &report) { tell(report); },
+                    [this](const report_job &report) { tell(report); },
+                    [this](const report_worker &report) {
+                        runner.m_log.write("cell", "worker", {{"worker", report.worker}, {"change", report.change}});
+                    },
+                    [this](const report_fenced &report) {
+                        runner.m_links.ownershipLost("worker " + report.worker + " obeys a later owner");
+                    },
+                },
+                action);
+        }
+    }
+
+    void tellSummary(instant now)
+    {
+        const auto summary = summarize(state, now);
+        runner.m_measures.set("primrosecroft_tasks_waiting", static_cast<double>(summary.waitingTasks));
+        runner.m_measures.set("primrosecroft_workers_usable", static_cast<double>(summary.usable));
+        runner.m_measures.set("primrosecroft_millicores_used", static_cast<double>(summary.usedCores));
+        runner.m_log.write("cell", "summary",
+                           {{"jobs", std::to_string(summary.jobs)},
+                            {"waiting_steps", std::to_string(summary.waitingSteps)},
+                            {"waiting_tasks", std::to_string(summary.waitingTasks)},
+                            {"asking", std::to_string(summary.asking)},
+                            {"workers", std::to_string(summary.workers)},
+                            {"usable", std::to_string(summary.usable)},
+                            {"unresolved", std::to_string(summary.unresolved)},
+                            {"used", std::to_string(summary.usedCores)},
+                            {"offered", std::to_string(summary.offeredCores)},
+                            {"confirmed_ms", millisecondsText(now - state.confirmedAt)}});
+    }
+
+    void tell(const report_placed &report)
+    {
+        runner.m_measures.observe("primrosecroft_task_wait_seconds", "kind", "placed", report.waited);
+        runner.m_log.write("cell", "placed",
+                           {{"task", toString(report.run.task)},
+                            {"attempt", std::to_string(report.run.attempt)},
+                            {"worker", report.worker},
+                            {"waited_ms", std::to_string(report.waited.count())}});
+    }
+
+    void tell(const report_ended &report)
+    {
+        runner.m_measures.count("primrosecroft_runs_ended", "how", report.how);
+        if (report.how == "done") {
+            return; // the job's line says it
+        }
+        runner.m_log.write("cell", "ended",
+                           {{"task", toString(report.run.task)},
+                            {"attempt", std::to_string(report.run.attempt)},
+                            {"worker", report.worker},
+                            {"how", report.how}});
+    }
+
+    void tell(const report_job &report)
+    {
+        if (auto node = cancelling.extract(report.id)) {
+            std::ranges::for_each(node.mapped(), [](const auto &done) { done(store_outcome::done); });
+        }
+        runner.m_measures.count("primrosecroft_jobs_ended", "status", toString(report.status));
+        runner.m_measures.observe("primrosecroft_job_seconds", "queue", report.queue, report.took);
+        runner.m_log.write("cell", "job",
+                           {{"id", report.id},
+                            {"queue", report.queue},
+                            {"status", toString(report.status)},
+                            {"took_ms", std::to_string(report.took.count())},
+                            {"objective_ms", std::to_string(report.objective.count())}});
+    }
+};
+
+cell_runner::cell_runner(watched_store &rows, worker_gateway &workers, worker_source source, runner_links links,
+                         const cell_settings &settings, decision_log &log, metrics &measures)
+    : m_store(rows)
+    , m_workers(workers)
+    , m_source(std::move(source))
+    , m_links(std::move(links))
+    , m_settings(settings)
+    , m_log(log)
+    , m_measures(measures)
+{
+}
+
+cell_runner::~cell_runner()
+{
+    end();
+}
+
+void cell_runner::begin(row_version token, std::int64_t term, instant confirmedAt)
+{
+    end();
+    cell_origin origin;
+    origin.token = token;
+    origin.term = term;
+    origin.takenAt = bootNow();
+    m_session = std::make_shared<session>(*this, origin, confirmedAt);
+    m_session->load();
+}
+
+void cell_runner::end()
+{
+    if (m_session) {
+        m_session->close();
+        m_session.reset();
+    }
+}
+
+bool cell_runner::isServing() const
+{
+    return m_session && m_session->isLoaded;
+}
+
+void cell_runner::notice(const job_id &id, const std::string &row, bool cancelled)
+{
+    if (!m_session) {
+        return; // the next owner reads it with the other rows
+    }
+    if (!m_session->isLoaded) {
+        m_session->early.push_back({id, row, cancelled}); // it may be newer than the rows being read
+        return;
+    }
+    try {
+        if (cancelled) {
+            step(m_session->state, job_cancelled {id}, bootNow(), m_session->actions);
+        } else {
+            step(m_session->state, job_arrived {decodeJob(row), {}, 0, false}, bootNow(), m_session->actions);
+        }
+    } catch (const error &fault) {
+        m_log.write("cell", "notice-unreadable", {{"id", id}, {"reason", fault.what()}});
+    }
+    m_session->settleSoon();
+}
+
+void cell_runner::submit(const job_id &id, const std::string &row, stored_handler done)
+{
+    if (!isServing()) {
+        done(store_outcome::refused);
+        return;
+    }
+    m_session->submit(id, row, std::move(done));
+}
+
+void cell_runner::cancel(const job_id &id, stored_handler done)
+{
+    if (!isServing()) {
+        done(store_outcome::refused);
+        return;
+    }
+    m_session->cancel(id, std::move(done));
+}
+
+const cell_state *cell_runner::state() const
+{
+    return isServing() ? &m_session->state : nullptr;
+}
+
+instant cell_runner::confirmedAt() const
+{
+    return m_session ? m_session->state.confirmedAt : instant {};
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -0,0 +1,529 @@
+#include "cell/detail/cell_parts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <ranges>
+
+/// Which task starts where, and which workers the advice service is asked for.
+namespace primrosecroft::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto freshConfirmation = 2'500ms; ///< nothing is started under an older one
+constexpr auto ticketMargin = 120ms; ///< a start must arrive before its ticket ends
+constexpr auto renewBefore = 500ms; ///< tickets of what waits are renewed so long before they end
+constexpr std::size_t mostAsked = 100; ///< workers in one call
+constexpr std::size_t mostRenewing = 10; ///< waiting steps whose tickets are kept valid without room in sight
+constexpr double advisedExcess = 1.3; ///< room asked for against room needed
+constexpr auto adviceRetry = 200ms; ///< after a call without an answer
+constexpr double shareWeight = 0.1; ///< of the newest answer in the smoothed share of allowed workers
+constexpr auto costlyAdvice = 100ms; ///< a call that takes longer is made before there is room
+constexpr std::int32_t advisersForCheap = 2; ///< processes that are kept free of costly calls
+constexpr std::int32_t cheapPerAdviser = 2; ///< cheap calls under way for each process that can ask
+constexpr auto earlyAdvice = 150ms; ///< beside the call's own time: asked so long before the step is due
+constexpr double lateFactor = 3; ///< times the objective: what is later has nothing to gain by haste
+
+/// A step with tasks to be started, in the order of service.
+struct waiting_step
+{
+    step_ref ref;
+    job_state *job = nullptr;
+    occurrence_state *occurrence = nullptr;
+    step_state *step = nullptr;
+    const step_spec *spec = nullptr;
+    bool isHopeless = false; ///< beyond the time in which its job earns
+    std::int32_t priority = 0;
+    instant due;
+
+    friend bool operator<(const waiting_step &left, const waiting_step &right)
+    {
+        return std::tie(left.isHopeless, left.priority, left.due, left.ref)
+            < std::tie(right.isHopeless, right.priority, right.due, right.ref);
+    }
+};
+
+/// A worker that may take tasks of a step, as far as its room goes.
+struct candidate
+{
+    worker_state *worker = nullptr;
+    std::int32_t ofThisStep = 0; ///< tasks of the step there
+    bool servesOthers = false; ///< tasks with a target run there
+    bool holdsFills = false;
+};
+
+bool isInDoubt(const cell_state &state, const job_state &job, instant now)
+{
+    return !state.unresolved.empty() && now < state.doubtUntil && job.version < state.origin.token && job.version != 0;
+}
+
+std::vector<waiting_step> waitingSteps(cell_state &state, instant now)
+{
+    std::vector<waiting_step> result;
+    for (auto &[id, job] : state.jobs) {
+        if (job.cancelled || job.failed || isInDoubt(state, job, now)) {
+            continue;
+        }
+        for (auto &[number, occurrence] : job.occurrences) {
+            if (occurrence.complete) {
+                continue;
+            }
+            for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+                auto &each = occurrence.steps[index];
+                if (!each.ready || each.idle.empty()) {
+                    continue;
+                }
+                waiting_step waiting;
+                waiting.ref = {id, number, static_cast<std::int32_t>(index)};
+                waiting.job = &job;
+                waiting.occurrence = &occurrence;
+                waiting.step = &each;
+                waiting.spec = &job.accepted.spec.steps[index];
+                waiting.priority = job.accepted.queue.priority;
+                const auto objective = std::chrono::duration_cast<duration>(job.objective);
+                const auto begin = job.accepted.spec.occurrences > 0 ? each.readyAt : job.arrivedAt;
+                waiting.due = begin + objective;
+                waiting.isHopeless =
+                    !waiting.spec->lasts && now > begin + std::chrono::duration_cast<duration>(objective * lateFactor);
+                result.push_back(waiting);
+            }
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+std::int32_t countOnWorker(const step_state &step, const worker_id &worker)
+{
+    std::int32_t count = 0;
+    for (const auto &task : step.tasks) {
+        count += static_cast<std::int32_t>(std::ranges::count(task.runs, worker, &task_run::worker));
+    }
+    return count;
+}
+
+resources roomTaken(const step_spec &spec)
+{
+    auto size = spec.size;
+    if (spec.fills) {
+        size.milliCores = 0;
+    }
+    return size;
+}
+
+/// Processor time that nobody has declared, tasks that fill included.
+std::int64_t undeclaredCores(const worker_state &worker)
+{
+    auto left = freeRoom(worker).milliCores;
+    for (const auto &[run, room] : worker.rooms) {
+        if (room.fills) {
+            left -= room.declared.milliCores;
+        }
+    }
+    return left;
+}
+
+bool isSuited(const waiting_step &waiting, const worker_state &worker)
+{
+    const auto &labels = worker.described.labels;
+    return worker.described.pool == waiting.job->accepted.queue.pool
+        && (waiting.spec->label.empty() || std::ranges::find(labels, waiting.spec->label) != labels.end());
+}
+
+bool hasTicket(const waiting_step &waiting, const worker_id &worker, instant now)
+{
+    if (!waiting.job->accepted.queue.advice) {
+        return true;
+    }
+    const auto found = waiting.step->advice.workers.find(worker);
+    return found != waiting.step->advice.workers.end() && found->second.allowed
+        && found->second.validUntil > now + ticketMargin;
+}
+
+candidate makeCandidate(const waiting_step &waiting, worker_state &worker)
+{
+    candidate result {&worker, 0, false, false};
+    if (waiting.spec->mostPerWorker > 0) {
+        result.ofThisStep = countOnWorker(*waiting.step, worker.described.id);
+    }
+    for (const auto &[run, room] : worker.rooms) {
+        result.servesOthers = result.servesOthers || room.serves;
+        result.holdsFills = result.holdsFills || room.fills;
+    }
+    return result;
+}
+
+/// How many tasks of the step the worker could take now.
+std::int32_t capacityFor(const waiting_step &waiting, const candidate &at)
+{
+    const auto &spec = *waiting.spec;
+    if (spec.fills && at.servesOthers) {
+        return 0; // it would disturb them
+    }
+    const auto room = freeRoom(*at.worker);
+    const auto cores = spec.fills ? undeclaredCores(*at.worker) : room.milliCores;
+    auto count = static_cast<std::int64_t>(mostTasksPerStep);
+    const auto limit = [&count](std::int64_t offered, std::int64_t needed) {
+        if (needed > 0) {
+            count = std::min(count, std::max<std::int64_t>(0, offered / needed));
+        }
+    };
+    limit(cores, spec.size.milliCores);
+    limit(room.memoryMib, spec.size.memoryMib);
+    limit(room.accelerators, spec.size.accelerators);
+    if (spec.mostPerWorker > 0) {
+        count = std::min<std::int64_t>(count, std::max(0, spec.mostPerWorker - at.ofThisStep));
+    }
+    return static_cast<std::int32_t>(count);
+}
+
+std::vector<candidate> candidatesFor(cell_state &state, const waiting_step &waiting, instant now)
+{
+    std::vector<candidate> result;
+    for (auto &[id, worker] : state.workers) {
+        if (mayStartOn(state, worker, now) && isSuited(waiting, worker) && hasTicket(waiting, id, now)) {
+            result.push_back(makeCandidate(waiting, worker));
+        }
+    }
+    return result;
+}
+
+/// Lower is better. Weights order the reasons: data and company first, then speed, then packing.
+double cost(const waiting_step &waiting, const candidate &at, const std::string &rack)
+{
+    constexpr double rackWeight = 100;
+    constexpr double companyWeight = 50;
+    constexpr double slownessWeight = 10;
+    const auto &spec = *waiting.spec;
+    const auto &worker = *at.worker;
+    const auto room = freeRoom(worker);
+    double result = 0;
+    if (!rack.empty() && rackOf(worker.described) != rack) {
+        result += rackWeight;
+    }
+    if (at.holdsFills && spec.targetLatency.count() > 0) {
+        result += companyWeight;
+    }
+    result += slownessWeight * std::log2(std::max(worker.health.slowness, 0.1));
+    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.described.capacity.milliCores));
+    const auto left = static_cast<double>(spec.fills ? undeclaredCores(worker) : room.milliCores) / capacity;
+    result += spec.fills ? -left : left;
+    return result;
+}
+
+/// The rack in which most of the step already runs, or has room for most of it.
+std::string preferredRack(const waiting_step &waiting, const std::vector<candidate> &candidates)
+{
+    if (!waiting.spec->sameRack) {
+        return waiting.spec->dataRack;
+    }
+    std::map<std::string, std::int64_t> room;
+    for (const auto &each : candidates) {
+        room[rackOf(each.worker->described)] += capacityFor(waiting, each);
+        room[rackOf(each.worker->described)] +=
+            static_cast<std::int64_t>(mostTasksPerStep) * countOnWorker(*waiting.step, each.worker->described.id);
+    }
+    const auto best = std::ranges::max_element(room, {}, [](const auto &each) { return each.second; });
+    return best == room.end() ? std::string() : best->first;
+}
+
+candidate *choose(const waiting_step &waiting, const task_state &task, std::vector<candidate> &candidates,
+                  const std::string &rack)
+{
+    candidate *best = nullptr;
+    double lowest = std::numeric_limits<double>::max();
+    for (auto &each : candidates) {
+        if (task.avoid.contains(each.worker->described.id) || capacityFor(waiting, each) < 1) {
+            continue;
+        }
+        const auto own = cost(waiting, each, rack);
+        if (own < lowest) {
+            lowest = own;
+            best = &each;
+        }
+    }
+    return best;
+}
+
+void start(cell_state &state, const waiting_step &waiting, std::int32_t index, std::uint32_t attempt, candidate &at,
+           instant now, cell_actions &actions)
+{
+    auto &worker = *at.worker;
+    auto &task = waiting.step->tasks[static_cast<std::size_t>(index)];
+    const auto deadline = *leaseDeadline(state, worker);
+    noteDeadline(worker, deadline);
+    const run_id id {{waiting.ref.job, waiting.ref.occurrence, waiting.ref.step, index}, attempt};
+    const occupied_room room {roomTaken(*waiting.spec), waiting.spec->size, waiting.spec->targetLatency.count() > 0,
+                              waiting.spec->fills};
+    worker.used += room.size;
+    worker.rooms[id] = room;
+    ++at.ofThisStep;
+    at.servesOthers = at.servesOthers || room.serves;
+    at.holdsFills = at.holdsFills || room.fills;
+    task_run run;
+    run.worker = worker.described.id;
+    run.boot = worker.described.boot;
+    run.attempt = attempt;
+    run.sentAt = now;
+    run.percentAt = now;
+    task.runs.push_back(run);
+    task.lastAttempt = attempt;
+    std::string ticket;
+    if (const auto found = waiting.step->advice.workers.find(run.worker); found != waiting.step->advice.workers.end()) {
+        ticket = found->second.ticket;
+    }
+    actions.emplace_back(send_start {run.worker, worker.described.address, run.boot, id,
+                                     waiting.job->accepted.spec.payload, deadline, task.checkpoint, ticket});
+    actions.emplace_back(
+        report_placed {id, run.worker, std::chrono::duration_cast<std::chrono::milliseconds>(now - task.idleSince)});
+}
+
+bool mayRun(const waiting_step &waiting, const task_state &task, instant now)
+{
+    return !task.done && task.runs.empty() && task.notBefore <= now
+        && static_cast<std::int32_t>(task.failedAttempts.size()) < waiting.job->accepted.queue.mostFailures;
+}
+
+void forgetAvoidedIfAll(const std::vector<candidate> &candidates, task_state &task)
+{
+    if (!task.avoid.empty() && std::ranges::all_of(candidates, [&](const candidate &each) {
+            return task.avoid.contains(each.worker->described.id);
+        })) {
+        task.avoid.clear();
+    }
+}
+
+/// All members at once, or none.
+void placeGang(cell_state &state, const waiting_step &waiting, std::vector<candidate> &candidates, instant now,
+               cell_actions &actions)
+{
+    auto &step = *waiting.step;
+    if (step.idle.size() != step.tasks.size()
+        || static_cast<std::int32_t>(step.failedGangs.size()) >= waiting.job->accepted.queue.mostFailures
+        || !std::ranges::all_of(step.tasks, [now](const task_state &task) { return task.notBefore <= now; })) {
+        return;
+    }
+    std::int64_t room = 0;
+    for (const auto &each : candidates) {
+        room += capacityFor(waiting, each);
+    }
+    if (room < static_cast<std::int64_t>(step.tasks.size())) {
+        return;
+    }
+    const auto rack = preferredRack(waiting, candidates);
+    const auto attempt = ++step.gangAttempt;
+    static const task_state anywhere;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        auto *at = choose(waiting, anywhere, candidates, rack);
+        start(state, waiting, static_cast<std::int32_t>(index), attempt, *at, now, actions);
+    }
+    step.idle.clear();
+}
+
+void placeStep(cell_state &state, const waiting_step &waiting, std::vector<candidate> &candidates, instant now,
+               cell_actions &actions)
+{
+    if (candidates.empty()) {
+        return;
+    }
+    if (waiting.spec->gang) {
+        placeGang(state, waiting, candidates, now, actions);
+        return;
+    }
+    const auto rack = preferredRack(waiting, candidates);
+    std::vector<std::int32_t> left;
+    bool isFull = false;
+    for (const auto index : waiting.step->idle) {
+        auto &task = waiting.step->tasks[static_cast<std::size_t>(index)];
+        candidate *at = nullptr;
+        if (!isFull && mayRun(waiting, task, now)) {
+            forgetAvoidedIfAll(candidates, task);
+            at = choose(waiting, task, candidates, rack);
+            isFull = at == nullptr && task.avoid.empty();
+        }
+        if (at == nullptr) {
+            left.push_back(index);
+            continue;
+        }
+        start(state, waiting, index, task.lastAttempt + 1, *at, now, actions);
+    }
+    waiting.step->idle = std::move(left);
+}
+
+/// Workers to ask for, best first: allowed ones with room, then unknown ones with room, then others.
+struct advice_choice
+{
+    std::vector<worker_id> workers;
+    bool isUrgent = false; ///< a task could start at once with a ticket
+};
+
+advice_choice chooseAsked(cell_state &state, const waiting_step &waiting, std::int32_t needed, bool mayAskWithoutRoom,
+                          instant now)
+{
+    struct option
+    {
+        int order = 0;
+        std::int32_t capacity = 0;
+        worker_id id;
+    };
+    std::vector<option> options;
+    const auto &known = waiting.step->advice.workers;
+    double covered = 0;
+    for (auto &[id, worker] : state.workers) {
+        if (!mayStartOn(state, worker, now) || !isSuited(waiting, worker)) {
+            continue;
+        }
+        const auto at = makeCandidate(waiting, worker);
+        const auto capacity = capacityFor(waiting, at);
+        const auto found = known.find(id);
+        const bool isKnown = found != known.end();
+        if (isKnown && !found->second.allowed) {
+            continue;
+        }
+        if (isKnown && found->second.validUntil > now + renewBefore) {
+            covered += capacity;
+            continue;
+        }
+        if (capacity > 0) {
+            options.push_back({isKnown ? 0 : 1, capacity, id});
+        } else if (mayAskWithoutRoom) {
+            options.push_back({isKnown ? 2 : 3, 1, id});
+        }
+    }
+    std::ranges::sort(options, [](const option &left, const option &right) {
+        return std::tie(left.order, right.capacity, left.id) < std::tie(right.order, left.capacity, right.id);
+    });
+    const auto share = std::max(0.05, state.advice[waiting.job->accepted.queue.name].allowedShare);
+    advice_choice result;
+    const double wanted = needed * advisedExcess;
+    if (covered >= needed) {
+        return result;
+    }
+    for (const auto &each : options) {
+        if (covered >= wanted || result.workers.size() >= mostAsked) {
+            break;
+        }
+        covered += each.capacity * (each.order % 2 == 0 ? 1 : share);
+        result.workers.push_back(each.id);
+        result.isUrgent = result.isUrgent || each.order < 2;
+    }
+    return result;
+}
+
+void seekAdvice(cell_state &state, const waiting_step &waiting, bool mayAskWithoutRoom, instant now,
+                cell_actions &actions)
+{
+    auto &advice = waiting.step->advice;
+    const auto &policy = *waiting.job->accepted.queue.advice;
+    if (advice.asking || now < advice.askAgain) {
+        return;
+    }
+    const bool isCostly = policy.decide >= costlyAdvice;
+    const auto needed =
+        static_cast<std::int32_t>(waiting.step->ready ? waiting.step->idle.size() : waiting.step->tasks.size());
+    const auto choice = chooseAsked(state, waiting, needed, isCostly && mayAskWithoutRoom, now);
+    if (choice.workers.empty()) {
+        return;
+    }
+    auto &underWay = isCostly ? state.askingCostly : state.askingCheap;
+    const auto most = isCostly ? std::max(1, state.advisers - advisersForCheap) : state.advisers * cheapPerAdviser;
+    if (underWay >= most) {
+        return; // what waits longer in the service's line than its ticket is worth helps nobody
+    }
+    ++underWay;
+    advice.asking = true;
+    const auto cost = policy.decide + policy.perWorker * static_cast<std::int64_t>(choice.workers.size());
+    actions.emplace_back(ask_advice {waiting.ref, choice.workers, cost, isCostly});
+}
+
+/// Tickets for steps whose predecessors are about to end.
+void seekEarlyAdvice(cell_state &state, instant now, cell_actions &actions)
+{
+    for (auto &[id, job] : state.jobs) {
+        if (!job.accepted.queue.advice || job.cancelled || job.failed) {
+            continue;
+        }
+        const auto &policy = *job.accepted.queue.advice;
+        const auto lead = policy.decide + policy.perWorker * 20 + earlyAdvice;
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (std::size_t index = 0; !occurrence.complete && index < occurrence.steps.size(); ++index) {
+                auto &each = occurrence.steps[index];
+                const auto &spec = job.accepted.spec.steps[index];
+                if (each.ready || each.advice.asking || !each.advice.workers.empty()) {
+                    continue;
+                }
+                const bool isNear = std::ranges::all_of(spec.after, [&](std::int32_t before) {
+                    const auto &earlier = occurrence.steps[static_cast<std::size_t>(before)];
+                    const auto &earlierSpec = job.accepted.spec.steps[static_cast<std::size_t>(before)];
+                    return earlier.ready && earlier.idle.empty()
+                        && std::ranges::all_of(earlier.tasks, [&](const task_state &task) {
+                               return task.done || std::ranges::any_of(task.runs, [&](const task_run &run) {
+                                          return run.sentAt + earlierSpec.estimate < now + lead;
+                                      });
+                           });
+                });
+                if (!isNear) {
+                    continue;
+                }
+                waiting_step waiting;
+                waiting.ref = {id, number, static_cast<std::int32_t>(index)};
+                waiting.job = &job;
+                waiting.occurrence = &occurrence;
+                waiting.step = &each;
+                waiting.spec = &spec;
+                seekAdvice(state, waiting, false, now, actions);
+            }
+        }
+    }
+}
+
+} // namespace
+
+void place(cell_state &state, instant now, cell_actions &actions)
+{
+    if (state.confirmedAt + freshConfirmation < now) {
+        return;
+    }
+    std::size_t renewing = 0;
+    for (const auto &waiting : waitingSteps(state, now)) {
+        auto candidates = candidatesFor(state, waiting, now);
+        placeStep(state, waiting, candidates, now, actions);
+        if (waiting.job->accepted.queue.advice && !waiting.step->idle.empty()) {
+            seekAdvice(state, waiting, renewing < mostRenewing, now, actions);
+            ++renewing;
+        }
+    }
+    seekEarlyAdvice(state, now, actions);
+}
+
+void takeAdvice(cell_state &state, const advice_answered &message, instant now)
+{
+    --(message.isCostly ? state.askingCostly : state.askingCheap);
+    const auto view = findTask(state, {message.step.job, message.step.occurrence, message.step.step, 0});
+    if (!view) {
+        return;
+    }
+    auto &advice = view->step->advice;
+    advice.asking = false;
+    if (!message.answered) {
+        advice.askAgain = now + adviceRetry;
+        return;
+    }
+    for (const auto &id : message.asked) {
+        advice.workers.try_emplace(id);
+    }
+    for (const auto &each : message.allowed) {
+        advice.workers[each.worker] = {true, each.ticket, now + message.valid};
+    }
+    auto &share = state.advice[view->job->accepted.queue.name].allowedShare;
+    if (!message.asked.empty()) {
+        const auto own = static_cast<double>(message.allowed.size()) / static_cast<double>(message.asked.size());
+        share += (own - share) * shareWeight;
+    }
+}
+
+} // namespace primrosecroft::detail
--- /dev/null
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -0,0 +1,183 @@
+#include "cell/detail/cell_parts.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+/// What goes into the store, and when it counts as stored.
+namespace primrosecroft::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t mostJobsInCommit = 28; ///< three entries each, under the platform's hundred
+constexpr auto commitPause = 20ms; ///< what changes in this time goes into one transaction
+constexpr auto commitRetry = 150ms; ///< after one that failed
+constexpr std::size_t mostFinished = 20'000; ///< remembered here; older ones are read from the store
+
+job_progress progressOf(const job_state &job)
+{
+    job_progress result;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        auto &stored = result[number];
+        if (occurrence.complete) {
+            stored.complete = true;
+            continue;
+        }
+        for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+            const auto &step = occurrence.steps[index];
+            step_progress own;
+            own.failedGangs = step.failedGangs;
+            for (std::size_t place = 0; place < step.tasks.size(); ++place) {
+                const auto &task = step.tasks[place];
+                if (!task.failedAttempts.empty() || !task.checkpoint.empty()) {
+                    own.tasks[static_cast<std::int32_t>(place)] = {task.failedAttempts, task.checkpoint};
+                }
+            }
+            if (step.doneCount > 0) {
+                std::ranges::transform(step.tasks, std::back_inserter(own.done), &task_state::done);
+            }
+            if (own != step_progress {}) {
+                stored.steps[static_cast<std::int32_t>(index)] = std::move(own);
+            }
+        }
+    }
+    return result;
+}
+
+/// How the job has ended; none while it goes on.
+std::optional<job_status> endOf(const job_state &job)
+{
+    if (job.cancelled) {
+        return job_status::cancelled;
+    }
+    if (job.failed) {
+        return job_status::failed;
+    }
+    const auto wanted = std::max(job.accepted.spec.occurrences, 1);
+    if (job.openOccurrences == 0 && job.nextOccurrence >= wanted) {
+        return job_status::complete;
+    }
+    return std::nullopt;
+}
+
+void write(store_transaction &transaction, const cell_state &state, job_state &job)
+{
+    const auto &id = job.accepted.id;
+    if (const auto end = endOf(job)) {
+        transaction.removals.push_back(jobPlace(id));
+        if (job.hasProgress) {
+            transaction.removals.push_back(progressPlace(id));
+        }
+        transaction.removals.push_back(cancelPlace(id)); // a cancelling may have come too late to be heard of
+        transaction.writes.push_back({endedPlace(id), encodeEnded({*end, state.storeTime})});
+        return;
+    }
+    job.hasProgress = true;
+    transaction.writes.push_back({progressPlace(id), encodeProgress(progressOf(job))});
+}
+
+void writeBook(store_transaction &transaction, cell_state &state, std::uint64_t number)
+{
+    std::set<worker_id> wanted;
+    std::ranges::copy(std::views::keys(state.workers), std::inserter(wanted, wanted.end()));
+    std::ranges::copy(state.unresolved, std::inserter(wanted, wanted.end()));
+    if (wanted == state.book || state.bookWriting != 0) {
+        return;
+    }
+    transaction.writes.push_back({bookPlace(), encodeBook(wanted)});
+    state.bookWriting = number;
+    state.bookSent = std::move(wanted);
+}
+
+} // namespace
+
+void record(cell_state &state, instant now, cell_actions &actions)
+{
+    if (state.committing || now < state.nextCommit) {
+        return;
+    }
+    const auto number = state.lastCommit + 1;
+    store_transaction transaction;
+    writeBook(transaction, state, number);
+    state.committingJobs.clear();
+    for (const auto &id : state.changed) {
+        if (state.committingJobs.size() >= mostJobsInCommit) {
+            break;
+        }
+        auto &job = state.jobs.at(id);
+        job.changed = false;
+        write(transaction, state, job);
+        state.committingJobs.insert(id);
+    }
+    state.committingEnds.clear();
+    if (state.committingJobs.size() == state.changed.size()) {
+        // With this commit all that the workers have told is stored.
+        for (auto &[id, worker] : state.workers) {
+            if (worker.seenEnd > worker.notedEnd) {
+                state.committingEnds[id] = worker.seenEnd;
+            }
+        }
+    }
+    if (transaction.writes.empty() && transaction.removals.empty()) {
+        for (const auto &[id, seen] : state.committingEnds) {
+            state.workers.at(id).notedEnd = seen;
+        }
+        return;
+    }
+    transaction.conditions.push_back({chainPlace(), state.chain});
+    transaction.writes.push_back({chainPlace(), "1"});
+    state.lastCommit = number;
+    state.committing = true;
+    actions.emplace_back(commit_rows {number, std::move(transaction)});
+}
+
+void takeCommitAnswer(cell_state &state, const commit_answered &message, instant now, cell_actions &actions)
+{
+    if (!state.committing || message.number != state.lastCommit) {
+        return;
+    }
+    state.committing = false;
+    const bool isStored = message.outcome == store_outcome::done;
+    if (isStored || message.outcome == store_outcome::conflict) {
+        state.chain = message.chain;
+    }
+    state.nextCommit = now + (isStored ? commitPause : commitRetry);
+    if (std::exchange(state.bookWriting, 0) != 0 && isStored) {
+        state.book = std::exchange(state.bookSent, {});
+    }
+    for (const auto &id : state.committingJobs) {
+        auto &job = state.jobs.at(id);
+        if (!isStored) {
+            job.changed = true; // the same rows again do no harm if the commit has taken effect
+            continue;
+        }
+        if (!job.changed) {
+            state.changed.erase(id);
+        }
+        if (const auto end = endOf(job); end && !job.changed) {
+            actions.emplace_back(report_job {id, job.accepted.queue.name, *end,
+                                             std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt),
+                                             job.objective});
+            state.finished[id] = *end;
+            state.finishedOrder.push_back(id);
+            state.jobs.erase(id);
+        }
+    }
+    while (state.finishedOrder.size() > mostFinished) {
+        state.finished.erase(state.finishedOrder.front());
+        state.finishedOrder.pop_front();
+    }
+    if (isStored) {
+        for (const auto &[id, seen] : state.committingEnds) {
+            if (const auto worker = state.workers.find(id); worker != state.workers.end()) {
+                worker->second.notedEnd = std::max(worker->second.notedEnd, seen);
+            }
+        }
+    }
+}
+
+} // namespace primrosecroft::detail
--- /dev/null
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -0,0 +1,79 @@
+#include "cell/detail/cell_parts.h"
+
+#include <algorithm>
+#include <ranges>
+
+/// Runs that need a hand: copies of slow ones, an end to those that stand still, a move off workers that leave.
+namespace primrosecroft::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto supervisionInterval = 100ms;
+constexpr auto stallTime = 3'000ms; ///< without any progress a run counts as standing still
+constexpr std::int32_t stallsBeforeQuarantine = 2;
+constexpr auto stallQuarantine = 6'000ms;
+constexpr auto leaveMargin = 1'200ms; ///< before a worker leaves, what can resume elsewhere is stopped
+constexpr std::int32_t fullPercent = 100;
+
+bool isSteady(const task_run &run)
+{
+    return run.phase == run_phase::running && !run.stopWanted;
+}
+
+void leaveDraining(cell_state &state, const task_ref &ref, const task_view &view, task_run &run,
+                   const worker_state &worker, instant now, cell_actions &actions)
+{
+    if (!worker.described.draining || !isSteady(run)) {
+        return;
+    }
+    const bool isNear = worker.drainsAt != instant {} && worker.drainsAt - leaveMargin <= now;
+    if (view.spec->lasts || (isNear && view.spec->savesProgress && !view.spec->gang)) {
+        run.stopWanted = true;
+        pursueStop(state, ref, run, now, actions);
+    }
+}
+
+void endStalled(cell_state &state, const task_ref &ref, const task_view &view, task_run &run, worker_state &worker,
+                instant now, cell_actions &actions)
+{
+    const bool isAtWork = view.spec->lasts && run.percent >= fullPercent;
+    if (!isSteady(run) || isAtWork || view.spec->gang || view.spec->fills || run.pace < fullPercent
+        || run.percentAt + stallTime > now || worker.answeredAt < run.percentAt + stallTime) {
+        return;
+    }
+    run.stopWanted = true;
+    view.task->avoid.insert(run.worker);
+    pursueStop(state, ref, run, now, actions);
+    if (++worker.health.stalls >= stallsBeforeQuarantine) {
+        worker.health.quarantinedUntil = std::max(worker.health.quarantinedUntil, now + stallQuarantine);
+        actions.emplace_back(report_worker {run.worker, "quarantined: tasks stand still there"});
+    }
+}
+
+} // namespace
+
+void supervise(cell_state &state, instant now, cell_actions &actions)
+{
+    if (now < state.nextSupervision) {
+        return;
+    }
+    state.nextSupervision = now + supervisionInterval;
+    for (auto &[id, worker] : state.workers) {
+        for (const auto &[runId, room] : worker.rooms) {
+            const auto view = findTask(state, runId.task);
+            auto *run = view ? findRun(*view->task, id, runId.attempt) : nullptr;
+            if (run == nullptr) {
+                continue;
+            }
+            pursueStop(state, runId.task, *run, now, actions);
+            leaveDraining(state, runId.task, *view, *run, worker, now, actions);
+            endStalled(state, runId.task, *view, *run, worker, now, actions);
+        }
+    }
+}
+
+} // namespace primrosecroft::detail
--- /dev/null
+++ b/src/libprimrosecroft/cell/worker_gateway.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cell/cell_messages.h"
+
+#include <functional>
+
+namespace primrosecroft
+{
+
+/// Carries orders to workers. Each call gets exactly one answer, `lost` when none came in time.
+class worker_gateway
+{
+public:
+    worker_gateway() = default;
+    virtual ~worker_gateway() = default;
+    worker_gateway(const worker_gateway &) = delete;
+    worker_gateway &operator=(const worker_gateway &) = delete;
+
+    virtual void start(const send_start &order, row_version token, std::chrono::milliseconds timeout,
+                       std::function<void(start_answered)> done) = 0;
+    virtual void stop(const send_stop &order, row_version token, std::chrono::milliseconds timeout,
+                      std::function<void(stop_answered)> done) = 0;
+    virtual void pace(const send_pace &order, row_version token, std::chrono::milliseconds timeout) = 0;
+    virtual void list(const send_list &order, row_version token, std::chrono::milliseconds timeout,
+                      std::function<void(list_answered)> done) = 0;
+};
+
+/// Asks which workers may run a step.
+class advice_gateway
+{
+public:
+    advice_gateway() = default;
+    virtual ~advice_gateway() = default;
+    advice_gateway(const advice_gateway &) = delete;
+    advice_gateway &operator=(const advice_gateway &) = delete;
+
+    virtual void ask(const step_ref &step, const std::vector<worker_id> &workers, std::chrono::milliseconds timeout,
+                     std::function<void(advice_answered)> done) = 0;
+};
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -0,0 +1,570 @@
+#include "cell/detail/cell_parts.h"
+
+#include <algorithm>
+#include <ranges>
+
+/// What is believed of workers: their leases, what runs there, what became of orders.
+namespace primrosecroft::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr double slowestClock = 0.98; ///< a worker's clock may lose 2 %
+constexpr auto leaseMargin = 50ms; ///< for rounding, and for the work of ending what lapsed
+constexpr auto listPause = 35ms; ///< ends that come in this time are listed together
+constexpr auto listRetry = 150ms; ///< after a list that got no answer
+constexpr auto listWait = 700ms; ///< a list waits so long for an end; each one extends the lease
+constexpr auto idleListInterval = 900ms; ///< of a worker on which nothing runs
+constexpr auto unlistedListInterval = 500ms; ///< of a worker that the platform doesn't list
+constexpr auto reachableFor = 2'500ms; ///< after its last list a worker gets no new tasks
+constexpr auto stopRetry = 300ms;
+constexpr auto unhealthyPause = 1'000ms; ///< after it refused work as unhealthy
+constexpr auto crashLoop = 1'500ms; ///< a task that lasts and ends sooner is started again after a pause
+constexpr auto crashPause = 1'000ms;
+constexpr std::size_t mostEndsListed = 500; ///< in one answer; there may be more
+constexpr auto firstQuarantine = 4'000ms;
+constexpr auto longestQuarantine = 60'000ms;
+constexpr std::size_t jobsBeforeQuarantine = 2; ///< unrelated ones that failed in a row
+constexpr double mostQuarantined = 0.25; ///< share of the workers
+constexpr double slownessWeight = 0.2; ///< of the newest run in the smoothed value
+constexpr auto shortestMeasured = 200ms; ///< runs below say nothing about a worker's speed
+
+worker_time lowerBound(const clock_sample &sample, instant at)
+{
+    const auto since = std::chrono::duration_cast<worker_time>(at - sample.receivedAt);
+    return sample.clock
+        + (since.count() >= 0
+               ? worker_time(static_cast<std::int64_t>(static_cast<double>(since.count()) * slowestClock))
+               : since);
+}
+
+/// By when the worker's clock has passed @p deadline, whatever its speed.
+instant surelyPast(const clock_sample &sample, worker_time deadline)
+{
+    const auto left = std::max(worker_time(0), deadline - sample.clock);
+    return sample.receivedAt + std::chrono::duration_cast<duration>(left / slowestClock) + leaseMargin;
+}
+
+void release(worker_state &worker, const run_id &run)
+{
+    const auto found = worker.rooms.find(run);
+    if (found != worker.rooms.end()) {
+        worker.used -= found->second.size;
+        worker.rooms.erase(found);
+    }
+}
+
+void removeRun(task_state &task, const worker_id &worker, std::uint32_t attempt)
+{
+    std::erase_if(task.runs, [&](const task_run &run) { return run.attempt == attempt && run.worker == worker; });
+}
+
+/// The run is over, or never was: its room is free and its task may wait again.
+void dropRun(cell_state &state, worker_state &worker, const run_id &run, instant now)
+{
+    release(worker, run);
+    if (const auto view = findTask(state, run.task)) {
+        removeRun(*view->task, worker.described.id, run.attempt);
+        becomeIdle(state, run.task, *view, now);
+    }
+}
+
+/// All that ran there has ended without a word.
+void dropAllRuns(cell_state &state, worker_state &worker, instant now, cell_actions &actions, const char *reason)
+{
+    const auto rooms = worker.rooms;
+    for (const auto &[run, room] : rooms) {
+        actions.emplace_back(report_ended {run, worker.described.id, reason});
+        dropRun(state, worker, run, now);
+    }
+    worker.strangers.clear();
+}
+
+void forgetBoot(worker_state &worker)
+{
+    worker.clock.reset();
+    worker.latestDeadline = worker_time(0);
+    worker.leaseEndsBy = {};
+    worker.seenEnd = 0;
+    worker.notedEnd = 0;
+}
+
+/// The worker has started anew: it holds nothing of before.
+void enterBoot(cell_state &state, worker_state &worker, worker_boot boot, instant now, cell_actions &actions)
+{
+    if (worker.described.boot == boot) {
+        return;
+    }
+    actions.emplace_back(report_worker {worker.described.id, "started anew"});
+    dropAllRuns(state, worker, now, actions, "lost with its worker");
+    forgetBoot(worker);
+    worker.health = {};
+    worker.described.boot = boot;
+}
+
+void resolve(cell_state &state, worker_state &worker)
+{
+    worker.resolved = true;
+    state.unresolved.erase(worker.described.id);
+}
+
+std::size_t quarantinedCount(const cell_state &state, instant now)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        state.workers, [now](const auto &each) { return each.second.health.quarantinedUntil > now; }));
+}
+
+void quarantine(cell_state &state, worker_state &worker, instant now, cell_actions &actions)
+{
+    const auto most =
+        std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(state.workers.size()) * mostQuarantined));
+    if (worker.health.quarantinedUntil > now || quarantinedCount(state, now) >= most) {
+        return;
+    }
+    worker.health.pause =
+        std::clamp<std::chrono::milliseconds>(worker.health.pause * 2, firstQuarantine, longestQuarantine);
+    worker.health.quarantinedUntil = now + worker.health.pause;
+    worker.health.failedJobs.clear();
+    worker.health.stalls = 0;
+    actions.emplace_back(report_worker {worker.described.id, "quarantined"});
+}
+
+void noteSuccess(worker_state &worker, const task_view &view, const task_run &run, instant now)
+{
+    worker.health.failedJobs.clear();
+    worker.health.stalls = 0;
+    worker.health.pause = 0ms;
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.knownAt);
+    if (took >= shortestMeasured) {
+        view.step->durations.push_back(took);
+    }
+    if (took >= shortestMeasured && view.spec->estimate >= shortestMeasured && view.task->checkpoint.empty()) {
+        const auto ratio =
+            std::clamp(static_cast<double>(took.count()) / static_cast<double>(view.spec->estimate.count()), 0.2, 10.0);
+        worker.health.slowness += (ratio - worker.health.slowness) * slownessWeight;
+    }
+}
+
+void takeEnd(cell_state &state, worker_state &worker, const listed_end &end, instant now, cell_actions &actions)
+{
+    worker.strangers.erase(end.run);
+    const auto view = findTask(state, end.run.task);
+    if (!view) {
+        release(worker, end.run);
+        return;
+    }
+    static constexpr std::array names {"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    actions.emplace_back(report_ended {end.run, worker.described.id, names.at(static_cast<std::size_t>(end.how))});
+    if (!end.checkpoint.empty() && !view->task->done && view->task->checkpoint != end.checkpoint) {
+        view->task->checkpoint = end.checkpoint;
+        markChanged(state, *view->job);
+    }
+    view->job->hasStarted = true;
+    if (end.how == run_end::done) {
+        if (const auto *run = findRun(*view->task, worker.described.id, end.run.attempt)) {
+            noteSuccess(worker, *view, *run, now);
+        }
+        taskDone(state, end.run.task, *view, now, actions);
+    } else if (end.how == run_end::failed && view->spec->lasts) {
+        // Such tasks fail by their own fault at any time, which says little about the worker.
+        const auto *run = findRun(*view->task, worker.described.id, end.run.attempt);
+        if (run != nullptr && run->knownAt + crashLoop > now) {
+            view->task->avoid = {worker.described.id};
+            view->task->notBefore = now + crashPause;
+        }
+    } else if (end.how == run_end::failed) {
+        view->task->avoid.insert(worker.described.id);
+        worker.health.failedJobs.insert(end.run.task.job);
+        taskFailed(state, end.run, *view, now, actions);
+        if (worker.health.failedJobs.size() >= jobsBeforeQuarantine) {
+            quarantine(state, worker, now, actions);
+        }
+    }
+    dropRun(state, worker, end.run, now);
+}
+
+/// A run that an earlier owner started, or whose order came late: kept if its task has use for it.
+void adopt(cell_state &state, worker_state &worker, const listed_run &listed, instant now, cell_actions &actions)
+{
+    const auto view = findTask(state, listed.run.task);
+    const auto stop = [&] {
+        if (!worker.rooms.contains(listed.run)) {
+            worker.strangers.insert(listed.run);
+        }
+        actions.emplace_back(
+            send_stop {worker.described.id, worker.described.address, worker.described.boot, listed.run});
+    };
+    if (!view || view->task->done || view->job->cancelled || view->job->failed) {
+        stop();
+        return;
+    }
+    const bool isWanted = view->task->runs.empty() || view->spec->mayDuplicate;
+    occupied_room room {view->spec->size, view->spec->size, view->spec->targetLatency.count() > 0, view->spec->fills};
+    if (room.fills) {
+        room.size.milliCores = 0;
+    }
+    worker.used += room.size;
+    worker.rooms[listed.run] = room;
+    task_run run;
+    run.worker = worker.described.id;
+    run.boot = worker.described.boot;
+    run.attempt = listed.run.attempt;
+    run.phase = run_phase::running;
+    run.sentAt = now;
+    run.knownAt = now;
+    run.percentAt = now;
+    run.stopWanted = !isWanted;
+    view->task->lastAttempt = std::max(view->task->lastAttempt, run.attempt);
+    view->step->gangAttempt = std::max(view->step->gangAttempt, run.attempt);
+    view->task->runs.push_back(run);
+    view->job->hasStarted = true;
+    std::erase(view->step->idle, listed.run.task.index);
+    actions.emplace_back(report_placed {listed.run, worker.described.id, 0ms});
+    pursueStop(state, listed.run.task, view->task->runs.back(), now, actions);
+}
+
+void refresh(cell_state &state, const task_view &view, task_run &run, const listed_run &listed, instant now)
+{
+    if (run.phase != run_phase::running) {
+        run.phase = run_phase::running;
+        run.knownAt = now;
+    }
+    if (listed.percent != run.percent || run.percentAt == instant {}) {
+        run.percent = listed.percent;
+        run.percentAt = now;
+    }
+    run.load = listed.load;
+    if (!listed.checkpoint.empty()) {
+        view.task->checkpoint = listed.checkpoint;
+        if (view.spec->gang) {
+            for (auto &member : view.step->tasks) {
+                member.checkpoint = listed.checkpoint; // any member's serves the whole gang
+            }
+        }
+    }
+    static_cast<void>(state);
+}
+
+/// What the list proves of runs that it doesn't name.
+void takeAbsent(cell_state &state, worker_state &worker, const std::set<run_id> &listed, bool isWhole,
+                const list_answered &message, instant now, cell_actions &actions)
+{
+    std::vector<run_id> over;
+    for (const auto &[id, room] : worker.rooms) {
+        if (listed.contains(id)) {
+            continue;
+        }
+        const auto view = findTask(state, id.task);
+        auto *run = view ? findRun(*view->task, worker.described.id, id.attempt) : nullptr;
+        if (run == nullptr) {
+            over.push_back(id);
+            continue;
+        }
+        const bool wasThere = run->phase == run_phase::running && run->knownAt < message.sentAt;
+        const bool isBarred = run->barredAt != instant {} && run->barredAt < message.sentAt;
+        if (isWhole && (wasThere || isBarred)) {
+            over.push_back(id);
+        } else if (run->phase == run_phase::unsure && run->sentAt < message.sentAt) {
+            run->stopWanted = true; // bars it, so that the task can go elsewhere
+            pursueStop(state, id.task, *run, now, actions);
+        }
+    }
+    for (const auto &id : over) {
+        actions.emplace_back(report_ended {id, worker.described.id, "not there"});
+        dropRun(state, worker, id, now);
+    }
+    std::erase_if(worker.strangers, [&](const run_id &each) { return isWhole && !listed.contains(each); });
+}
+
+} // namespace
+
+std::string rackOf(const described_worker &worker)
+{
+    return worker.labels.empty() ? std::string() : worker.labels.back();
+}
+
+resources freeRoom(const worker_state &worker)
+{
+    auto room = worker.described.capacity;
+    room -= worker.used;
+    return room;
+}
+
+bool mayStartOn(const cell_state &state, const worker_state &worker, instant now)
+{
+    return worker.listed && worker.resolved && !worker.described.draining && worker.clock && worker.strangers.empty()
+        && worker.answeredAt + reachableFor > now && worker.health.quarantinedUntil <= now
+        && state.book.contains(worker.described.id);
+}
+
+std::optional<worker_time> leaseDeadline(const cell_state &state, const worker_state &worker)
+{
+    if (!worker.clock || state.confirmedAt == instant {}) {
+        return std::nullopt;
+    }
+    return lowerBound(*worker.clock, state.confirmedAt) + state.settings.longestLease;
+}
+
+void noteDeadline(worker_state &worker, worker_time deadline)
+{
+    worker.latestDeadline = std::max(worker.latestDeadline, deadline);
+    worker.leaseEndsBy = surelyPast(*worker.clock, worker.latestDeadline);
+}
+
+void seeWorker(cell_state &state, const described_worker &described, instant now, cell_actions &actions)
+{
+    auto &worker = state.workers[described.id];
+    const bool isNew = worker.described.id.empty();
+    if (isNew) {
+        worker.described = described;
+        worker.nextList = now;
+        actions.emplace_back(report_worker {described.id, "listed"});
+    }
+    if (!isNew && described.boot != worker.described.boot) {
+        if (described.boot < worker.described.boot) {
+            return; // older news than its own answer
+        }
+        enterBoot(state, worker, described.boot, now, actions);
+        worker.nextList = now;
+    }
+    if (described.draining && !worker.described.draining) {
+        actions.emplace_back(report_worker {described.id, "draining"});
+    }
+    if (described.draining && worker.drainsAt == instant {} && described.remaining) {
+        worker.drainsAt = now + *described.remaining;
+    }
+    if (!described.draining) {
+        worker.drainsAt = {};
+    }
+    worker.described = described;
+    worker.listed = true;
+}
+
+void unlistWorker(cell_state &state, const worker_id &id, cell_actions &actions)
+{
+    const auto found = state.workers.find(id);
+    if (found != state.workers.end() && found->second.listed) {
+        found->second.listed = false;
+        actions.emplace_back(report_worker {id, "no longer listed"});
+    }
+}
+
+void pursueStop(cell_state &state, const task_ref &ref, task_run &run, instant now, cell_actions &actions)
+{
+    if (!run.stopWanted || run.stopSent || run.barredAt != instant {} || now < run.nextStop) {
+        return;
+    }
+    const auto worker = state.workers.find(run.worker);
+    if (worker == state.workers.end()) {
+        return;
+    }
+    run.stopSent = true;
+    actions.emplace_back(send_stop {run.worker, worker->second.described.address, run.boot, {ref, run.attempt}});
+}
+
+void stopRuns(cell_state &state, const task_ref &ref, task_state &task, instant now, cell_actions &actions,
+              std::uint32_t except)
+{
+    for (auto &run : task.runs) {
+        if (run.attempt != except) {
+            run.stopWanted = true;
+            pursueStop(state, ref, run, now, actions);
+        }
+    }
+}
+
+void takeStartAnswer(cell_state &state, const start_answered &message, instant now, cell_actions &actions)
+{
+    const auto found = state.workers.find(message.worker);
+    if (found == state.workers.end()) {
+        return;
+    }
+    auto &worker = found->second;
+    const auto view = findTask(state, message.run.task);
+    auto *run = view ? findRun(*view->task, message.worker, message.run.attempt) : nullptr;
+    if (run == nullptr || run->boot != message.boot) {
+        return;
+    }
+    switch (message.result) {
+    case order_result::done:
+        if (run->phase != run_phase::running) {
+            run->phase = run_phase::running;
+            run->knownAt = now;
+            run->percentAt = now;
+        }
+        view->job->hasStarted = true;
+        pursueStop(state, message.run.task, *run, now, actions);
+        return;
+    case order_result::lost:
+        if (run->phase == run_phase::starting) {
+            run->phase = run_phase::unsure;
+            worker.nextList = std::min(worker.nextList, now);
+        }
+        return;
+    case order_result::fenced:
+        actions.emplace_back(report_fenced {message.worker});
+        break;
+    case order_result::noTicket:
+        view->step->advice.workers[message.worker].validUntil = {};
+        break;
+    case order_result::unhealthy:
+        worker.health.quarantinedUntil = std::max(worker.health.quarantinedUntil, now + unhealthyPause);
+        break;
+    case order_result::unreachable:
+    case order_result::otherBoot:
+        worker.nextList = now;
+        break;
+    case order_result::noRoom:
+    case order_result::old:
+    case order_result::late:
+    case order_result::invalid:
+        break;
+    }
+    actions.emplace_back(report_ended {message.run, message.worker, "start refused"});
+    dropRun(state, worker, message.run, now);
+    if (view->spec->gang) {
+        // The others would wait in vain.
+        for (std::size_t index = 0; index < view->step->tasks.size(); ++index) {
+            auto ref = message.run.task;
+            ref.index = static_cast<std::int32_t>(index);
+            stopRuns(state, ref, view->step->tasks[index], now, actions);
+        }
+    }
+}
+
+void takeStopAnswer(cell_state &state, const stop_answered &message, instant now)
+{
+    const auto view = findTask(state, message.run.task);
+    auto *run = view ? findRun(*view->task, message.worker, message.run.attempt) : nullptr;
+    if (run == nullptr || run->boot != message.boot) {
+        return;
+    }
+    run->stopSent = false;
+    if (message.result == order_result::done) {
+        run->barredAt = now;
+        if (const auto worker = state.workers.find(message.worker); worker != state.workers.end()) {
+            worker->second.nextList = std::min(worker->second.nextList, now);
+        }
+        return;
+    }
+    run->nextStop = now + stopRetry;
+}
+
+void takeList(cell_state &state, const list_answered &message, instant now, cell_actions &actions)
+{
+    const auto found = state.workers.find(message.worker);
+    if (found == state.workers.end()) {
+        return;
+    }
+    auto &worker = found->second;
+    worker.listing = false;
+    worker.isSilent = message.result != order_result::done;
+    worker.nextList = now + listRetry;
+    if (message.result == order_result::fenced) {
+        actions.emplace_back(report_fenced {message.worker});
+        return;
+    }
+    if (message.result == order_result::unreachable) {
+        dropAllRuns(state, worker, now, actions, "lost with its worker");
+        worker.answeredAt = {};
+        state.unresolved.erase(message.worker);
+        return;
+    }
+    if (message.result == order_result::otherBoot) {
+        enterBoot(state, worker, 0, now, actions); // its next list tells which
+        worker.nextList = now;
+        return;
+    }
+    if (message.result != order_result::done) {
+        return;
+    }
+    if (message.boot < worker.described.boot) {
+        return;
+    }
+    enterBoot(state, worker, message.boot, now, actions);
+    worker.clock = clock_sample {message.clock, now};
+    if (worker.latestDeadline.count() > 0) {
+        worker.leaseEndsBy = surelyPast(*worker.clock, worker.latestDeadline);
+    }
+    worker.answeredAt = now;
+    worker.nextList = now + listPause;
+    resolve(state, worker);
+    std::set<run_id> listed;
+    for (const auto &each : message.running) {
+        listed.insert(each.run);
+        const auto view = findTask(state, each.run.task);
+        auto *run = view ? findRun(*view->task, message.worker, each.run.attempt) : nullptr;
+        if (run != nullptr) {
+            refresh(state, *view, *run, each, now);
+            pursueStop(state, each.run.task, *run, now, actions);
+        } else {
+            adopt(state, worker, each, now, actions);
+        }
+    }
+    for (const auto &end : message.ended) {
+        if (end.number > worker.seenEnd) {
+            worker.seenEnd = end.number;
+            takeEnd(state, worker, end, now, actions);
+        }
+    }
+    takeAbsent(state, worker, listed, message.ended.size() < mostEndsListed, message, now, actions);
+}
+
+void askForLists(cell_state &state, instant now, cell_actions &actions)
+{
+    for (auto &[id, worker] : state.workers) {
+        if (worker.listing || now < worker.nextList) {
+            continue;
+        }
+        const bool isBusy = !worker.rooms.empty() || !worker.strangers.empty();
+        if (worker.clock && !isBusy && worker.answeredAt != instant {} && worker.seenEnd == worker.notedEnd
+            && now < worker.answeredAt + idleListInterval) {
+            continue;
+        }
+        if (!worker.listed && now < worker.answeredAt + unlistedListInterval) {
+            continue;
+        }
+        // An order without an answer may be carried out, so each one would put off the end of its leases.
+        const auto deadline = worker.isSilent ? std::nullopt : leaseDeadline(state, worker);
+        if (deadline) {
+            noteDeadline(worker, *deadline);
+        }
+        const bool waitsForCheck = std::ranges::any_of(worker.rooms, [&](const auto &room) {
+            const auto view = findTask(state, room.first.task);
+            const auto *run = view ? findRun(*view->task, id, room.first.attempt) : nullptr;
+            return run != nullptr && (run->phase == run_phase::unsure || run->barredAt != instant {});
+        });
+        const auto wait = deadline && isBusy && !waitsForCheck ? std::chrono::milliseconds(listWait) : 0ms;
+        worker.listing = true;
+        actions.emplace_back(
+            send_list {id, worker.described.address, worker.described.boot, deadline, worker.notedEnd, wait});
+    }
+}
+
+void expireLeases(cell_state &state, instant now, cell_actions &actions)
+{
+    std::vector<worker_id> gone;
+    for (auto &[id, worker] : state.workers) {
+        const bool hasLapsed = worker.leaseEndsBy != instant {} && worker.leaseEndsBy <= now;
+        if (hasLapsed && !worker.rooms.empty()) {
+            actions.emplace_back(report_worker {id, "its leases have run out"});
+            dropAllRuns(state, worker, now, actions, "lapsed unseen");
+        }
+        const bool neverLeased = worker.leaseEndsBy == instant {} && !state.unresolved.contains(id);
+        if (!worker.listed && worker.rooms.empty() && (hasLapsed || neverLeased) && !worker.listing) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto &id : gone) {
+        state.workers.erase(id);
+        actions.emplace_back(report_worker {id, "forgotten"});
+    }
+    if (now >= state.doubtUntil) {
+        state.unresolved.clear();
+    }
+}
+
+} // namespace primrosecroft::detail
--- /dev/null
+++ b/src/libprimrosecroft/jobs/job.cpp
@@ -0,0 +1,262 @@
+#include "jobs/job.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ranges>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::int64_t mostMilliCores = 1'000'000'000;
+constexpr std::int64_t mostMemoryMib = 1'000'000'000;
+constexpr std::int64_t mostAccelerators = 1'000'000;
+constexpr auto longestEstimate = std::chrono::hours(24 * 365);
+
+[[noreturn]] void refuse(const std::string &what)
+{
+    throw error("check job", "", what);
+}
+
+void checkAmount(std::int64_t amount, std::int64_t most, const char *name)
+{
+    if (amount < 0 || amount > most) {
+        refuse(std::string(name) + " is out of bounds");
+    }
+}
+
+void checkStep(const step_spec &step, std::int32_t index)
+{
+    if (step.count < 1 || step.count > mostTasksPerStep) {
+        refuse("a step's count must be 1 to " + std::to_string(mostTasksPerStep));
+    }
+    checkAmount(step.size.milliCores, mostMilliCores, "processor time");
+    checkAmount(step.size.memoryMib, mostMemoryMib, "memory");
+    checkAmount(step.size.accelerators, mostAccelerators, "accelerators");
+    checkAmount(step.estimate.count(), std::chrono::milliseconds(longestEstimate).count(), "estimate");
+    checkAmount(step.mostPerWorker, mostTasksPerStep, "tasks per worker");
+    checkAmount(step.mayMiss, mostTasksPerStep, "tasks that may be away");
+    checkAmount(step.targetLatency.count(), std::chrono::milliseconds(longestEstimate).count(), "target");
+    if (std::ranges::any_of(step.after, [index](std::int32_t each) { return each < 0 || each >= index; })) {
+        refuse("a step can wait for earlier steps only");
+    }
+}
+
+/// Short keys, and nothing for what is zero: rows are paid for by the byte.
+template<typename value>
+void put(json &target, const char *key, const value &amount)
+{
+    if (amount != value {}) {
+        target[key] = amount;
+    }
+}
+
+template<typename value>
+void get(const json &source, const char *key, value &target)
+{
+    const auto found = source.find(key);
+    if (found != source.end()) {
+        target = found->get<value>();
+    }
+}
+
+template<typename time>
+void getTime(const json &source, const char *key, time &target)
+{
+    typename time::rep amount = 0;
+    get(source, key, amount);
+    target = time(amount);
+}
+
+json toRow(const step_spec &step)
+{
+    json row = json::object();
+    put(row, "n", step.count);
+    put(row, "c", step.size.milliCores);
+    put(row, "m", step.size.memoryMib);
+    put(row, "g", step.size.accelerators);
+    put(row, "e", step.estimate.count());
+    put(row, "a", step.after);
+    put(row, "sp", step.savesProgress);
+    put(row, "ga", step.gang);
+    put(row, "sr", step.sameRack);
+    put(row, "du", step.mayDuplicate);
+    put(row, "la", step.lasts);
+    put(row, "fi", step.fills);
+    put(row, "lb", step.label);
+    put(row, "dr", step.dataRack);
+    put(row, "im", step.image);
+    put(row, "pw", step.mostPerWorker);
+    put(row, "tl", step.targetLatency.count());
+    put(row, "mm", step.mayMiss);
+    return row;
+}
+
+step_spec stepFrom(const json &row)
+{
+    step_spec step;
+    get(row, "n", step.count);
+    get(row, "c", step.size.milliCores);
+    get(row, "m", step.size.memoryMib);
+    get(row, "g", step.size.accelerators);
+    getTime(row, "e", step.estimate);
+    get(row, "a", step.after);
+    get(row, "sp", step.savesProgress);
+    get(row, "ga", step.gang);
+    get(row, "sr", step.sameRack);
+    get(row, "du", step.mayDuplicate);
+    get(row, "la", step.lasts);
+    get(row, "fi", step.fills);
+    get(row, "lb", step.label);
+    get(row, "dr", step.dataRack);
+    get(row, "im", step.image);
+    get(row, "pw", step.mostPerWorker);
+    getTime(row, "tl", step.targetLatency);
+    get(row, "mm", step.mayMiss);
+    return step;
+}
+
+json toRow(const queue_policy &queue)
+{
+    json row = json::object();
+    put(row, "n", queue.name);
+    put(row, "p", queue.pool);
+    put(row, "pr", queue.priority);
+    put(row, "mf", queue.mostFailures);
+    put(row, "st", queue.stretch);
+    put(row, "t", queue.target.count());
+    if (queue.advice) {
+        row["ad"] =
+            json::array({queue.advice->decide.count(), queue.advice->perWorker.count(), queue.advice->valid.count()});
+    }
+    return row;
+}
+
+queue_policy queueFrom(const json &row)
+{
+    queue_policy queue;
+    queue.mostFailures = 0;
+    queue.stretch = 0;
+    get(row, "n", queue.name);
+    get(row, "p", queue.pool);
+    get(row, "pr", queue.priority);
+    get(row, "mf", queue.mostFailures);
+    get(row, "st", queue.stretch);
+    getTime(row, "t", queue.target);
+    if (const auto found = row.find("ad"); found != row.end()) {
+        queue.advice = advice_policy {std::chrono::microseconds(found->at(0).get<std::int64_t>()),
+                                      std::chrono::microseconds(found->at(1).get<std::int64_t>()),
+                                      std::chrono::milliseconds(found->at(2).get<std::int64_t>())};
+    }
+    return queue;
+}
+
+} // namespace
+
+std::string toString(job_status status)
+{
+    switch (status) {
+    case job_status::queued:
+        return "queued";
+    case job_status::running:
+        return "running";
+    case job_status::complete:
+        return "complete";
+    case job_status::failed:
+        return "failed";
+    case job_status::cancelled:
+        return "cancelled";
+    }
+    return "";
+}
+
+std::optional<job_status> statusFromString(const std::string &text)
+{
+    for (const auto status :
+         {job_status::queued, job_status::running, job_status::complete, job_status::failed, job_status::cancelled}) {
+        if (toString(status) == text) {
+            return status;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string toString(const task_ref &task)
+{
+    return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
+        + std::to_string(task.index);
+}
+
+void checkJob(const job_spec &spec)
+{
+    if (spec.payload.size() > longestPayload) {
+        refuse("the payload is over " + std::to_string(longestPayload) + " bytes");
+    }
+    if (spec.steps.empty() || spec.steps.size() > static_cast<std::size_t>(mostSteps)) {
+        refuse("a job has 1 to " + std::to_string(mostSteps) + " steps");
+    }
+    checkAmount(spec.occurrences, mostOccurrences, "occurrences");
+    checkAmount(spec.interval.count(), std::chrono::milliseconds(longestEstimate).count(), "interval");
+    checkAmount(spec.firstDue.count(), std::chrono::milliseconds(longestEstimate).count() * 1'000, "first time");
+    for (std::int32_t index = 0; const auto &step : spec.steps) {
+        checkStep(step, index++);
+    }
+}
+
+std::chrono::milliseconds longestChain(const job_spec &spec)
+{
+    std::vector<std::chrono::milliseconds> ends;
+    for (const auto &step : spec.steps) {
+        std::chrono::milliseconds begin {0};
+        for (const auto each : step.after) {
+            begin = std::max(begin, ends.at(static_cast<std::size_t>(each)));
+        }
+        ends.push_back(begin + step.estimate);
+    }
+    return ends.empty() ? std::chrono::milliseconds(0) : std::ranges::max(ends);
+}
+
+std::string encodeJob(const accepted_job &job)
+{
+    json row = json::object();
+    row["i"] = job.id;
+    row["q"] = toRow(job.queue);
+    row["t"] = job.acceptedAt.count();
+    put(row, "p", job.spec.payload);
+    put(row, "o", job.spec.occurrences);
+    put(row, "f", job.spec.firstDue.count());
+    put(row, "v", job.spec.interval.count());
+    auto &steps = row["s"] = json::array();
+    std::ranges::transform(job.spec.steps, std::back_inserter(steps),
+                           [](const step_spec &step) { return toRow(step); });
+    std::string result;
+    json::to_cbor(row, result);
+    return result;
+}
+
+accepted_job decodeJob(const std::string &row)
+{
+    try {
+        const auto parsed = json::from_cbor(row);
+        accepted_job job;
+        get(parsed, "i", job.id);
+        job.queue = queueFrom(parsed.at("q"));
+        getTime(parsed, "t", job.acceptedAt);
+        get(parsed, "p", job.spec.payload);
+        get(parsed, "o", job.spec.occurrences);
+        getTime(parsed, "f", job.spec.firstDue);
+        getTime(parsed, "v", job.spec.interval);
+        std::ranges::transform(parsed.at("s"), std::back_inserter(job.spec.steps), stepFrom);
+        return job;
+    } catch (const json::exception &fault) {
+        throw error("decode job row", "", fault.what());
+    }
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/jobs/job_rows.cpp
@@ -0,0 +1,213 @@
+#include "jobs/job_rows.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ranges>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr int bitsPerByte = 8;
+constexpr char jobMark = 'j';
+constexpr char cancelMark = 'c';
+constexpr char progressMark = 'p';
+
+row_place livePlace(const job_id &id, char mark)
+{
+    return {jobTable, shardPart, id + '.' + mark};
+}
+
+json::binary_t packBits(const std::vector<bool> &bits)
+{
+    std::vector<std::uint8_t> bytes((bits.size() + bitsPerByte - 1) / bitsPerByte);
+    for (std::size_t i = 0; i < bits.size(); ++i) {
+        if (bits[i]) {
+            bytes[i / bitsPerByte] |= static_cast<std::uint8_t>(1U << (i % bitsPerByte));
+        }
+    }
+    return json::binary_t(bytes);
+}
+
+std::vector<bool> unpackBits(const json::binary_t &bytes)
+{
+    std::vector<bool> bits(bytes.size() * bitsPerByte);
+    for (std::size_t i = 0; i < bits.size(); ++i) {
+        bits[i] = (bytes[i / bitsPerByte] >> (i % bitsPerByte) & 1U) != 0;
+    }
+    return bits;
+}
+
+json toRow(const step_progress &step)
+{
+    json row = json::object();
+    if (std::ranges::find(step.done, true) != step.done.end()) {
+        row["d"] = packBits(step.done);
+    }
+    if (!step.failedGangs.empty()) {
+        row["g"] = step.failedGangs;
+    }
+    for (const auto &[index, task] : step.tasks) {
+        row["t"].push_back(json::array({index, task.failedAttempts, task.checkpoint}));
+    }
+    return row;
+}
+
+step_progress stepFrom(const json &row)
+{
+    step_progress step;
+    if (const auto found = row.find("d"); found != row.end()) {
+        step.done = unpackBits(found->get_binary());
+    }
+    if (const auto found = row.find("g"); found != row.end()) {
+        step.failedGangs = found->get<std::set<std::uint32_t>>();
+    }
+    if (const auto found = row.find("t"); found != row.end()) {
+        for (const auto &task : *found) {
+            step.tasks[task.at(0).get<std::int32_t>()] = {task.at(1).get<std::set<std::uint32_t>>(),
+                                                          task.at(2).get<std::string>()};
+        }
+    }
+    return step;
+}
+
+} // namespace
+
+row_place jobPlace(const job_id &id)
+{
+    return livePlace(id, jobMark);
+}
+
+row_place cancelPlace(const job_id &id)
+{
+    return livePlace(id, cancelMark);
+}
+
+row_place progressPlace(const job_id &id)
+{
+    return livePlace(id, progressMark);
+}
+
+row_place endedPlace(const job_id &id)
+{
+    return {endedTable, shardPart, id};
+}
+
+row_place inboxPlace(const job_id &id)
+{
+    return {inboxTable, shardPart, id};
+}
+
+row_place chainPlace()
+{
+    return {cellTable, shardPart, "chain"};
+}
+
+row_place bookPlace()
+{
+    return {cellTable, shardPart, "workers"};
+}
+
+std::string encodeBook(const std::set<worker_id> &workers)
+{
+    std::string result;
+    json::to_cbor(json(workers), result);
+    return result;
+}
+
+std::set<worker_id> decodeBook(const std::string &row)
+{
+    try {
+        return json::from_cbor(row).get<std::set<worker_id>>();
+    } catch (const json::exception &fault) {
+        throw error("decode book of workers", "", fault.what());
+    }
+}
+
+store_transaction acceptance(const job_id &id, const std::string &row)
+{
+    return {
+        {{jobPlace(id), row_condition::absent}, {endedPlace(id), row_condition::absent}}, {{jobPlace(id), row}}, {}};
+}
+
+row_range liveRows(const job_id &id)
+{
+    return {jobTable, shardPart, id + '.', id + '/'}; // '/' follows '.'
+}
+
+std::optional<live_key> parseLiveKey(const std::string &key)
+{
+    const auto dot = key.rfind('.');
+    if (dot == std::string::npos || dot + 2 != key.size()) {
+        return std::nullopt;
+    }
+    const auto id = key.substr(0, dot);
+    switch (key.back()) {
+    case jobMark:
+        return live_key {id, live_row::job};
+    case cancelMark:
+        return live_key {id, live_row::cancel};
+    case progressMark:
+        return live_key {id, live_row::progress};
+    default:
+        return std::nullopt;
+    }
+}
+
+std::string encodeProgress(const job_progress &progress)
+{
+    json rows = json::array();
+    for (const auto &[number, occurrence] : progress) {
+        json steps = json::array();
+        for (const auto &[index, step] : occurrence.steps) {
+            steps.push_back(json::array({index, toRow(step)}));
+        }
+        rows.push_back(json::array({number, occurrence.complete, std::move(steps)}));
+    }
+    std::string result;
+    json::to_cbor(rows, result);
+    return result;
+}
+
+job_progress decodeProgress(const std::string &row)
+{
+    try {
+        job_progress progress;
+        for (const auto &each : json::from_cbor(row)) {
+            auto &occurrence = progress[each.at(0).get<std::int32_t>()];
+            occurrence.complete = each.at(1).get<bool>();
+            for (const auto &step : each.at(2)) {
+                occurrence.steps[step.at(0).get<std::int32_t>()] = stepFrom(step.at(1));
+            }
+        }
+        return progress;
+    } catch (const json::exception &fault) {
+        throw error("decode progress row", "", fault.what());
+    }
+}
+
+std::string encodeEnded(const ended_job &job)
+{
+    std::string result;
+    json::to_cbor(json::array({static_cast<int>(job.status), job.at.count()}), result);
+    return result;
+}
+
+ended_job decodeEnded(const std::string &row)
+{
+    try {
+        const auto parsed = json::from_cbor(row);
+        return {static_cast<job_status>(parsed.at(0).get<int>()),
+                std::chrono::milliseconds(parsed.at(1).get<std::int64_t>())};
+    } catch (const json::exception &fault) {
+        throw error("decode ended row", "", fault.what());
+    }
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/observability/decision_log.cpp
@@ -0,0 +1,90 @@
+#include "observability/decision_log.h"
+
+#include "core/clock.h"
+#include "observability/log_text.h"
+
+#include <algorithm>
+#include <poll.h>
+#include <unistd.h>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+constexpr double burstSeconds = 2; ///< a budget holds what gathers in this time
+
+bool isWritable(int descriptor)
+{
+    pollfd wanted {descriptor, POLLOUT, 0};
+    return poll(&wanted, 1, 0) == 1 && (wanted.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+decision_log::decision_log(double linesPerSecond, int descriptor)
+    : m_linesPerSecond(linesPerSecond)
+    , m_descriptor(descriptor)
+{
+}
+
+void decision_log::write(std::string_view part, std::string_view event, std::initializer_list<log_field> fields)
+{
+    auto found = m_budgets.find(event);
+    const auto now = std::chrono::steady_clock::now();
+    if (found == m_budgets.end()) {
+        found = m_budgets.emplace(event, budget {m_linesPerSecond * burstSeconds, now, 0}).first;
+    }
+    auto &own = found->second;
+    own.left = std::min(m_linesPerSecond * burstSeconds,
+                        own.left + std::chrono::duration<double>(now - own.refilled).count() * m_linesPerSecond);
+    own.refilled = now;
+    if (own.left < 1) {
+        ++own.skipped;
+        return;
+    }
+    own.left -= 1;
+    put(part, event, fields, own.skipped);
+    own.skipped = 0;
+}
+
+void decision_log::writeAlways(std::string_view part, std::string_view event, std::initializer_list<log_field> fields)
+{
+    put(part, event, fields, 0);
+}
+
+void decision_log::put(std::string_view part, std::string_view event, std::initializer_list<log_field> fields,
+                       std::uint64_t skipped)
+{
+    if (!isWritable(m_descriptor)) {
+        ++m_dropped;
+        return;
+    }
+    std::string line = std::to_string(timeOfDay().count());
+    line.append(" ").append(part).append(" ").append(event);
+    for (const auto &field : fields) {
+        const auto text = logText(field.value);
+        const bool isQuoted = text.find(' ') != std::string::npos;
+        line.append(" ").append(field.key).append(isQuoted ? "=\"" : "=").append(text).append(isQuoted ? "\"" : "");
+    }
+    if (skipped > 0) {
+        line.append(" skipped=").append(std::to_string(skipped));
+    }
+    if (m_dropped > 0) {
+        line.append(" dropped=").append(std::to_string(m_dropped));
+        m_dropped = 0;
+    }
+    line.append("\n");
+    // A pipe takes what is below its atomic size whole or not at all (POSIX), and it was writable.
+    if (::write(m_descriptor, line.data(), line.size()) < 0) {
+        ++m_dropped;
+    }
+}
+
+std::uint64_t decision_log::dropped() const
+{
+    return m_dropped;
+}
+
+} // namespace primrosecroft
