--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -1119,6 +1119,1522 @@
 }
 
 
+JobNotice::~JobNotice() noexcept {
+}
+
+
+void JobNotice::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void JobNotice::__set_row(const std::string& val) {
+  this->row = val;
+__isset.row = true;
+}
+
+void JobNotice::__set_cancelled(const bool val) {
+  this->cancelled = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_cancelled = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->row);
+          this->__isset.row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cancelled);
+          isset_cancelled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_cancelled)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t JobNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobNotice");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.row) {
+    xfer += oprot->writeFieldBegin("row", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeBinary(this->row);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("cancelled", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->cancelled);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobNotice &a, JobNotice &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.row, b.row);
+  swap(a.cancelled, b.cancelled);
+  swap(a.__isset, b.__isset);
+}
+
+JobNotice::JobNotice(const JobNotice& other24) {
+  id = other24.id;
+  row = other24.row;
+  cancelled = other24.cancelled;
+  __isset = other24.__isset;
+}
+JobNotice& JobNotice::operator=(const JobNotice& other25) {
+  id = other25.id;
+  row = other25.row;
+  cancelled = other25.cancelled;
+  __isset = other25.__isset;
+  return *this;
+}
+void JobNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobNotice(";
+  out << "id=" << to_string(id);
+  out << ", " << "row="; (__isset.row ? (out << to_string(row)) : (out << "<null>"));
+  out << ", " << "cancelled=" << to_string(cancelled);
+  out << ")";
+}
+
+
+JobSubmission::~JobSubmission() noexcept {
+}
+
+
+void JobSubmission::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void JobSubmission::__set_row(const std::string& val) {
+  this->row = val;
+}
+
+void JobSubmission::__set_cancelled(const bool val) {
+  this->cancelled = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobSubmission& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobSubmission::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_row = false;
+  bool isset_cancelled = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->row);
+          isset_row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cancelled);
+          isset_cancelled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_row)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_cancelled)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t JobSubmission::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobSubmission");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("row", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->row);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cancelled", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->cancelled);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobSubmission &a, JobSubmission &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.row, b.row);
+  swap(a.cancelled, b.cancelled);
+}
+
+JobSubmission::JobSubmission(const JobSubmission& other26) {
+  id = other26.id;
+  row = other26.row;
+  cancelled = other26.cancelled;
+}
+JobSubmission& JobSubmission::operator=(const JobSubmission& other27) {
+  id = other27.id;
+  row = other27.row;
+  cancelled = other27.cancelled;
+  return *this;
+}
+void JobSubmission::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobSubmission(";
+  out << "id=" << to_string(id);
+  out << ", " << "row=" << to_string(row);
+  out << ", " << "cancelled=" << to_string(cancelled);
+  out << ")";
+}
+
+
+JobQuery::~JobQuery() noexcept {
+}
+
+
+void JobQuery::__set_id(const std::string& val) {
+  this->id = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t JobQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobQuery");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobQuery &a, JobQuery &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+}
+
+JobQuery::JobQuery(const JobQuery& other28) {
+  id = other28.id;
+}
+JobQuery& JobQuery::operator=(const JobQuery& other29) {
+  id = other29.id;
+  return *this;
+}
+void JobQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobQuery(";
+  out << "id=" << to_string(id);
+  out << ")";
+}
+
+
+JobReport::~JobReport() noexcept {
+}
+
+
+void JobReport::__set_known(const bool val) {
+  this->known = val;
+}
+
+void JobReport::__set_state(const std::string& val) {
+  this->state = val;
+__isset.state = true;
+}
+
+void JobReport::__set_outcome(const int32_t val) {
+  this->outcome = val;
+__isset.outcome = true;
+}
+std::ostream& operator<<(std::ostream& out, const JobReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_known = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->known);
+          isset_known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_known)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t JobReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobReport");
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.state) {
+    xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->state);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.outcome) {
+    xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->outcome);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobReport &a, JobReport &b) {
+  using ::std::swap;
+  swap(a.known, b.known);
+  swap(a.state, b.state);
+  swap(a.outcome, b.outcome);
+  swap(a.__isset, b.__isset);
+}
+
+JobReport::JobReport(const JobReport& other30) {
+  known = other30.known;
+  state = other30.state;
+  outcome = other30.outcome;
+  __isset = other30.__isset;
+}
+JobReport& JobReport::operator=(const JobReport& other31) {
+  known = other31.known;
+  state = other31.state;
+  outcome = other31.outcome;
+  __isset = other31.__isset;
+  return *this;
+}
+void JobReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobReport(";
+  out << "known=" << to_string(known);
+  out << ", " << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
+  out << ", " << "outcome="; (__isset.outcome ? (out << to_string(outcome)) : (out << "<null>"));
+  out << ")";
+}
+
+
+AdviceQuery::~AdviceQuery() noexcept {
+}
+
+
+void AdviceQuery::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void AdviceQuery::__set_occurrence(const int32_t val) {
+  this->occurrence = val;
+}
+
+void AdviceQuery::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void AdviceQuery::__set_workers(const std::vector<std::string> & val) {
+  this->workers = val;
+}
+
+void AdviceQuery::__set_patienceMs(const int64_t val) {
+  this->patienceMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const AdviceQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AdviceQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_job = false;
+  bool isset_occurrence = false;
+  bool isset_step = false;
+  bool isset_workers = false;
+  bool isset_patienceMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          isset_job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrence);
+          isset_occurrence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          isset_step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->workers.clear();
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->workers.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
+            {
+              xfer += iprot->readString(this->workers[_i36]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_workers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->patienceMs);
+          isset_patienceMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_job)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_occurrence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_step)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_workers)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_patienceMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AdviceQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AdviceQuery");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("occurrence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->occurrence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
+    std::vector<std::string> ::const_iterator _iter37;
+    for (_iter37 = this->workers.begin(); _iter37 != this->workers.end(); ++_iter37)
+    {
+      xfer += oprot->writeString((*_iter37));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("patienceMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->patienceMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AdviceQuery &a, AdviceQuery &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.occurrence, b.occurrence);
+  swap(a.step, b.step);
+  swap(a.workers, b.workers);
+  swap(a.patienceMs, b.patienceMs);
+}
+
+AdviceQuery::AdviceQuery(const AdviceQuery& other38) {
+  job = other38.job;
+  occurrence = other38.occurrence;
+  step = other38.step;
+  workers = other38.workers;
+  patienceMs = other38.patienceMs;
+}
+AdviceQuery& AdviceQuery::operator=(const AdviceQuery& other39) {
+  job = other39.job;
+  occurrence = other39.occurrence;
+  step = other39.step;
+  workers = other39.workers;
+  patienceMs = other39.patienceMs;
+  return *this;
+}
+void AdviceQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AdviceQuery(";
+  out << "job=" << to_string(job);
+  out << ", " << "occurrence=" << to_string(occurrence);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "workers=" << to_string(workers);
+  out << ", " << "patienceMs=" << to_string(patienceMs);
+  out << ")";
+}
+
+
+AdvisedWorker::~AdvisedWorker() noexcept {
+}
+
+
+void AdvisedWorker::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void AdvisedWorker::__set_ticket(const std::string& val) {
+  this->ticket = val;
+}
+std::ostream& operator<<(std::ostream& out, const AdvisedWorker& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AdvisedWorker::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_worker = false;
+  bool isset_ticket = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          isset_worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ticket);
+          isset_ticket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_worker)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ticket)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AdvisedWorker::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AdvisedWorker");
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->ticket);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AdvisedWorker &a, AdvisedWorker &b) {
+  using ::std::swap;
+  swap(a.worker, b.worker);
+  swap(a.ticket, b.ticket);
+}
+
+AdvisedWorker::AdvisedWorker(const AdvisedWorker& other40) {
+  worker = other40.worker;
+  ticket = other40.ticket;
+}
+AdvisedWorker& AdvisedWorker::operator=(const AdvisedWorker& other41) {
+  worker = other41.worker;
+  ticket = other41.ticket;
+  return *this;
+}
+void AdvisedWorker::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AdvisedWorker(";
+  out << "worker=" << to_string(worker);
+  out << ", " << "ticket=" << to_string(ticket);
+  out << ")";
+}
+
+
+AdviceReport::~AdviceReport() noexcept {
+}
+
+
+void AdviceReport::__set_answered(const bool val) {
+  this->answered = val;
+}
+
+void AdviceReport::__set_allowed(const std::vector<AdvisedWorker> & val) {
+  this->allowed = val;
+}
+
+void AdviceReport::__set_validMs(const int64_t val) {
+  this->validMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const AdviceReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AdviceReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_answered = false;
+  bool isset_allowed = false;
+  bool isset_validMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answered);
+          isset_answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->allowed.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->allowed.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += this->allowed[_i46].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_allowed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->validMs);
+          isset_validMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_answered)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_allowed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_validMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AdviceReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AdviceReport");
+
+  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->answered);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowed.size()));
+    std::vector<AdvisedWorker> ::const_iterator _iter47;
+    for (_iter47 = this->allowed.begin(); _iter47 != this->allowed.end(); ++_iter47)
+    {
+      xfer += (*_iter47).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("validMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->validMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AdviceReport &a, AdviceReport &b) {
+  using ::std::swap;
+  swap(a.answered, b.answered);
+  swap(a.allowed, b.allowed);
+  swap(a.validMs, b.validMs);
+}
+
+AdviceReport::AdviceReport(const AdviceReport& other48) {
+  answered = other48.answered;
+  allowed = other48.allowed;
+  validMs = other48.validMs;
+}
+AdviceReport& AdviceReport::operator=(const AdviceReport& other49) {
+  answered = other49.answered;
+  allowed = other49.allowed;
+  validMs = other49.validMs;
+  return *this;
+}
+void AdviceReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AdviceReport(";
+  out << "answered=" << to_string(answered);
+  out << ", " << "allowed=" << to_string(allowed);
+  out << ", " << "validMs=" << to_string(validMs);
+  out << ")";
+}
+
+
+Presence::~Presence() noexcept {
+}
+
+
+void Presence::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void Presence::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void Presence::__set_storeAgeMs(const int64_t val) {
+  this->storeAgeMs = val;
+}
+
+void Presence::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const Presence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Presence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_address = false;
+  bool isset_port = false;
+  bool isset_storeAgeMs = false;
+  bool isset_leaving = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          isset_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeAgeMs);
+          isset_storeAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          isset_leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_port)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_storeAgeMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_leaving)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Presence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Presence");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("storeAgeMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->storeAgeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Presence &a, Presence &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.storeAgeMs, b.storeAgeMs);
+  swap(a.leaving, b.leaving);
+}
+
+Presence::Presence(const Presence& other50) {
+  address = other50.address;
+  port = other50.port;
+  storeAgeMs = other50.storeAgeMs;
+  leaving = other50.leaving;
+}
+Presence& Presence::operator=(const Presence& other51) {
+  address = other51.address;
+  port = other51.port;
+  storeAgeMs = other51.storeAgeMs;
+  leaving = other51.leaving;
+  return *this;
+}
+void Presence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Presence(";
+  out << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "storeAgeMs=" << to_string(storeAgeMs);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
+OwnerReport::~OwnerReport() noexcept {
+}
+
+
+void OwnerReport::__set_owns(const bool val) {
+  this->owns = val;
+}
+
+void OwnerReport::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void OwnerReport::__set_waiting(const std::map<std::string, int64_t> & val) {
+  this->waiting = val;
+}
+std::ostream& operator<<(std::ostream& out, const OwnerReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OwnerReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_owns = false;
+  bool isset_token = false;
+  bool isset_waiting = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->owns);
+          isset_owns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          isset_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->waiting.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _ktype53;
+            ::apache::thrift::protocol::TType _vtype54;
+            xfer += iprot->readMapBegin(_ktype53, _vtype54, _size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              std::string _key57;
+              xfer += iprot->readString(_key57);
+              int64_t& _val58 = this->waiting[_key57];
+              xfer += iprot->readI64(_val58);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          isset_waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_owns)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_token)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waiting)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t OwnerReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OwnerReport");
+
+  xfer += oprot->writeFieldBegin("owns", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->owns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter59;
+    for (_iter59 = this->waiting.begin(); _iter59 != this->waiting.end(); ++_iter59)
+    {
+      xfer += oprot->writeString(_iter59->first);
+      xfer += oprot->writeI64(_iter59->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OwnerReport &a, OwnerReport &b) {
+  using ::std::swap;
+  swap(a.owns, b.owns);
+  swap(a.token, b.token);
+  swap(a.waiting, b.waiting);
+}
+
+OwnerReport::OwnerReport(const OwnerReport& other60) {
+  owns = other60.owns;
+  token = other60.token;
+  waiting = other60.waiting;
+}
+OwnerReport& OwnerReport::operator=(const OwnerReport& other61) {
+  owns = other61.owns;
+  token = other61.token;
+  waiting = other61.waiting;
+  return *this;
+}
+void OwnerReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OwnerReport(";
+  out << "owns=" << to_string(owns);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ")";
+}
+
+
+OwnerNotice::~OwnerNotice() noexcept {
+}
+
+
+void OwnerNotice::__set_row(const std::string& val) {
+  this->row = val;
+}
+
+void OwnerNotice::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const OwnerNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OwnerNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_row = false;
+  bool isset_version = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->row);
+          isset_row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_row)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t OwnerNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OwnerNotice");
+
+  xfer += oprot->writeFieldBegin("row", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->row);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OwnerNotice &a, OwnerNotice &b) {
+  using ::std::swap;
+  swap(a.row, b.row);
+  swap(a.version, b.version);
+}
+
+OwnerNotice::OwnerNotice(const OwnerNotice& other62) {
+  row = other62.row;
+  version = other62.version;
+}
+OwnerNotice& OwnerNotice::operator=(const OwnerNotice& other63) {
+  row = other63.row;
+  version = other63.version;
+  return *this;
+}
+void OwnerNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OwnerNotice(";
+  out << "row=" << to_string(row);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+Handover::~Handover() noexcept {
+}
+
+
+void Handover::__set_token(const int64_t val) {
+  this->token = val;
+}
+std::ostream& operator<<(std::ostream& out, const Handover& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Handover::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_token = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          isset_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_token)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Handover::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Handover");
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Handover &a, Handover &b) {
+  using ::std::swap;
+  swap(a.token, b.token);
+}
+
+Handover::Handover(const Handover& other64) noexcept {
+  token = other64.token;
+}
+Handover& Handover::operator=(const Handover& other65) noexcept {
+  token = other65.token;
+  return *this;
+}
+void Handover::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Handover(";
+  out << "token=" << to_string(token);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -1170,6 +2686,56 @@
   this->leavingNotice = val;
 __isset.leavingNotice = true;
 }
+
+void Message::__set_jobNotice(const JobNotice& val) {
+  this->jobNotice = val;
+__isset.jobNotice = true;
+}
+
+void Message::__set_jobSubmission(const JobSubmission& val) {
+  this->jobSubmission = val;
+__isset.jobSubmission = true;
+}
+
+void Message::__set_jobQuery(const JobQuery& val) {
+  this->jobQuery = val;
+__isset.jobQuery = true;
+}
+
+void Message::__set_jobReport(const JobReport& val) {
+  this->jobReport = val;
+__isset.jobReport = true;
+}
+
+void Message::__set_adviceQuery(const AdviceQuery& val) {
+  this->adviceQuery = val;
+__isset.adviceQuery = true;
+}
+
+void Message::__set_adviceReport(const AdviceReport& val) {
+  this->adviceReport = val;
+__isset.adviceReport = true;
+}
+
+void Message::__set_presence(const Presence& val) {
+  this->presence = val;
+__isset.presence = true;
+}
+
+void Message::__set_ownerReport(const OwnerReport& val) {
+  this->ownerReport = val;
+__isset.ownerReport = true;
+}
+
+void Message::__set_ownerNotice(const OwnerNotice& val) {
+  this->ownerNotice = val;
+__isset.ownerNotice = true;
+}
+
+void Message::__set_handover(const Handover& val) {
+  this->handover = val;
+__isset.handover = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -1280,6 +2846,86 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->jobNotice.read(iprot);
+          this->__isset.jobNotice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->jobSubmission.read(iprot);
+          this->__isset.jobSubmission = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->jobQuery.read(iprot);
+          this->__isset.jobQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->jobReport.read(iprot);
+          this->__isset.jobReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->adviceQuery.read(iprot);
+          this->__isset.adviceQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->adviceReport.read(iprot);
+          this->__isset.adviceReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->presence.read(iprot);
+          this->__isset.presence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ownerReport.read(iprot);
+          this->__isset.ownerReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ownerNotice.read(iprot);
+          this->__isset.ownerNotice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->handover.read(iprot);
+          this->__isset.handover = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1349,6 +2995,56 @@
     xfer += this->leavingNotice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.jobNotice) {
+    xfer += oprot->writeFieldBegin("jobNotice", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->jobNotice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.jobSubmission) {
+    xfer += oprot->writeFieldBegin("jobSubmission", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->jobSubmission.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.jobQuery) {
+    xfer += oprot->writeFieldBegin("jobQuery", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->jobQuery.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.jobReport) {
+    xfer += oprot->writeFieldBegin("jobReport", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->jobReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.adviceQuery) {
+    xfer += oprot->writeFieldBegin("adviceQuery", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->adviceQuery.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.adviceReport) {
+    xfer += oprot->writeFieldBegin("adviceReport", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->adviceReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.presence) {
+    xfer += oprot->writeFieldBegin("presence", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->presence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ownerReport) {
+    xfer += oprot->writeFieldBegin("ownerReport", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->ownerReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ownerNotice) {
+    xfer += oprot->writeFieldBegin("ownerNotice", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->ownerNotice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.handover) {
+    xfer += oprot->writeFieldBegin("handover", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->handover.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1366,34 +3062,64 @@
   swap(a.demandQuery, b.demandQuery);
   swap(a.demandReport, b.demandReport);
   swap(a.leavingNotice, b.leavingNotice);
+  swap(a.jobNotice, b.jobNotice);
+  swap(a.jobSubmission, b.jobSubmission);
+  swap(a.jobQuery, b.jobQuery);
+  swap(a.jobReport, b.jobReport);
+  swap(a.adviceQuery, b.adviceQuery);
+  swap(a.adviceReport, b.adviceReport);
+  swap(a.presence, b.presence);
+  swap(a.ownerReport, b.ownerReport);
+  swap(a.ownerNotice, b.ownerNotice);
+  swap(a.handover, b.handover);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other24) {
-  id = other24.id;
-  replyTo = other24.replyTo;
-  sender = other24.sender;
-  heartbeat = other24.heartbeat;
-  configurationRequest = other24.configurationRequest;
-  configurationBody = other24.configurationBody;
-  demandNotice = other24.demandNotice;
-  demandQuery = other24.demandQuery;
-  demandReport = other24.demandReport;
-  leavingNotice = other24.leavingNotice;
-  __isset = other24.__isset;
-}
-Message& Message::operator=(const Message& other25) {
-  id = other25.id;
-  replyTo = other25.replyTo;
-  sender = other25.sender;
-  heartbeat = other25.heartbeat;
-  configurationRequest = other25.configurationRequest;
-  configurationBody = other25.configurationBody;
-  demandNotice = other25.demandNotice;
-  demandQuery = other25.demandQuery;
-  demandReport = other25.demandReport;
-  leavingNotice = other25.leavingNotice;
-  __isset = other25.__isset;
+Message::Message(const Message& other66) {
+  id = other66.id;
+  replyTo = other66.replyTo;
+  sender = other66.sender;
+  heartbeat = other66.heartbeat;
+  configurationRequest = other66.configurationRequest;
+  configurationBody = other66.configurationBody;
+  demandNotice = other66.demandNotice;
+  demandQuery = other66.demandQuery;
+  demandReport = other66.demandReport;
+  leavingNotice = other66.leavingNotice;
+  jobNotice = other66.jobNotice;
+  jobSubmission = other66.jobSubmission;
+  jobQuery = other66.jobQuery;
+  jobReport = other66.jobReport;
+  adviceQuery = other66.adviceQuery;
+  adviceReport = other66.adviceReport;
+  presence = other66.presence;
+  ownerReport = other66.ownerReport;
+  ownerNotice = other66.ownerNotice;
+  handover = other66.handover;
+  __isset = other66.__isset;
+}
+Message& Message::operator=(const Message& other67) {
+  id = other67.id;
+  replyTo = other67.replyTo;
+  sender = other67.sender;
+  heartbeat = other67.heartbeat;
+  configurationRequest = other67.configurationRequest;
+  configurationBody = other67.configurationBody;
+  demandNotice = other67.demandNotice;
+  demandQuery = other67.demandQuery;
+  demandReport = other67.demandReport;
+  leavingNotice = other67.leavingNotice;
+  jobNotice = other67.jobNotice;
+  jobSubmission = other67.jobSubmission;
+  jobQuery = other67.jobQuery;
+  jobReport = other67.jobReport;
+  adviceQuery = other67.adviceQuery;
+  adviceReport = other67.adviceReport;
+  presence = other67.presence;
+  ownerReport = other67.ownerReport;
+  ownerNotice = other67.ownerNotice;
+  handover = other67.handover;
+  __isset = other67.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -1409,6 +3135,16 @@
   out << ", " << "demandQuery="; (__isset.demandQuery ? (out << to_string(demandQuery)) : (out << "<null>"));
   out << ", " << "demandReport="; (__isset.demandReport ? (out << to_string(demandReport)) : (out << "<null>"));
   out << ", " << "leavingNotice="; (__isset.leavingNotice ? (out << to_string(leavingNotice)) : (out << "<null>"));
+  out << ", " << "jobNotice="; (__isset.jobNotice ? (out << to_string(jobNotice)) : (out << "<null>"));
+  out << ", " << "jobSubmission="; (__isset.jobSubmission ? (out << to_string(jobSubmission)) : (out << "<null>"));
+  out << ", " << "jobQuery="; (__isset.jobQuery ? (out << to_string(jobQuery)) : (out << "<null>"));
+  out << ", " << "jobReport="; (__isset.jobReport ? (out << to_string(jobReport)) : (out << "<null>"));
+  out << ", " << "adviceQuery="; (__isset.adviceQuery ? (out << to_string(adviceQuery)) : (out << "<null>"));
+  out << ", " << "adviceReport="; (__isset.adviceReport ? (out << to_string(adviceReport)) : (out << "<null>"));
+  out << ", " << "presence="; (__isset.presence ? (out << to_string(presence)) : (out << "<null>"));
+  out << ", " << "ownerReport="; (__isset.ownerReport ? (out << to_string(ownerReport)) : (out << "<null>"));
+  out << ", " << "ownerNotice="; (__isset.ownerNotice ? (out << to_string(ownerNotice)) : (out << "<null>"));
+  out << ", " << "handover="; (__isset.handover ? (out << to_string(handover)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -39,6 +39,28 @@
 
 class LeavingNotice;
 
+class JobNotice;
+
+class JobSubmission;
+
+class JobQuery;
+
+class JobReport;
+
+class AdviceQuery;
+
+class AdvisedWorker;
+
+class AdviceReport;
+
+class Presence;
+
+class OwnerReport;
+
+class OwnerNotice;
+
+class Handover;
+
 class Message;
 
 
@@ -464,8 +486,569 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingNotice& obj);
 
+typedef struct _JobNotice__isset {
+  _JobNotice__isset() : row(false) {}
+  bool row :1;
+} _JobNotice__isset;
+
+/**
+ * To the owner: a job was accepted, or cancelled.
+ */
+class JobNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobNotice(const JobNotice&);
+  JobNotice& operator=(const JobNotice&);
+  JobNotice() noexcept
+            : id(),
+              row(),
+              cancelled(0) {
+  }
+
+  virtual ~JobNotice() noexcept;
+  std::string id;
+  std::string row;
+  bool cancelled;
+
+  _JobNotice__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_row(const std::string& val);
+
+  void __set_cancelled(const bool val);
+
+  bool operator == (const JobNotice & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (__isset.row != rhs.__isset.row)
+      return false;
+    else if (__isset.row && !(row == rhs.row))
+      return false;
+    if (!(cancelled == rhs.cancelled))
+      return false;
+    return true;
+  }
+  bool operator != (const JobNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobNotice &a, JobNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const JobNotice& obj);
+
+
+/**
+ * To the owner: store that a job is accepted, or cancelled, with others in one transaction.
+ */
+class JobSubmission : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobSubmission(const JobSubmission&);
+  JobSubmission& operator=(const JobSubmission&);
+  JobSubmission() noexcept
+                : id(),
+                  row(),
+                  cancelled(0) {
+  }
+
+  virtual ~JobSubmission() noexcept;
+  std::string id;
+  std::string row;
+  bool cancelled;
+
+  void __set_id(const std::string& val);
+
+  void __set_row(const std::string& val);
+
+  void __set_cancelled(const bool val);
+
+  bool operator == (const JobSubmission & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(row == rhs.row))
+      return false;
+    if (!(cancelled == rhs.cancelled))
+      return false;
+    return true;
+  }
+  bool operator != (const JobSubmission &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobSubmission & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobSubmission &a, JobSubmission &b);
+
+std::ostream& operator<<(std::ostream& out, const JobSubmission& obj);
+
+
+class JobQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobQuery(const JobQuery&);
+  JobQuery& operator=(const JobQuery&);
+  JobQuery() noexcept
+           : id() {
+  }
+
+  virtual ~JobQuery() noexcept;
+  std::string id;
+
+  void __set_id(const std::string& val);
+
+  bool operator == (const JobQuery & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    return true;
+  }
+  bool operator != (const JobQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobQuery &a, JobQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const JobQuery& obj);
+
+typedef struct _JobReport__isset {
+  _JobReport__isset() : state(false), outcome(false) {}
+  bool state :1;
+  bool outcome :1;
+} _JobReport__isset;
+
+/**
+ * What the owner knows of a job, or what became of a submission.
+ */
+class JobReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobReport(const JobReport&);
+  JobReport& operator=(const JobReport&);
+  JobReport() noexcept
+            : known(0),
+              state(),
+              outcome(0) {
+  }
+
+  virtual ~JobReport() noexcept;
+  bool known;
+  std::string state;
+  int32_t outcome;
+
+  _JobReport__isset __isset;
+
+  void __set_known(const bool val);
+
+  void __set_state(const std::string& val);
+
+  void __set_outcome(const int32_t val);
+
+  bool operator == (const JobReport & rhs) const
+  {
+    if (!(known == rhs.known))
+      return false;
+    if (__isset.state != rhs.__isset.state)
+      return false;
+    else if (__isset.state && !(state == rhs.state))
+      return false;
+    if (__isset.outcome != rhs.__isset.outcome)
+      return false;
+    else if (__isset.outcome && !(outcome == rhs.outcome))
+      return false;
+    return true;
+  }
+  bool operator != (const JobReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobReport &a, JobReport &b);
+
+std::ostream& operator<<(std::ostream& out, const JobReport& obj);
+
+
+/**
+ * To a daemon: ask the advice service which workers may run a step.
+ */
+class AdviceQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  AdviceQuery(const AdviceQuery&);
+  AdviceQuery& operator=(const AdviceQuery&);
+  AdviceQuery() noexcept
+              : job(),
+                occurrence(0),
+                step(0),
+                patienceMs(0) {
+  }
+
+  virtual ~AdviceQuery() noexcept;
+  std::string job;
+  int32_t occurrence;
+  int32_t step;
+  std::vector<std::string>  workers;
+  int64_t patienceMs;
+
+  void __set_job(const std::string& val);
+
+  void __set_occurrence(const int32_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_workers(const std::vector<std::string> & val);
+
+  void __set_patienceMs(const int64_t val);
+
+  bool operator == (const AdviceQuery & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(occurrence == rhs.occurrence))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(workers == rhs.workers))
+      return false;
+    if (!(patienceMs == rhs.patienceMs))
+      return false;
+    return true;
+  }
+  bool operator != (const AdviceQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AdviceQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AdviceQuery &a, AdviceQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const AdviceQuery& obj);
+
+
+class AdvisedWorker : public virtual ::apache::thrift::TBase {
+ public:
+
+  AdvisedWorker(const AdvisedWorker&);
+  AdvisedWorker& operator=(const AdvisedWorker&);
+  AdvisedWorker() noexcept
+                : worker(),
+                  ticket() {
+  }
+
+  virtual ~AdvisedWorker() noexcept;
+  std::string worker;
+  std::string ticket;
+
+  void __set_worker(const std::string& val);
+
+  void __set_ticket(const std::string& val);
+
+  bool operator == (const AdvisedWorker & rhs) const
+  {
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(ticket == rhs.ticket))
+      return false;
+    return true;
+  }
+  bool operator != (const AdvisedWorker &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AdvisedWorker & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AdvisedWorker &a, AdvisedWorker &b);
+
+std::ostream& operator<<(std::ostream& out, const AdvisedWorker& obj);
+
+
+class AdviceReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  AdviceReport(const AdviceReport&);
+  AdviceReport& operator=(const AdviceReport&);
+  AdviceReport() noexcept
+               : answered(0),
+                 validMs(0) {
+  }
+
+  virtual ~AdviceReport() noexcept;
+  bool answered;
+  std::vector<AdvisedWorker>  allowed;
+  int64_t validMs;
+
+  void __set_answered(const bool val);
+
+  void __set_allowed(const std::vector<AdvisedWorker> & val);
+
+  void __set_validMs(const int64_t val);
+
+  bool operator == (const AdviceReport & rhs) const
+  {
+    if (!(answered == rhs.answered))
+      return false;
+    if (!(allowed == rhs.allowed))
+      return false;
+    if (!(validMs == rhs.validMs))
+      return false;
+    return true;
+  }
+  bool operator != (const AdviceReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AdviceReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AdviceReport &a, AdviceReport &b);
+
+std::ostream& operator<<(std::ostream& out, const AdviceReport& obj);
+
+
+/**
+ * To the owner: the sender lives, and when it last reached the store.
+ */
+class Presence : public virtual ::apache::thrift::TBase {
+ public:
+
+  Presence(const Presence&);
+  Presence& operator=(const Presence&);
+  Presence() noexcept
+           : address(),
+             port(0),
+             storeAgeMs(0),
+             leaving(0) {
+  }
+
+  virtual ~Presence() noexcept;
+  std::string address;
+  int32_t port;
+  int64_t storeAgeMs;
+  bool leaving;
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_storeAgeMs(const int64_t val);
+
+  void __set_leaving(const bool val);
+
+  bool operator == (const Presence & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(storeAgeMs == rhs.storeAgeMs))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const Presence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Presence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Presence &a, Presence &b);
+
+std::ostream& operator<<(std::ostream& out, const Presence& obj);
+
+
+/**
+ * The owner's answer to a presence.
+ */
+class OwnerReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnerReport(const OwnerReport&);
+  OwnerReport& operator=(const OwnerReport&);
+  OwnerReport() noexcept
+              : owns(0),
+                token(0) {
+  }
+
+  virtual ~OwnerReport() noexcept;
+  bool owns;
+  int64_t token;
+  std::map<std::string, int64_t>  waiting;
+
+  void __set_owns(const bool val);
+
+  void __set_token(const int64_t val);
+
+  void __set_waiting(const std::map<std::string, int64_t> & val);
+
+  bool operator == (const OwnerReport & rhs) const
+  {
+    if (!(owns == rhs.owns))
+      return false;
+    if (!(token == rhs.token))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnerReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnerReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnerReport &a, OwnerReport &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnerReport& obj);
+
+
+/**
+ * A shard has a new owner.
+ */
+class OwnerNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnerNotice(const OwnerNotice&);
+  OwnerNotice& operator=(const OwnerNotice&);
+  OwnerNotice() noexcept
+              : row(),
+                version(0) {
+  }
+
+  virtual ~OwnerNotice() noexcept;
+  std::string row;
+  int64_t version;
+
+  void __set_row(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const OwnerNotice & rhs) const
+  {
+    if (!(row == rhs.row))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnerNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnerNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnerNotice &a, OwnerNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnerNotice& obj);
+
+
+/**
+ * The owner asks the receiver to take over.
+ */
+class Handover : public virtual ::apache::thrift::TBase {
+ public:
+
+  Handover(const Handover&) noexcept;
+  Handover& operator=(const Handover&) noexcept;
+  Handover() noexcept
+           : token(0) {
+  }
+
+  virtual ~Handover() noexcept;
+  int64_t token;
+
+  void __set_token(const int64_t val);
+
+  bool operator == (const Handover & rhs) const
+  {
+    if (!(token == rhs.token))
+      return false;
+    return true;
+  }
+  bool operator != (const Handover &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Handover & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Handover &a, Handover &b);
+
+std::ostream& operator<<(std::ostream& out, const Handover& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : replyTo(false), heartbeat(false), configurationRequest(false), configurationBody(false), demandNotice(false), demandQuery(false), demandReport(false), leavingNotice(false) {}
+  _Message__isset() : replyTo(false), heartbeat(false), configurationRequest(false), configurationBody(false), demandNotice(false), demandQuery(false), demandReport(false), leavingNotice(false), jobNotice(false), jobSubmission(false), jobQuery(false), jobReport(false), adviceQuery(false), adviceReport(false), presence(false), ownerReport(false), ownerNotice(false), handover(false) {}
   bool replyTo :1;
   bool heartbeat :1;
   bool configurationRequest :1;
@@ -474,6 +1057,16 @@
   bool demandQuery :1;
   bool demandReport :1;
   bool leavingNotice :1;
+  bool jobNotice :1;
+  bool jobSubmission :1;
+  bool jobQuery :1;
+  bool jobReport :1;
+  bool adviceQuery :1;
+  bool adviceReport :1;
+  bool presence :1;
+  bool ownerReport :1;
+  bool ownerNotice :1;
+  bool handover :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -497,6 +1090,16 @@
   DemandQuery demandQuery;
   DemandReport demandReport;
   LeavingNotice leavingNotice;
+  JobNotice jobNotice;
+  JobSubmission jobSubmission;
+  JobQuery jobQuery;
+  JobReport jobReport;
+  AdviceQuery adviceQuery;
+  AdviceReport adviceReport;
+  Presence presence;
+  OwnerReport ownerReport;
+  OwnerNotice ownerNotice;
+  Handover handover;
 
   _Message__isset __isset;
 
@@ -520,6 +1123,26 @@
 
   void __set_leavingNotice(const LeavingNotice& val);
 
+  void __set_jobNotice(const JobNotice& val);
+
+  void __set_jobSubmission(const JobSubmission& val);
+
+  void __set_jobQuery(const JobQuery& val);
+
+  void __set_jobReport(const JobReport& val);
+
+  void __set_adviceQuery(const AdviceQuery& val);
+
+  void __set_adviceReport(const AdviceReport& val);
+
+  void __set_presence(const Presence& val);
+
+  void __set_ownerReport(const OwnerReport& val);
+
+  void __set_ownerNotice(const OwnerNotice& val);
+
+  void __set_handover(const Handover& val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(id == rhs.id))
@@ -558,6 +1181,46 @@
       return false;
     else if (__isset.leavingNotice && !(leavingNotice == rhs.leavingNotice))
       return false;
+    if (__isset.jobNotice != rhs.__isset.jobNotice)
+      return false;
+    else if (__isset.jobNotice && !(jobNotice == rhs.jobNotice))
+      return false;
+    if (__isset.jobSubmission != rhs.__isset.jobSubmission)
+      return false;
+    else if (__isset.jobSubmission && !(jobSubmission == rhs.jobSubmission))
+      return false;
+    if (__isset.jobQuery != rhs.__isset.jobQuery)
+      return false;
+    else if (__isset.jobQuery && !(jobQuery == rhs.jobQuery))
+      return false;
+    if (__isset.jobReport != rhs.__isset.jobReport)
+      return false;
+    else if (__isset.jobReport && !(jobReport == rhs.jobReport))
+      return false;
+    if (__isset.adviceQuery != rhs.__isset.adviceQuery)
+      return false;
+    else if (__isset.adviceQuery && !(adviceQuery == rhs.adviceQuery))
+      return false;
+    if (__isset.adviceReport != rhs.__isset.adviceReport)
+      return false;
+    else if (__isset.adviceReport && !(adviceReport == rhs.adviceReport))
+      return false;
+    if (__isset.presence != rhs.__isset.presence)
+      return false;
+    else if (__isset.presence && !(presence == rhs.presence))
+      return false;
+    if (__isset.ownerReport != rhs.__isset.ownerReport)
+      return false;
+    else if (__isset.ownerReport && !(ownerReport == rhs.ownerReport))
+      return false;
+    if (__isset.ownerNotice != rhs.__isset.ownerNotice)
+      return false;
+    else if (__isset.ownerNotice && !(ownerNotice == rhs.ownerNotice))
+      return false;
+    if (__isset.handover != rhs.__isset.handover)
+      return false;
+    else if (__isset.handover && !(handover == rhs.handover))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -54,6 +54,77 @@
   1: required string upstream
 }
 
+/** To the owner: a job was accepted, or cancelled. */
+struct JobNotice {
+  1: required string id
+  2: optional binary row
+  3: required bool cancelled
+}
+
+/** To the owner: store that a job is accepted, or cancelled, with others in one transaction. */
+struct JobSubmission {
+  1: required string id
+  2: required binary row
+  3: required bool cancelled
+}
+
+struct JobQuery {
+  1: required string id
+}
+
+/** What the owner knows of a job, or what became of a submission. */
+struct JobReport {
+  1: required bool known
+  2: optional string state
+  3: optional i32 outcome
+}
+
+/** To a daemon: ask the advice service which workers may run a step. */
+struct AdviceQuery {
+  1: required string job
+  2: required i32 occurrence
+  3: required i32 step
+  4: required list<string> workers
+  5: required i64 patienceMs
+}
+
+struct AdvisedWorker {
+  1: required string worker
+  2: required string ticket
+}
+
+struct AdviceReport {
+  1: required bool answered
+  2: required list<AdvisedWorker> allowed
+  3: required i64 validMs
+}
+
+/** To the owner: the sender lives, and when it last reached the store. */
+struct Presence {
+  1: required string address
+  2: required i32 port
+  3: required i64 storeAgeMs
+  4: required bool leaving
+}
+
+/** The owner's answer to a presence. */
+struct OwnerReport {
+  1: required bool owns
+  2: required i64 token
+  3: required map<string, i64> waiting
+}
+
+/** A shard has a new owner. */
+struct OwnerNotice {
+  1: required binary row
+  2: required i64 version
+}
+
+/** The owner asks the receiver to take over. */
+struct Handover {
+  1: required i64 token
+}
+
 struct Message {
   1: required i64 id
   2: optional i64 replyTo
@@ -65,4 +136,14 @@
   8: optional DemandQuery demandQuery
   9: optional DemandReport demandReport
   10: optional LeavingNotice leavingNotice
+  11: optional JobNotice jobNotice
+  12: optional JobSubmission jobSubmission
+  13: optional JobQuery jobQuery
+  14: optional JobReport jobReport
+  15: optional AdviceQuery adviceQuery
+  16: optional AdviceReport adviceReport
+  17: optional Presence presence
+  18: optional OwnerReport ownerReport
+  19: optional OwnerNotice ownerNotice
+  20: optional Handover handover
 }
--- /dev/null
+++ b/src/libprimrosecroft/store/watched_store.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/types.h"
+#include "store/store.h"
+
+#include <cstdint>
+
+namespace primrosecroft
+{
+
+/// Passes calls on and keeps what their answers tell of the store: its clock, and when it was last reached.
+class watched_store : public store
+{
+public:
+    explicit watched_store(store &target);
+
+    void commit(const store_transaction &transaction, std::chrono::milliseconds timeout,
+                std::function<void(commit_result)> done) override;
+    void read(const row_range &range, std::chrono::milliseconds timeout,
+              std::function<void(range_result)> done) override;
+    void follow(const std::string &table, row_version after, std::chrono::milliseconds wait,
+                std::chrono::milliseconds timeout, std::function<void(feed_result)> done) override;
+
+    /// The store's steady clock now, as far as known; 0 before its first answer.
+    std::chrono::milliseconds storeTime() const;
+
+    /// When the last call that was answered well was sent.
+    instant reachedAt() const;
+
+    std::uint64_t writes() const;
+    std::uint64_t reads() const;
+
+private:
+    void note(store_outcome outcome, std::chrono::milliseconds storeTime, instant sentAt);
+
+    store &m_target;
+    std::chrono::milliseconds m_sampledTime {0};
+    instant m_sampledAt;
+    instant m_reachedAt;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_reads = 0;
+};
+
+} // namespace primrosecroft
--- /dev/null
+++ b/tests/standins/store_emulator.cpp
@@ -0,0 +1,116 @@
+#include "store_emulator.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+constexpr std::size_t mostHistory = 20'000;
+
+} // namespace
+
+commit_result store_emulator::commit(const store_transaction &transaction)
+{
+    commit_result result;
+    result.storeTime = now;
+    const bool holds = std::ranges::all_of(transaction.conditions, [this](const row_condition &condition) {
+        const auto found = m_rows.find(condition.place);
+        return (found == m_rows.end() ? row_condition::absent : found->second.version) == condition.version;
+    });
+    if (!holds) {
+        result.outcome = store_outcome::conflict;
+        result.version = m_version;
+        for (const auto &condition : transaction.conditions) {
+            const auto found = m_rows.find(condition.place);
+            result.found.push_back(found == m_rows.end() ? store_row {condition.place, "", 0, false} : found->second);
+        }
+        return result;
+    }
+    ++m_version;
+    const auto note = [this](const store_row &row) {
+        m_history.push_back(row);
+        if (m_history.size() > mostHistory) {
+            m_historyFrom = m_history.front().version;
+            m_history.pop_front();
+        }
+    };
+    for (const auto &write : transaction.writes) {
+        m_rows[write.place] = {write.place, write.value, m_version, false};
+        note(m_rows[write.place]);
+    }
+    for (const auto &place : transaction.removals) {
+        if (m_rows.erase(place) > 0) {
+            note({place, "", m_version, true});
+        }
+    }
+    result.outcome = store_outcome::done;
+    result.version = m_version;
+    return result;
+}
+
+range_result store_emulator::read(const row_range &range) const
+{
+    range_result result;
+    result.outcome = store_outcome::done;
+    result.version = m_version;
+    result.storeTime = now;
+    for (const auto &[place, row] : m_rows) {
+        const bool isWanted = place.table == range.table && place.part == range.part && place.key >= range.from
+            && (range.before.empty() || place.key < range.before);
+        if (!isWanted) {
+            continue;
+        }
+        if (static_cast<int>(result.rows.size()) >= range.limit) {
+            result.hasMore = true;
+            break;
+        }
+        result.rows.push_back(row);
+    }
+    return result;
+}
+
+feed_result store_emulator::follow(const std::string &table, row_version after) const
+{
+    feed_result result;
+    result.outcome = store_outcome::done;
+    result.version = m_version;
+    if (after < m_historyFrom) {
+        result.historyGone = true;
+        return result;
+    }
+    std::ranges::copy_if(m_history, std::back_inserter(result.rows),
+                         [&](const store_row &row) { return row.place.table == table && row.version > after; });
+    return result;
+}
+
+void store_emulator::put(const row_place &place, const std::string &value)
+{
+    commit({{}, {{place, value}}, {}});
+}
+
+void store_emulator::remove(const row_place &place)
+{
+    commit({{}, {}, {place}});
+}
+
+void store_emulator::dropHistory()
+{
+    m_history.clear();
+    m_historyFrom = m_version;
+}
+
+row_version store_emulator::version() const
+{
+    return m_version;
+}
+
+const std::map<row_place, store_row> &store_emulator::rows() const
+{
+    return m_rows;
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/tests/unit/cell_test.cpp
@@ -0,0 +1,134 @@
+#include "cell_emulation.h"
+
+#include <catch2/catch.hpp>
+
+/// The owner's core in virtual time, one scene a case.
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+emulation_settings calm(std::size_t workers = 4)
+{
+    emulation_settings settings;
+    settings.faults = 0;
+    settings.workers = workers;
+    return settings;
+}
+
+accepted_job makeJob(const std::string &id, std::vector<step_spec> steps)
+{
+    accepted_job job;
+    job.id = id;
+    job.queue = {"queue", "pool", 0, 2, 2, 500ms, std::nullopt};
+    job.spec.steps = std::move(steps);
+    return job;
+}
+
+step_spec makeStep(std::int32_t count, std::chrono::milliseconds estimate)
+{
+    step_spec step;
+    step.count = count;
+    step.size = {2'000, 1'000, 0};
+    step.estimate = estimate;
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("a job of two steps ends complete, the second step after the first")
+{
+    cell_emulation emulation(calm());
+    emulation.runFor(2s);
+    auto second = makeStep(3, 300ms);
+    second.after = {0};
+    emulation.submit(makeJob("a", {makeStep(5, 400ms), second}));
+    emulation.runFor(3s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::complete);
+}
+
+TEST_CASE("a task that fails as often as its queue allows fails its job")
+{
+    cell_emulation emulation(calm());
+    emulation.behaviour = [](const run_id &, const step_spec &step) {
+        return task_behaviour {step.estimate, true, false, 0};
+    };
+    emulation.runFor(2s);
+    emulation.submit(makeJob("a", {makeStep(2, 200ms)}));
+    emulation.runFor(6s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::failed);
+}
+
+TEST_CASE("tasks of a worker that fell silent start elsewhere when its leases have run out")
+{
+    cell_emulation emulation(calm(2));
+    emulation.runFor(2s);
+    emulation.submit(makeJob("a", {makeStep(4, 1s)}));
+    emulation.runFor(200ms);
+    emulation.cutWorker(0, 60s);
+    emulation.cutWorker(1, 200ms);
+    emulation.runFor(10s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::complete);
+}
+
+TEST_CASE("a killed owner is followed within two seconds, and its tasks run on")
+{
+    cell_emulation emulation(calm());
+    emulation.runFor(2s);
+    emulation.submit(makeJob("a", {makeStep(6, 3s)}));
+    emulation.runFor(500ms);
+    const auto first = emulation.owner();
+    emulation.killOwner(20s);
+    emulation.runFor(2s);
+    CHECK_FALSE(emulation.owner().empty());
+    CHECK(emulation.owner() != first);
+    emulation.runFor(2s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::complete);
+}
+
+TEST_CASE("a frozen owner that wakes gives no order that counts")
+{
+    cell_emulation emulation(calm());
+    emulation.runFor(2s);
+    emulation.submit(makeJob("a", {makeStep(6, 2s)}));
+    emulation.runFor(300ms);
+    emulation.freezeOwner(5s);
+    emulation.runFor(100ms);
+    emulation.submit(makeJob("b", {makeStep(6, 1s)}));
+    emulation.runFor(12s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::complete);
+    CHECK(emulation.storedEnd("b") == job_status::complete);
+}
+
+TEST_CASE("a store that is out for less than a lease costs no run")
+{
+    cell_emulation emulation(calm());
+    emulation.runFor(2s);
+    emulation.submit(makeJob("a", {makeStep(4, 6s)}));
+    emulation.runFor(500ms);
+    emulation.storeDown(4s);
+    emulation.runFor(8s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::complete);
+}
+
+TEST_CASE("a cancelled job is stored as cancelled and its tasks are stopped")
+{
+    cell_emulation emulation(calm());
+    emulation.runFor(2s);
+    auto lasting = makeStep(3, 0ms);
+    lasting.lasts = true;
+    emulation.submit(makeJob("a", {lasting}));
+    emulation.runFor(1s);
+    CHECK_FALSE(emulation.storedEnd("a"));
+    emulation.cancel("a");
+    emulation.runFor(1s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::cancelled);
+}
