Accept through a slow store and a change of owner

Now an owner that lives is asked again for the same submission, a batch that was refused is tried again by the owner, a request waits 1.3 s for a next owner before its process writes alone, and proof of life is written only when no other commit is under way. A leaving process asks callers to reconnect. Ruled out: the owner's batches (10 jobs in 350 ms each while it stays owner).

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -41,6 +41,8 @@
 constexpr auto peerSilence = 1'200ms; ///< a daemon unheard so long is asked for nothing
 constexpr auto noticeTimeout = 500ms;
 constexpr int mostNotices = 2; ///< tries, then the store's inbox takes it
+constexpr auto ownerPatience = 900ms; ///< then an owner that is heard of is asked again, another one not
+constexpr auto ownerFreshness = 700ms;
 constexpr auto inboxTimeout = 900ms;
 constexpr auto waitingFreshness = 2'000ms; ///< counts of waiting jobs are shown no older
 constexpr auto readyFreshness = 2'200ms; ///< of the configuration, so that it is in force within its bound
@@ -571,10 +573,20 @@
         message.jobSubmission.row = row;
         message.jobSubmission.cancelled = cancelled;
         message.__isset.jobSubmission = true;
-        peers.ask(*address, message, timeout, [done = std::move(done)](const std::optional<wire::Message> &reply) {
-            const bool isAnswered = reply && reply->__isset.jobReport;
-            done(isAnswered ? static_cast<store_outcome>(reply->jobReport.outcome) : store_outcome::lost);
-        });
+        const auto patience = std::min<std::chrono::milliseconds>(timeout, ownerPatience);
+        peers.ask(*address, message, patience,
+                  [this, address, id, row, cancelled, left = timeout - patience,
+                   done = std::move(done)](const std::optional<wire::Message> &reply) {
+                      if (reply && reply->__isset.jobReport) {
+                          done(static_cast<store_outcome>(reply->jobReport.outcome));
+                      } else if (left > 0ms && ownerAddress() == address
+                                 && leadership.heardAt + ownerFreshness > bootNow()) {
+                          // It lives, so the store is slow: asked again it finds the same submission under way.
+                          storeThroughOwner(id, row, cancelled, left, done);
+                      } else {
+                          done(store_outcome::lost);
+                      }
+                  });
     }
 
     void storeFor(const wire::JobSubmission &submission, const std::function<void(wire::Message)> &reply)
@@ -667,6 +679,7 @@
         if (std::exchange(leaving, true)) {
             return;
         }
+        callerServer.closeAfterAnswers();
         log.writeAlways("process", "leaving", {{"requests", std::to_string(callers.inFlight())}});
         const auto begun = bootNow();
         lead(leave_asked {});
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -18,7 +18,9 @@
 
 constexpr auto usualDeadline = 3'000ms; ///< of a request that names none
 constexpr auto commitTimeout = 900ms;
-constexpr auto ownerCommitTimeout = 1'000ms;
+constexpr auto ownerCommitTimeout = 2'700ms; ///< an owner that has gone is noticed sooner
+constexpr auto commitPause = 120ms; ///< after a try that failed
+constexpr auto ownerChange = 1'300ms; ///< a request waits so long for a next owner before its process writes by itself
 constexpr auto readTimeout = 600ms;
 constexpr auto ownerTimeout = 400ms;
 constexpr auto answerReserve = 150ms; ///< kept for the way back to the caller
@@ -55,6 +57,7 @@
     instant begun;
     instant deadline;
     int tries = 0;
+    timer pause;
     std::shared_ptr<std::size_t> inFlight;
 
     ~exchange()
@@ -160,6 +163,10 @@
                                       answer(entry, statusOk, "", "accepted");
                                   } else if (outcome == store_outcome::conflict) {
                                       answer(entry, statusOk, "", "accepted-before");
+                                  } else if (bootNow() < entry->begun + ownerChange) {
+                                      // Without an owner nothing would start anyway, and the next one is near.
+                                      --entry->tries;
+                                      entry->pause.once(commitPause, [this, entry] { commitThroughOwner(entry); });
                                   } else {
                                       commit(entry);
                                   }
@@ -181,7 +188,7 @@
                            m_links.notifyOwner(entry->id, false); // perhaps nobody could before
                            answer(entry, statusOk, "", "accepted-before");
                        } else {
-                           commitThroughOwner(entry);
+                           entry->pause.once(commitPause, [this, entry] { commitThroughOwner(entry); });
                        }
                    });
 }
--- a/src/libprimrosecroft/callers/caller_service.h
+++ b/src/libprimrosecroft/callers/caller_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/http_server.h"
+#include "io/timer.h"
 #include "jobs/job_rows.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -23,6 +23,8 @@
 constexpr auto summaryInterval = 2s; ///< between two lines that show the cell at a glance
 constexpr auto confirmInterval = 450ms; ///< without a confirmed write ownership is confirmed by a read
 constexpr auto confirmTimeout = 600ms;
+constexpr auto acceptPatience = 2'400ms; ///< a job is tried so long, then its caller is told that it isn't known
+constexpr auto acceptRetry = 100ms; ///< after a transaction that failed
 constexpr std::size_t mostAccepted = 30; ///< jobs in one transaction, three entries each
 constexpr auto commitTimeout = 1'200ms;
 constexpr auto readTimeout = 1'500ms;
@@ -59,6 +61,7 @@
 struct submission
 {
     std::string row;
+    instant since;
     std::vector<stored_handler> waiting;
 };
 
@@ -86,6 +89,7 @@
     row_version inboxAfter = 0;
     instant renewedAt;
     instant summarizedAt;
+    instant submittedAt;
     std::uint64_t unreadable = 0;
     timer settleTimer;
     timer tickTimer;
@@ -95,8 +99,9 @@
     timer bookTimer;
     timer workersTimer;
     timer reconcileTimer;
+    timer acceptTimer;
     std::vector<std::pair<job_id, bool>> early; ///< came before what is stored was loaded
-    bool isRenewing = false;
+    int commitsUnderWay = 0;
     bool isConfirming = false;
     std::map<job_id, submission> submissions; ///< for the next transaction
     std::map<job_id, submission> submitting; ///< in the one under way
@@ -127,7 +132,7 @@
             std::ranges::for_each(waiting, [](const auto &done) { done(store_outcome::lost); });
         }
         for (auto *each : {&settleTimer, &tickTimer, &feedTimer, &loadTimer, &inboxTimer, &bookTimer, &workersTimer,
-                           &reconcileTimer}) {
+                           &reconcileTimer, &acceptTimer}) {
             each->stop();
         }
     }
@@ -444,7 +449,7 @@
             summarizedAt = now;
             tellSummary(now);
         }
-        if (now >= renewedAt + renewInterval && !isRenewing) {
+        if (now >= renewedAt + renewInterval && commitsUnderWay == 0) {
             renew();
         }
         if (now >= state.confirmedAt + confirmInterval && !isConfirming) {
@@ -455,8 +460,7 @@
     /// A write under the condition of ownership: it confirms it, and shows others that this process lives.
     void renew()
     {
-        isRenewing = true;
-        commit({}, [](session &self, const commit_result &) { self.isRenewing = false; });
+        commit({}, [](session &, const commit_result &) { });
     }
 
     // --- acceptance: what comes while one transaction is under way goes into the next
@@ -475,13 +479,14 @@
         }
         auto &entry = submissions[id];
         entry.row = row;
+        entry.since = bootNow();
         entry.waiting.push_back(std::move(done));
         acceptNext();
     }
 
     void acceptNext()
     {
-        if (!submitting.empty() || submissions.empty()) {
+        if (!submitting.empty() || submissions.empty() || acceptTimer.isRunning()) {
             return;
         }
         store_transaction transaction;
@@ -492,27 +497,49 @@
             std::ranges::copy(one.writes, std::back_inserter(transaction.writes));
             submitting.insert(std::move(node));
         }
+        submittedAt = bootNow();
         commit(std::move(transaction), [](session &self, const commit_result &result) { self.accepted(result); });
     }
 
     void accepted(const commit_result &result)
     {
         auto batch = std::exchange(submitting, {});
+        runner.m_log.write("cell", "accepting",
+                           {{"jobs", std::to_string(batch.size())},
+                            {"outcome", toString(result.outcome)},
+                            {"ms", millisecondsText(bootNow() - submittedAt)},
+                            {"next", std::to_string(submissions.size())}});
         if (result.outcome == store_outcome::conflict) {
             splitConflict(batch, result.found);
             acceptNext();
             return;
         }
+        if (result.outcome != store_outcome::done) {
+            acceptLater(batch);
+            return;
+        }
         for (auto &[id, entry] : batch) {
-            if (result.outcome == store_outcome::done) {
-                step(state, job_arrived {decodeJob(entry.row), {}, result.version, false}, bootNow(), actions);
-            }
-            std::ranges::for_each(entry.waiting, [&result](const auto &done) { done(result.outcome); });
+            step(state, job_arrived {decodeJob(entry.row), {}, result.version, false}, bootNow(), actions);
+            std::ranges::for_each(entry.waiting, [](const auto &done) { done(store_outcome::done); });
         }
         settleSoon();
         acceptNext();
     }
 
+    /// The store is slow or turns calls away: the callers' processes writing one by one would only add to that.
+    void acceptLater(std::map<job_id, submission> &batch)
+    {
+        const auto now = bootNow();
+        for (auto &[id, entry] : batch) {
+            if (now >= entry.since + acceptPatience) {
+                std::ranges::for_each(entry.waiting, [](const auto &done) { done(store_outcome::lost); });
+            } else {
+                submissions[id] = std::move(entry);
+            }
+        }
+        acceptTimer.once(acceptRetry, [this] { acceptNext(); });
+    }
+
     /// Jobs that are stored already leave the batch; the others go into the next one.
     void splitConflict(std::map<job_id, submission> &batch, const std::vector<store_row> &found)
     {
@@ -562,8 +589,10 @@
             renewedAt = sentAt;
             transaction.writes.push_back({renewalPlace(), "1"});
         }
+        ++commitsUnderWay;
         runner.m_store.commit(transaction, commitTimeout,
                               guarded([sentAt, done = std::move(done)](session &self, const commit_result &result) {
+                                  --self.commitsUnderWay;
                                   if (result.outcome == store_outcome::conflict && !self.isOwnRow(result.found)) {
                                       self.runner.m_links.ownershipLost("a write met another owner's row");
                                       return;
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -579,6 +579,11 @@
     return m_parts->listener < 0 ? 0 : boundPort(m_parts->listener);
 }
 
+void http_server::closeAfterAnswers()
+{
+    m_parts->state->isStopping = true;
+}
+
 void http_server::stopListening()
 {
     m_parts->state->isStopping = true;
--- a/src/libprimrosecroft/io/http_server.h
+++ b/src/libprimrosecroft/io/http_server.h
@@ -69,6 +69,9 @@
 
     std::uint16_t port() const;
 
+    /// Goes on serving, but asks each caller to open a new connection after its answer.
+    void closeAfterAnswers();
+
     /// Takes no new connections; those in flight go on.
     void stopListening();
 
--- a/src/libprimrosecroft/io/peer_hub.cpp
+++ b/src/libprimrosecroft/io/peer_hub.cpp
@@ -71,6 +71,11 @@
         m_socket.write(frame);
     }
 
+    std::chrono::steady_clock::time_point receivedAt() const
+    {
+        return m_receivedAt;
+    }
+
     void close(int fault)
     {
         if (std::exchange(m_isClosed, true)) {
@@ -89,6 +94,7 @@
     {
         const auto self = shared_from_this();
         m_counts->received += bytes.size();
+        m_receivedAt = std::chrono::steady_clock::now();
         m_buffer.append(bytes);
         try {
             std::size_t begin = 0;
@@ -121,6 +127,7 @@
     std::function<void(int fault)> m_closed;
     std::string m_buffer;
     timer m_deadline;
+    std::chrono::steady_clock::time_point m_receivedAt;
     bool m_isClosed = false;
 };
 
@@ -136,6 +143,7 @@
 struct pending_reply
 {
     peer_address peer;
+    std::chrono::steady_clock::time_point askedAt;
     peer_hub::reply_handler done;
     std::unique_ptr<timer> deadline;
 };
@@ -185,10 +193,11 @@
         }
         const auto done = std::move(found->second.done);
         const auto peer = found->second.peer;
+        const auto askedAt = found->second.askedAt;
         pending.erase(found);
         if (reply) {
             peers[peer].hasAnswered = true;
-        } else if (const auto link = peers[peer].link) {
+        } else if (const auto link = peers[peer].link; link && link->receivedAt() < askedAt) {
             link->close(ETIMEDOUT); // it may have gone silent for good; a new connection tells
         }
         done(reply);
@@ -359,6 +368,7 @@
     message.id = ++m_parts->lastId;
     auto &entry = m_parts->pending[message.id];
     entry.peer = peer;
+    entry.askedAt = std::chrono::steady_clock::now();
     entry.done = std::move(done);
     entry.deadline = std::make_unique<timer>();
     const auto id = message.id;
--- a/src/libprimrosecroft/store/store.h
+++ b/src/libprimrosecroft/store/store.h
@@ -61,6 +61,9 @@
     lost, ///< a write may have taken effect, now or later
 };
 
+/// For logs.
+const char *toString(store_outcome outcome);
+
 struct commit_result
 {
     store_outcome outcome = store_outcome::lost;
--- a/tests/unit/booking_test.cpp
+++ b/tests/unit/booking_test.cpp
@@ -162,7 +162,7 @@
     CHECK_FALSE(looksWhole(answer));
 }
 
-TEST_CASE("an answer cut between chunks before an announced close never looks complete", "[.known-red]")
+TEST_CASE("an answer cut between chunks before an announced close never looks complete", "[promise-3]")
 {
     scripted_peer upstream(
         breakingOffAfter("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"));
