--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
     libbenchmark-dev libcairo2-dev curl
 CHECK_PACKAGES = clang-format-19 clang-tidy-19 spin
 
-.PHONY: all setup setup-check build demo check test format format-check lint bench protocol clean
+.PHONY: all setup setup-check build demo jobs-demo check test format format-check lint bench protocol clean
 
 all: build
 
@@ -27,6 +27,9 @@
 demo: setup build
 	BUILD=$(BUILD) tests/demo/demo.sh
 
+jobs-demo: setup build
+	BUILD=$(BUILD) tests/process/jobs_owner_killed.sh
+
 check: setup-check build format-check lint test
 
 test:
--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -113,6 +113,7 @@
     peer_address address;
     instant heardAt;
     std::chrono::milliseconds storeAge {0}; ///< then
+    std::chrono::milliseconds up {0}; ///< since its process started
     bool leaving = false;
 };
 
@@ -297,7 +298,9 @@
         for (const auto &[name, peer] : knownPeers) {
             const bool isUsable = !peer.leaving && peer.heardAt + peerSilence > now
                 && peer.storeAge < peerStoreFreshness && name != lastHeir;
-            if (isUsable && (best == nullptr || peer.storeAge < best->storeAge)) {
+            // Where machines are stopped in turn, the one that came back last is the last to be stopped again.
+            const auto isBetter = [&] { return leaving ? peer.up < best->up : peer.storeAge < best->storeAge; };
+            if (isUsable && (best == nullptr || isBetter())) {
                 best = &peer;
                 bestName = name;
             }
@@ -356,6 +359,7 @@
         peer.heardAt = bootNow();
         peer.storeAge = std::chrono::milliseconds(presence.storeAgeMs);
         peer.leaving = presence.leaving;
+        peer.up = std::chrono::milliseconds(presence.upMs);
         wire::Message answer;
         answer.ownerReport.owns = ownsHere();
         answer.ownerReport.token = leadership.version;
@@ -380,6 +384,7 @@
         message.presence.storeAgeMs =
             std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - rows.reachedAt()).count();
         message.presence.leaving = leaving;
+        message.presence.upMs = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - startedAt).count();
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
@@ -752,6 +757,7 @@
     timer beatTimer;
     timer lostTimer;
     timer leaveTimer;
+    instant startedAt = bootNow();
     instant takenSince; ///< when the call that showed this process as owner was sent
     instant handedOverAt;
     process_id lastHeir; ///< the daemon that was asked to take over last
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -27,6 +27,8 @@
 constexpr auto acceptRetry = 100ms; ///< after a transaction that failed
 constexpr std::size_t mostAccepted = 30; ///< jobs in one transaction, three entries each
 constexpr auto commitTimeout = 1'200ms;
+constexpr auto longestCommitTimeout = 3'000ms;
+constexpr int commitTimeFactor = 4; ///< times what commits take, then one counts as lost
 constexpr auto readTimeout = 1'500ms;
 constexpr auto loadRetry = 80ms;
 constexpr auto workerFeedInterval = 250ms; ///< between two looks at what workers announce
@@ -421,7 +423,7 @@
             return;
         }
         const auto job = state.jobs.find(key->id);
-        const bool isUnknown = key->kind == live_row::job && job == state.jobs.end();
+        const bool isUnknown = key->kind == live_row::job && job == state.jobs.end() && !submitting.contains(key->id);
         const bool isUnheard = key->kind == live_row::cancel && job != state.jobs.end() && !job->second.cancelled;
         if (isUnknown || isUnheard) {
             runner.m_log.write(
@@ -590,7 +592,10 @@
             transaction.writes.push_back({renewalPlace(), "1"});
         }
         ++commitsUnderWay;
-        runner.m_store.commit(transaction, commitTimeout,
+        // A store that is slow gets no second copy of what still waits in its line.
+        const auto timeout = std::clamp<std::chrono::milliseconds>(runner.m_store.commitTime() * commitTimeFactor,
+                                                                   commitTimeout, longestCommitTimeout);
+        runner.m_store.commit(transaction, timeout,
                               guarded([sentAt, done = std::move(done)](session &self, const commit_result &result) {
                                   --self.commitsUnderWay;
                                   if (result.outcome == store_outcome::conflict && !self.isOwnRow(result.found)) {
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -2099,6 +2099,10 @@
 void Presence::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void Presence::__set_upMs(const int64_t val) {
+  this->upMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -2122,6 +2126,7 @@
   bool isset_port = false;
   bool isset_storeAgeMs = false;
   bool isset_leaving = false;
+  bool isset_upMs = false;
 
   while (true)
   {
@@ -2163,6 +2168,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upMs);
+          isset_upMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2180,6 +2193,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_leaving)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_upMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2204,6 +2219,10 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("upMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->upMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2215,6 +2234,7 @@
   swap(a.port, b.port);
   swap(a.storeAgeMs, b.storeAgeMs);
   swap(a.leaving, b.leaving);
+  swap(a.upMs, b.upMs);
 }
 
 Presence::Presence(const Presence& other50) {
@@ -2222,12 +2242,14 @@
   port = other50.port;
   storeAgeMs = other50.storeAgeMs;
   leaving = other50.leaving;
+  upMs = other50.upMs;
 }
 Presence& Presence::operator=(const Presence& other51) {
   address = other51.address;
   port = other51.port;
   storeAgeMs = other51.storeAgeMs;
   leaving = other51.leaving;
+  upMs = other51.upMs;
   return *this;
 }
 void Presence::printTo(std::ostream& out) const {
@@ -2237,6 +2259,7 @@
   out << ", " << "port=" << to_string(port);
   out << ", " << "storeAgeMs=" << to_string(storeAgeMs);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "upMs=" << to_string(upMs);
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -851,7 +851,8 @@
            : address(),
              port(0),
              storeAgeMs(0),
-             leaving(0) {
+             leaving(0),
+             upMs(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -859,6 +860,7 @@
   int32_t port;
   int64_t storeAgeMs;
   bool leaving;
+  int64_t upMs;
 
   void __set_address(const std::string& val);
 
@@ -868,6 +870,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_upMs(const int64_t val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(address == rhs.address))
@@ -878,6 +882,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(upMs == rhs.upMs))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -104,6 +104,7 @@
   2: required i32 port
   3: required i64 storeAgeMs
   4: required bool leaving
+  5: required i64 upMs
 }
 
 /** The owner's answer to a presence. */
--- a/src/libprimrosecroft/store/watched_store.cpp
+++ b/src/libprimrosecroft/store/watched_store.cpp
@@ -8,6 +8,13 @@
 namespace primrosecroft
 {
 
+namespace
+{
+
+constexpr double newestWeight = 0.3; ///< of the newest commit in the smoothed time
+
+} // namespace
+
 watched_store::watched_store(store &target)
     : m_target(target)
 {
@@ -19,6 +26,10 @@
     ++m_writes;
     m_target.commit(transaction, timeout, [this, sentAt = bootNow(), done = std::move(done)](commit_result result) {
         note(result.outcome, result.storeTime, sentAt);
+        if (result.outcome != store_outcome::refused) {
+            m_commitTime +=
+                (std::chrono::duration<double, std::milli>(bootNow() - sentAt) - m_commitTime) * newestWeight;
+        }
         done(std::move(result));
     });
 }
@@ -69,6 +80,11 @@
     return m_reachedAt;
 }
 
+std::chrono::milliseconds watched_store::commitTime() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_commitTime);
+}
+
 std::uint64_t watched_store::writes() const
 {
     return m_writes;
--- a/src/libprimrosecroft/store/watched_store.h
+++ b/src/libprimrosecroft/store/watched_store.h
@@ -27,6 +27,9 @@
     /// When the last call that was answered well was sent.
     instant reachedAt() const;
 
+    /// How long commits have taken lately, smoothed.
+    std::chrono::milliseconds commitTime() const;
+
     std::uint64_t writes() const;
     std::uint64_t reads() const;
 
@@ -37,6 +40,7 @@
     std::chrono::milliseconds m_sampledTime {0};
     instant m_sampledAt;
     instant m_reachedAt;
+    std::chrono::duration<double, std::milli> m_commitTime {0};
     std::uint64_t m_writes = 0;
     std::uint64_t m_reads = 0;
 };
--- /dev/null
+++ b/tests/unit/cell_runner_test.cpp
@@ -0,0 +1,207 @@
+#include "cell/cell_runner.h"
+#include "leadership/leadership.h"
+#include "loopback.h"
+#include "store_emulator.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+/// The owner's runtime over a store that answers when the test says so.
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+using loopback::runUntil;
+
+namespace
+{
+
+/// Calls are carried out at once; their answers wait while `holds` is set.
+class held_store : public store
+{
+public:
+    void commit(const store_transaction &transaction, std::chrono::milliseconds /*timeout*/,
+                std::function<void(commit_result)> done) override
+    {
+        ++commits;
+        const auto result = rows.commit(transaction);
+        answer([done = std::move(done), result] { done(result); });
+    }
+
+    void read(const row_range &range, std::chrono::milliseconds /*timeout*/,
+              std::function<void(range_result)> done) override
+    {
+        const auto result = rows.read(range);
+        answer([done = std::move(done), result] { done(result); });
+    }
+
+    void follow(const std::string & /*table*/, row_version /*after*/, std::chrono::milliseconds /*wait*/,
+                std::chrono::milliseconds /*timeout*/, std::function<void(feed_result)> /*done*/) override
+    {
+        // Nothing ever comes: what is tested has to work without the feeds.
+    }
+
+    void release()
+    {
+        holds = false;
+        while (!m_held.empty()) {
+            const auto next = std::move(m_held.front());
+            m_held.pop_front();
+            next();
+        }
+    }
+
+    store_emulator rows;
+    bool holds = false;
+    int commits = 0;
+
+private:
+    void answer(std::function<void()> next)
+    {
+        if (holds) {
+            m_held.push_back(std::move(next));
+        } else {
+            next();
+        }
+    }
+
+    std::deque<std::function<void()>> m_held;
+};
+
+/// Workers that never answer.
+class silent_workers : public worker_gateway
+{
+public:
+    void start(const send_start & /*order*/, row_version /*token*/, std::chrono::milliseconds /*timeout*/,
+               std::function<void(start_answered)> /*done*/) override
+    {
+    }
+    void stop(const send_stop & /*order*/, row_version /*token*/, std::chrono::milliseconds /*timeout*/,
+              std::function<void(stop_answered)> /*done*/) override
+    {
+    }
+    void pace(const send_pace & /*order*/, row_version /*token*/, std::chrono::milliseconds /*timeout*/) override
+    {
+    }
+    void list(const send_list & /*order*/, row_version /*token*/, std::chrono::milliseconds /*timeout*/,
+              std::function<void(list_answered)> /*done*/) override
+    {
+    }
+};
+
+struct owner_process
+{
+    owner_process()
+    {
+        rows.rows.put(ownerPlace(), encodeOwner({}));
+        token = rows.rows.version();
+    }
+
+    void begin()
+    {
+        runner.begin(token, 0, bootNow());
+    }
+
+    bool knows(const job_id &id) const
+    {
+        const auto *state = runner.state();
+        return state != nullptr && state->jobs.contains(id);
+    }
+
+    held_store rows;
+    watched_store watched {rows};
+    silent_workers workers;
+    decision_log log {0, -1};
+    metrics measures;
+    std::string lost;
+    row_version token = 0;
+    cell_runner runner {watched,
+                        workers,
+                        {"workers", [](const worker_id &, const std::string &) { return std::nullopt; }},
+                        {[](const ask_advice &, const auto &) {}, [] { return 1; },
+                         [this](const std::string &reason) { lost = reason; }},
+                        {},
+                        log,
+                        measures};
+};
+
+std::string rowOf(const job_id &id)
+{
+    accepted_job job;
+    job.id = id;
+    job.queue = {"queue", "pool", 0, 2, 1, 500ms, std::nullopt};
+    job.spec.steps.resize(1);
+    job.spec.steps.front().size = {1'000, 100, 0};
+    return encodeJob(job);
+}
+
+} // namespace
+
+TEST_CASE("stored jobs are known once ownership has begun")
+{
+    owner_process owner;
+    owner.rows.rows.put(jobPlace("a"), rowOf("a"));
+    owner.begin();
+    CHECK(runUntil([&] { return owner.knows("a"); }));
+}
+
+TEST_CASE("news of a job that come while stored jobs are being read aren't lost")
+{
+    owner_process owner;
+    owner.rows.holds = true;
+    owner.begin(); // the rows have been read now, their answers wait
+    owner.rows.rows.put(jobPlace("late"), rowOf("late"));
+    owner.runner.notice("late", false);
+    owner.rows.release();
+    CHECK(owner.knows("late"));
+}
+
+TEST_CASE("old news of a job that has ended start nothing")
+{
+    owner_process owner;
+    owner.begin();
+    owner.rows.rows.put(endedPlace("gone"), encodeEnded({job_status::complete, 5ms}));
+    owner.runner.notice("gone", false);
+    runUntil([end = bootNow() + 200ms] { return bootNow() > end; });
+    CHECK_FALSE(owner.knows("gone"));
+}
+
+TEST_CASE("submissions that come while a transaction is under way share the next one")
+{
+    owner_process owner;
+    owner.begin();
+    owner.rows.holds = true;
+    const auto before = owner.rows.commits;
+    int accepted = 0;
+    for (const auto *id : {"a", "b", "c", "d"}) {
+        owner.runner.submit(id, rowOf(id),
+                            [&accepted](store_outcome outcome) { accepted += outcome == store_outcome::done ? 1 : 0; });
+    }
+    owner.rows.release();
+    CHECK(accepted == 4);
+    CHECK(owner.rows.commits - before == 2);
+}
+
+TEST_CASE("a job that is stored already leaves its batch, the others are accepted")
+{
+    owner_process owner;
+    owner.begin();
+    owner.rows.rows.put(endedPlace("old"), encodeEnded({job_status::complete, 5ms}));
+    owner.rows.holds = true;
+    std::map<job_id, store_outcome> outcomes;
+    for (const auto *id : {"first", "old", "new"}) {
+        owner.runner.submit(id, rowOf(id), [&outcomes, id](store_outcome outcome) { outcomes[id] = outcome; });
+    }
+    owner.rows.release();
+    CHECK(outcomes["first"] == store_outcome::done);
+    CHECK(outcomes["old"] == store_outcome::conflict);
+    CHECK(outcomes["new"] == store_outcome::done);
+    CHECK_FALSE(owner.knows("old"));
+}
+
+TEST_CASE("a write that meets another owner's row ends the ownership")
+{
+    owner_process owner;
+    owner.begin();
+    owner.rows.rows.put(ownerPlace(), encodeOwner({}));
+    owner.runner.submit("a", rowOf("a"), [](store_outcome) { });
+    CHECK(runUntil([&] { return !owner.lost.empty(); }));
+}
--- /dev/null
+++ b/tests/unit/wire_test.cpp
@@ -0,0 +1,111 @@
+#include "core/error.h"
+#include "platform/wire.h"
+
+#include <catch2/catch.hpp>
+
+/// The platform's texts: read once, with checks.
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string faultOf(const std::string &body)
+{
+    try {
+        platform::decodeJobBody(body);
+    } catch (const error &fault) {
+        return fault.what();
+    }
+    return {};
+}
+
+const std::string settingsText = R"({"nodeName": "n1", "zone": "a", "region": "r", "ip": "10.1.0.1", "unknown": [1],
+    "bindAddrs": {"frontend": "10.1.0.1:80", "ready": "10.1.0.1:81"}, "internalPorts": [7720, 7735],
+    "platform": {"address": "10.2.0.1:90"}, "advice": null,
+    "bounds": {"holdMaxMs": 6000, "gangTimeoutMs": 3000, "configApplyMs": 2500, "graceS": 1.5, "status_s": 120}})";
+
+} // namespace
+
+TEST_CASE("a job's body gives its steps in our own terms")
+{
+    const auto job = platform::decodeJobBody(
+        R"({"spec":"x","phases":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,"dataRack":"r1-3"},
+            {"count":20,"after":[0],"checkpointing":true,"speculative":true,"antiAffinity":2,"targetMs":40,"mayMiss":1}]})");
+    REQUIRE(job.steps.size() == 2);
+    CHECK(job.steps[0].size == resources {500, 256, 0});
+    CHECK(job.steps[0].estimate == 900ms);
+    CHECK(job.steps[0].dataRack == "r1-3");
+    CHECK(job.steps[1].after == std::vector<std::int32_t> {0});
+    CHECK(job.steps[1].savesProgress);
+    CHECK(job.steps[1].mayDuplicate);
+    CHECK(job.steps[1].mostPerWorker == 2);
+    CHECK(job.steps[1].targetLatency == 40ms);
+}
+
+TEST_CASE("bad bodies are refused with what is wrong")
+{
+    CHECK(faultOf("{").find("not JSON") != std::string::npos);
+    CHECK(faultOf("[]").find("an object") != std::string::npos);
+    CHECK(faultOf(R"({"spec":"x"})").find("phases") != std::string::npos);
+    CHECK(faultOf(R"({"spec":5,"phases":[{"count":1}]})").find("spec") != std::string::npos);
+    CHECK(faultOf(R"({"phases":[{"count":1,"cpu":"much"}]})").find("cpu") != std::string::npos);
+    CHECK(faultOf(R"({"phases":[{"count":-1}]})").find("count") != std::string::npos);
+    CHECK(faultOf(R"({"phases":[{"count":1,"after":[0]}]})").find("earlier") != std::string::npos);
+    CHECK(faultOf(R"({"phases":[{"count":1,"after":["a"]}]})").find("after") != std::string::npos);
+    CHECK(faultOf(R"({"phases":[{"count":1e400}]})").find("count") != std::string::npos);
+    CHECK(faultOf(R"({"spec":")" + std::string(4'001, 'x') + R"(","phases":[{"count":1}]})").find("bytes")
+          != std::string::npos);
+}
+
+TEST_CASE("settings name file, key and what was expected; unknown keys are ignored")
+{
+    const auto settings = platform::decodeSettings(settingsText, "f.json");
+    CHECK(settings.peers == peer_address {"10.1.0.1", 7720});
+    CHECK(settings.terminationGrace == 1'500ms);
+    CHECK(settings.advice.address.empty());
+    auto text = settingsText;
+    text.replace(text.find("6000"), 4, "\"6\"");
+    CHECK_THROWS_WITH(platform::decodeSettings(text, "f.json"),
+                      Catch::Contains("f.json") && Catch::Contains("bounds.holdMaxMs") && Catch::Contains("a number"));
+}
+
+TEST_CASE("a worker's entry that can't be read names no worker")
+{
+    CHECK_FALSE(platform::decodeWorker("w", "garbage"));
+    CHECK_FALSE(platform::decodeWorker("w", R"({"service":"s"})"));
+    const std::string entry =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"STATE","born":7,"labels":["k","r"],
+            "capacity":{"cpu":1000,"memMb":10}})";
+    auto ready = entry;
+    ready.replace(ready.find("STATE"), 5, "ready");
+    const auto worker = platform::decodeWorker("w", ready);
+    REQUIRE(worker);
+    CHECK(worker->boot == 7);
+    CHECK(worker->capacity == resources {1'000, 10, 0});
+    CHECK_FALSE(platform::decodeWorker("w", entry)); // a state that isn't known
+}
+
+TEST_CASE("a task's name is read back, and nothing else is")
+{
+    const task_ref task {"5c0e7a21d94b36f8", 2, 1, 17};
+    CHECK(platform::decodeTask(platform::encodeTask(task)) == task);
+    for (const auto *text : {"", "a", "a.1.2", "a.1.2.x", "a.1.2.3.4", "a..1.2", "a.1.2.3x"}) {
+        CHECK_FALSE(platform::decodeTask(text));
+    }
+}
+
+TEST_CASE("rows are read back as they were written, and garbage is refused")
+{
+    accepted_job job;
+    job.id = "a";
+    job.queue = {"q", "p", 2, 3, 1.5, 500ms, advice_policy {370'000us, 5'300us, 2'500ms}};
+    job.spec.payload = "text";
+    job.spec.steps.resize(2);
+    job.spec.steps[1].after = {0};
+    job.spec.steps[1].lasts = true;
+    const auto back = decodeJob(encodeJob(job));
+    CHECK(back.spec == job.spec);
+    CHECK(back.queue == job.queue);
+    CHECK_THROWS_AS(decodeJob("garbage"), error);
+}
