--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -5,6 +5,7 @@
 #include "cell/cell_runner.h"
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/overloaded.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
 #include "io/peer_hub.h"
@@ -96,12 +97,6 @@
     return result;
 }
 
-template<typename... handlers>
-struct overloaded : handlers...
-{
-    using handlers::operator()...;
-};
-
 std::string ageText(instant since)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - since).count());
--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -1,6 +1,7 @@
 #include "cell/cell.h"
 
 #include "cell/detail/cell_parts.h"
+#include "core/overloaded.h"
 
 #include <algorithm>
 #include <ranges>
@@ -17,12 +18,6 @@
 constexpr double slowestClock = 0.98; ///< a worker's clock may lose 2 %
 constexpr auto doubtMargin = 100ms; ///< for rounding in clocks and deadlines
 
-template<typename... handlers>
-struct overloaded : handlers...
-{
-    using handlers::operator()...;
-};
-
 } // namespace
 
 cell_state makeCell(const cell_settings &settings, const cell_origin &origin)
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/overloaded.h"
 #include "jobs/job_rows.h"
 #include "leadership/leadership.h"
 
@@ -39,12 +40,6 @@
 constexpr auto stopTimeout = 600ms;
 constexpr auto listTimeout = 700ms; ///< on top of its wait
 
-template<typename... handlers>
-struct overloaded : handlers...
-{
-    using handlers::operator()...;
-};
-
 std::string millisecondsText(duration amount)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(amount).count());
--- a/src/libprimrosecroft/leadership/leadership.cpp
+++ b/src/libprimrosecroft/leadership/leadership.cpp
@@ -1,6 +1,7 @@
 #include "leadership/leadership.h"
 
 #include "core/error.h"
+#include "core/overloaded.h"
 #include "jobs/job_rows.h"
 
 #include <algorithm>
@@ -21,12 +22,6 @@
 constexpr std::size_t spreadSteps = 40; ///< milliseconds over which equals spread their take-overs
 constexpr auto longestDelay = 250ms;
 
-template<typename... handlers>
-struct overloaded : handlers...
-{
-    using handlers::operator()...;
-};
-
 bool isOwn(const leadership_state &state, const owner_row &row)
 {
     return row.process == state.settings.process && row.incarnation == state.settings.incarnation;
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -1,6 +1,7 @@
 #include "cell_emulation.h"
 
 #include "cell/detail/cell_parts.h"
+#include "core/overloaded.h"
 #include "jobs/job_rows.h"
 
 #include <algorithm>
@@ -23,12 +24,6 @@
 constexpr auto lateLeast = 2'000; ///< milliseconds until an order without an answer is carried out
 constexpr auto lateMost = 12'000;
 
-template<typename... handlers>
-struct overloaded : handlers...
-{
-    using handlers::operator()...;
-};
-
 struct emulated_worker
 {
     executor_emulator executor;
