Keep the room of a run that is being stopped until its end is listed

Supposed, not shown: after a stop was answered a list without the run was taken for its end, though a stop may take 400 ms and the platform counts what is being stopped. Now such a run keeps its room for a second after its stop was answered, or until its end is listed.

--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -20,6 +20,7 @@
 constexpr auto idleListInterval = 900ms; ///< of a worker on which nothing runs
 constexpr auto unlistedListInterval = 500ms; ///< of a worker that the platform doesn't list
 constexpr auto reachableFor = 2'500ms; ///< after its last list a worker gets no new tasks
+constexpr auto longestStop = 1'000ms; ///< of a run, over the platform's bounds of 200 and 400 ms
 constexpr auto stopRetry = 300ms;
 constexpr auto unhealthyPause = 1'000ms; ///< after it refused work as unhealthy
 constexpr auto crashLoop = 1'500ms; ///< a task that lasts and ends sooner is started again after a pause
@@ -265,8 +266,9 @@
             over.push_back(id);
             continue;
         }
-        const bool wasThere = run->phase == run_phase::running && run->knownAt < message.sentAt;
-        const bool isBarred = run->barredAt != instant {} && run->barredAt < message.sentAt;
+        // A run that is being stopped keeps its room, though no list may name it, until its end is listed.
+        const bool wasThere = run->phase == run_phase::running && !run->stopWanted && run->knownAt < message.sentAt;
+        const bool isBarred = run->barredAt != instant {} && run->barredAt + longestStop < message.sentAt;
         if (isWhole && (wasThere || isBarred)) {
             over.push_back(id);
         } else if (run->phase == run_phase::unsure && run->sentAt < message.sentAt) {
