--- a/tests/model/check_shard.sh
+++ b/tests/model/check_shard.sh
@@ -10,6 +10,6 @@
 expect violation "leases counted from sending"             58 -DLAST=4 -DLEASE=1 -DLEASE_FROM_SENDING
 expect violation "no wait after the take-over"             58 -DLAST=4 -DLEASE=1 -DNO_DOUBT
 expect violation "a lost start taken for none"             58 -DLAST=4 -DLEASE=1 -DNO_BAR
-expect violation "ends noted before they are stored"       58 -DLAST=4 -DLEASE=1 -DNOTE_BEFORE_STORED
-expect violation "writes without the condition"            58 -DLAST=4 -DLEASE=1 -DNO_CONDITION
+expect violation "ends noted before they are stored"       300 -DLAST=5 -DNOTE_BEFORE_STORED
+expect violation "writes without the condition"            300 -DLAST=5 -DNO_CONDITION
 exit $failed
