Keep the room of ended jobs' runs until their ends are listed, take a refused connection for no proof

Cause: two ways to give out room or a task twice. 1. A job whose end was stored left the books at once, with its runs that were still being stopped. A connection that was refused counted as the end of the worker's process.

Now a job stays until no run of it takes room, and is stopped like any other; what a refusing worker may run waits for its leases. Both tests fail without the change; the emulation's stops take 200 ms and refusing cuts are among its faults.

--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -60,6 +60,7 @@
 void settle(cell_state &state, instant now, std::vector<cell_action> &actions)
 {
     expireLeases(state, now, actions);
+    forgetRetired(state);
     for (auto &[id, job] : state.jobs) {
         if (job.accepted.spec.occurrences > 0) {
             beginDue(state, job, now);
@@ -163,7 +164,7 @@
         return std::nullopt;
     }
     const auto occurrence = job->second.occurrences.find(ref.occurrence);
-    if (occurrence == job->second.occurrences.end() || occurrence->second.complete || ref.step < 0
+    if (occurrence == job->second.occurrences.end() || ref.step < 0
         || static_cast<std::size_t>(ref.step) >= occurrence->second.steps.size()) {
         return std::nullopt;
     }
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -121,6 +121,7 @@
     bool cancelled = false;
     bool failed = false;
     bool changed = false; ///< what is stored has to be written anew
+    bool isEndStored = false; ///< it stays here only while runs of it take room on workers
     std::uint64_t writing = 0; ///< number of the commit under way; 0 without one
 };
 
@@ -190,6 +191,7 @@
     std::map<job_id, job_state> jobs;
     std::map<job_id, job_status> finished; ///< stored ends, the latest ones
     std::deque<job_id> finishedOrder;
+    std::set<job_id> retiring; ///< their ends are stored, runs of them are still being stopped
     std::map<queue_name, advice_record> advice;
     std::int32_t advisers = 1; ///< processes that can ask for advice
     std::int32_t askingCheap = 0; ///< calls for advice under way
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -113,7 +113,7 @@
     unhealthy, ///< nothing was done
     otherBoot, ///< the worker has started anew
     invalid,
-    unreachable, ///< nobody listens there: the worker's process has ended
+    unreachable, ///< the connection was refused: nothing was done; the worker may have ended, or be cut off
     lost, ///< it may have been carried out, now or later
 };
 
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -36,6 +36,9 @@
 void taskFailed(cell_state &state, const run_id &run, const task_view &view, instant now, cell_actions &actions);
 void markChanged(cell_state &state, job_state &job);
 
+/// Forgets jobs whose end is stored once no run of theirs takes room any more.
+void forgetRetired(cell_state &state);
+
 // --- workers.cpp
 
 void seeWorker(cell_state &state, const described_worker &described, instant now, cell_actions &actions);
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -132,10 +132,34 @@
 
 void markChanged(cell_state &state, job_state &job)
 {
+    if (job.isEndStored) {
+        return; // nothing of it is to be stored any more
+    }
     job.changed = true;
     state.changed.insert(job.accepted.id);
 }
 
+void forgetRetired(cell_state &state)
+{
+    const auto holdsRoom = [](const job_state &job) {
+        return std::ranges::any_of(job.occurrences, [](const auto &occurrence) {
+            return std::ranges::any_of(occurrence.second.steps, [](const step_state &step) {
+                return std::ranges::any_of(step.tasks, [](const task_state &task) { return !task.runs.empty(); });
+            });
+        });
+    };
+    std::erase_if(state.retiring, [&](const job_id &id) {
+        const auto found = state.jobs.find(id);
+        if (found != state.jobs.end() && holdsRoom(found->second)) {
+            return false;
+        }
+        if (found != state.jobs.end()) {
+            state.jobs.erase(found);
+        }
+        return true;
+    });
+}
+
 void arrive(cell_state &state, const job_arrived &message, instant now)
 {
     const auto &id = message.job.id;
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -164,7 +164,8 @@
                                              job.objective});
             state.finished[id] = *end;
             state.finishedOrder.push_back(id);
-            state.jobs.erase(id);
+            job.isEndStored = true;
+            state.retiring.insert(id);
         }
     }
     while (state.finishedOrder.size() > mostFinished) {
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -193,18 +193,14 @@
 void adopt(cell_state &state, worker_state &worker, const listed_run &listed, instant now, cell_actions &actions)
 {
     const auto view = findTask(state, listed.run.task);
-    const auto stop = [&] {
-        if (!worker.rooms.contains(listed.run)) {
-            worker.strangers.insert(listed.run);
-        }
+    if (!view) {
+        worker.strangers.insert(listed.run);
         actions.emplace_back(
             send_stop {worker.described.id, worker.described.address, worker.described.boot, listed.run});
-    };
-    if (!view || view->task->done || view->job->cancelled || view->job->failed) {
-        stop();
         return;
     }
-    const bool isWanted = view->task->runs.empty() || view->spec->mayDuplicate;
+    const bool isOver = view->task->done || view->job->cancelled || view->job->failed;
+    const bool isWanted = !isOver && (view->task->runs.empty() || view->spec->mayDuplicate);
     occupied_room room {view->spec->size, view->spec->size, view->spec->targetLatency.count() > 0, view->spec->fills};
     if (room.fills) {
         room.size.milliCores = 0;
@@ -472,9 +468,7 @@
         return;
     }
     if (message.result == order_result::unreachable) {
-        dropAllRuns(state, worker, now, actions, "lost with its worker");
-        worker.answeredAt = {};
-        state.unresolved.erase(message.worker);
+        worker.answeredAt = {}; // behind a cut that refuses connections it would run on, so its leases have to run out
         return;
     }
     if (message.result == order_result::otherBoot) {
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -28,6 +28,7 @@
 {
     executor_emulator executor;
     instant cutUntil;
+    bool refuses = false; ///< while it is cut
     instant downUntil; ///< crashed; it comes back as a new boot
     bool isDown = false;
     described_worker announced; ///< as the platform lists it, which lags
@@ -80,7 +81,7 @@
             worker.pool = "pool";
             worker.labels = {"a", "rack" + std::to_string(i / 2)};
             worker.capacity = {8'000, 16'000, 0};
-            workers.push_back({executor_emulator(worker, i % 2 == 0 ? 1.0 : 0.98), {}, {}, false, worker, {}});
+            workers.push_back({executor_emulator(worker, i % 2 == 0 ? 1.0 : 0.98), {}, false, {}, false, worker, {}});
         }
         for (std::size_t i = 0; i < settings.processes; ++i) {
             processes.push_back({});
@@ -183,6 +184,12 @@
         }
         at(now + orderDelay, [this, id, lost, carryOut, reply, losesAnswer] {
             auto *worker = find(id);
+            if (!losesAnswer && worker != nullptr && worker->refuses && now < worker->cutUntil) {
+                auto refused = lost;
+                refused.result = order_result::unreachable;
+                reply(refused);
+                return;
+            }
             if (losesAnswer || worker == nullptr || !isReachable(*worker)) {
                 at(now + 600ms, [reply, lost] { reply(lost); });
                 return;
@@ -718,7 +725,7 @@
             ? ownerIndex()
             : static_cast<std::size_t>(pick(0, static_cast<std::int64_t>(processes.size()) - 1));
         const auto worker = static_cast<std::size_t>(pick(0, static_cast<std::int64_t>(workers.size()) - 1));
-        const auto kind = pick(0, 5);
+        const auto kind = pick(0, 6);
         if (emulation.watch) {
             emulation.watch("fault " + std::to_string(kind) + " process " + std::to_string(process) + " worker "
                             + std::to_string(worker) + " for " + std::to_string(span.count()));
@@ -733,7 +740,9 @@
             }
             break;
         case 2:
+        case 6:
             workers[worker].cutUntil = now + span;
+            workers[worker].refuses = kind == 6;
             break;
         case 3:
             if (!workers[worker].isDown) {
@@ -879,6 +888,12 @@
     m_parts->workers.at(worker).cutUntil = m_parts->now + span;
 }
 
+void cell_emulation::refuseWorker(std::size_t worker, std::chrono::milliseconds span)
+{
+    cutWorker(worker, span);
+    m_parts->workers.at(worker).refuses = true;
+}
+
 void cell_emulation::rebootWorker(std::size_t worker, std::int64_t milliCores)
 {
     auto &executor = m_parts->workers.at(worker).executor;
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -62,6 +62,9 @@
     void killOwner(std::chrono::milliseconds downFor);
     void freezeOwner(std::chrono::milliseconds span);
     void cutWorker(std::size_t worker, std::chrono::milliseconds span);
+
+    /// As a cut, but connections to it are refused instead of left without an answer.
+    void refuseWorker(std::size_t worker, std::chrono::milliseconds span);
     void rebootWorker(std::size_t worker, std::int64_t milliCores);
     void storeDown(std::chrono::milliseconds span);
     void runFor(std::chrono::milliseconds span);
--- a/tests/standins/executor_emulator.cpp
+++ b/tests/standins/executor_emulator.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr worker_time longestLease = 6'000ms;
+constexpr auto stopTime = 200ms; ///< a run that is stopped keeps its room so long
 
 } // namespace
 
@@ -47,8 +48,11 @@
     }
     std::vector<std::pair<run_id, run_end>> over;
     for (auto &[run, own] : m_runs) {
-        if (own.stopping) {
-            over.emplace_back(run, run_end::stopped);
+        if (own.stopsIn) {
+            *own.stopsIn -= real;
+            if (*own.stopsIn <= 0ms) {
+                over.emplace_back(run, run_end::stopped);
+            }
             continue;
         }
         if (!isGangWhole(run, own)) {
@@ -121,7 +125,7 @@
     if (order.deadline <= clock()) {
         return order_result::late;
     }
-    m_runs[order.run] = {behaviour, 0ms, order.checkpoint, false};
+    m_runs[order.run] = {behaviour, 0ms, order.checkpoint, std::nullopt};
     return order_result::done;
 }
 
@@ -132,8 +136,8 @@
     }
     auto &barred = m_barred[run.task];
     barred = std::max(barred, run.attempt);
-    if (const auto found = m_runs.find(run); found != m_runs.end()) {
-        found->second.stopping = true;
+    if (const auto found = m_runs.find(run); found != m_runs.end() && !found->second.stopsIn) {
+        found->second.stopsIn = stopTime;
     }
     return order_result::done;
 }
@@ -155,6 +159,9 @@
     }
     answer.result = order_result::done;
     for (const auto &[run, own] : m_runs) {
+        if (own.stopsIn) {
+            continue; // no longer running, not ended yet
+        }
         const auto percent =
             own.behaviour.lasts ? 100 : static_cast<std::int32_t>(own.worked * 100 / own.behaviour.work);
         answer.running.push_back({run, own.checkpoint, percent, 0});
--- a/tests/standins/executor_emulator.h
+++ b/tests/standins/executor_emulator.h
@@ -65,7 +65,7 @@
         task_behaviour behaviour;
         std::chrono::milliseconds worked {0};
         std::string checkpoint;
-        bool stopping = false;
+        std::optional<std::chrono::milliseconds> stopsIn; ///< while it is being stopped
     };
 
     bool obeys(row_version token);
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -144,3 +144,32 @@
     CHECK(emulation.breach().empty());
     CHECK(emulation.storedEnd("a") == job_status::cancelled);
 }
+
+TEST_CASE("the room of a cancelled job's tasks is given out again once their ends are listed")
+{
+    cell_emulation emulation(calm(1));
+    emulation.runFor(2s);
+    auto lasting = makeStep(4, 0ms);
+    lasting.lasts = true;
+    emulation.submit(makeJob("a", {lasting}));
+    emulation.runFor(1s);
+    emulation.cancel("a");
+    emulation.submit(makeJob("b", {makeStep(4, 300ms)}));
+    emulation.runFor(3s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::cancelled);
+    CHECK(emulation.storedEnd("b") == job_status::complete);
+}
+
+TEST_CASE("a worker that refuses connections may run on: its tasks start elsewhere when its leases have run out")
+{
+    cell_emulation emulation(calm(2));
+    emulation.runFor(2s);
+    emulation.submit(makeJob("a", {makeStep(4, 5s)}));
+    emulation.runFor(500ms);
+    emulation.refuseWorker(0, 4s);
+    emulation.refuseWorker(1, 1s);
+    emulation.runFor(20s);
+    CHECK(emulation.breach().empty());
+    CHECK(emulation.storedEnd("a") == job_status::complete);
+}
