Answer all that is in flight before a leaving process ends

Cause: a process that leaves ends 0.5 s before its grace is over, whatever is in flight.

Ruled out: the balancer (the machine was out of rotation, the connection was an open one), the owner's hand-over (it was done after 0.2 s).

0.9 s before SIGKILL whatever is in flight, and what still comes, is told that its outcome isn't known and when to come back. An answer to a bad body also carries the decoder's reason now, as does the log.

process-jobs_leaving: before, requests cut off; after, 20 of 20 answered.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -54,6 +54,8 @@
 constexpr auto leaveTime = 3'500ms; ///< after SIGTERM: the balancer stops sending within two of its probes
 constexpr auto resignAfter = 2'800ms; ///< after SIGTERM an owner whom nobody relieved gives up the row
 constexpr auto leaveCheck = 50ms;
+constexpr auto lastAnswers = 900ms; ///< before SIGKILL: what is still in flight is answered
+constexpr auto lastExit = 500ms; ///< before SIGKILL: the process ends, its answers are on their way
 
 struct loop_unref
 {
@@ -690,8 +692,11 @@
             if (bootNow() >= begun + resignAfter) {
                 lead(resign_asked {}); // nobody took over
             }
+            if (bootNow() >= begun + settings.terminationGrace - lastAnswers) {
+                callers.endAll();
+            }
             const bool isOver = bootNow() >= begun + leaveTime && callers.inFlight() == 0 && !ownsHere();
-            if (isOver || bootNow() >= begun + settings.terminationGrace - 500ms) {
+            if (isOver || bootNow() >= begun + settings.terminationGrace - lastExit) {
                 leaveTimer.stop();
                 log.writeAlways("process", "stopped", {{"cut_off", std::to_string(callers.inFlight())}});
                 g_main_loop_quit(loop.get());
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace primrosecroft
@@ -47,7 +48,7 @@
 
 } // namespace
 
-struct caller_service::exchange
+struct caller_service::exchange : std::enable_shared_from_this<exchange>
 {
     std::shared_ptr<http_request> request;
     std::string kind;
@@ -58,11 +59,12 @@
     instant deadline;
     int tries = 0;
     timer pause;
-    std::shared_ptr<std::size_t> inFlight;
+    bool isAnswered = false;
+    std::shared_ptr<std::set<exchange *>> open;
 
     ~exchange()
     {
-        --*inFlight;
+        open->erase(this);
     }
 
     std::chrono::milliseconds left() const
@@ -88,14 +90,25 @@
 
 std::size_t caller_service::inFlight() const
 {
-    return *m_inFlight;
+    return m_open->size();
+}
+
+void caller_service::endAll()
+{
+    m_isEnding = true;
+    std::vector<exchange_pointer> left;
+    std::ranges::transform(*m_open, std::back_inserter(left), [](exchange *each) { return each->shared_from_this(); });
+    for (const auto &entry : left) {
+        entry->pause.stop();
+        answer(entry, statusGatewayTimeout, "", "unknown", true);
+    }
 }
 
 void caller_service::serve(const std::shared_ptr<http_request> &request)
 {
     const auto entry = std::make_shared<exchange>();
-    entry->inFlight = m_inFlight;
-    ++*m_inFlight;
+    entry->open = m_open;
+    m_open->insert(entry.get());
     entry->request = request;
     entry->begun = bootNow();
     entry->deadline = entry->begun + deadlineOf(request->header(m_codec.deadlineHeader)) - answerReserve;
@@ -103,6 +116,10 @@
     const auto path = request->path();
     const auto *queues = m_links.queues();
     entry->kind = method == "POST" ? "submit" : method == "DELETE" ? "cancel" : "status";
+    if (m_isEnding) {
+        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        return;
+    }
     if (queues == nullptr) {
         answer(entry, statusUnavailable, "", "no-configuration", true);
         return;
@@ -140,7 +157,8 @@
     try {
         job.spec = m_codec.decodeJob(entry->request->body());
     } catch (const error &fault) {
-        answer(entry, statusBadRequest, jsonAnswer(statusBadRequest, "").body, "bad-body");
+        m_log.write("callers", "bad-body", {{"id", entry->id}, {"queue", entry->queue}, {"reason", fault.what()}});
+        answer(entry, statusBadRequest, nlohmann::json {{"detail", fault.what()}}.dump(), "bad-body");
         return;
     }
     job.id = entry->id;
@@ -308,6 +326,10 @@
 void caller_service::answer(const exchange_pointer &entry, unsigned status, const std::string &body,
                             const std::string &outcome, bool comeBack)
 {
+    if (std::exchange(entry->isAnswered, true)) {
+        return; // its process is about to end, and has said so
+    }
+    m_open->erase(entry.get());
     const auto took = std::chrono::duration_cast<std::chrono::microseconds>(bootNow() - entry->begun);
     m_measures.observe("primrosecroft_request_seconds", "kind", entry->kind, took);
     if (entry->kind != "status" || status != statusOk) {
--- a/src/libprimrosecroft/callers/caller_service.h
+++ b/src/libprimrosecroft/callers/caller_service.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace primrosecroft
 {
@@ -61,6 +62,9 @@
 
     std::size_t inFlight() const;
 
+    /// Answers what is in flight, and whatever still comes, that its outcome isn't known: the process is about to end.
+    void endAll();
+
 private:
     struct exchange;
     using exchange_pointer = std::shared_ptr<exchange>;
@@ -82,7 +86,8 @@
     caller_links m_links;
     decision_log &m_log;
     metrics &m_measures;
-    std::shared_ptr<std::size_t> m_inFlight = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::set<exchange *>> m_open = std::make_shared<std::set<exchange *>>(); ///< those in flight
+    bool m_isEnding = false;
 };
 
 } // namespace primrosecroft
--- /dev/null
+++ b/tests/process/jobs_leaving.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# SIGTERM while the store answers nothing: each request gets an answer before its process ends.
+set -u
+. "$(dirname "$0")/jobs_cell.sh"
+startCell
+job='{"spec":"work=300","phases":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":300}]}'
+control 'lose-answers?count=100000' >/dev/null
+leaving=$(cat "$CELL/celld-1.pid")
+kill -TERM "$leaving"
+callers=()
+for i in $(seq 10 29); do
+    curl -s -o /dev/null -w '%{http_code}\n' -m 9 -X POST -H 'Host: jobs.example' -H 'Deadline-Ms: 20000' \
+        -d "$job" "http://127.$NET.1.1:8100/q/c0000000000000$i" >>"$CELL/statuses" &
+    callers+=($!)
+    sleep 0.2
+done
+wait "${callers[@]}"
+hasEnded() { ! kill -0 "$leaving" 2>/dev/null; }
+waitFor 8 "the daemon has ended" hasEnded
+cut=$(grep -c '^000$' "$CELL/statuses")
+[ "$cut" = 0 ] || fail "$cut of 20 requests were cut off: $(sort "$CELL/statuses" | uniq -c)"
+grep -q 'process stopped cut_off=0' "$CELL/celld-1.log" || fail "something was cut off"
+echo "20 requests were answered: $(sort "$CELL/statuses" | uniq -c | tr '\n' ' ')"
