--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -39,7 +39,7 @@
 constexpr unsigned adviceConnections = 2;
 constexpr auto presenceInterval = 200ms; ///< between two words to the owner
 constexpr auto presenceTimeout = 600ms;
-constexpr auto peerSilence = 1'200ms; ///< a daemon unheard so long is asked for nothing
+constexpr auto presenceSilence = 1'200ms; ///< a daemon unheard so long is asked for nothing
 constexpr auto noticeTimeout = 500ms;
 constexpr int mostNotices = 2; ///< tries, then the store's inbox takes it
 constexpr auto ownerPatience = 900ms; ///< then an owner that is heard of is asked again, another one not
@@ -293,7 +293,7 @@
         const known_peer *best = nullptr;
         std::string bestName;
         for (const auto &[name, peer] : knownPeers) {
-            const bool isUsable = !peer.leaving && peer.heardAt + peerSilence > now
+            const bool isUsable = !peer.leaving && peer.heardAt + presenceSilence > now
                 && peer.storeAge < peerStoreFreshness && name != lastHeir;
             // Where machines are stopped in turn, the one that came back last is the last to be stopped again.
             const auto isBetter = [&] { return leaving ? peer.up < best->up : peer.storeAge < best->storeAge; };
@@ -326,7 +326,7 @@
         } else if (message.__isset.jobNotice) {
             takeNotice(message.jobNotice, reply);
         } else if (message.__isset.jobQuery) {
-            answerQuery(message.jobQuery.id, reply);
+            answerQuery(message.jobQuery, reply);
         } else if (message.__isset.jobSubmission) {
             storeFor(message.jobSubmission, reply);
         } else if (message.__isset.adviceQuery) {
@@ -409,7 +409,7 @@
         };
         const auto now = bootNow();
         for (const auto &[name, peer] : knownPeers) {
-            if (!peer.leaving && peer.heardAt + peerSilence > now) {
+            if (!peer.leaving && peer.heardAt + presenceSilence > now) {
                 askers[name] = [this, address = peer.address](const ask_advice &question,
                                                               std::chrono::milliseconds patience, auto done) {
                     askThroughPeer(address, question, patience, std::move(done));
@@ -537,14 +537,24 @@
         });
     }
 
-    void answerQuery(const job_id &id, const std::function<void(wire::Message)> &reply)
+    void answerQuery(const wire::JobQuery &query, const std::function<void(wire::Message)> &reply)
     {
-        const auto word = wordOf(id);
+        const auto word = wordOf(query.id);
         wire::Message message;
         message.jobReport.known = word.status.has_value();
         if (word.status) {
             message.jobReport.__set_state(toString(*word.status));
         }
+        if (query.withTasks && runner.state() != nullptr) {
+            std::vector<wire::TaskReport> tasks;
+            for (const auto &place : placesOf(*runner.state(), query.id)) {
+                auto &task = tasks.emplace_back();
+                task.index = place.index;
+                task.state = place.state;
+                task.__set_worker(place.worker);
+            }
+            message.jobReport.__set_tasks(tasks);
+        }
         message.__isset.jobReport = true;
         reply(message);
     }
@@ -634,7 +644,7 @@
         measures.set("primrosecroft_store_writes", static_cast<double>(rows.writes()));
         measures.set("primrosecroft_store_reads", static_cast<double>(rows.reads()));
         measures.set("primrosecroft_log_lines_dropped", static_cast<double>(log.dropped()));
-        measures.set("primrosecroft_configuration_version",
+        measures.set("primrosecroft_queues_version",
                      static_cast<double>(queues.current() ? queues.current()->version : 0));
         if (const auto *state = runner.state(); state != nullptr) {
             measures.set("primrosecroft_jobs_live", static_cast<double>(state->jobs.size()));
--- a/src/entryd/entry_daemon.cpp
+++ b/src/entryd/entry_daemon.cpp
@@ -1,14 +1,28 @@
 #include "entry_daemon.h"
 
 #include "administration/administration.h"
+#include "configuration/sheet_service.h"
+#include "core/clock.h"
+#include "core/error.h"
+#include "demands/demand_service.h"
+#include "io/http_client.h"
+#include "io/http_server.h"
+#include "leadership/leadership.h"
+#include "observability/metrics.h"
 #include "observability/problem.h"
+#include "peer_circle.h"
+#include "platform/store_client.h"
+#include "platform/wire.h"
 #include "primrosecroft_types.h"
+#include "routing/booking_proxy.h"
 
 #include <algorithm>
+#include <glib-unix.h>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <ranges>
+#include <utility>
 
 namespace primrosecroft
 {
@@ -18,7 +32,13 @@
 
 using namespace std::chrono_literals;
 
+constexpr int exitCutOff = 3;
+constexpr auto drainCheckInterval = 50ms;
+constexpr auto goodbyePause = 100ms; ///< idle for so long before the process ends
 constexpr auto askTimeout = 500ms;
+constexpr auto sheetInterval = 2s; ///< between two tries to accept a sheet's demands
+constexpr unsigned bookingConnections = 64; ///< to each executor
+constexpr unsigned storeConnections = 16;
 
 routing_settings makeRoutingSettings(const daemon_settings &settings)
 {
@@ -30,148 +50,319 @@
     return routing;
 }
 
-std::vector<task_report> readReport(const wire::DemandReport &report)
+std::int64_t makeIncarnation()
 {
-    std::vector<task_report> result;
-    std::ranges::transform(report.tasks, std::back_inserter(result), [](const wire::TaskReport &task) {
-        return task_report {task.index, task.state, task.worker};
-    });
-    return result;
+    // Only a name: no clock decides which of two incarnations came first.
+    std::random_device random;
+    return std::uniform_int_distribution<std::int64_t>(1)(random);
 }
 
+struct loop_unref
+{
+    void operator()(GMainLoop *loop) const
+    {
+        g_main_loop_unref(loop);
+    }
+};
+
 } // namespace
 
-entry_daemon::entry_daemon(const daemon_settings &settings)
-    : m_daemon(settings, makeRole())
-    , m_bookings(m_daemon.http(), m_daemon.measures(), makeRoutingSettings(settings), settings.bookingDeadline,
-                 [this](const upstream_id &upstream) { spreadLeaving(upstream); })
-    , m_demands(m_daemon.platform(), m_daemon.measures(), makeLinks(), settings.failureDomain, settings.acceptDeadline)
-    , m_sheets(m_daemon.platform(), m_daemon.configuration(),
-               settings.process + '/' + std::to_string(m_daemon.incarnation()))
+struct entry_daemon::parts
 {
-}
+    explicit parts(const daemon_settings &own)
+        : settings(own)
+        , incarnation(makeIncarnation())
+        , storeClient(storeHttp, {own.platformAddress, own.platformPort})
+        , objectClient(storeHttp, {own.platformAddress, own.platformPort})
+        , clock(storeClient)
+        , rows(clock, objectClient, own.platformTimeout)
+        , configuration(rows, [this](const planning_sheet &applied) { sheetApplied(applied); })
+        , circle(settings, incarnation, clock, rows, configuration,
+                 {platform::workerTable,
+                  [this](const std::string &id, const std::string &text) {
+                      return platform::decodeUpstream(id, text, settings.bookingPool);
+                  }},
+                 {[this] { membershipChanged(); }, [this](const wire::Message &message) { received(message); }})
+        , bookings(bookingHttp, measures, makeRoutingSettings(settings), settings.bookingDeadline,
+                   [this](const upstream_id &upstream) { spreadLeaving(upstream); })
+        , demands(rows, measures, makeDemandLinks(),
+                  {settings.failureDomain, settings.taskPool, settings.acceptDeadline})
+        , sheets(rows, configuration, settings.process + '/' + std::to_string(incarnation))
+        , server({}, [this](const std::shared_ptr<http_request> &request) { serve(request); })
+    {
+    }
 
-int entry_daemon::run()
-{
-    return m_daemon.run();
-}
+    demand_links makeDemandLinks()
+    {
+        demand_links links;
+        links.askOwner = [this](const job_id &job, report_handler done) { askOwner(job, std::move(done)); };
+        links.sheet = [this] { return sheet ? &*sheet : nullptr; };
+        links.storeTime = [this] { return clock.storeTime(); };
+        return links;
+    }
 
-daemon_role entry_daemon::makeRole()
-{
-    daemon_role role;
-    role.name = "entryd";
-    role.request = [this](const std::shared_ptr<http_request> &request) { serve(request); };
-    role.message = [this](const wire::Message &message, const auto & /*reply*/) { receive(message); };
-    role.sheetApplied = [this](const planning_sheet &sheet) { m_sheet = sheet; };
-    role.membershipChanged = [this] { m_bookings.setUpstreams(m_daemon.membership().vms); };
-    role.drain = [] { };
-    role.isDrained = [this] { return m_bookings.inFlight() == 0; };
-    role.unfinished = [this] { return "bookings=" + std::to_string(m_bookings.inFlight()); };
-    role.isPlacing = [] { return false; };
-    role.status = [this] { return status(); };
-    return role;
-}
+    // --- peers
 
-demand_links entry_daemon::makeLinks()
-{
-    demand_links links;
-    links.notify = [this](const auto &home, const auto &key) { notifyHome(home, key); };
-    links.ask = [this](const auto &home, const auto &key, const auto &done) { askHome(home, key, done); };
-    links.sheet = [this] { return m_sheet ? &*m_sheet : nullptr; };
-    return links;
-}
+    void sheetApplied(const planning_sheet &applied)
+    {
+        sheet = applied;
+        measures.set("primrosecroft_configuration_version", static_cast<double>(configuration.current()->version));
+        membershipChanged();
+        circle.sendHeartbeats();
+        demands.acceptSheetDemands();
+    }
 
-void entry_daemon::serve(const std::shared_ptr<http_request> &request)
-{
-    const auto path = request->path();
-    if (isAdministration(request->method(), path)) {
-        const auto &settings = m_daemon.settings();
+    void membershipChanged()
+    {
+        auto vms = circle.membership().vms;
+        for (auto &vm : vms) {
+            // Executors say where they stand, the sheet says in which region that is.
+            if (vm.region.empty() && sheet && sheet->regions.contains(vm.failureDomain)) {
+                vm.region = sheet->regions.at(vm.failureDomain);
+            }
+        }
+        bookings.setUpstreams(vms);
+    }
+
+    void received(const wire::Message &message)
+    {
+        if (message.__isset.leavingNotice) {
+            bookings.upstreamLeft(message.leavingNotice.upstream);
+        }
+    }
+
+    void spreadLeaving(const upstream_id &upstream)
+    {
+        wire::Message message;
+        message.leavingNotice.upstream = upstream;
+        message.__isset.leavingNotice = true;
+        circle.spread(message);
+    }
+
+    /// The owner of the cell is named by its row; it alone knows where tasks run.
+    void askOwner(const job_id &job, report_handler done)
+    {
+        rows.readRow(ownerPlace(), [this, job, done = std::move(done)](const row_reading &found) {
+            if (!found || !*found) {
+                done(std::nullopt);
+                return;
+            }
+            try {
+                askOwnerAt(decodeOwner((*found)->value).address, job, done);
+            } catch (const error &fault) {
+                LOG(ERROR) << "demands: unreadable owner row, reason=" << fault.what();
+                done(std::nullopt);
+            }
+        });
+    }
+
+    void askOwnerAt(const peer_address &owner, const job_id &job, const report_handler &done)
+    {
+        wire::Message message;
+        message.jobQuery.id = job;
+        message.jobQuery.__set_withTasks(true);
+        message.__isset.jobQuery = true;
+        circle.hub().ask(owner, message, askTimeout, [done](const std::optional<wire::Message> &reply) {
+            if (!reply || !reply->__isset.jobReport || !reply->jobReport.known) {
+                done(std::nullopt);
+                return;
+            }
+            std::vector<task_report> tasks;
+            std::ranges::transform(reply->jobReport.tasks, std::back_inserter(tasks), [](const wire::TaskReport &task) {
+                return task_report {task.index, task.state, task.worker};
+            });
+            done(std::move(tasks));
+        });
+    }
+
+    // --- requests
+
+    void serve(const std::shared_ptr<http_request> &request)
+    {
+        const auto path = request->path();
+        if (isAdministration(request->method(), path) && refuseStranger(request)) {
+            return;
+        }
+        if (path == "/healthz") {
+            request->answer(jsonAnswer(statusOk, R"({"alive":true})"));
+        } else if (path == "/readyz") {
+            request->answer(isReady() ? jsonAnswer(statusOk, R"({"ready":true})")
+                                      : jsonAnswer(statusUnavailable, R"({"ready":false})"));
+        } else if (path == "/metrics") {
+            request->answer({statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText()});
+        } else if (path == "/v1/status") {
+            request->answer(jsonAnswer(statusOk, statusText()));
+        } else if (path.starts_with("/booking/")) {
+            bookings.serve(request);
+        } else if (path == "/v1/demands" || path.starts_with("/v1/demands/")) {
+            demands.serve(request);
+        } else if (path == "/v1/sheet" || path.starts_with("/v1/sheet/")) {
+            sheets.serve(request);
+        } else {
+            request->answer(toAnswer({statusNotFound, request_outcome::refused, "read request", "",
+                                      "no such path is served", std::nullopt, ""}));
+        }
+    }
+
+    bool refuseStranger(const std::shared_ptr<http_request> &request)
+    {
         const auto refusal = refuseUnlessAdministrator({settings.administrationToken, settings.openAdministration},
                                                        request->header("Authorization"));
         if (refusal) {
-            m_daemon.measures().count("primrosecroft_administration_refused_total", "status",
-                                      std::to_string(refusal->status));
+            measures.count("primrosecroft_administration_refused_total", "status", std::to_string(refusal->status));
             request->answer(*refusal);
-            return;
         }
+        return refusal.has_value();
     }
-    if (path.starts_with("/booking/")) {
-        m_bookings.serve(request);
-    } else if (path == "/v1/demands" || path.starts_with("/v1/demands/")) {
-        m_demands.serve(request);
-    } else if (path == "/v1/sheet" || path.starts_with("/v1/sheet/")) {
-        m_sheets.serve(request);
-    } else {
-        request->answer(toAnswer({statusNotFound, request_outcome::refused, "read request", "",
-                                  "no such path is served", std::nullopt, ""}));
+
+    bool isReady() const
+    {
+        return !leaving && circle.isListed() && configuration.isKnown();
     }
-}
 
-void entry_daemon::receive(const wire::Message &message)
-{
-    if (message.__isset.leavingNotice) {
-        m_bookings.upstreamLeft(message.leavingNotice.upstream);
+    std::string metricsText()
+    {
+        measures.set("primrosecroft_peer_messages_sent", static_cast<double>(circle.hub().messagesSent()));
+        measures.set("primrosecroft_peer_bytes_sent", static_cast<double>(circle.hub().bytesSent()));
+        measures.set("primrosecroft_peer_bytes_received", static_cast<double>(circle.hub().bytesReceived()));
+        measures.set("primrosecroft_control_http_bytes_sent", static_cast<double>(storeHttp.controlBytes().sent));
+        measures.set("primrosecroft_control_http_bytes_received",
+                     static_cast<double>(storeHttp.controlBytes().received));
+        measures.set("primrosecroft_control_http_calls", static_cast<double>(storeHttp.controlBytes().calls));
+        measures.set("primrosecroft_store_reads", static_cast<double>(clock.reads()));
+        measures.set("primrosecroft_store_writes", static_cast<double>(clock.writes()));
+        return measures.text();
     }
-}
 
-void entry_daemon::notifyHome(const failure_domain_id &home, const demand_key &key)
-{
-    wire::Message message;
-    message.demandNotice.key = key;
-    message.__isset.demandNotice = true;
-    for (const auto &scheduler : m_daemon.schedulersOf(home)) {
-        m_daemon.peers().send(scheduler, message);
+    std::string statusText()
+    {
+        auto peers = nlohmann::json::array();
+        for (const auto &peer : livePeers(circle.membership(), bootNow())) {
+            peers.push_back({{"process", peer.process},
+                             {"failureDomain", peer.failureDomain},
+                             {"configurationVersion", peer.configurationVersion}});
+        }
+        auto upstreams = nlohmann::json::array();
+        for (const auto &upstream : bookings.state().upstreams | std::views::values) {
+            upstreams.push_back({{"id", upstream.description.id},
+                                 {"failureDomain", upstream.description.failureDomain},
+                                 {"inFlight", upstream.inFlight},
+                                 {"leaving", primrosecroft::isLeaving(bookings.state(), upstream)}});
+        }
+        return nlohmann::json {{"process", settings.process},
+                               {"failureDomain", settings.failureDomain},
+                               {"region", settings.region},
+                               {"ready", isReady()},
+                               {"configurationVersion", configuration.current() ? configuration.current()->version : 0},
+                               {"storeReachable", rows.isReachable()},
+                               {"peers", peers},
+                               {"bookingsInFlight", bookings.inFlight()},
+                               {"upstreams", upstreams}}
+            .dump();
     }
-}
 
-void entry_daemon::askHome(const failure_domain_id &home, const demand_key &key, const report_handler &done)
-{
-    askNext(m_daemon.schedulersOf(home), key, done);
-}
+    // --- the process
 
-void entry_daemon::askNext(std::vector<peer_address> schedulers, const demand_key &key, const report_handler &done)
-{
-    if (schedulers.empty()) {
-        done(std::nullopt);
-        return;
-    }
-    const auto next = schedulers.back();
-    schedulers.pop_back();
-    wire::Message message;
-    message.demandQuery.key = key;
-    message.__isset.demandQuery = true;
-    m_daemon.peers().ask(next, message, askTimeout,
-                         [this, schedulers, key, done](const std::optional<wire::Message> &reply) {
-                             if (reply && reply->__isset.demandReport && reply->demandReport.known) {
-                                 done(readReport(reply->demandReport));
-                                 return;
-                             }
-                             askNext(schedulers, key, done);
-                         });
-}
+    static int onSignal(gpointer self)
+    {
+        static_cast<parts *>(self)->beginShutdown();
+        return G_SOURCE_CONTINUE;
+    }
 
-void entry_daemon::spreadLeaving(const upstream_id &upstream)
-{
-    wire::Message message;
-    message.leavingNotice.upstream = upstream;
-    message.__isset.leavingNotice = true;
-    for (const auto &peer : m_daemon.otherDaemons()) {
-        if (peer.port == m_daemon.settings().entryPeerPort) {
-            m_daemon.peers().send(peer, message);
+    void beginShutdown()
+    {
+        if (std::exchange(leaving, true)) {
+            end(exitCutOff);
+            return;
         }
+        LOG(INFO) << "entryd: leaving, waiting for the balancer";
+        circle.leave();
+        limit.once(settings.balancerPause + settings.shutdownLimit, [this] { end(exitCutOff); });
+        pause.once(settings.balancerPause, [this] {
+            server.stopListening();
+            drainCheck.every(drainCheckInterval, [this] { endWhenIdle(); });
+        });
     }
+
+    /// A request on a kept connection may have come just now: idle must last.
+    void endWhenIdle()
+    {
+        if (bookings.inFlight() != 0 || server.inFlight() != 0) {
+            idleSince.reset();
+            return;
+        }
+        const auto now = bootNow();
+        if (now >= idleSince.value_or(now) + goodbyePause) {
+            drainCheck.stop();
+            end(0);
+        } else if (!idleSince) {
+            idleSince = now;
+        }
+    }
+
+    void end(int status)
+    {
+        if (status == 0) {
+            LOG(INFO) << "entryd: ended, nothing was cut off";
+        } else {
+            LOG(WARNING) << "entryd: ended early, cut off: bookings=" << bookings.inFlight()
+                         << " open requests=" << server.inFlight();
+        }
+        exitStatus = status;
+        g_main_loop_quit(loop.get());
+    }
+
+    int run()
+    {
+        circle.start();
+        server.listen(settings.address, settings.httpPort);
+        LOG(INFO) << "entryd: listening, address=" << settings.address << " http=" << settings.httpPort
+                  << " peers=" << settings.peerPort;
+        const auto signals = {g_unix_signal_add(SIGTERM, &parts::onSignal, this),
+                              g_unix_signal_add(SIGINT, &parts::onSignal, this)};
+        configuration.start(settings.configurationInterval);
+        sheetTimer.every(sheetInterval, [this] { demands.acceptSheetDemands(); });
+        g_main_loop_run(loop.get());
+        std::ranges::for_each(signals, [](guint source) { g_source_remove(source); });
+        return exitStatus;
+    }
+
+    daemon_settings settings;
+    std::int64_t incarnation;
+    std::unique_ptr<GMainLoop, loop_unref> loop {g_main_loop_new(nullptr, FALSE)};
+    http_client bookingHttp {bookingConnections};
+    http_client storeHttp {storeConnections};
+    platform::store_client storeClient;
+    platform::object_client objectClient;
+    watched_store clock;
+    guarded_store rows;
+    metrics measures;
+    std::optional<planning_sheet> sheet;
+    configuration_follower configuration;
+    peer_circle circle;
+    booking_proxy bookings;
+    demand_service demands;
+    sheet_service sheets;
+    http_server server;
+    timer sheetTimer;
+    timer pause;
+    timer limit;
+    timer drainCheck;
+    std::optional<instant> idleSince; ///< while draining
+    bool leaving = false;
+    int exitStatus = 0;
+};
+
+entry_daemon::entry_daemon(const daemon_settings &settings)
+    : m_parts(std::make_unique<parts>(settings))
+{
 }
 
-std::string entry_daemon::status() const
+entry_daemon::~entry_daemon() = default;
+
+int entry_daemon::run()
 {
-    nlohmann::json upstreams = nlohmann::json::array();
-    for (const auto &upstream : m_bookings.state().upstreams | std::views::values) {
-        upstreams.push_back({{"id", upstream.description.id},
-                             {"failureDomain", upstream.description.failureDomain},
-                             {"inFlight", upstream.inFlight},
-                             {"leaving", isLeaving(m_bookings.state(), upstream)}});
-    }
-    return nlohmann::json {{"bookingsInFlight", m_bookings.inFlight()}, {"upstreams", upstreams}}.dump();
+    return m_parts->run();
 }
 
 } // namespace primrosecroft
--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -1,10 +1,36 @@
+#include "core/error.h"
 #include "entry_daemon.h"
 
+#include <CLI/CLI.hpp>
+#include <glog/logging.h>
+#include <iostream>
+
 int main(int argc, char **argv)
 {
     using namespace primrosecroft;
-    return runDaemon(argc, argv, "Serves callers and operators on one entry VM.", [](const daemon_settings &settings) {
-        entry_daemon daemon(settings);
-        return daemon.run();
-    });
+    CLI::App app("Serves callers and operators on one entry VM.");
+    std::string path;
+    bool checkOnly = false;
+    bool printOnly = false;
+    app.add_option("settings", path, "YAML file with this process's settings")->required();
+    app.add_flag("--check-settings", checkOnly, "check the settings and end");
+    app.add_flag("--print-settings", printOnly, "print all settings, defaults included, and end");
+    CLI11_PARSE(app, argc, argv);
+    try {
+        const auto settings = loadDaemonSettings(path);
+        if (printOnly) {
+            std::cout << toYaml(settings);
+            return 0;
+        }
+        if (checkOnly) {
+            std::cout << path << ": good\n";
+            return 0;
+        }
+        FLAGS_logtostderr = true;
+        google::InitGoogleLogging(argv[0]);
+        return entry_daemon(settings).run();
+    } catch (const error &fault) {
+        std::cerr << fault.what() << '\n';
+        return 1;
+    }
 }
--- /dev/null
+++ b/src/entryd/peer_circle.cpp
@@ -0,0 +1,269 @@
+#include "peer_circle.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "membership/daemon_row.h"
+#include "primrosecroft_types.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <utility>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+constexpr std::size_t heartbeatsPerDomain = 1; ///< across the link
+constexpr double storeBudgetAtReturn = 80.0; ///< calls a second of all daemons together
+constexpr int rowsInLife = 3; ///< a row is written so often in the time that it counts
+
+wire::Sender makeSender(const daemon_settings &settings, std::int64_t incarnation)
+{
+    wire::Sender sender;
+    sender.process = settings.process;
+    sender.role = "entryd";
+    sender.failureDomain = settings.failureDomain;
+    sender.incarnation = incarnation;
+    return sender;
+}
+
+wire::Message bodyMessage(const configuration_version &version)
+{
+    wire::Message message;
+    message.configurationBody.version = version.version;
+    message.configurationBody.hash = version.hash;
+    message.configurationBody.body = version.text;
+    message.__isset.configurationBody = true;
+    return message;
+}
+
+} // namespace
+
+peer_circle::peer_circle(const daemon_settings &settings, std::int64_t incarnation, watched_store &clock,
+                         guarded_store &rows, configuration_follower &configuration, upstream_source source,
+                         circle_links links)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_store(rows)
+    , m_configuration(configuration)
+    , m_source(std::move(source))
+    , m_links(std::move(links))
+    , m_hub(makeSender(settings, incarnation),
+            [this](const wire::Message &message, const auto &reply) { received(message, reply); })
+{
+    m_membership.self = settings.process;
+    m_membership.failureDomain = settings.failureDomain;
+}
+
+void peer_circle::start()
+{
+    m_hub.listen({m_settings.address, m_settings.peerPort});
+    m_listTimer.every(m_settings.vmListInterval, [this] { refresh(); });
+    m_heartbeatTimer.every(m_settings.heartbeatInterval, [this] { sendHeartbeats(); });
+    refresh();
+}
+
+void peer_circle::leave()
+{
+    m_isLeaving = true;
+    sendHeartbeats();
+    store_transaction removal;
+    removal.removals.push_back(daemonPlace(m_settings.process));
+    m_store.commit(removal, [](const commit_result &result) {
+        LOG(INFO) << "circle: own row removed, outcome=" << toString(result.outcome);
+    });
+}
+
+bool peer_circle::isListed() const
+{
+    return m_isListed;
+}
+
+const membership_state &peer_circle::membership() const
+{
+    return m_membership;
+}
+
+peer_hub &peer_circle::hub()
+{
+    return m_hub;
+}
+
+void peer_circle::spread(const wire::Message &message)
+{
+    for (const auto &vm : entryVms(m_membership)) {
+        if (vm.id != m_settings.process) {
+            m_hub.send({vm.address, vm.port}, message);
+        }
+    }
+}
+
+void peer_circle::received(const wire::Message &message, const std::function<void(wire::Message)> &reply)
+{
+    if (message.__isset.heartbeat) {
+        heard(message, reply);
+    } else if (message.__isset.configurationRequest) {
+        offerConfiguration(message.configurationRequest.aboveVersion, reply);
+    } else if (message.__isset.configurationBody) {
+        const auto &body = message.configurationBody;
+        m_configuration.offer({body.version, body.hash, body.body});
+    } else {
+        m_links.received(message);
+    }
+}
+
+void peer_circle::heard(const wire::Message &message, const std::function<void(wire::Message)> &reply)
+{
+    const auto &heartbeat = message.heartbeat;
+    peer_record peer;
+    peer.process = message.sender.process;
+    peer.failureDomain = message.sender.failureDomain;
+    peer.incarnation = message.sender.incarnation;
+    peer.configurationVersion = heartbeat.configurationVersion;
+    peer.leaving = heartbeat.leaving;
+    const auto effect = heardFrom(m_membership, peer, bootNow());
+    if (effect.dropped) {
+        return;
+    }
+    if (effect.changed) {
+        m_links.membershipChanged();
+    }
+    m_configuration.peerHas(heartbeat.configurationVersion);
+    const auto own = m_configuration.current() ? m_configuration.current()->version : 0;
+    if (heartbeat.configurationVersion < own) {
+        offerConfiguration(heartbeat.configurationVersion, reply);
+    } else if (heartbeat.configurationVersion > own) {
+        wire::Message request;
+        request.configurationRequest.aboveVersion = own;
+        request.__isset.configurationRequest = true;
+        reply(request);
+    }
+}
+
+void peer_circle::offerConfiguration(std::int64_t above, const std::function<void(wire::Message)> &reply) const
+{
+    const auto &current = m_configuration.current();
+    if (current && current->version > above) {
+        reply(bodyMessage(*current));
+    }
+}
+
+bool peer_circle::isRepresentative() const
+{
+    return representsDomain(m_membership, m_isLeaving, bootNow());
+}
+
+/// All of the own failure domain; across the link one of each other, from the representative only.
+std::vector<peer_address> peer_circle::heartbeatPeers()
+{
+    std::vector<peer_address> result;
+    // A goodbye is for everybody.
+    const auto perDomain = m_isLeaving ? m_membership.vms.size() : heartbeatsPerDomain;
+    for (const auto &vm :
+         heartbeatTargets(m_membership, m_isLeaving || isRepresentative(), perDomain, ++m_heartbeatTurn)) {
+        if (vm.id != m_settings.process) {
+            result.push_back({vm.address, vm.port});
+        }
+    }
+    return result;
+}
+
+void peer_circle::sendHeartbeats()
+{
+    forgetSilent(m_membership, bootNow());
+    m_configuration.setFetchesFirst(isRepresentative());
+    wire::Message message;
+    message.heartbeat.configurationVersion = m_configuration.current() ? m_configuration.current()->version : 0;
+    message.heartbeat.leaving = m_isLeaving;
+    message.__isset.heartbeat = true;
+    for (const auto &peer : heartbeatPeers()) {
+        m_hub.ask(peer, message, m_settings.heartbeatInterval, [this, peer](std::optional<wire::Message> reply) {
+            if (!reply) {
+                return;
+            }
+            if (reply->__isset.configurationBody) {
+                const auto &body = reply->configurationBody;
+                m_configuration.offer({body.version, body.hash, body.body});
+            } else if (reply->__isset.configurationRequest && m_configuration.current()) {
+                m_hub.send(peer, bodyMessage(*m_configuration.current()));
+            }
+        });
+    }
+}
+
+void peer_circle::refresh()
+{
+    m_store.readAll({daemonTable, "", "", ""}, [this](const rows_reading &daemons) {
+        if (!daemons) {
+            return; // the list that is known goes on
+        }
+        m_store.readAll({m_source.table, "", "", ""}, [this, daemons](const rows_reading &executors) {
+            if (executors) {
+                takeList(*daemons, *executors);
+            }
+        });
+    });
+}
+
+void peer_circle::takeList(const std::vector<store_row> &daemons, const std::vector<store_row> &executors)
+{
+    std::vector<listed_vm> vms;
+    takeDaemons(daemons, vms);
+    for (const auto &row : executors) {
+        if (auto executor = m_source.decode(row.place.key, row.value)) {
+            vms.push_back(std::move(*executor));
+        }
+    }
+    m_membership.vms = std::move(vms);
+    const auto count = std::max<std::size_t>(1, entryVms(m_membership).size());
+    m_store.setReturnBudget(storeBudgetAtReturn / static_cast<double>(count));
+    m_links.membershipChanged();
+    writeOwnRow();
+    if (!std::exchange(m_isListed, true)) {
+        sendHeartbeats();
+    }
+}
+
+/// Rows of daemons that have gone are taken away by a representative.
+void peer_circle::takeDaemons(const std::vector<store_row> &rows, std::vector<listed_vm> &vms)
+{
+    for (const auto &row : rows) {
+        try {
+            const auto daemon = decodeDaemon(row.place.key, row.value);
+            if (daemon.writtenAt + daemonRowLife > m_clock.storeTime()) {
+                vms.push_back(daemon.vm);
+                continue;
+            }
+        } catch (const error &fault) {
+            LOG(WARNING) << "circle: unreadable row, daemon=" << row.place.key << " reason=" << fault.what();
+        }
+        if (isRepresentative()) {
+            m_store.commit({{{row.place, row.version}}, {}, {row.place}}, [key = row.place.key](const auto &result) {
+                LOG(INFO) << "circle: row removed, daemon=" << key << " outcome=" << toString(result.outcome);
+            });
+        }
+    }
+}
+
+void peer_circle::writeOwnRow()
+{
+    const auto now = m_clock.storeTime();
+    if (m_isLeaving || (m_rowWrittenAt.count() > 0 && now < m_rowWrittenAt + daemonRowLife / rowsInLife)) {
+        return;
+    }
+    daemon_row own;
+    own.vm = {m_settings.process,  vm_role::entry, m_settings.failureDomain, m_settings.region, m_settings.address,
+              m_settings.peerPort, false};
+    own.writtenAt = now;
+    store_transaction row;
+    row.writes.push_back({daemonPlace(own.vm.id), encodeDaemon(own)});
+    m_store.commit(row, [this, now](const commit_result &result) {
+        if (result.outcome == store_outcome::done) {
+            m_rowWrittenAt = now;
+        }
+    });
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/entryd/peer_circle.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "configuration/configuration_follower.h"
+#include "io/peer_hub.h"
+#include "io/timer.h"
+#include "membership/membership.h"
+#include "settings/daemon_settings.h"
+#include "store/guarded_store.h"
+#include "store/watched_store.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace primrosecroft
+{
+
+/// Where executors of bookings announce themselves, and how an entry is read.
+struct upstream_source
+{
+    std::string table;
+    std::function<std::optional<listed_vm>(const std::string &id, const std::string &text)> decode;
+};
+
+struct circle_links
+{
+    std::function<void()> membershipChanged;
+    std::function<void(const wire::Message &message)> received; ///< what is not about the circle itself
+};
+
+/**
+ * The entry daemons of a deployment among themselves: found by their rows in the store, in
+ * touch by heartbeats, with newer versions of the configuration passed on.
+ */
+class peer_circle
+{
+public:
+    peer_circle(const daemon_settings &settings, std::int64_t incarnation, watched_store &clock, guarded_store &rows,
+                configuration_follower &configuration, upstream_source source, circle_links links);
+
+    /// Listens for peers. Throws error when the address can't be bound.
+    void start();
+
+    /// Says goodbye to everybody, and takes the own row away.
+    void leave();
+
+    /// Tells peers of the version in force here.
+    void sendHeartbeats();
+
+    /// Tells all other entry daemons.
+    void spread(const wire::Message &message);
+
+    /// True once the store has said who is there.
+    bool isListed() const;
+
+    const membership_state &membership() const;
+    peer_hub &hub();
+
+private:
+    void received(const wire::Message &message, const std::function<void(wire::Message)> &reply);
+    void heard(const wire::Message &message, const std::function<void(wire::Message)> &reply);
+    void offerConfiguration(std::int64_t above, const std::function<void(wire::Message)> &reply) const;
+    std::vector<peer_address> heartbeatPeers();
+    bool isRepresentative() const;
+    void refresh();
+    void takeList(const std::vector<store_row> &daemons, const std::vector<store_row> &executors);
+    void takeDaemons(const std::vector<store_row> &rows, std::vector<listed_vm> &vms);
+    void writeOwnRow();
+
+    const daemon_settings &m_settings;
+    watched_store &m_clock;
+    guarded_store &m_store;
+    configuration_follower &m_configuration;
+    upstream_source m_source;
+    circle_links m_links;
+    membership_state m_membership;
+    peer_hub m_hub;
+    timer m_listTimer;
+    timer m_heartbeatTimer;
+    std::chrono::milliseconds m_rowWrittenAt {0}; ///< on the store's clock
+    std::uint64_t m_heartbeatTurn = 0;
+    bool m_isLeaving = false;
+    bool m_isListed = false;
+};
+
+} // namespace primrosecroft
--- a/src/libprimrosecroft/administration/administration.cpp
+++ b/src/libprimrosecroft/administration/administration.cpp
@@ -1,6 +1,6 @@
 #include "administration/administration.h"
 
-#include "configuration/configuration.h"
+#include "core/checksum.h"
 #include "observability/problem.h"
 
 #include <functional>
@@ -19,8 +19,8 @@
 bool equalInConstantTime(const std::string &left, const std::string &right)
 {
     // Hashes have one length, so not even the lengths show.
-    const auto first = sheetHash(left);
-    const auto second = sheetHash(right);
+    const auto first = sha256(left);
+    const auto second = sha256(right);
     const auto differing = std::transform_reduce(
         first.begin(), first.end(), second.begin(), 0U, std::bit_or<> {},
         [](char one, char other) { return static_cast<unsigned>(static_cast<unsigned char>(one ^ other)); });
--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -48,6 +48,7 @@
                    [&](const ownership_confirmed &confirmed) {
                        state.confirmedAt = std::max(state.confirmedAt, confirmed.sentAt);
                    },
+                   [&](const rules_seen &seen) { state.rules = seen.rules; },
                    [&](const clock_ticked &clock) {
                        state.timeOfDay = clock.timeOfDay;
                        state.storeTime = clock.storeTime;
@@ -98,6 +99,31 @@
     return found->second.hasStarted ? job_status::running : job_status::queued;
 }
 
+std::vector<task_place> placesOf(const cell_state &state, const job_id &id)
+{
+    std::vector<task_place> result;
+    const auto found = state.jobs.find(id);
+    if (found == state.jobs.end() || found->second.occurrences.empty()) {
+        return result;
+    }
+    for (const auto &each : found->second.occurrences.begin()->second.steps) {
+        for (const auto &task : each.tasks) {
+            task_place place;
+            place.index = static_cast<std::int32_t>(result.size());
+            if (task.done) {
+                place.state = "done";
+            } else if (task.runs.empty()) {
+                place.state = "waiting";
+            } else {
+                place.state = task.runs.front().phase == run_phase::running ? "running" : "starting";
+                place.worker = task.runs.front().worker;
+            }
+            result.push_back(place);
+        }
+    }
+    return result;
+}
+
 cell_summary summarize(const cell_state &state, instant now)
 {
     cell_summary result;
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -66,6 +66,9 @@
     bool done = false;
     std::set<std::uint32_t> failedAttempts;
     std::string checkpoint;
+    bool mayHaveBegun = false; ///< of a task that runs once: its start is, or is about to be, recorded
+    bool isBeginStored = false; ///< it is recorded, so the start may be sent
+    bool wasBegunBefore = false; ///< recorded by an earlier owner
     std::uint32_t lastAttempt = 0;
     std::vector<task_run> runs; ///< more than one only where copies may run
     std::set<worker_id> avoid; ///< where it failed
@@ -120,6 +123,7 @@
     bool hasProgress = false; ///< a progress row is or may be stored
     bool cancelled = false;
     bool failed = false;
+    bool isUnknown = false; ///< a task that runs once was lost
     bool changed = false; ///< what is stored has to be written anew
     bool isEndStored = false; ///< it stays here only while runs of it take room on workers
     std::uint64_t writing = 0; ///< number of the commit under way; 0 without one
@@ -135,7 +139,7 @@
 struct occupied_room
 {
     resources size;
-    resources declared; ///< what a task that fills asks for beside the room it takes
+    std::int64_t declaredCores = 0; ///< what a task that fills asks for beside the room it takes, in thousandths
     bool serves = false; ///< it has a latency target
     bool fills = false;
 };
@@ -165,11 +169,21 @@
     std::int64_t notedEnd = 0;
     resources used;
     std::map<run_id, occupied_room> rooms;
+    std::int32_t serving = 0; ///< rooms of tasks with a target
+    std::int32_t filling = 0; ///< rooms of tasks that fill
+    std::int64_t fillingCores = 0; ///< what they ask for, in thousandths
     std::set<run_id> strangers; ///< runs of jobs that aren't known here; their size isn't either
     worker_health health;
     bool resolved = false; ///< it answered under this owner's token
 };
 
+/// Ends of one boot of a worker, up to a number.
+struct covered_ends
+{
+    worker_boot boot = 0;
+    std::int64_t number = 0;
+};
+
 struct advice_record
 {
     double allowedShare = 0.5; ///< smoothed, of the workers asked for
@@ -188,6 +202,7 @@
     std::set<worker_id> book; ///< as stored
     std::uint64_t bookWriting = 0; ///< number of the commit that carries it
     std::set<worker_id> bookSent;
+    cell_rules rules;
     std::map<job_id, job_state> jobs;
     std::map<job_id, job_status> finished; ///< stored ends, the latest ones
     std::deque<job_id> finishedOrder;
@@ -201,7 +216,7 @@
     std::uint64_t lastCommit = 0;
     bool committing = false;
     std::set<job_id> committingJobs;
-    std::map<worker_id, std::int64_t> committingEnds; ///< seen ends that the commit under way covers
+    std::map<worker_id, covered_ends> committingEnds; ///< seen ends that the commit under way covers
     bool committingAll = false; ///< it leaves nothing unsaved that was known when it was made
     instant nextCommit;
     instant nextSupervision;
@@ -221,6 +236,17 @@
 /// What callers are told; none when the job isn't known here.
 std::optional<job_status> statusOf(const cell_state &state, const job_id &id);
 
+/// Where one task of a job's first occurrence is.
+struct task_place
+{
+    std::int32_t index = 0; ///< counted through all steps
+    std::string state; ///< waiting, starting, running or done
+    worker_id worker;
+};
+
+/// Empty when the job isn't known here.
+std::vector<task_place> placesOf(const cell_state &state, const job_id &id);
+
 /// The cell at a glance, for logs and metrics.
 struct cell_summary
 {
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/cell_rules.h"
 #include "jobs/job.h"
 #include "jobs/job_rows.h"
 #include "store/store.h"
@@ -175,6 +176,12 @@
     instant sentAt;
 };
 
+/// The operators' rules, as stored.
+struct rules_seen
+{
+    cell_rules rules;
+};
+
 struct clock_ticked
 {
     std::chrono::milliseconds timeOfDay {0}; ///< since 1970
@@ -184,7 +191,7 @@
 
 using cell_message =
     std::variant<worker_seen, worker_unlisted, job_arrived, job_cancelled, start_answered, stop_answered, list_answered,
-                 advice_answered, commit_answered, ownership_confirmed, clock_ticked>;
+                 advice_answered, commit_answered, ownership_confirmed, rules_seen, clock_ticked>;
 
 // --- what the core asks for
 
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -1,5 +1,6 @@
 #include "cell/cell_runner.h"
 
+#include "cell/cell_rules.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/overloaded.h"
@@ -194,10 +195,28 @@
                                     self.state.book = decodeBook(book->value);
                                     self.state.unresolved = self.state.book;
                                 }
+                                self.takeRules(result.rows);
                                 self.loaded();
                             }));
     }
 
+    void takeRules(const std::vector<store_row> &rows)
+    {
+        const auto row = std::ranges::find(rows, rulesPlace(), &store_row::place);
+        if (row == rows.end()) {
+            return;
+        }
+        try {
+            const auto rules = decodeRules(row->value);
+            runner.m_log.write(
+                "cell", "rules",
+                {{"version", std::to_string(row->version)}, {"drained", std::to_string(rules.drained.size())}});
+            step(state, rules_seen {rules}, bootNow(), actions);
+        } catch (const error &fault) {
+            runner.m_log.write("cell", "row-unreadable", {{"id", row->place.key}, {"reason", fault.what()}});
+        }
+    }
+
     void loadJobs(const std::string &from)
     {
         runner.m_store.read({jobTable, shardPart, from, "", 500}, readTimeout,
@@ -351,12 +370,34 @@
         if (row.dropped) {
             return;
         }
-        const auto id = row.place.key;
-        readJob(id, [id](session &self) {
-            store_transaction removal;
-            removal.removals.push_back(inboxPlace(id));
-            self.commit(removal, [](session &, const commit_result &) { });
-        });
+        if (row.place == rulesNoticePlace()) {
+            readRules(row);
+            return;
+        }
+        readJob(row.place.key, [row](session &self) { self.clearInbox(row); });
+    }
+
+    void readRules(const store_row &notice)
+    {
+        const auto place = rulesPlace();
+        runner.m_store.read({place.table, place.part, place.key, place.key + '\x01', 1}, readTimeout,
+                            guarded([notice](session &self, const range_result &result) {
+                                if (result.outcome != store_outcome::done) {
+                                    self.inboxAfter = 0; // all of the inbox is read again
+                                    return;
+                                }
+                                self.takeRules(result.rows);
+                                self.clearInbox(notice);
+                            }));
+    }
+
+    /// Takes a row away that was acted on; a newer one under its key stays.
+    void clearInbox(const store_row &row)
+    {
+        store_transaction removal;
+        removal.conditions.push_back({row.place, row.version});
+        removal.removals.push_back(row.place);
+        commit(removal, [](session &, const commit_result &) { });
     }
 
     /// Learns of a job, or of its cancelling, from its rows; @p done follows when they could be read.
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -32,6 +32,9 @@
 /// A run is over without the task being done: it waits again, unless the job has ended.
 void becomeIdle(cell_state &state, const task_ref &ref, const task_view &view, instant now);
 
+/// A task that runs once was lost: it may have done its work, so its job ends.
+void loseTask(cell_state &state, const task_view &view, instant now, cell_actions &actions);
+
 void taskDone(cell_state &state, const task_ref &ref, const task_view &view, instant now, cell_actions &actions);
 void taskFailed(cell_state &state, const run_id &run, const task_view &view, instant now, cell_actions &actions);
 void markChanged(cell_state &state, job_state &job);
@@ -64,9 +67,12 @@
 /// Notes that an order with this deadline leaves, answered or not.
 void noteDeadline(worker_state &worker, worker_time deadline);
 
+/// Books room for a run that has been ordered, or found.
+void occupy(worker_state &worker, const run_id &run, const step_spec &spec);
+
 resources freeRoom(const worker_state &worker);
 bool mayStartOn(const cell_state &state, const worker_state &worker, instant now);
-std::string rackOf(const described_worker &worker);
+const std::string &rackOf(const described_worker &worker);
 
 // --- placing.cpp
 
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -83,6 +83,8 @@
                     found != stored->tasks.end()) {
                     task.failedAttempts = found->second.failedAttempts;
                     task.checkpoint = found->second.checkpoint;
+                    task.mayHaveBegun = found->second.mayHaveBegun;
+                    task.wasBegunBefore = found->second.mayHaveBegun;
                 }
             }
             if (task.done) {
@@ -229,6 +231,14 @@
     }
 }
 
+void loseTask(cell_state &state, const task_view &view, instant now, cell_actions &actions)
+{
+    if (!view.task->done && !hasEnded(*view.job)) {
+        view.job->isUnknown = true;
+        failJob(state, *view.job, now, actions);
+    }
+}
+
 void taskDone(cell_state &state, const task_ref &ref, const task_view &view, instant now, cell_actions &actions)
 {
     if (view.task->done || hasEnded(*view.job)) {
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <ranges>
+#include <utility>
 
 /// Which task starts where, and which workers the advice service is asked for.
 namespace primrosecroft::detail
@@ -26,6 +27,7 @@
 constexpr std::int32_t advisersForCheap = 2; ///< processes that are kept free of costly calls
 constexpr std::int32_t cheapPerAdviser = 2; ///< cheap calls under way for each process that can ask
 constexpr auto earlyAdvice = 150ms; ///< beside the call's own time: asked so long before the step is due
+constexpr auto longestHeadStart = 120s; ///< longer estimates push a step no further back than this one does
 constexpr double lateFactor = 3; ///< times the objective: what is later has nothing to gain by haste
 
 /// A step with tasks to be started, in the order of service.
@@ -47,13 +49,13 @@
     }
 };
 
-/// A worker that may take tasks of a step, as far as its room goes.
+/// A worker that may take tasks of a step.
 struct candidate
 {
     worker_state *worker = nullptr;
-    std::int32_t ofThisStep = 0; ///< tasks of the step there
-    bool servesOthers = false; ///< tasks with a target run there
-    bool holdsFills = false;
+    std::int32_t ofThisStep = 0; ///< tasks of the step there, where it matters
+    std::int32_t capacity = 0; ///< tasks of the step that it could take now
+    double cost = 0; ///< lower is better
 };
 
 bool isInDoubt(const cell_state &state, const job_state &job, instant now)
@@ -86,7 +88,9 @@
                 waiting.priority = job.accepted.queue.priority;
                 const auto objective = std::chrono::duration_cast<duration>(job.objective);
                 const auto begin = job.accepted.spec.occurrences > 0 ? each.readyAt : job.arrivedAt;
-                waiting.due = begin + objective;
+                const auto fallback =
+                    std::min<duration>(waiting.spec->estimate, longestHeadStart) * state.rules.policy.shortFirst;
+                waiting.due = begin + objective + std::chrono::duration_cast<duration>(fallback);
                 waiting.isHopeless =
                     !waiting.spec->lasts && now > begin + std::chrono::duration_cast<duration>(objective * lateFactor);
                 result.push_back(waiting);
@@ -106,31 +110,17 @@
     return count;
 }
 
-resources roomTaken(const step_spec &spec)
-{
-    auto size = spec.size;
-    if (spec.fills) {
-        size.milliCores = 0;
-    }
-    return size;
-}
-
 /// Processor time that nobody has declared, tasks that fill included.
 std::int64_t undeclaredCores(const worker_state &worker)
 {
-    auto left = freeRoom(worker).milliCores;
-    for (const auto &[run, room] : worker.rooms) {
-        if (room.fills) {
-            left -= room.declared.milliCores;
-        }
-    }
-    return left;
+    return freeRoom(worker).milliCores - worker.fillingCores;
 }
 
 bool isSuited(const waiting_step &waiting, const worker_state &worker)
 {
     const auto &labels = worker.described.labels;
     return worker.described.pool == waiting.job->accepted.queue.pool
+        && (waiting.spec->failureDomain.empty() || waiting.spec->failureDomain == worker.described.failureDomain)
         && (waiting.spec->label.empty() || std::ranges::find(labels, waiting.spec->label) != labels.end());
 }
 
@@ -144,28 +134,14 @@
         && found->second.validUntil > now + ticketMargin;
 }
 
-candidate makeCandidate(const waiting_step &waiting, worker_state &worker)
-{
-    candidate result {&worker, 0, false, false};
-    if (waiting.spec->mostPerWorker > 0) {
-        result.ofThisStep = countOnWorker(*waiting.step, worker.described.id);
-    }
-    for (const auto &[run, room] : worker.rooms) {
-        result.servesOthers = result.servesOthers || room.serves;
-        result.holdsFills = result.holdsFills || room.fills;
-    }
-    return result;
-}
-
 /// How many tasks of the step the worker could take now.
-std::int32_t capacityFor(const waiting_step &waiting, const candidate &at)
+std::int32_t capacityFor(const step_spec &spec, const worker_state &worker, std::int32_t ofThisStep)
 {
-    const auto &spec = *waiting.spec;
-    if (spec.fills && at.servesOthers) {
+    if (spec.fills && worker.serving > 0) {
         return 0; // it would disturb them
     }
-    const auto room = freeRoom(*at.worker);
-    const auto cores = spec.fills ? undeclaredCores(*at.worker) : room.milliCores;
+    const auto room = freeRoom(worker);
+    const auto cores = spec.fills ? undeclaredCores(worker) : room.milliCores;
     auto count = static_cast<std::int64_t>(mostTasksPerStep);
     const auto limit = [&count](std::int64_t offered, std::int64_t needed) {
         if (needed > 0) {
@@ -176,24 +152,64 @@
     limit(room.memoryMib, spec.size.memoryMib);
     limit(room.accelerators, spec.size.accelerators);
     if (spec.mostPerWorker > 0) {
-        count = std::min<std::int64_t>(count, std::max(0, spec.mostPerWorker - at.ofThisStep));
+        count = std::min<std::int64_t>(count, std::max(0, spec.mostPerWorker - ofThisStep));
     }
     return static_cast<std::int32_t>(count);
 }
 
-std::vector<candidate> candidatesFor(cell_state &state, const waiting_step &waiting, instant now)
+candidate makeCandidate(const cell_state &state, const waiting_step &waiting, worker_state &worker)
 {
-    std::vector<candidate> result;
+    candidate result {&worker, 0, 0, 0};
+    if (waiting.spec->mostPerWorker > 0 || state.rules.policy.spreadWeight > 0) {
+        result.ofThisStep = countOnWorker(*waiting.step, worker.described.id);
+    }
+    result.capacity = capacityFor(*waiting.spec, worker, result.ofThisStep);
+    return result;
+}
+
+/// Workers that may take tasks at all now.
+std::vector<worker_state *> usableWorkers(cell_state &state, instant now)
+{
+    std::vector<worker_state *> result;
     for (auto &[id, worker] : state.workers) {
-        if (mayStartOn(state, worker, now) && isSuited(waiting, worker) && hasTicket(waiting, id, now)) {
-            result.push_back(makeCandidate(waiting, worker));
+        if (mayStartOn(state, worker, now)) {
+            result.push_back(&worker);
         }
     }
     return result;
 }
 
-/// Lower is better. Weights order the reasons: data and company first, then speed, then packing.
-double cost(const waiting_step &waiting, const candidate &at, const std::string &rack)
+std::vector<candidate> candidatesFor(const cell_state &state, const std::vector<worker_state *> &usable,
+                                     const waiting_step &waiting, instant now)
+{
+    std::vector<candidate> result;
+    for (auto *worker : usable) {
+        if (isSuited(waiting, *worker) && hasTicket(waiting, worker->described.id, now)) {
+            result.push_back(makeCandidate(state, waiting, *worker));
+        }
+    }
+    return result;
+}
+
+double fraction(std::int64_t part, std::int64_t whole)
+{
+    return static_cast<double>(part) / static_cast<double>(std::max<std::int64_t>(1, whole));
+}
+
+/// Tasks of the step on workers of the candidate's rack.
+std::int32_t tasksInRack(const std::vector<candidate> &candidates, const candidate &at)
+{
+    const auto &rack = rackOf(at.worker->described);
+    std::int32_t count = 0;
+    for (const auto &each : candidates) {
+        count += each.ofThisStep > 0 && rackOf(each.worker->described) == rack ? each.ofThisStep : 0;
+    }
+    return count;
+}
+
+/// Weights order the reasons: data and company first, then speed, then the deployment's own policy.
+double costOf(const placement_policy &policy, const waiting_step &waiting, const candidate &at,
+              const std::vector<candidate> &candidates, const std::string &rack)
 {
     constexpr double rackWeight = 100;
     constexpr double companyWeight = 50;
@@ -205,16 +221,33 @@
     if (!rack.empty() && rackOf(worker.described) != rack) {
         result += rackWeight;
     }
-    if (at.holdsFills && spec.targetLatency.count() > 0) {
+    if (worker.filling > 0 && spec.targetLatency.count() > 0) {
         result += companyWeight;
     }
-    result += slownessWeight * std::log2(std::max(worker.health.slowness, 0.1));
-    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, worker.described.capacity.milliCores));
-    const auto left = static_cast<double>(spec.fills ? undeclaredCores(worker) : room.milliCores) / capacity;
-    result += spec.fills ? -left : left;
+    if (worker.health.slowness != 1) {
+        result += slownessWeight * std::log2(std::max(worker.health.slowness, 0.1));
+    }
+    const auto &whole = worker.described.capacity;
+    const auto left = fraction(spec.fills ? undeclaredCores(worker) : room.milliCores, whole.milliCores);
+    result += policy.packingWeight * (spec.fills ? -left : left);
+    result += policy.balanceWeight
+        * std::abs(fraction(room.milliCores - spec.size.milliCores, whole.milliCores)
+                   - fraction(room.memoryMib - spec.size.memoryMib, whole.memoryMib));
+    result += spec.size.accelerators == 0 && whole.accelerators > 0 ? policy.strandingWeight : 0;
+    if (policy.spreadWeight > 0) {
+        result += policy.spreadWeight * tasksInRack(candidates, at);
+    }
     return result;
 }
 
+void weigh(const placement_policy &policy, const waiting_step &waiting, std::vector<candidate> &candidates,
+           const std::string &rack)
+{
+    for (auto &each : candidates) {
+        each.cost = costOf(policy, waiting, each, candidates, rack);
+    }
+}
+
 /// The rack in which most of the step already runs, or has room for most of it.
 std::string preferredRack(const waiting_step &waiting, const std::vector<candidate> &candidates)
 {
@@ -223,26 +256,20 @@
     }
     std::map<std::string, std::int64_t> room;
     for (const auto &each : candidates) {
-        room[rackOf(each.worker->described)] += capacityFor(waiting, each);
-        room[rackOf(each.worker->described)] +=
-            static_cast<std::int64_t>(mostTasksPerStep) * countOnWorker(*waiting.step, each.worker->described.id);
+        auto &own = room[rackOf(each.worker->described)];
+        own += each.capacity;
+        own += static_cast<std::int64_t>(mostTasksPerStep) * countOnWorker(*waiting.step, each.worker->described.id);
     }
     const auto best = std::ranges::max_element(room, {}, [](const auto &each) { return each.second; });
     return best == room.end() ? std::string() : best->first;
 }
 
-candidate *choose(const waiting_step &waiting, const task_state &task, std::vector<candidate> &candidates,
-                  const std::string &rack)
+candidate *choose(const task_state &task, std::vector<candidate> &candidates)
 {
     candidate *best = nullptr;
-    double lowest = std::numeric_limits<double>::max();
     for (auto &each : candidates) {
-        if (task.avoid.contains(each.worker->described.id) || capacityFor(waiting, each) < 1) {
-            continue;
-        }
-        const auto own = cost(waiting, each, rack);
-        if (own < lowest) {
-            lowest = own;
+        if (each.capacity >= 1 && (best == nullptr || each.cost < best->cost)
+            && !task.avoid.contains(each.worker->described.id)) {
             best = &each;
         }
     }
@@ -257,13 +284,8 @@
     const auto deadline = *leaseDeadline(state, worker);
     noteDeadline(worker, deadline);
     const run_id id {{waiting.ref.job, waiting.ref.occurrence, waiting.ref.step, index}, attempt};
-    const occupied_room room {roomTaken(*waiting.spec), waiting.spec->size, waiting.spec->targetLatency.count() > 0,
-                              waiting.spec->fills};
-    worker.used += room.size;
-    worker.rooms[id] = room;
+    occupy(worker, id, *waiting.spec);
     ++at.ofThisStep;
-    at.servesOthers = at.servesOthers || room.serves;
-    at.holdsFills = at.holdsFills || room.fills;
     task_run run;
     run.worker = worker.described.id;
     run.boot = worker.described.boot;
@@ -282,12 +304,40 @@
         report_placed {id, run.worker, std::chrono::duration_cast<std::chrono::milliseconds>(now - task.idleSince)});
 }
 
+/// After a task of the step has started there.
+void reweigh(const placement_policy &policy, const waiting_step &waiting, std::vector<candidate> &candidates,
+             candidate &at, const std::string &rack)
+{
+    at.capacity = capacityFor(*waiting.spec, *at.worker, at.ofThisStep);
+    if (policy.spreadWeight > 0) {
+        weigh(policy, waiting, candidates, rack);
+    } else {
+        at.cost = costOf(policy, waiting, at, candidates, rack);
+    }
+}
+
 bool mayRun(const waiting_step &waiting, const task_state &task, instant now)
 {
     return !task.done && task.runs.empty() && task.notBefore <= now
         && static_cast<std::int32_t>(task.failedAttempts.size()) < waiting.job->accepted.queue.mostFailures;
 }
 
+/// What runs once starts only when that is stored, and never again.
+bool mayBegin(cell_state &state, const waiting_step &waiting, task_state &task, instant now, cell_actions &actions)
+{
+    if (!waiting.spec->runsOnce) {
+        return true;
+    }
+    if (task.wasBegunBefore) {
+        loseTask(state, {waiting.job, waiting.occurrence, waiting.step, waiting.spec, &task}, now, actions);
+        return false;
+    }
+    if (!std::exchange(task.mayHaveBegun, true)) {
+        markChanged(state, *waiting.job);
+    }
+    return task.isBeginStored;
+}
+
 void forgetAvoidedIfAll(const std::vector<candidate> &candidates, task_state &task)
 {
     if (!task.avoid.empty() && std::ranges::all_of(candidates, [&](const candidate &each) {
@@ -309,17 +359,26 @@
     }
     std::int64_t room = 0;
     for (const auto &each : candidates) {
-        room += capacityFor(waiting, each);
+        room += each.capacity;
     }
     if (room < static_cast<std::int64_t>(step.tasks.size())) {
         return;
     }
+    const auto mayAllBegin =
+        std::ranges::count_if(step.tasks,
+                              [&](task_state &task) { return mayBegin(state, waiting, task, now, actions); })
+        == std::ssize(step.tasks);
+    if (!mayAllBegin) {
+        return;
+    }
     const auto rack = preferredRack(waiting, candidates);
+    weigh(state.rules.policy, waiting, candidates, rack);
     const auto attempt = ++step.gangAttempt;
     static const task_state anywhere;
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
-        auto *at = choose(waiting, anywhere, candidates, rack);
+        auto *at = choose(anywhere, candidates);
         start(state, waiting, static_cast<std::int32_t>(index), attempt, *at, now, actions);
+        reweigh(state.rules.policy, waiting, candidates, *at, rack);
     }
     step.idle.clear();
 }
@@ -327,7 +386,7 @@
 void placeStep(cell_state &state, const waiting_step &waiting, std::vector<candidate> &candidates, instant now,
                cell_actions &actions)
 {
-    if (candidates.empty()) {
+    if (std::ranges::none_of(candidates, [](const candidate &each) { return each.capacity > 0; })) {
         return;
     }
     if (waiting.spec->gang) {
@@ -335,14 +394,15 @@
         return;
     }
     const auto rack = preferredRack(waiting, candidates);
+    weigh(state.rules.policy, waiting, candidates, rack);
     std::vector<std::int32_t> left;
     bool isFull = false;
     for (const auto index : waiting.step->idle) {
         auto &task = waiting.step->tasks[static_cast<std::size_t>(index)];
         candidate *at = nullptr;
-        if (!isFull && mayRun(waiting, task, now)) {
+        if (!isFull && mayRun(waiting, task, now) && mayBegin(state, waiting, task, now, actions)) {
             forgetAvoidedIfAll(candidates, task);
-            at = choose(waiting, task, candidates, rack);
+            at = choose(task, candidates);
             isFull = at == nullptr && task.avoid.empty();
         }
         if (at == nullptr) {
@@ -350,6 +410,7 @@
             continue;
         }
         start(state, waiting, index, task.lastAttempt + 1, *at, now, actions);
+        reweigh(state.rules.policy, waiting, candidates, *at, rack);
     }
     waiting.step->idle = std::move(left);
 }
@@ -361,8 +422,8 @@
     bool isUrgent = false; ///< a task could start at once with a ticket
 };
 
-advice_choice chooseAsked(cell_state &state, const waiting_step &waiting, std::int32_t needed, bool mayAskWithoutRoom,
-                          instant now)
+advice_choice chooseAsked(cell_state &state, const std::vector<worker_state *> &usable, const waiting_step &waiting,
+                          std::int32_t needed, bool mayAskWithoutRoom, instant now)
 {
     struct option
     {
@@ -373,12 +434,12 @@
     std::vector<option> options;
     const auto &known = waiting.step->advice.workers;
     double covered = 0;
-    for (auto &[id, worker] : state.workers) {
-        if (!mayStartOn(state, worker, now) || !isSuited(waiting, worker)) {
+    for (auto *worker : usable) {
+        if (!isSuited(waiting, *worker)) {
             continue;
         }
-        const auto at = makeCandidate(waiting, worker);
-        const auto capacity = capacityFor(waiting, at);
+        const auto &id = worker->described.id;
+        const auto capacity = makeCandidate(state, waiting, *worker).capacity;
         const auto found = known.find(id);
         const bool isKnown = found != known.end();
         if (isKnown && !found->second.allowed) {
@@ -414,8 +475,8 @@
     return result;
 }
 
-void seekAdvice(cell_state &state, const waiting_step &waiting, bool mayAskWithoutRoom, instant now,
-                cell_actions &actions)
+void seekAdvice(cell_state &state, const std::vector<worker_state *> &usable, const waiting_step &waiting,
+                bool mayAskWithoutRoom, instant now, cell_actions &actions)
 {
     auto &advice = waiting.step->advice;
     const auto &policy = *waiting.job->accepted.queue.advice;
@@ -425,7 +486,7 @@
     const bool isCostly = policy.decide >= costlyAdvice;
     const auto needed =
         static_cast<std::int32_t>(waiting.step->ready ? waiting.step->idle.size() : waiting.step->tasks.size());
-    const auto choice = chooseAsked(state, waiting, needed, isCostly && mayAskWithoutRoom, now);
+    const auto choice = chooseAsked(state, usable, waiting, needed, isCostly && mayAskWithoutRoom, now);
     if (choice.workers.empty()) {
         return;
     }
@@ -441,7 +502,7 @@
 }
 
 /// Tickets for steps whose predecessors are about to end.
-void seekEarlyAdvice(cell_state &state, instant now, cell_actions &actions)
+void seekEarlyAdvice(cell_state &state, const std::vector<worker_state *> &usable, instant now, cell_actions &actions)
 {
     for (auto &[id, job] : state.jobs) {
         if (!job.accepted.queue.advice || job.cancelled || job.failed) {
@@ -475,7 +536,7 @@
                 waiting.occurrence = &occurrence;
                 waiting.step = &each;
                 waiting.spec = &spec;
-                seekAdvice(state, waiting, false, now, actions);
+                seekAdvice(state, usable, waiting, false, now, actions);
             }
         }
     }
@@ -488,16 +549,17 @@
     if (state.confirmedAt + freshConfirmation < now) {
         return;
     }
+    const auto usable = usableWorkers(state, now);
     std::size_t renewing = 0;
     for (const auto &waiting : waitingSteps(state, now)) {
-        auto candidates = candidatesFor(state, waiting, now);
+        auto candidates = candidatesFor(state, usable, waiting, now);
         placeStep(state, waiting, candidates, now, actions);
         if (waiting.job->accepted.queue.advice && !waiting.step->idle.empty()) {
-            seekAdvice(state, waiting, renewing < mostRenewing, now, actions);
+            seekAdvice(state, usable, waiting, renewing < mostRenewing, now, actions);
             ++renewing;
         }
     }
-    seekEarlyAdvice(state, now, actions);
+    seekEarlyAdvice(state, usable, now, actions);
 }
 
 void takeAdvice(cell_state &state, const advice_answered &message, instant now)
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -33,8 +33,9 @@
             own.failedGangs = step.failedGangs;
             for (std::size_t place = 0; place < step.tasks.size(); ++place) {
                 const auto &task = step.tasks[place];
-                if (!task.failedAttempts.empty() || !task.checkpoint.empty()) {
-                    own.tasks[static_cast<std::int32_t>(place)] = {task.failedAttempts, task.checkpoint};
+                if (!task.failedAttempts.empty() || !task.checkpoint.empty() || task.mayHaveBegun) {
+                    own.tasks[static_cast<std::int32_t>(place)] = {task.failedAttempts, task.checkpoint,
+                                                                   task.mayHaveBegun};
                 }
             }
             if (step.doneCount > 0) {
@@ -73,13 +74,36 @@
             transaction.removals.push_back(progressPlace(id));
         }
         transaction.removals.push_back(cancelPlace(id)); // a cancelling may have come too late to be heard of
-        transaction.writes.push_back({endedPlace(id), encodeEnded({*end, state.storeTime})});
+        transaction.writes.push_back({endedPlace(id), encodeEnded({*end, state.storeTime, job.isUnknown})});
         return;
     }
     job.hasProgress = true;
     transaction.writes.push_back({progressPlace(id), encodeProgress(progressOf(job))});
 }
 
+/// Workers may forget what is stored. One that has started anew counts its ends from the beginning.
+void noteEnds(cell_state &state)
+{
+    for (const auto &[id, covered] : state.committingEnds) {
+        const auto worker = state.workers.find(id);
+        if (worker != state.workers.end() && worker->second.described.boot == covered.boot) {
+            worker->second.notedEnd = std::max(worker->second.notedEnd, covered.number);
+        }
+    }
+}
+
+/// What runs once may start now: a later owner would know of it.
+void noteBegun(job_state &job)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (auto &step : occurrence.steps) {
+            for (auto &task : step.tasks) {
+                task.isBeginStored = task.mayHaveBegun;
+            }
+        }
+    }
+}
+
 void writeBook(store_transaction &transaction, cell_state &state, std::uint64_t number)
 {
     std::set<worker_id> wanted;
@@ -118,14 +142,12 @@
         // With this commit all that the workers have told is stored.
         for (auto &[id, worker] : state.workers) {
             if (worker.seenEnd > worker.notedEnd) {
-                state.committingEnds[id] = worker.seenEnd;
+                state.committingEnds[id] = {worker.described.boot, worker.seenEnd};
             }
         }
     }
     if (transaction.writes.empty() && transaction.removals.empty()) {
-        for (const auto &[id, seen] : state.committingEnds) {
-            state.workers.at(id).notedEnd = seen;
-        }
+        noteEnds(state);
         return;
     }
     transaction.conditions.push_back({chainPlace(), state.chain});
@@ -157,6 +179,7 @@
         }
         if (!job.changed) {
             state.changed.erase(id);
+            noteBegun(job);
         }
         if (const auto end = endOf(job); end && !job.changed) {
             actions.emplace_back(report_job {id, job.accepted.queue.name, *end,
@@ -173,11 +196,7 @@
         state.finishedOrder.pop_front();
     }
     if (isStored) {
-        for (const auto &[id, seen] : state.committingEnds) {
-            if (const auto worker = state.workers.find(id); worker != state.workers.end()) {
-                worker->second.notedEnd = std::max(worker->second.notedEnd, seen);
-            }
-        }
+        noteEnds(state);
     }
 }
 
--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -41,8 +41,8 @@
                 instant now, cell_actions &actions)
 {
     const bool isAtWork = view.spec->lasts && run.percent >= fullPercent;
-    if (!isSteady(run) || isAtWork || view.spec->gang || view.spec->fills || run.pace < fullPercent
-        || run.percentAt + stallTime > now || worker.answeredAt < run.percentAt + stallTime) {
+    if (!isSteady(run) || isAtWork || view.spec->gang || view.spec->runsOnce || view.spec->fills
+        || run.pace < fullPercent || run.percentAt + stallTime > now || worker.answeredAt < run.percentAt + stallTime) {
         return;
     }
     run.stopWanted = true;
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -53,7 +53,11 @@
 {
     const auto found = worker.rooms.find(run);
     if (found != worker.rooms.end()) {
-        worker.used -= found->second.size;
+        const auto &room = found->second;
+        worker.used -= room.size;
+        worker.serving -= room.serves ? 1 : 0;
+        worker.filling -= room.fills ? 1 : 0;
+        worker.fillingCores -= room.fills ? room.declaredCores : 0;
         worker.rooms.erase(found);
     }
 }
@@ -63,12 +67,22 @@
     std::erase_if(task.runs, [&](const task_run &run) { return run.attempt == attempt && run.worker == worker; });
 }
 
+enum class past_run
+{
+    mayHaveRun,
+    neverRan,
+};
+
 /// The run is over, or never was: its room is free and its task may wait again.
-void dropRun(cell_state &state, worker_state &worker, const run_id &run, instant now)
+void dropRun(cell_state &state, worker_state &worker, const run_id &run, past_run past, instant now,
+             cell_actions &actions)
 {
     release(worker, run);
     if (const auto view = findTask(state, run.task)) {
         removeRun(*view->task, worker.described.id, run.attempt);
+        if (view->spec->runsOnce && past == past_run::mayHaveRun) {
+            loseTask(state, *view, now, actions);
+        }
         becomeIdle(state, run.task, *view, now);
     }
 }
@@ -79,7 +93,7 @@
     const auto rooms = worker.rooms;
     for (const auto &[run, room] : rooms) {
         actions.emplace_back(report_ended {run, worker.described.id, reason});
-        dropRun(state, worker, run, now);
+        dropRun(state, worker, run, past_run::mayHaveRun, now, actions);
     }
     worker.strangers.clear();
 }
@@ -186,7 +200,7 @@
             quarantine(state, worker, now, actions);
         }
     }
-    dropRun(state, worker, end.run, now);
+    dropRun(state, worker, end.run, past_run::mayHaveRun, now, actions);
 }
 
 /// A run that an earlier owner started, or whose order came late: kept if its task has use for it.
@@ -201,12 +215,7 @@
     }
     const bool isOver = view->task->done || view->job->cancelled || view->job->failed;
     const bool isWanted = !isOver && (view->task->runs.empty() || view->spec->mayDuplicate);
-    occupied_room room {view->spec->size, view->spec->size, view->spec->targetLatency.count() > 0, view->spec->fills};
-    if (room.fills) {
-        room.size.milliCores = 0;
-    }
-    worker.used += room.size;
-    worker.rooms[listed.run] = room;
+    occupy(worker, listed.run, *view->spec);
     task_run run;
     run.worker = worker.described.id;
     run.boot = worker.described.boot;
@@ -251,7 +260,7 @@
 void takeAbsent(cell_state &state, worker_state &worker, const std::set<run_id> &listed, bool isWhole,
                 const list_answered &message, instant now, cell_actions &actions)
 {
-    std::vector<run_id> over;
+    std::map<run_id, past_run> over;
     for (const auto &[id, room] : worker.rooms) {
         if (listed.contains(id)) {
             continue;
@@ -259,31 +268,46 @@
         const auto view = findTask(state, id.task);
         auto *run = view ? findRun(*view->task, worker.described.id, id.attempt) : nullptr;
         if (run == nullptr) {
-            over.push_back(id);
+            over.emplace(id, past_run::mayHaveRun);
             continue;
         }
         // A run that is being stopped keeps its room, though no list may name it, until its end is listed.
         const bool wasThere = run->phase == run_phase::running && !run->stopWanted && run->knownAt < message.sentAt;
         const bool isBarred = run->barredAt != instant {} && run->barredAt + longestStop < message.sentAt;
         if (isWhole && (wasThere || isBarred)) {
-            over.push_back(id);
+            over.emplace(id, wasThere ? past_run::mayHaveRun : past_run::neverRan);
         } else if (run->phase == run_phase::unsure && run->sentAt < message.sentAt) {
             run->stopWanted = true; // bars it, so that the task can go elsewhere
             pursueStop(state, id.task, *run, now, actions);
         }
     }
-    for (const auto &id : over) {
+    for (const auto &[id, past] : over) {
         actions.emplace_back(report_ended {id, worker.described.id, "not there"});
-        dropRun(state, worker, id, now);
+        dropRun(state, worker, id, past, now, actions);
     }
     std::erase_if(worker.strangers, [&](const run_id &each) { return isWhole && !listed.contains(each); });
 }
 
 } // namespace
 
-std::string rackOf(const described_worker &worker)
+const std::string &rackOf(const described_worker &worker)
 {
-    return worker.labels.empty() ? std::string() : worker.labels.back();
+    static const std::string none;
+    return worker.labels.empty() ? none : worker.labels.back();
+}
+
+void occupy(worker_state &worker, const run_id &run, const step_spec &spec)
+{
+    release(worker, run);
+    occupied_room room {spec.size, spec.size.milliCores, spec.targetLatency.count() > 0, spec.fills};
+    if (room.fills) {
+        room.size.milliCores = 0; // it takes what the others leave
+    }
+    worker.used += room.size;
+    worker.serving += room.serves ? 1 : 0;
+    worker.filling += room.fills ? 1 : 0;
+    worker.fillingCores += room.fills ? room.declaredCores : 0;
+    worker.rooms[run] = room;
 }
 
 resources freeRoom(const worker_state &worker)
@@ -297,7 +321,7 @@
 {
     return worker.listed && worker.resolved && !worker.described.draining && worker.clock && worker.strangers.empty()
         && worker.answeredAt + reachableFor > now && worker.health.quarantinedUntil <= now
-        && state.book.contains(worker.described.id);
+        && !state.rules.drained.contains(worker.described.id) && state.book.contains(worker.described.id);
 }
 
 std::optional<worker_time> leaseDeadline(const cell_state &state, const worker_state &worker)
@@ -424,7 +448,7 @@
         break;
     }
     actions.emplace_back(report_ended {message.run, message.worker, "start refused"});
-    dropRun(state, worker, message.run, now);
+    dropRun(state, worker, message.run, past_run::neverRan, now, actions);
     if (view->spec->gang) {
         // The others would wait in vain.
         for (std::size_t index = 0; index < view->step->tasks.size(); ++index) {
--- a/src/libprimrosecroft/configuration/configuration.cpp
+++ b/src/libprimrosecroft/configuration/configuration.cpp
@@ -1,13 +1,24 @@
 #include "configuration/configuration.h"
 
+#include "core/checksum.h"
 #include "core/error.h"
-#include "io/glib_pointer.h"
+#include "jobs/job_rows.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace primrosecroft
 {
 
+namespace
+{
+
+/// In the part of the shard, so that a version and the cell's rules are written in one transaction.
+constexpr const char *configurationTable = "configuration";
+constexpr std::size_t versionDigits = 19;
+
+} // namespace
+
 std::string toJson(const configuration_row &row)
 {
     return nlohmann::json {{"version", row.version}, {"hash", row.hash}, {"writer", row.writer}}.dump();
@@ -24,11 +35,17 @@
     }
 }
 
-std::string sheetHash(const std::string &text)
+row_place configurationPlace()
+{
+    return {configurationTable, shardPart, "current"};
+}
+
+row_place historyPlace(std::int64_t version)
 {
-    const text_pointer hash(
-        g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.data(), static_cast<gssize>(text.size())));
-    return hash.get();
+    // Digits in front, so that keys are in the order of versions.
+    auto digits = std::to_string(version);
+    digits.insert(0, versionDigits - std::min(versionDigits, digits.size()), '0');
+    return {configurationTable, shardPart, "history." + digits};
 }
 
 bool supersedes(const configuration_version &offered, const std::optional<configuration_version> &current)
@@ -36,7 +53,7 @@
     if (offered.version <= 0 || (current && offered.version <= current->version)) {
         return false;
     }
-    return sheetHash(offered.text) == offered.hash;
+    return sha256(offered.text) == offered.hash;
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/configuration/configuration.h
+++ b/src/libprimrosecroft/configuration/configuration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store/store.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,15 +29,17 @@
     friend bool operator==(const configuration_row &, const configuration_row &) = default;
 };
 
-inline constexpr const char *configurationRowKey = "configuration/current";
+/// The row that names the version in force.
+row_place configurationPlace();
+
+/// What was in force under an earlier version, and by whom.
+row_place historyPlace(std::int64_t version);
 
 std::string toJson(const configuration_row &row);
 
 /// Throws error when @p text is not such a row.
 configuration_row configurationRowFromJson(const std::string &text);
 
-std::string sheetHash(const std::string &text);
-
 /// Whether @p offered goes into force over @p current: versions only grow, and the text must match its hash.
 bool supersedes(const configuration_version &offered, const std::optional<configuration_version> &current);
 
--- a/src/libprimrosecroft/configuration/configuration_follower.cpp
+++ b/src/libprimrosecroft/configuration/configuration_follower.cpp
@@ -15,7 +15,7 @@
 constexpr std::chrono::milliseconds tickInterval {250};
 
 /// A row that can't be understood counts as not read.
-table_read readingOf(const row_result &result)
+table_read readingOf(const row_reading &result)
 {
     if (!result) {
         return {};
@@ -33,8 +33,8 @@
 
 } // namespace
 
-configuration_follower::configuration_follower(platform_client &platform, applied_handler applied)
-    : m_platform(platform)
+configuration_follower::configuration_follower(guarded_store &rows, applied_handler applied)
+    : m_store(rows)
     , m_applied(std::move(applied))
 {
 }
@@ -51,7 +51,7 @@
     if (std::exchange(m_reading, true)) {
         return;
     }
-    m_platform.read(configurationRowKey, [this](const row_result &result) {
+    m_store.readRow(configurationPlace(), [this](const row_reading &result) {
         m_reading = false;
         handle(readingOf(result));
     });
@@ -94,7 +94,7 @@
 
 void configuration_follower::fetch(const configuration_row &row)
 {
-    m_platform.getObject("sheets/" + row.hash, [this, row](const std::optional<std::string> &text) {
+    m_store.getObject(row.hash, [this, row](const std::optional<std::string> &text) {
         if (text) {
             offer({row.version, row.hash, *text});
         }
--- a/src/libprimrosecroft/configuration/configuration_follower.h
+++ b/src/libprimrosecroft/configuration/configuration_follower.h
@@ -3,7 +3,7 @@
 #include "configuration/configuration_step.h"
 #include "configuration/sheet.h"
 #include "io/timer.h"
-#include "platform/platform_client.h"
+#include "store/guarded_store.h"
 
 #include <functional>
 #include <optional>
@@ -20,7 +20,7 @@
 public:
     using applied_handler = std::function<void(const planning_sheet &sheet)>;
 
-    configuration_follower(platform_client &platform, applied_handler applied);
+    configuration_follower(guarded_store &rows, applied_handler applied);
 
     void start(std::chrono::milliseconds interval);
 
@@ -47,7 +47,7 @@
     void fetch(const configuration_row &row);
     void apply();
 
-    platform_client &m_platform;
+    guarded_store &m_store;
     applied_handler m_applied;
     configuration_state m_state;
     planning_sheet m_offered; ///< read from the body that is being offered
--- a/src/libprimrosecroft/configuration/sheet.cpp
+++ b/src/libprimrosecroft/configuration/sheet.cpp
@@ -92,26 +92,30 @@
     return sheet.name + '.' + demand;
 }
 
-std::vector<configured_worker> workersOf(const planning_sheet &sheet, const failure_domain_id &domain)
+cell_rules rulesOf(const planning_sheet &sheet)
 {
-    std::vector<configured_worker> result;
+    cell_rules rules;
+    rules.policy = sheet.policy;
     for (const auto &[id, worker] : sheet.workers) {
-        if (worker.failureDomain == domain) {
-            result.push_back({id, worker.rack, worker.draining});
+        if (worker.draining) {
+            rules.drained.insert(id);
         }
     }
-    return result;
+    return rules;
 }
 
-cell emptyCell(const planning_sheet &sheet, const failure_domain_id &domain)
+bool couldHold(const planning_sheet &sheet, const demand_spec &spec, const failure_domain_id &domain)
 {
-    cell result;
+    std::int64_t held = 0;
+    const auto wanted = spec.kind == demand_kind::gang ? spec.tasks : 1;
     for (const auto &[id, worker] : sheet.workers) {
-        if (worker.failureDomain == domain) {
-            result.emplace(id, cell_worker {id, worker.rack, worker.total, worker.total, {}, !worker.draining});
+        auto room = worker.total;
+        while (worker.failureDomain == domain && held < wanted && fits(spec.size, room)) {
+            room -= spec.size;
+            ++held;
         }
     }
-    return result;
+    return held >= wanted;
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/configuration/sheet.h
+++ b/src/libprimrosecroft/configuration/sheet.h
@@ -1,8 +1,7 @@
 #pragma once
 
+#include "cell/cell_rules.h"
 #include "demands/demand.h"
-#include "placement/placement.h"
-#include "scheduling/scheduler_messages.h"
 
 #include <map>
 #include <string>
@@ -41,10 +40,10 @@
 /// Key under which a sheet's demand is accepted.
 demand_key sheetDemandKey(const planning_sheet &sheet, const std::string &demand);
 
-/// The workers of one failure domain.
-std::vector<configured_worker> workersOf(const planning_sheet &sheet, const failure_domain_id &domain);
+/// What the sheet says to the cell.
+cell_rules rulesOf(const planning_sheet &sheet);
 
-/// Empty workers of one failure domain, to ask what could ever fit.
-cell emptyCell(const planning_sheet &sheet, const failure_domain_id &domain);
+/// True when the empty workers of the failure domain could hold the demand; all of a gang at once.
+bool couldHold(const planning_sheet &sheet, const demand_spec &spec, const failure_domain_id &domain);
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/configuration/sheet_service.cpp
+++ b/src/libprimrosecroft/configuration/sheet_service.cpp
@@ -1,6 +1,8 @@
 #include "configuration/sheet_service.h"
 
+#include "core/checksum.h"
 #include "core/error.h"
+#include "jobs/job_rows.h"
 #include "observability/log_text.h"
 #include "observability/problem.h"
 
@@ -59,9 +61,10 @@
     return answer;
 }
 
-std::string historyKey(std::int64_t version)
+row_range historyRange(std::int64_t first, std::int64_t last)
 {
-    return "configuration/history/" + std::to_string(version);
+    const auto from = historyPlace(first);
+    return {from.table, from.part, from.key, historyPlace(last + 1).key};
 }
 
 /// The operator's name as it may stand in a row; empty when none or an odd one was given.
@@ -74,7 +77,7 @@
 }
 
 /// None when the row is missing, can't be read or can't be understood.
-std::optional<configuration_row> readableRow(const row_result &result)
+std::optional<configuration_row> readableRow(const row_reading &result)
 {
     if (!result || !*result) {
         return std::nullopt;
@@ -94,13 +97,14 @@
     std::shared_ptr<http_request> request;
     std::string text;
     configuration_row row;
+    cell_rules rules;
     int commitsLeft = mostCommits;
     bool mayHaveTakenEffect = false;
     timer pause;
 };
 
-sheet_service::sheet_service(platform_client &platform, configuration_follower &configuration, std::string writer)
-    : m_platform(platform)
+sheet_service::sheet_service(guarded_store &rows, configuration_follower &configuration, std::string writer)
+    : m_store(rows)
     , m_configuration(configuration)
     , m_writer(std::move(writer))
 {
@@ -141,19 +145,16 @@
 {
     const auto &current = m_configuration.current();
     const auto last = current ? current->version : 0;
-    std::vector<std::string> keys;
-    for (auto version = last; version > std::max<std::int64_t>(0, last - historyLength); --version) {
-        keys.push_back(historyKey(version));
-    }
-    m_platform.readMany(keys, [request](const std::optional<std::vector<table_row>> &rows) {
+    auto range = historyRange(std::max<std::int64_t>(0, last - historyLength) + 1, last);
+    m_store.readAll(range, [request](const rows_reading &rows) {
         if (!rows) {
             request->answer(unreachable(request_outcome::refused, "read history"));
             return;
         }
         std::vector<configuration_row> versions;
         std::ranges::transform(*rows, std::back_inserter(versions),
-                               [](const table_row &row) { return configurationRowFromJson(row.value); });
-        std::ranges::sort(versions, std::greater<> {}, &configuration_row::version);
+                               [](const store_row &row) { return configurationRowFromJson(row.value); });
+        std::ranges::reverse(versions);
         auto list = nlohmann::json::array();
         for (const auto &each : versions) {
             list.push_back({{"version", each.version}, {"hash", each.hash}, {"writer", each.writer}});
@@ -173,7 +174,7 @@
         absent();
         return;
     }
-    m_platform.read(historyKey(*version), [this, request, absent](const row_result &result) {
+    m_store.readRow(historyPlace(*version), [this, request, absent](const row_reading &result) {
         if (!result) {
             request->answer(unreachable(request_outcome::refused, "read history"));
             return;
@@ -183,7 +184,7 @@
             return;
         }
         const auto row = configurationRowFromJson((*result)->value);
-        m_platform.getObject("sheets/" + row.hash, [request, row](const std::optional<std::string> &text) {
+        m_store.getObject(row.hash, [request, row](const std::optional<std::string> &text) {
             if (!text) {
                 request->answer(unreachable(request_outcome::refused, "read sheet"));
                 return;
@@ -207,13 +208,13 @@
     entry->request = request;
     entry->text = request->body();
     try {
-        readSheet(entry->text, "sheet");
+        entry->rules = rulesOf(readSheet(entry->text, "sheet"));
     } catch (const error &fault) {
         request->answer(
             toAnswer({statusBadRequest, request_outcome::refused, "read sheet", "", fault.what(), std::nullopt, ""}));
         return;
     }
-    entry->row = {*version + 1, sheetHash(entry->text), m_writer + '/' + std::to_string(++m_lastChange)};
+    entry->row = {*version + 1, sha256(entry->text), m_writer + '/' + std::to_string(++m_lastChange)};
     if (const auto name = operatorOf(*request); !name.empty()) {
         entry->row.writer += '/' + name;
     }
@@ -222,7 +223,7 @@
 
 void sheet_service::compare(const std::shared_ptr<change> &entry)
 {
-    m_platform.read(configurationRowKey, [this, entry](const row_result &result) {
+    m_store.readRow(configurationPlace(), [this, entry](const row_reading &result) {
         const auto readable = readableRow(result);
         if (!result || (*result && !readable)) {
             entry->request->answer(unreachable(request_outcome::refused, "compare version"));
@@ -233,13 +234,13 @@
             entry->request->answer(conflict(current));
             return;
         }
-        store(entry, *result ? (*result)->version : table_write::noRow);
+        store(entry, *result ? (*result)->version : row_condition::absent);
     });
 }
 
-void sheet_service::store(const std::shared_ptr<change> &entry, std::int64_t rowVersion)
+void sheet_service::store(const std::shared_ptr<change> &entry, row_version rowVersion)
 {
-    m_platform.putObject("sheets/" + entry->row.hash, entry->text, [this, entry, rowVersion](bool stored) {
+    m_store.putObject(entry->row.hash, entry->text, [this, entry, rowVersion](bool stored) {
         if (!stored) {
             entry->request->answer(unreachable(request_outcome::refused, "store sheet"));
             return;
@@ -248,26 +249,30 @@
     });
 }
 
-void sheet_service::commit(const std::shared_ptr<change> &entry, std::int64_t rowVersion)
+void sheet_service::commit(const std::shared_ptr<change> &entry, row_version rowVersion)
 {
-    // The history rows keep what was in force when, and by whom.
+    // The history rows keep what was in force when, and by whom; the owner of the cell is told of its rules.
     const auto text = toJson(entry->row);
-    table_transaction transaction {
-        {configurationRowKey, rowVersion, text},
-        {"configuration/history/" + std::to_string(entry->row.version), table_write::noRow, text}};
-    m_platform.commit(std::move(transaction), [this, entry, rowVersion](const commit_result &result) {
-        switch (result.status) {
-        case commit_status::committed:
+    store_transaction transaction;
+    transaction.conditions = {{configurationPlace(), rowVersion},
+                              {historyPlace(entry->row.version), row_condition::absent}};
+    transaction.writes = {{configurationPlace(), text},
+                          {historyPlace(entry->row.version), text},
+                          {rulesPlace(), encodeRules(entry->rules)},
+                          {rulesNoticePlace(), std::to_string(entry->row.version)}};
+    m_store.commit(transaction, [this, entry, rowVersion](const commit_result &result) {
+        switch (result.outcome) {
+        case store_outcome::done:
             inForce(entry);
             return;
-        case commit_status::conflict:
+        case store_outcome::conflict:
             confirm(entry);
             return;
-        case commit_status::lost:
+        case store_outcome::lost:
             entry->mayHaveTakenEffect = true;
             retryLost(entry, rowVersion);
             return;
-        case commit_status::notSent:
+        case store_outcome::refused:
             if (entry->mayHaveTakenEffect) {
                 retryLost(entry, rowVersion);
                 return;
@@ -279,43 +284,42 @@
 }
 
 /// The same conditional write again: if the lost one took effect, it conflicts, and the history tells whose it was.
-void sheet_service::retryLost(const std::shared_ptr<change> &entry, std::int64_t rowVersion)
+void sheet_service::retryLost(const std::shared_ptr<change> &entry, row_version rowVersion)
 {
     if (--entry->commitsLeft <= 0) {
         entry->request->answer(unreachable(request_outcome::unknown, "commit version"));
         return;
     }
     entry->pause.once(lostRetryInterval, [this, entry, rowVersion] {
-        if (m_platform.isReachable()) {
+        if (m_store.isReachable()) {
             commit(entry, rowVersion);
             return;
         }
         // A read finds out whether the store is back.
-        m_platform.read(configurationRowKey,
-                        [this, entry, rowVersion](const row_result & /*result*/) { retryLost(entry, rowVersion); });
+        m_store.readRow(configurationPlace(),
+                        [this, entry, rowVersion](const row_reading & /*result*/) { retryLost(entry, rowVersion); });
     });
 }
 
 /// The version has a winner: the writer's mark tells one's own from another's.
 void sheet_service::confirm(const std::shared_ptr<change> &entry)
 {
-    m_platform.read("configuration/history/" + std::to_string(entry->row.version),
-                    [this, entry](const row_result &result) {
-                        const auto winner = readableRow(result);
-                        if (winner && *winner == entry->row) {
-                            inForce(entry);
-                        } else if (entry->mayHaveTakenEffect && !winner) {
-                            entry->request->answer(unreachable(request_outcome::unknown, "commit version"));
-                        } else {
-                            nameWinner(entry);
-                        }
-                    });
+    m_store.readRow(historyPlace(entry->row.version), [this, entry](const row_reading &result) {
+        const auto winner = readableRow(result);
+        if (winner && *winner == entry->row) {
+            inForce(entry);
+        } else if (entry->mayHaveTakenEffect && !winner) {
+            entry->request->answer(unreachable(request_outcome::unknown, "commit version"));
+        } else {
+            nameWinner(entry);
+        }
+    });
 }
 
 /// This change was not written; later ones may have followed the winner's.
 void sheet_service::nameWinner(const std::shared_ptr<change> &entry)
 {
-    m_platform.read(configurationRowKey, [entry](const row_result &result) {
+    m_store.readRow(configurationPlace(), [entry](const row_reading &result) {
         const auto current = readableRow(result);
         entry->request->answer(conflict(current.value_or(entry->row)));
     });
--- a/src/libprimrosecroft/configuration/sheet_service.h
+++ b/src/libprimrosecroft/configuration/sheet_service.h
@@ -2,7 +2,7 @@
 
 #include "configuration/configuration_follower.h"
 #include "io/http_server.h"
-#include "platform/platform_client.h"
+#include "store/guarded_store.h"
 
 #include <memory>
 #include <string>
@@ -17,7 +17,7 @@
 class sheet_service
 {
 public:
-    sheet_service(platform_client &platform, configuration_follower &configuration, std::string writer);
+    sheet_service(guarded_store &rows, configuration_follower &configuration, std::string writer);
 
     void serve(const std::shared_ptr<http_request> &request);
 
@@ -29,14 +29,14 @@
     void showVersion(const std::shared_ptr<http_request> &request);
     void load(const std::shared_ptr<http_request> &request);
     void compare(const std::shared_ptr<change> &entry);
-    void store(const std::shared_ptr<change> &entry, std::int64_t rowVersion);
-    void commit(const std::shared_ptr<change> &entry, std::int64_t rowVersion);
-    void retryLost(const std::shared_ptr<change> &entry, std::int64_t rowVersion);
+    void store(const std::shared_ptr<change> &entry, row_version rowVersion);
+    void commit(const std::shared_ptr<change> &entry, row_version rowVersion);
+    void retryLost(const std::shared_ptr<change> &entry, row_version rowVersion);
     void confirm(const std::shared_ptr<change> &entry);
     void nameWinner(const std::shared_ptr<change> &entry);
     void inForce(const std::shared_ptr<change> &entry);
 
-    platform_client &m_platform;
+    guarded_store &m_store;
     configuration_follower &m_configuration;
     std::string m_writer;
     std::uint64_t m_lastChange = 0;
--- a/src/libprimrosecroft/core/types.h
+++ b/src/libprimrosecroft/core/types.h
@@ -26,15 +26,6 @@
 /// Key that the caller gave its demand; unique among all demands.
 using demand_key = std::string;
 
-/// Number of one start of a task at one worker. Never used twice.
-using attempt_id = std::uint64_t;
-
-/// Fencing token of a worker's holder lease. Grows with every claim that the worker grants.
-using fencing_token = std::int64_t;
-
-/// A worker's own monotonic clock as it travels in messages. Holders only echo it.
-using worker_stamp = std::chrono::microseconds;
-
 /// Amounts of what a worker offers and a task needs.
 struct resources
 {
@@ -68,19 +59,4 @@
         && need.accelerators <= offer.accelerators;
 }
 
-/// One task of a demand.
-struct task_id
-{
-    demand_key demand;
-    std::int32_t index = 0;
-
-    friend auto operator<=>(const task_id &, const task_id &) = default;
-};
-
-/// Text form `key#index`, used in messages to workers and in logs.
-std::string toString(const task_id &task);
-
-/// Inverse of toString. Throws error when @p text is not of that form.
-task_id taskFromString(const std::string &text);
-
 } // namespace primrosecroft
--- a/src/libprimrosecroft/demands/acceptance.cpp
+++ b/src/libprimrosecroft/demands/acceptance.cpp
@@ -15,18 +15,18 @@
     return state.mayExist ? acceptance_action(answer_unknown {}) : acceptance_action(answer_not_run {});
 }
 
-acceptance_action afterCommit(acceptance_state &state, commit_status status, instant now)
+acceptance_action afterCommit(acceptance_state &state, store_outcome outcome, instant now)
 {
-    switch (status) {
-    case commit_status::committed:
+    switch (outcome) {
+    case store_outcome::done:
         return answer_accepted {};
-    case commit_status::conflict:
+    case store_outcome::conflict:
         state.mayExist = true; // some row has the key, perhaps this demand's from an earlier request
         return read_key {};
-    case commit_status::lost:
+    case store_outcome::lost:
         state.mayExist = true;
         return retryOrEnd(state, now);
-    case commit_status::notSent:
+    case store_outcome::refused:
         return state.mayExist ? retryOrEnd(state, now) : answer_not_run {};
     }
     return answer_unknown {};
@@ -53,8 +53,8 @@
 
 acceptance_action step(acceptance_state &state, const acceptance_message &message, instant now)
 {
-    if (const auto *answered = std::get_if<commit_answered>(&message)) {
-        return afterCommit(state, answered->status, now);
+    if (const auto *answered = std::get_if<acceptance_answered>(&message)) {
+        return afterCommit(state, answered->outcome, now);
     }
     if (const auto *read = std::get_if<key_read>(&message)) {
         return afterRead(state, *read, now);
--- a/src/libprimrosecroft/demands/acceptance.h
+++ b/src/libprimrosecroft/demands/acceptance.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "demands/demand_row.h"
-#include "platform/platform_client.h"
+#include "store/store.h"
 
 #include <chrono>
 #include <optional>
@@ -24,9 +24,9 @@
 };
 
 /// The store answered a commit of the row, which is conditional on there being none.
-struct commit_answered
+struct acceptance_answered
 {
-    commit_status status = commit_status::lost;
+    store_outcome outcome = store_outcome::lost;
 };
 
 /// The store answered a read of the key. No value: it could not be read.
@@ -40,7 +40,7 @@
 {
 };
 
-using acceptance_message = std::variant<commit_answered, key_read, retry_due>;
+using acceptance_message = std::variant<acceptance_answered, key_read, retry_due>;
 
 struct send_commit
 {
--- a/src/libprimrosecroft/demands/demand_row.cpp
+++ b/src/libprimrosecroft/demands/demand_row.cpp
@@ -1,8 +1,9 @@
 #include "demands/demand_row.h"
 
+#include "core/checksum.h"
 #include "core/error.h"
+#include "jobs/job_rows.h"
 
-#include <array>
 #include <nlohmann/json.hpp>
 
 namespace primrosecroft
@@ -11,98 +12,84 @@
 namespace
 {
 
-constexpr std::array outcomeNames {"none", "done", "failed", "cancelled", "unknown"};
-constexpr std::array endNames {"done", "failed", "unknown"};
-
-template<typename value, std::size_t size>
-value valueOf(const std::array<const char *, size> &names, const std::string &name)
-{
-    const auto found = std::ranges::find(names, name);
-    if (found == names.end()) {
-        throw error("read demand row", "", "unexpected value '" + name + "'");
-    }
-    return static_cast<value>(found - names.begin());
-}
+constexpr const char *demandTable = "demands";
+constexpr const char *demandQueue = "demands";
+constexpr char jobPrefix = 'x'; ///< no digit of a caller's own job id
+constexpr char afterJobPrefix = 'y';
+constexpr std::size_t digitsOfHash = 31;
+constexpr std::int32_t mostAttempts = 3; ///< of a task that fails by itself
+constexpr double demandStretch = 2; ///< times the declared run time, plus the target: by when it should have ended
+constexpr std::chrono::milliseconds demandTarget {2'000};
 
 } // namespace
 
-std::string toString(demand_outcome outcome)
-{
-    return outcomeNames.at(static_cast<std::size_t>(outcome));
-}
-
-demand_row merge(const demand_row &committed, const demand_row &wanted)
-{
-    auto result = committed;
-    result.cancelled = committed.cancelled || wanted.cancelled;
-    result.started.insert(wanted.started.begin(), wanted.started.end());
-    result.ended.insert(wanted.ended.begin(), wanted.ended.end());
-    if (committed.outcome == demand_outcome::none) {
-        result.outcome = wanted.outcome;
-        result.reason = wanted.reason;
-    }
-    return result;
-}
-
 std::string toJson(const demand_row &row)
 {
-    nlohmann::json ended = nlohmann::json::object();
-    for (const auto &[index, end] : row.ended) {
-        ended[std::to_string(index)] = endNames.at(static_cast<std::size_t>(end));
-    }
-    nlohmann::json started = nlohmann::json::object();
-    for (const auto &[index, attempt] : row.started) {
-        started[std::to_string(index)] = attempt;
-    }
-    const nlohmann::json body {
-        {"key", row.key},
-        {"home", row.home},
-        {"demand", nlohmann::json::parse(toJson(row.spec))},
-        {"cancelled", row.cancelled},
-        {"started", started},
-        {"ended", ended},
-        {"outcome", toString(row.outcome)},
-        {"reason", row.reason},
-    };
-    return body.dump();
+    return nlohmann::json {{"key", row.key}, {"home", row.home}, {"demand", nlohmann::json::parse(toJson(row.spec))}}
+        .dump();
 }
 
 demand_row rowFromJson(const std::string &text)
 {
     try {
         const auto body = nlohmann::json::parse(text);
-        demand_row row;
-        row.key = body.at("key").get<std::string>();
-        row.home = body.at("home").get<std::string>();
-        row.spec = demandFromJson(body.at("demand").dump());
-        row.cancelled = body.at("cancelled").get<bool>();
-        for (const auto &[index, attempt] : body.at("started").items()) {
-            row.started.emplace(std::stoi(index), attempt.get<attempt_id>());
-        }
-        for (const auto &[index, end] : body.at("ended").items()) {
-            row.ended.emplace(std::stoi(index), valueOf<task_end>(endNames, end.get<std::string>()));
-        }
-        row.outcome = valueOf<demand_outcome>(outcomeNames, body.at("outcome").get<std::string>());
-        row.reason = body.at("reason").get<std::string>();
-        return row;
+        return {body.at("key").get<std::string>(), body.at("home").get<std::string>(),
+                demandFromJson(body.at("demand").dump())};
     } catch (const nlohmann::json::exception &fault) {
         throw error("read demand row", "", fault.what());
     }
 }
 
-std::string demandRowKey(const demand_key &key)
+row_place demandPlace(const demand_key &key)
+{
+    return {demandTable, shardPart, key};
+}
+
+job_id jobOfDemand(const demand_key &key)
 {
-    return "demand/" + key;
+    return jobPrefix + sha256(key).substr(0, digitsOfHash);
 }
 
-std::string activeRowPrefix(const failure_domain_id &home)
+accepted_job makeDemandJob(const demand_row &row, const std::string &pool, std::chrono::milliseconds acceptedAt)
 {
-    return "active/" + home + '/';
+    const auto &spec = row.spec;
+    step_spec step;
+    step.count = spec.tasks;
+    step.size = spec.size;
+    step.estimate = spec.declaredRunTime;
+    step.gang = spec.kind == demand_kind::gang;
+    step.lasts = spec.kind == demand_kind::service;
+    step.runsOnce = !spec.repeatable;
+    if (spec.onPartition == partition_preference::stay) {
+        step.failureDomain = row.home;
+    }
+    accepted_job job;
+    job.id = jobOfDemand(row.key);
+    job.spec.payload = toJson(row);
+    job.spec.steps = {step};
+    job.queue = {demandQueue,
+                 pool,
+                 spec.priority == demand_priority::urgent ? 0 : 1,
+                 spec.repeatable ? mostAttempts : 1,
+                 demandStretch,
+                 demandTarget,
+                 std::nullopt};
+    job.acceptedAt = acceptedAt;
+    return job;
+}
+
+store_transaction demandAcceptance(const demand_row &row, const accepted_job &job)
+{
+    auto result = acceptance(job.id, encodeJob(job));
+    result.conditions.push_back({demandPlace(row.key), row_condition::absent});
+    result.writes.push_back({demandPlace(row.key), toJson(row)});
+    result.writes.push_back({inboxPlace(job.id), "1"});
+    return result;
 }
 
-std::string activeRowKey(const failure_domain_id &home, const demand_key &key)
+row_range liveDemands()
 {
-    return activeRowPrefix(home) + key;
+    return {jobTable, shardPart, std::string(1, jobPrefix), std::string(1, afterJobPrefix)};
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/demands/demand_service.cpp
+++ b/src/libprimrosecroft/demands/demand_service.cpp
@@ -1,11 +1,14 @@
 #include "demands/demand_service.h"
 
+#include "core/clock.h"
 #include "core/error.h"
 #include "observability/problem.h"
 #include "settings/checked_node.h"
 
 #include <algorithm>
+#include <glib.h>
 #include <glog/logging.h>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <ranges>
 #include <utility>
@@ -39,51 +42,13 @@
             .dump());
 }
 
-std::string stateOf(const demand_row &row)
+/// What callers read of a demand that has ended.
+std::string outcomeOf(const ended_job &ended)
 {
-    if (row.outcome != demand_outcome::none) {
-        return toString(row.outcome);
+    if (ended.isUnknown) {
+        return "unknown"; // a task that must not be repeated was lost
     }
-    return row.cancelled ? "cancelling" : "accepted";
-}
-
-/// What a query is answered: the row's truth, and where tasks are when the home scheduler could be asked.
-http_answer queryAnswer(const demand_row &row, const std::optional<std::vector<task_report>> &tasks)
-{
-    nlohmann::json body {{"outcome", row.outcome == demand_outcome::none ? "accepted" : toString(row.outcome)},
-                         {"state", stateOf(row)},
-                         {"key", row.key},
-                         {"home", row.home},
-                         {"demand", nlohmann::json::parse(toJson(row.spec))}};
-    if (!row.reason.empty()) {
-        body["reason"] = row.reason;
-    }
-    if (tasks) {
-        body["tasks"] = nlohmann::json::array();
-        for (const auto &task : *tasks) {
-            body["tasks"].push_back({{"index", task.index}, {"state", task.state}, {"worker", task.worker}});
-        }
-    }
-    return jsonAnswer(statusOk, body.dump());
-}
-
-bool couldHold(const planning_sheet &sheet, const demand_spec &spec, const failure_domain_id &domain)
-{
-    const auto workers = emptyCell(sheet, domain);
-    if (!couldEverFit(workers, spec.size)) {
-        return false;
-    }
-    if (spec.kind != demand_kind::gang) {
-        return true;
-    }
-    std::int64_t members = 0;
-    for (auto worker : workers | std::views::values) {
-        while (members < spec.tasks && fits(spec.size, worker.free)) {
-            worker.free -= spec.size;
-            ++members;
-        }
-    }
-    return members >= spec.tasks;
+    return ended.status == job_status::complete ? "done" : toString(ended.status);
 }
 
 } // namespace
@@ -104,6 +69,21 @@
     return found == candidates.end() ? std::nullopt : std::optional(*found);
 }
 
+namespace
+{
+
+/// Of a sheet's demand: the same in all processes.
+std::optional<failure_domain_id> homeOf(const planning_sheet &sheet, const demand_key &key, const demand_spec &spec)
+{
+    if (sheet.regions.empty()) {
+        return std::nullopt;
+    }
+    const auto turn = g_str_hash(key.c_str()) % sheet.regions.size();
+    return chooseHome(sheet, spec, std::next(sheet.regions.begin(), static_cast<std::ptrdiff_t>(turn))->first);
+}
+
+} // namespace
+
 struct demand_service::submission
 {
     std::shared_ptr<http_request> request;
@@ -120,14 +100,39 @@
     timer pause;
 };
 
-demand_service::demand_service(platform_client &platform, metrics &measures, demand_links links,
-                               failure_domain_id ownDomain, std::chrono::milliseconds acceptDeadline)
-    : m_platform(platform)
+demand_service::demand_service(guarded_store &rows, metrics &measures, demand_links links, demand_settings settings)
+    : m_store(rows)
     , m_measures(measures)
     , m_links(std::move(links))
-    , m_ownDomain(std::move(ownDomain))
-    , m_acceptDeadline(acceptDeadline)
+    , m_settings(std::move(settings))
+{
+}
+
+std::string demand_service::stateOf(const stored_demand &found)
 {
+    if (found.ended) {
+        return outcomeOf(*found.ended);
+    }
+    return found.isCancelled ? "cancelling" : "accepted";
+}
+
+/// The store's truth, and where tasks are when the owner could be asked.
+http_answer demand_service::queryAnswer(const stored_demand &found,
+                                        const std::optional<std::vector<task_report>> &tasks)
+{
+    nlohmann::json body {{"outcome", found.ended ? outcomeOf(*found.ended) : "accepted"},
+                         {"state", stateOf(found)},
+                         {"key", found.row.key},
+                         {"home", found.row.home},
+                         {"job", jobOfDemand(found.row.key)},
+                         {"demand", nlohmann::json::parse(toJson(found.row.spec))}};
+    if (tasks) {
+        body["tasks"] = nlohmann::json::array();
+        for (const auto &task : *tasks) {
+            body["tasks"].push_back({{"index", task.index}, {"state", task.state}, {"worker", task.worker}});
+        }
+    }
+    return jsonAnswer(statusOk, body.dump());
 }
 
 void demand_service::serve(const std::shared_ptr<http_request> &request)
@@ -172,7 +177,7 @@
     }
     const auto entry = std::make_shared<submission>();
     entry->request = request;
-    entry->state.deadline = std::chrono::steady_clock::now() + m_acceptDeadline;
+    entry->state.deadline = bootNow() + m_settings.acceptDeadline;
     auto &row = entry->state.row;
     try {
         const auto keyText = nlohmann::json(request->header("Idempotency-Key"))
@@ -184,7 +189,7 @@
         return;
     }
     entry->state.mayExist = std::ranges::find(m_unresolved, row.key) != m_unresolved.end();
-    const auto home = chooseHome(*sheet, row.spec, m_ownDomain);
+    const auto home = chooseHome(*sheet, row.spec, m_settings.ownDomain);
     if (!home) {
         refuseUnlessAccepted(entry);
         return;
@@ -196,7 +201,7 @@
 /// A demand that fits nowhere now may have been accepted under an earlier sheet.
 void demand_service::refuseUnlessAccepted(const std::shared_ptr<submission> &entry)
 {
-    readDemandRow(entry->state.row.key, [this, entry](const row_reading &found) {
+    readStored(entry->state.row.key, [this, entry](const demand_reading &found) {
         if (found && *found && (*found)->row.spec == entry->state.row.spec) {
             entry->state.row = (*found)->row;
             carryOut(entry, answer_accepted {});
@@ -211,7 +216,7 @@
 
 void demand_service::settle(const std::shared_ptr<submission> &entry, const acceptance_message &message)
 {
-    carryOut(entry, step(entry->state, message, std::chrono::steady_clock::now()));
+    carryOut(entry, step(entry->state, message, bootNow()));
 }
 
 void demand_service::carryOut(const std::shared_ptr<submission> &entry, const acceptance_action &action)
@@ -228,7 +233,7 @@
 
         void operator()(const read_key & /*each*/) const
         {
-            self.readDemandRow(entry->state.row.key, [&service = self, entry = entry](const row_reading &found) {
+            self.readStored(entry->state.row.key, [&service = self, entry = entry](const demand_reading &found) {
                 key_read message;
                 if (found) {
                     message.row = *found ? std::optional((*found)->row) : std::nullopt;
@@ -270,10 +275,8 @@
 void demand_service::commit(const std::shared_ptr<submission> &entry)
 {
     const auto &row = entry->state.row;
-    table_transaction transaction {{demandRowKey(row.key), table_write::noRow, toJson(row)},
-                                   {activeRowKey(row.home, row.key), table_write::anyVersion, ""}};
-    m_platform.commit(std::move(transaction),
-                      [this, entry](const commit_result &result) { settle(entry, commit_answered {result.status}); });
+    m_store.commit(demandAcceptance(row, makeDemandJob(row, m_settings.pool, m_links.storeTime())),
+                   [this, entry](const commit_result &result) { settle(entry, acceptance_answered {result.outcome}); });
 }
 
 void demand_service::accepted(const std::shared_ptr<submission> &entry)
@@ -282,7 +285,6 @@
     std::erase(m_unresolved, row.key);
     m_measures.count("primrosecroft_demands_accepted_total", "kind", toString(row.spec.kind));
     entry->request->answer(acceptedAnswer(row));
-    m_links.notify(row.home, row.key);
 }
 
 /// Remembers the key: until it is settled, another request with it isn't told "not run" from here.
@@ -299,20 +301,20 @@
                                      "the answer of the store was lost", storeRetryAfter, demandPath(key)}));
 }
 
-/// Reads the row under @p key; a row that can't be understood counts as not read.
-void demand_service::readDemandRow(const demand_key &key, std::function<void(const row_reading &)> done)
+/// A row that can't be understood counts as not read.
+void demand_service::readStored(const demand_key &key, std::function<void(const demand_reading &)> done)
 {
-    m_platform.read(demandRowKey(key), [key, done = std::move(done)](const row_result &result) {
+    m_store.readRow(demandPlace(key), [this, key, done = std::move(done)](const row_reading &result) {
         if (!result) {
             done(std::nullopt);
             return;
         }
         if (!*result) {
-            done(row_reading {std::optional<versioned_row> {}});
+            done(demand_reading {std::optional<stored_demand> {}});
             return;
         }
         try {
-            done(row_reading {versioned_row {rowFromJson((*result)->value), (*result)->version}});
+            readLive(rowFromJson((*result)->value), done);
         } catch (const error &fault) {
             LOG(ERROR) << "demands: unreadable row, key=" << key << " reason=" << fault.what();
             done(std::nullopt);
@@ -320,9 +322,51 @@
     });
 }
 
+void demand_service::readLive(const demand_row &row, std::function<void(const demand_reading &)> done)
+{
+    const auto job = jobOfDemand(row.key);
+    m_store.readAll(liveRows(job), [this, row, job, done = std::move(done)](const rows_reading &rows) {
+        if (!rows) {
+            done(std::nullopt);
+            return;
+        }
+        stored_demand found;
+        found.row = row;
+        for (const auto &each : *rows) {
+            if (each.place == jobPlace(job)) {
+                found.liveVersion = each.version;
+            }
+            found.isCancelled = found.isCancelled || each.place == cancelPlace(job);
+        }
+        if (found.liveVersion != 0) {
+            done(demand_reading {found});
+        } else {
+            readEnded(found, done);
+        }
+    });
+}
+
+void demand_service::readEnded(stored_demand found, std::function<void(const demand_reading &)> done)
+{
+    const auto place = endedPlace(jobOfDemand(found.row.key));
+    m_store.readRow(place, [found = std::move(found), done = std::move(done)](const row_reading &result) mutable {
+        if (!result || !*result) {
+            done(std::nullopt); // between two reads it may have been neither live nor ended
+            return;
+        }
+        try {
+            found.ended = decodeEnded((*result)->value);
+            done(demand_reading {found});
+        } catch (const error &fault) {
+            LOG(ERROR) << "demands: unreadable end, key=" << found.row.key << " reason=" << fault.what();
+            done(std::nullopt);
+        }
+    });
+}
+
 void demand_service::query(const std::shared_ptr<http_request> &request, const demand_key &key)
 {
-    readDemandRow(key, [this, request, key](const row_reading &result) {
+    readStored(key, [this, request, key](const demand_reading &result) {
         if (!result) {
             request->answer(toAnswer({statusUnavailable, request_outcome::unknown, "read demand", "platform",
                                       "the store is out of reach", storeRetryAfter, demandPath(key)}));
@@ -333,13 +377,13 @@
                                       "no demand is recorded under this key", std::nullopt, demandPath(key)}));
             return;
         }
-        const auto &row = (*result)->row;
-        if (row.outcome != demand_outcome::none) {
-            request->answer(queryAnswer(row, std::nullopt));
+        const auto &found = **result;
+        if (found.ended) {
+            request->answer(queryAnswer(found, std::nullopt));
             return;
         }
-        m_links.ask(row.home, key, [request, row](const std::optional<std::vector<task_report>> &tasks) {
-            request->answer(queryAnswer(row, tasks));
+        m_links.askOwner(jobOfDemand(key), [request, found](const std::optional<std::vector<task_report>> &tasks) {
+            request->answer(queryAnswer(found, tasks));
         });
     });
 }
@@ -347,64 +391,62 @@
 /// A page of one failure domain's demands that have not ended, by key, after the key that the query names.
 void demand_service::list(const std::shared_ptr<http_request> &request)
 {
-    const auto home = request->query("home").empty() ? m_ownDomain : request->query("home");
+    const auto home = request->query("home").empty() ? m_settings.ownDomain : request->query("home");
     const auto *sheet = m_links.sheet();
     if (sheet == nullptr || !sheet->regions.contains(home)) {
         refuse(request, statusNotFound, "list demands", "no such failure domain in the sheet in force", std::nullopt);
         return;
     }
-    const auto prefix = activeRowPrefix(home);
-    m_platform.list(prefix, [this, request, prefix](const std::optional<std::vector<table_row>> &index) {
-        if (!index) {
+    m_store.readAll(liveDemands(), [this, request, home](const rows_reading &rows) {
+        if (!rows) {
             refuse(request, statusUnavailable, "list demands", "the store is out of reach", storeRetryAfter);
             return;
         }
-        std::vector<demand_key> keys;
-        const auto after = request->query("after");
-        for (const auto &row : *index) {
-            if (const auto key = row.key.substr(prefix.size()); key > after) {
-                keys.push_back(key);
-            }
-        }
-        std::ranges::sort(keys);
-        const auto hasMore = keys.size() > demandsPerPage;
-        keys.resize(std::min(keys.size(), demandsPerPage));
-        listPage(request, keys, hasMore);
+        request->answer(listAnswer(*rows, home, request->query("after")));
     });
 }
 
-void demand_service::listPage(const std::shared_ptr<http_request> &request, const std::vector<demand_key> &keys,
-                              bool hasMore)
+http_answer demand_service::listAnswer(const std::vector<store_row> &rows, const failure_domain_id &home,
+                                       const demand_key &after)
 {
-    std::vector<std::string> rowKeys;
-    std::ranges::transform(keys, std::back_inserter(rowKeys), demandRowKey);
-    const auto next = hasMore ? keys.back() : demand_key();
-    m_platform.readMany(rowKeys, [this, request, next](const std::optional<std::vector<table_row>> &rows) {
-        if (!rows) {
-            refuse(request, statusUnavailable, "list demands", "the store is out of reach", storeRetryAfter);
-            return;
+    std::map<demand_key, demand_row> demands;
+    std::set<job_id> cancelled;
+    for (const auto &each : rows) {
+        const auto live = parseLiveKey(each.place.key);
+        if (live && live->kind == live_row::cancel) {
+            cancelled.insert(live->id);
         }
-        auto demands = nlohmann::json::array();
-        for (const auto &each : *rows) {
-            const auto row = rowFromJson(each.value);
-            demands.push_back({{"key", row.key},
-                               {"home", row.home},
-                               {"state", stateOf(row)},
-                               {"kind", toString(row.spec.kind)},
-                               {"team", row.spec.team},
-                               {"tasks", row.spec.tasks}});
+        if (!live || live->kind != live_row::job) {
+            continue;
         }
-        nlohmann::json body {{"demands", demands}};
-        if (!next.empty()) {
-            body["next"] = next;
+        try {
+            auto row = rowFromJson(decodeJob(each.value).spec.payload);
+            if (row.home == home && row.key > after) {
+                demands.emplace(row.key, std::move(row));
+            }
+        } catch (const error &fault) {
+            LOG(ERROR) << "demands: unreadable job, id=" << live->id << " reason=" << fault.what();
         }
-        request->answer(jsonAnswer(statusOk, body.dump()));
-    });
+    }
+    auto list = nlohmann::json::array();
+    for (const auto &[key, row] : demands | std::views::take(demandsPerPage)) {
+        list.push_back({{"key", key},
+                        {"home", row.home},
+                        {"state", cancelled.contains(jobOfDemand(key)) ? "cancelling" : "accepted"},
+                        {"kind", toString(row.spec.kind)},
+                        {"team", row.spec.team},
+                        {"tasks", row.spec.tasks}});
+    }
+    nlohmann::json body {{"demands", list}};
+    if (demands.size() > demandsPerPage) {
+        body["next"] = list.back().at("key");
+    }
+    return jsonAnswer(statusOk, body.dump());
 }
 
 void demand_service::cancel(const std::shared_ptr<cancellation> &entry)
 {
-    readDemandRow(entry->key, [this, entry](const row_reading &result) {
+    readStored(entry->key, [this, entry](const demand_reading &result) {
         if (!result) {
             giveUpCancel(entry);
             return;
@@ -414,32 +456,34 @@
                    std::nullopt);
             return;
         }
-        auto found = **result;
-        if (found.row.cancelled || found.row.outcome != demand_outcome::none) {
-            entry->request->answer(queryAnswer(found.row, std::nullopt));
+        const auto &found = **result;
+        if (found.isCancelled || found.ended) {
+            entry->request->answer(queryAnswer(found, std::nullopt));
             return;
         }
-        found.row.cancelled = true;
         commitCancel(entry, found);
     });
 }
 
-void demand_service::commitCancel(const std::shared_ptr<cancellation> &entry, const versioned_row &found)
-{
-    m_platform.commit({{demandRowKey(entry->key), found.version, toJson(found.row)}},
-                      [this, entry, row = found.row](const commit_result &result) {
-                          if (result.status == commit_status::committed) {
-                              m_links.notify(row.home, row.key);
-                              entry->request->answer(queryAnswer(row, std::nullopt));
-                              return;
-                          }
-                          entry->mayHaveTakenEffect |= result.status == commit_status::lost;
-                          if (result.status == commit_status::notSent || --entry->triesLeft <= 0) {
-                              giveUpCancel(entry);
-                              return;
-                          }
-                          entry->pause.once(cancelRetryInterval, [this, entry] { cancel(entry); });
-                      });
+void demand_service::commitCancel(const std::shared_ptr<cancellation> &entry, const stored_demand &found)
+{
+    const auto job = jobOfDemand(entry->key);
+    const store_transaction mark {
+        {{jobPlace(job), found.liveVersion}}, {{cancelPlace(job), "1"}, {inboxPlace(job), "1"}}, {}};
+    m_store.commit(mark, [this, entry, found](const commit_result &result) {
+        if (result.outcome == store_outcome::done) {
+            auto cancelled = found;
+            cancelled.isCancelled = true;
+            entry->request->answer(queryAnswer(cancelled, std::nullopt));
+            return;
+        }
+        entry->mayHaveTakenEffect |= result.outcome == store_outcome::lost;
+        if (result.outcome == store_outcome::refused || --entry->triesLeft <= 0) {
+            giveUpCancel(entry);
+            return;
+        }
+        entry->pause.once(cancelRetryInterval, [this, entry] { cancel(entry); });
+    });
 }
 
 /// Not run only when no cancelling write was sent.
@@ -454,4 +498,26 @@
                                      "the answer of the store was lost", storeRetryAfter, demandPath(entry->key)}));
 }
 
+void demand_service::acceptSheetDemands()
+{
+    const auto *sheet = m_links.sheet();
+    if (sheet == nullptr || !m_store.isReachable()) {
+        return;
+    }
+    for (const auto &[name, spec] : sheet->demands) {
+        demand_row row {sheetDemandKey(*sheet, name), {}, spec};
+        const auto home = homeOf(*sheet, row.key, spec);
+        if (m_accepted.contains(row.key) || home != m_settings.ownDomain) {
+            continue;
+        }
+        row.home = *home;
+        m_store.commit(demandAcceptance(row, makeDemandJob(row, m_settings.pool, m_links.storeTime())),
+                       [this, key = row.key](const commit_result &result) {
+                           if (result.outcome == store_outcome::done || result.outcome == store_outcome::conflict) {
+                               m_accepted.insert(key);
+                           }
+                       });
+    }
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/jobs/job.cpp
+++ b/src/libprimrosecroft/jobs/job.cpp
@@ -89,7 +89,9 @@
     put(row, "du", step.mayDuplicate);
     put(row, "la", step.lasts);
     put(row, "fi", step.fills);
+    put(row, "ro", step.runsOnce);
     put(row, "lb", step.label);
+    put(row, "fd", step.failureDomain);
     put(row, "dr", step.dataRack);
     put(row, "im", step.image);
     put(row, "pw", step.mostPerWorker);
@@ -113,7 +115,9 @@
     get(row, "du", step.mayDuplicate);
     get(row, "la", step.lasts);
     get(row, "fi", step.fills);
+    get(row, "ro", step.runsOnce);
     get(row, "lb", step.label);
+    get(row, "fd", step.failureDomain);
     get(row, "dr", step.dataRack);
     get(row, "im", step.image);
     get(row, "pw", step.mostPerWorker);
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -32,7 +32,9 @@
     bool mayDuplicate = false; ///< copies may run; the first to end counts
     bool lasts = false; ///< runs until the job is cancelled, restarted however it ends
     bool fills = false; ///< takes the processor time that others leave; needs no room for it
+    bool runsOnce = false; ///< no second run may start once the first may have
     std::string label; ///< that a worker must have; empty for any
+    failure_domain_id failureDomain; ///< that a worker must be in; empty for any
     std::string dataRack; ///< where it runs fastest; empty for any
     std::string image; ///< tasks of one image behave alike
     std::int32_t mostPerWorker = 0; ///< of this step in one occurrence; 0 for any number
--- a/src/libprimrosecroft/jobs/job_rows.cpp
+++ b/src/libprimrosecroft/jobs/job_rows.cpp
@@ -54,7 +54,10 @@
         row["g"] = step.failedGangs;
     }
     for (const auto &[index, task] : step.tasks) {
-        row["t"].push_back(json::array({index, task.failedAttempts, task.checkpoint}));
+        auto &own = row["t"].emplace_back(json::array({index, task.failedAttempts, task.checkpoint}));
+        if (task.mayHaveBegun) {
+            own.push_back(true);
+        }
     }
     return row;
 }
@@ -71,7 +74,7 @@
     if (const auto found = row.find("t"); found != row.end()) {
         for (const auto &task : *found) {
             step.tasks[task.at(0).get<std::int32_t>()] = {task.at(1).get<std::set<std::uint32_t>>(),
-                                                          task.at(2).get<std::string>()};
+                                                          task.at(2).get<std::string>(), task.size() > 3};
         }
     }
     return step;
@@ -109,6 +112,16 @@
     return {cellTable, shardPart, "chain"};
 }
 
+row_place rulesPlace()
+{
+    return {cellTable, shardPart, "rules"};
+}
+
+row_place rulesNoticePlace()
+{
+    return {inboxTable, shardPart, "!rules"}; // no job's id begins so
+}
+
 row_place bookPlace()
 {
     return {cellTable, shardPart, "workers"};
@@ -195,7 +208,11 @@
 std::string encodeEnded(const ended_job &job)
 {
     std::string result;
-    json::to_cbor(json::array({static_cast<int>(job.status), job.at.count()}), result);
+    auto row = json::array({static_cast<int>(job.status), job.at.count()});
+    if (job.isUnknown) {
+        row.push_back(true);
+    }
+    json::to_cbor(row, result);
     return result;
 }
 
@@ -204,7 +221,7 @@
     try {
         const auto parsed = json::from_cbor(row);
         return {static_cast<job_status>(parsed.at(0).get<int>()),
-                std::chrono::milliseconds(parsed.at(1).get<std::int64_t>())};
+                std::chrono::milliseconds(parsed.at(1).get<std::int64_t>()), parsed.size() > 2};
     } catch (const json::exception &fault) {
         throw error("decode ended row", "", fault.what());
     }
--- a/src/libprimrosecroft/jobs/job_rows.h
+++ b/src/libprimrosecroft/jobs/job_rows.h
@@ -33,6 +33,12 @@
 /// is carried out late can't undo a newer one.
 row_place chainPlace();
 
+/// What the operators' sheet in force says of workers and placing.
+row_place rulesPlace();
+
+/// Tells the owner by its inbox that the rules have changed.
+row_place rulesNoticePlace();
+
 /// The workers that an owner may have given orders to.
 row_place bookPlace();
 std::string encodeBook(const std::set<worker_id> &workers);
@@ -65,6 +71,7 @@
 {
     std::set<std::uint32_t> failedAttempts;
     std::string checkpoint;
+    bool mayHaveBegun = false; ///< of a task that runs once: its only start was about to be sent
 
     friend bool operator==(const task_progress &, const task_progress &) = default;
 };
@@ -97,6 +104,7 @@
 {
     job_status status = job_status::complete;
     std::chrono::milliseconds at {0}; ///< on the store's steady clock
+    bool isUnknown = false; ///< failed, as a task that runs once was lost: it may have done its work
 };
 
 std::string encodeEnded(const ended_job &job);
--- a/src/libprimrosecroft/membership/membership.cpp
+++ b/src/libprimrosecroft/membership/membership.cpp
@@ -22,8 +22,7 @@
 
 bool sayDifferent(const peer_record &before, const peer_record &after)
 {
-    return before.incarnation != after.incarnation || before.leaving != after.leaving
-        || before.placing != after.placing;
+    return before.incarnation != after.incarnation || before.leaving != after.leaving;
 }
 
 } // namespace
@@ -69,13 +68,13 @@
     return result;
 }
 
-bool representsDomain(const membership_state &state, bool isEntry, bool isLeaving, instant now)
+bool representsDomain(const membership_state &state, bool isLeaving, instant now)
 {
-    if (!isEntry || isLeaving) {
+    if (isLeaving) {
         return false;
     }
     return std::ranges::none_of(state.peers | std::views::values, [&state, now](const peer_record &peer) {
-        return peer.role == "entryd" && peer.failureDomain == state.failureDomain && !peer.leaving && inTouch(peer, now)
+        return peer.failureDomain == state.failureDomain && !peer.leaving && inTouch(peer, now)
             && peer.process < state.self;
     });
 }
--- a/src/libprimrosecroft/membership/membership.h
+++ b/src/libprimrosecroft/membership/membership.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/types.h"
-#include "platform/platform_client.h"
 
 #include <map>
 #include <set>
@@ -9,21 +8,39 @@
 #include <vector>
 
 /**
- * Who serves: the platform's lagging list of VMs, joined with what peers say of
+ * Who serves: the store's lagging list of VMs, joined with what peers say of
  * themselves in heartbeats and goodbyes. Pure decisions, no clock and no sockets.
  */
 namespace primrosecroft
 {
 
+enum class vm_role
+{
+    entry,
+    executor, ///< of bookings
+};
+
+/// A VM as the platform's store lists it.
+struct listed_vm
+{
+    std::string id;
+    vm_role role = vm_role::entry;
+    failure_domain_id failureDomain;
+    std::string region;
+    std::string address; ///< an IP number
+    std::uint16_t port = 0; ///< for peers of an entry VM, for bookings of an executor
+    bool leaving = false;
+
+    friend bool operator==(const listed_vm &, const listed_vm &) = default;
+};
+
 /// What a peer said last.
 struct peer_record
 {
     process_id process;
     failure_domain_id failureDomain;
-    std::string role; ///< entryd or schedd
     std::int64_t incarnation = 0;
     std::int64_t configurationVersion = 0;
-    bool placing = false;
     bool leaving = false;
     instant heardAt;
 };
@@ -47,7 +64,7 @@
 struct heartbeat_effect
 {
     bool dropped = false; ///< it came late, from an incarnation that has been replaced
-    bool changed = false; ///< a peer is new, replaced, back, leaving, or placing where it wasn't
+    bool changed = false; ///< a peer is new, replaced, back or leaving
 };
 
 /**
@@ -71,7 +88,7 @@
  * by name of the entry daemons there that are live. During a disagreement two may
  * speak, which costs bytes and nothing else.
  */
-bool representsDomain(const membership_state &state, bool isEntry, bool isLeaving, instant now);
+bool representsDomain(const membership_state &state, bool isLeaving, instant now);
 
 /// The entry VMs that aren't leaving, by id.
 std::vector<listed_vm> entryVms(const membership_state &state);
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -186,11 +186,6 @@
 void Heartbeat::__set_leaving(const bool val) {
   this->leaving = val;
 }
-
-void Heartbeat::__set_placing(const bool val) {
-  this->placing = val;
-__isset.placing = true;
-}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -237,14 +232,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->placing);
-          this->__isset.placing = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -274,11 +261,6 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.placing) {
-    xfer += oprot->writeFieldBegin("placing", ::apache::thrift::protocol::T_BOOL, 3);
-    xfer += oprot->writeBool(this->placing);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -288,21 +270,15 @@
   using ::std::swap;
   swap(a.configurationVersion, b.configurationVersion);
   swap(a.leaving, b.leaving);
-  swap(a.placing, b.placing);
-  swap(a.__isset, b.__isset);
 }
 
 Heartbeat::Heartbeat(const Heartbeat& other2) noexcept {
   configurationVersion = other2.configurationVersion;
   leaving = other2.leaving;
-  placing = other2.placing;
-  __isset = other2.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other3) noexcept {
   configurationVersion = other3.configurationVersion;
   leaving = other3.leaving;
-  placing = other3.placing;
-  __isset = other3.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -310,7 +286,6 @@
   out << "Heartbeat(";
   out << "configurationVersion=" << to_string(configurationVersion);
   out << ", " << "leaving=" << to_string(leaving);
-  out << ", " << "placing="; (__isset.placing ? (out << to_string(placing)) : (out << "<null>"));
   out << ")";
 }
 
@@ -545,190 +520,6 @@
 }
 
 
-DemandNotice::~DemandNotice() noexcept {
-}
-
-
-void DemandNotice::__set_key(const std::string& val) {
-  this->key = val;
-}
-std::ostream& operator<<(std::ostream& out, const DemandNotice& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t DemandNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_key = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          isset_key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_key)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t DemandNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("DemandNotice");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(DemandNotice &a, DemandNotice &b) {
-  using ::std::swap;
-  swap(a.key, b.key);
-}
-
-DemandNotice::DemandNotice(const DemandNotice& other8) {
-  key = other8.key;
-}
-DemandNotice& DemandNotice::operator=(const DemandNotice& other9) {
-  key = other9.key;
-  return *this;
-}
-void DemandNotice::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "DemandNotice(";
-  out << "key=" << to_string(key);
-  out << ")";
-}
-
-
-DemandQuery::~DemandQuery() noexcept {
-}
-
-
-void DemandQuery::__set_key(const std::string& val) {
-  this->key = val;
-}
-std::ostream& operator<<(std::ostream& out, const DemandQuery& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t DemandQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_key = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          isset_key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_key)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t DemandQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("DemandQuery");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(DemandQuery &a, DemandQuery &b) {
-  using ::std::swap;
-  swap(a.key, b.key);
-}
-
-DemandQuery::DemandQuery(const DemandQuery& other10) {
-  key = other10.key;
-}
-DemandQuery& DemandQuery::operator=(const DemandQuery& other11) {
-  key = other11.key;
-  return *this;
-}
-void DemandQuery::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "DemandQuery(";
-  out << "key=" << to_string(key);
-  out << ")";
-}
-
-
 TaskReport::~TaskReport() noexcept {
 }
 
@@ -846,17 +637,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskReport::TaskReport(const TaskReport& other12) {
-  index = other12.index;
-  state = other12.state;
-  worker = other12.worker;
-  __isset = other12.__isset;
+TaskReport::TaskReport(const TaskReport& other8) {
+  index = other8.index;
+  state = other8.state;
+  worker = other8.worker;
+  __isset = other8.__isset;
 }
-TaskReport& TaskReport::operator=(const TaskReport& other13) {
-  index = other13.index;
-  state = other13.state;
-  worker = other13.worker;
-  __isset = other13.__isset;
+TaskReport& TaskReport::operator=(const TaskReport& other9) {
+  index = other9.index;
+  state = other9.state;
+  worker = other9.worker;
+  __isset = other9.__isset;
   return *this;
 }
 void TaskReport::printTo(std::ostream& out) const {
@@ -869,164 +660,6 @@
 }
 
 
-DemandReport::~DemandReport() noexcept {
-}
-
-
-void DemandReport::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void DemandReport::__set_known(const bool val) {
-  this->known = val;
-}
-
-void DemandReport::__set_tasks(const std::vector<TaskReport> & val) {
-  this->tasks = val;
-}
-std::ostream& operator<<(std::ostream& out, const DemandReport& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t DemandReport::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_key = false;
-  bool isset_known = false;
-  bool isset_tasks = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          isset_key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->known);
-          isset_known = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->tasks.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->tasks.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
-            {
-              xfer += this->tasks[_i18].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_tasks = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_key)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_known)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_tasks)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t DemandReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("DemandReport");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->known);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskReport> ::const_iterator _iter19;
-    for (_iter19 = this->tasks.begin(); _iter19 != this->tasks.end(); ++_iter19)
-    {
-      xfer += (*_iter19).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(DemandReport &a, DemandReport &b) {
-  using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.known, b.known);
-  swap(a.tasks, b.tasks);
-}
-
-DemandReport::DemandReport(const DemandReport& other20) {
-  key = other20.key;
-  known = other20.known;
-  tasks = other20.tasks;
-}
-DemandReport& DemandReport::operator=(const DemandReport& other21) {
-  key = other21.key;
-  known = other21.known;
-  tasks = other21.tasks;
-  return *this;
-}
-void DemandReport::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "DemandReport(";
-  out << "key=" << to_string(key);
-  out << ", " << "known=" << to_string(known);
-  out << ", " << "tasks=" << to_string(tasks);
-  out << ")";
-}
-
-
 LeavingNotice::~LeavingNotice() noexcept {
 }
 
@@ -1104,11 +737,11 @@
   swap(a.upstream, b.upstream);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other22) {
-  upstream = other22.upstream;
+LeavingNotice::LeavingNotice(const LeavingNotice& other10) {
+  upstream = other10.upstream;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other23) {
-  upstream = other23.upstream;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other11) {
+  upstream = other11.upstream;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -1216,13 +849,13 @@
   swap(a.cancelled, b.cancelled);
 }
 
-JobNotice::JobNotice(const JobNotice& other24) {
-  id = other24.id;
-  cancelled = other24.cancelled;
+JobNotice::JobNotice(const JobNotice& other12) {
+  id = other12.id;
+  cancelled = other12.cancelled;
 }
-JobNotice& JobNotice::operator=(const JobNotice& other25) {
-  id = other25.id;
-  cancelled = other25.cancelled;
+JobNotice& JobNotice::operator=(const JobNotice& other13) {
+  id = other13.id;
+  cancelled = other13.cancelled;
   return *this;
 }
 void JobNotice::printTo(std::ostream& out) const {
@@ -1351,15 +984,15 @@
   swap(a.cancelled, b.cancelled);
 }
 
-JobSubmission::JobSubmission(const JobSubmission& other26) {
-  id = other26.id;
-  row = other26.row;
-  cancelled = other26.cancelled;
+JobSubmission::JobSubmission(const JobSubmission& other14) {
+  id = other14.id;
+  row = other14.row;
+  cancelled = other14.cancelled;
 }
-JobSubmission& JobSubmission::operator=(const JobSubmission& other27) {
-  id = other27.id;
-  row = other27.row;
-  cancelled = other27.cancelled;
+JobSubmission& JobSubmission::operator=(const JobSubmission& other15) {
+  id = other15.id;
+  row = other15.row;
+  cancelled = other15.cancelled;
   return *this;
 }
 void JobSubmission::printTo(std::ostream& out) const {
@@ -1379,6 +1012,11 @@
 void JobQuery::__set_id(const std::string& val) {
   this->id = val;
 }
+
+void JobQuery::__set_withTasks(const bool val) {
+  this->withTasks = val;
+__isset.withTasks = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobQuery& obj)
 {
   obj.printTo(out);
@@ -1416,6 +1054,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->withTasks);
+          this->__isset.withTasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1439,6 +1085,11 @@
   xfer += oprot->writeString(this->id);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.withTasks) {
+    xfer += oprot->writeFieldBegin("withTasks", ::apache::thrift::protocol::T_BOOL, 2);
+    xfer += oprot->writeBool(this->withTasks);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1447,19 +1098,26 @@
 void swap(JobQuery &a, JobQuery &b) {
   using ::std::swap;
   swap(a.id, b.id);
+  swap(a.withTasks, b.withTasks);
+  swap(a.__isset, b.__isset);
 }
 
-JobQuery::JobQuery(const JobQuery& other28) {
-  id = other28.id;
+JobQuery::JobQuery(const JobQuery& other16) {
+  id = other16.id;
+  withTasks = other16.withTasks;
+  __isset = other16.__isset;
 }
-JobQuery& JobQuery::operator=(const JobQuery& other29) {
-  id = other29.id;
+JobQuery& JobQuery::operator=(const JobQuery& other17) {
+  id = other17.id;
+  withTasks = other17.withTasks;
+  __isset = other17.__isset;
   return *this;
 }
 void JobQuery::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "JobQuery(";
   out << "id=" << to_string(id);
+  out << ", " << "withTasks="; (__isset.withTasks ? (out << to_string(withTasks)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1481,6 +1139,11 @@
   this->outcome = val;
 __isset.outcome = true;
 }
+
+void JobReport::__set_tasks(const std::vector<TaskReport> & val) {
+  this->tasks = val;
+__isset.tasks = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobReport& obj)
 {
   obj.printTo(out);
@@ -1534,6 +1197,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tasks.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->tasks.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += this->tasks[_i22].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1567,6 +1250,19 @@
     xfer += oprot->writeI32(this->outcome);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tasks) {
+    xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
+      std::vector<TaskReport> ::const_iterator _iter23;
+      for (_iter23 = this->tasks.begin(); _iter23 != this->tasks.end(); ++_iter23)
+      {
+        xfer += (*_iter23).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1577,20 +1273,23 @@
   swap(a.known, b.known);
   swap(a.state, b.state);
   swap(a.outcome, b.outcome);
+  swap(a.tasks, b.tasks);
   swap(a.__isset, b.__isset);
 }
 
-JobReport::JobReport(const JobReport& other30) {
-  known = other30.known;
-  state = other30.state;
-  outcome = other30.outcome;
-  __isset = other30.__isset;
+JobReport::JobReport(const JobReport& other24) {
+  known = other24.known;
+  state = other24.state;
+  outcome = other24.outcome;
+  tasks = other24.tasks;
+  __isset = other24.__isset;
 }
-JobReport& JobReport::operator=(const JobReport& other31) {
-  known = other31.known;
-  state = other31.state;
-  outcome = other31.outcome;
-  __isset = other31.__isset;
+JobReport& JobReport::operator=(const JobReport& other25) {
+  known = other25.known;
+  state = other25.state;
+  outcome = other25.outcome;
+  tasks = other25.tasks;
+  __isset = other25.__isset;
   return *this;
 }
 void JobReport::printTo(std::ostream& out) const {
@@ -1599,6 +1298,7 @@
   out << "known=" << to_string(known);
   out << ", " << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
   out << ", " << "outcome="; (__isset.outcome ? (out << to_string(outcome)) : (out << "<null>"));
+  out << ", " << "tasks="; (__isset.tasks ? (out << to_string(tasks)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1687,14 +1387,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->workers.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->workers.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += iprot->readString(this->workers[_i36]);
+              xfer += iprot->readString(this->workers[_i30]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1753,10 +1453,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter37;
-    for (_iter37 = this->workers.begin(); _iter37 != this->workers.end(); ++_iter37)
+    std::vector<std::string> ::const_iterator _iter31;
+    for (_iter31 = this->workers.begin(); _iter31 != this->workers.end(); ++_iter31)
     {
-      xfer += oprot->writeString((*_iter37));
+      xfer += oprot->writeString((*_iter31));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1780,19 +1480,19 @@
   swap(a.patienceMs, b.patienceMs);
 }
 
-AdviceQuery::AdviceQuery(const AdviceQuery& other38) {
-  job = other38.job;
-  occurrence = other38.occurrence;
-  step = other38.step;
-  workers = other38.workers;
-  patienceMs = other38.patienceMs;
+AdviceQuery::AdviceQuery(const AdviceQuery& other32) {
+  job = other32.job;
+  occurrence = other32.occurrence;
+  step = other32.step;
+  workers = other32.workers;
+  patienceMs = other32.patienceMs;
 }
-AdviceQuery& AdviceQuery::operator=(const AdviceQuery& other39) {
-  job = other39.job;
-  occurrence = other39.occurrence;
-  step = other39.step;
-  workers = other39.workers;
-  patienceMs = other39.patienceMs;
+AdviceQuery& AdviceQuery::operator=(const AdviceQuery& other33) {
+  job = other33.job;
+  occurrence = other33.occurrence;
+  step = other33.step;
+  workers = other33.workers;
+  patienceMs = other33.patienceMs;
   return *this;
 }
 void AdviceQuery::printTo(std::ostream& out) const {
@@ -1904,13 +1604,13 @@
   swap(a.ticket, b.ticket);
 }
 
-AdvisedWorker::AdvisedWorker(const AdvisedWorker& other40) {
-  worker = other40.worker;
-  ticket = other40.ticket;
+AdvisedWorker::AdvisedWorker(const AdvisedWorker& other34) {
+  worker = other34.worker;
+  ticket = other34.ticket;
 }
-AdvisedWorker& AdvisedWorker::operator=(const AdvisedWorker& other41) {
-  worker = other41.worker;
-  ticket = other41.ticket;
+AdvisedWorker& AdvisedWorker::operator=(const AdvisedWorker& other35) {
+  worker = other35.worker;
+  ticket = other35.ticket;
   return *this;
 }
 void AdvisedWorker::printTo(std::ostream& out) const {
@@ -1980,14 +1680,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->allowed.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->allowed.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->allowed.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->allowed[_i46].read(iprot);
+              xfer += this->allowed[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2034,10 +1734,10 @@
   xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowed.size()));
-    std::vector<AdvisedWorker> ::const_iterator _iter47;
-    for (_iter47 = this->allowed.begin(); _iter47 != this->allowed.end(); ++_iter47)
+    std::vector<AdvisedWorker> ::const_iterator _iter41;
+    for (_iter41 = this->allowed.begin(); _iter41 != this->allowed.end(); ++_iter41)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2059,15 +1759,15 @@
   swap(a.validMs, b.validMs);
 }
 
-AdviceReport::AdviceReport(const AdviceReport& other48) {
-  answered = other48.answered;
-  allowed = other48.allowed;
-  validMs = other48.validMs;
+AdviceReport::AdviceReport(const AdviceReport& other42) {
+  answered = other42.answered;
+  allowed = other42.allowed;
+  validMs = other42.validMs;
 }
-AdviceReport& AdviceReport::operator=(const AdviceReport& other49) {
-  answered = other49.answered;
-  allowed = other49.allowed;
-  validMs = other49.validMs;
+AdviceReport& AdviceReport::operator=(const AdviceReport& other43) {
+  answered = other43.answered;
+  allowed = other43.allowed;
+  validMs = other43.validMs;
   return *this;
 }
 void AdviceReport::printTo(std::ostream& out) const {
@@ -2237,19 +1937,19 @@
   swap(a.upMs, b.upMs);
 }
 
-Presence::Presence(const Presence& other50) {
-  address = other50.address;
-  port = other50.port;
-  storeAgeMs = other50.storeAgeMs;
-  leaving = other50.leaving;
-  upMs = other50.upMs;
+Presence::Presence(const Presence& other44) {
+  address = other44.address;
+  port = other44.port;
+  storeAgeMs = other44.storeAgeMs;
+  leaving = other44.leaving;
+  upMs = other44.upMs;
 }
-Presence& Presence::operator=(const Presence& other51) {
-  address = other51.address;
-  port = other51.port;
-  storeAgeMs = other51.storeAgeMs;
-  leaving = other51.leaving;
-  upMs = other51.upMs;
+Presence& Presence::operator=(const Presence& other45) {
+  address = other45.address;
+  port = other45.port;
+  storeAgeMs = other45.storeAgeMs;
+  leaving = other45.leaving;
+  upMs = other45.upMs;
   return *this;
 }
 void Presence::printTo(std::ostream& out) const {
@@ -2330,17 +2030,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->waiting.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _ktype53;
-            ::apache::thrift::protocol::TType _vtype54;
-            xfer += iprot->readMapBegin(_ktype53, _vtype54, _size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _ktype47;
+            ::apache::thrift::protocol::TType _vtype48;
+            xfer += iprot->readMapBegin(_ktype47, _vtype48, _size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              std::string _key57;
-              xfer += iprot->readString(_key57);
-              int64_t& _val58 = this->waiting[_key57];
-              xfer += iprot->readI64(_val58);
+              std::string _key51;
+              xfer += iprot->readString(_key51);
+              int64_t& _val52 = this->waiting[_key51];
+              xfer += iprot->readI64(_val52);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2383,11 +2083,11 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->waiting.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter59;
-    for (_iter59 = this->waiting.begin(); _iter59 != this->waiting.end(); ++_iter59)
+    std::map<std::string, int64_t> ::const_iterator _iter53;
+    for (_iter53 = this->waiting.begin(); _iter53 != this->waiting.end(); ++_iter53)
     {
-      xfer += oprot->writeString(_iter59->first);
-      xfer += oprot->writeI64(_iter59->second);
+      xfer += oprot->writeString(_iter53->first);
+      xfer += oprot->writeI64(_iter53->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2405,15 +2105,15 @@
   swap(a.waiting, b.waiting);
 }
 
-OwnerReport::OwnerReport(const OwnerReport& other60) {
-  owns = other60.owns;
-  token = other60.token;
-  waiting = other60.waiting;
+OwnerReport::OwnerReport(const OwnerReport& other54) {
+  owns = other54.owns;
+  token = other54.token;
+  waiting = other54.waiting;
 }
-OwnerReport& OwnerReport::operator=(const OwnerReport& other61) {
-  owns = other61.owns;
-  token = other61.token;
-  waiting = other61.waiting;
+OwnerReport& OwnerReport::operator=(const OwnerReport& other55) {
+  owns = other55.owns;
+  token = other55.token;
+  waiting = other55.waiting;
   return *this;
 }
 void OwnerReport::printTo(std::ostream& out) const {
@@ -2523,13 +2223,13 @@
   swap(a.version, b.version);
 }
 
-OwnerNotice::OwnerNotice(const OwnerNotice& other62) {
-  row = other62.row;
-  version = other62.version;
+OwnerNotice::OwnerNotice(const OwnerNotice& other56) {
+  row = other56.row;
+  version = other56.version;
 }
-OwnerNotice& OwnerNotice::operator=(const OwnerNotice& other63) {
-  row = other63.row;
-  version = other63.version;
+OwnerNotice& OwnerNotice::operator=(const OwnerNotice& other57) {
+  row = other57.row;
+  version = other57.version;
   return *this;
 }
 void OwnerNotice::printTo(std::ostream& out) const {
@@ -2618,11 +2318,11 @@
   swap(a.token, b.token);
 }
 
-Handover::Handover(const Handover& other64) noexcept {
-  token = other64.token;
+Handover::Handover(const Handover& other58) noexcept {
+  token = other58.token;
 }
-Handover& Handover::operator=(const Handover& other65) noexcept {
-  token = other65.token;
+Handover& Handover::operator=(const Handover& other59) noexcept {
+  token = other59.token;
   return *this;
 }
 void Handover::printTo(std::ostream& out) const {
@@ -2665,21 +2365,6 @@
 __isset.configurationBody = true;
 }
 
-void Message::__set_demandNotice(const DemandNotice& val) {
-  this->demandNotice = val;
-__isset.demandNotice = true;
-}
-
-void Message::__set_demandQuery(const DemandQuery& val) {
-  this->demandQuery = val;
-__isset.demandQuery = true;
-}
-
-void Message::__set_demandReport(const DemandReport& val) {
-  this->demandReport = val;
-__isset.demandReport = true;
-}
-
 void Message::__set_leavingNotice(const LeavingNotice& val) {
   this->leavingNotice = val;
 __isset.leavingNotice = true;
@@ -2812,30 +2497,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->demandNotice.read(iprot);
-          this->__isset.demandNotice = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->demandQuery.read(iprot);
-          this->__isset.demandQuery = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->demandReport.read(iprot);
-          this->__isset.demandReport = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->leavingNotice.read(iprot);
@@ -2973,21 +2634,6 @@
     xfer += this->configurationBody.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.demandNotice) {
-    xfer += oprot->writeFieldBegin("demandNotice", ::apache::thrift::protocol::T_STRUCT, 7);
-    xfer += this->demandNotice.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.demandQuery) {
-    xfer += oprot->writeFieldBegin("demandQuery", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->demandQuery.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.demandReport) {
-    xfer += oprot->writeFieldBegin("demandReport", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->demandReport.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.leavingNotice) {
     xfer += oprot->writeFieldBegin("leavingNotice", ::apache::thrift::protocol::T_STRUCT, 10);
     xfer += this->leavingNotice.write(oprot);
@@ -3056,9 +2702,6 @@
   swap(a.heartbeat, b.heartbeat);
   swap(a.configurationRequest, b.configurationRequest);
   swap(a.configurationBody, b.configurationBody);
-  swap(a.demandNotice, b.demandNotice);
-  swap(a.demandQuery, b.demandQuery);
-  swap(a.demandReport, b.demandReport);
   swap(a.leavingNotice, b.leavingNotice);
   swap(a.jobNotice, b.jobNotice);
   swap(a.jobSubmission, b.jobSubmission);
@@ -3073,51 +2716,45 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other66) {
-  id = other66.id;
-  replyTo = other66.replyTo;
-  sender = other66.sender;
-  heartbeat = other66.heartbeat;
-  configurationRequest = other66.configurationRequest;
-  configurationBody = other66.configurationBody;
-  demandNotice = other66.demandNotice;
-  demandQuery = other66.demandQuery;
-  demandReport = other66.demandReport;
-  leavingNotice = other66.leavingNotice;
-  jobNotice = other66.jobNotice;
-  jobSubmission = other66.jobSubmission;
-  jobQuery = other66.jobQuery;
-  jobReport = other66.jobReport;
-  adviceQuery = other66.adviceQuery;
-  adviceReport = other66.adviceReport;
-  presence = other66.presence;
-  ownerReport = other66.ownerReport;
-  ownerNotice = other66.ownerNotice;
-  handover = other66.handover;
-  __isset = other66.__isset;
-}
-Message& Message::operator=(const Message& other67) {
-  id = other67.id;
-  replyTo = other67.replyTo;
-  sender = other67.sender;
-  heartbeat = other67.heartbeat;
-  configurationRequest = other67.configurationRequest;
-  configurationBody = other67.configurationBody;
-  demandNotice = other67.demandNotice;
-  demandQuery = other67.demandQuery;
-  demandReport = other67.demandReport;
-  leavingNotice = other67.leavingNotice;
-  jobNotice = other67.jobNotice;
-  jobSubmission = other67.jobSubmission;
-  jobQuery = other67.jobQuery;
-  jobReport = other67.jobReport;
-  adviceQuery = other67.adviceQuery;
-  adviceReport = other67.adviceReport;
-  presence = other67.presence;
-  ownerReport = other67.ownerReport;
-  ownerNotice = other67.ownerNotice;
-  handover = other67.handover;
-  __isset = other67.__isset;
+Message::Message(const Message& other60) {
+  id = other60.id;
+  replyTo = other60.replyTo;
+  sender = other60.sender;
+  heartbeat = other60.heartbeat;
+  configurationRequest = other60.configurationRequest;
+  configurationBody = other60.configurationBody;
+  leavingNotice = other60.leavingNotice;
+  jobNotice = other60.jobNotice;
+  jobSubmission = other60.jobSubmission;
+  jobQuery = other60.jobQuery;
+  jobReport = other60.jobReport;
+  adviceQuery = other60.adviceQuery;
+  adviceReport = other60.adviceReport;
+  presence = other60.presence;
+  ownerReport = other60.ownerReport;
+  ownerNotice = other60.ownerNotice;
+  handover = other60.handover;
+  __isset = other60.__isset;
+}
+Message& Message::operator=(const Message& other61) {
+  id = other61.id;
+  replyTo = other61.replyTo;
+  sender = other61.sender;
+  heartbeat = other61.heartbeat;
+  configurationRequest = other61.configurationRequest;
+  configurationBody = other61.configurationBody;
+  leavingNotice = other61.leavingNotice;
+  jobNotice = other61.jobNotice;
+  jobSubmission = other61.jobSubmission;
+  jobQuery = other61.jobQuery;
+  jobReport = other61.jobReport;
+  adviceQuery = other61.adviceQuery;
+  adviceReport = other61.adviceReport;
+  presence = other61.presence;
+  ownerReport = other61.ownerReport;
+  ownerNotice = other61.ownerNotice;
+  handover = other61.handover;
+  __isset = other61.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3129,9 +2766,6 @@
   out << ", " << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
   out << ", " << "configurationRequest="; (__isset.configurationRequest ? (out << to_string(configurationRequest)) : (out << "<null>"));
   out << ", " << "configurationBody="; (__isset.configurationBody ? (out << to_string(configurationBody)) : (out << "<null>"));
-  out << ", " << "demandNotice="; (__isset.demandNotice ? (out << to_string(demandNotice)) : (out << "<null>"));
-  out << ", " << "demandQuery="; (__isset.demandQuery ? (out << to_string(demandQuery)) : (out << "<null>"));
-  out << ", " << "demandReport="; (__isset.demandReport ? (out << to_string(demandReport)) : (out << "<null>"));
   out << ", " << "leavingNotice="; (__isset.leavingNotice ? (out << to_string(leavingNotice)) : (out << "<null>"));
   out << ", " << "jobNotice="; (__isset.jobNotice ? (out << to_string(jobNotice)) : (out << "<null>"));
   out << ", " << "jobSubmission="; (__isset.jobSubmission ? (out << to_string(jobSubmission)) : (out << "<null>"));
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -29,14 +29,8 @@
 
 class ConfigurationBody;
 
-class DemandNotice;
-
-class DemandQuery;
-
 class TaskReport;
 
-class DemandReport;
-
 class LeavingNotice;
 
 class JobNotice;
@@ -118,10 +112,6 @@
 
 std::ostream& operator<<(std::ostream& out, const Sender& obj);
 
-typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : placing(false) {}
-  bool placing :1;
-} _Heartbeat__isset;
 
 /**
  * Liveness, what the sender has in force, and whether it leaves.
@@ -133,33 +123,23 @@
   Heartbeat& operator=(const Heartbeat&) noexcept;
   Heartbeat() noexcept
             : configurationVersion(0),
-              leaving(0),
-              placing(0) {
+              leaving(0) {
   }
 
   virtual ~Heartbeat() noexcept;
   int64_t configurationVersion;
   bool leaving;
-  bool placing;
-
-  _Heartbeat__isset __isset;
 
   void __set_configurationVersion(const int64_t val);
 
   void __set_leaving(const bool val);
 
-  void __set_placing(const bool val);
-
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(configurationVersion == rhs.configurationVersion))
       return false;
     if (!(leaving == rhs.leaving))
       return false;
-    if (__isset.placing != rhs.__isset.placing)
-      return false;
-    else if (__isset.placing && !(placing == rhs.placing))
-      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -264,83 +244,6 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigurationBody& obj);
 
-
-/**
- * A demand's row has changed; its home scheduler should read it.
- */
-class DemandNotice : public virtual ::apache::thrift::TBase {
- public:
-
-  DemandNotice(const DemandNotice&);
-  DemandNotice& operator=(const DemandNotice&);
-  DemandNotice() noexcept
-               : key() {
-  }
-
-  virtual ~DemandNotice() noexcept;
-  std::string key;
-
-  void __set_key(const std::string& val);
-
-  bool operator == (const DemandNotice & rhs) const
-  {
-    if (!(key == rhs.key))
-      return false;
-    return true;
-  }
-  bool operator != (const DemandNotice &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const DemandNotice & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(DemandNotice &a, DemandNotice &b);
-
-std::ostream& operator<<(std::ostream& out, const DemandNotice& obj);
-
-
-class DemandQuery : public virtual ::apache::thrift::TBase {
- public:
-
-  DemandQuery(const DemandQuery&);
-  DemandQuery& operator=(const DemandQuery&);
-  DemandQuery() noexcept
-              : key() {
-  }
-
-  virtual ~DemandQuery() noexcept;
-  std::string key;
-
-  void __set_key(const std::string& val);
-
-  bool operator == (const DemandQuery & rhs) const
-  {
-    if (!(key == rhs.key))
-      return false;
-    return true;
-  }
-  bool operator != (const DemandQuery &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const DemandQuery & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(DemandQuery &a, DemandQuery &b);
-
-std::ostream& operator<<(std::ostream& out, const DemandQuery& obj);
-
 typedef struct _TaskReport__isset {
   _TaskReport__isset() : worker(false) {}
   bool worker :1;
@@ -399,54 +302,6 @@
 std::ostream& operator<<(std::ostream& out, const TaskReport& obj);
 
 
-class DemandReport : public virtual ::apache::thrift::TBase {
- public:
-
-  DemandReport(const DemandReport&);
-  DemandReport& operator=(const DemandReport&);
-  DemandReport() noexcept
-               : key(),
-                 known(0) {
-  }
-
-  virtual ~DemandReport() noexcept;
-  std::string key;
-  bool known;
-  std::vector<TaskReport>  tasks;
-
-  void __set_key(const std::string& val);
-
-  void __set_known(const bool val);
-
-  void __set_tasks(const std::vector<TaskReport> & val);
-
-  bool operator == (const DemandReport & rhs) const
-  {
-    if (!(key == rhs.key))
-      return false;
-    if (!(known == rhs.known))
-      return false;
-    if (!(tasks == rhs.tasks))
-      return false;
-    return true;
-  }
-  bool operator != (const DemandReport &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const DemandReport & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(DemandReport &a, DemandReport &b);
-
-std::ostream& operator<<(std::ostream& out, const DemandReport& obj);
-
-
 /**
  * An upstream said that it is leaving.
  */
@@ -584,6 +439,10 @@
 
 std::ostream& operator<<(std::ostream& out, const JobSubmission& obj);
 
+typedef struct _JobQuery__isset {
+  _JobQuery__isset() : withTasks(false) {}
+  bool withTasks :1;
+} _JobQuery__isset;
 
 class JobQuery : public virtual ::apache::thrift::TBase {
  public:
@@ -591,18 +450,28 @@
   JobQuery(const JobQuery&);
   JobQuery& operator=(const JobQuery&);
   JobQuery() noexcept
-           : id() {
+           : id(),
+             withTasks(0) {
   }
 
   virtual ~JobQuery() noexcept;
   std::string id;
+  bool withTasks;
+
+  _JobQuery__isset __isset;
 
   void __set_id(const std::string& val);
 
+  void __set_withTasks(const bool val);
+
   bool operator == (const JobQuery & rhs) const
   {
     if (!(id == rhs.id))
       return false;
+    if (__isset.withTasks != rhs.__isset.withTasks)
+      return false;
+    else if (__isset.withTasks && !(withTasks == rhs.withTasks))
+      return false;
     return true;
   }
   bool operator != (const JobQuery &rhs) const {
@@ -622,9 +491,10 @@
 std::ostream& operator<<(std::ostream& out, const JobQuery& obj);
 
 typedef struct _JobReport__isset {
-  _JobReport__isset() : state(false), outcome(false) {}
+  _JobReport__isset() : state(false), outcome(false), tasks(false) {}
   bool state :1;
   bool outcome :1;
+  bool tasks :1;
 } _JobReport__isset;
 
 /**
@@ -645,6 +515,7 @@
   bool known;
   std::string state;
   int32_t outcome;
+  std::vector<TaskReport>  tasks;
 
   _JobReport__isset __isset;
 
@@ -654,6 +525,8 @@
 
   void __set_outcome(const int32_t val);
 
+  void __set_tasks(const std::vector<TaskReport> & val);
+
   bool operator == (const JobReport & rhs) const
   {
     if (!(known == rhs.known))
@@ -666,6 +539,10 @@
       return false;
     else if (__isset.outcome && !(outcome == rhs.outcome))
       return false;
+    if (__isset.tasks != rhs.__isset.tasks)
+      return false;
+    else if (__isset.tasks && !(tasks == rhs.tasks))
+      return false;
     return true;
   }
   bool operator != (const JobReport &rhs) const {
@@ -1040,14 +917,11 @@
 std::ostream& operator<<(std::ostream& out, const Handover& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : replyTo(false), heartbeat(false), configurationRequest(false), configurationBody(false), demandNotice(false), demandQuery(false), demandReport(false), leavingNotice(false), jobNotice(false), jobSubmission(false), jobQuery(false), jobReport(false), adviceQuery(false), adviceReport(false), presence(false), ownerReport(false), ownerNotice(false), handover(false) {}
+  _Message__isset() : replyTo(false), heartbeat(false), configurationRequest(false), configurationBody(false), leavingNotice(false), jobNotice(false), jobSubmission(false), jobQuery(false), jobReport(false), adviceQuery(false), adviceReport(false), presence(false), ownerReport(false), ownerNotice(false), handover(false) {}
   bool replyTo :1;
   bool heartbeat :1;
   bool configurationRequest :1;
   bool configurationBody :1;
-  bool demandNotice :1;
-  bool demandQuery :1;
-  bool demandReport :1;
   bool leavingNotice :1;
   bool jobNotice :1;
   bool jobSubmission :1;
@@ -1078,9 +952,6 @@
   Heartbeat heartbeat;
   ConfigurationRequest configurationRequest;
   ConfigurationBody configurationBody;
-  DemandNotice demandNotice;
-  DemandQuery demandQuery;
-  DemandReport demandReport;
   LeavingNotice leavingNotice;
   JobNotice jobNotice;
   JobSubmission jobSubmission;
@@ -1107,12 +978,6 @@
 
   void __set_configurationBody(const ConfigurationBody& val);
 
-  void __set_demandNotice(const DemandNotice& val);
-
-  void __set_demandQuery(const DemandQuery& val);
-
-  void __set_demandReport(const DemandReport& val);
-
   void __set_leavingNotice(const LeavingNotice& val);
 
   void __set_jobNotice(const JobNotice& val);
@@ -1157,18 +1022,6 @@
       return false;
     else if (__isset.configurationBody && !(configurationBody == rhs.configurationBody))
       return false;
-    if (__isset.demandNotice != rhs.__isset.demandNotice)
-      return false;
-    else if (__isset.demandNotice && !(demandNotice == rhs.demandNotice))
-      return false;
-    if (__isset.demandQuery != rhs.__isset.demandQuery)
-      return false;
-    else if (__isset.demandQuery && !(demandQuery == rhs.demandQuery))
-      return false;
-    if (__isset.demandReport != rhs.__isset.demandReport)
-      return false;
-    else if (__isset.demandReport && !(demandReport == rhs.demandReport))
-      return false;
     if (__isset.leavingNotice != rhs.__isset.leavingNotice)
       return false;
     else if (__isset.leavingNotice && !(leavingNotice == rhs.leavingNotice))
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -15,7 +15,6 @@
 struct Heartbeat {
   1: required i64 configurationVersion
   2: required bool leaving
-  3: optional bool placing
 }
 
 struct ConfigurationRequest {
@@ -28,27 +27,12 @@
   3: required binary body
 }
 
-/** A demand's row has changed; its home scheduler should read it. */
-struct DemandNotice {
-  1: required string key
-}
-
-struct DemandQuery {
-  1: required string key
-}
-
 struct TaskReport {
   1: required i32 index
   2: required string state
   3: optional string worker
 }
 
-struct DemandReport {
-  1: required string key
-  2: required bool known
-  3: required list<TaskReport> tasks
-}
-
 /** An upstream said that it is leaving. */
 struct LeavingNotice {
   1: required string upstream
@@ -69,6 +53,7 @@
 
 struct JobQuery {
   1: required string id
+  2: optional bool withTasks
 }
 
 /** What the owner knows of a job, or what became of a submission. */
@@ -76,6 +61,7 @@
   1: required bool known
   2: optional string state
   3: optional i32 outcome
+  4: optional list<TaskReport> tasks
 }
 
 /** To a daemon: ask the advice service which workers may run a step. */
@@ -132,9 +118,6 @@
   4: optional Heartbeat heartbeat
   5: optional ConfigurationRequest configurationRequest
   6: optional ConfigurationBody configurationBody
-  7: optional DemandNotice demandNotice
-  8: optional DemandQuery demandQuery
-  9: optional DemandReport demandReport
   10: optional LeavingNotice leavingNotice
   11: optional JobNotice jobNotice
   12: optional JobSubmission jobSubmission
--- a/src/libprimrosecroft/routing/booking_proxy.h
+++ b/src/libprimrosecroft/routing/booking_proxy.h
@@ -3,8 +3,8 @@
 #include "io/http_client.h"
 #include "io/http_server.h"
 #include "io/timer.h"
+#include "membership/membership.h"
 #include "observability/metrics.h"
-#include "platform/platform_client.h"
 #include "routing/routing.h"
 
 #include <functional>
--- a/src/libprimrosecroft/settings/daemon_settings.h
+++ b/src/libprimrosecroft/settings/daemon_settings.h
@@ -1,20 +1,18 @@
 #pragma once
 
 #include "core/types.h"
-#include "ownership/ownership.h"
 
 #include <string>
 
 namespace primrosecroft
 {
 
-/// Settings of one daemon, from its own YAML file. Both daemons share the format.
+/// Settings of an entry daemon, from its own YAML file.
 struct daemon_settings
 {
     process_id process;
     failure_domain_id failureDomain;
     std::string region;
-    std::uint32_t rank = 0; ///< among the failure domain's schedulers
 
     std::string address; ///< an IP number
     std::uint16_t httpPort = 0;
@@ -24,8 +22,8 @@
     std::uint16_t platformPort = 0;
     std::chrono::milliseconds platformTimeout {2'000};
 
-    std::uint16_t entryPeerPort = 7401; ///< of every entry daemon
-    std::uint16_t schedulerPeerPort = 7411; ///< of every scheduler daemon
+    std::string bookingPool = "bookings"; ///< service name of the executors that bookings go to
+    std::string taskPool = "tasks"; ///< service name of the workers that run demands
 
     std::chrono::milliseconds heartbeatInterval {2'000};
     std::chrono::milliseconds configurationInterval {2'000};
@@ -41,8 +39,6 @@
     std::string tokenFile;
     std::string administrationToken; ///< what the file holds
     bool openAdministration = false; ///< no token is asked for; only where the settings say so
-
-    ownership_settings ownership;
 };
 
 /// Throws error naming file, line, column, key and what was expected, for each fault a line.
