--- /dev/null
+++ b/src/libprimrosecroft/store/guarded_store.cpp
@@ -0,0 +1,148 @@
+#include "store/guarded_store.h"
+
+#include "core/clock.h"
+
+#include <random>
+#include <utility>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+constexpr std::size_t mostWaiting = 2'000; ///< calls; further ones are refused
+
+} // namespace
+
+guarded_store::guarded_store(store &rows, object_store &objects, std::chrono::milliseconds timeout)
+    : m_rows(rows)
+    , m_objects(objects)
+    , m_timeout(timeout)
+{
+    m_breaker.seed = std::random_device {}();
+}
+
+bool guarded_store::isReachable() const
+{
+    return m_breaker.reachable;
+}
+
+void guarded_store::setReturnBudget(double callsPerSecond)
+{
+    m_breaker.operationsPerSecond = callsPerSecond;
+}
+
+void guarded_store::note(store_outcome outcome)
+{
+    const bool isAnswered = outcome == store_outcome::done || outcome == store_outcome::conflict;
+    storeAnswered(m_breaker, isAnswered, bootNow());
+}
+
+void guarded_store::enqueue(waiting_call call)
+{
+    if (!m_breaker.reachable || m_waiting.size() >= mostWaiting) {
+        call.refuse();
+        return;
+    }
+    m_waiting.push_back(std::move(call));
+    sendWaiting();
+}
+
+void guarded_store::sendWaiting()
+{
+    while (!m_waiting.empty() && !m_pause.isRunning()) {
+        const auto pause = m_breaker.reachable ? takeOperation(m_breaker, bootNow()) : std::chrono::milliseconds(0);
+        if (pause.count() > 0) {
+            m_pause.once(pause, [this] { sendWaiting(); });
+            return;
+        }
+        const auto next = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        (m_breaker.reachable ? next.send : next.refuse)();
+    }
+}
+
+/// A read is also what finds out whether the store is back.
+void guarded_store::probeOrEnqueue(waiting_call call)
+{
+    if (!m_breaker.reachable && takeProbe(m_breaker, bootNow())) {
+        call.send();
+        return;
+    }
+    enqueue(std::move(call));
+}
+
+void guarded_store::commit(const store_transaction &transaction, const std::function<void(commit_result)> &done)
+{
+    const auto answer = [this, done](const commit_result &result) {
+        note(result.outcome);
+        done(result);
+    };
+    enqueue({[this, transaction, answer] { m_rows.commit(transaction, m_timeout, answer); },
+             [done] {
+                 commit_result result;
+                 result.outcome = store_outcome::refused;
+                 done(result);
+             }});
+}
+
+void guarded_store::readRow(const row_place &place, std::function<void(row_reading)> done)
+{
+    readAll({place.table, place.part, place.key, place.key + '\x01', 1},
+            [place, done = std::move(done)](const rows_reading &rows) {
+                if (!rows) {
+                    done(std::nullopt);
+                } else if (rows->empty() || rows->front().place.key != place.key) {
+                    done(row_reading {std::optional<store_row> {}});
+                } else {
+                    done(row_reading {rows->front()});
+                }
+            });
+}
+
+void guarded_store::readAll(const row_range &range, const std::function<void(rows_reading)> &done)
+{
+    readPage(range, {}, done);
+}
+
+void guarded_store::readPage(const row_range &range, std::vector<store_row> gathered,
+                             const std::function<void(rows_reading)> &done)
+{
+    const auto answer = [this, range, gathered = std::move(gathered), done](const range_result &result) mutable {
+        note(result.outcome);
+        if (result.outcome != store_outcome::done) {
+            done(std::nullopt);
+            return;
+        }
+        gathered.insert(gathered.end(), result.rows.begin(), result.rows.end());
+        if (!result.hasMore || result.rows.empty() || range.limit == 1) {
+            done(std::move(gathered));
+            return;
+        }
+        auto rest = range;
+        rest.from = result.rows.back().place.key + '\x01';
+        readPage(rest, std::move(gathered), done);
+    };
+    probeOrEnqueue({[this, range, answer] { m_rows.read(range, m_timeout, answer); }, [done] { done(std::nullopt); }});
+}
+
+void guarded_store::putObject(const std::string &name, const std::string &bytes, const std::function<void(bool)> &done)
+{
+    const auto answer = [this, done](store_outcome outcome) {
+        note(outcome);
+        done(outcome == store_outcome::done);
+    };
+    enqueue({[this, name, bytes, answer] { m_objects.put(name, bytes, m_timeout, answer); }, [done] { done(false); }});
+}
+
+void guarded_store::getObject(const std::string &name, const std::function<void(std::optional<std::string>)> &done)
+{
+    const auto answer = [this, done](store_outcome outcome, std::optional<std::string> bytes) {
+        note(outcome);
+        done(std::move(bytes));
+    };
+    probeOrEnqueue({[this, name, answer] { m_objects.get(name, m_timeout, answer); }, [done] { done(std::nullopt); }});
+}
+
+} // namespace primrosecroft
--- a/src/libprimrosecroft/platform/store_breaker.cpp
+++ b/src/libprimrosecroft/store/store_breaker.cpp
@@ -1,4 +1,4 @@
-#include "platform/store_breaker.h"
+#include "store/store_breaker.h"
 
 #include <algorithm>
 #include <cmath>
--- /dev/null
+++ b/tests/standins/owned_cell.cpp
@@ -0,0 +1,109 @@
+#include "owned_cell.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosecroft
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr row_version token = 10;
+
+} // namespace
+
+owned_cell::owned_cell()
+{
+    cell_origin origin;
+    origin.token = token;
+    origin.takenAt = now;
+    state = makeCell({}, origin);
+}
+
+described_worker owned_cell::makeWorker(const worker_id &id, const std::string &rack, const resources &capacity)
+{
+    described_worker worker;
+    worker.id = id;
+    worker.boot = 1;
+    worker.address = "10.0.0.1:80";
+    worker.pool = "pool";
+    worker.failureDomain = "a";
+    worker.labels = {"plain", rack};
+    worker.capacity = capacity;
+    return worker;
+}
+
+void owned_cell::addWorker(const described_worker &worker)
+{
+    tell(worker_seen {worker});
+    list(worker.id, {});
+    state.book.insert(worker.id);
+}
+
+accepted_job owned_cell::makeJob(const job_id &id, const std::vector<step_spec> &steps, std::int32_t priority)
+{
+    accepted_job job;
+    job.id = id;
+    job.queue = {"queue", "pool", priority, 2, 2, 500ms, std::nullopt};
+    job.spec.steps = steps;
+    return job;
+}
+
+void owned_cell::addJob(const accepted_job &job)
+{
+    tell(job_arrived {job, {}, token + 1, false});
+}
+
+std::vector<send_start> owned_cell::settle()
+{
+    tell(ownership_confirmed {now});
+    tell(clock_ticked {timeOfDay, 1s, 1});
+    actions.clear();
+    primrosecroft::settle(state, now, actions);
+    std::vector<send_start> starts;
+    for (const auto &action : actions) {
+        if (const auto *start = std::get_if<send_start>(&action)) {
+            starts.push_back(*start);
+        } else if (const auto *rows = std::get_if<commit_rows>(&action)) {
+            m_commitUnderWay = rows->number;
+        }
+    }
+    return starts;
+}
+
+void owned_cell::store()
+{
+    if (const auto number = std::exchange(m_commitUnderWay, std::nullopt)) {
+        tell(commit_answered {*number, store_outcome::done, token + 2});
+    }
+}
+
+void owned_cell::list(const worker_id &worker, const std::vector<listed_run> &runs, const std::vector<listed_end> &ends,
+                      worker_boot boot)
+{
+    list_answered answer;
+    answer.worker = worker;
+    answer.result = order_result::done;
+    answer.sentAt = now;
+    answer.boot = boot;
+    answer.clock = 1'000ms + std::chrono::duration_cast<worker_time>(now.time_since_epoch());
+    answer.running = runs;
+    answer.ended = ends;
+    tell(answer);
+}
+
+void owned_cell::pass(std::chrono::milliseconds time)
+{
+    now += time;
+    timeOfDay += time;
+}
+
+void owned_cell::tell(const cell_message &message)
+{
+    step(state, message, now, actions);
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/tests/unit/cell_golden_test.cpp
@@ -0,0 +1,110 @@
+#include "cell_emulation.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+/// Whole sessions of a cell as workers see them. `UPDATE_GOLDEN=1` writes them anew; git shows the difference.
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+emulation_settings calm()
+{
+    emulation_settings settings;
+    settings.faults = 0;
+    settings.workers = 2;
+    return settings;
+}
+
+accepted_job makeJob(const std::string &id, std::int32_t count, std::chrono::milliseconds estimate)
+{
+    accepted_job job;
+    job.id = id;
+    job.queue = {"queue", "pool", 0, 2, 2, 500ms, std::nullopt};
+    step_spec step;
+    step.count = count;
+    step.size = {2'000, 1'000, 0};
+    step.estimate = estimate;
+    auto second = step;
+    second.count = 1;
+    second.after = {0};
+    job.spec.steps = {step, second};
+    return job;
+}
+
+class session
+{
+public:
+    session()
+    {
+        cell.watch = [this](const std::string &line) {
+            m_text << '+' << cell.elapsed().count() << " ms  " << line << '\n';
+        };
+        cell.runFor(2s);
+    }
+
+    void note(const std::string &what)
+    {
+        m_text << '+' << cell.elapsed().count() << " ms  ** " << what << '\n';
+    }
+
+    void matches(const std::string &file)
+    {
+        note("the end");
+        CHECK(cell.breach().empty());
+        const auto path = "../golden/" + file;
+        if (std::getenv("UPDATE_GOLDEN") != nullptr) {
+            std::ofstream(path) << m_text.str();
+        }
+        std::ifstream stream(path);
+        std::stringstream expected;
+        expected << stream.rdbuf();
+        CHECK(m_text.str() == expected.str());
+    }
+
+    cell_emulation cell {calm()};
+
+private:
+    std::ostringstream m_text;
+};
+
+} // namespace
+
+TEST_CASE("a job of two steps, from its acceptance to its end")
+{
+    session session;
+    session.note("job a comes");
+    session.cell.submit(makeJob("a", 3, 400ms));
+    session.cell.runFor(2s);
+    session.matches("cell-two-steps.txt");
+}
+
+TEST_CASE("the owner is killed while tasks run: they run on, and the next step starts under a new token")
+{
+    session session;
+    session.note("job a comes");
+    session.cell.submit(makeJob("a", 2, 3s));
+    session.cell.runFor(500ms);
+    session.note("the owner is killed");
+    session.cell.killOwner(20s);
+    session.cell.runFor(6s);
+    session.matches("cell-owner-killed.txt");
+}
+
+TEST_CASE("a worker falls silent: its tasks start elsewhere once its leases have run out")
+{
+    session session;
+    session.note("job a comes");
+    session.cell.submit(makeJob("a", 2, 2s));
+    session.cell.runFor(300ms);
+    session.note("worker 0 is cut off");
+    session.cell.cutWorker(0, 60s);
+    session.note("worker 1 is cut off for a moment");
+    session.cell.cutWorker(1, 100ms);
+    session.cell.runFor(14s);
+    session.matches("cell-worker-cut.txt");
+}
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -1,4 +1,5 @@
 #include "cell_emulation.h"
+#include "owned_cell.h"
 
 #include <catch2/catch.hpp>
 
@@ -173,3 +174,21 @@
     CHECK(emulation.breach().empty());
     CHECK(emulation.storedEnd("a") == job_status::complete);
 }
+
+TEST_CASE("ends of an earlier boot that are stored late don't let the next boot forget its own")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("w", "r", {8'000, 16'000, 0}));
+    cell.addJob(makeJob("a", {makeStep(2, 400ms)}));
+    const auto starts = cell.settle();
+    REQUIRE(starts.size() == 2);
+    cell.list("w", {}, {{5, starts.front().run, run_end::done, ""}});
+    cell.pass(50ms);
+    cell.settle(); // the record of that end leaves
+    cell.list("w", {}, {}, 2); // the worker has started anew under its id
+    cell.store();
+    cell.pass(200ms);
+    cell.settle();
+    REQUIRE(cell.state.workers.contains("w"));
+    CHECK(cell.state.workers.at("w").notedEnd == 0);
+}
--- /dev/null
+++ b/tests/unit/placing_test.cpp
@@ -0,0 +1,250 @@
+#include "owned_cell.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+/// Which task starts where, one reason a case.
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr resources wholeWorker {8'000, 16'000, 0};
+
+step_spec makeStep(std::int32_t count, std::int64_t milliCores = 1'000)
+{
+    step_spec step;
+    step.count = count;
+    step.size = {milliCores, 1'000, 0};
+    step.estimate = 1s;
+    return step;
+}
+
+owned_cell makeCellOf(std::initializer_list<const char *> workers)
+{
+    owned_cell cell;
+    for (const auto *id : workers) {
+        cell.addWorker(owned_cell::makeWorker(id, std::string("r-") + id, wholeWorker));
+    }
+    return cell;
+}
+
+std::set<worker_id> workersOf(const std::vector<send_start> &starts)
+{
+    std::set<worker_id> result;
+    std::ranges::transform(starts, std::inserter(result, result.end()), &send_start::worker);
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a label, a pool or a failure domain that a worker lacks keeps tasks away from it")
+{
+    auto cell = makeCellOf({"a", "b", "c", "d"});
+    auto labelled = owned_cell::makeWorker("b", "r-b", wholeWorker);
+    labelled.labels = {"big", "r-b"};
+    auto elsewhere = owned_cell::makeWorker("c", "r-c", wholeWorker);
+    elsewhere.failureDomain = "dyce";
+    auto foreign = owned_cell::makeWorker("d", "r-d", wholeWorker);
+    foreign.pool = "other";
+    for (const auto &each : {labelled, elsewhere, foreign}) {
+        cell.addWorker(each);
+    }
+    auto big = makeStep(2);
+    big.label = "big";
+    auto far = makeStep(2);
+    far.failureDomain = "dyce";
+    cell.addJob(owned_cell::makeJob("big", {big}));
+    CHECK(workersOf(cell.settle()) == std::set<worker_id> {"b"});
+    cell.addJob(owned_cell::makeJob("far", {far}));
+    CHECK(workersOf(cell.settle()) == std::set<worker_id> {"c"});
+    cell.addJob(owned_cell::makeJob("many", {makeStep(40)}));
+    CHECK_FALSE(workersOf(cell.settle()).contains("d"));
+}
+
+TEST_CASE("no worker is given more than it has")
+{
+    auto cell = makeCellOf({"a", "b"});
+    cell.addJob(owned_cell::makeJob("many", {makeStep(40, 3'000)}));
+    const auto starts = cell.settle();
+    CHECK(starts.size() == 4);
+    CHECK(std::ranges::count(starts, "a", &send_start::worker) == 2);
+    auto memory = makeStep(40, 100);
+    memory.size.memoryMib = 15'000;
+    cell.addJob(owned_cell::makeJob("memory", {memory}));
+    CHECK(cell.settle().empty());
+}
+
+TEST_CASE("at most so many tasks of a step run on one worker")
+{
+    auto cell = makeCellOf({"a", "b", "c"});
+    auto apart = makeStep(5);
+    apart.mostPerWorker = 1;
+    cell.addJob(owned_cell::makeJob("apart", {apart}));
+    const auto starts = cell.settle();
+    CHECK(starts.size() == 3);
+    CHECK(workersOf(starts).size() == 3);
+}
+
+TEST_CASE("tasks start in the rack of their data while it has room, then elsewhere")
+{
+    auto cell = makeCellOf({"a", "b"});
+    auto near = makeStep(10);
+    near.dataRack = "r-b";
+    cell.addJob(owned_cell::makeJob("near", {near}));
+    const auto starts = cell.settle();
+    REQUIRE(starts.size() == 10);
+    CHECK(std::ranges::count(starts, "b", &send_start::worker) == 8);
+    CHECK(starts.front().worker == "b");
+}
+
+TEST_CASE("a step that wants one rack gets the one with room for most of it")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("a", "left", {4'000, 16'000, 0}));
+    cell.addWorker(owned_cell::makeWorker("b", "right", {4'000, 16'000, 0}));
+    cell.addWorker(owned_cell::makeWorker("c", "right", {4'000, 16'000, 0}));
+    auto together = makeStep(8);
+    together.sameRack = true;
+    cell.addJob(owned_cell::makeJob("together", {together}));
+    CHECK(workersOf(cell.settle()) == std::set<worker_id> {"b", "c"});
+}
+
+TEST_CASE("a queue that comes first is served first, whoever came before")
+{
+    auto cell = makeCellOf({"a"});
+    cell.addJob(owned_cell::makeJob("later", {makeStep(8)}, 1));
+    cell.addJob(owned_cell::makeJob("first", {makeStep(8)}, 0));
+    const auto starts = cell.settle();
+    REQUIRE(starts.size() == 8);
+    CHECK(std::ranges::all_of(starts, [](const send_start &each) { return each.run.task.job == "first"; }));
+}
+
+TEST_CASE("a gang starts whole or not at all")
+{
+    auto cell = makeCellOf({"a", "b"});
+    auto gang = makeStep(9, 2'000);
+    gang.gang = true;
+    cell.addJob(owned_cell::makeJob("gang", {gang}));
+    CHECK(cell.settle().empty());
+    cell.addWorker(owned_cell::makeWorker("c", "r-c", wholeWorker));
+    const auto starts = cell.settle();
+    REQUIRE(starts.size() == 9);
+    CHECK(std::ranges::all_of(starts,
+                              [&](const send_start &each) { return each.run.attempt == starts.front().run.attempt; }));
+}
+
+TEST_CASE("a worker that operators drain gets nothing new, until they take that back")
+{
+    auto cell = makeCellOf({"a", "b"});
+    step(cell.state, rules_seen {{{"a"}, {}}}, cell.now, cell.actions);
+    cell.addJob(owned_cell::makeJob("many", {makeStep(16)}));
+    CHECK(workersOf(cell.settle()) == std::set<worker_id> {"b"});
+    step(cell.state, rules_seen {}, cell.now, cell.actions);
+    CHECK(workersOf(cell.settle()) == std::set<worker_id> {"a"});
+}
+
+TEST_CASE("the sheet's weights decide between packing, proportion, spread and accelerators")
+{
+    const auto placedBy = [](const placement_policy &policy) {
+        owned_cell cell;
+        auto accelerated = owned_cell::makeWorker("gpu", "r1", {8'000, 16'000, 2});
+        cell.addWorker(owned_cell::makeWorker("fuller", "r1", wholeWorker));
+        cell.addWorker(owned_cell::makeWorker("emptier", "r2", wholeWorker));
+        cell.addWorker(accelerated);
+        auto lopsided = makeStep(1, 1'000);
+        lopsided.size.memoryMib = 8'000;
+        lopsided.dataRack = "r1";
+        cell.addJob(owned_cell::makeJob("before", {lopsided}));
+        const auto first = cell.settle();
+        step(cell.state, rules_seen {{{}, policy}}, cell.now, cell.actions);
+        cell.addJob(owned_cell::makeJob("task", {makeStep(1, 500)}));
+        const auto starts = cell.settle();
+        return starts.empty() ? worker_id() : starts.front().worker;
+    };
+    placement_policy packing;
+    CHECK(placedBy(packing) == "fuller");
+    placement_policy balance;
+    balance.packingWeight = 0;
+    balance.balanceWeight = 1;
+    CHECK(placedBy(balance) == "emptier");
+    placement_policy blind;
+    blind.strandingWeight = -100;
+    CHECK(placedBy(blind) == "gpu");
+}
+
+TEST_CASE("a task that fills starts where none with a target runs, and takes no counted processor time")
+{
+    auto cell = makeCellOf({"a", "b"});
+    auto serving = makeStep(1, 1'000);
+    serving.lasts = true;
+    serving.targetLatency = 50ms;
+    serving.dataRack = "r-a";
+    cell.addJob(owned_cell::makeJob("serving", {serving}));
+    CHECK(workersOf(cell.settle()) == std::set<worker_id> {"a"});
+    auto filling = makeStep(4, 2'000);
+    filling.fills = true;
+    cell.addJob(owned_cell::makeJob("filling", {filling}));
+    CHECK(workersOf(cell.settle()) == std::set<worker_id> {"b"});
+    cell.addJob(owned_cell::makeJob("plain", {makeStep(8)}));
+    CHECK(cell.settle().size() == 8);
+}
+
+TEST_CASE("occurrences begin at their times, not before, also those that were missed")
+{
+    auto cell = makeCellOf({"a"});
+    auto timed = owned_cell::makeJob("timed", {makeStep(1)});
+    timed.spec.occurrences = 3;
+    timed.spec.firstDue = cell.timeOfDay + 2s;
+    timed.spec.interval = 1s;
+    cell.addJob(timed);
+    CHECK(cell.settle().empty());
+    cell.pass(1'990ms);
+    cell.list("a", {});
+    CHECK(cell.settle().empty());
+    cell.pass(1'020ms);
+    cell.list("a", {});
+    const auto starts = cell.settle();
+    REQUIRE(starts.size() == 2);
+    CHECK(starts.front().run.task.occurrence == 0);
+    CHECK(starts.back().run.task.occurrence == 1);
+}
+
+TEST_CASE("what runs once starts only when that is stored, and its loss ends the job as unknown")
+{
+    auto cell = makeCellOf({"a"});
+    auto once = makeStep(1);
+    once.runsOnce = true;
+    cell.addJob(owned_cell::makeJob("once", {once}));
+    CHECK(cell.settle().empty());
+    cell.store();
+    cell.pass(50ms);
+    const auto starts = cell.settle();
+    REQUIRE(starts.size() == 1);
+    step(cell.state, start_answered {"a", 1, starts.front().run, order_result::done, cell.now}, cell.now, cell.actions);
+    cell.pass(500ms);
+    cell.list("a", {}); // it has gone without an end
+    cell.pass(50ms);
+    CHECK(cell.settle().empty());
+    CHECK(cell.state.jobs.at("once").failed);
+    CHECK(cell.state.jobs.at("once").isUnknown);
+}
+
+TEST_CASE("a start of a task that runs once may be sent again when it was surely refused")
+{
+    auto cell = makeCellOf({"a"});
+    auto once = makeStep(1);
+    once.runsOnce = true;
+    cell.addJob(owned_cell::makeJob("once", {once}));
+    cell.settle();
+    cell.store();
+    cell.pass(50ms);
+    const auto first = cell.settle();
+    REQUIRE(first.size() == 1);
+    step(cell.state, start_answered {"a", 1, first.front().run, order_result::noRoom, cell.now}, cell.now,
+         cell.actions);
+    CHECK(cell.settle().size() == 1);
+    CHECK_FALSE(cell.state.jobs.at("once").failed);
+}
