Hand over sooner and to a process near the store, let callers wait for a living owner

While the store was 27 times slower, processes whose submission had waited 1.3 s wrote single jobs by themselves, though the owner lived. That filled the part's line, the store answered 429, and batches of 30 jobs failed with it (77 requests ended with 504).

Ruled out: the batches themselves (30 jobs in 0.4 s while nobody else wrote), the advice service, the take-over's reads (0.15 s).

Hand-over is a pure decision of its own now (leadership/handover): cut off after 350 ms of failing calls or 900 ms without confirmation, to the processes nearest to the store; an owner far from it moves when a near one has settled. Callers' processes write by themselves only when no owner is heard.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -10,6 +10,7 @@
 #include "io/http_server.h"
 #include "io/peer_hub.h"
 #include "io/timer.h"
+#include "leadership/handover.h"
 #include "leadership/leadership.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
@@ -49,8 +50,6 @@
 constexpr auto readyFreshness = 2'200ms; ///< of the configuration, so that it is in force within its bound
 constexpr auto lookTimeout = 500ms;
 constexpr auto takeTimeout = 1'000ms;
-constexpr auto confirmPatience = 900ms; ///< an owner without confirmation for so long looks for a better one
-constexpr auto peerStoreFreshness = 1'600ms; ///< a daemon that reached the store so lately can take over
 constexpr auto leaveTime = 3'500ms; ///< after SIGTERM: the balancer stops sending within two of its probes
 constexpr auto resignAfter = 2'800ms; ///< after SIGTERM an owner whom nobody relieved gives up the row
 constexpr auto leaveCheck = 50ms;
@@ -104,16 +103,6 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - since).count());
 }
 
-/// Another daemon, as its last presence described it.
-struct known_peer
-{
-    peer_address address;
-    instant heardAt;
-    std::chrono::milliseconds storeAge {0}; ///< then
-    std::chrono::milliseconds up {0}; ///< since its process started
-    bool leaving = false;
-};
-
 } // namespace
 
 struct cell_daemon::parts
@@ -160,6 +149,9 @@
                                          std::chrono::milliseconds timeout, auto done) {
             storeThroughOwner(id, row, cancelled, timeout, std::move(done));
         };
+        links.ownerLives = [this] {
+            return ownsHere() || (ownerAddress() && leadership.heardAt + ownerFreshness > bootNow());
+        };
         links.waiting = [this](const queue_name &queue) { return waitingIn(queue); };
         return links;
     }
@@ -241,6 +233,8 @@
     void beginOwnership(const begin_ownership &begun)
     {
         log.writeAlways("cell", "owns", {{"token", std::to_string(begun.token)}, {"term", std::to_string(begun.term)}});
+        ownsSince = bootNow();
+        lastHeir.clear();
         runner.begin(begun.token, begun.term, takenSince);
         tellPeersOfOwner(*leadership.owner, begun.token);
         refreshAskers();
@@ -282,39 +276,29 @@
         });
     }
 
-    /// An owner that leaves, or can't reach the store, hands over to a daemon that can take its place.
-    void considerHandover()
+    void tryHandover()
     {
-        const auto now = bootNow();
-        const bool isCut = runner.isServing() && runner.confirmedAt() + confirmPatience <= now;
-        if (!ownsHere() || (!leaving && !isCut) || handedOverAt + confirmPatience > now) {
+        if (!ownsHere() || (!leaving && !runner.isServing())) {
             return;
         }
-        const known_peer *best = nullptr;
-        std::string bestName;
-        for (const auto &[name, peer] : knownPeers) {
-            const bool isUsable = !peer.leaving && peer.heardAt + presenceSilence > now
-                && peer.storeAge < peerStoreFreshness && name != lastHeir;
-            // Where machines are stopped in turn, the one that came back last is the last to be stopped again.
-            const auto isBetter = [&] { return leaving ? peer.up < best->up : peer.storeAge < best->storeAge; };
-            if (isUsable && (best == nullptr || isBetter())) {
-                best = &peer;
-                bestName = name;
-            }
-        }
-        if (best == nullptr) {
-            lastHeir.clear();
+        const auto now = bootNow();
+        const auto chosen = considerHandover({leaving, ownsSince, runner.confirmedAt(), rows.failsSince(),
+                                              leadership.storeDistance, handedOverAt, lastHeir},
+                                             knownPeers, now);
+        if (!chosen) {
             return;
         }
         handedOverAt = now;
-        lastHeir = bestName;
-        log.writeAlways(
-            "cell", "hand-over",
-            {{"to", bestName}, {"leaving", leaving ? "1" : "0"}, {"unconfirmed_ms", ageText(runner.confirmedAt())}});
+        lastHeir = chosen->heir;
+        log.writeAlways("cell", "hand-over",
+                        {{"to", chosen->heir},
+                         {"reason", toString(chosen->reason)},
+                         {"unconfirmed_ms", ageText(runner.confirmedAt())},
+                         {"distance_ms", std::to_string(leadership.storeDistance.count())}});
         wire::Message message;
         message.handover.token = leadership.version;
         message.__isset.handover = true;
-        peers.send(best->address, message);
+        peers.send(knownPeers.at(chosen->heir).address, message);
     }
 
     // --- other daemons
@@ -357,6 +341,7 @@
         peer.storeAge = std::chrono::milliseconds(presence.storeAgeMs);
         peer.leaving = presence.leaving;
         peer.up = std::chrono::milliseconds(presence.upMs);
+        peer.storeDistance = std::chrono::milliseconds(presence.storeDistanceMs);
         wire::Message answer;
         answer.ownerReport.owns = ownsHere();
         answer.ownerReport.token = leadership.version;
@@ -382,6 +367,7 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - rows.reachedAt()).count();
         message.presence.leaving = leaving;
         message.presence.upMs = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - startedAt).count();
+        message.presence.__set_storeDistanceMs(leadership.storeDistance.count());
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
@@ -657,7 +643,7 @@
     {
         lead(leadership_tick {});
         if (ownsHere()) {
-            considerHandover();
+            tryHandover();
             refreshAskers();
         } else {
             sayPresent();
@@ -695,10 +681,10 @@
         log.writeAlways("process", "leaving", {{"requests", std::to_string(callers.inFlight())}});
         const auto begun = bootNow();
         lead(leave_asked {});
-        considerHandover();
+        tryHandover();
         sayPresent();
         leaveTimer.every(leaveCheck, [this, begun] {
-            considerHandover();
+            tryHandover();
             if (bootNow() >= begun + resignAfter) {
                 lead(resign_asked {}); // nobody took over
             }
@@ -769,9 +755,10 @@
     timer leaveTimer;
     instant startedAt = bootNow();
     instant takenSince; ///< when the call that showed this process as owner was sent
-    instant handedOverAt;
+    std::optional<instant> handedOverAt;
+    instant ownsSince;
     process_id lastHeir; ///< the daemon that was asked to take over last
-    std::map<process_id, known_peer> knownPeers;
+    std::map<process_id, heir_candidate> knownPeers; ///< as their last presence described them
     std::map<queue_name, std::int64_t> waitingCounts; ///< as the owner told
     instant waitingAt;
     bool leaving = false;
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -181,8 +181,9 @@
                                       answer(entry, statusOk, "", "accepted");
                                   } else if (outcome == store_outcome::conflict) {
                                       answer(entry, statusOk, "", "accepted-before");
-                                  } else if (bootNow() < entry->begun + ownerChange) {
-                                      // Without an owner nothing would start anyway, and the next one is near.
+                                  } else if (m_links.ownerLives() || bootNow() < entry->begun + ownerChange) {
+                                      // An owner gathers what waits into one transaction; writes of single jobs
+                                      // would fill a slow store's line. Without an owner the next one is near.
                                       --entry->tries;
                                       entry->pause.once(commitPause, [this, entry] { commitThroughOwner(entry); });
                                   } else {
--- /dev/null
+++ b/src/libprimrosecroft/leadership/handover.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/types.h"
+#include "io/peer_hub.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+
+/**
+ * When an owner asks another process to take its place, and which one. A hand-over is a
+ * take-over without the wait for a silent owner; nothing of safety depends on it.
+ */
+namespace primrosecroft
+{
+
+/// Another process, as its last word described it.
+struct heir_candidate
+{
+    peer_address address;
+    instant heardAt;
+    std::chrono::milliseconds storeAge {0}; ///< then, since it reached the store
+    std::chrono::milliseconds storeDistance {0}; ///< a read's way there and back; 0 when not known
+    std::chrono::milliseconds up {0}; ///< since its process started
+    bool leaving = false;
+};
+
+/// The owner's own situation.
+struct owner_situation
+{
+    bool leaving = false; ///< it has been told to stop
+    instant ownsSince;
+    instant confirmedAt; ///< ownership was in force then
+    std::optional<instant> storeFailsSince; ///< none after a call of the store that was answered
+    std::chrono::milliseconds storeDistance {0};
+    std::optional<instant> handedOverAt; ///< it asked a process lately
+    process_id lastHeir; ///< which one
+};
+
+enum class handover_reason
+{
+    leaving,
+    cutOff, ///< others reach the store, this process doesn't
+    far, ///< another process is much nearer to the store
+};
+
+struct handover
+{
+    process_id heir;
+    handover_reason reason = handover_reason::leaving;
+};
+
+/// None when there is no reason, or nobody who could take over.
+std::optional<handover> considerHandover(const owner_situation &owner,
+                                         const std::map<process_id, heir_candidate> &candidates, instant now);
+
+/// For logs.
+const char *toString(handover_reason reason);
+
+} // namespace primrosecroft
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -1803,6 +1803,11 @@
 void Presence::__set_upMs(const int64_t val) {
   this->upMs = val;
 }
+
+void Presence::__set_storeDistanceMs(const int64_t val) {
+  this->storeDistanceMs = val;
+__isset.storeDistanceMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -1876,6 +1881,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeDistanceMs);
+          this->__isset.storeDistanceMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1923,6 +1936,11 @@
   xfer += oprot->writeI64(this->upMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeDistanceMs) {
+    xfer += oprot->writeFieldBegin("storeDistanceMs", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->storeDistanceMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1935,6 +1953,8 @@
   swap(a.storeAgeMs, b.storeAgeMs);
   swap(a.leaving, b.leaving);
   swap(a.upMs, b.upMs);
+  swap(a.storeDistanceMs, b.storeDistanceMs);
+  swap(a.__isset, b.__isset);
 }
 
 Presence::Presence(const Presence& other44) {
@@ -1943,6 +1963,8 @@
   storeAgeMs = other44.storeAgeMs;
   leaving = other44.leaving;
   upMs = other44.upMs;
+  storeDistanceMs = other44.storeDistanceMs;
+  __isset = other44.__isset;
 }
 Presence& Presence::operator=(const Presence& other45) {
   address = other45.address;
@@ -1950,6 +1972,8 @@
   storeAgeMs = other45.storeAgeMs;
   leaving = other45.leaving;
   upMs = other45.upMs;
+  storeDistanceMs = other45.storeDistanceMs;
+  __isset = other45.__isset;
   return *this;
 }
 void Presence::printTo(std::ostream& out) const {
@@ -1960,6 +1984,7 @@
   out << ", " << "storeAgeMs=" << to_string(storeAgeMs);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "upMs=" << to_string(upMs);
+  out << ", " << "storeDistanceMs="; (__isset.storeDistanceMs ? (out << to_string(storeDistanceMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -715,6 +715,10 @@
 
 std::ostream& operator<<(std::ostream& out, const AdviceReport& obj);
 
+typedef struct _Presence__isset {
+  _Presence__isset() : storeDistanceMs(false) {}
+  bool storeDistanceMs :1;
+} _Presence__isset;
 
 /**
  * To the owner: the sender lives, and when it last reached the store.
@@ -729,7 +733,8 @@
              port(0),
              storeAgeMs(0),
              leaving(0),
-             upMs(0) {
+             upMs(0),
+             storeDistanceMs(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -738,6 +743,9 @@
   int64_t storeAgeMs;
   bool leaving;
   int64_t upMs;
+  int64_t storeDistanceMs;
+
+  _Presence__isset __isset;
 
   void __set_address(const std::string& val);
 
@@ -749,6 +757,8 @@
 
   void __set_upMs(const int64_t val);
 
+  void __set_storeDistanceMs(const int64_t val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(address == rhs.address))
@@ -761,6 +771,10 @@
       return false;
     if (!(upMs == rhs.upMs))
       return false;
+    if (__isset.storeDistanceMs != rhs.__isset.storeDistanceMs)
+      return false;
+    else if (__isset.storeDistanceMs && !(storeDistanceMs == rhs.storeDistanceMs))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -91,6 +91,7 @@
   3: required i64 storeAgeMs
   4: required bool leaving
   5: required i64 upMs
+  6: optional i64 storeDistanceMs
 }
 
 /** The owner's answer to a presence. */
--- a/src/libprimrosecroft/store/watched_store.cpp
+++ b/src/libprimrosecroft/store/watched_store.cpp
@@ -58,8 +58,10 @@
 void watched_store::note(store_outcome outcome, std::chrono::milliseconds storeTime, instant sentAt)
 {
     if (outcome != store_outcome::done && outcome != store_outcome::conflict) {
+        m_failsSince = m_failsSince.value_or(bootNow());
         return;
     }
+    m_failsSince.reset();
     m_reachedAt = std::max(m_reachedAt, sentAt);
     if (storeTime.count() > 0) {
         m_sampledTime = storeTime;
@@ -80,6 +82,11 @@
     return m_reachedAt;
 }
 
+std::optional<instant> watched_store::failsSince() const
+{
+    return m_failsSince;
+}
+
 std::chrono::milliseconds watched_store::commitTime() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_commitTime);
--- a/src/libprimrosecroft/store/watched_store.h
+++ b/src/libprimrosecroft/store/watched_store.h
@@ -4,6 +4,7 @@
 #include "store/store.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace primrosecroft
 {
@@ -27,6 +28,9 @@
     /// When the last call that was answered well was sent.
     instant reachedAt() const;
 
+    /// When calls began to fail; none after one that was answered.
+    std::optional<instant> failsSince() const;
+
     /// How long commits have taken lately, smoothed.
     std::chrono::milliseconds commitTime() const;
 
@@ -40,6 +44,7 @@
     std::chrono::milliseconds m_sampledTime {0};
     instant m_sampledAt;
     instant m_reachedAt;
+    std::optional<instant> m_failsSince;
     std::chrono::duration<double, std::milli> m_commitTime {0};
     std::uint64_t m_writes = 0;
     std::uint64_t m_reads = 0;
--- a/tests/unit/held_store.h
+++ b/tests/unit/held_store.h
@@ -45,7 +45,7 @@
     void follow(const std::string &table, row_version after, std::chrono::milliseconds /*wait*/,
                 std::chrono::milliseconds /*timeout*/, std::function<void(feed_result)> done) override
     {
-        m_following.push_back([this, table, after, done = std::move(done)] { done(rows.follow(table, after)); });
+        m_following.emplace_back([this, table, after, done = std::move(done)] { done(rows.follow(table, after)); });
         m_feedTimer.every(std::chrono::milliseconds(5), [this] { serveFeeds(); });
     }
 
