Let workers that leave empty out of the book, don't hold copies back in doubt

Cause: after a take-over all tasks accepted before wait up to 6.2 s while one worker of the book hasn't answered.

A draining worker on which nothing is left is taken out of the book, and is booked again before it gets an order; a smaller book counts before it is stored, a larger one after. Steps whose tasks may have copies don't wait.

--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -67,16 +67,18 @@
 {
     std::vector<waiting_step> result;
     for (auto &[id, job] : state.jobs) {
-        if (job.cancelled || job.failed || isInDoubt(state, job, now)) {
+        if (job.cancelled || job.failed) {
             continue;
         }
+        const bool inDoubt = isInDoubt(state, job, now);
         for (auto &[number, occurrence] : job.occurrences) {
             if (occurrence.complete) {
                 continue;
             }
             for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
                 auto &each = occurrence.steps[index];
-                if (!each.ready || each.idle.empty()) {
+                const auto &spec = job.accepted.spec.steps[index];
+                if (!each.ready || each.idle.empty() || (inDoubt && !spec.mayDuplicate)) {
                     continue;
                 }
                 waiting_step waiting;
@@ -84,7 +86,7 @@
                 waiting.job = &job;
                 waiting.occurrence = &occurrence;
                 waiting.step = &each;
-                waiting.spec = &job.accepted.spec.steps[index];
+                waiting.spec = &spec;
                 waiting.priority = job.accepted.queue.priority;
                 const auto objective = std::chrono::duration_cast<duration>(job.objective);
                 const auto begin = job.accepted.spec.occurrences > 0 ? each.readyAt : job.arrivedAt;
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -104,14 +104,27 @@
     }
 }
 
+/// A worker that leaves and on which nothing is left: a next owner needn't hear of it before it goes on.
+bool isCleared(const worker_state &worker)
+{
+    return worker.described.draining && worker.resolved && worker.rooms.empty() && worker.strangers.empty();
+}
+
 void writeBook(store_transaction &transaction, cell_state &state, std::uint64_t number)
 {
-    std::set<worker_id> wanted;
-    std::ranges::copy(std::views::keys(state.workers), std::inserter(wanted, wanted.end()));
-    std::ranges::copy(state.unresolved, std::inserter(wanted, wanted.end()));
-    if (wanted == state.book || state.bookWriting != 0) {
+    if (state.bookWriting != 0) {
+        return;
+    }
+    auto wanted = state.unresolved;
+    for (const auto &[id, worker] : state.workers) {
+        if (!isCleared(worker)) {
+            wanted.insert(id);
+        }
+    }
+    if (wanted == state.book) {
         return;
     }
+    std::erase_if(state.book, [&wanted](const worker_id &id) { return !wanted.contains(id); });
     transaction.writes.push_back({bookPlace(), encodeBook(wanted)});
     state.bookWriting = number;
     state.bookSent = std::move(wanted);
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -192,3 +192,46 @@
     REQUIRE(cell.state.workers.contains("w"));
     CHECK(cell.state.workers.at("w").notedEnd == 0);
 }
+
+TEST_CASE("a draining worker on which nothing is left leaves the book, and takes nothing before it stands there again")
+{
+    owned_cell cell;
+    auto worker = owned_cell::makeWorker("w", "r", {8'000, 16'000, 0});
+    cell.addWorker(worker);
+    cell.addWorker(owned_cell::makeWorker("other", "r", {8'000, 16'000, 0}));
+    cell.settle();
+    cell.store();
+    worker.draining = true;
+    step(cell.state, worker_seen {worker}, cell.now, cell.actions);
+    cell.pass(50ms);
+    cell.settle(); // the smaller book leaves
+    worker.draining = false;
+    step(cell.state, worker_seen {worker}, cell.now, cell.actions);
+    cell.addJob(makeJob("a", {makeStep(8, 400ms)}));
+    for (const auto &start : cell.settle()) {
+        CHECK(start.worker == "other");
+    }
+    cell.store();
+    CHECK_FALSE(cell.state.book.contains("w"));
+    cell.pass(50ms);
+    cell.settle(); // it is booked again
+    cell.store();
+    cell.pass(50ms);
+    CHECK(cell.state.book.contains("w"));
+    CHECK_FALSE(cell.settle().empty());
+}
+
+TEST_CASE("what may have copies needn't wait for a worker that a new owner can't reach")
+{
+    owned_cell cell;
+    cell.state.unresolved = {"gone"};
+    cell.state.doubtUntil = cell.now + 6s;
+    cell.addWorker(owned_cell::makeWorker("w", "r", {8'000, 16'000, 0}));
+    auto copied = makeStep(1, 400ms);
+    copied.mayDuplicate = true;
+    step(cell.state, job_arrived {makeJob("old", {makeStep(1, 400ms)}), {}, 5, false}, cell.now, cell.actions);
+    step(cell.state, job_arrived {makeJob("copied", {copied}), {}, 5, false}, cell.now, cell.actions);
+    const auto starts = cell.settle();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().run.task.job == "copied");
+}
