Start a copy of a run that is late or out of sight, where copies may run

Three steps in ten of the main kind of request may have copies.

Ruled out: shorter leases (an outage of the store of 4 to 5 s would end runs).

A run that takes over twice its time and 0.2 s, or whose worker's last list got no answer, gets a second run elsewhere; the first good end stops the other.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -71,6 +71,7 @@
     bool wasBegunBefore = false; ///< recorded by an earlier owner
     std::uint32_t lastAttempt = 0;
     std::vector<task_run> runs; ///< more than one only where copies may run
+    bool wantsCopy = false; ///< its run is late or out of sight; a second one may start
     std::set<worker_id> avoid; ///< where it failed
     instant idleSince;
     instant notBefore;
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "core/contains.h"
 
 #include <algorithm>
 #include <cmath>
@@ -271,7 +272,8 @@
     candidate *best = nullptr;
     for (auto &each : candidates) {
         if (each.capacity >= 1 && (best == nullptr || each.cost < best->cost)
-            && !task.avoid.contains(each.worker->described.id)) {
+            && !task.avoid.contains(each.worker->described.id)
+            && !contains(task.runs, each.worker->described.id, &task_run::worker)) {
             best = &each;
         }
     }
@@ -295,6 +297,7 @@
     run.sentAt = now;
     run.percentAt = now;
     task.runs.push_back(run);
+    task.wantsCopy = false;
     task.lastAttempt = attempt;
     std::string ticket;
     if (const auto found = waiting.step->advice.workers.find(run.worker); found != waiting.step->advice.workers.end()) {
@@ -320,7 +323,8 @@
 
 bool mayRun(const waiting_step &waiting, const task_state &task, instant now)
 {
-    return !task.done && task.runs.empty() && task.notBefore <= now
+    const bool isFree = task.runs.empty() || (task.wantsCopy && task.runs.size() == 1);
+    return !task.done && isFree && task.notBefore <= now
         && static_cast<std::int32_t>(task.failedAttempts.size()) < waiting.job->accepted.queue.mostFailures;
 }
 
--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "core/contains.h"
 
 #include <algorithm>
 #include <ranges>
@@ -18,6 +19,9 @@
 constexpr auto stallQuarantine = 6'000ms;
 constexpr auto leaveMargin = 1'200ms; ///< before a worker leaves, what can resume elsewhere is stopped
 constexpr std::int32_t fullPercent = 100;
+constexpr int lateFactor = 2; ///< times the time that a run should take, and
+constexpr auto lateMargin = 200ms; ///< this on top: then it gets a copy
+constexpr std::size_t fewestMeasured = 3; ///< runs that ended, before their time goes before the estimate
 
 bool isSteady(const task_run &run)
 {
@@ -54,6 +58,37 @@
     }
 }
 
+/// What a run of the step takes, as far as can be told.
+std::chrono::milliseconds expectedTime(const step_state &step, const step_spec &spec)
+{
+    if (step.durations.size() < fewestMeasured) {
+        return spec.estimate;
+    }
+    auto sorted = step.durations;
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::ranges::nth_element(sorted, middle);
+    return std::max(spec.estimate, *middle);
+}
+
+/// A second run where copies may run, when the first is late or its worker has fallen silent.
+void copyLate(const task_ref &ref, const task_view &view, const task_run &run, const worker_state &worker, instant now)
+{
+    auto &task = *view.task;
+    if (!view.spec->mayDuplicate || view.spec->gang || view.spec->lasts || task.done || task.wantsCopy
+        || task.runs.size() != 1 || run.stopWanted) {
+        return;
+    }
+    const bool isLate = run.sentAt + lateFactor * expectedTime(*view.step, *view.spec) + lateMargin <= now;
+    if (!isLate && !worker.isSilent) {
+        return;
+    }
+    task.wantsCopy = true;
+    if (!contains(view.step->idle, ref.index)) {
+        task.idleSince = now;
+        view.step->idle.push_back(ref.index);
+    }
+}
+
 } // namespace
 
 void supervise(cell_state &state, instant now, cell_actions &actions)
@@ -72,6 +107,7 @@
             pursueStop(state, runId.task, *run, now, actions);
             leaveDraining(state, runId.task, *view, *run, worker, now, actions);
             endStalled(state, runId.task, *view, *run, worker, now, actions);
+            copyLate(runId.task, *view, *run, worker, now);
         }
     }
 }
--- /dev/null
+++ b/tests/unit/supervision_test.cpp
@@ -0,0 +1,106 @@
+#include "owned_cell.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+/// Runs that need a hand.
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr resources wholeWorker {8'000, 16'000, 0};
+
+owned_cell makeCellOf(std::initializer_list<const char *> workers)
+{
+    owned_cell cell;
+    for (const auto *id : workers) {
+        cell.addWorker(owned_cell::makeWorker(id, "r", wholeWorker));
+    }
+    return cell;
+}
+
+step_spec makeStep(bool mayDuplicate)
+{
+    step_spec step;
+    step.count = 1;
+    step.size = {1'000, 1'000, 0};
+    step.estimate = 800ms;
+    step.mayDuplicate = mayDuplicate;
+    return step;
+}
+
+void answer(owned_cell &cell, const send_start &start)
+{
+    step(cell.state, start_answered {start.worker, 1, start.run, order_result::done, cell.now}, cell.now, cell.actions);
+}
+
+/// Lets time pass in which all workers list what they run.
+void passListing(owned_cell &cell, std::chrono::milliseconds time, const send_start &start, std::int32_t percent)
+{
+    cell.pass(time);
+    for (const auto *id : {"a", "b"}) {
+        cell.list(id,
+                  start.worker == id ? std::vector<listed_run> {{start.run, "", percent, 0}}
+                                     : std::vector<listed_run> {});
+    }
+}
+
+std::vector<run_id> stopsIn(const std::vector<cell_action> &actions)
+{
+    std::vector<run_id> result;
+    for (const auto &action : actions) {
+        if (const auto *stop = std::get_if<send_stop>(&action)) {
+            result.push_back(stop->run);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a run that takes far longer than was estimated gets a copy elsewhere, where copies may run")
+{
+    for (const bool mayDuplicate : {true, false}) {
+        auto cell = makeCellOf({"a", "b"});
+        cell.addJob(owned_cell::makeJob("job", {makeStep(mayDuplicate)}));
+        const auto first = cell.settle();
+        REQUIRE(first.size() == 1);
+        answer(cell, first.front());
+        passListing(cell, 1s, first.front(), 20);
+        CHECK(cell.settle().empty());
+        passListing(cell, 1'200ms, first.front(), 40);
+        const auto copies = cell.settle();
+        REQUIRE(copies.size() == (mayDuplicate ? 1 : 0));
+        if (mayDuplicate) {
+            CHECK(copies.front().worker != first.front().worker);
+            CHECK(copies.front().run.attempt > first.front().run.attempt);
+            passListing(cell, 500ms, first.front(), 50);
+            CHECK(cell.settle().empty());
+        }
+    }
+}
+
+TEST_CASE("a run on a worker that fell silent gets a copy at once, and the first end stops the other")
+{
+    auto cell = makeCellOf({"a", "b"});
+    cell.addJob(owned_cell::makeJob("job", {makeStep(true)}));
+    const auto first = cell.settle();
+    REQUIRE(first.size() == 1);
+    answer(cell, first.front());
+    cell.pass(300ms);
+    list_answered lost;
+    lost.worker = first.front().worker;
+    lost.sentAt = cell.now;
+    step(cell.state, lost, cell.now, cell.actions);
+    const auto copies = cell.settle();
+    REQUIRE(copies.size() == 1);
+    CHECK(copies.front().worker != first.front().worker);
+    answer(cell, copies.front());
+    cell.pass(800ms);
+    cell.actions.clear();
+    cell.list(copies.front().worker, {}, {{1, copies.front().run, run_end::done, ""}});
+    const auto stops = stopsIn(cell.actions);
+    CHECK(std::ranges::find(stops, first.front().run) != stops.end());
+}
