Say at once when a process reaches neither the store nor the owner

Ruled out: the owner (another one served 0.03 s after the cut was noticed), readiness (open connections stay with their daemon).

A process that has heard neither the store (1.5 s, or 0.4 s of failing calls) nor the owner (1.2 s) answers 504 with Retry-After at once, so that the caller asks elsewhere with nearly all of its time left.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -41,6 +41,8 @@
 constexpr auto presenceInterval = 200ms; ///< between two words to the owner
 constexpr auto presenceTimeout = 600ms;
 constexpr auto presenceSilence = 1'200ms; ///< a daemon unheard so long is asked for nothing
+constexpr auto storeSilence = 1'500ms; ///< over the wait of the feeds that show the store every 0.8 s
+constexpr auto storeFailure = 400ms; ///< calls that have only failed for so long
 constexpr auto noticeTimeout = 500ms;
 constexpr int mostNotices = 2; ///< tries, then the store's inbox takes it
 constexpr auto ownerPatience = 900ms; ///< then an owner that is heard of is asked again, another one not
@@ -152,6 +154,7 @@
         links.ownerLives = [this] {
             return ownsHere() || (ownerAddress() && leadership.heardAt + ownerFreshness > bootNow());
         };
+        links.isIsolated = [this] { return isIsolated(); };
         links.waiting = [this](const queue_name &queue) { return waitingIn(queue); };
         return links;
     }
@@ -163,6 +166,19 @@
         return leadership.owns;
     }
 
+    /// Neither the store nor any process that could stand in for it has been heard of lately.
+    bool isIsolated() const
+    {
+        const auto now = bootNow();
+        const bool hasStore =
+            rows.reachedAt() + storeSilence > now && (!rows.failsSince() || *rows.failsSince() + storeFailure > now);
+        const bool hasPeer = ownsHere()
+            ? std::ranges::any_of(knownPeers,
+                                  [now](const auto &each) { return each.second.heardAt + presenceSilence > now; })
+            : leadership.heardAt + presenceSilence > now;
+        return !hasStore && !hasPeer;
+    }
+
     std::optional<peer_address> ownerAddress() const
     {
         if (!leadership.owner || leadership.owner->resigned || ownsHere()) {
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -131,6 +131,10 @@
     }
     entry->queue = route->queue.name;
     entry->id = path.substr(route->prefix.size());
+    if (m_links.isIsolated()) {
+        answer(entry, statusGatewayTimeout, "", "isolated", true); // other processes may be in touch
+        return;
+    }
     if (entry->id.empty() && method == "GET") {
         waiting(entry, *route);
         return;
@@ -181,6 +185,8 @@
                                       answer(entry, statusOk, "", "accepted");
                                   } else if (outcome == store_outcome::conflict) {
                                       answer(entry, statusOk, "", "accepted-before");
+                                  } else if (m_links.isIsolated()) {
+                                      answer(entry, statusGatewayTimeout, "", "isolated", true);
                                   } else if (m_links.ownerLives() || bootNow() < entry->begun + ownerChange) {
                                       // An owner gathers what waits into one transaction; writes of single jobs
                                       // would fill a slow store's line. Without an owner the next one is near.
@@ -206,6 +212,8 @@
                        } else if (result.outcome == store_outcome::conflict) {
                            m_links.notifyOwner(entry->id, false); // perhaps nobody could before
                            answer(entry, statusOk, "", "accepted-before");
+                       } else if (m_links.isIsolated()) {
+                           answer(entry, statusGatewayTimeout, "", "isolated", true);
                        } else {
                            entry->pause.once(commitPause, [this, entry] { commitThroughOwner(entry); });
                        }
@@ -286,6 +294,10 @@
 
 void caller_service::cancel(const exchange_pointer &entry)
 {
+    if (m_links.isIsolated()) {
+        answer(entry, statusGatewayTimeout, "", "isolated", true);
+        return;
+    }
     if (entry->left() <= 0ms || ++entry->tries > mostCommits) {
         answer(entry, statusGatewayTimeout, "", "unknown", true);
         return;
--- a/src/libprimrosecroft/callers/caller_service.h
+++ b/src/libprimrosecroft/callers/caller_service.h
@@ -47,6 +47,7 @@
     std::function<void(const job_id &id, std::chrono::milliseconds timeout, std::function<void(owner_word)>)> askOwner;
 
     std::function<bool()> ownerLives; ///< it was heard lately, whether it reaches the store or not
+    std::function<bool()> isIsolated; ///< neither the store nor the owner can be reached from here
     std::function<std::optional<std::int64_t>(const queue_name &)> waiting; ///< none when nothing recent is known
 };
 
