Give up commits that went silent once reads are answered again, follow a dark owner sooner

An owner that lost power was followed after 1.4 s of silence.

Ruled out: shorter timeouts for all commits (a slow store would get every batch twice).

When a read that was sent long after a commit is answered, the commit counts as lost and is sent again under the same conditions. How long commits take is learnt from answered ones alone. Silence and stillness: 700 and 700 ms -> 600 and 500 ms, over the 300 ms between two renewals.

--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -24,11 +24,12 @@
 constexpr auto renewInterval = 300ms; ///< between two proofs of life in the store
 constexpr auto summaryInterval = 2s; ///< between two lines that show the cell at a glance
 constexpr auto confirmInterval = 450ms; ///< without a confirmed write ownership is confirmed by a read
-constexpr auto confirmTimeout = 600ms;
+constexpr auto confirmTimeout = 400ms; ///< over a read's time in a store that is 60 times slower
 constexpr auto acceptPatience = 2'400ms; ///< a job is tried so long, then its caller is told that it isn't known
 constexpr auto acceptRetry = 100ms; ///< after a transaction that failed
 constexpr std::size_t mostAccepted = 30; ///< jobs in one transaction, three entries each
 constexpr auto commitTimeout = 1'200ms;
+constexpr auto silentCommit = 250ms; ///< so long before a read that was answered, and not answered itself
 constexpr auto longestCommitTimeout = 3'000ms;
 constexpr int commitTimeFactor = 4; ///< times what commits take, then one counts as lost
 constexpr auto readTimeout = 1'500ms;
@@ -74,6 +75,13 @@
         state.confirmedAt = confirmedAt;
     }
 
+    /// A commit on its way to the store.
+    struct pending_commit
+    {
+        instant sentAt;
+        std::function<void(session &, const commit_result &)> done;
+    };
+
     cell_runner &runner;
     cell_state state;
     instant begun;
@@ -99,7 +107,8 @@
     timer reconcileTimer;
     timer acceptTimer;
     std::vector<std::pair<job_id, bool>> early; ///< came before what is stored was loaded
-    int commitsUnderWay = 0;
+    std::map<std::uint64_t, pending_commit> pending; ///< commits under way
+    std::uint64_t lastPending = 0;
     bool isConfirming = false;
     std::map<job_id, submission> submissions; ///< for the next transaction
     std::map<job_id, submission> submitting; ///< in the one under way
@@ -487,7 +496,7 @@
             summarizedAt = now;
             tellSummary(now);
         }
-        if (now >= renewedAt + renewInterval && commitsUnderWay == 0) {
+        if (now >= renewedAt + renewInterval && pending.empty()) {
             renew();
         }
         if (now >= state.confirmedAt + confirmInterval && !isConfirming) {
@@ -627,24 +636,52 @@
             renewedAt = sentAt;
             transaction.writes.push_back({renewalPlace(), "1"});
         }
-        ++commitsUnderWay;
         // A store that is slow gets no second copy of what still waits in its line.
         const auto timeout = std::clamp<std::chrono::milliseconds>(runner.m_store.commitTime() * commitTimeFactor,
                                                                    commitTimeout, longestCommitTimeout);
-        runner.m_store.commit(transaction, timeout,
-                              guarded([sentAt, done = std::move(done)](session &self, const commit_result &result) {
-                                  --self.commitsUnderWay;
-                                  if (result.outcome == store_outcome::conflict && !self.isOwnRow(result.found)) {
-                                      self.runner.m_links.ownershipLost("a write met another owner's row");
-                                      return;
-                                  }
-                                  if (result.outcome == store_outcome::done) {
-                                      step(self.state, ownership_confirmed {sentAt}, bootNow(), self.actions);
-                                  }
-                                  done(self, result);
+        const auto number = ++lastPending;
+        pending[number] = {sentAt, std::move(done)};
+        runner.m_store.commit(transaction, timeout, guarded([number](session &self, const commit_result &result) {
+                                  self.finish(number, result);
                               }));
     }
 
+    /// Takes the answer to a commit that hasn't been given up.
+    void finish(std::uint64_t number, const commit_result &result)
+    {
+        const auto node = pending.extract(number);
+        if (node.empty()) {
+            return;
+        }
+        if (result.outcome == store_outcome::conflict && !isOwnRow(result.found)) {
+            runner.m_links.ownershipLost("a write met another owner's row");
+            return;
+        }
+        if (result.outcome == store_outcome::done) {
+            step(state, ownership_confirmed {node.mapped().sentAt}, bootNow(), actions);
+        }
+        node.mapped().done(*this, result);
+    }
+
+    /// Reads are answered again that were sent long after a commit: its own answer won't come. All commits may be
+    /// sent twice, as their conditions tell.
+    void giveUpSilent(instant answeredSince)
+    {
+        const auto patience =
+            std::max<std::chrono::milliseconds>(silentCommit, runner.m_store.commitTime() * commitTimeFactor);
+        std::vector<std::uint64_t> silent;
+        for (const auto &[number, commit] : pending) {
+            if (commit.sentAt + patience <= answeredSince) {
+                silent.push_back(number);
+            }
+        }
+        for (const auto number : silent) {
+            runner.m_log.write("cell", "commit-silent",
+                               {{"ms", millisecondsText(bootNow() - pending.at(number).sentAt)}});
+            finish(number, {});
+        }
+    }
+
     /// False when the ownership row among @p found isn't the one under which this session began.
     bool isOwnRow(const std::vector<store_row> &found) const
     {
@@ -669,6 +706,7 @@
                                     return;
                                 }
                                 step(self.state, ownership_confirmed {sentAt}, bootNow(), self.actions);
+                                self.giveUpSilent(sentAt);
                             }));
     }
 
--- a/src/libprimrosecroft/leadership/leadership.h
+++ b/src/libprimrosecroft/leadership/leadership.h
@@ -43,8 +43,8 @@
     process_id process;
     std::int64_t incarnation = 0;
     peer_address address;
-    std::chrono::milliseconds silence {700}; ///< without a word of the owner its renewals are watched
-    std::chrono::milliseconds stillness {700}; ///< watched for so long without a renewal, it is taken for gone
+    std::chrono::milliseconds silence {600}; ///< without a word of the owner its renewals are watched
+    std::chrono::milliseconds stillness {500}; ///< watched for so long without a renewal, it is taken for gone
     std::chrono::milliseconds watchInterval {150}; ///< between two looks at its renewals
     std::chrono::milliseconds lookInterval {3'000}; ///< between two looks while all is well
     std::chrono::milliseconds retryInterval {200}; ///< after a store call that failed
--- a/src/libprimrosecroft/store/watched_store.cpp
+++ b/src/libprimrosecroft/store/watched_store.cpp
@@ -26,7 +26,7 @@
     ++m_writes;
     m_target.commit(transaction, timeout, [this, sentAt = bootNow(), done = std::move(done)](commit_result result) {
         note(result.outcome, result.storeTime, sentAt);
-        if (result.outcome != store_outcome::refused) {
+        if (result.outcome == store_outcome::done || result.outcome == store_outcome::conflict) {
             m_commitTime +=
                 (std::chrono::duration<double, std::milli>(bootNow() - sentAt) - m_commitTime) * newestWeight;
         }
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -167,3 +167,18 @@
     CHECK(runUntil([&] { return owner.runner.state()->rules.drained == std::set<worker_id> {"w2"}; }));
     CHECK(runUntil([&] { return !owner.rows.rows.rows().contains(rulesNoticePlace()); }));
 }
+
+TEST_CASE("a commit whose answer never comes is sent again as soon as reads are answered, not at its timeout")
+{
+    owner_process owner;
+    owner.begin();
+    owner.rows.swallowsCommits = true; // as a connection that has gone silent
+    std::optional<store_outcome> outcome;
+    const auto begun = bootNow();
+    owner.runner.submit("a", rowOf("a"), [&outcome](store_outcome each) { outcome = each; });
+    runUntil([end = begun + 100ms] { return bootNow() > end; });
+    owner.rows.swallowsCommits = false;
+    CHECK(runUntil([&] { return outcome.has_value(); }));
+    CHECK(outcome == store_outcome::done);
+    CHECK(bootNow() < begun + 1'000ms);
+}
--- a/tests/unit/held_store.h
+++ b/tests/unit/held_store.h
@@ -20,6 +20,9 @@
                 std::function<void(commit_result)> done) override
     {
         ++commits;
+        if (swallowsCommits) {
+            return;
+        }
         if (isOut) {
             commit_result refused;
             refused.outcome = store_outcome::refused;
@@ -63,6 +66,7 @@
     bool holds = false;
     bool follows = false; ///< feeds are answered; without it what is tested has to work without them
     bool isOut = false; ///< every call is refused
+    bool swallowsCommits = false; ///< they are neither carried out nor answered
     int commits = 0;
     int reads = 0;
 
