Let a process that leaves learn who owns now, tell near heirs by their region

A leaving process looked at the ownership row no more. One that had owned went on serving callers for 3.5 s without knowing its successor, so each of its submissions was written by itself, as a transaction of one: the part's line filled, the successor's batches of 30 met 429 and conflicts (10 jobs 'reconciled' at 11.77 s, 69 accepted against 177 answers 504). 2. A process that had started in the slow time looked far from the store by its reads, and the heir was one that was stopped 2 s later.

A leaving process goes on looking and takes nothing. Heirs of the nearest one's region count as near; a process's distance is its shortest read.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -298,9 +298,9 @@
             return;
         }
         const auto now = bootNow();
-        const auto chosen = considerHandover({leaving, ownsSince, runner.confirmedAt(), rows.failsSince(),
-                                              leadership.storeDistance, handedOverAt, lastHeir},
-                                             knownPeers, now);
+        const auto chosen = considerHandover(
+            {leaving, ownsSince, runner.confirmedAt(), rows.failsSince(), rows.distance(), handedOverAt, lastHeir},
+            knownPeers, now);
         if (!chosen) {
             return;
         }
@@ -310,7 +310,7 @@
                         {{"to", chosen->heir},
                          {"reason", toString(chosen->reason)},
                          {"unconfirmed_ms", ageText(runner.confirmedAt())},
-                         {"distance_ms", std::to_string(leadership.storeDistance.count())}});
+                         {"distance_ms", std::to_string(rows.distance().count())}});
         wire::Message message;
         message.handover.token = leadership.version;
         message.__isset.handover = true;
@@ -358,6 +358,7 @@
         peer.leaving = presence.leaving;
         peer.up = std::chrono::milliseconds(presence.upMs);
         peer.storeDistance = std::chrono::milliseconds(presence.storeDistanceMs);
+        peer.region = presence.region;
         wire::Message answer;
         answer.ownerReport.owns = ownsHere();
         answer.ownerReport.token = leadership.version;
@@ -383,7 +384,8 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - rows.reachedAt()).count();
         message.presence.leaving = leaving;
         message.presence.upMs = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - startedAt).count();
-        message.presence.__set_storeDistanceMs(leadership.storeDistance.count());
+        message.presence.__set_storeDistanceMs(rows.distance().count());
+        message.presence.__set_region(settings.region);
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
--- a/src/libprimrosecroft/leadership/handover.cpp
+++ b/src/libprimrosecroft/leadership/handover.cpp
@@ -72,8 +72,9 @@
     // Where machines are stopped in turn, the one that came back last is the last to be stopped again.
     const auto order = [&](const auto &each) {
         const auto &one = each.second;
-        return std::tuple(one.storeDistance > distance * nearFactor + nearMargin,
-                          *reason == handover_reason::leaving ? one.up : one.storeAge);
+        const bool isNear =
+            one.region == nearest->second.region || one.storeDistance <= distance * nearFactor + nearMargin;
+        return std::tuple(!isNear, *reason == handover_reason::leaving ? one.up : one.storeAge);
     };
     return handover {std::ranges::min_element(usable, {}, order)->first, *reason};
 }
--- a/src/libprimrosecroft/leadership/handover.h
+++ b/src/libprimrosecroft/leadership/handover.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <string>
 
 /**
  * When an owner asks another process to take its place, and which one. A hand-over is a
@@ -18,9 +19,10 @@
 struct heir_candidate
 {
     peer_address address;
+    std::string region;
     instant heardAt;
     std::chrono::milliseconds storeAge {0}; ///< then, since it reached the store
-    std::chrono::milliseconds storeDistance {0}; ///< a read's way there and back; 0 when not known
+    std::chrono::milliseconds storeDistance {0}; ///< the shortest read of its life, there and back
     std::chrono::milliseconds up {0}; ///< since its process started
     bool leaving = false;
 };
--- a/src/libprimrosecroft/leadership/leadership.cpp
+++ b/src/libprimrosecroft/leadership/leadership.cpp
@@ -128,8 +128,8 @@
 
 void tick(leadership_state &state, instant now, std::vector<leadership_action> &actions)
 {
-    if (state.owns || state.leaving) {
-        return;
+    if (state.owns) {
+        return; // one that leaves goes on: it passes requests to the next owner
     }
     if (state.hasLooked && state.owner) {
         const bool isSilent = now >= state.heardAt + state.settings.silence;
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -1808,6 +1808,11 @@
   this->storeDistanceMs = val;
 __isset.storeDistanceMs = true;
 }
+
+void Presence::__set_region(const std::string& val) {
+  this->region = val;
+__isset.region = true;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -1889,6 +1894,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1941,6 +1954,11 @@
     xfer += oprot->writeI64(this->storeDistanceMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.region) {
+    xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->region);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1954,6 +1972,7 @@
   swap(a.leaving, b.leaving);
   swap(a.upMs, b.upMs);
   swap(a.storeDistanceMs, b.storeDistanceMs);
+  swap(a.region, b.region);
   swap(a.__isset, b.__isset);
 }
 
@@ -1964,6 +1983,7 @@
   leaving = other44.leaving;
   upMs = other44.upMs;
   storeDistanceMs = other44.storeDistanceMs;
+  region = other44.region;
   __isset = other44.__isset;
 }
 Presence& Presence::operator=(const Presence& other45) {
@@ -1973,6 +1993,7 @@
   leaving = other45.leaving;
   upMs = other45.upMs;
   storeDistanceMs = other45.storeDistanceMs;
+  region = other45.region;
   __isset = other45.__isset;
   return *this;
 }
@@ -1985,6 +2006,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "upMs=" << to_string(upMs);
   out << ", " << "storeDistanceMs="; (__isset.storeDistanceMs ? (out << to_string(storeDistanceMs)) : (out << "<null>"));
+  out << ", " << "region="; (__isset.region ? (out << to_string(region)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -716,8 +716,9 @@
 std::ostream& operator<<(std::ostream& out, const AdviceReport& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : storeDistanceMs(false) {}
+  _Presence__isset() : storeDistanceMs(false), region(false) {}
   bool storeDistanceMs :1;
+  bool region :1;
 } _Presence__isset;
 
 /**
@@ -734,7 +735,8 @@
              storeAgeMs(0),
              leaving(0),
              upMs(0),
-             storeDistanceMs(0) {
+             storeDistanceMs(0),
+             region() {
   }
 
   virtual ~Presence() noexcept;
@@ -744,6 +746,7 @@
   bool leaving;
   int64_t upMs;
   int64_t storeDistanceMs;
+  std::string region;
 
   _Presence__isset __isset;
 
@@ -759,6 +762,8 @@
 
   void __set_storeDistanceMs(const int64_t val);
 
+  void __set_region(const std::string& val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(address == rhs.address))
@@ -775,6 +780,10 @@
       return false;
     else if (__isset.storeDistanceMs && !(storeDistanceMs == rhs.storeDistanceMs))
       return false;
+    if (__isset.region != rhs.__isset.region)
+      return false;
+    else if (__isset.region && !(region == rhs.region))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -92,6 +92,7 @@
   4: required bool leaving
   5: required i64 upMs
   6: optional i64 storeDistanceMs
+  7: optional string region
 }
 
 /** The owner's answer to a presence. */
--- a/src/libprimrosecroft/store/watched_store.cpp
+++ b/src/libprimrosecroft/store/watched_store.cpp
@@ -40,6 +40,12 @@
     ++m_reads;
     m_target.read(range, timeout, [this, sentAt = bootNow(), done = std::move(done)](range_result result) {
         note(result.outcome, result.storeTime, sentAt);
+        if (result.outcome == store_outcome::done) {
+            const auto took = std::max<std::chrono::milliseconds>(
+                std::chrono::milliseconds(1),
+                std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - sentAt));
+            m_distance = m_distance.count() == 0 ? took : std::min(m_distance, took);
+        }
         done(std::move(result));
     });
 }
@@ -82,6 +88,11 @@
     return m_reachedAt;
 }
 
+std::chrono::milliseconds watched_store::distance() const
+{
+    return m_distance;
+}
+
 std::optional<instant> watched_store::failsSince() const
 {
     return m_failsSince;
--- a/src/libprimrosecroft/store/watched_store.h
+++ b/src/libprimrosecroft/store/watched_store.h
@@ -28,6 +28,9 @@
     /// When the last call that was answered well was sent.
     instant reachedAt() const;
 
+    /// The shortest read so far, there and back: how far the store is, whatever its pace. 0 before the first.
+    std::chrono::milliseconds distance() const;
+
     /// When calls began to fail; none after one that was answered.
     std::optional<instant> failsSince() const;
 
@@ -45,6 +48,7 @@
     instant m_sampledAt;
     instant m_reachedAt;
     std::optional<instant> m_failsSince;
+    std::chrono::milliseconds m_distance {0};
     std::chrono::duration<double, std::milli> m_commitTime {0};
     std::uint64_t m_writes = 0;
     std::uint64_t m_reads = 0;
