Ask a worker again soon whose first list under a new owner got lost

Cause: after a take-over all older work waits until each worker of the book has answered.

Ruled out: the same for a refused connection (a new channel each 20 ms to a worker that has ended).

While older work waits, a first list is given up after 350 ms and asked for again after 20 ms.

--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -234,6 +234,7 @@
     std::optional<worker_time> deadline; ///< none before the worker's clock is known
     std::int64_t noted = 0; ///< ends up to this one may be forgotten
     std::chrono::milliseconds wait {0}; ///< for an end
+    std::chrono::milliseconds patience {0}; ///< for the answer, the wait included
 };
 
 struct ask_advice
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -38,7 +38,6 @@
 constexpr auto reconcileInterval = 2s; ///< between two looks for stored jobs that nobody told of
 constexpr auto startTimeout = 600ms;
 constexpr auto stopTimeout = 600ms;
-constexpr auto listTimeout = 700ms; ///< on top of its wait
 
 std::string millisecondsText(duration amount)
 {
@@ -632,8 +631,7 @@
                     },
                     [this](const send_pace &order) { runner.m_workers.pace(order, state.origin.token, stopTimeout); },
                     [this](const send_list &order) {
-                        runner.m_workers.list(order, state.origin.token, order.wait + listTimeout,
-                                              answering<list_answered>());
+                        runner.m_workers.list(order, state.origin.token, order.patience, answering<list_answered>());
                     },
                     [this](const ask_advice &question) {
                         runner.m_links.askAdvice(question, answering<advice_answered>());
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -15,6 +15,9 @@
 constexpr auto leaseMargin = 50ms; ///< for rounding, and for the work of ending what lapsed
 constexpr auto listPause = 35ms; ///< ends that come in this time are listed together
 constexpr auto listRetry = 150ms; ///< after a list that got no answer
+constexpr auto listTimeout = 700ms; ///< on top of its wait
+constexpr auto firstListRetry = 20ms; ///< of a worker that older work may wait for
+constexpr auto firstListTimeout = 350ms; ///< several times the way to another region and back
 constexpr auto listWait = 700ms; ///< a list waits so long for an end; each one extends the lease
 constexpr auto idleListInterval = 900ms; ///< of a worker on which nothing runs
 constexpr auto unlistedListInterval = 500ms; ///< of a worker that the platform doesn't list
@@ -127,6 +130,12 @@
     state.unresolved.erase(worker.described.id);
 }
 
+/// While older work waits for its first list under this owner.
+bool isAwaited(const cell_state &state, const worker_state &worker, instant now)
+{
+    return !worker.resolved && now < state.doubtUntil;
+}
+
 std::size_t quarantinedCount(const cell_state &state, instant now)
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -485,7 +494,8 @@
     auto &worker = found->second;
     worker.listing = false;
     worker.isSilent = message.result != order_result::done;
-    worker.nextList = now + listRetry;
+    worker.nextList =
+        now + (message.result == order_result::lost && isAwaited(state, worker, now) ? firstListRetry : listRetry);
     if (message.result == order_result::fenced) {
         actions.emplace_back(report_fenced {message.worker});
         return;
@@ -564,8 +574,8 @@
         });
         const auto wait = deadline && isBusy && !waitsForCheck ? std::chrono::milliseconds(listWait) : 0ms;
         worker.listing = true;
-        actions.emplace_back(
-            send_list {id, worker.described.address, worker.described.boot, deadline, worker.notedEnd, wait});
+        actions.emplace_back(send_list {id, worker.described.address, worker.described.boot, deadline, worker.notedEnd,
+                                        wait, wait + (isAwaited(state, worker, now) ? firstListTimeout : listTimeout)});
     }
 }
 
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -1,6 +1,7 @@
 #include "cell_emulation.h"
 #include "owned_cell.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 /// The owner's core in virtual time, one scene a case.
@@ -235,3 +236,24 @@
     REQUIRE(starts.size() == 1);
     CHECK(starts.front().run.task.job == "copied");
 }
+
+TEST_CASE("a worker that a new owner hasn't heard of yet is asked again soon, as all older work waits for it")
+{
+    owned_cell cell;
+    step(cell.state, worker_seen {owned_cell::makeWorker("w", "r", {8'000, 16'000, 0})}, cell.now, cell.actions);
+    const auto lists = [&cell] {
+        cell.settle();
+        return std::ranges::count_if(cell.actions,
+                                     [](const auto &each) { return std::holds_alternative<send_list>(each); });
+    };
+    REQUIRE(lists() == 1);
+    const auto first =
+        std::ranges::find_if(cell.actions, [](const auto &each) { return std::holds_alternative<send_list>(each); });
+    CHECK(std::get<send_list>(*first).patience <= 400ms);
+    list_answered lost;
+    lost.worker = "w";
+    lost.sentAt = cell.now;
+    step(cell.state, lost, cell.now, cell.actions);
+    cell.pass(30ms);
+    CHECK(lists() == 1);
+}
