Log each count of waiting jobs with its owner, token and age

A line callers waiting now names the owner, its token and the age of each count told, and an owner that answers a daemon's presence while it still loads writes no-counts. Nothing else changes: the age still begins when the owner's answer arrives.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -355,6 +355,9 @@
         peer.region = presence.region;
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
+        if (isOwner() && !runner.isServing()) {
+            log.write("cell", "no-counts", {{"for", message.sender.process}, {"reason", "loading"}});
+        }
         answer.ownerReport.token = leadership.version;
         if (const auto *state = runner.state(); state != nullptr && isOwner()) {
             for (const auto &[queue, count] : waitingJobs(*state)) {
@@ -393,8 +396,10 @@
                       if (!reply->ownerReport.owns) {
                           return;
                       }
-                      waitingCounts = {reply->ownerReport.waiting.begin(), reply->ownerReport.waiting.end()};
-                      waitingCountsAt = bootNow();
+                      waitingCounts = {{reply->ownerReport.waiting.begin(), reply->ownerReport.waiting.end()},
+                                       process,
+                                       reply->ownerReport.token,
+                                       bootNow()};
                       advanceLeadership(owner_answer_received {process, reply->ownerReport.token});
                   });
     }
@@ -466,18 +471,16 @@
 
     /// Number of waiting jobs of a queue. Returns std::nullopt if this process isn't the owner and has no recent answer
     /// from it.
-    std::optional<std::int64_t> waitingCount(const queue_name &queue) const
+    std::optional<waiting_count> waitingCount(const queue_name &queue) const
     {
+        const auto now = bootNow();
         if (const auto *state = runner.state(); state != nullptr) {
-            const auto counts = waitingJobs(*state);
-            const auto found = counts.find(queue);
-            return found == counts.end() ? 0 : found->second;
+            return countOf({waitingJobs(*state), settings.process, leadership.version, now}, queue, now);
         }
-        if (waitingCountsAt + maxWaitingCountsAge < bootNow()) {
+        if (waitingCounts.asOf + maxWaitingCountsAge < now) {
             return std::nullopt;
         }
-        const auto found = waitingCounts.find(queue);
-        return found == waitingCounts.end() ? 0 : found->second;
+        return countOf(waitingCounts, queue, now);
     }
 
     // --- the process
@@ -630,8 +633,7 @@
     instant ownsSince;
     process_id lastSuccessor; ///< the daemon last asked to take over; empty if this ownership has asked none
     std::map<process_id, successor_candidate> knownPeers; ///< from the last presence message of each
-    std::map<queue_name, std::int64_t> waitingCounts; ///< from the last answer of the owner
-    instant waitingCountsAt; ///< when that answer arrived
+    waiting_counts waitingCounts; ///< from the last answer of the owner, as of when it arrived
     bool isLeaving = false;
 };
 
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -343,10 +343,18 @@
 {
     const auto count = m_links.countWaitingJobs(route.queue.name);
     if (!count) {
+        m_log.write("callers", "waiting", {{"queue", entry->queue}, {"outcome", "owner-unreachable"}});
         answer(entry, statusUnavailable, "", "owner-unreachable", true);
         return;
     }
-    answer(entry, statusOk, m_codec.encodeWaiting(*count), "counted");
+    m_log.write("callers", "waiting",
+                {{"queue", entry->queue},
+                 {"outcome", "counted"},
+                 {"jobs", std::to_string(count->jobs)},
+                 {"owner", count->owner},
+                 {"token", std::to_string(count->token)},
+                 {"age_ms", std::to_string(count->age.count())}});
+    answer(entry, statusOk, m_codec.encodeWaiting(count->jobs), "counted");
 }
 
 void caller_service::answer(const exchange_pointer &entry, unsigned status, const std::string &body,
--- a/src/libprimrosecroft/callers/caller_service.h
+++ b/src/libprimrosecroft/callers/caller_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callers/waiting_counts.h"
 #include "io/http_server.h"
 #include "io/timer.h"
 #include "jobs/job_rows.h"
@@ -60,7 +61,7 @@
     std::function<bool()> isIsolated;
 
     /// Returns the number of the queue's waiting jobs, or std::nullopt if no recent number is known.
-    std::function<std::optional<std::int64_t>(const queue_name &)> countWaitingJobs;
+    std::function<std::optional<waiting_count>(const queue_name &)> countWaitingJobs;
 };
 
 /**
