--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -340,11 +340,17 @@
             range.limit = std::stoi(limit);
         }
         const auto result = store.read(range);
-        request->answer(makeAnswer(statusOk,
-                                   {{"rows", toJson(result.rows)},
-                                    {"hasMore", result.hasMore},
-                                    {"ver", result.version},
-                                    {"nowMs", store.now.count()}}));
+        const auto answer = makeAnswer(statusOk,
+                                       {{"rows", toJson(result.rows)},
+                                        {"hasMore", result.hasMore},
+                                        {"ver", result.version},
+                                        {"nowMs", store.now.count()}});
+        if (range.table != delayedTable) {
+            request->answer(answer);
+            return;
+        }
+        waitingCalls.push_back({request, bootNow() + readDelay,
+                                [answer](bool isDue) { return isDue ? std::optional(answer) : std::nullopt; }});
     }
 
     void serveFeed(const std::shared_ptr<http_request> &request)
@@ -508,6 +514,9 @@
             storeMode = request->query("mode");
         } else if (request->path() == "/store-down") {
             storeDownUntil = bootNow() + std::chrono::milliseconds(number("ms"));
+        } else if (request->path() == "/delay-reads") {
+            delayedTable = request->query("table");
+            readDelay = std::chrono::milliseconds(number("ms"));
         } else if (request->path() == "/lose-answers") {
             answersToLose += static_cast<int>(number("count"));
         } else if (request->path() == "/lose-starts") {
@@ -560,6 +569,8 @@
     timer announcementTimer;
     instant lastTickAt = bootNow();
     instant storeDownUntil;
+    std::string delayedTable; ///< reads of its rows are answered late, by readDelay; empty for none
+    std::chrono::milliseconds readDelay {0};
     int answersToLose = 0; ///< transactions that the store commits and doesn't answer
     int startAnswersToLose = 0; ///< start orders that workers carry out and don't answer
     int lastTicket = 0;
