--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -42,6 +42,10 @@
             result = {};
             result.outcome = store_outcome::refused;
         }
+        if (range.table == heldTable) {
+            m_held.push_back([done = std::move(done), result] { done(result); });
+            return;
+        }
         answer([done = std::move(done), result] { done(result); });
     }
 
@@ -63,7 +67,17 @@
         }
     }
 
+    /// Stops holding back reads of heldTable and delivers those held back so far.
+    void releaseHeldTable()
+    {
+        heldTable.clear();
+        for (const auto &next : std::exchange(m_held, {})) {
+            next();
+        }
+    }
+
     store_emulator rows;
+    std::string heldTable; ///< reads of its rows get no answer before releaseHeldTable(); empty for none
     bool delaysAnswers = false;
     bool answersPolls = false; ///< if false, polls for changes get no answer, and the code under test must cope
     bool isUnreachable = false; ///< every commit and read is refused
@@ -91,6 +105,7 @@
     }
 
     std::deque<std::function<void()>> m_delayed;
+    std::vector<std::function<void()>> m_held;
     std::vector<std::function<void()>> m_polls;
     timer m_pollTimer;
 };
