Tell no count of waiting jobs that an owner has not vouched for

Cause: an owner that still loads answered a presence with an empty map, which its reader took for zero of each queue and as fresh as its arrival. The class: a default that can't be told from a value, and an age that begins with receipt.

An owner's report now carries the age of its counts, and none while it loads; readers keep the counts with the latest moment, on their own clock from when they asked, and tell none older than 2 s (503 with Retry-After). The owner's own counts hold as of its last confirmed ownership, or of its scan of the stored jobs when that one is overdue, so that a frozen or deposed owner, and one that misses jobs stored by others, stop vouching. A scan whose read fails is repeated after 0.4 s, and no scan overlaps the next.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -52,7 +52,6 @@
 
 constexpr auto maxStoreFailureTime = 400ms; ///< the store counts as unreachable if calls only fail for this long
 constexpr auto ownerTimeout = 700ms; ///< an owner counts as responsive for this long after its last answer
-constexpr auto maxWaitingCountsAge = 2'000ms; ///< older counts of waiting jobs aren't shown to callers
 
 /// The process isn't ready if its configuration was last confirmed longer ago than this. So a new version is in force
 /// in every ready process within a bounded time.
@@ -82,9 +81,14 @@
     return result;
 }
 
+std::int64_t millisecondsSince(instant since)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - since).count();
+}
+
 std::string ageInMs(instant since)
 {
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - since).count());
+    return std::to_string(millisecondsSince(since));
 }
 
 } // namespace
@@ -355,14 +359,12 @@
         peer.region = presence.region;
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
-        if (isOwner() && !runner.isServing()) {
-            log.write("cell", "no-counts", {{"for", message.sender.process}, {"reason", "loading"}});
-        }
         answer.ownerReport.token = leadership.version;
-        if (const auto *state = runner.state(); state != nullptr && isOwner()) {
-            for (const auto &[queue, count] : waitingJobs(*state)) {
-                answer.ownerReport.waiting[queue] = count;
-            }
+        if (const auto counts = ownWaitingCounts()) {
+            answer.ownerReport.waiting = {counts->jobs.begin(), counts->jobs.end()};
+            answer.ownerReport.__set_waitingAgeMs(millisecondsSince(counts->asOf));
+        } else if (isOwner()) {
+            log.write("cell", "no-counts", {{"for", message.sender.process}, {"reason", "loading"}});
         }
         answer.__isset.ownerReport = true;
         reply(answer);
@@ -377,16 +379,15 @@
         wire::Message message;
         message.presence.address = settings.peers.address;
         message.presence.port = settings.peers.port;
-        message.presence.storeAgeMs =
-            std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - rows.lastReachedAt()).count();
+        message.presence.storeAgeMs = millisecondsSince(rows.lastReachedAt());
         message.presence.leaving = isLeaving;
-        message.presence.upMs = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - startedAt).count();
+        message.presence.upMs = millisecondsSince(startedAt);
         message.presence.__set_storeDistanceMs(rows.minRoundTrip().count());
         message.presence.__set_region(settings.region);
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
-                  [this, address, process](const std::optional<wire::Message> &reply) {
+                  [this, address, process, sentAt = bootNow()](const std::optional<wire::Message> &reply) {
                       if (!reply || !reply->__isset.ownerReport) {
                           if (peers.refusedConnection(*address) && ownerAddress() == address) {
                               advanceLeadership(owner_connection_refused {});
@@ -396,10 +397,14 @@
                       if (!reply->ownerReport.owns) {
                           return;
                       }
-                      waitingCounts = {{reply->ownerReport.waiting.begin(), reply->ownerReport.waiting.end()},
-                                       process,
-                                       reply->ownerReport.token,
-                                       bootNow()};
+                      if (reply->ownerReport.__isset.waitingAgeMs) {
+                          const auto &report = reply->ownerReport;
+                          keepLater(waitingCounts,
+                                    {{report.waiting.begin(), report.waiting.end()},
+                                     process,
+                                     report.token,
+                                     sentAt - std::chrono::milliseconds(report.waitingAgeMs)});
+                      }
                       advanceLeadership(owner_answer_received {process, reply->ownerReport.token});
                   });
     }
@@ -469,18 +474,22 @@
 
     // --- callers' jobs
 
-    /// Number of waiting jobs of a queue. Returns std::nullopt if this process isn't the owner and has no recent answer
-    /// from it.
-    std::optional<waiting_count> waitingCount(const queue_name &queue) const
+    /// Returns std::nullopt if this process isn't the owner or hasn't loaded the stored state.
+    std::optional<waiting_counts> ownWaitingCounts() const
     {
-        const auto now = bootNow();
-        if (const auto *state = runner.state(); state != nullptr) {
-            return countOf({waitingJobs(*state), settings.process, leadership.version, now}, queue, now);
-        }
-        if (waitingCounts.asOf + maxWaitingCountsAge < now) {
+        const auto *state = runner.state();
+        if (state == nullptr || !isOwner()) {
             return std::nullopt;
         }
-        return countOf(waitingCounts, queue, now);
+        return waiting_counts {waitingJobs(*state), settings.process, leadership.version, runner.countsHoldAsOf()};
+    }
+
+    /// Number of waiting jobs of a queue. Returns std::nullopt if neither this process nor an answer of the owner gives
+    /// a recent one.
+    std::optional<waiting_count> waitingCount(const queue_name &queue) const
+    {
+        const auto own = ownWaitingCounts();
+        return countOf(own ? own : waitingCounts, queue, bootNow());
     }
 
     // --- the process
@@ -633,7 +642,7 @@
     instant ownsSince;
     process_id lastSuccessor; ///< the daemon last asked to take over; empty if this ownership has asked none
     std::map<process_id, successor_candidate> knownPeers; ///< from the last presence message of each
-    waiting_counts waitingCounts; ///< from the last answer of the owner, as of when it arrived
+    std::optional<waiting_counts> waitingCounts; ///< the latest that an owner has reported
     bool isLeaving = false;
 };
 
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -1,5 +1,6 @@
 #include "cell/cell_runner.h"
 
+#include "callers/waiting_counts.h"
 #include "cell/acceptance_batcher.h"
 #include "cell/cell_rules.h"
 #include "core/clock.h"
@@ -39,7 +40,8 @@
 constexpr auto workerPollInterval = 250ms; ///< between two polls of the workers' table
 constexpr auto pollTimeout = 700ms; ///< of polls for changes, in addition to the time that they wait for one
 constexpr auto inboxPollWait = 1'000ms; ///< how long a poll of the inbox waits for a change
-constexpr auto jobScanInterval = 2s; ///< between two scans for stored jobs of which no notice has arrived
+constexpr auto jobScanInterval = 2s; ///< between the starts of two scans for stored jobs of which no notice has arrived
+constexpr auto jobScanRetryDelay = 400ms; ///< between a scan of which a read failed and the next one
 constexpr auto startTimeout = 600ms; ///< for a worker's answer to a start order
 constexpr auto stopTimeout = 600ms; ///< likewise to an order to stop a run or to change its pace
 
@@ -75,6 +77,14 @@
         std::function<void(session &, const commit_result &)> done;
     };
 
+    /// A scan of the live jobs. It is over when all its reads have ended.
+    struct job_scan
+    {
+        instant startedAt;
+        int readsLeft = 0;
+        bool hasFailed = false; ///< a read has failed, so some jobs may still be unknown
+    };
+
     cell_runner &runner;
     cell_state state;
     instant startedAt;
@@ -84,6 +94,8 @@
     std::set<job_id> incomingCancellations; ///< likewise, jobs with a cancel row
     std::map<job_id, job_progress> incomingProgress; ///< likewise, the progress rows
     int loadsLeft = 0; ///< reads of load() that aren't complete yet
+    job_scan jobScan; ///< the running one, or the last one
+    instant jobsScannedAt; ///< the jobs stored before this moment are known
     row_version workersAfter = 0; ///< changes of the workers' table up to this version have been read
     row_version inboxAfter = 0; ///< likewise for the inbox; 0: the whole inbox is read again
     instant renewedAt;
@@ -133,6 +145,7 @@
     void load()
     {
         loadsLeft = 3;
+        jobsScannedAt = bootNow();
         loadCellRows();
         loadJobs({});
         readWorkers();
@@ -169,7 +182,7 @@
         for (const auto &[id, cancelled] : std::exchange(earlyNotices, {})) {
             runner.notice(id, cancelled);
         }
-        jobScanTimer.every(jobScanInterval, [this] { scanLiveJobs({}); });
+        scheduleJobScan(jobsScannedAt + jobScanInterval);
         tickTimer.every(tickInterval, [this] { runPass(); });
         workerPollTimer.once(workerPollInterval, [this] { pollWorkers(); });
         pollInbox();
@@ -379,7 +392,11 @@
             readRules(row);
             return;
         }
-        readJob(row.place.key, [row](session &self) { self.clearInbox(row); });
+        readJob(row.place.key, [row](session &self, bool isRead) {
+            if (isRead) {
+                self.clearInbox(row);
+            }
+        });
     }
 
     void readRules(const store_row &notice)
@@ -404,18 +421,19 @@
         commit(removal, [](session &, const commit_result &) { });
     }
 
-    /// Reads the rows of a job that isn't known here or that may have been cancelled. @p done is called if the read
-    /// succeeds.
-    void readJob(const job_id &id, std::function<void(session &)> done = [](session &) { })
+    /// Reads the rows of a job that isn't known here or that may have been cancelled. @p done is told whether the read
+    /// succeeded.
+    void readJob(const job_id &id, std::function<void(session &, bool isRead)> done = [](session &, bool) { })
     {
         runner.m_store.read(liveRows(id), readTimeout,
                             guarded([id, done = std::move(done)](session &self, const range_result &result) {
-                                if (result.outcome != store_outcome::done) {
+                                const bool isRead = result.outcome == store_outcome::done;
+                                if (isRead) {
+                                    self.applyJobRows(id, result.rows);
+                                } else {
                                     self.inboxAfter = 0; // read the whole inbox again
-                                    return;
                                 }
-                                self.applyJobRows(id, result.rows);
-                                done(self);
+                                done(self, isRead);
                             }));
     }
 
@@ -440,20 +458,30 @@
         requestPass();
     }
 
+    void scheduleJobScan(instant at)
+    {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(at - bootNow());
+        jobScanTimer.once(std::max<std::chrono::milliseconds>(wait, 0ms), [this] {
+            jobScan = {bootNow()};
+            scanLiveJobs({});
+        });
+    }
+
     /// Scans the live jobs for jobs and cancellations of which no notice has reached this process.
     void scanLiveJobs(const std::string &from)
     {
+        ++jobScan.readsLeft;
         runner.m_store.read({jobTable, shardPartition, from, "", 500}, readTimeout,
                             guarded([](session &self, const range_result &result) {
-                                if (result.outcome != store_outcome::done) {
-                                    return; // the next scan reads them again
-                                }
-                                for (const auto &row : result.rows) {
-                                    self.checkLiveRow(row);
+                                const bool isRead = result.outcome == store_outcome::done;
+                                if (isRead) {
+                                    std::ranges::for_each(result.rows,
+                                                          [&self](const store_row &row) { self.checkLiveRow(row); });
                                 }
-                                if (result.hasMore && !result.rows.empty()) {
+                                if (isRead && result.hasMore && !result.rows.empty()) {
                                     self.scanLiveJobs(keyAfter(result.rows.back().place.key));
                                 }
+                                self.finishScanRead(isRead);
                             }));
     }
 
@@ -472,8 +500,25 @@
             runner.m_log.write(
                 "cell", "reconciled",
                 {{"id", key->id}, {"version", std::to_string(row.version)}, {"cancel", isCancelMissed ? "1" : "0"}});
-            readJob(key->id);
+            ++jobScan.readsLeft;
+            readJob(key->id, [](session &self, bool isRead) { self.finishScanRead(isRead); });
+        }
+    }
+
+    /// Called after each read of a scan. After the last one the jobs that were stored before the scan are known, unless
+    /// a read has failed.
+    void finishScanRead(bool isRead)
+    {
+        jobScan.hasFailed = jobScan.hasFailed || !isRead;
+        if (--jobScan.readsLeft > 0) {
+            return;
         }
+        if (jobScan.hasFailed) {
+            scheduleJobScan(bootNow() + jobScanRetryDelay);
+            return;
+        }
+        jobsScannedAt = jobScan.startedAt;
+        scheduleJobScan(jobsScannedAt + jobScanInterval);
     }
 
     /// Schedules a pass that handles all messages of the next passDelay together.
@@ -833,4 +878,12 @@
     return m_session ? m_session->state.confirmedAt : instant {};
 }
 
+instant cell_runner::countsHoldAsOf() const
+{
+    if (!m_session) {
+        return {};
+    }
+    return primrosecroft::countsHoldAsOf(m_session->state.confirmedAt, m_session->jobsScannedAt, jobScanInterval);
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/cell_runner.h
+++ b/src/libprimrosecroft/cell/cell_runner.h
@@ -73,6 +73,9 @@
     /// When the last call was sent by which the store confirmed the ownership. Returns instant {} without an ownership.
     instant confirmedAt() const;
 
+    /// The moment as of which the counts of waiting jobs in state() hold. Returns instant {} without an ownership.
+    instant countsHoldAsOf() const;
+
 private:
     struct session;
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -2026,6 +2026,11 @@
 void OwnerReport::__set_waiting(const std::map<std::string, int64_t> & val) {
   this->waiting = val;
 }
+
+void OwnerReport::__set_waitingAgeMs(const int64_t val) {
+  this->waitingAgeMs = val;
+__isset.waitingAgeMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerReport& obj)
 {
   obj.printTo(out);
@@ -2096,6 +2101,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitingAgeMs);
+          this->__isset.waitingAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2140,6 +2153,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.waitingAgeMs) {
+    xfer += oprot->writeFieldBegin("waitingAgeMs", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->waitingAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2150,17 +2168,23 @@
   swap(a.owns, b.owns);
   swap(a.token, b.token);
   swap(a.waiting, b.waiting);
+  swap(a.waitingAgeMs, b.waitingAgeMs);
+  swap(a.__isset, b.__isset);
 }
 
 OwnerReport::OwnerReport(const OwnerReport& other54) {
   owns = other54.owns;
   token = other54.token;
   waiting = other54.waiting;
+  waitingAgeMs = other54.waitingAgeMs;
+  __isset = other54.__isset;
 }
 OwnerReport& OwnerReport::operator=(const OwnerReport& other55) {
   owns = other55.owns;
   token = other55.token;
   waiting = other55.waiting;
+  waitingAgeMs = other55.waitingAgeMs;
+  __isset = other55.__isset;
   return *this;
 }
 void OwnerReport::printTo(std::ostream& out) const {
@@ -2169,6 +2193,7 @@
   out << "owns=" << to_string(owns);
   out << ", " << "token=" << to_string(token);
   out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "waitingAgeMs="; (__isset.waitingAgeMs ? (out << to_string(waitingAgeMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -837,6 +837,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Presence& obj);
 
+typedef struct _OwnerReport__isset {
+  _OwnerReport__isset() : waitingAgeMs(false) {}
+  bool waitingAgeMs :1;
+} _OwnerReport__isset;
 
 /**
  * Reply to a Presence. Shows whether the sender is still the owner, and how many jobs wait.
@@ -848,13 +852,17 @@
   OwnerReport& operator=(const OwnerReport&);
   OwnerReport() noexcept
               : owns(0),
-                token(0) {
+                token(0),
+                waitingAgeMs(0) {
   }
 
   virtual ~OwnerReport() noexcept;
   bool owns;
   int64_t token;
   std::map<std::string, int64_t>  waiting;
+  int64_t waitingAgeMs;
+
+  _OwnerReport__isset __isset;
 
   void __set_owns(const bool val);
 
@@ -862,6 +870,8 @@
 
   void __set_waiting(const std::map<std::string, int64_t> & val);
 
+  void __set_waitingAgeMs(const int64_t val);
+
   bool operator == (const OwnerReport & rhs) const
   {
     if (!(owns == rhs.owns))
@@ -870,6 +880,10 @@
       return false;
     if (!(waiting == rhs.waiting))
       return false;
+    if (__isset.waitingAgeMs != rhs.__isset.waitingAgeMs)
+      return false;
+    else if (__isset.waitingAgeMs && !(waitingAgeMs == rhs.waitingAgeMs))
+      return false;
     return true;
   }
   bool operator != (const OwnerReport &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -148,8 +148,11 @@
   1: required bool owns // the sender is the owner
   2: required i64 token // version of the latest owner row that the sender has; its fencing token if it is the owner
   // Number of live jobs of which no task has started, by the name of their queue. A queue without such jobs is missing.
-  // Empty if the sender isn't the owner or hasn't loaded the stored state.
+  // Has no meaning unless waitingAgeMs is present.
   3: required map<string, i64> waiting
+  // Milliseconds since the moment for which these numbers hold. Missing if the sender isn't the owner or hasn't loaded
+  // the stored state.
+  4: optional i64 waitingAgeMs
 }
 
 /**
