--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -146,6 +146,7 @@
     {
         loadsLeft = 3;
         jobsScannedAt = bootNow();
+        tickTimer.every(tickInterval, [this] { keepOwnership(bootNow()); });
         loadCellRows();
         loadJobs({});
         readWorkers();
@@ -541,6 +542,13 @@
             lastSummaryAt = now;
             logSummary(now);
         }
+        keepOwnership(now);
+    }
+
+    /// Renews and confirms the ownership when that is due, also while the stored state is being loaded: an owner whose
+    /// confirmation has grown old hands over.
+    void keepOwnership(instant now)
+    {
         if (now >= renewedAt + renewalInterval && pendingCommits.empty()) {
             renew();
         }
