Emulate owners that load for long, and check the counts that callers get

Each process of the emulation keeps what the owner reports, and after each contact the count that it would tell is compared with the jobs that have waited for 5 s without a start. A new owner loads for up to 2.5 s in the schedules. The scan for missed jobs is timed for each process and needs the store now; a shared time let a second owner skip its scan.

--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -23,6 +23,7 @@
     emulation_settings settings;
     settings.seed = seed;
     settings.mutation = mutation;
+    settings.maxLoadTime = std::chrono::milliseconds(2'500);
     cell_emulation emulation(settings);
     return emulation.run();
 }
@@ -61,5 +62,6 @@
     CHECK(firstViolation(disabled_rule::stopBeforeRestart, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::commitSequence, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::ownershipCondition, maxSeeds) != 0);
+    CHECK(firstViolation(disabled_rule::countsOnlyWhenLoaded, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::acknowledgeAfterCommit, maxSeeds) != 0);
 }
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -1,5 +1,6 @@
 #include "cell_emulation.h"
 
+#include "callers/waiting_counts.h"
 #include "cell/detail/cell_parts.h"
 #include "core/overloaded.h"
 #include "jobs/job_rows.h"
@@ -23,6 +24,8 @@
 constexpr auto announcementInterval = 800ms; ///< between two announcements of a worker in the platform's list
 constexpr auto minLateDelayMs = 2'000; ///< of an order whose answer is lost and which the worker carries out late
 constexpr auto maxLateDelayMs = 12'000;
+constexpr auto jobScanInterval = 2s; ///< between two scans of an owner for stored jobs that it doesn't know
+constexpr auto maxUncountedTime = 5s; ///< a job that has waited for longer must be in the counts that callers get
 
 struct emulated_worker
 {
@@ -50,6 +53,9 @@
     std::uint64_t session = 0; ///< changes with each start and change of ownership; drops answers to an earlier one
     instant nextRenewal;
     bool isRenewing = false;
+    instant servesAt; ///< end of the load of the stored state, while it is the owner
+    instant jobsScannedAt; ///< the jobs stored before are known, while it is the owner
+    std::optional<waiting_counts> counts; ///< the latest that an owner has reported to it
 };
 
 /// State of a task for the checks, from the ends that owners have acknowledged.
@@ -276,6 +282,7 @@
         leadershipSettings.incarnation = process.incarnation;
         process.leadership = makeLeadership(leadershipSettings, now);
         process.cell.reset();
+        process.counts.reset();
         process.isDown = false;
         ++process.session;
     }
@@ -296,6 +303,11 @@
             nextLeadershipTick[index] = now + 200ms;
             contactOwner(index);
             stepLeadership(index, leadership_ticked {});
+            checkWaitingCount(process);
+        }
+        if (process.cell && now < process.servesAt) {
+            announceWorkersAndRenew(index);
+            return;
         }
         if (process.cell) {
             step(*process.cell, clock_ticked {std::chrono::milliseconds(1'700'000'000'000) + elapsed(), store.now, 3},
@@ -312,14 +324,15 @@
     /// Hands the cell every stored job that it doesn't have, because the notice of it may not have reached the owner.
     void scanStoredJobs(std::size_t index)
     {
-        if (now < nextJobScanAt) {
+        auto &process = processes[index];
+        if (now < process.jobsScannedAt + jobScanInterval || !isStoreReachable(process)) {
             return;
         }
-        nextJobScanAt = now + 2s;
+        process.jobsScannedAt = now;
         std::vector<job_arrived> missing;
         for (const auto &[place, row] : store.rows()) {
             const auto key = place.table == jobTable ? parseLiveKey(place.key) : std::nullopt;
-            if (key && key->kind == live_row::job && !processes[index].cell->jobs.contains(key->id)) {
+            if (key && key->kind == live_row::job && !process.cell->jobs.contains(key->id)) {
                 missing.push_back({decodeJob(row.value), {}, row.version, false});
             }
         }
@@ -328,6 +341,37 @@
         }
     }
 
+    /// Returns what an owner reports of the waiting jobs, or std::nullopt if it doesn't vouch for its counts.
+    std::optional<waiting_counts> countsOf(const emulated_process &owner) const
+    {
+        const bool isLoading = !owner.cell || now < owner.servesAt;
+        if (settings.mutation == disabled_rule::countsOnlyWhenLoaded) {
+            const auto counts = isLoading ? std::map<queue_name, std::int64_t>() : waitingJobs(*owner.cell);
+            return waiting_counts {counts, owner.name, owner.token, now};
+        }
+        if (isLoading) {
+            return std::nullopt;
+        }
+        return waiting_counts {waitingJobs(*owner.cell), owner.name, owner.token,
+                               countsHoldAsOf(owner.cell->confirmedAt, owner.jobsScannedAt, jobScanInterval)};
+    }
+
+    /// Compares what the process would tell a caller with the jobs that have waited for long.
+    void checkWaitingCount(const emulated_process &process)
+    {
+        const auto own = process.leadership.owns ? countsOf(process) : std::nullopt;
+        const auto told = countOf(own ? own : process.counts, "queue", now);
+        const auto waiting = std::ranges::count_if(jobs, [this](const auto &job) {
+            const auto stored = storedAt.find(job.first);
+            return stored != storedAt.end() && stored->second + maxUncountedTime < now && !begunJobs.contains(job.first)
+                && !checkedEnds.contains(job.first) && !store.rows().contains(cancelPlace(job.first));
+        });
+        if (told && told->jobs * 2 < waiting) {
+            violation = process.name + " reports " + std::to_string(told->jobs) + " waiting jobs while "
+                + std::to_string(waiting) + " have waited for long";
+        }
+    }
+
     /// Polls the owner. A process that is down refuses the connection, and a frozen one doesn't answer.
     void contactOwner(std::size_t index)
     {
@@ -340,6 +384,9 @@
         if (found == processes.end() || found->isDown) {
             stepLeadership(index, owner_connection_refused {});
         } else if (found->leadership.owns && now >= found->frozenUntil) {
+            if (auto counts = countsOf(*found)) {
+                keepLater(process.counts, std::move(*counts));
+            }
             stepLeadership(index, owner_answer_received {owner.process, found->leadership.version});
         }
     }
@@ -396,6 +443,12 @@
                });
     }
 
+    std::chrono::milliseconds drawLoadTime()
+    {
+        const bool isLong = settings.maxLoadTime > 0ms && isFaultPeriod();
+        return std::chrono::milliseconds(isLong ? pick(0, settings.maxLoadTime.count()) : 0);
+    }
+
     void beginOwnership(std::size_t index, const begin_ownership &beginning)
     {
         auto &process = processes[index];
@@ -407,6 +460,8 @@
         takeOver.takenAt = now;
         process.cell = std::make_unique<cell_state>(makeCell({}, takeOver));
         process.cell->confirmedAt = ownershipConfirmedAt[index];
+        process.jobsScannedAt = now;
+        process.servesAt = now + drawLoadTime();
         if (const auto sequence = store.rows().find(commitSequencePlace()); sequence != store.rows().end()) {
             process.cell->commitSequence = sequence->second.version;
         }
@@ -602,6 +657,9 @@
                               + std::to_string(order.deadline.count()) + " clock "
                               + std::to_string(worker.executor.clock().count()));
         }
+        if (result == order_result::done) {
+            begunJobs.insert(order.run.task.job);
+        }
         if (result == order_result::done && !before.contains(order.run)) {
             checkStart(order.run, step);
         }
@@ -785,6 +843,7 @@
         if (result.outcome != store_outcome::done) {
             return;
         }
+        storedAt[job.id] = now;
         const auto owner = ownerIndex();
         if (owner < processes.size() && now >= processes[owner].frozenUntil) {
             deliver(owner, processes[owner].session, job_arrived {job, {}, result.version, false});
@@ -821,10 +880,11 @@
     std::map<std::size_t, instant> ownershipConfirmedAt; ///< by process: start of its last poll or take-over
     std::map<job_id, accepted_job> jobs;
     std::map<task_ref, observed_task> tasks;
+    std::map<job_id, instant> storedAt; ///< of the jobs whose row is stored
+    std::set<job_id> begunJobs; ///< jobs of which a task has started
     std::set<job_id> checkedEnds;
     std::vector<cell_action> actions;
     std::int64_t lastIncarnation = 0;
-    instant nextJobScanAt;
     instant storeDownUntil;
     std::string violation;
 };
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -30,6 +30,8 @@
     ownershipCondition, ///< disabled: no transaction depends on the owner's row, so a former owner still writes
     stopBeforeRestart, ///< disabled: a start without an answer counts as refused, so no stop precedes the next one
     commitSequence, ///< disabled: a transaction that is committed late overwrites newer rows
+    countsOnlyWhenLoaded, ///< disabled: an owner that loads reports zero waiting jobs, and counts are as old as their
+                          ///< arrival
     acknowledgeAfterCommit, ///< disabled: ends are acknowledged, and so forgotten by workers, before they are stored
 };
 
@@ -42,6 +44,7 @@
     double faultScale = 1; ///< scales the number of faults and the share of lost messages; 0 for no faults
     std::chrono::milliseconds faultPeriod {20'000}; ///< from the start; jobs are submitted and faults begin in it
     std::chrono::milliseconds totalTime {60'000}; ///< of run(); jobs must have ended by then
+    std::chrono::milliseconds maxLoadTime {0}; ///< a new owner loads for up to this long in the fault period
     disabled_rule mutation = disabled_rule::none;
 };
 
