Keep an unknown run's worker closed until the run is surely over

A worker that lists a run of a job that its owner doesn't know gets a stop for it, and no tasks. Such a job is one that was accepted after the load and that a former owner still started. Known runs kept their reservation already; an unknown run now counts as over when its end is listed, or when it has been missing for longer than a stop can take.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -178,7 +178,9 @@
     std::int32_t latencySensitiveCount = 0; ///< reservations of tasks with a latency target
     std::int32_t bestEffortCount = 0; ///< reservations of best-effort tasks
     std::int64_t bestEffortCores = 0; ///< processor time that those ask for, in thousandths of a core
-    std::set<run_id> unknownRuns; ///< runs listed there whose job is not known here, so their size is unknown too
+    /// Runs listed there whose job is not known here, so their size is unknown too, with the time since when they are
+    /// missing from the lists; zero while they are listed.
+    std::map<run_id, instant> unknownRuns;
     worker_health health;
     bool isReconciled = false; ///< the worker has sent a list under this owner's fencing token
 };
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -222,7 +222,7 @@
 {
     const auto view = findTask(state, listed.run.task);
     if (!view) {
-        worker.unknownRuns.insert(listed.run);
+        worker.unknownRuns[listed.run] = {};
         actions.emplace_back(
             send_stop {worker.description.id, worker.description.address, worker.description.boot, listed.run});
         return;
@@ -270,6 +270,20 @@
     static_cast<void>(state);
 }
 
+/// Forgets the unknown runs that a complete list does not name, once they are surely over. A run that is being stopped
+/// is absent from lists, but holds its capacity until its end is listed.
+void forgetAbsentUnknownRuns(worker_state &worker, const std::set<run_id> &listed, instant sentAt, instant now)
+{
+    for (auto &[run, absentSince] : worker.unknownRuns) {
+        if (absentSince == instant {} && !listed.contains(run)) {
+            absentSince = now;
+        }
+    }
+    std::erase_if(worker.unknownRuns, [sentAt](const auto &each) {
+        return each.second != instant {} && each.second + maxStopTime < sentAt;
+    });
+}
+
 /// Handles the known runs that a list does not name. @p isComplete is false if the worker may have more ends to list.
 void handleAbsentRuns(cell_state &state, worker_state &worker, const std::set<run_id> &listed, bool isComplete,
                       const list_answered &message, instant now, cell_actions &actions)
@@ -302,7 +316,9 @@
         actions.emplace_back(report_ended {id, worker.description.id, "not there"});
         dropRun(state, worker, id, past, now, actions);
     }
-    std::erase_if(worker.unknownRuns, [&](const run_id &each) { return isComplete && !listed.contains(each); });
+    if (isComplete) {
+        forgetAbsentUnknownRuns(worker, listed, message.sentAt, now);
+    }
 }
 
 } // namespace
