Number attempts above those of every owner before

An owner's attempts began at term x 1000 + 1 without an upper bound. A service that was restarted more than a thousand times under one owner therefore got higher numbers than the next owner began with, and workers refuse a run that is not higher than one that ended there. The next owner had to count up by one refused start after another, and a failed attempt whose number had been used before was not counted. From term 4,294,968 on the product also left 32 bits, so that numbers fell for all live jobs.

An owner now uses only the thousand numbers of its term without storing anything. Before a step goes beyond them, the owner reserves a thousand more in the step's progress and waits for the commit, as it does for the start of an at-most-once task. The next owner begins above what is stored and above the numbers of all earlier terms, so it needs only its term and the stored rows. From term 2,147,483 on no term has numbers of its own: each owner reserves before the first start, which leaves the upper half of the 32 bits for stored numbers. Runs that a worker lists with a number above the limit, as those of an older build, raise the last attempt and thereby also lead to a reservation.

Progress rows get the key "l" in a step. Older builds ignore it, and a row without it means what it meant before. An older build that owns in between drops the key.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -102,6 +102,8 @@
     instant readyAt;
     std::set<std::uint32_t> failedGangs; ///< attempts of the gang that failed
     std::uint32_t gangAttempt = 0; ///< last attempt, which all members of the gang share
+    std::uint32_t attemptLimit = 0; ///< attempts up to this number may start; a later owner's are higher
+    std::uint32_t reservedAttempts = 0; ///< a higher limit that is stored, or is about to be; 0 for none
     step_advice advice;
     std::vector<std::chrono::milliseconds> durations; ///< of successful runs, without very short ones
 };
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -43,6 +43,10 @@
 /// Fails the job of an at-most-once task whose run was lost: the task may have done its work and must not run again.
 void failLostTask(cell_state &state, const task_view &view, instant now, cell_actions &actions);
 
+/// Returns whether an attempt of the step may have this number. If not, schedules a commit that reserves it, so that a
+/// later owner's numbers are higher.
+bool ensureAttemptReserved(cell_state &state, job_state &job, step_state &step, std::uint32_t attempt);
+
 /// Records the success of a task and makes the steps ready that waited for it.
 void completeTask(cell_state &state, const task_ref &ref, const task_view &view, instant now, cell_actions &actions);
 
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -12,7 +12,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint32_t attemptsPerTerm = 1'000; ///< attempt numbers of one owner, so that a later owner's are higher
+constexpr std::uint32_t attemptsPerTerm = 1'000; ///< numbers that an owner may use without storing that it does
+constexpr std::uint32_t maxTermAttempt = 1U
+    << 31U; ///< later terms have none of these; the other half is for stored ones
 constexpr std::size_t maxOpenOccurrences = 64; ///< occurrences of one job that are open at the same time
 constexpr auto workersPerAdviceCall = 30; ///< assumed for one advice call when an objective is computed
 
@@ -29,6 +31,12 @@
         + job.queue.target;
 }
 
+/// The highest attempt number that owners of earlier terms may use without storing it.
+std::uint32_t attemptsBefore(std::int64_t term)
+{
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(term, maxTermAttempt / attemptsPerTerm)) * attemptsPerTerm;
+}
+
 void markReady(step_state &step, instant now)
 {
     step.isReady = true;
@@ -64,11 +72,10 @@
         occurrence.isComplete = true;
         return occurrence;
     }
-    const auto base = static_cast<std::uint32_t>(state.takeOver.term) * attemptsPerTerm;
+    const auto term = state.takeOver.term;
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         auto &step = occurrence.steps.emplace_back();
         step.tasks.resize(static_cast<std::size_t>(spec.steps[index].count));
-        step.gangAttempt = base;
         const step_progress *stored = nullptr;
         if (progress != nullptr) {
             const auto found = progress->steps.find(static_cast<std::int32_t>(index));
@@ -76,7 +83,11 @@
         }
         if (stored != nullptr) {
             step.failedGangs = stored->failedGangs;
+            step.reservedAttempts = stored->attemptLimit;
         }
+        const auto base = std::max(attemptsBefore(term), step.reservedAttempts);
+        step.attemptLimit = std::max(attemptsBefore(term + 1), base);
+        step.gangAttempt = base;
         for (std::size_t number = 0; number < step.tasks.size(); ++number) {
             auto &task = step.tasks[number];
             task.lastAttempt = base;
@@ -242,6 +253,18 @@
     }
 }
 
+bool ensureAttemptReserved(cell_state &state, job_state &job, step_state &step, std::uint32_t attempt)
+{
+    if (attempt <= step.attemptLimit) {
+        return true;
+    }
+    if (step.reservedAttempts < attempt) {
+        step.reservedAttempts = attempt + attemptsPerTerm;
+        markUnsaved(state, job);
+    }
+    return false;
+}
+
 void completeTask(cell_state &state, const task_ref &ref, const task_view &view, instant now, cell_actions &actions)
 {
     if (view.task->isDone || isAborted(*view.job)) {
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -400,6 +400,9 @@
     if (totalCapacity < static_cast<std::int64_t>(step.tasks.size())) {
         return;
     }
+    if (!ensureAttemptReserved(state, *waiting.job, step, step.gangAttempt + 1)) {
+        return;
+    }
     const auto mayAllStart =
         std::ranges::count_if(step.tasks,
                               [&](task_state &task) { return ensureStartStored(state, waiting, task, now, actions); })
@@ -437,7 +440,9 @@
     for (const auto index : waiting.step->pendingTasks) {
         auto &task = waiting.step->tasks[static_cast<std::size_t>(index)];
         candidate *target = nullptr;
-        if (!isFull && mayStart(waiting, task, now) && ensureStartStored(state, waiting, task, now, actions)) {
+        if (!isFull && mayStart(waiting, task, now)
+            && ensureAttemptReserved(state, *waiting.job, *waiting.step, task.lastAttempt + 1)
+            && ensureStartStored(state, waiting, task, now, actions)) {
             clearAvoidedWorkersIfAll(candidates, task);
             target = chooseCandidate(task, candidates);
             isFull = target == nullptr && task.avoidedWorkers.empty();
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -31,6 +31,7 @@
             const auto &step = occurrence.steps[index];
             step_progress progress;
             progress.failedGangs = step.failedGangs;
+            progress.attemptLimit = step.reservedAttempts;
             for (std::size_t taskIndex = 0; taskIndex < step.tasks.size(); ++taskIndex) {
                 const auto &task = step.tasks[taskIndex];
                 if (!task.failedAttempts.empty() || !task.checkpoint.empty() || task.mayHaveBegun) {
@@ -93,11 +94,13 @@
     }
 }
 
-/// Allows the job's at-most-once tasks to start, since a later owner will find their start in the store.
+/// Allows the job's at-most-once tasks to start, and all its tasks to use the reserved attempt numbers, since a later
+/// owner will find both in the store.
 void markStartsStored(job_state &job)
 {
     for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
+            step.attemptLimit = std::max(step.attemptLimit, step.reservedAttempts);
             for (auto &task : step.tasks) {
                 task.isStartStored = task.mayHaveBegun;
             }
--- a/src/libprimrosecroft/jobs/job_rows.cpp
+++ b/src/libprimrosecroft/jobs/job_rows.cpp
@@ -54,6 +54,9 @@
     if (!step.failedGangs.empty()) {
         row["g"] = step.failedGangs;
     }
+    if (step.attemptLimit != 0) {
+        row["l"] = step.attemptLimit;
+    }
     for (const auto &[index, task] : step.tasks) {
         auto &own = row["t"].emplace_back(json::array({index, task.failedAttempts, task.checkpoint}));
         if (task.mayHaveBegun) {
@@ -72,6 +75,9 @@
     if (const auto found = row.find("g"); found != row.end()) {
         step.failedGangs = found->get<std::set<std::uint32_t>>();
     }
+    if (const auto found = row.find("l"); found != row.end()) {
+        step.attemptLimit = found->get<std::uint32_t>();
+    }
     if (const auto found = row.find("t"); found != row.end()) {
         for (const auto &task : *found) {
             // A fourth element stands for mayHaveBegun and is stored only if that is true.
--- a/src/libprimrosecroft/jobs/job_rows.h
+++ b/src/libprimrosecroft/jobs/job_rows.h
@@ -89,6 +89,7 @@
     std::vector<bool> done;
     std::map<std::int32_t, task_progress> tasks; ///< by index; only the tasks that have something to store
     std::set<std::uint32_t> failedGangs; ///< numbers of the failed attempts of the whole gang
+    std::uint32_t attemptLimit = 0; ///< the highest number that an attempt may have; 0 if the owner's term gives it
 
     friend bool operator==(const step_progress &, const step_progress &) = default;
 };
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -1,3 +1,4 @@
+#include "jobs/job_rows.h"
 #include "owned_cell.h"
 
 #include <algorithm>
@@ -38,6 +39,57 @@
     return result;
 }
 
+/// Returns a job of one service task that has been accepted before the owner's take-over.
+job_arrived storedService()
+{
+    auto service = makeStep(1);
+    service.isService = true;
+    return {owned_cell::makeJob("service", {service}), {}, 1, false};
+}
+
+owned_cell makeOwnerOfTerm(std::int64_t term, const job_arrived &job)
+{
+    auto cell = makeCellOf({"a"});
+    cell.state.takeOver.term = term;
+    step(cell.state, job, cell.now, cell.actions);
+    return cell;
+}
+
+/// Runs a pass and stores its changes. Keeps the job's progress in @p job as the next owner will read it.
+std::vector<send_start> passAndStore(owned_cell &cell, job_arrived &job)
+{
+    auto starts = cell.runSchedulingPass();
+    for (const auto &action : cell.actions) {
+        const auto *rows = std::get_if<commit_rows>(&action);
+        for (const auto &write : rows == nullptr ? std::vector<row_write> {} : rows->transaction.writes) {
+            if (write.place == progressPlace(job.job.id)) {
+                job.progress = decodeProgress(write.value);
+            }
+        }
+    }
+    cell.confirmCommit();
+    return starts;
+}
+
+/// Starts the service's only task @p count times; each run fails after 2 s. Returns the attempt numbers.
+std::vector<std::uint32_t> restartService(owned_cell &cell, job_arrived &job, std::int64_t count)
+{
+    std::vector<std::uint32_t> attempts;
+    for (std::int64_t pass = 0; pass < 2 * count && std::ssize(attempts) < count; ++pass) {
+        const auto starts = passAndStore(cell, job);
+        cell.advance(100ms);
+        if (starts.empty()) {
+            continue;
+        }
+        const auto &run = starts.front().run;
+        attempts.push_back(run.attempt);
+        step(cell.state, start_answered {"a", 1, run, order_result::done, cell.now}, cell.now, cell.actions);
+        cell.advance(2s);
+        cell.answerList("a", {}, {{cell.state.workers.at("a").processedEnd + 1, run, run_end::failed, ""}});
+    }
+    return attempts;
+}
+
 } // namespace
 
 TEST_CASE("tasks start only on workers that have the required label, pool and failure domain")
@@ -249,3 +301,35 @@
     CHECK(cell.runSchedulingPass().size() == 1);
     CHECK_FALSE(cell.state.jobs.at("once").hasFailed);
 }
+
+TEST_CASE("attempts are numbered above those of the owner before, however often that one restarted a service")
+{
+    constexpr std::int64_t restarts = 2'500;
+    auto job = storedService();
+    std::uint32_t last = 0;
+    for (const std::int64_t term : {3, 4, 5}) {
+        auto owner = makeOwnerOfTerm(term, job);
+        const auto attempts = restartService(owner, job, restarts);
+        REQUIRE(std::ssize(attempts) == restarts);
+        CHECK(std::ranges::is_sorted(attempts, std::less_equal()));
+        CHECK(attempts.front() > last);
+        last = attempts.back();
+    }
+}
+
+TEST_CASE("attempts are numbered above those of the owner before, however many owners there were")
+{
+    constexpr std::int64_t lastTermBefore32Bits = 4'294'967;
+    for (const std::int64_t term : {lastTermBefore32Bits, std::int64_t {2'147'482}, std::int64_t {1} << 40}) {
+        auto job = storedService();
+        std::uint32_t last = 0;
+        for (const auto owner : {term, term + 1, term + 2, term + 10}) {
+            auto cell = makeOwnerOfTerm(owner, job);
+            const auto attempts = restartService(cell, job, 3);
+            INFO("term " << owner);
+            REQUIRE(attempts.size() == 3);
+            CHECK(attempts.front() > last);
+            last = attempts.back();
+        }
+    }
+}
