Let a drain stop no more tasks of a service than it may miss

A step's maxUnavailable was stored and never applied: when a worker drained, the owner stopped all tasks of services there at once, and those of a second draining worker beside them. A service whose tasks had been placed together was out until they had started elsewhere.

A drain now stops a task of a service with a limit only while fewer others of its step than the limit are away. A task counts as at work only if a list of the last 1.5 s shows it with 100 percent, on a worker that answers, and no stop of it is wanted. So tasks that are away for other reasons count, as do those that a new owner has not seen at work yet, those that start, and all tasks when the owner's process was paused. The limit also holds when the end of a drain is near: the worker ends what is left itself. A gang counts as a whole. The percent of a run that a new owner finds is taken from the same list, so that a drain goes on without waiting for the next one.

A limit of 0 is now told apart from none, on the wire and in the row: with 0 the owner stops no task, without a limit all leave the worker at once as before. Rows of older builds hold no 0 and mean no limit, as they did for those builds.

The emulation has services with a start-up time, drains that end in a restart of the worker, and a check of the runs that orders have stopped and that are not at work again. The five new cases of supervision-test failed before, as in three stops instead of one.

--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -18,6 +18,7 @@
 constexpr std::int32_t stallsBeforeQuarantine = 2;
 constexpr auto stallQuarantine = 6'000ms;
 constexpr auto drainMargin = 1'200ms; ///< runs with checkpoints are stopped this long before their worker is removed
+constexpr auto maxListAge = 1'500ms; ///< an older list is no sign that a service is at work; a worker lists twice in it
 constexpr std::int32_t fullPercent = 100; ///< full pace of a run; also the progress of a service that is up
 constexpr int copyFactor = 2; ///< a run is late after this many times its expected duration plus copyMargin
 constexpr auto copyMargin = 200ms;
@@ -29,8 +30,34 @@
     return run.phase == run_phase::running && !run.isStopWanted;
 }
 
-/// Stops services on a draining worker at once, and runs that save progress shortly before the worker is removed.
-/// Other runs and gangs are left to end by themselves.
+/// Returns whether the task is surely at work: a recent list of its worker shows it with full progress.
+bool isAtWork(const cell_state &state, const task_state &task, instant now)
+{
+    return std::ranges::any_of(task.runs, [&](const task_run &run) {
+        const auto worker = state.workers.find(run.worker);
+        return isRunningAndWanted(run) && run.percent >= fullPercent && worker != state.workers.end()
+            && !worker->second.isUnresponsive && worker->second.lastListAt + maxListAge > now;
+    });
+}
+
+/// Returns whether the service may miss the task for now. Tasks that are away for other reasons count against its
+/// limit, and so does any that a new owner has not seen at work yet.
+bool mayMiss(const cell_state &state, const task_view &view, instant now)
+{
+    if (!view.spec->maxUnavailable) {
+        return true;
+    }
+    const auto limit = *view.spec->maxUnavailable;
+    if (view.spec->isGang) {
+        return std::ssize(view.step->tasks) <= limit; // its members only work together
+    }
+    const auto away = std::ranges::count_if(
+        view.step->tasks, [&](const task_state &task) { return &task != view.task && !isAtWork(state, task, now); });
+    return away < limit;
+}
+
+/// Stops services on a draining worker as far as they may miss tasks, and runs that save progress shortly before the
+/// worker is removed. Other runs and gangs are left to end by themselves.
 void stopOnDrainingWorker(cell_state &state, const task_ref &ref, const task_view &view, task_run &run,
                           const worker_state &worker, instant now, cell_actions &actions)
 {
@@ -38,7 +65,8 @@
         return;
     }
     const bool isDrainEndNear = worker.drainEndsAt != instant {} && worker.drainEndsAt - drainMargin <= now;
-    if (view.spec->isService || (isDrainEndNear && view.spec->savesProgress && !view.spec->isGang)) {
+    if ((view.spec->isService && mayMiss(state, view, now))
+        || (!view.spec->isService && isDrainEndNear && view.spec->savesProgress && !view.spec->isGang)) {
         run.isStopWanted = true;
         sendStopIfDue(state, ref, run, now, actions);
     }
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -238,6 +238,7 @@
     run.sentAt = now;
     run.runningSince = now;
     run.lastProgressAt = now;
+    run.percent = listed.percent;
     run.isStopWanted = !isWanted;
     view->task->lastAttempt = std::max(view->task->lastAttempt, run.attempt);
     view->step->gangAttempt = std::max(view->step->gangAttempt, run.attempt);
--- a/src/libprimrosecroft/jobs/job.cpp
+++ b/src/libprimrosecroft/jobs/job.cpp
@@ -42,7 +42,7 @@
     checkAmount(step.estimate.count(), std::chrono::milliseconds(maxEstimate).count(),
                 "a step's estimate in milliseconds");
     checkAmount(step.maxPerWorker, maxTasksPerStep, "a step's maximum of tasks per worker");
-    checkAmount(step.maxUnavailable, maxTasksPerStep, "a step's maximum of unavailable tasks");
+    checkAmount(step.maxUnavailable.value_or(0), maxTasksPerStep, "a step's maximum of unavailable tasks");
     checkAmount(step.targetLatency.count(), std::chrono::milliseconds(maxEstimate).count(),
                 "a step's target latency in milliseconds");
     if (std::ranges::any_of(step.after, [index](std::int32_t each) { return each < 0 || each >= index; })) {
@@ -100,7 +100,9 @@
     put(row, "im", step.image);
     put(row, "pw", step.maxPerWorker);
     put(row, "tl", step.targetLatency.count());
-    put(row, "mm", step.maxUnavailable);
+    if (step.maxUnavailable) {
+        row["mm"] = *step.maxUnavailable; // also 0, which differs from a missing value
+    }
     return row;
 }
 
@@ -126,7 +128,9 @@
     get(row, "im", step.image);
     get(row, "pw", step.maxPerWorker);
     getTime(row, "tl", step.targetLatency);
-    get(row, "mm", step.maxUnavailable);
+    if (const auto found = row.find("mm"); found != row.end()) {
+        step.maxUnavailable = found->get<std::int32_t>();
+    }
     return step;
 }
 
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -39,7 +39,8 @@
     std::string image; ///< tasks of the same image behave alike
     std::int32_t maxPerWorker = 0; ///< tasks of this step in one occurrence on the same worker; 0 for no limit
     std::chrono::milliseconds targetLatency {0}; ///< target that a service has towards its own users; 0 for none
-    std::int32_t maxUnavailable = 0; ///< tasks that may be stopped at the same time, 0 for no limit; not enforced
+    /// Tasks of a service that orders may make unavailable at the same time, so 0 for none. Unset for no limit.
+    std::optional<std::int32_t> maxUnavailable;
 
     friend bool operator==(const step_spec &, const step_spec &) = default;
 };
--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -7,10 +7,13 @@
 /// Runs the cell's emulation with random faults, one schedule for each seed. PRIMROSECROFT_SCHEDULES sets the number of
 /// schedules and PRIMROSECROFT_SEED the first seed.
 using namespace primrosecroft;
+using namespace std::chrono_literals;
 
 namespace
 {
 
+constexpr std::size_t drainsPerSchedule = 4; ///< and half as many services
+
 std::uint64_t numberFrom(const char *variable, std::uint64_t fallback)
 {
     const char *text = std::getenv(variable);
@@ -18,21 +21,26 @@
 }
 
 /// Runs one schedule. Returns the violation that the checks detected, or an empty string if there is none.
-std::string runSeed(std::uint64_t seed, disabled_rule mutation = disabled_rule::none)
+std::string runSeed(std::uint64_t seed, disabled_rule mutation = disabled_rule::none, std::size_t drains = 0)
 {
     emulation_settings settings;
     settings.seed = seed;
     settings.mutation = mutation;
+    settings.services = drains / 2;
+    settings.drains = drains;
+    if (drains > 0) {
+        settings.totalTime = 90'000ms;
+    }
     cell_emulation emulation(settings);
     return emulation.run();
 }
 
 /// Returns the first seed up to @p maxSeed with which the checks detect that the rule is missing, or 0 if there is
 /// none.
-std::uint64_t firstViolation(disabled_rule mutation, std::uint64_t maxSeed)
+std::uint64_t firstViolation(disabled_rule mutation, std::uint64_t maxSeed, std::size_t drains = 0)
 {
     for (std::uint64_t seed = 1; seed <= maxSeed; ++seed) {
-        if (!runSeed(seed, mutation).empty()) {
+        if (!runSeed(seed, mutation, drains).empty()) {
             return seed;
         }
     }
@@ -52,6 +60,17 @@
     }
 }
 
+TEST_CASE("no schedule with drains breaks a guarantee or makes a service miss more than it may", "[schedules]")
+{
+    const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
+    const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 400);
+    for (auto seed = first; seed < first + count; ++seed) {
+        const auto violation = runSeed(seed, disabled_rule::none, drainsPerSchedule);
+        INFO("seed " << seed << ": " << violation);
+        CHECK(violation.empty());
+    }
+}
+
 TEST_CASE("the checks detect the absence of each safety rule", "[mutations]")
 {
     constexpr std::uint64_t maxSeeds = 2'000;
@@ -62,4 +81,5 @@
     CHECK(firstViolation(disabled_rule::commitSequence, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::ownershipCondition, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::acknowledgeAfterCommit, maxSeeds) != 0);
+    CHECK(firstViolation(disabled_rule::maxUnavailable, maxSeeds, drainsPerSchedule) != 0);
 }
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -509,9 +509,9 @@
                            [&](const send_stop &order) {
                                sendOrder<stop_answered>(
                                    index, order.worker, {order.worker, order.boot, order.run, order_result::lost, now},
-                                   [order, token, sentAt = now](emulated_worker &worker) {
+                                   [this, order, token, sentAt = now](emulated_worker &worker) {
                                        return stop_answered {order.worker, order.boot, order.run,
-                                                             worker.executor.stop(order.run, token), sentAt};
+                                                             stopRun(worker, order.run, token), sentAt};
                                    });
                            },
                            [&](const send_list &order) { sendList(index, order, token); },
@@ -578,6 +578,7 @@
                                      auto answer = worker.executor.list(order.deadline, order.acknowledgedEnd, token);
                                      answer.sentAt = sentAt;
                                      recordAcknowledgedEnds(worker);
+                                     shownAtWork.merge(worker.executor.atWork());
                                      return answer;
                                  });
     }
@@ -613,7 +614,33 @@
         if (emulation.behaviour) {
             return emulation.behaviour(run, step);
         }
-        return {step.estimate, false, step.isService, 0};
+        return {step.estimate, false, step.isService, 0, step.isService ? step.estimate : 0ms};
+    }
+
+    order_result stopRun(emulated_worker &worker, const run_id &run, row_version token)
+    {
+        // An owner may stop a run that no list has shown to be at work, because it can't know that it is.
+        const bool wasAtWork = worker.executor.atWork().contains(run) && shownAtWork.contains(run);
+        const auto result = worker.executor.stop(run, token);
+        if (wasAtWork && result == order_result::done) {
+            checkStop(run.task);
+        }
+        return result;
+    }
+
+    /// Checks how many tasks of a service are unavailable through orders, unless the job was cancelled.
+    void checkStop(const task_ref &task)
+    {
+        const auto &step = jobs.at(task.job).spec.steps[static_cast<std::size_t>(task.step)];
+        if (!step.maxUnavailable || store.rows().contains(cancelPlace(task.job))
+            || store.rows().contains(endedPlace(task.job))) {
+            return;
+        }
+        auto &stopped = stoppedTasks[{task.job, task.occurrence, task.step}];
+        stopped.insert(task.index);
+        if (std::ssize(stopped) > *step.maxUnavailable) {
+            violation = "more tasks of a service were stopped than may be unavailable: " + toString(task);
+        }
     }
 
     /// Stores the ends that an owner has acknowledged to the worker, for the checks of later starts.
@@ -678,6 +705,9 @@
                     violation = "two runs at the same time of " + toString(run.task);
                 }
             }
+            for (const auto &run : worker.executor.atWork()) {
+                stoppedTasks[{run.task.job, run.task.occurrence, run.task.step}].erase(run.task.index);
+            }
             if (!fits(worker.executor.used(), worker.executor.description().capacity)) {
                 violation = "runs exceed the capacity of the worker: " + worker.executor.description().id;
             }
@@ -778,9 +808,58 @@
         }
     }
 
-    void submit(const accepted_job &job)
+    /// Draws services, which are cancelled after all faults, and drains. Uses random numbers of its own, so that the
+    /// other jobs and faults of a seed stay the same.
+    void drawServicesAndDrains()
+    {
+        std::mt19937_64 ownRandom(settings.seed + 1'000'003);
+        const auto draw = [&ownRandom](std::int64_t min, std::int64_t max) {
+            return std::uniform_int_distribution<std::int64_t>(min, max)(ownRandom);
+        };
+        for (std::size_t i = 0; i < settings.services; ++i) {
+            step_spec step;
+            step.count = static_cast<std::int32_t>(draw(2, 6));
+            step.size = {draw(500, 1'500), draw(100, 1'000), 0};
+            step.estimate = std::chrono::milliseconds(draw(100, 1'500));
+            step.isService = true;
+            step.maxUnavailable = static_cast<std::int32_t>(draw(0, 2));
+            accepted_job job;
+            job.id = "service" + std::to_string(i);
+            job.queue = {"queue", "pool", 0, 3, 2, 500ms, std::nullopt};
+            job.spec.steps = {step};
+            at(startedAt + std::chrono::milliseconds(draw(500, 3'000)), [this, job] { submit(job); });
+            at(startedAt + settings.faultPeriod + 10s, [this, id = job.id] { emulation.cancel(id); });
+        }
+        for (std::size_t i = 0; i < settings.drains; ++i) {
+            const auto worker = static_cast<std::size_t>(draw(0, static_cast<std::int64_t>(workers.size()) - 1));
+            const auto span = std::chrono::milliseconds(draw(3'000, 15'000));
+            at(startedAt + std::chrono::milliseconds(draw(4'000, settings.faultPeriod.count())),
+               [this, worker, span] { drain(worker, span); });
+        }
+    }
+
+    void drain(std::size_t worker, std::chrono::milliseconds span)
+    {
+        auto &description = workers[worker].executor.description();
+        if (description.isDraining) {
+            return;
+        }
+        description.isDraining = true;
+        description.remaining = span;
+        at(now + span, [this, worker] {
+            workers[worker].executor.description().isDraining = false;
+            workers[worker].executor.description().remaining.reset();
+            workers[worker].isDown = true;
+            workers[worker].downUntil = now + 1s;
+        });
+    }
+
+    void submit(accepted_job job)
     {
         jobs[job.id] = job;
+        if (settings.mutation == disabled_rule::maxUnavailable) {
+            job.spec.steps.front().maxUnavailable = {};
+        }
         const auto result = store.commit(acceptance(job.id, encodeJob(job)));
         if (result.outcome != store_outcome::done) {
             return;
@@ -822,6 +901,9 @@
     std::map<job_id, accepted_job> jobs;
     std::map<task_ref, observed_task> tasks;
     std::set<job_id> checkedEnds;
+    std::set<run_id> shownAtWork; ///< services that a worker has listed with 100 percent
+    std::map<step_ref, std::set<std::int32_t>>
+        stoppedTasks; ///< of services: stopped by an order, not yet at work again
     std::vector<cell_action> actions;
     std::int64_t lastIncarnation = 0;
     instant nextJobScanAt;
@@ -862,6 +944,7 @@
         state.at(state.startedAt + std::chrono::milliseconds(state.pick(1'000, state.settings.faultPeriod.count())),
                  [&state] { state.drawFault(); });
     }
+    state.drawServicesAndDrains();
     state.runUntil(state.startedAt + state.settings.totalTime);
     if (state.violation.empty()) {
         const auto open = std::ranges::find_if(state.jobs, [this](const auto &job) { return !storedEnd(job.first); });
@@ -917,6 +1000,11 @@
     executor.description().capacity.milliCores = milliCores;
 }
 
+void cell_emulation::drainWorker(std::size_t worker, std::chrono::milliseconds span)
+{
+    m_parts->drain(worker, span);
+}
+
 void cell_emulation::stopStore(std::chrono::milliseconds span)
 {
     m_parts->storeDownUntil = m_parts->now + span;
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -31,6 +31,7 @@
     stopBeforeRestart, ///< disabled: a start without an answer counts as refused, so no stop precedes the next one
     commitSequence, ///< disabled: a transaction that is committed late overwrites newer rows
     acknowledgeAfterCommit, ///< disabled: ends are acknowledged, and so forgotten by workers, before they are stored
+    maxUnavailable, ///< disabled: services have no limit of tasks that may be unavailable
 };
 
 struct emulation_settings
@@ -39,6 +40,8 @@
     std::size_t processes = 3;
     std::size_t workers = 4;
     std::size_t jobs = 12;
+    std::size_t services = 0; ///< jobs besides these, each with a service that may miss few of its tasks
+    std::size_t drains = 0; ///< times that a worker drains and then restarts
     double faultScale = 1; ///< scales the number of faults and the share of lost messages; 0 for no faults
     std::chrono::milliseconds faultPeriod {20'000}; ///< from the start; jobs are submitted and faults begin in it
     std::chrono::milliseconds totalTime {60'000}; ///< of run(); jobs must have ended by then
@@ -80,6 +83,9 @@
     /// Restarts a worker with another capacity.
     void rebootWorker(std::size_t worker, std::int64_t milliCores);
 
+    /// Lets the platform drain a worker, which restarts after @p span.
+    void drainWorker(std::size_t worker, std::chrono::milliseconds span);
+
     /// Makes the store unreachable for all processes.
     void stopStore(std::chrono::milliseconds span);
     void runFor(std::chrono::milliseconds span);
--- a/tests/standins/executor_emulator.cpp
+++ b/tests/standins/executor_emulator.cpp
@@ -164,14 +164,18 @@
         if (state.stopRemaining) {
             continue; // it is listed neither as running nor, until it has stopped, as ended
         }
-        const auto percent =
-            state.behaviour.isService ? 100 : static_cast<std::int32_t>(state.worked * 100 / state.behaviour.work);
-        answer.running.push_back({run, state.checkpoint, percent, 0});
+        answer.running.push_back({run, state.checkpoint, percentOf(state), 0});
     }
     answer.ended = m_listedEnds;
     return answer;
 }
 
+std::int32_t executor_emulator::percentOf(const active_run &run)
+{
+    const auto whole = run.behaviour.isService ? run.behaviour.startUp : run.behaviour.work;
+    return run.worked >= whole ? 100 : static_cast<std::int32_t>(run.worked * 100 / whole);
+}
+
 void executor_emulator::end(const run_id &run, run_end how)
 {
     const auto found = m_runs.find(run);
@@ -192,6 +196,17 @@
     return {keys.begin(), keys.end()};
 }
 
+std::set<run_id> executor_emulator::atWork() const
+{
+    std::set<run_id> result;
+    for (const auto &[run, state] : m_runs) {
+        if (state.behaviour.isService && !state.stopRemaining && percentOf(state) == 100) {
+            result.insert(run);
+        }
+    }
+    return result;
+}
+
 resources executor_emulator::used() const
 {
     resources sum;
--- a/tests/standins/executor_emulator.h
+++ b/tests/standins/executor_emulator.h
@@ -17,6 +17,7 @@
     bool fails = false;
     bool isService = false;
     std::uint32_t gang = 0; ///< members that must be present before it starts to work; 0 if the task is in no gang
+    std::chrono::milliseconds startUp {0}; ///< of a service, until it lists 100 percent
 };
 
 /**
@@ -52,6 +53,9 @@
     /// Returns the runs that have started and not ended, including those that wait for their gang or are being stopped.
     std::set<run_id> running() const;
 
+    /// Returns the services that list 100 percent and are not being stopped.
+    std::set<run_id> atWork() const;
+
     /// Returns the sum of the sizes of these runs. A run whose task is not in @c sizes counts nothing.
     resources used() const;
 
@@ -79,6 +83,8 @@
         std::optional<std::chrono::milliseconds> stopRemaining;
     };
 
+    static std::int32_t percentOf(const active_run &run);
+
     /// Returns false if a newer owner has sent an order before. Otherwise stores the token.
     bool acceptToken(row_version token);
     void extendLease(const std::optional<worker_time> &deadline);
--- a/tests/unit/supervision_test.cpp
+++ b/tests/unit/supervision_test.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
-/// Supervision of late runs and of runs on unresponsive workers.
+/// Supervision of late runs, of runs on unresponsive workers, and of those on draining workers.
 using namespace primrosecroft;
 using namespace std::chrono_literals;
 
@@ -58,6 +58,53 @@
     return result;
 }
 
+/// Advances the time so that supervision is due, runs a pass and returns the runs that it stops.
+std::vector<run_id> stopsOfNextPass(owned_cell &cell)
+{
+    cell.advance(200ms);
+    cell.runSchedulingPass();
+    return stopsIn(cell.actions);
+}
+
+std::vector<listed_run> listAll(const std::vector<run_id> &runs, std::int32_t percent = 100)
+{
+    std::vector<listed_run> result;
+    std::ranges::transform(runs, std::back_inserter(result),
+                           [percent](const run_id &run) { return listed_run {run, "", percent, 0}; });
+    return result;
+}
+
+void drain(owned_cell &cell, const worker_id &id, std::chrono::milliseconds remaining = 60s)
+{
+    auto worker = owned_cell::makeWorker(id, "r", wholeWorker);
+    worker.isDraining = true;
+    worker.remaining = remaining;
+    step(cell.state, worker_listed {worker}, cell.now, cell.actions);
+}
+
+/// A service whose three tasks are at work on worker "a". Worker "b" is free.
+struct service_cell
+{
+    owned_cell cell = makeCellOf({"a"});
+    std::vector<run_id> runs;
+
+    explicit service_cell(const decltype(step_spec::maxUnavailable) &maxUnavailable)
+    {
+        auto service = makeStep(false);
+        service.count = 3;
+        service.isService = true;
+        service.maxUnavailable = maxUnavailable;
+        cell.addJob(owned_cell::makeJob("service", {service}));
+        for (const auto &start : cell.runSchedulingPass()) {
+            acceptStart(cell, start);
+            runs.push_back(start.run);
+        }
+        cell.addWorker(owned_cell::makeWorker("b", "r", wholeWorker));
+        cell.advance(500ms);
+        cell.answerList("a", listAll(runs));
+    }
+};
+
 } // namespace
 
 TEST_CASE("a run that takes far longer than estimated gets a copy on another worker if its step allows copies")
@@ -104,3 +151,101 @@
     const auto stops = stopsIn(cell.actions);
     CHECK(std::ranges::find(stops, first.front().run) != stops.end());
 }
+
+TEST_CASE("a drain stops as many tasks of a service as may be unavailable, and the next ones when those are at work")
+{
+    service_cell service(1);
+    auto &cell = service.cell;
+    REQUIRE(service.runs.size() == 3);
+    drain(cell, "a");
+    const auto stopped = stopsOfNextPass(cell);
+    REQUIRE(stopped.size() == 1);
+    step(cell.state, stop_answered {"a", 1, stopped.front(), order_result::done, cell.now}, cell.now, cell.actions);
+    std::erase(service.runs, stopped.front());
+    cell.advance(300ms);
+    cell.answerList("a", listAll(service.runs), {{1, stopped.front(), run_end::stopped, ""}});
+    const auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().worker == "b");
+    acceptStart(cell, starts.front());
+    CHECK(stopsOfNextPass(cell).empty());
+    for (const std::int32_t percent : {60, 99}) {
+        cell.answerList("a", listAll(service.runs));
+        cell.answerList("b", listAll({starts.front().run}, percent));
+        CHECK(stopsOfNextPass(cell).empty());
+    }
+    cell.answerList("a", listAll(service.runs));
+    cell.answerList("b", listAll({starts.front().run}));
+    const auto next = stopsOfNextPass(cell);
+    REQUIRE(next.size() == 1);
+    CHECK(next.front().task != stopped.front().task);
+}
+
+TEST_CASE("a drain stops no task of a service while others are away for another reason")
+{
+    service_cell service(1);
+    auto &cell = service.cell;
+    const auto failed = service.runs.front();
+    service.runs.erase(service.runs.begin());
+    cell.answerList("a", listAll(service.runs), {{1, failed, run_end::failed, ""}});
+    drain(cell, "a");
+    CHECK(stopsOfNextPass(cell).empty());
+    cell.advance(1s); // it failed soon after its start, so it pauses
+    cell.answerList("a", listAll(service.runs));
+    cell.answerList("b", {});
+    const auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 1);
+    acceptStart(cell, starts.front());
+    cell.answerList("b", listAll({starts.front().run}));
+    list_answered lost;
+    lost.worker = "b";
+    step(cell.state, lost, cell.now, cell.actions);
+    CHECK(stopsOfNextPass(cell).empty());
+    cell.answerList("b", listAll({starts.front().run}));
+    cell.answerList("a", listAll(service.runs));
+    CHECK(stopsOfNextPass(cell).size() == 1);
+}
+
+TEST_CASE("a drain stops no task of a service on the word of lists that are old")
+{
+    service_cell service(1);
+    drain(service.cell, "a");
+    service.cell.advance(5s); // as after a pause of the owner's process
+    CHECK(stopsOfNextPass(service.cell).empty());
+    service.cell.answerList("a", listAll(service.runs));
+    CHECK(stopsOfNextPass(service.cell).size() == 1);
+}
+
+TEST_CASE("drains of two workers together stop no more tasks of a service than may be unavailable")
+{
+    for (const std::int32_t limit : {1, 2}) {
+        service_cell service(limit);
+        auto &cell = service.cell;
+        const auto moved = service.runs.back();
+        service.runs.pop_back();
+        cell.answerList("a", listAll(service.runs), {{1, moved, run_end::stopped, ""}});
+        const auto starts = cell.runSchedulingPass();
+        REQUIRE(starts.size() == 1);
+        acceptStart(cell, starts.front());
+        for (const auto *id : {"a", "b"}) {
+            drain(cell, id);
+        }
+        cell.answerList("a", listAll(service.runs));
+        cell.answerList("b", listAll({starts.front().run}));
+        CHECK(std::ssize(stopsOfNextPass(cell)) == limit);
+        CHECK(stopsOfNextPass(cell).empty());
+    }
+}
+
+TEST_CASE("a drain stops no task of a service that may miss none, and all tasks of one without a limit")
+{
+    service_cell none(0);
+    drain(none.cell, "a", 1s);
+    for (int pass = 0; pass < 5; ++pass) {
+        CHECK(stopsOfNextPass(none.cell).empty());
+        none.cell.answerList("a", listAll(none.runs));
+    }
+    service_cell unlimited({});
+    drain(unlimited.cell, "a");
+    CHECK(stopsOfNextPass(unlimited.cell).size() == 3);
+}
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -43,6 +43,20 @@
     CHECK(job.steps[1].targetLatency == 40ms);
 }
 
+TEST_CASE("a step that may miss no task is told apart from one without a limit, also in its row")
+{
+    accepted_job job;
+    job.spec = platform::decodeJobBody(
+        R"({"phases":[{"count":4,"longRunning":true},{"count":4,"mayMiss":0},{"count":4,"mayMiss":2}]})");
+    const auto stored = decodeJob(encodeJob(job)).spec;
+    for (const auto &each : {job.spec, stored}) {
+        REQUIRE(each.steps.size() == 3);
+        CHECK_FALSE(each.steps[0].maxUnavailable);
+        CHECK(each.steps[1].maxUnavailable == 0);
+        CHECK(each.steps[2].maxUnavailable == 2);
+    }
+}
+
 TEST_CASE("the error for an invalid body names what is wrong")
 {
     CHECK(errorOf("{").find("not JSON") != std::string::npos);
