Start a service's task again also when its run ended as done

A service runs until its job is cancelled, but a task whose run ended as done was taken as complete and never started again, so that the service ran with fewer tasks from then on, and the job was complete once all had ended so. Failed runs were started again all along.

An end as done now counts for a service as one as failed does: the task starts again, after a pause and on another worker if it ended within 1.5 s. Other ends were already followed by a start. The branch for services in recordTaskFailure() could not be reached and is gone. Demands of services must be repeatable, so no at-most-once task is concerned.

The new case of placing-test failed before for both runs that ended as done: no start followed.

--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -309,10 +309,6 @@
     if (view.task->isDone || isAborted(*view.job) || !failed.insert(run.attempt).second) {
         return;
     }
-    if (view.spec->isService) {
-        failed.clear(); // a service is restarted however often it fails
-        return;
-    }
     markUnsaved(state, *view.job);
     if (static_cast<std::int32_t>(failed.size()) >= view.job->accepted.queue.maxFailures) {
         failJob(state, *view.job, now, actions);
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -26,7 +26,7 @@
 constexpr auto maxStopTime = 1'000ms; ///< for a run to stop; the platform's own bounds are 200 and 400 ms
 constexpr auto stopRetryDelay = 300ms;
 constexpr auto unhealthyPause = 1'000ms; ///< a worker that refused work as unhealthy gets no tasks for this long
-constexpr auto crashLoopTime = 1'500ms; ///< a service task that fails sooner is restarted after crashPause
+constexpr auto crashLoopTime = 1'500ms; ///< a service task that ends sooner is restarted after crashPause
 constexpr auto crashPause = 1'000ms;
 constexpr std::size_t maxEndsPerList = 500; ///< a list with this many ends may be incomplete
 constexpr auto minQuarantine = 4'000ms;
@@ -193,18 +193,19 @@
         markUnsaved(state, *view->job);
     }
     view->job->hasStarted = true;
-    if (end.how == run_end::done) {
-        if (const auto *run = findRun(*view->task, worker.description.id, end.run.attempt)) {
-            recordSuccess(worker, *view, *run, now);
-        }
-        completeTask(state, end.run.task, *view, now, actions);
-    } else if (end.how == run_end::failed && view->spec->isService) {
-        // Services fail through their own faults at any time, so a failure is little sign of an unhealthy worker.
+    const bool endedByItself = end.how == run_end::done || end.how == run_end::failed;
+    if (endedByItself && view->spec->isService) {
+        // Services end through their own faults at any time, so an end is little sign of an unhealthy worker.
         const auto *run = findRun(*view->task, worker.description.id, end.run.attempt);
         if (run != nullptr && run->runningSince + crashLoopTime > now) {
             view->task->avoidedWorkers = {worker.description.id};
             view->task->notBefore = now + crashPause;
         }
+    } else if (end.how == run_end::done) {
+        if (const auto *run = findRun(*view->task, worker.description.id, end.run.attempt)) {
+            recordSuccess(worker, *view, *run, now);
+        }
+        completeTask(state, end.run.task, *view, now, actions);
     } else if (end.how == run_end::failed) {
         view->task->avoidedWorkers.insert(worker.description.id);
         worker.health.failedJobs.insert(end.run.task.job);
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -30,7 +30,7 @@
     bool isGang = false; ///< the tasks can only work while all of them run
     bool prefersSameRack = false; ///< the tasks run slower when they are spread over several racks
     bool allowsCopies = false; ///< a task may run in several copies; the first one to end counts
-    bool isService = false; ///< tasks run until the job is cancelled and are restarted unless they end as done
+    bool isService = false; ///< tasks run until the job is cancelled and are restarted however they end
     bool isBestEffort = false; ///< tasks use processor time that others leave idle; none is reserved for them
     bool isAtMostOnce = false; ///< a task isn't started a second time if an earlier run of it may have started
     std::string label; ///< label that a worker must have; empty for any worker
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -333,3 +333,27 @@
         }
     }
 }
+
+TEST_CASE("a service's task is started again however its run ended, after a pause if that was soon")
+{
+    for (const auto how : {run_end::done, run_end::failed, run_end::stopped, run_end::lapsed}) {
+        for (const auto ranFor : {500ms, 2'000ms}) {
+            auto cell = makeCellOf({"a", "b"});
+            step(cell.state, storedService(), cell.now, cell.actions);
+            const auto first = cell.runSchedulingPass();
+            REQUIRE(first.size() == 1);
+            const auto &worker = first.front().worker;
+            step(cell.state, start_answered {worker, 1, first.front().run, order_result::done, cell.now}, cell.now,
+                 cell.actions);
+            cell.advance(ranFor);
+            cell.answerList(worker, {}, {{1, first.front().run, how, ""}});
+            const bool ownEnd = how == run_end::done || how == run_end::failed;
+            const bool pauses = ownEnd && ranFor < 1s;
+            INFO("end " << static_cast<int>(how) << " after " << ranFor.count() << " ms");
+            CHECK(cell.runSchedulingPass().size() == (pauses ? 0 : 1));
+            cell.advance(1'100ms);
+            CHECK(cell.runSchedulingPass().size() == (pauses ? 1 : 0));
+            CHECK(statusOf(cell.state, "service") == job_status::running);
+        }
+    }
+}
