End a job whose at-most-once task failed as failed, not as unknown

When a queue allows more than one failure, a listed failure of an at-most-once task was recorded and then handled like the loss of its run: the job ended with an unknown outcome, although its worker had said how the task ended.

Such a task is never started again, so its first failure now fails the job, whatever the queue allows. Ends that leave open what the task did (lost, lapsed or stopped runs) stay unknown. Demands that may not be repeated have a queue with one failure and the platform's jobs can't ask for at-most-once, so no caller could see this today.

The new case of placing-test failed before, with the owner that started the task and with a later one: the outcome was unknown.

--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -50,7 +50,8 @@
 /// Records the success of a task and makes the steps ready that waited for it.
 void completeTask(cell_state &state, const task_ref &ref, const task_view &view, instant now, cell_actions &actions);
 
-/// Records a failed attempt. Fails the job once the failed attempts of one task or gang reach the queue's limit.
+/// Records a failed attempt. Fails the job once the failed attempts of one task or gang reach the queue's limit, and at
+/// the first one of an at-most-once task.
 void recordTaskFailure(cell_state &state, const run_id &run, const task_view &view, instant now, cell_actions &actions);
 
 /// Schedules the job's rows for the next commit. Does nothing once the job's end is stored.
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -310,7 +310,8 @@
         return;
     }
     markUnsaved(state, *view.job);
-    if (static_cast<std::int32_t>(failed.size()) >= view.job->accepted.queue.maxFailures) {
+    const auto maxFailures = view.spec->isAtMostOnce ? 1 : view.job->accepted.queue.maxFailures;
+    if (static_cast<std::int32_t>(failed.size()) >= maxFailures) {
         failJob(state, *view.job, now, actions);
     }
 }
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -357,3 +357,34 @@
         }
     }
 }
+
+TEST_CASE("an at-most-once task that is listed as failed fails its job with a known outcome, and is not started again")
+{
+    for (const bool wasOwnerReplaced : {false, true}) {
+        auto cell = makeCellOf({"a"});
+        auto once = makeStep(1);
+        once.isAtMostOnce = true;
+        const auto job = owned_cell::makeJob("once", {once});
+        REQUIRE(job.queue.maxFailures > 1);
+        run_id run {{"once", 0, 0, 0}, 1};
+        if (wasOwnerReplaced) {
+            job_progress progress;
+            progress[0].steps[0].tasks[0].mayHaveBegun = true;
+            step(cell.state, job_arrived {job, progress, 1, false}, cell.now, cell.actions);
+        } else {
+            cell.addJob(job);
+            cell.runSchedulingPass();
+            cell.confirmCommit();
+            cell.advance(50ms);
+            const auto starts = cell.runSchedulingPass();
+            REQUIRE(starts.size() == 1);
+            run = starts.front().run;
+            step(cell.state, start_answered {"a", 1, run, order_result::done, cell.now}, cell.now, cell.actions);
+        }
+        cell.advance(500ms);
+        cell.answerList("a", {}, {{1, run, run_end::failed, ""}});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK(cell.state.jobs.at("once").hasFailed);
+        CHECK_FALSE(cell.state.jobs.at("once").isOutcomeUnknown);
+    }
+}
