Quarantine workers for stalls within the limit that failures have

A worker on which two runs had stalled was quarantined without a look at how many others were, so a fault that stalls runs everywhere, as a slow service that they all call, left no worker to take tasks. The count of stalls was reset only by a success or a quarantine for failures, so after the first quarantine for stalls each further stall led to another one; on a worker that runs services only nothing reset it.

Both kinds of quarantine now go through one function, which applies the limit and resets both counts. Runs that stall while their worker is quarantined don't count, since they began before. At the limit the count is kept.

Two new cases of supervision-test failed before: stalls on eight of eight workers quarantined eight instead of two, and a single stall after the first quarantine led to the second one.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -152,7 +152,7 @@
 
 struct worker_health
 {
-    /// Jobs with a task that failed there since a task last succeeded there or failures last quarantined the worker.
+    /// Jobs with a task that failed there since a task last succeeded there or the worker was last quarantined.
     std::set<job_id> failedJobs;
     std::int32_t stalls = 0; ///< runs that stalled there, counted from the same moment
     instant quarantinedUntil; ///< no new tasks start there before this time; zero before the first quarantine
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -99,6 +99,10 @@
 
 resources freeCapacity(const worker_state &worker);
 
+/// Keeps new tasks off the worker for the duration of @p pause and forgets its failures and stalls so far. Returns false
+/// and changes nothing if it is quarantined already or too many workers are.
+bool quarantine(const cell_state &state, worker_state &worker, std::chrono::milliseconds pause, instant now);
+
 /// Returns whether the worker may take new tasks now.
 bool mayStartOn(const cell_state &state, const worker_state &worker, instant now);
 
--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -86,8 +86,10 @@
     run.isStopWanted = true;
     view.task->avoidedWorkers.insert(run.worker);
     sendStopIfDue(state, ref, run, now, actions);
-    if (++worker.health.stalls >= stallsBeforeQuarantine) {
-        worker.health.quarantinedUntil = std::max(worker.health.quarantinedUntil, now + stallQuarantine);
+    if (worker.health.quarantinedUntil > now) {
+        return; // what stalls there now began before the quarantine
+    }
+    if (++worker.health.stalls >= stallsBeforeQuarantine && quarantine(state, worker, stallQuarantine, now)) {
         actions.emplace_back(report_worker_change {run.worker, "quarantined: runs stalled"});
     }
 }
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -33,7 +33,8 @@
 constexpr auto maxQuarantine = 60'000ms;
 constexpr std::size_t jobsBeforeQuarantine = 2; ///< different jobs whose tasks failed there without a success between
 
-/// Failed tasks quarantine a worker only while fewer than this share of all workers, or none, are quarantined.
+/// Failed or stalled tasks quarantine a worker only while fewer than this share of all workers, or none, are
+/// quarantined.
 constexpr double maxQuarantinedShare = 0.25;
 
 constexpr double slownessWeight = 0.2; ///< weight of the newest run in the smoothed value
@@ -148,18 +149,13 @@
         state.workers, [now](const auto &each) { return each.second.health.quarantinedUntil > now; }));
 }
 
-void quarantine(cell_state &state, worker_state &worker, instant now, cell_actions &actions)
+void quarantineForFailures(cell_state &state, worker_state &worker, instant now, cell_actions &actions)
 {
-    const auto maxCount = std::max<std::size_t>(
-        1, static_cast<std::size_t>(static_cast<double>(state.workers.size()) * maxQuarantinedShare));
-    if (worker.health.quarantinedUntil > now || quarantinedCount(state, now) >= maxCount) {
-        return;
+    const auto pause = std::clamp<std::chrono::milliseconds>(worker.health.pause * 2, minQuarantine, maxQuarantine);
+    if (quarantine(state, worker, pause, now)) {
+        worker.health.pause = pause;
+        actions.emplace_back(report_worker_change {worker.description.id, "quarantined"});
     }
-    worker.health.pause = std::clamp<std::chrono::milliseconds>(worker.health.pause * 2, minQuarantine, maxQuarantine);
-    worker.health.quarantinedUntil = now + worker.health.pause;
-    worker.health.failedJobs.clear();
-    worker.health.stalls = 0;
-    actions.emplace_back(report_worker_change {worker.description.id, "quarantined"});
 }
 
 void recordSuccess(worker_state &worker, const task_view &view, const task_run &run, instant now)
@@ -211,7 +207,7 @@
         worker.health.failedJobs.insert(end.run.task.job);
         recordTaskFailure(state, end.run, *view, now, actions);
         if (worker.health.failedJobs.size() >= jobsBeforeQuarantine) {
-            quarantine(state, worker, now, actions);
+            quarantineForFailures(state, worker, now, actions);
         }
     }
     dropRun(state, worker, end.run, past_run::mayHaveRun, now, actions);
@@ -336,6 +332,19 @@
     return available;
 }
 
+bool quarantine(const cell_state &state, worker_state &worker, std::chrono::milliseconds pause, instant now)
+{
+    const auto maxCount = std::max<std::size_t>(
+        1, static_cast<std::size_t>(static_cast<double>(state.workers.size()) * maxQuarantinedShare));
+    if (worker.health.quarantinedUntil > now || quarantinedCount(state, now) >= maxCount) {
+        return false;
+    }
+    worker.health.quarantinedUntil = now + pause;
+    worker.health.failedJobs.clear();
+    worker.health.stalls = 0;
+    return true;
+}
+
 bool mayStartOn(const cell_state &state, const worker_state &worker, instant now)
 {
     return worker.isListed && worker.isReconciled && !worker.description.isDraining && worker.clock
--- a/tests/unit/supervision_test.cpp
+++ b/tests/unit/supervision_test.cpp
@@ -82,6 +82,58 @@
     step(cell.state, worker_listed {worker}, cell.now, cell.actions);
 }
 
+/// Starts the tasks that are pending and returns the number of starts.
+std::int64_t startPending(owned_cell &cell)
+{
+    const auto starts = cell.runSchedulingPass();
+    for (const auto &start : starts) {
+        acceptStart(cell, start);
+    }
+    return std::ssize(starts);
+}
+
+/// Has all workers list all their runs, the first @p stalled of them with 10 percent and the others with @p percent.
+/// Returns the runs.
+std::vector<run_id> listRuns(owned_cell &cell, std::int64_t stalled, std::int32_t percent)
+{
+    std::vector<run_id> result;
+    for (const auto &[id, worker] : cell.state.workers) {
+        std::vector<listed_run> runs;
+        for (const auto &[run, held] : worker.reservations) {
+            runs.push_back({run, "", std::ssize(result) < stalled ? 10 : percent, 0});
+            result.push_back(run);
+        }
+        cell.answerList(id, runs);
+    }
+    return result;
+}
+
+/// Lets the first @p stalled of all runs make no progress for long enough that they count as stalled.
+std::vector<run_id> stallRuns(owned_cell &cell, std::int64_t stalled)
+{
+    listRuns(cell, stalled, 10);
+    cell.advance(3'500ms);
+    auto runs = listRuns(cell, stalled, 20);
+    stopsOfNextPass(cell);
+    return runs;
+}
+
+/// Adds a job of equal tasks, @p tasksPerWorker of which fill one worker, so that all workers are full.
+void fillWorkers(owned_cell &cell, std::int32_t tasksPerWorker)
+{
+    auto work = makeStep(false);
+    work.count = tasksPerWorker * static_cast<std::int32_t>(cell.state.workers.size());
+    work.size.milliCores = wholeWorker.milliCores / tasksPerWorker;
+    cell.addJob(owned_cell::makeJob("work", {work}));
+    REQUIRE(startPending(cell) == work.count);
+}
+
+std::int64_t quarantinedCount(const owned_cell &cell)
+{
+    return std::ranges::count_if(cell.state.workers,
+                                 [&cell](const auto &each) { return each.second.health.quarantinedUntil > cell.now; });
+}
+
 /// A service whose three tasks are at work on worker "a". Worker "b" is free.
 struct service_cell
 {
@@ -249,3 +301,30 @@
     drain(unlimited.cell, "a");
     CHECK(stopsOfNextPass(unlimited.cell).size() == 3);
 }
+
+TEST_CASE("stalled runs quarantine no more than a quarter of the workers")
+{
+    auto cell = makeCellOf({"a", "b", "c", "d", "e", "f", "g", "h"});
+    fillWorkers(cell, 2);
+    stallRuns(cell, 16);
+    CHECK(quarantinedCount(cell) == 2);
+}
+
+TEST_CASE("a worker is quarantined again only after as many new stalls as the first time")
+{
+    auto cell = makeCellOf({"a"});
+    fillWorkers(cell, 4);
+    std::vector<listed_end> ends;
+    for (const auto &run : stallRuns(cell, 4)) {
+        ends.push_back({std::ssize(ends) + 1, run, run_end::stopped, ""});
+    }
+    CHECK(quarantinedCount(cell) == 1);
+    cell.advance(7s);
+    cell.answerList("a", {}, ends);
+    CHECK(quarantinedCount(cell) == 0);
+    REQUIRE(startPending(cell) == 4);
+    stallRuns(cell, 1);
+    CHECK(quarantinedCount(cell) == 0);
+    stallRuns(cell, 2); // the second run stalls now
+    CHECK(quarantinedCount(cell) == 1);
+}
