Wait for the end of an at-most-once gang that a worker lists as broken

When a gang ends, the worker of the member that ended lists that, and the workers of the others list theirs as broken. If a broken one was listed first, as its worker's answer was the earlier, an at-most-once gang failed with an unknown outcome, although it had succeeded or failed in a known way. Demands of kind gang that may not be repeated get such a gang, so callers saw a job fail whose work was done.

A broken member now leaves its job as it is while another member still has a run, whose end decides. The last member that is listed as broken, with no other end, still fails the job as unknown. A new owner doesn't know the others' runs before their workers' lists; it waits for them and fails the job as unknown when it would have to place the gang again, as it does for a task whose start an earlier owner has stored.

Three new cases of placing-test: two failed before (the job had failed as unknown after the first list, with the owner that started the gang and with a later one); the one that the last broken member fails the job passed before and after.

--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -80,8 +80,18 @@
 {
     mayHaveRun,
     neverRan,
+    toldByGang, ///< the end of another member tells what came of its gang
 };
 
+/// Whether the end of another member will tell what came of a broken gang, or its absence from all lists will.
+past_run pastOfBrokenRun(const task_view &view)
+{
+    const bool isOtherExpected = std::ranges::any_of(
+        view.step->tasks, [&](const task_state &task) { return &task != view.task && !task.runs.empty(); });
+    // A new owner learns of the others' runs from later lists. Before it places the gang again it fails the job.
+    return isOtherExpected || view.task->wasBegunBefore ? past_run::toldByGang : past_run::mayHaveRun;
+}
+
 /// Releases the reservation of a run that is over or never started, and makes its task pending again if needed.
 void dropRun(cell_state &state, worker_state &worker, const run_id &run, past_run past, instant now,
              cell_actions &actions)
@@ -210,7 +220,8 @@
             quarantineForFailures(state, worker, now, actions);
         }
     }
-    dropRun(state, worker, end.run, past_run::mayHaveRun, now, actions);
+    const auto past = end.how == run_end::gangBroken ? pastOfBrokenRun(*view) : past_run::mayHaveRun;
+    dropRun(state, worker, end.run, past, now, actions);
 }
 
 /// Adds a listed run that is not known here, because an earlier owner started it or its start was delayed. It is
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -90,6 +90,31 @@
     return attempts;
 }
 
+step_spec makeOnceGang()
+{
+    auto gang = makeStep(2, 8'000);
+    gang.isGang = true;
+    gang.isAtMostOnce = true;
+    return gang;
+}
+
+/// Starts both members of an at-most-once gang, each on a worker of its own.
+std::vector<send_start> startOnceGang(owned_cell &cell)
+{
+    cell.addJob(owned_cell::makeJob("once", {makeOnceGang()}));
+    cell.runSchedulingPass();
+    cell.confirmCommit();
+    cell.advance(50ms);
+    auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 2);
+    for (const auto &each : starts) {
+        step(cell.state, start_answered {each.worker, 1, each.run, order_result::done, cell.now}, cell.now,
+             cell.actions);
+    }
+    cell.advance(500ms);
+    return starts;
+}
+
 } // namespace
 
 TEST_CASE("tasks start only on workers that have the required label, pool and failure domain")
@@ -388,3 +413,54 @@
         CHECK_FALSE(cell.state.jobs.at("once").isOutcomeUnknown);
     }
 }
+
+TEST_CASE("an at-most-once gang that one worker lists as broken ends as the list of another worker says")
+{
+    for (const bool fails : {false, true}) {
+        auto cell = makeCellOf({"a", "b"});
+        const auto starts = startOnceGang(cell);
+        cell.answerList(starts.back().worker, {}, {{1, starts.back().run, run_end::gangBroken, ""}});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK_FALSE(cell.state.jobs.at("once").hasFailed);
+        cell.advance(100ms);
+        cell.answerList(starts.front().worker, {},
+                        {{1, starts.front().run, fails ? run_end::failed : run_end::done, ""}});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK(cell.state.jobs.at("once").hasFailed == fails);
+        CHECK_FALSE(cell.state.jobs.at("once").isOutcomeUnknown);
+    }
+}
+
+TEST_CASE("an at-most-once gang that is listed as broken is not started again when the other member is lost")
+{
+    auto cell = makeCellOf({"a", "b"});
+    const auto starts = startOnceGang(cell);
+    for (const auto &each : starts) {
+        cell.answerList(each.worker, {}, {{1, each.run, run_end::gangBroken, ""}});
+    }
+    CHECK(cell.runSchedulingPass().empty());
+    CHECK(cell.state.jobs.at("once").isOutcomeUnknown);
+}
+
+TEST_CASE(
+    "a new owner that finds an at-most-once gang broken waits for the other workers' lists before it fails the job")
+{
+    for (const bool isOtherListed : {true, false}) {
+        auto cell = makeCellOf({"a", "b"});
+        cell.state.unreconciledWorkers.insert("b");
+        job_progress progress;
+        progress[0].steps[0].tasks[0].mayHaveBegun = true;
+        progress[0].steps[0].tasks[1].mayHaveBegun = true;
+        step(cell.state, job_arrived {owned_cell::makeJob("once", {makeOnceGang()}), progress, 1, false}, cell.now,
+             cell.actions);
+        cell.answerList("a", {}, {{1, {{"once", 0, 0, 0}, 1}, run_end::gangBroken, ""}});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK_FALSE(cell.state.jobs.at("once").hasFailed);
+        cell.advance(100ms);
+        cell.answerList("b", {},
+                        isOtherListed ? std::vector<listed_end> {{1, {{"once", 0, 0, 1}, 1}, run_end::done, ""}}
+                                      : std::vector<listed_end> {});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK(cell.state.jobs.at("once").isOutcomeUnknown != isOtherListed);
+    }
+}
