Leave at-most-once tasks on a draining worker

Shortly before a draining worker is removed, the owner stops runs that save progress, so that they go on elsewhere. It did so for at-most-once tasks too, which are never started again: the stop itself ended their job with an unknown outcome. They now stay, as stalled ones did already, and may end before their worker leaves. Demands don't say that their tasks save progress, so no caller could see this today.

The new case of supervision-test failed before: the at-most-once task was stopped.

--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -61,7 +61,8 @@
 void stopOnDrainingWorker(cell_state &state, const task_ref &ref, const task_view &view, task_run &run,
                           const worker_state &worker, instant now, cell_actions &actions)
 {
-    if (!worker.description.isDraining || !isRunningAndWanted(run)) {
+    // A stop would end an at-most-once task's job with an unknown outcome, but it may end before its worker leaves.
+    if (!worker.description.isDraining || !isRunningAndWanted(run) || view.spec->isAtMostOnce) {
         return;
     }
     const bool isDrainEndNear = worker.drainEndsAt != instant {} && worker.drainEndsAt - drainMargin <= now;
--- a/tests/unit/supervision_test.cpp
+++ b/tests/unit/supervision_test.cpp
@@ -328,3 +328,25 @@
     stallRuns(cell, 2); // the second run stalls now
     CHECK(quarantinedCount(cell) == 1);
 }
+
+TEST_CASE("a drain stops tasks that save progress shortly before its end, but no at-most-once task")
+{
+    for (const bool isAtMostOnce : {false, true}) {
+        auto cell = makeCellOf({"a"});
+        auto work = makeStep(false);
+        work.savesProgress = true;
+        work.isAtMostOnce = isAtMostOnce;
+        work.estimate = 60s;
+        cell.addJob(owned_cell::makeJob("work", {work}));
+        if (isAtMostOnce) {
+            cell.runSchedulingPass();
+            cell.confirmCommit();
+            cell.advance(50ms);
+        }
+        REQUIRE(startPending(cell) == 1);
+        drain(cell, "a", 2s);
+        CHECK(stopsOfNextPass(cell).empty());
+        cell.advance(800ms);
+        CHECK(stopsOfNextPass(cell).size() == (isAtMostOnce ? 0 : 1));
+    }
+}
