--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -103,6 +103,8 @@
     std::chrono::milliseconds criticalPath {0}; ///< estimated time from the step's start to the end of its occurrence
     std::set<std::uint32_t> failedGangs; ///< attempts of the gang that failed
     std::uint32_t gangAttempt = 0; ///< last attempt, which all members of the gang share
+    std::uint32_t attemptLimit = 0; ///< attempts up to this number may start; a later owner's are higher
+    std::uint32_t reservedAttempts = 0; ///< a higher limit that is stored, or is about to be; 0 for none
     step_advice advice;
     std::vector<std::chrono::milliseconds> durations; ///< of successful runs, without very short ones
 };
@@ -151,7 +153,7 @@
 
 struct worker_health
 {
-    /// Jobs with a task that failed there since a task last succeeded there or failures last quarantined the worker.
+    /// Jobs with a task that failed there since a task last succeeded there or the worker was last quarantined.
     std::set<job_id> failedJobs;
     std::int32_t stalls = 0; ///< runs that stalled there, counted from the same moment
     instant quarantinedUntil; ///< no new tasks start there before this time; zero before the first quarantine
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -43,10 +43,15 @@
 /// Fails the job of an at-most-once task whose run was lost: the task may have done its work and must not run again.
 void failLostTask(cell_state &state, const task_view &view, instant now, cell_actions &actions);
 
+/// Returns whether an attempt of the step may have this number. If not, schedules a commit that reserves it, so that a
+/// later owner's numbers are higher.
+bool ensureAttemptReserved(cell_state &state, job_state &job, step_state &step, std::uint32_t attempt);
+
 /// Records the success of a task and makes the steps ready that waited for it.
 void completeTask(cell_state &state, const task_ref &ref, const task_view &view, instant now, cell_actions &actions);
 
-/// Records a failed attempt. Fails the job once the failed attempts of one task or gang reach the queue's limit.
+/// Records a failed attempt. Fails the job once the failed attempts of one task or gang reach the queue's limit, and at
+/// the first one of an at-most-once task.
 void recordTaskFailure(cell_state &state, const run_id &run, const task_view &view, instant now, cell_actions &actions);
 
 /// Schedules the job's rows for the next commit. Does nothing once the job's end is stored.
@@ -94,6 +99,10 @@
 
 resources freeCapacity(const worker_state &worker);
 
+/// Keeps new tasks off the worker for the duration of @p pause and forgets its failures and stalls so far. Returns false
+/// and changes nothing if it is quarantined already or too many workers are.
+bool quarantine(const cell_state &state, worker_state &worker, std::chrono::milliseconds pause, instant now);
+
 /// Returns whether the worker may take new tasks now.
 bool mayStartOn(const cell_state &state, const worker_state &worker, instant now);
 
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -26,14 +26,15 @@
 constexpr auto maxStopTime = 1'000ms; ///< for a run to stop; the platform's own bounds are 200 and 400 ms
 constexpr auto stopRetryDelay = 300ms;
 constexpr auto unhealthyPause = 1'000ms; ///< a worker that refused work as unhealthy gets no tasks for this long
-constexpr auto crashLoopTime = 1'500ms; ///< a service task that fails sooner is restarted after crashPause
+constexpr auto crashLoopTime = 1'500ms; ///< a service task that ends sooner is restarted after crashPause
 constexpr auto crashPause = 1'000ms;
 constexpr std::size_t maxEndsPerList = 500; ///< a list with this many ends may be incomplete
 constexpr auto minQuarantine = 4'000ms;
 constexpr auto maxQuarantine = 60'000ms;
 constexpr std::size_t jobsBeforeQuarantine = 2; ///< different jobs whose tasks failed there without a success between
 
-/// Failed tasks quarantine a worker only while fewer than this share of all workers, or none, are quarantined.
+/// Failed or stalled tasks quarantine a worker only while fewer than this share of all workers, or none, are
+/// quarantined.
 constexpr double maxQuarantinedShare = 0.25;
 
 constexpr double slownessWeight = 0.2; ///< weight of the newest run in the smoothed value
@@ -79,8 +80,18 @@
 {
     mayHaveRun,
     neverRan,
+    toldByGang, ///< the end of another member tells what came of its gang
 };
 
+/// Whether the end of another member will tell what came of a broken gang, or its absence from all lists will.
+past_run pastOfBrokenRun(const task_view &view)
+{
+    const bool isOtherExpected = std::ranges::any_of(
+        view.step->tasks, [&](const task_state &task) { return &task != view.task && !task.runs.empty(); });
+    // A new owner learns of the others' runs from later lists. Before it places the gang again it fails the job.
+    return isOtherExpected || view.task->wasBegunBefore ? past_run::toldByGang : past_run::mayHaveRun;
+}
+
 /// Releases the reservation of a run that is over or never started, and makes its task pending again if needed.
 void dropRun(cell_state &state, worker_state &worker, const run_id &run, past_run past, instant now,
              cell_actions &actions)
@@ -148,18 +159,13 @@
         state.workers, [now](const auto &each) { return each.second.health.quarantinedUntil > now; }));
 }
 
-void quarantine(cell_state &state, worker_state &worker, instant now, cell_actions &actions)
+void quarantineForFailures(cell_state &state, worker_state &worker, instant now, cell_actions &actions)
 {
-    const auto maxCount = std::max<std::size_t>(
-        1, static_cast<std::size_t>(static_cast<double>(state.workers.size()) * maxQuarantinedShare));
-    if (worker.health.quarantinedUntil > now || quarantinedCount(state, now) >= maxCount) {
-        return;
+    const auto pause = std::clamp<std::chrono::milliseconds>(worker.health.pause * 2, minQuarantine, maxQuarantine);
+    if (quarantine(state, worker, pause, now)) {
+        worker.health.pause = pause;
+        actions.emplace_back(report_worker_change {worker.description.id, "quarantined"});
     }
-    worker.health.pause = std::clamp<std::chrono::milliseconds>(worker.health.pause * 2, minQuarantine, maxQuarantine);
-    worker.health.quarantinedUntil = now + worker.health.pause;
-    worker.health.failedJobs.clear();
-    worker.health.stalls = 0;
-    actions.emplace_back(report_worker_change {worker.description.id, "quarantined"});
 }
 
 void recordSuccess(worker_state &worker, const task_view &view, const task_run &run, instant now)
@@ -193,27 +199,29 @@
         markUnsaved(state, *view->job);
     }
     view->job->hasStarted = true;
-    if (end.how == run_end::done) {
-        if (const auto *run = findRun(*view->task, worker.description.id, end.run.attempt)) {
-            recordSuccess(worker, *view, *run, now);
-        }
-        completeTask(state, end.run.task, *view, now, actions);
-    } else if (end.how == run_end::failed && view->spec->isService) {
-        // Services fail through their own faults at any time, so a failure is little sign of an unhealthy worker.
+    const bool endedByItself = end.how == run_end::done || end.how == run_end::failed;
+    if (endedByItself && view->spec->isService) {
+        // Services end through their own faults at any time, so an end is little sign of an unhealthy worker.
         const auto *run = findRun(*view->task, worker.description.id, end.run.attempt);
         if (run != nullptr && run->runningSince + crashLoopTime > now) {
             view->task->avoidedWorkers = {worker.description.id};
             view->task->notBefore = now + crashPause;
         }
+    } else if (end.how == run_end::done) {
+        if (const auto *run = findRun(*view->task, worker.description.id, end.run.attempt)) {
+            recordSuccess(worker, *view, *run, now);
+        }
+        completeTask(state, end.run.task, *view, now, actions);
     } else if (end.how == run_end::failed) {
         view->task->avoidedWorkers.insert(worker.description.id);
         worker.health.failedJobs.insert(end.run.task.job);
         recordTaskFailure(state, end.run, *view, now, actions);
         if (worker.health.failedJobs.size() >= jobsBeforeQuarantine) {
-            quarantine(state, worker, now, actions);
+            quarantineForFailures(state, worker, now, actions);
         }
     }
-    dropRun(state, worker, end.run, past_run::mayHaveRun, now, actions);
+    const auto past = end.how == run_end::gangBroken ? pastOfBrokenRun(*view) : past_run::mayHaveRun;
+    dropRun(state, worker, end.run, past, now, actions);
 }
 
 /// Adds a listed run that is not known here, because an earlier owner started it or its start was delayed. It is
@@ -238,6 +246,7 @@
     run.sentAt = now;
     run.runningSince = now;
     run.lastProgressAt = now;
+    run.percent = listed.percent;
     run.isStopWanted = !isWanted;
     view->task->lastAttempt = std::max(view->task->lastAttempt, run.attempt);
     view->step->gangAttempt = std::max(view->step->gangAttempt, run.attempt);
@@ -350,6 +359,19 @@
     return available;
 }
 
+bool quarantine(const cell_state &state, worker_state &worker, std::chrono::milliseconds pause, instant now)
+{
+    const auto maxCount = std::max<std::size_t>(
+        1, static_cast<std::size_t>(static_cast<double>(state.workers.size()) * maxQuarantinedShare));
+    if (worker.health.quarantinedUntil > now || quarantinedCount(state, now) >= maxCount) {
+        return false;
+    }
+    worker.health.quarantinedUntil = now + pause;
+    worker.health.failedJobs.clear();
+    worker.health.stalls = 0;
+    return true;
+}
+
 bool mayStartOn(const cell_state &state, const worker_state &worker, instant now)
 {
     return worker.isListed && worker.isReconciled && !worker.description.isDraining && worker.clock
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -30,7 +30,7 @@
     bool isGang = false; ///< the tasks can only work while all of them run
     bool prefersSameRack = false; ///< the tasks run slower when they are spread over several racks
     bool allowsCopies = false; ///< a task may run in several copies; the first one to end counts
-    bool isService = false; ///< tasks run until the job is cancelled and are restarted unless they end as done
+    bool isService = false; ///< tasks run until the job is cancelled and are restarted however they end
     bool isBestEffort = false; ///< tasks use processor time that others leave idle; none is reserved for them
     bool isAtMostOnce = false; ///< a task isn't started a second time if an earlier run of it may have started
     std::string label; ///< label that a worker must have; empty for any worker
@@ -39,7 +39,8 @@
     std::string image; ///< tasks of the same image behave alike
     std::int32_t maxPerWorker = 0; ///< tasks of this step in one occurrence on the same worker; 0 for no limit
     std::chrono::milliseconds targetLatency {0}; ///< target that a service has towards its own users; 0 for none
-    std::int32_t maxUnavailable = 0; ///< tasks that may be stopped at the same time, 0 for no limit; not enforced
+    /// Tasks of a service that orders may make unavailable at the same time, so 0 for none. Unset for no limit.
+    std::optional<std::int32_t> maxUnavailable;
 
     friend bool operator==(const step_spec &, const step_spec &) = default;
 };
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -1,3 +1,4 @@
+#include "jobs/job_rows.h"
 #include "owned_cell.h"
 
 #include <algorithm>
@@ -39,6 +40,82 @@
     return result;
 }
 
+/// Returns a job of one service task that has been accepted before the owner's take-over.
+job_arrived storedService()
+{
+    auto service = makeStep(1);
+    service.isService = true;
+    return {owned_cell::makeJob("service", {service}), {}, 1, false};
+}
+
+owned_cell makeOwnerOfTerm(std::int64_t term, const job_arrived &job)
+{
+    auto cell = makeCellOf({"a"});
+    cell.state.takeOver.term = term;
+    step(cell.state, job, cell.now, cell.actions);
+    return cell;
+}
+
+/// Runs a pass and stores its changes. Keeps the job's progress in @p job as the next owner will read it.
+std::vector<send_start> passAndStore(owned_cell &cell, job_arrived &job)
+{
+    auto starts = cell.runSchedulingPass();
+    for (const auto &action : cell.actions) {
+        const auto *rows = std::get_if<commit_rows>(&action);
+        for (const auto &write : rows == nullptr ? std::vector<row_write> {} : rows->transaction.writes) {
+            if (write.place == progressPlace(job.job.id)) {
+                job.progress = decodeProgress(write.value);
+            }
+        }
+    }
+    cell.confirmCommit();
+    return starts;
+}
+
+/// Starts the service's only task @p count times; each run fails after 2 s. Returns the attempt numbers.
+std::vector<std::uint32_t> restartService(owned_cell &cell, job_arrived &job, std::int64_t count)
+{
+    std::vector<std::uint32_t> attempts;
+    for (std::int64_t pass = 0; pass < 2 * count && std::ssize(attempts) < count; ++pass) {
+        const auto starts = passAndStore(cell, job);
+        cell.advance(100ms);
+        if (starts.empty()) {
+            continue;
+        }
+        const auto &run = starts.front().run;
+        attempts.push_back(run.attempt);
+        step(cell.state, start_answered {"a", 1, run, order_result::done, cell.now}, cell.now, cell.actions);
+        cell.advance(2s);
+        cell.answerList("a", {}, {{cell.state.workers.at("a").processedEnd + 1, run, run_end::failed, ""}});
+    }
+    return attempts;
+}
+
+step_spec makeOnceGang()
+{
+    auto gang = makeStep(2, 8'000);
+    gang.isGang = true;
+    gang.isAtMostOnce = true;
+    return gang;
+}
+
+/// Starts both members of an at-most-once gang, each on a worker of its own.
+std::vector<send_start> startOnceGang(owned_cell &cell)
+{
+    cell.addJob(owned_cell::makeJob("once", {makeOnceGang()}));
+    cell.runSchedulingPass();
+    cell.confirmCommit();
+    cell.advance(50ms);
+    auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 2);
+    for (const auto &each : starts) {
+        step(cell.state, start_answered {each.worker, 1, each.run, order_result::done, cell.now}, cell.now,
+             cell.actions);
+    }
+    cell.advance(500ms);
+    return starts;
+}
+
 } // namespace
 
 TEST_CASE("tasks start only on workers that have the required label, pool and failure domain")
@@ -301,3 +378,141 @@
     CHECK(cell.runSchedulingPass().size() == 1);
     CHECK_FALSE(cell.state.jobs.at("once").hasFailed);
 }
+
+TEST_CASE("attempts are numbered above those of the owner before, however often that one restarted a service")
+{
+    constexpr std::int64_t restarts = 2'500;
+    auto job = storedService();
+    std::uint32_t last = 0;
+    for (const std::int64_t term : {3, 4, 5}) {
+        auto owner = makeOwnerOfTerm(term, job);
+        const auto attempts = restartService(owner, job, restarts);
+        REQUIRE(std::ssize(attempts) == restarts);
+        CHECK(std::ranges::is_sorted(attempts, std::less_equal()));
+        CHECK(attempts.front() > last);
+        last = attempts.back();
+    }
+}
+
+TEST_CASE("attempts are numbered above those of the owner before, however many owners there were")
+{
+    constexpr std::int64_t lastTermBefore32Bits = 4'294'967;
+    for (const std::int64_t term : {lastTermBefore32Bits, std::int64_t {2'147'482}, std::int64_t {1} << 40}) {
+        auto job = storedService();
+        std::uint32_t last = 0;
+        for (const auto owner : {term, term + 1, term + 2, term + 10}) {
+            auto cell = makeOwnerOfTerm(owner, job);
+            const auto attempts = restartService(cell, job, 3);
+            INFO("term " << owner);
+            REQUIRE(attempts.size() == 3);
+            CHECK(attempts.front() > last);
+            last = attempts.back();
+        }
+    }
+}
+
+TEST_CASE("a service's task is started again however its run ended, after a pause if that was soon")
+{
+    for (const auto how : {run_end::done, run_end::failed, run_end::stopped, run_end::lapsed}) {
+        for (const auto ranFor : {500ms, 2'000ms}) {
+            auto cell = makeCellOf({"a", "b"});
+            step(cell.state, storedService(), cell.now, cell.actions);
+            const auto first = cell.runSchedulingPass();
+            REQUIRE(first.size() == 1);
+            const auto &worker = first.front().worker;
+            step(cell.state, start_answered {worker, 1, first.front().run, order_result::done, cell.now}, cell.now,
+                 cell.actions);
+            cell.advance(ranFor);
+            cell.answerList(worker, {}, {{1, first.front().run, how, ""}});
+            const bool ownEnd = how == run_end::done || how == run_end::failed;
+            const bool pauses = ownEnd && ranFor < 1s;
+            INFO("end " << static_cast<int>(how) << " after " << ranFor.count() << " ms");
+            CHECK(cell.runSchedulingPass().size() == (pauses ? 0 : 1));
+            cell.advance(1'100ms);
+            CHECK(cell.runSchedulingPass().size() == (pauses ? 1 : 0));
+            CHECK(statusOf(cell.state, "service") == job_status::running);
+        }
+    }
+}
+
+TEST_CASE("an at-most-once task that is listed as failed fails its job with a known outcome, and is not started again")
+{
+    for (const bool wasOwnerReplaced : {false, true}) {
+        auto cell = makeCellOf({"a"});
+        auto once = makeStep(1);
+        once.isAtMostOnce = true;
+        const auto job = owned_cell::makeJob("once", {once});
+        REQUIRE(job.queue.maxFailures > 1);
+        run_id run {{"once", 0, 0, 0}, 1};
+        if (wasOwnerReplaced) {
+            job_progress progress;
+            progress[0].steps[0].tasks[0].mayHaveBegun = true;
+            step(cell.state, job_arrived {job, progress, 1, false}, cell.now, cell.actions);
+        } else {
+            cell.addJob(job);
+            cell.runSchedulingPass();
+            cell.confirmCommit();
+            cell.advance(50ms);
+            const auto starts = cell.runSchedulingPass();
+            REQUIRE(starts.size() == 1);
+            run = starts.front().run;
+            step(cell.state, start_answered {"a", 1, run, order_result::done, cell.now}, cell.now, cell.actions);
+        }
+        cell.advance(500ms);
+        cell.answerList("a", {}, {{1, run, run_end::failed, ""}});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK(cell.state.jobs.at("once").hasFailed);
+        CHECK_FALSE(cell.state.jobs.at("once").isOutcomeUnknown);
+    }
+}
+
+TEST_CASE("an at-most-once gang that one worker lists as broken ends as the list of another worker says")
+{
+    for (const bool fails : {false, true}) {
+        auto cell = makeCellOf({"a", "b"});
+        const auto starts = startOnceGang(cell);
+        cell.answerList(starts.back().worker, {}, {{1, starts.back().run, run_end::gangBroken, ""}});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK_FALSE(cell.state.jobs.at("once").hasFailed);
+        cell.advance(100ms);
+        cell.answerList(starts.front().worker, {},
+                        {{1, starts.front().run, fails ? run_end::failed : run_end::done, ""}});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK(cell.state.jobs.at("once").hasFailed == fails);
+        CHECK_FALSE(cell.state.jobs.at("once").isOutcomeUnknown);
+    }
+}
+
+TEST_CASE("an at-most-once gang that is listed as broken is not started again when the other member is lost")
+{
+    auto cell = makeCellOf({"a", "b"});
+    const auto starts = startOnceGang(cell);
+    for (const auto &each : starts) {
+        cell.answerList(each.worker, {}, {{1, each.run, run_end::gangBroken, ""}});
+    }
+    CHECK(cell.runSchedulingPass().empty());
+    CHECK(cell.state.jobs.at("once").isOutcomeUnknown);
+}
+
+TEST_CASE(
+    "a new owner that finds an at-most-once gang broken waits for the other workers' lists before it fails the job")
+{
+    for (const bool isOtherListed : {true, false}) {
+        auto cell = makeCellOf({"a", "b"});
+        cell.state.unreconciledWorkers.insert("b");
+        job_progress progress;
+        progress[0].steps[0].tasks[0].mayHaveBegun = true;
+        progress[0].steps[0].tasks[1].mayHaveBegun = true;
+        step(cell.state, job_arrived {owned_cell::makeJob("once", {makeOnceGang()}), progress, 1, false}, cell.now,
+             cell.actions);
+        cell.answerList("a", {}, {{1, {{"once", 0, 0, 0}, 1}, run_end::gangBroken, ""}});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK_FALSE(cell.state.jobs.at("once").hasFailed);
+        cell.advance(100ms);
+        cell.answerList("b", {},
+                        isOtherListed ? std::vector<listed_end> {{1, {{"once", 0, 0, 1}, 1}, run_end::done, ""}}
+                                      : std::vector<listed_end> {});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK(cell.state.jobs.at("once").isOutcomeUnknown != isOtherListed);
+    }
+}
