Count the entries and bytes of a commit, not its jobs

The platform takes at most 100 entries (conditions, writes and removals) and 1 MB in one call, and refuses more. A commit was limited to 28 jobs, counted as three entries each, but a job that ends with stored progress has four: with 60 such jobs the commit had 116 entries. The owner would have sent the same commit again and again, stored no end and acknowledged none. Nothing counted bytes: 20 checkpoints of 100 kB made a commit of 2.7 MB, and a batch of 30 large submissions was refused until its callers got the outcome lost.

limited_transaction counts entries and bytes for both kinds of commit, and keeps room for the ownership's entries that the runner adds (owned_commit). Ends are still acknowledged only by a commit that leaves no job unsaved. A job that could never fit is stored without its checkpoints, with one line in the log; if that is too large too it waits without holding up the others.

The emulated store refuses larger transactions now, as the platform does, so every test and schedule checks the limit.

--- a/src/libprimrosecroft/cell/acceptance_batcher.cpp
+++ b/src/libprimrosecroft/cell/acceptance_batcher.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "jobs/job_rows.h"
+#include "leadership/owned_commit.h"
 
 #include <algorithm>
 #include <ranges>
@@ -18,7 +19,6 @@
 
 constexpr auto acceptTimeout = 2'400ms; ///< after this a job isn't sent again; its outcome is reported as lost
 constexpr auto retryDelay = 100ms; ///< after a failed transaction
-constexpr std::size_t maxJobsPerTransaction = 30; ///< each job adds three entries to the transaction
 
 void answerAll(const std::vector<stored_handler> &handlers, store_outcome outcome)
 {
@@ -41,6 +41,10 @@
             return;
         }
     }
+    if (!limited_transaction(ownershipSize()).fitsAlone(acceptance(id, row))) {
+        done(store_outcome::refused); // the store would never take it
+        return;
+    }
     auto &entry = m_waiting[id];
     entry.row = row;
     entry.submittedAt = bootNow();
@@ -63,22 +67,24 @@
     }
 }
 
-acceptance_batcher::batch acceptance_batcher::takeOldest()
+/// Moves the oldest waiting jobs, as many as fit into one transaction, to those that are being sent. Returns the
+/// transaction that accepts them.
+store_transaction acceptance_batcher::takeOldest()
 {
-    if (m_waiting.size() <= maxJobsPerTransaction) {
-        return std::exchange(m_waiting, {});
-    }
     std::vector<batch::iterator> order;
     for (auto each = m_waiting.begin(); each != m_waiting.end(); ++each) {
         order.push_back(each);
     }
-    std::ranges::nth_element(order, order.begin() + maxJobsPerTransaction, {},
-                             [](const auto &each) { return each->second.submittedAt; });
-    batch result;
-    for (const auto &each : order | std::views::take(maxJobsPerTransaction)) {
-        result.insert(m_waiting.extract(each));
+    std::ranges::sort(order, {}, [](const auto &each) { return each->second.submittedAt; });
+    limited_transaction transaction(ownershipSize());
+    for (const auto &each : order) {
+        const auto part = acceptance(each->first, each->second.row);
+        if (!transaction.add(part)) {
+            break;
+        }
+        m_sending.insert(m_waiting.extract(each));
     }
-    return result;
+    return transaction.entries();
 }
 
 void acceptance_batcher::sendNext()
@@ -86,13 +92,7 @@
     if (!m_sending.empty() || m_waiting.empty() || m_retry.isRunning()) {
         return;
     }
-    m_sending = takeOldest();
-    store_transaction transaction;
-    for (const auto &[id, entry] : m_sending) {
-        const auto one = acceptance(id, entry.row);
-        std::ranges::copy(one.conditions, std::back_inserter(transaction.conditions));
-        std::ranges::copy(one.writes, std::back_inserter(transaction.writes));
-    }
+    auto transaction = takeOldest();
     m_sentAt = bootNow();
     m_links.commit(std::move(transaction), [this](const commit_result &result) { handleAnswer(result); });
 }
--- a/src/libprimrosecroft/cell/acceptance_batcher.h
+++ b/src/libprimrosecroft/cell/acceptance_batcher.h
@@ -28,16 +28,17 @@
 
 /**
  * Accepts jobs in batches. Jobs that arrive while a transaction is in flight go into the next
- * one, oldest first. A slow store handles transactions one after another; with batches it still
- * accepts about thirty jobs in each.
+ * one, oldest first, as many as it may have. A slow store handles transactions one after another;
+ * with batches it still accepts about thirty jobs in each.
  */
 class acceptance_batcher
 {
 public:
     acceptance_batcher(acceptance_links links, decision_log &log);
 
-    /// Accepts a job. The outcome is conflict if the job has been accepted before, and lost if the job may be stored
-    /// now or later. Several calls for the same job while it waits share one outcome.
+    /// Accepts a job. The outcome is conflict if the job has been accepted before, lost if the job may be stored now or
+    /// later, and refused if its row is larger than the store takes in one call. Several calls for the same job while
+    /// it waits share one outcome.
     void add(const job_id &id, const std::string &row, stored_handler done);
 
     /// True while the job is in the transaction that is in flight.
@@ -57,7 +58,7 @@
     using batch = std::map<job_id, submission>;
 
     void sendNext();
-    batch takeOldest();
+    store_transaction takeOldest();
     void handleAnswer(const commit_result &result);
     void retryLater(batch &failed);
     void splitConflict(batch &conflicted, const std::vector<store_row> &found);
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -128,6 +128,7 @@
     bool hasFailed = false;
     bool isOutcomeUnknown = false; ///< an at-most-once task was lost, so it may have done its work or not
     bool hasUnsavedChanges = false; ///< its stored rows are out of date
+    bool isTooLarge = false; ///< its rows with all checkpoints don't fit into one commit
     bool isEndStored = false; ///< the job is kept only while its runs hold reservations on workers
     std::uint64_t writing = 0; ///< unused: number of the commit that is pending, 0 if none is
 };
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -306,12 +306,20 @@
 };
 
 /// A worker refused an order because it obeys a later owner.
+/// The rows of a job are too large for one commit, so its progress is stored without its checkpoints, or not at all if
+/// that is too large too. Reported once for each job.
+struct report_job_size
+{
+    job_id id;
+    std::size_t bytes = 0; ///< bound on the encoded length of the rows
+};
+
 struct report_fenced
 {
     worker_id worker;
 };
 
 using cell_action = std::variant<send_start, send_stop, send_pace, send_list, ask_advice, commit_rows, report_placed,
-                                 report_ended, report_job_end, report_worker_change, report_fenced>;
+                                 report_ended, report_job_end, report_worker_change, report_job_size, report_fenced>;
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -8,6 +8,7 @@
 #include "core/overloaded.h"
 #include "jobs/job_rows.h"
 #include "leadership/leadership.h"
+#include "leadership/owned_commit.h"
 
 #include <algorithm>
 #include <ranges>
@@ -601,11 +602,9 @@
     void commit(store_transaction transaction, std::function<void(session &, const commit_result &)> done)
     {
         const auto sentAt = bootNow();
-        transaction.conditions.push_back({ownerPlace(), state.takeOver.token});
-        if (sentAt >= renewedAt + renewalInterval || transaction.writes.empty()) {
-            renewedAt = sentAt;
-            transaction.writes.push_back({renewalPlace(), "1"});
-        }
+        const bool isRenewal = sentAt >= renewedAt + renewalInterval || transaction.writes.empty();
+        renewedAt = isRenewal ? sentAt : renewedAt;
+        addOwnership(transaction, state.takeOver.token, isRenewal);
         // The timeout grows with the commit time, so that a slow store doesn't get a commit for the second time while
         // the first one still waits in its queue.
         const auto timeout = std::clamp<std::chrono::milliseconds>(
@@ -732,6 +731,10 @@
                     [this](const report_worker_change &report) {
                         runner.m_log.write("cell", "worker", {{"worker", report.worker}, {"change", report.change}});
                     },
+                    [this](const report_job_size &report) {
+                        runner.m_log.write("cell", "job-too-large",
+                                           {{"id", report.id}, {"bytes", std::to_string(report.bytes)}});
+                    },
                     [this](const report_fenced &report) {
                         runner.m_links.ownershipLost("worker " + report.worker + " obeys a later owner");
                     },
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "leadership/owned_commit.h"
 
 #include <algorithm>
 #include <ranges>
@@ -13,12 +14,18 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t maxJobsPerCommit = 28; ///< with three entries each they stay below the platform's limit of 100
 constexpr auto commitPause = 20ms; ///< changes within this time go into one transaction
 constexpr auto commitRetryDelay = 150ms; ///< pause after a commit that failed
 constexpr std::size_t maxFinishedJobs = 20'000; ///< kept in memory; older ones are read from the store
 
-job_progress progressOf(const job_state &job)
+/// What a progress row holds.
+enum class progress_detail
+{
+    full,
+    withoutCheckpoints,
+};
+
+job_progress progressOf(const job_state &job, progress_detail detail)
 {
     job_progress result;
     for (const auto &[number, occurrence] : job.occurrences) {
@@ -33,9 +40,12 @@
             progress.failedGangs = step.failedGangs;
             for (std::size_t taskIndex = 0; taskIndex < step.tasks.size(); ++taskIndex) {
                 const auto &task = step.tasks[taskIndex];
-                if (!task.failedAttempts.empty() || !task.checkpoint.empty() || task.mayHaveBegun) {
-                    progress.tasks[static_cast<std::int32_t>(taskIndex)] = {task.failedAttempts, task.checkpoint,
-                                                                            task.mayHaveBegun};
+                task_progress own {task.failedAttempts, task.checkpoint, task.mayHaveBegun};
+                if (detail == progress_detail::withoutCheckpoints) {
+                    own.checkpoint.clear();
+                }
+                if (own != task_progress {}) {
+                    progress.tasks[static_cast<std::int32_t>(taskIndex)] = std::move(own);
                 }
             }
             if (step.doneCount > 0) {
@@ -65,20 +75,50 @@
     return std::nullopt;
 }
 
-void writeJob(store_transaction &transaction, const cell_state &state, job_state &job)
+/// Returns the transaction that stores the present state of the job.
+store_transaction rowsOf(const cell_state &state, const job_state &job, progress_detail detail)
 {
     const auto &id = job.accepted.id;
-    if (const auto end = endStatusOf(job)) {
-        transaction.removals.push_back(jobPlace(id));
-        if (job.hasProgress) {
-            transaction.removals.push_back(progressPlace(id));
+    const auto end = endStatusOf(job);
+    if (!end) {
+        return {{}, {{progressPlace(id), encodeProgress(progressOf(job, detail))}}, {}};
+    }
+    store_transaction rows;
+    rows.removals.push_back(jobPlace(id));
+    if (job.hasProgress) {
+        rows.removals.push_back(progressPlace(id));
+    }
+    rows.removals.push_back(cancelPlace(id)); // a late cancellation may be stored but not known here
+    rows.writes.push_back({endedPlace(id), encodeEnded({*end, state.storeTime, job.isOutcomeUnknown})});
+    return rows;
+}
+
+/// Adds the rows of unsaved jobs, as many as fit. A job whose rows would never fit is left out, so that it doesn't hold
+/// up the others.
+void writeJobs(limited_transaction &transaction, cell_state &state, cell_actions &actions)
+{
+    state.committingJobs.clear();
+    for (const auto &id : state.unsavedJobs) {
+        auto &job = state.jobs.at(id);
+        auto rows = rowsOf(state, job, progress_detail::full);
+        const bool isTooLarge = !transaction.fitsAlone(rows);
+        if (isTooLarge && !job.isTooLarge) {
+            actions.emplace_back(report_job_size {id, sizeOf(rows).bytes});
         }
-        transaction.removals.push_back(cancelPlace(id)); // a late cancellation may be stored but not known here
-        transaction.writes.push_back({endedPlace(id), encodeEnded({*end, state.storeTime, job.isOutcomeUnknown})});
-        return;
+        job.isTooLarge = job.isTooLarge || isTooLarge;
+        if (isTooLarge) {
+            rows = rowsOf(state, job, progress_detail::withoutCheckpoints);
+        }
+        if (!transaction.fitsAlone(rows)) {
+            continue;
+        }
+        if (!transaction.add(rows)) {
+            return;
+        }
+        job.hasUnsavedChanges = false;
+        job.hasProgress = job.hasProgress || rows.removals.empty(); // rows without removals are a progress row
+        state.committingJobs.insert(id);
     }
-    job.hasProgress = true;
-    transaction.writes.push_back({progressPlace(id), encodeProgress(progressOf(job))});
 }
 
 /// Allows workers to forget the ends that are stored now. Skips workers that have restarted since the commit
@@ -113,7 +153,7 @@
         && worker.unknownRuns.empty();
 }
 
-void writeContactedWorkers(store_transaction &transaction, cell_state &state, std::uint64_t number)
+void writeContactedWorkers(limited_transaction &transaction, cell_state &state, std::uint64_t number)
 {
     if (state.contactedWorkersCommit != 0) {
         return;
@@ -127,9 +167,11 @@
     if (wanted == state.contactedWorkers) {
         return;
     }
+    if (!transaction.add({{}, {{contactedWorkersPlace(), encodeContactedWorkers(wanted)}}, {}})) {
+        return;
+    }
     // A worker that leaves the row takes no tasks from now on, because the next owner won't reconcile with it.
     std::erase_if(state.contactedWorkers, [&wanted](const worker_id &id) { return !wanted.contains(id); });
-    transaction.writes.push_back({contactedWorkersPlace(), encodeContactedWorkers(wanted)});
     state.contactedWorkersCommit = number;
     state.contactedWorkersSent = std::move(wanted);
 }
@@ -142,18 +184,12 @@
         return;
     }
     const auto number = state.lastCommit + 1;
-    store_transaction transaction;
+    // Each commit requires and rewrites this row, so that one that arrives late cannot undo a newer one.
+    const row_condition sequenceCondition {commitSequencePlace(), state.commitSequence};
+    const row_write sequenceWrite {commitSequencePlace(), "1"};
+    limited_transaction transaction(ownershipSize() + sizeOf({{sequenceCondition}, {sequenceWrite}, {}}));
     writeContactedWorkers(transaction, state, number);
-    state.committingJobs.clear();
-    for (const auto &id : state.unsavedJobs) {
-        if (state.committingJobs.size() >= maxJobsPerCommit) {
-            break;
-        }
-        auto &job = state.jobs.at(id);
-        job.hasUnsavedChanges = false;
-        writeJob(transaction, state, job);
-        state.committingJobs.insert(id);
-    }
+    writeJobs(transaction, state, actions);
     state.committingEnds.clear();
     if (state.committingJobs.size() == state.unsavedJobs.size()) {
         // The commit contains all unsaved jobs, so once it is done every end processed so far is stored.
@@ -163,16 +199,17 @@
             }
         }
     }
-    if (transaction.writes.empty() && transaction.removals.empty()) {
+    if (state.committingJobs.empty() && state.contactedWorkersCommit != number) {
         acknowledgeEnds(state);
+        state.nextCommitAt = state.unsavedJobs.empty() ? state.nextCommitAt : now + commitRetryDelay;
         return;
     }
-    // Each commit requires and rewrites this row, so that one that arrives late cannot undo a newer one.
-    transaction.conditions.push_back({commitSequencePlace(), state.commitSequence});
-    transaction.writes.push_back({commitSequencePlace(), "1"});
     state.lastCommit = number;
     state.isCommitPending = true;
-    actions.emplace_back(commit_rows {number, std::move(transaction)});
+    auto rows = transaction.entries();
+    rows.conditions.push_back(sequenceCondition);
+    rows.writes.push_back(sequenceWrite);
+    actions.emplace_back(commit_rows {number, std::move(rows)});
 }
 
 void handleCommitAnswer(cell_state &state, const commit_answered &message, instant now, cell_actions &actions)
--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -302,6 +302,10 @@
             transaction.removals.push_back(placeFrom(row));
         }
         const auto result = store.commit(transaction);
+        if (result.outcome == store_outcome::refused) {
+            request->answer({statusBadRequest, {}, ""}); // larger than the platform allows
+            return;
+        }
         if (storeMode == "lose") {
             request->abort();
             return;
--- a/tests/standins/store_emulator.cpp
+++ b/tests/standins/store_emulator.cpp
@@ -10,6 +10,30 @@
 {
 
 constexpr std::size_t maxHistoryRows = 20'000;
+constexpr std::size_t maxEntries = 100; ///< conditions, writes and removals of one transaction
+constexpr std::size_t maxBytes = 1'000'000; ///< of the names and encoded values of one transaction
+
+std::size_t sizeOf(const row_place &place)
+{
+    return place.table.size() + place.partition.size() + place.key.size();
+}
+
+/// Returns whether the platform takes a transaction of this size in one call.
+bool isWithinLimits(const store_transaction &transaction)
+{
+    std::size_t bytes = 0;
+    for (const auto &condition : transaction.conditions) {
+        bytes += sizeOf(condition.place);
+    }
+    for (const auto &write : transaction.writes) {
+        bytes += sizeOf(write.place) + write.value.size() * 4 / 3; // values are sent as text
+    }
+    for (const auto &place : transaction.removals) {
+        bytes += sizeOf(place);
+    }
+    const auto entries = transaction.conditions.size() + transaction.writes.size() + transaction.removals.size();
+    return entries <= maxEntries && bytes <= maxBytes;
+}
 
 } // namespace
 
@@ -17,6 +41,10 @@
 {
     commit_result result;
     result.storeTime = now;
+    if (!isWithinLimits(transaction)) {
+        result.outcome = store_outcome::refused;
+        return result;
+    }
     const bool isApplicable = std::ranges::all_of(transaction.conditions, [this](const row_condition &condition) {
         const auto found = m_rows.find(condition.place);
         return (found == m_rows.end() ? row_condition::absent : found->second.version) == condition.version;
--- a/tests/standins/store_emulator.h
+++ b/tests/standins/store_emulator.h
@@ -13,7 +13,8 @@
 class store_emulator
 {
 public:
-    /// Applies the whole transaction, or nothing if a condition doesn't hold. The outcome is `done` or `conflict`.
+    /// Applies the whole transaction, or nothing if a condition doesn't hold. The outcome is `done` or `conflict`, or
+    /// `refused` if the transaction is larger than the platform allows.
     commit_result commit(const store_transaction &transaction);
 
     range_result read(const row_range &range) const;
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -53,6 +53,23 @@
     CHECK(owner.rows.commits - before == 2);
 }
 
+TEST_CASE("large jobs that are submitted together are accepted in transactions that the store takes")
+{
+    owner_process owner;
+    owner.begin();
+    int accepted = 0;
+    owner.rows.delaysAnswers = true;
+    for (int number = 0; number < 30; ++number) {
+        const auto id = "job-" + std::to_string(number);
+        auto job = decodeJob(rowOf(id));
+        job.spec.payload = std::string(60'000, 'x');
+        owner.runner.submit(id, encodeJob(job),
+                            [&accepted](store_outcome outcome) { accepted += outcome == store_outcome::done ? 1 : 0; });
+    }
+    owner.rows.release();
+    CHECK(runUntil([&] { return accepted == 30; }));
+}
+
 TEST_CASE("a job that is stored already is removed from its batch and the others are accepted")
 {
     owner_process owner;
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -37,6 +37,30 @@
     return step;
 }
 
+constexpr std::size_t maxEntriesPerCall = 100; ///< the platform's limit on conditions, writes and removals together
+
+/// Cancels jobs of which progress is stored, so that each of their ends replaces three rows by one.
+void addCancelledJobs(owned_cell &cell, int count)
+{
+    job_progress progress;
+    progress[0].steps[0].failedGangs = {1};
+    for (int number = 0; number < count; ++number) {
+        const auto job = owned_cell::makeJob("job-" + std::to_string(number), {makeStep(1, 400ms)});
+        step(cell.state, job_arrived {job, progress, 5, true}, cell.now, cell.actions);
+    }
+}
+
+std::vector<store_transaction> commitsIn(const std::vector<cell_action> &actions)
+{
+    std::vector<store_transaction> result;
+    for (const auto &action : actions) {
+        if (const auto *rows = std::get_if<commit_rows>(&action)) {
+            result.push_back(rows->transaction);
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 TEST_CASE("a job of two steps completes, with the second step after the first")
@@ -259,3 +283,89 @@
     cell.advance(30ms);
     CHECK(lists() == 1);
 }
+
+TEST_CASE("a commit of ended jobs has at most as many entries as the store takes, and their workers' ends are "
+          "acknowledged after the last of the commits")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("w", "r", {8'000, 16'000, 0}));
+    cell.addJob(owned_cell::makeJob("z", {makeStep(1, 400ms)}));
+    const auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 1);
+    cell.confirmCommit();
+    cell.answerList("w", {}, {{1, starts.front().run, run_end::done, ""}});
+    addCancelledJobs(cell, 60);
+    while (!cell.state.unsavedJobs.empty()) {
+        CHECK(cell.state.workers.at("w").acknowledgedEnd == 0);
+        cell.advance(50ms);
+        cell.runSchedulingPass();
+        const auto commits = commitsIn(cell.actions);
+        REQUIRE(commits.size() == 1);
+        const auto &commit = commits.front();
+        // The runner adds the condition of ownership and the renewal row.
+        CHECK(commit.conditions.size() + commit.writes.size() + commit.removals.size() + 2 <= maxEntriesPerCall);
+        cell.confirmCommit();
+    }
+    CHECK(cell.state.workers.at("w").acknowledgedEnd == 1);
+}
+
+TEST_CASE("a commit of jobs with large checkpoints has at most as many bytes as the store takes")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("w", "r", {64'000, 640'000, 0}));
+    std::vector<listed_end> ends;
+    for (int number = 0; number < 20; ++number) {
+        cell.addJob(owned_cell::makeJob("job-" + std::to_string(number), {makeStep(1, 400ms)}));
+    }
+    const auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 20);
+    cell.confirmCommit();
+    for (const auto &start : starts) {
+        const auto number = static_cast<std::int64_t>(ends.size()) + 1;
+        ends.push_back({number, start.run, run_end::stopped, std::string(100'000, 'x')});
+    }
+    cell.answerList("w", {}, ends);
+    while (!cell.state.unsavedJobs.empty()) {
+        cell.advance(50ms);
+        cell.runSchedulingPass();
+        const auto commits = commitsIn(cell.actions);
+        REQUIRE(commits.size() == 1);
+        std::size_t bytes = 0;
+        for (const auto &write : commits.front().writes) {
+            bytes += write.value.size() * 4 / 3; // values are sent as text
+        }
+        CHECK(bytes <= 1'000'000);
+        cell.confirmCommit();
+    }
+}
+
+TEST_CASE("a job whose checkpoints don't fit into one commit is stored without them and holds up no other job")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("w", "r", {64'000, 640'000, 0}));
+    cell.addJob(owned_cell::makeJob("large", {makeStep(2, 400ms)}));
+    cell.addJob(owned_cell::makeJob("small", {makeStep(1, 400ms)}));
+    const auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 3);
+    cell.confirmCommit();
+    std::vector<listed_end> ends;
+    for (const auto &start : starts) {
+        const bool isLarge = start.run.task.job == "large";
+        ends.push_back({static_cast<std::int64_t>(ends.size()) + 1, start.run, run_end::failed,
+                        std::string(isLarge ? 600'000 : 10, 'x')});
+    }
+    cell.answerList("w", {}, ends);
+    cell.advance(50ms);
+    cell.runSchedulingPass();
+    const auto commits = commitsIn(cell.actions);
+    REQUIRE(commits.size() == 1);
+    const auto &writes = commits.front().writes;
+    const auto large = std::ranges::find(writes, progressPlace("large"), &row_write::place);
+    REQUIRE(large != writes.end());
+    const auto stored = decodeProgress(large->value).at(0).steps.at(0).tasks;
+    CHECK(stored.at(0).failedAttempts.size() == 1);
+    CHECK(stored.at(0).checkpoint.empty());
+    CHECK(std::ranges::find(writes, progressPlace("small"), &row_write::place) != writes.end());
+    cell.confirmCommit();
+    CHECK(cell.state.unsavedJobs.empty());
+}
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -43,7 +43,7 @@
             result.outcome = store_outcome::refused;
         }
         if (range.table == heldTable) {
-            m_held.push_back([done = std::move(done), result] { done(result); });
+            m_held.emplace_back([done = std::move(done), result] { done(result); });
             return;
         }
         answer([done = std::move(done), result] { done(result); });
