Split the runner of the cell by duty

Its parts have a header each now and share a runner_context: owned_commits (commits in flight, renewal and confirmation), worker_feed, job_reader, cell_rows_reader, inbox_reader, job_scan, job_requests (acceptance and cancellation), order_sender and cell_log; session_guard ends their callbacks with the ownership.

--- /dev/null
+++ b/src/libprimrosecroft/cell/cell_log.cpp
@@ -0,0 +1,99 @@
+#include "cell/cell_log.h"
+
+#include <string>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+std::string millisecondsText(duration amount)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(amount).count());
+}
+
+} // namespace
+
+cell_log::cell_log(decision_log &log, metrics &measures)
+    : m_log(log)
+    , m_measures(measures)
+{
+}
+
+void cell_log::write(const report_placed &report)
+{
+    m_measures.observe("primrosecroft_task_wait_seconds", "kind", "placed", report.waited);
+    m_log.write("cell", "placed",
+                {{"task", toString(report.run.task)},
+                 {"attempt", std::to_string(report.run.attempt)},
+                 {"worker", report.worker},
+                 {"waited_ms", std::to_string(report.waited.count())}});
+}
+
+void cell_log::write(const report_ended &report)
+{
+    m_measures.count("primrosecroft_runs_ended", "how", report.how);
+    if (report.how == "done") {
+        return; // the log line of the job covers it
+    }
+    m_log.write("cell", "ended",
+                {{"task", toString(report.run.task)},
+                 {"attempt", std::to_string(report.run.attempt)},
+                 {"worker", report.worker},
+                 {"how", report.how}});
+}
+
+void cell_log::write(const report_job_end &report)
+{
+    m_measures.count("primrosecroft_jobs_ended", "status", toString(report.status));
+    m_measures.observe("primrosecroft_job_seconds", "queue", report.queue, report.took);
+    m_log.write("cell", "job",
+                {{"id", report.id},
+                 {"queue", report.queue},
+                 {"status", toString(report.status)},
+                 {"took_ms", std::to_string(report.took.count())},
+                 {"objective_ms", std::to_string(report.objective.count())}});
+}
+
+void cell_log::write(const report_worker_change &report)
+{
+    m_log.write("cell", "worker", {{"worker", report.worker}, {"change", report.change}});
+}
+
+void cell_log::write(const report_job_size &report)
+{
+    m_log.write("cell", "job-too-large", {{"id", report.id}, {"bytes", std::to_string(report.bytes)}});
+}
+
+void cell_log::writeSummary(const cell_state &state, instant now)
+{
+    const auto summary = summarize(state, now);
+    m_measures.set("primrosecroft_tasks_waiting", static_cast<double>(summary.waitingTasks));
+    m_measures.set("primrosecroft_workers_usable", static_cast<double>(summary.usable));
+    m_measures.set("primrosecroft_millicores_used", static_cast<double>(summary.usedCores));
+    m_log.write("cell", "summary",
+                {{"jobs", std::to_string(summary.jobs)},
+                 {"waiting_steps", std::to_string(summary.waitingSteps)},
+                 {"waiting_tasks", std::to_string(summary.waitingTasks)},
+                 {"asking", std::to_string(summary.stepsAwaitingAdvice)},
+                 {"workers", std::to_string(summary.workers)},
+                 {"usable", std::to_string(summary.usable)},
+                 {"unresolved", std::to_string(summary.unreconciled)},
+                 {"used", std::to_string(summary.usedCores)},
+                 {"offered", std::to_string(summary.offeredCores)},
+                 {"confirmed_ms", millisecondsText(now - state.confirmedAt)}});
+}
+
+void cell_log::writeServing(const cell_state &state, duration took)
+{
+    m_log.writeAlways("cell", "serving",
+                      {{"token", std::to_string(state.takeOver.token)},
+                       {"term", std::to_string(state.takeOver.term)},
+                       {"jobs", std::to_string(state.jobs.size())},
+                       {"workers", std::to_string(state.workers.size())},
+                       {"book", std::to_string(state.contactedWorkers.size())},
+                       {"ms", millisecondsText(took)}});
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/cell_log.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "cell/cell.h"
+#include "observability/decision_log.h"
+#include "observability/metrics.h"
+
+namespace primrosecroft
+{
+
+/// Writes the reports of the core to the log and to the metrics.
+class cell_log
+{
+public:
+    cell_log(decision_log &log, metrics &measures);
+
+    void write(const report_placed &report);
+    void write(const report_ended &report);
+    void write(const report_job_end &report);
+    void write(const report_worker_change &report);
+    void write(const report_job_size &report);
+
+    /// Writes the line that summarizes the cell.
+    void writeSummary(const cell_state &state, instant now);
+
+    /// Writes that the owner serves, @p took after it began.
+    void writeServing(const cell_state &state, duration took);
+
+private:
+    decision_log &m_log;
+    metrics &m_measures;
+};
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/cell_rows_reader.cpp
@@ -0,0 +1,75 @@
+#include "cell/cell_rows_reader.h"
+
+#include "cell/store_timing.h"
+#include "core/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosecroft
+{
+
+cell_rows_reader::cell_rows_reader(const runner_context &context)
+    : m_context(context)
+{
+}
+
+void cell_rows_reader::load(std::function<void()> done)
+{
+    // One read covers all rows that are needed: the commit sequence has the smallest key of them, the contacted
+    // workers the largest.
+    m_context.rows.read(
+        {cellTable, shardPartition, commitSequencePlace().key, keyAfter(contactedWorkersPlace().key), 10}, readTimeout,
+        m_context.guard.wrap([this, done = std::move(done)](const range_result &result) {
+            if (result.outcome != store_outcome::done) {
+                m_retryTimer.once(readRetryDelay, [this, done] { load(done); });
+                return;
+            }
+            auto &state = m_context.state;
+            state.commitSequence = versionOf(result.rows, commitSequencePlace());
+            const auto contacted = std::ranges::find(result.rows, contactedWorkersPlace(), &store_row::place);
+            if (contacted != result.rows.end()) {
+                state.contactedWorkers = decodeContactedWorkers(contacted->value);
+                state.unreconciledWorkers = state.contactedWorkers;
+            }
+            applyRules(result.rows);
+            done();
+        }));
+}
+
+void cell_rows_reader::readRules(std::function<void(bool isRead)> done)
+{
+    const auto place = rulesPlace();
+    m_context.rows.read(rangeOf(place), readTimeout,
+                        m_context.guard.wrap([this, done = std::move(done)](const range_result &result) {
+                            const bool isRead = result.outcome == store_outcome::done;
+                            if (isRead) {
+                                applyRules(result.rows);
+                            }
+                            done(isRead);
+                        }));
+}
+
+void cell_rows_reader::applyRules(const std::vector<store_row> &rows)
+{
+    const auto row = std::ranges::find(rows, rulesPlace(), &store_row::place);
+    if (row == rows.end()) {
+        return;
+    }
+    try {
+        const auto rules = decodeRules(row->value);
+        m_context.log.write(
+            "cell", "rules",
+            {{"version", std::to_string(row->version)}, {"drained", std::to_string(rules.drained.size())}});
+        m_context.apply(rules_updated {rules});
+    } catch (const error &fault) {
+        m_context.log.write("cell", "row-unreadable", {{"id", row->place.key}, {"reason", fault.what()}});
+    }
+}
+
+void cell_rows_reader::stop()
+{
+    m_retryTimer.stop();
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/cell_rows_reader.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "cell/runner_context.h"
+#include "io/timer.h"
+
+#include <functional>
+#include <vector>
+
+namespace primrosecroft
+{
+
+/// Reads the rows that an owner leaves to the next one, and the rules of the operators' sheet.
+class cell_rows_reader
+{
+public:
+    explicit cell_rows_reader(const runner_context &context);
+
+    /// Reads the rows for a new owner, repeatedly until it succeeds, and then calls @p done.
+    void load(std::function<void()> done);
+
+    /// Reads the rules and passes them to the core. @p done is told whether the read succeeded.
+    void readRules(std::function<void(bool isRead)> done);
+
+    void stop();
+
+private:
+    void applyRules(const std::vector<store_row> &rows);
+
+    const runner_context &m_context;
+    timer m_retryTimer;
+};
+
+} // namespace primrosecroft
--- a/src/libprimrosecroft/cell/cell_runner.h
+++ b/src/libprimrosecroft/cell/cell_runner.h
@@ -2,8 +2,8 @@
 
 #include "cell/acceptance_batcher.h"
 #include "cell/cell.h"
+#include "cell/worker_feed.h"
 #include "cell/worker_gateway.h"
-#include "io/timer.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
 #include "store/monitored_store.h"
@@ -16,14 +16,6 @@
 namespace primrosecroft
 {
 
-/// Table of the store in which workers register, and the decoder of its rows.
-struct worker_source
-{
-    std::string table;
-    /// Returns std::nullopt if the text is invalid.
-    std::function<std::optional<worker_description>(const worker_id &, const std::string &text)> decode;
-};
-
 /// Calls by which cell_runner uses the rest of its process.
 struct runner_links
 {
--- /dev/null
+++ b/src/libprimrosecroft/cell/job_scan.cpp
@@ -0,0 +1,104 @@
+#include "cell/job_scan.h"
+
+#include "cell/store_timing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto scanRetryDelay = 400ms; ///< between a scan of which a read failed and the next one
+
+} // namespace
+
+job_scan::job_scan(const runner_context &context, job_scan_links links, instant knownAt)
+    : m_context(context)
+    , m_links(std::move(links))
+    , m_knownAt(knownAt)
+{
+}
+
+void job_scan::start()
+{
+    schedule(m_knownAt + jobScanInterval);
+}
+
+instant job_scan::knownAt() const
+{
+    return m_knownAt;
+}
+
+void job_scan::stop()
+{
+    m_timer.stop();
+}
+
+void job_scan::schedule(instant at)
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(at - bootNow());
+    m_timer.once(std::max<std::chrono::milliseconds>(wait, 0ms), [this] {
+        m_startedAt = bootNow();
+        m_readsLeft = 0;
+        m_hasFailed = false;
+        readPage({});
+    });
+}
+
+void job_scan::readPage(const std::string &from)
+{
+    ++m_readsLeft;
+    m_context.rows.read({jobTable, shardPartition, from, "", 500}, readTimeout,
+                        m_context.guard.wrap([this](const range_result &result) {
+                            const bool isRead = result.outcome == store_outcome::done;
+                            if (isRead) {
+                                std::ranges::for_each(result.rows, [this](const store_row &row) { checkRow(row); });
+                            }
+                            if (isRead && result.hasMore && !result.rows.empty()) {
+                                readPage(keyAfter(result.rows.back().place.key));
+                            }
+                            finishRead(isRead);
+                        }));
+}
+
+void job_scan::checkRow(const store_row &row)
+{
+    const auto &state = m_context.state;
+    const auto key = parseLiveKey(row.place.key);
+    if (!key || state.finishedJobs.contains(key->id)) {
+        return;
+    }
+    const auto job = state.jobs.find(key->id);
+    const bool isJobMissed = key->kind == live_row::job && job == state.jobs.end() && !m_links.isBeingAccepted(key->id);
+    const bool isCancelMissed = key->kind == live_row::cancel && job != state.jobs.end() && !job->second.isCancelled;
+    if (isJobMissed || isCancelMissed) {
+        m_context.log.write(
+            "cell", "reconciled",
+            {{"id", key->id}, {"version", std::to_string(row.version)}, {"cancel", isCancelMissed ? "1" : "0"}});
+        ++m_readsLeft;
+        m_links.readJob(key->id, [this](bool isRead) { finishRead(isRead); });
+    }
+}
+
+/// Called after each read of a scan. After the last one the jobs that were stored before the scan are known, unless
+/// a read has failed.
+void job_scan::finishRead(bool isRead)
+{
+    m_hasFailed = m_hasFailed || !isRead;
+    if (--m_readsLeft > 0) {
+        return;
+    }
+    if (m_hasFailed) {
+        schedule(bootNow() + scanRetryDelay);
+        return;
+    }
+    m_knownAt = m_startedAt;
+    start();
+}
+
+} // namespace primrosecroft
