Repeat each read of a notified job until it succeeds

A notice names a job by message or by a row in the owner's inbox, and the owner reads the job's rows. If that read failed, inboxAfter was set to 0 so that the whole inbox would be read again, but the answer of the poll in flight set it back (std::max with its version): the job was missed until the scan, and the row stayed in the inbox for good. A notice that came by message isn't in the inbox at all, so there the reset could never help. Of an inbox that has to be read as a whole, only the first 500 rows were read.

The position in the inbox has no special value any more, and the whole inbox is read page by page.

--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -59,14 +59,14 @@
     owned_commits commits {context, runner.m_links.ownershipLost};
     worker_feed workers {context, runner.m_source};
     cell_rows_reader cellRows {context};
-    job_reader jobs {context, [this] { inbox.readAgain(); }};
+    job_reader jobs {context};
     inbox_reader inbox {context,
                         {[this](const job_id &id, auto done) { jobs.read(id, std::move(done)); },
                          [this](auto done) { cellRows.readRules(std::move(done)); },
                          [this](store_transaction transaction) {
                              commits.commit(std::move(transaction), [](const commit_result &) { });
                          }}};
-    job_requests requests {context, commits, [this](const job_id &id) { readJob(id); }};
+    job_requests requests {context, commits, [this](const job_id &id) { inbox.readJob(id); }};
     job_scan scan {context,
                    {[this](const job_id &id, auto done) { jobs.read(id, std::move(done)); },
                     [this](const job_id &id) { return requests.isBeingAccepted(id); }},
@@ -123,7 +123,7 @@
             return;
         }
         if (!state.jobs.contains(id)) {
-            readJob(id);
+            inbox.readJob(id);
             return;
         }
         if (cancelled) {
@@ -132,11 +132,6 @@
         }
     }
 
-    void readJob(const job_id &id)
-    {
-        jobs.read(id, [](bool) { });
-    }
-
     /// Schedules a pass that handles all messages of the next passDelay together.
     void requestPass()
     {
--- a/src/libprimrosecroft/cell/job_reader.cpp
+++ b/src/libprimrosecroft/cell/job_reader.cpp
@@ -9,9 +9,8 @@
 namespace primrosecroft
 {
 
-job_reader::job_reader(const runner_context &context, std::function<void()> onFailedRead)
+job_reader::job_reader(const runner_context &context)
     : m_context(context)
-    , m_onFailedRead(std::move(onFailedRead))
 {
 }
 
@@ -80,8 +79,6 @@
                             const bool isRead = result.outcome == store_outcome::done;
                             if (isRead) {
                                 applyRows(id, result.rows);
-                            } else {
-                                m_onFailedRead();
                             }
                             done(isRead);
                         }));
--- a/src/libprimrosecroft/cell/job_reader.h
+++ b/src/libprimrosecroft/cell/job_reader.h
@@ -18,8 +18,7 @@
 public:
     using read_handler = std::function<void(bool isRead)>;
 
-    /// @p onFailedRead is called after each read() that fails.
-    job_reader(const runner_context &context, std::function<void()> onFailedRead);
+    explicit job_reader(const runner_context &context);
 
     /// Reads all live jobs, repeatedly until it succeeds, and then calls @p done with the store's version at the read
     /// of the first page: the pages hold all jobs that were accepted before.
@@ -41,7 +40,6 @@
     void clear();
 
     const runner_context &m_context;
-    std::function<void()> m_onFailedRead;
     std::function<void(row_version firstVersion)> m_loaded;
     std::optional<row_version> m_firstVersion; ///< of the store at the read of the first page
     std::map<job_id, job_arrived> m_jobs; ///< jobs whose rows have been read but not yet given to the core
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -124,3 +124,50 @@
     CHECK(outcome == store_outcome::done);
     CHECK(bootNow() < begun + 1'000ms);
 }
+
+TEST_CASE("a job in the inbox whose read fails while the next poll waits is read again before the scan")
+{
+    owner_process owner;
+    const auto begun = bootNow();
+    owner.begin();
+    owner.rows.answersPolls = true;
+    owner.rows.rows.put(jobPlace("late"), rowOf("late"));
+    owner.rows.rows.put(inboxPlace("late"), "1");
+    owner.rows.heldTable = jobTable;
+    owner.rows.isUnreachable = true;
+    runUntil([end = bootNow() + 50ms] { return bootNow() > end; }); // the notice has arrived, the read is being refused
+    owner.rows.isUnreachable = false;
+    owner.rows.releaseHeldTable();
+    CHECK(runUntil([&] { return owner.hasJob("late"); }));
+    CHECK(bootNow() < begun + 1'000ms);
+    CHECK(runUntil([&] { return !owner.rows.rows.rows().contains(inboxPlace("late")); }));
+}
+
+TEST_CASE("a job whose notice arrives while the store is unreachable is read again before the scan")
+{
+    owner_process owner;
+    const auto begun = bootNow();
+    owner.begin();
+    owner.rows.rows.put(jobPlace("late"), rowOf("late"));
+    owner.rows.isUnreachable = true;
+    owner.runner.notice("late", false);
+    owner.rows.isUnreachable = false;
+    CHECK(runUntil([&] { return owner.hasJob("late"); }));
+    CHECK(bootNow() < begun + 1'000ms);
+}
+
+TEST_CASE("an inbox of several pages is read to its end")
+{
+    owner_process owner;
+    const auto begun = bootNow();
+    owner.begin();
+    for (int number = 0; number < 600; ++number) {
+        owner.rows.rows.put(inboxPlace("job-" + std::to_string(number)), "1");
+    }
+    owner.rows.rows.put(jobPlace("last"), rowOf("last"));
+    owner.rows.rows.put(inboxPlace("last"), "1");
+    owner.rows.rows.dropHistory();
+    owner.rows.answersPolls = true;
+    CHECK(runUntil([&] { return owner.hasJob("last"); }));
+    CHECK(bootNow() < begun + 1'500ms);
+}
