Apply rules that change while a new owner reads the stored jobs

A new owner reads the operators' rules (drained workers, policy) with the other rows of the cell, and at the same time the jobs, page by page. It followed its inbox from the version of the first page of jobs. The inbox is followed from the older of the two versions now; a notice that is seen twice is harmless.

The new test failed before: the drained workers stayed {w1} instead of {w2}. The workers' table is followed from the version of its own read and isn't concerned.

--- a/src/libprimrosecroft/cell/cell_rows_reader.cpp
+++ b/src/libprimrosecroft/cell/cell_rows_reader.cpp
@@ -14,7 +14,7 @@
 {
 }
 
-void cell_rows_reader::load(std::function<void()> done)
+void cell_rows_reader::load(std::function<void(row_version version)> done)
 {
     // One read covers all rows that are needed: the commit sequence has the smallest key of them, the contacted
     // workers the largest.
@@ -33,7 +33,7 @@
                 state.unreconciledWorkers = state.contactedWorkers;
             }
             applyRules(result.rows);
-            done();
+            done(result.version);
         }));
 }
 
--- a/src/libprimrosecroft/cell/cell_rows_reader.h
+++ b/src/libprimrosecroft/cell/cell_rows_reader.h
@@ -15,8 +15,9 @@
 public:
     explicit cell_rows_reader(const runner_context &context);
 
-    /// Reads the rows for a new owner, repeatedly until it succeeds, and then calls @p done.
-    void load(std::function<void()> done);
+    /// Reads the rows for a new owner, repeatedly until it succeeds, and then calls @p done with the store's version at
+    /// the read.
+    void load(std::function<void(row_version version)> done);
 
     /// Reads the rules and passes them to the core. @p done is told whether the read succeeded.
     void readRules(std::function<void(bool isRead)> done);
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -13,6 +13,7 @@
 #include "core/clock.h"
 #include "core/overloaded.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace primrosecroft
@@ -47,7 +48,7 @@
     instant startedAt;
     bool isLoaded = false;
     int loadsLeft = 0; ///< parts of the stored state that load() has not read yet
-    row_version inboxAfter = 0; ///< changes of the inbox after this version are not covered by load()
+    std::optional<row_version> loadedVersion; ///< the oldest version of the store at which load() has read a part
     instant lastSummaryAt;
     std::vector<std::pair<job_id, bool>> earlyNotices; ///< notices that arrived before isLoaded; true: cancelled
     timer passTimer;
@@ -89,11 +90,12 @@
     {
         loadsLeft = 3;
         tickTimer.every(tickInterval, [this] { keepOwnership(bootNow()); });
-        cellRows.load([this] { partLoaded(); });
-        jobs.load([this](row_version firstVersion) {
-            inboxAfter = firstVersion;
+        const auto versionLoaded = [this](row_version version) {
+            loadedVersion = std::min(loadedVersion.value_or(version), version);
             partLoaded();
-        });
+        };
+        cellRows.load(versionLoaded);
+        jobs.load(versionLoaded);
         workers.load([this] { partLoaded(); });
     }
 
@@ -112,7 +114,7 @@
         scan.start();
         tickTimer.every(tickInterval, [this] { runPass(); });
         workers.follow();
-        inbox.follow(inboxAfter);
+        inbox.follow(*loadedVersion);
         runPass();
     }
 
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -171,3 +171,17 @@
     CHECK(runUntil([&] { return owner.hasJob("last"); }));
     CHECK(bootNow() < begun + 1'500ms);
 }
+
+TEST_CASE("rules that change while the stored jobs are still being read are applied")
+{
+    owner_process owner;
+    owner.rows.rows.put(rulesPlace(), encodeRules({{"w1"}, {}}));
+    owner.rows.refusedTable = jobTable;
+    owner.begin(); // has read the rules, but not the jobs
+    owner.rows.rows.commit({{}, {{rulesPlace(), encodeRules({{"w2"}, {}})}, {rulesNoticePlace(), "1"}}, {}});
+    owner.rows.refusedTable.clear();
+    owner.rows.answersPolls = true;
+    REQUIRE(runUntil([&] { return owner.runner.isServing(); }));
+    runUntil([end = bootNow() + 300ms] { return bootNow() > end; });
+    CHECK(owner.runner.state()->rules.drained == std::set<worker_id> {"w2"});
+}
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -38,7 +38,7 @@
     {
         ++reads;
         auto result = rows.read(range);
-        if (isUnreachable) {
+        if (isUnreachable || range.table == refusedTable) {
             result = {};
             result.outcome = store_outcome::refused;
         }
@@ -78,6 +78,7 @@
 
     store_emulator rows;
     std::string heldTable; ///< reads of its rows get no answer before releaseHeldTable(); empty for none
+    std::string refusedTable; ///< reads of its rows are refused; empty for none
     bool delaysAnswers = false;
     bool answersPolls = false; ///< if false, polls for changes get no answer, and the code under test must cope
     bool isUnreachable = false; ///< every commit and read is refused
