Keep the newest of the operators' rules when answers overtake each other

Two such reads may be answered in the other order, on two connections, and the last answer won: rules that were no longer in force stayed until the next change. The version of the row decides now. The new test failed before (drained {w1} instead of {w2}).

--- a/src/libprimrosecroft/cell/cell_rows_reader.cpp
+++ b/src/libprimrosecroft/cell/cell_rows_reader.cpp
@@ -53,14 +53,15 @@
 void cell_rows_reader::applyRules(const std::vector<store_row> &rows)
 {
     const auto row = std::ranges::find(rows, rulesPlace(), &store_row::place);
-    if (row == rows.end()) {
-        return;
+    if (row == rows.end() || row->version <= m_rulesVersion) {
+        return; // no rules, or an answer that newer rules have overtaken
     }
     try {
         const auto rules = decodeRules(row->value);
         m_context.log.write(
             "cell", "rules",
             {{"version", std::to_string(row->version)}, {"drained", std::to_string(rules.drained.size())}});
+        m_rulesVersion = row->version;
         m_context.apply(rules_updated {rules});
     } catch (const error &fault) {
         m_context.log.write("cell", "row-unreadable", {{"id", row->place.key}, {"reason", fault.what()}});
--- a/src/libprimrosecroft/cell/cell_rows_reader.h
+++ b/src/libprimrosecroft/cell/cell_rows_reader.h
@@ -28,6 +28,7 @@
     void applyRules(const std::vector<store_row> &rows);
 
     const runner_context &m_context;
+    row_version m_rulesVersion = row_condition::absent; ///< of the row with the rules in force
     timer m_retryTimer;
 };
 
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -185,3 +185,20 @@
     runUntil([end = bootNow() + 300ms] { return bootNow() > end; });
     CHECK(owner.runner.state()->rules.drained == std::set<worker_id> {"w2"});
 }
+
+TEST_CASE("an answer with rules that arrives after one with newer rules doesn't set them back")
+{
+    owner_process owner;
+    owner.begin();
+    owner.rows.answersPolls = true;
+    const auto changeRules = [&owner](const worker_id &drained) {
+        owner.rows.rows.commit({{}, {{rulesPlace(), encodeRules({{drained}, {}})}, {rulesNoticePlace(), "1"}}, {}});
+        runUntil([end = bootNow() + 50ms] { return bootNow() > end; });
+    };
+    owner.rows.heldTable = cellTable;
+    changeRules("w1");
+    owner.rows.heldTable.clear();
+    changeRules("w2");
+    owner.rows.releaseHeldTable(); // the answer with w1
+    CHECK(owner.runner.state()->rules.drained == std::set<worker_id> {"w2"});
+}
