Set a stored job with invalid values aside instead of ending the owner

decodeJob took any numbers. A row whose step depends on a step that doesn't exist made the computation of the objective throw std::out_of_range inside the main loop, which ends the owner; the next owner reads the same row. A row with a count below 0 or without steps got into the core, and one that lies under another job's key was taken for that job. A row that another process submitted was decoded only after it had been stored, and an unreadable one ended the owner as well.

Decoding checks the bounds that the core relies on (steps, counts, dependencies, amounts, whole numbers in their range, finite numbers, valid UTF-8, since an order to a worker with other text can't be encoded), and that the row belongs to its key. Demands may take 366 days, one more than callers' jobs, and that stays readable. A submission is decoded before it is stored, and else refused.

The four new tests failed before: two with the exceptions above, one because the job of the other key was run, one because each invalid value was accepted.

--- a/src/libprimrosecroft/cell/cell_runner.h
+++ b/src/libprimrosecroft/cell/cell_runner.h
@@ -52,7 +52,7 @@
     void notice(const job_id &id, bool cancelled);
 
     /// Accepts a job, together with others in one transaction. The outcome is conflict if the job has been accepted
-    /// before, and refused, without a call to the store, unless isServing().
+    /// before, and refused, without a call to the store, if @p row can't be read or unless isServing().
     void submit(const job_id &id, const std::string &row, stored_handler done);
 
     /// Cancels a live job. The outcome is done once the cancellation is stored, conflict if the job has ended before,
--- a/src/libprimrosecroft/cell/job_reader.cpp
+++ b/src/libprimrosecroft/cell/job_reader.cpp
@@ -58,7 +58,7 @@
     try {
         switch (key->kind) {
         case live_row::job:
-            m_jobs[key->id] = {decodeJob(row.value), {}, row.version, false};
+            m_jobs[key->id] = {decodeJobOf(key->id, row.value), {}, row.version, false};
             break;
         case live_row::cancel:
             m_cancellations.insert(key->id);
--- a/src/libprimrosecroft/cell/job_requests.cpp
+++ b/src/libprimrosecroft/cell/job_requests.cpp
@@ -1,5 +1,7 @@
 #include "cell/job_requests.h"
 
+#include "core/error.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -24,6 +26,13 @@
         done(store_outcome::conflict);
         return;
     }
+    try {
+        decodeJobOf(id, row);
+    } catch (const error &fault) {
+        m_context.log.write("cell", "row-unreadable", {{"id", id}, {"reason", fault.what()}});
+        done(store_outcome::refused);
+        return;
+    }
     m_acceptances.add(id, row, std::move(done));
 }
 
--- a/src/libprimrosecroft/cell/job_requests.h
+++ b/src/libprimrosecroft/cell/job_requests.h
@@ -19,7 +19,7 @@
     /// @p readJob is called with a job that is stored already, but that the core may not have yet.
     job_requests(const runner_context &context, owned_commits &commits, std::function<void(const job_id &id)> readJob);
 
-    /// Accepts a job. The outcome is conflict if the job has been accepted before.
+    /// Accepts a job. The outcome is conflict if the job has been accepted before, and refused if @p row can't be read.
     void submit(const job_id &id, const std::string &row, stored_handler done);
 
     /// Returns whether the job's acceptance is in flight.
--- a/src/libprimrosecroft/jobs/job.cpp
+++ b/src/libprimrosecroft/jobs/job.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job.h"
 
 #include "core/error.h"
+#include "core/row_value.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -17,7 +18,9 @@
 constexpr std::int64_t maxMilliCores = 1'000'000'000;
 constexpr std::int64_t maxMemoryMib = 1'000'000'000;
 constexpr std::int64_t maxAccelerators = 1'000'000;
-constexpr auto maxEstimate = std::chrono::hours(24 * 365);
+constexpr auto maxEstimate = std::chrono::hours(24 * 365); ///< of a caller's job
+constexpr auto maxStoredEstimate =
+    std::chrono::hours(24 * 366); ///< of any job, since demands have a limit of their own
 
 [[noreturn]] void refuse(const std::string &reason)
 {
@@ -31,7 +34,7 @@
     }
 }
 
-void checkStep(const step_spec &step, std::int32_t index)
+void checkStep(const step_spec &step, std::int32_t index, std::chrono::milliseconds maxTime)
 {
     if (step.count < 1 || step.count > maxTasksPerStep) {
         refuse("a step's count must be 1 to " + std::to_string(maxTasksPerStep));
@@ -39,17 +42,29 @@
     checkAmount(step.size.milliCores, maxMilliCores, "a step's processor time in millicores");
     checkAmount(step.size.memoryMib, maxMemoryMib, "a step's memory in MiB");
     checkAmount(step.size.accelerators, maxAccelerators, "a step's number of accelerators");
-    checkAmount(step.estimate.count(), std::chrono::milliseconds(maxEstimate).count(),
-                "a step's estimate in milliseconds");
+    checkAmount(step.estimate.count(), maxTime.count(), "a step's estimate in milliseconds");
     checkAmount(step.maxPerWorker, maxTasksPerStep, "a step's maximum of tasks per worker");
     checkAmount(step.maxUnavailable, maxTasksPerStep, "a step's maximum of unavailable tasks");
-    checkAmount(step.targetLatency.count(), std::chrono::milliseconds(maxEstimate).count(),
-                "a step's target latency in milliseconds");
+    checkAmount(step.targetLatency.count(), maxTime.count(), "a step's target latency in milliseconds");
     if (std::ranges::any_of(step.after, [index](std::int32_t each) { return each < 0 || each >= index; })) {
         refuse("a step can only depend on earlier steps");
     }
 }
 
+/// Checks all but the payload.
+void checkSteps(const job_spec &spec, std::chrono::milliseconds maxTime)
+{
+    if (spec.steps.empty() || spec.steps.size() > static_cast<std::size_t>(maxSteps)) {
+        refuse("a job must have 1 to " + std::to_string(maxSteps) + " steps");
+    }
+    checkAmount(spec.occurrences, maxOccurrences, "the number of occurrences");
+    checkAmount(spec.interval.count(), maxTime.count(), "the interval in milliseconds");
+    checkAmount(spec.firstDue.count(), maxTime.count() * 1'000, "the start of the first occurrence in milliseconds");
+    for (std::int32_t index = 0; const auto &step : spec.steps) {
+        checkStep(step, index++, maxTime);
+    }
+}
+
 /// Adds @p amount unless it has its type's default value. Like the short keys this keeps rows small, since the store
 /// charges for each byte.
 template<typename value>
@@ -66,7 +81,7 @@
 {
     const auto found = source.find(key);
     if (found != source.end()) {
-        target = found->get<value>();
+        target = rowValue<value>(*found);
     }
 }
 
@@ -158,9 +173,9 @@
     get(row, "st", queue.slowdownFactor);
     getTime(row, "t", queue.target);
     if (const auto found = row.find("ad"); found != row.end()) {
-        queue.advice = advice_policy {std::chrono::microseconds(found->at(0).get<std::int64_t>()),
-                                      std::chrono::microseconds(found->at(1).get<std::int64_t>()),
-                                      std::chrono::milliseconds(found->at(2).get<std::int64_t>())};
+        queue.advice = advice_policy {std::chrono::microseconds(rowValue<std::int64_t>(found->at(0))),
+                                      std::chrono::microseconds(rowValue<std::int64_t>(found->at(1))),
+                                      std::chrono::milliseconds(rowValue<std::int64_t>(found->at(2)))};
     }
     return queue;
 }
@@ -206,16 +221,7 @@
     if (spec.payload.size() > maxPayloadBytes) {
         refuse("the payload is longer than " + std::to_string(maxPayloadBytes) + " bytes");
     }
-    if (spec.steps.empty() || spec.steps.size() > static_cast<std::size_t>(maxSteps)) {
-        refuse("a job must have 1 to " + std::to_string(maxSteps) + " steps");
-    }
-    checkAmount(spec.occurrences, maxOccurrences, "the number of occurrences");
-    checkAmount(spec.interval.count(), std::chrono::milliseconds(maxEstimate).count(), "the interval in milliseconds");
-    checkAmount(spec.firstDue.count(), std::chrono::milliseconds(maxEstimate).count() * 1'000,
-                "the start of the first occurrence in milliseconds");
-    for (std::int32_t index = 0; const auto &step : spec.steps) {
-        checkStep(step, index++);
-    }
+    checkSteps(spec, maxEstimate);
 }
 
 std::chrono::milliseconds criticalPathDuration(const job_spec &spec)
@@ -262,10 +268,20 @@
         getTime(parsed, "f", job.spec.firstDue);
         getTime(parsed, "v", job.spec.interval);
         std::ranges::transform(parsed.at("s"), std::back_inserter(job.spec.steps), stepFrom);
+        checkSteps(job.spec, maxStoredEstimate);
         return job;
     } catch (const json::exception &fault) {
         throw error("decode job row", "", fault.what());
     }
 }
 
+accepted_job decodeJobOf(const job_id &id, const std::string &row)
+{
+    auto job = decodeJob(row);
+    if (job.id != id) {
+        throw error("decode job row", "", "it is a row of another job");
+    }
+    return job;
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -133,7 +133,11 @@
 /// Encodes the job as the CBOR value of its row.
 std::string encodeJob(const accepted_job &job);
 
-/// Inverse of encodeJob. Throws error if @p row is no encoded job.
+/// Inverse of encodeJob. Throws error if @p row is no encoded job, or a value is out of the bounds that the cell relies
+/// on.
 accepted_job decodeJob(const std::string &row);
 
+/// Like decodeJob(). Also throws error if @p row belongs to another job than @p id.
+accepted_job decodeJobOf(const job_id &id, const std::string &row);
+
 } // namespace primrosecroft
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -202,3 +202,34 @@
     owner.rows.releaseHeldTable(); // the answer with w1
     CHECK(owner.runner.state()->rules.drained == std::set<worker_id> {"w2"});
 }
+
+TEST_CASE("a stored job whose step depends on a step that doesn't exist is set aside, and the others are run")
+{
+    owner_process owner;
+    auto job = decodeJob(rowOf("bad"));
+    job.spec.steps.front().after = {7};
+    owner.rows.rows.put(jobPlace("bad"), encodeJob(job));
+    owner.rows.rows.put(jobPlace("good"), rowOf("good"));
+    REQUIRE_NOTHROW(owner.begin());
+    CHECK(owner.hasJob("good"));
+    CHECK_FALSE(owner.hasJob("bad"));
+}
+
+TEST_CASE("a row that is stored under the key of another job is set aside")
+{
+    owner_process owner;
+    owner.rows.rows.put(jobPlace("a"), rowOf("b"));
+    owner.begin();
+    CHECK_FALSE(owner.hasJob("a"));
+    CHECK_FALSE(owner.hasJob("b"));
+}
+
+TEST_CASE("a submitted row that can't be read is refused and not stored")
+{
+    owner_process owner;
+    owner.begin();
+    std::optional<store_outcome> outcome;
+    REQUIRE_NOTHROW(owner.runner.submit("a", "garbage", [&outcome](store_outcome each) { outcome = each; }));
+    CHECK(outcome == store_outcome::refused);
+    CHECK_FALSE(owner.rows.rows.rows().contains(jobPlace("a")));
+}
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/wire.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 
 /// Tests the decoding of the platform's texts, and that job rows are decoded as they were encoded.
 using namespace primrosecroft;
@@ -110,3 +111,27 @@
     CHECK(decoded.queue == job.queue);
     CHECK_THROWS_AS(decodeJob("garbage"), error);
 }
+
+TEST_CASE("a job row with a value out of its bounds is rejected")
+{
+    const auto isReadable = [](const auto &change) {
+        accepted_job job;
+        job.spec.steps.resize(2);
+        change(job);
+        try {
+            decodeJob(encodeJob(job));
+            return true;
+        } catch (const error &) {
+            return false;
+        }
+    };
+    CHECK(isReadable([](accepted_job &) { }));
+    CHECK_FALSE(isReadable([](accepted_job &job) { job.spec.steps.clear(); }));
+    CHECK_FALSE(isReadable([](accepted_job &job) { job.spec.steps[0].count = -1; }));
+    CHECK_FALSE(isReadable([](accepted_job &job) { job.spec.steps[0].count = maxTasksPerStep + 1; }));
+    CHECK_FALSE(isReadable([](accepted_job &job) { job.spec.steps[1].after = {1}; }));
+    CHECK_FALSE(isReadable([](accepted_job &job) { job.spec.steps[1].size.milliCores = -1; }));
+    CHECK_FALSE(isReadable([](accepted_job &job) { job.spec.occurrences = -1; }));
+    CHECK_FALSE(isReadable([](accepted_job &job) { job.spec.payload = "\xff"; }));
+    CHECK_FALSE(isReadable([](accepted_job &job) { job.queue.slowdownFactor = std::nan(""); }));
+}
