--- a/src/libprimrosecroft/cell/cell_runner.h
+++ b/src/libprimrosecroft/cell/cell_runner.h
@@ -2,8 +2,8 @@
 
 #include "cell/acceptance_batcher.h"
 #include "cell/cell.h"
+#include "cell/worker_feed.h"
 #include "cell/worker_gateway.h"
-#include "io/timer.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
 #include "store/monitored_store.h"
@@ -16,14 +16,6 @@
 namespace primrosecroft
 {
 
-/// Table of the store in which workers register, and the decoder of its rows.
-struct worker_source
-{
-    std::string table;
-    /// Returns std::nullopt if the text is invalid.
-    std::function<std::optional<worker_description>(const worker_id &, const std::string &text)> decode;
-};
-
 /// Calls by which cell_runner uses the rest of its process.
 struct runner_links
 {
@@ -60,7 +52,7 @@
     void notice(const job_id &id, bool cancelled);
 
     /// Accepts a job, together with others in one transaction. The outcome is conflict if the job has been accepted
-    /// before, and refused, without a call to the store, unless isServing().
+    /// before, and refused, without a call to the store, if @p row can't be read or unless isServing().
     void submit(const job_id &id, const std::string &row, stored_handler done);
 
     /// Cancels a live job. The outcome is done once the cancellation is stored, conflict if the job has ended before,
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -53,6 +53,23 @@
     CHECK(owner.rows.commits - before == 2);
 }
 
+TEST_CASE("large jobs that are submitted together are accepted in transactions that the store takes")
+{
+    owner_process owner;
+    owner.begin();
+    int accepted = 0;
+    owner.rows.delaysAnswers = true;
+    for (int number = 0; number < 30; ++number) {
+        const auto id = "job-" + std::to_string(number);
+        auto job = decodeJob(rowOf(id));
+        job.spec.payload = std::string(60'000, 'x');
+        owner.runner.submit(id, encodeJob(job),
+                            [&accepted](store_outcome outcome) { accepted += outcome == store_outcome::done ? 1 : 0; });
+    }
+    owner.rows.release();
+    CHECK(runUntil([&] { return accepted == 30; }));
+}
+
 TEST_CASE("a job that is stored already is removed from its batch and the others are accepted")
 {
     owner_process owner;
@@ -107,3 +124,112 @@
     CHECK(outcome == store_outcome::done);
     CHECK(bootNow() < begun + 1'000ms);
 }
+
+TEST_CASE("a job in the inbox whose read fails while the next poll waits is read again before the scan")
+{
+    owner_process owner;
+    const auto begun = bootNow();
+    owner.begin();
+    owner.rows.answersPolls = true;
+    owner.rows.rows.put(jobPlace("late"), rowOf("late"));
+    owner.rows.rows.put(inboxPlace("late"), "1");
+    owner.rows.heldTable = jobTable;
+    owner.rows.isUnreachable = true;
+    runUntil([end = bootNow() + 50ms] { return bootNow() > end; }); // the notice has arrived, the read is being refused
+    owner.rows.isUnreachable = false;
+    owner.rows.releaseHeldTable();
+    CHECK(runUntil([&] { return owner.hasJob("late"); }));
+    CHECK(bootNow() < begun + 1'000ms);
+    CHECK(runUntil([&] { return !owner.rows.rows.rows().contains(inboxPlace("late")); }));
+}
+
+TEST_CASE("a job whose notice arrives while the store is unreachable is read again before the scan")
+{
+    owner_process owner;
+    const auto begun = bootNow();
+    owner.begin();
+    owner.rows.rows.put(jobPlace("late"), rowOf("late"));
+    owner.rows.isUnreachable = true;
+    owner.runner.notice("late", false);
+    owner.rows.isUnreachable = false;
+    CHECK(runUntil([&] { return owner.hasJob("late"); }));
+    CHECK(bootNow() < begun + 1'000ms);
+}
+
+TEST_CASE("an inbox of several pages is read to its end")
+{
+    owner_process owner;
+    const auto begun = bootNow();
+    owner.begin();
+    for (int number = 0; number < 600; ++number) {
+        owner.rows.rows.put(inboxPlace("job-" + std::to_string(number)), "1");
+    }
+    owner.rows.rows.put(jobPlace("last"), rowOf("last"));
+    owner.rows.rows.put(inboxPlace("last"), "1");
+    owner.rows.rows.dropHistory();
+    owner.rows.answersPolls = true;
+    CHECK(runUntil([&] { return owner.hasJob("last"); }));
+    CHECK(bootNow() < begun + 1'500ms);
+}
+
+TEST_CASE("rules that change while the stored jobs are still being read are applied")
+{
+    owner_process owner;
+    owner.rows.rows.put(rulesPlace(), encodeRules({{"w1"}, {}}));
+    owner.rows.refusedTable = jobTable;
+    owner.begin(); // has read the rules, but not the jobs
+    owner.rows.rows.commit({{}, {{rulesPlace(), encodeRules({{"w2"}, {}})}, {rulesNoticePlace(), "1"}}, {}});
+    owner.rows.refusedTable.clear();
+    owner.rows.answersPolls = true;
+    REQUIRE(runUntil([&] { return owner.runner.isServing(); }));
+    runUntil([end = bootNow() + 300ms] { return bootNow() > end; });
+    CHECK(owner.runner.state()->rules.drained == std::set<worker_id> {"w2"});
+}
+
+TEST_CASE("an answer with rules that arrives after one with newer rules doesn't set them back")
+{
+    owner_process owner;
+    owner.begin();
+    owner.rows.answersPolls = true;
+    const auto changeRules = [&owner](const worker_id &drained) {
+        owner.rows.rows.commit({{}, {{rulesPlace(), encodeRules({{drained}, {}})}, {rulesNoticePlace(), "1"}}, {}});
+        runUntil([end = bootNow() + 50ms] { return bootNow() > end; });
+    };
+    owner.rows.heldTable = cellTable;
+    changeRules("w1");
+    owner.rows.heldTable.clear();
+    changeRules("w2");
+    owner.rows.releaseHeldTable(); // the answer with w1
+    CHECK(owner.runner.state()->rules.drained == std::set<worker_id> {"w2"});
+}
+
+TEST_CASE("a stored job whose step depends on a step that doesn't exist is set aside, and the others are run")
+{
+    owner_process owner;
+    auto job = decodeJob(rowOf("bad"));
+    job.spec.steps.front().after = {7};
+    owner.rows.rows.put(jobPlace("bad"), encodeJob(job));
+    owner.rows.rows.put(jobPlace("good"), rowOf("good"));
+    REQUIRE_NOTHROW(owner.begin());
+    CHECK(owner.hasJob("good"));
+    CHECK_FALSE(owner.hasJob("bad"));
+}
+
+TEST_CASE("a row that is stored under the key of another job is set aside")
+{
+    owner_process owner;
+    owner.rows.rows.put(jobPlace("a"), rowOf("b"));
+    owner.begin();
+    CHECK_FALSE(owner.hasJob("a"));
+    CHECK_FALSE(owner.hasJob("b"));
+}
+
+TEST_CASE("a submitted row that can't be read is refused and not stored")
+{
+    owner_process owner;
+    owner.begin();
+    std::optional<store_outcome> outcome;
+    REQUIRE_NOTHROW(owner.runner.submit("a", "garbage", [&outcome](store_outcome each) { outcome = each; }));
+    CHECK(outcome == store_outcome::refused);
+    CHECK_FALSE(owner.rows.rows.rows().contains(jobPlace("a")));
+}
