Measure a scheduling pass with the backlog of an incident

The benches had no pass with advice, and none with free capacity that can't be used. The new ones have 600 jobs, 400 waiting steps with 3,000 tasks, 350 workers and tickets for 21 of 30 workers a step.

--- a/tests/bench/cell_bench.cpp
+++ b/tests/bench/cell_bench.cpp
@@ -81,6 +81,135 @@
                        millisecondsSince(startedAt) / rounds, "ms", bench::bound_side::atMost, bound);
 }
 
+/// How much of the capacity is free while many steps wait for advice.
+enum class backlog_kind
+{
+    halfFree, ///< half of it, in pieces; the workers with valid tickets are full, and the other tickets have expired
+    full, ///< none
+    startable, ///< half of it, in pieces; all tickets are valid
+};
+
+/// The backlog of an incident: steps that wait for workers and for the advice service, of jobs of which a third run.
+class backlog
+{
+public:
+    explicit backlog(backlog_kind kind)
+        : m_kind(kind)
+    {
+        cell = makeCellOf(workerCount);
+        cell.adviceRoutes = 30;
+        occupyWorkers();
+        for (int number = 0; number < waitingSteps; ++number) {
+            addWaitingJob(number);
+        }
+    }
+
+    /// Answers that many calls of the advice service as failed, so that the next pass may send as many.
+    void failCalls(int count)
+    {
+        for (auto &[id, job] : cell.state.jobs) {
+            auto &advice = job.occurrences.at(0).steps.front().advice;
+            if (count > 0 && advice.isRequestPending) {
+                step(cell.state, advice_answered {{id, 0, 0}, {}, false, {}, 0ms, false}, cell.now, cell.actions);
+                --count;
+            }
+        }
+    }
+
+    owned_cell cell;
+
+private:
+    static constexpr int workerCount = 350;
+    static constexpr std::int64_t tasksPerWorker = 12; ///< that fit its capacity
+    static constexpr int waitingSteps = 400;
+    static constexpr int runningJobs = 200;
+    static constexpr int knownWorkers = 30; ///< workers that the service was asked about for a step
+    static constexpr int allowedTenths = 7;
+
+    /// Fills the workers with 0 to 12 tasks each, or all of them.
+    void occupyWorkers()
+    {
+        std::int64_t number = 0;
+        for (auto &[id, worker] : cell.state.workers) {
+            const auto tasks = m_kind == backlog_kind::full ? tasksPerWorker : number % (tasksPerWorker + 1);
+            auto running = owned_cell::makeJob("running" + std::to_string(number),
+                                               {makeStep(static_cast<std::int32_t>(std::max<std::int64_t>(1, tasks)))});
+            running.spec.steps.front().label = "on-" + id;
+            if (tasks > 0 && (m_kind == backlog_kind::full || number < runningJobs)) {
+                place(running, id);
+            } else {
+                worker.used = {tasks * 2'500, tasks * 4'700, 0};
+            }
+            ++number;
+        }
+    }
+
+    void place(accepted_job &job, const worker_id &id)
+    {
+        auto description = cell.state.workers.at(id).description;
+        const auto labels = description.labels;
+        description.labels = {"on-" + id, labels.back()};
+        cell.addWorker(description);
+        cell.addJob(job);
+        cell.runSchedulingPass();
+        description.labels = labels;
+        step(cell.state, worker_listed {description}, cell.now, cell.actions);
+    }
+
+    void addWaitingJob(int number)
+    {
+        auto first = makeStep(number % 2 == 0 ? 7 : 8);
+        first.maxPerWorker = number % 8 == 0 ? 2 : 0;
+        auto second = makeStep(4);
+        second.after = {0};
+        auto job = owned_cell::makeJob("waiting-job-" + std::to_string(number), {first, second}, number % 3);
+        job.queue.advice = advice_policy {25ms, 350us, 2s};
+        cell.addJob(job);
+        auto &advice = cell.state.jobs.at(job.id).occurrences.at(0).steps.front().advice;
+        const bool isOnFullWorkers = m_kind == backlog_kind::halfFree && number % 4 == 0;
+        const bool isValid = m_kind != backlog_kind::halfFree || isOnFullWorkers;
+        int index = 0;
+        for (const auto &[id, worker] : cell.state.workers) {
+            const bool isFull = worker.used.milliCores >= tasksPerWorker * 2'500;
+            const bool isKnown = isOnFullWorkers ? isFull : (index + number * 7) % workerCount < knownWorkers;
+            if (isKnown) {
+                advice.workers[id] = {index % 10 < allowedTenths, "a-ticket-of-the-service",
+                                      cell.now + (isValid ? 2s : -1s)};
+            }
+            ++index;
+        }
+    }
+
+    backlog_kind m_kind;
+};
+
+/// A scheduling pass with a backlog that can hardly start anything, as the owner runs one after the other.
+void measureBacklogPass(const char *name, backlog_kind kind, double bound)
+{
+    backlog waiting(kind);
+    std::size_t starts = waiting.cell.runSchedulingPass().size();
+    std::chrono::steady_clock::duration took {0};
+    for (int round = 0; round < rounds; ++round) {
+        waiting.cell.advance(6ms);
+        waiting.failCalls(10);
+        const auto startedAt = std::chrono::steady_clock::now();
+        starts += waiting.cell.runSchedulingPass().size();
+        took += std::chrono::steady_clock::now() - startedAt;
+    }
+    bench::printFigure(name, fractional_milliseconds(took).count() / rounds, "ms", bench::bound_side::atMost, bound);
+    bench::printFigure(name + std::string("_starts"), static_cast<double>(starts), "");
+}
+
+/// A scheduling pass that starts as many tasks of the backlog as have tickets.
+void measureBacklogStart(double bound)
+{
+    backlog waiting(backlog_kind::startable);
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto starts = waiting.cell.runSchedulingPass();
+    bench::printFigure("backlog_start_350w_400s", millisecondsSince(startedAt), "ms", bench::bound_side::atMost, bound);
+    bench::printFigure("backlog_start_350w_400s_starts", static_cast<double>(starts.size()), "");
+}
+
 void measureMemory(int workers, int jobs)
 {
     const auto before = mallinfo2().uordblks;
@@ -130,6 +259,9 @@
     measurePlacementPass(1'100, 2'000, 30);
     measureFullPass(48, 30, 2);
     measureFullPass(350, 200, 10);
+    measureBacklogPass("backlog_pass_350w_400s", backlog_kind::halfFree, 4.5);
+    measureBacklogPass("backlog_full_350w_400s", backlog_kind::full, 2.5);
+    measureBacklogStart(10);
     measureMemory(48, 500);
     measureMemory(350, 2'000);
     measureMemory(1'100, 2'000);
--- a/tests/standins/owned_cell.cpp
+++ b/tests/standins/owned_cell.cpp
@@ -60,7 +60,7 @@
 std::vector<send_start> owned_cell::runSchedulingPass()
 {
     apply(ownership_confirmed {now});
-    apply(clock_ticked {timeOfDay, 1s, 1});
+    apply(clock_ticked {timeOfDay, 1s, adviceRoutes});
     actions.clear();
     primrosecroft::runSchedulingPass(state, now, actions);
     std::vector<send_start> starts;
--- a/tests/standins/owned_cell.h
+++ b/tests/standins/owned_cell.h
@@ -37,6 +37,7 @@
     cell_state state;
     instant now {std::chrono::hours(1)};
     std::chrono::milliseconds timeOfDay {1'700'000'000'000};
+    std::int32_t adviceRoutes = 1; ///< processes that can call the advice service
     std::vector<cell_action> actions; ///< of the last scheduling pass and the messages after it
 
 private:
