--- /dev/null
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -0,0 +1,251 @@
+#include "cell/detail/advice_requests.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace primrosecroft::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto ticketRenewalLead = 500ms; ///< tickets of pending tasks are renewed this long before they expire
+constexpr std::size_t maxWorkersPerAdviceCall = 100;
+constexpr double adviceCapacityFactor = 1.3; ///< capacity that is asked for, relative to the capacity needed
+constexpr auto adviceRetryDelay = 200ms; ///< pause after a call without an answer
+constexpr double allowedShareWeight = 0.1; ///< weight of the newest answer in the smoothed share of allowed workers
+
+/// Advice calls count as costly if each takes at least this long, without the time for each worker that it names.
+/// Costly calls are also made before capacity is free.
+constexpr auto costlyAdviceTime = 100ms;
+
+constexpr std::int32_t routesKeptForCheapCalls = 2; ///< advice routes that costly calls leave free
+constexpr std::int32_t cheapCallsPerRoute = 2; ///< limit of pending cheap calls for each advice route
+
+/// Early calls are made this long, plus their duration, before the estimated end of the step's predecessors.
+constexpr auto earlyAdviceLead = 150ms;
+
+bool isCostly(const advice_policy &policy)
+{
+    return policy.decide >= costlyAdviceTime;
+}
+
+std::int32_t &pendingCalls(cell_state &state, const advice_policy &policy)
+{
+    return isCostly(policy) ? state.costlyAdviceCalls : state.cheapAdviceCalls;
+}
+
+/// Returns whether another call may be pending. An answer that waits in the service's queue for longer than its ticket
+/// is valid is useless.
+bool mayCall(cell_state &state, const advice_policy &policy)
+{
+    const auto maxPendingCalls = isCostly(policy) ? std::max(1, state.adviceRoutes - routesKeptForCheapCalls)
+                                                  : state.adviceRoutes * cheapCallsPerRoute;
+    return pendingCalls(state, policy) < maxPendingCalls;
+}
+
+bool isWaitingForAnswer(const step_advice &advice, instant now)
+{
+    return advice.isRequestPending || now < advice.retryAt;
+}
+
+/// What is known of a worker for the tasks of a step.
+enum class worker_knowledge : std::uint8_t
+{
+    unknown,
+    refused,
+    renewable, ///< allowed, but its ticket has expired or soon does
+    valid,
+};
+
+/// A worker to ask about.
+struct advice_option
+{
+    int order = 0; ///< 0 and 1: free capacity, 2 and 3: none; even: known to be allowed
+    std::int32_t capacity = 0;
+    usable_workers::position worker = 0;
+};
+
+/// Orders heaps of options, of which the best is on top.
+bool isWorse(const advice_option &left, const advice_option &right)
+{
+    return std::tie(right.order, left.capacity, right.worker) < std::tie(left.order, right.capacity, left.worker);
+}
+
+/// Capacity of the usable workers for a step.
+class step_capacity
+{
+public:
+    step_capacity(const usable_workers &usable, const waiting_step &waiting)
+        : m_usable(usable)
+        , m_spec(*waiting.spec)
+        , m_runs(waiting.spec->maxPerWorker > 0 ? usable.countRuns(*waiting.step) : std::vector<std::int32_t>())
+    {
+    }
+
+    std::int32_t of(usable_workers::position worker) const
+    {
+        return capacityFor(m_spec, m_usable.at(worker), m_runs.empty() ? 0 : m_runs[worker]);
+    }
+
+private:
+    const usable_workers &m_usable;
+    const step_spec &m_spec;
+    std::vector<std::int32_t> m_runs;
+};
+
+/// What is known of each usable worker that may run the step, by position.
+std::vector<worker_knowledge> knowledgeOf(const usable_workers &usable, const usable_workers::group &eligible,
+                                          const step_advice &advice, instant now)
+{
+    std::vector<worker_knowledge> result(usable.size(), worker_knowledge::unknown);
+    for (const auto &[id, advised] : advice.workers) {
+        const auto worker = usable.find(id);
+        if (!worker || !eligible.isMember[*worker]) {
+            continue;
+        }
+        const bool isValid = advised.validUntil > now + ticketRenewalLead;
+        result[*worker] = !advised.isAllowed ? worker_knowledge::refused
+            : isValid                        ? worker_knowledge::valid
+                                             : worker_knowledge::renewable;
+    }
+    return result;
+}
+
+/// Workers to ask the advice service about, best first: those with free capacity before those without, and within
+/// both groups those known to be allowed before those not asked about yet. Returns no worker if those with tickets have
+/// capacity for @p needed tasks.
+std::vector<worker_id> chooseWorkersToAsk(cell_state &state, usable_workers &usable, const waiting_step &waiting,
+                                          std::int32_t needed, bool mayAskWithoutCapacity, instant now)
+{
+    auto &eligible = usable.groupOf(waiting);
+    if (!mayAskWithoutCapacity && !usable.mayFit(eligible, *waiting.spec)) {
+        return {};
+    }
+    const auto knowledge = knowledgeOf(usable, eligible, waiting.step->advice, now);
+    const step_capacity capacity(usable, waiting);
+    std::vector<advice_option> options;
+    double covered = 0; // number of tasks that workers with tickets, and those chosen here, can take
+    for (const auto worker : eligible.workers) {
+        const auto known = knowledge[worker];
+        if (known == worker_knowledge::refused) {
+            continue;
+        }
+        const auto available = capacity.of(worker);
+        if (known == worker_knowledge::valid) {
+            covered += available;
+            continue;
+        }
+        const int order = known == worker_knowledge::renewable ? 0 : 1;
+        if (available > 0) {
+            options.push_back({order, available, worker});
+        } else if (mayAskWithoutCapacity) {
+            options.push_back({order + 2, 1, worker});
+        }
+    }
+    std::vector<worker_id> result;
+    if (covered >= needed) {
+        return result;
+    }
+    const auto share = std::max(0.05, state.advice[waiting.job->accepted.queue.name].allowedShare);
+    const double wanted = needed * adviceCapacityFactor;
+    std::ranges::make_heap(options, isWorse);
+    while (!options.empty() && covered < wanted && result.size() < maxWorkersPerAdviceCall) {
+        std::ranges::pop_heap(options, isWorse);
+        const auto &best = options.back();
+        covered += best.capacity * (best.order % 2 == 0 ? 1 : share);
+        result.push_back(usable.at(best.worker).worker->description.id);
+        options.pop_back();
+    }
+    return result;
+}
+
+/// Returns whether each predecessor of the step is expected to end before @p soon.
+bool isReadySoon(const job_state &job, const occurrence_state &occurrence, const step_spec &spec, instant soon)
+{
+    return std::ranges::all_of(spec.after, [&](std::int32_t predecessor) {
+        const auto &earlier = occurrence.steps[static_cast<std::size_t>(predecessor)];
+        const auto &earlierSpec = job.accepted.spec.steps[static_cast<std::size_t>(predecessor)];
+        return earlier.isReady && earlier.pendingTasks.empty()
+            && std::ranges::all_of(earlier.tasks, [&](const task_state &task) {
+                   return task.isDone || std::ranges::any_of(task.runs, [&](const task_run &run) {
+                              return run.sentAt + earlierSpec.estimate < soon;
+                          });
+               });
+    });
+}
+
+} // namespace
+
+void requestAdvice(cell_state &state, usable_workers &usable, const waiting_step &waiting, bool mayAskWithoutCapacity,
+                   instant now, cell_actions &actions)
+{
+    auto &advice = waiting.step->advice;
+    const auto &policy = *waiting.job->accepted.queue.advice;
+    if (isWaitingForAnswer(advice, now) || !mayCall(state, policy)) {
+        return;
+    }
+    const auto needed = static_cast<std::int32_t>(waiting.step->isReady ? waiting.step->pendingTasks.size()
+                                                                        : waiting.step->tasks.size());
+    const auto workers =
+        chooseWorkersToAsk(state, usable, waiting, needed, isCostly(policy) && mayAskWithoutCapacity, now);
+    if (workers.empty()) {
+        return;
+    }
+    ++pendingCalls(state, policy);
+    advice.isRequestPending = true;
+    const auto cost = policy.decide + policy.perWorker * static_cast<std::int64_t>(workers.size());
+    actions.emplace_back(ask_advice {waiting.ref(), workers, cost, isCostly(policy)});
+}
+
+void requestEarlyAdvice(cell_state &state, usable_workers &usable, instant now, cell_actions &actions)
+{
+    for (auto &[id, job] : state.jobs) {
+        if (!job.accepted.queue.advice || job.isCancelled || job.hasFailed) {
+            continue;
+        }
+        const auto &policy = *job.accepted.queue.advice;
+        // The duration of the call is estimated for a call that names 20 workers.
+        const auto soon = now + policy.decide + policy.perWorker * 20 + earlyAdviceLead;
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (std::size_t index = 0; !occurrence.isComplete && index < occurrence.steps.size(); ++index) {
+                const auto &each = occurrence.steps[index];
+                const bool isCandidate = !each.isReady && each.advice.workers.empty() && mayCall(state, policy)
+                    && !isWaitingForAnswer(each.advice, now);
+                if (isCandidate && isReadySoon(job, occurrence, job.accepted.spec.steps[index], soon)) {
+                    requestAdvice(state, usable, waitingStepOf(job, number, occurrence, index), false, now, actions);
+                }
+            }
+        }
+    }
+}
+
+void handleAdviceAnswer(cell_state &state, const advice_answered &message, instant now)
+{
+    --(message.isCostly ? state.costlyAdviceCalls : state.cheapAdviceCalls);
+    const auto view = findTask(state, {message.step.job, message.step.occurrence, message.step.step, 0});
+    if (!view) {
+        return;
+    }
+    auto &advice = view->step->advice;
+    advice.isRequestPending = false;
+    if (!message.isAnswered) {
+        advice.retryAt = now + adviceRetryDelay;
+        return;
+    }
+    for (const auto &id : message.asked) {
+        advice.workers.try_emplace(id);
+    }
+    for (const auto &each : message.allowed) {
+        advice.workers[each.worker] = {true, each.ticket, now + message.valid};
+    }
+    auto &share = state.advice[view->job->accepted.queue.name].allowedShare;
+    if (!message.asked.empty()) {
+        const auto newest = static_cast<double>(message.allowed.size()) / static_cast<double>(message.asked.size());
+        share += (newest - share) * allowedShareWeight;
+    }
+}
+
+} // namespace primrosecroft::detail
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -104,6 +104,9 @@
 
 /// Starts pending tasks on workers and requests advice for those whose queue needs it.
 void placeTasks(cell_state &state, instant now, cell_actions &actions);
+
+// --- advice_requests.cpp
+
 void handleAdviceAnswer(cell_state &state, const advice_answered &message, instant now);
 
 // --- recording.cpp
