Count one task a worker for a best-effort step with a latency target

An owner crashed on a gang of two or more tasks that are best-effort and have a target latency, and so would each next one that loads the job from the store: the new test ended with SIGSEGV. Nothing refuses such a job. Cause: the capacity of a worker for such a step was counted without the rule that a best-effort task doesn't start beside a latency-sensitive one, so the gang's room was counted as enough, and after its first start on each worker no candidate was left for the next member. Every other limit of the capacity is exact for several starts of one step.

--- a/src/libprimrosecroft/cell/usable_workers.cpp
+++ b/src/libprimrosecroft/cell/usable_workers.cpp
@@ -65,6 +65,9 @@
     if (spec.maxPerWorker > 0) {
         count = std::min<std::int64_t>(count, std::max(0, spec.maxPerWorker - tasksOfStep));
     }
+    if (spec.isBestEffort && spec.targetLatency.count() > 0) {
+        count = std::min<std::int64_t>(count, 1); // its first task there would be slowed down by the others
+    }
     return static_cast<std::int32_t>(count);
 }
 
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -249,3 +249,16 @@
     CHECK(cell.runSchedulingPass().size() == 1);
     CHECK_FALSE(cell.state.jobs.at("once").hasFailed);
 }
+
+TEST_CASE("a best-effort gang with a latency target, of which a worker takes one member, starts whole or not at all")
+{
+    auto cell = makeCellOf({"a"});
+    auto gang = makeStep(2);
+    gang.isGang = true;
+    gang.isBestEffort = true;
+    gang.targetLatency = 50ms;
+    cell.addJob(owned_cell::makeJob("gang", {gang}));
+    CHECK(cell.runSchedulingPass().empty());
+    cell.addWorker(owned_cell::makeWorker("b", "r-b", wholeWorker));
+    CHECK(workersOf(cell.runSchedulingPass()) == std::set<worker_id> {"a", "b"});
+}
