Start nothing of a job that has failed in the same pass

A pass fails the job of an at-most-once task whose start an earlier owner had stored. The list of waiting steps was made before, so the job's other steps still got runs, and calls of the advice service, in that pass. These runs are not stopped, since stopping covers the runs of the moment of the failure: they hold capacity and keep the failed job until they end by themselves. Each step of the pass and each task of the step look at the job's failure now.

--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -125,7 +125,7 @@
 bool mayStart(const waiting_step &waiting, const task_state &task, instant now)
 {
     const bool isFree = task.runs.empty() || (task.needsCopy && task.runs.size() == 1);
-    return !task.isDone && isFree && task.notBefore <= now
+    return !waiting.job->hasFailed && !task.isDone && isFree && task.notBefore <= now
         && static_cast<std::int32_t>(task.failedAttempts.size()) < waiting.job->accepted.queue.maxFailures;
 }
 
@@ -240,8 +240,11 @@
     usable_workers usable(state, now);
     std::size_t stepsNeedingAdvice = 0;
     for (const auto &[waiting, isFarOverdue, priority, due] : queuedSteps(state, now)) {
+        if (waiting.job->hasFailed) {
+            continue; // in this pass
+        }
         placeStep(state, usable, waiting, now, actions);
-        if (waiting.job->accepted.queue.advice && !waiting.step->pendingTasks.empty()) {
+        if (waiting.job->accepted.queue.advice && !waiting.job->hasFailed && !waiting.step->pendingTasks.empty()) {
             requestAdvice(state, usable, waiting, stepsNeedingAdvice < maxStepsAskingWithoutCapacity, now, actions);
             ++stepsNeedingAdvice;
         }
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -262,3 +262,16 @@
     cell.addWorker(owned_cell::makeWorker("b", "r-b", wholeWorker));
     CHECK(workersOf(cell.runSchedulingPass()) == std::set<worker_id> {"a", "b"});
 }
+
+TEST_CASE("a job that fails in a pass starts none of its other steps in it")
+{
+    auto cell = makeCellOf({"a"});
+    auto once = makeStep(1);
+    once.isAtMostOnce = true;
+    job_progress begunBefore;
+    begunBefore[0].steps[0].tasks[0].mayHaveBegun = true;
+    const auto job = owned_cell::makeJob("lost", {once, makeStep(2)});
+    step(cell.state, job_arrived {job, begunBefore, 11, false}, cell.now, cell.actions);
+    CHECK(cell.runSchedulingPass().empty());
+    CHECK(cell.state.jobs.at("lost").hasFailed);
+}
