Let a copy without a second worker not hold back the step's other tasks

When a copy finds room only on the worker of the task's own run, the pass took the whole step for full, and tasks of the step that come later got no run in any pass as long as the copy was wanted. The test failed before with no start of the second task, while its worker had room for six more. A step counts as full now only if a task without a run and without avoided workers finds no worker.

--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -218,7 +218,8 @@
         if (!isFull && mayStart(waiting, task, now) && ensureStartStored(state, waiting, task, now, actions)) {
             clearAvoidedWorkersIfAll(usable, options.allowed, task);
             target = chooseCandidate(usable, task, options.candidates);
-            isFull = target == nullptr && task.avoidedWorkers.empty();
+            // A worker that the task avoids, or on which it runs, may have room for the next one.
+            isFull = target == nullptr && task.avoidedWorkers.empty() && task.runs.empty();
         }
         if (target == nullptr) {
             stillPending.push_back(index);
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -275,3 +275,21 @@
     CHECK(cell.runSchedulingPass().empty());
     CHECK(cell.state.jobs.at("lost").hasFailed);
 }
+
+TEST_CASE("a copy that has no other worker to go to doesn't keep the step's next task from starting")
+{
+    auto cell = makeCellOf({"a"});
+    auto copied = makeStep(2);
+    copied.allowsCopies = true;
+    cell.addJob(owned_cell::makeJob("job", {copied}));
+    const auto first = cell.runSchedulingPass();
+    REQUIRE(first.size() == 2);
+    cell.advance(2'300ms); // both runs are late now
+    cell.answerList("a", {{first.front().run, "", 50, 0}, {first.back().run, "", 50, 0}});
+    CHECK(cell.runSchedulingPass().empty());
+    cell.advance(100ms);
+    cell.answerList("a", {{first.front().run, "", 60, 0}}); // the second run is gone
+    const auto again = cell.runSchedulingPass();
+    REQUIRE(again.size() == 1);
+    CHECK(again.front().run.task.index == 1);
+}
