Count a ticket's validity from its issue, not from the handling of the answer

The new test of placing failed with the start that the worker would refuse.

The service does not issue tickets before the call, plus the time that it takes for it. That bound alone would lose the wait behind other calls: with a single route a cheap call behind a costly one of 2 s would come back expired each time. A route's calls are answered one after the other, so the bound of the call that the route answered before holds too: the dispatcher keeps it for each route. Calls without an answer add nothing, as they may not have reached the service. Calls through a peer count from the owner's own sending.

--- a/src/celld/advice_dispatcher.cpp
+++ b/src/celld/advice_dispatcher.cpp
@@ -19,7 +19,9 @@
 void advice_dispatcher::setRoutes(std::map<process_id, advice_route> routes)
 {
     m_routes = std::move(routes);
-    std::erase_if(m_freeAt, [this](const auto &each) { return !m_routes.contains(each.first); });
+    const auto isGone = [this](const auto &each) { return !m_routes.contains(each.first); };
+    std::erase_if(m_freeAt, isGone);
+    std::erase_if(m_issuedAt, isGone);
 }
 
 std::int32_t advice_dispatcher::routeCount() const
@@ -39,9 +41,12 @@
     freeAt = std::max(now, freeAt) + request.cost;
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(freeAt - now) + networkMargin;
     earliest->second(request, timeout,
-                     [this, name = earliest->first, timeout, isCostly = request.isCostly,
-                      done = std::move(done)](advice_answered answer) {
+                     [this, name = earliest->first, timeout, isCostly = request.isCostly, sentAt = now,
+                      cost = request.cost, done = std::move(done)](advice_answered answer) {
                          answer.isCostly = isCostly;
+                         if (answer.isAnswered) {
+                             answer.issuedAt = issuedSince(name, sentAt, cost);
+                         }
                          if (!answer.isAnswered && m_freeAt.contains(name)) {
                              // Prefers the other daemons, since this one may not answer the next request either.
                              m_freeAt[name] += timeout;
@@ -50,4 +55,11 @@
                      });
 }
 
+instant advice_dispatcher::issuedSince(const process_id &route, instant sentAt, duration cost)
+{
+    auto &issuedAt = m_issuedAt[route];
+    issuedAt = std::max(issuedAt, sentAt) + cost;
+    return issuedAt;
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -239,7 +239,7 @@
         advice.workers.try_emplace(id);
     }
     for (const auto &each : message.allowed) {
-        advice.workers[each.worker] = {true, each.ticket, now + message.valid};
+        advice.workers[each.worker] = {true, each.ticket, std::min(now, message.issuedAt) + message.valid};
     }
     auto &share = state.advice[view->job->accepted.queue.name].allowedShare;
     if (!message.asked.empty()) {
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -173,6 +173,7 @@
     std::vector<worker_ticket> allowed; ///< workers among @p asked that may run the step
     std::chrono::milliseconds valid {0}; ///< how long the tickets may be used
     bool isCostly = false; ///< as in the request
+    instant issuedAt {}; ///< the service issued the tickets then or later, on this process's clock
 };
 
 /// Answer to commit_rows.
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -293,3 +293,21 @@
     REQUIRE(again.size() == 1);
     CHECK(again.front().run.task.index == 1);
 }
+
+TEST_CASE("a ticket is used for as long as it is valid from its issue, not from the handling of a late answer")
+{
+    for (const auto lateness : {100ms, 1'500ms}) {
+        auto cell = makeCellOf({"a"});
+        auto advised = owned_cell::makeJob("advised", {makeStep(1)});
+        advised.queue.advice = advice_policy {25ms, 350us, 2s};
+        cell.addJob(advised);
+        CHECK(cell.runSchedulingPass().empty());
+        const auto issuedAt = cell.now + 26ms;
+        cell.advance(lateness);
+        step(cell.state, advice_answered {{"advised", 0, 0}, {"a"}, true, {{"a", "ticket"}}, 2s, false, issuedAt},
+             cell.now, cell.actions);
+        cell.advance(450ms);
+        cell.answerList("a", {});
+        CHECK(cell.runSchedulingPass().size() == (lateness == 100ms ? 1 : 0));
+    }
+}
