Leave half of the time between scheduling passes to other work

Passes followed each other without a pause when they took longer than the tick of 40 ms: the tick was due as soon as a pass had ended. After a pass that took T, the next one, asked for by a message or by the tick, starts at least T later, at most 200 ms; T is measured with the clock that the passes go by. The ownership is still renewed and confirmed at each tick.

--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -3,6 +3,7 @@
 #include "callers/waiting_counts.h"
 #include "cell/acceptance_batcher.h"
 #include "cell/cell_rules.h"
+#include "cell/pass_pacing.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/overloaded.h"
@@ -100,6 +101,7 @@
     row_version inboxAfter = 0; ///< likewise for the inbox; 0: the whole inbox is read again
     instant renewedAt;
     instant lastSummaryAt;
+    instant nextPassAt; ///< no scheduling pass runs before this moment
     std::uint64_t unreadableWorkers = 0;
     timer passTimer;
     timer tickTimer;
@@ -184,7 +186,7 @@
             runner.notice(id, cancelled);
         }
         scheduleJobScan(jobsScannedAt + jobScanInterval);
-        tickTimer.every(tickInterval, [this] { runPass(); });
+        tickTimer.every(tickInterval, [this] { tick(); });
         workerPollTimer.once(workerPollInterval, [this] { pollWorkers(); });
         pollInbox();
         runPass();
@@ -522,18 +524,30 @@
         scheduleJobScan(jobsScannedAt + jobScanInterval);
     }
 
-    /// Schedules a pass that handles all messages of the next passDelay together.
+    /// Schedules a pass that handles all messages of the next passDelay together, or of the pause after the last pass.
     void requestPass()
     {
         if (isLoaded && !passTimer.isRunning()) {
-            passTimer.once(passDelay, [this] { runPass(); });
+            const auto pause = std::chrono::ceil<std::chrono::milliseconds>(nextPassAt - bootNow());
+            passTimer.once(std::max<std::chrono::milliseconds>(passDelay, pause), [this] { runPass(); });
         }
     }
 
+    void tick()
+    {
+        runPass();
+        keepOwnership(bootNow());
+    }
+
+    /// Runs a pass, or schedules one if the pause after the last one isn't over.
     void runPass()
     {
         passTimer.stop();
         const auto now = bootNow();
+        if (now < nextPassAt) {
+            requestPass();
+            return;
+        }
         step(state, clock_ticked {timeOfDay(), runner.m_store.storeTime(), runner.m_links.adviceRoutes()}, now,
              actions);
         runSchedulingPass(state, now, actions);
@@ -543,6 +557,7 @@
             logSummary(now);
         }
         keepOwnership(now);
+        nextPassAt = earliestNextPass(now, bootNow());
     }
 
     /// Renews and confirms the ownership when that is due, also while the stored state is being loaded: an owner whose
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -1,7 +1,10 @@
+#include "cell/pass_pacing.h"
 #include "loopback.h"
 #include "owner_process.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
+#include <vector>
 
 /// Tests of cell_runner with a store whose answers the test controls.
 using namespace primrosecroft;
@@ -107,3 +110,31 @@
     CHECK(outcome == store_outcome::done);
     CHECK(bootNow() < begun + 1'000ms);
 }
+
+TEST_CASE("after a scheduling pass as much time as it took is left for other work, up to a bound")
+{
+    const instant start {1h};
+    CHECK(earliestNextPass(start, start + 30ms) == start + 60ms);
+    CHECK(earliestNextPass(start, start + 5s) == start + 5'200ms);
+}
+
+TEST_CASE("scheduling passes that take long leave half of the time to the rest of the process")
+{
+    constexpr auto passTime = 60ms;
+    owner_process owner;
+    std::vector<instant> passes;
+    owner.adviceRoutes = [&] {
+        passes.push_back(bootNow());
+        std::this_thread::sleep_for(passTime);
+        return 1;
+    };
+    owner.begin();
+    REQUIRE(runUntil([&] {
+        owner.runner.submit("job" + std::to_string(passes.size()), rowOf("job" + std::to_string(passes.size())),
+                            [](store_outcome) { });
+        return passes.size() > 5;
+    }));
+    for (std::size_t each = 1; each < passes.size(); ++each) {
+        CHECK(passes[each] - passes[each - 1] >= 2 * passTime);
+    }
+}
--- a/tests/unit/owner_process.h
+++ b/tests/unit/owner_process.h
@@ -58,12 +58,13 @@
     unresponsive_workers workers;
     decision_log log {0, -1};
     metrics measures;
+    std::function<std::int32_t()> adviceRoutes = [] { return 1; }; ///< called at the start of each scheduling pass
     std::string lostReason; ///< empty while the ownership hasn't been lost
     row_version token = 0;
     cell_runner runner {monitored,
                         workers,
                         {"workers", [](const worker_id &, const std::string &) { return std::nullopt; }},
-                        {[](const ask_advice &, const auto &) {}, [] { return 1; },
+                        {[](const ask_advice &, const auto &) {}, [this] { return adviceRoutes(); },
                          [this](const std::string &reason) { lostReason = reason; }},
                         {},
                         log,
