--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -207,8 +207,7 @@
             continue;
         }
         const auto &policy = *job.accepted.queue.advice;
-        // The duration of the call is estimated for a call that names 20 workers.
-        const auto soon = now + policy.decide + policy.perWorker * 20 + earlyAdviceLead;
+        const auto soon = now + policy.decide + policy.perWorker * workersPerAdviceCall + earlyAdviceLead;
         for (auto &[number, occurrence] : job.occurrences) {
             for (std::size_t index = 0; !occurrence.isComplete && index < occurrence.steps.size(); ++index) {
                 const auto &each = occurrence.steps[index];
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -9,6 +9,7 @@
 using cell_actions = std::vector<cell_action>;
 
 inline constexpr double minClockRate = 0.98; ///< a worker's clock may run up to 2 % slow
+inline constexpr int workersPerAdviceCall = 30; ///< assumed when the duration of an advice call is estimated
 
 /// A task with the step, occurrence and job that contain it. The pointers refer to the cell's state; none is null.
 struct task_view
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -14,7 +14,6 @@
 
 constexpr std::uint32_t attemptsPerTerm = 1'000; ///< attempt numbers of one owner, so that a later owner's are higher
 constexpr std::size_t maxOpenOccurrences = 64; ///< occurrences of one job that are open at the same time
-constexpr auto workersPerAdviceCall = 30; ///< assumed for one advice call when an objective is computed
 
 std::chrono::milliseconds objectiveOf(const accepted_job &job)
 {
