--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -9,6 +9,7 @@
 #include "cell/job_scan.h"
 #include "cell/order_sender.h"
 #include "cell/owned_commits.h"
+#include "cell/pass_pacing.h"
 #include "cell/runner_context.h"
 #include "core/clock.h"
 #include "core/overloaded.h"
@@ -50,6 +51,7 @@
     int loadsLeft = 0; ///< parts of the stored state that load() has not read yet
     std::optional<row_version> loadedVersion; ///< the oldest version of the store at which load() has read a part
     instant lastSummaryAt;
+    instant nextPassAt; ///< no scheduling pass runs before this moment
     std::vector<std::pair<job_id, bool>> earlyNotices; ///< notices that arrived before isLoaded; true: cancelled
     timer passTimer;
     timer tickTimer;
@@ -112,7 +114,7 @@
             notice(id, cancelled);
         }
         scan.start();
-        tickTimer.every(tickInterval, [this] { runPass(); });
+        tickTimer.every(tickInterval, [this] { tick(); });
         workers.follow();
         inbox.follow(*loadedVersion);
         runPass();
@@ -134,18 +136,30 @@
         }
     }
 
-    /// Schedules a pass that handles all messages of the next passDelay together.
+    /// Schedules a pass that handles all messages of the next passDelay together, or of the pause after the last pass.
     void requestPass()
     {
         if (isLoaded && !passTimer.isRunning()) {
-            passTimer.once(passDelay, [this] { runPass(); });
+            const auto pause = std::chrono::ceil<std::chrono::milliseconds>(nextPassAt - bootNow());
+            passTimer.once(std::max<std::chrono::milliseconds>(passDelay, pause), [this] { runPass(); });
         }
     }
 
+    void tick()
+    {
+        runPass();
+        keepOwnership(bootNow());
+    }
+
+    /// Runs a pass, or schedules one if the pause after the last one isn't over.
     void runPass()
     {
         passTimer.stop();
         const auto now = bootNow();
+        if (now < nextPassAt) {
+            requestPass();
+            return;
+        }
         step(state, clock_ticked {timeOfDay(), runner.m_store.storeTime(), runner.m_links.adviceRoutes()}, now,
              actions);
         runSchedulingPass(state, now, actions);
@@ -155,6 +169,7 @@
             logSummary(now);
         }
         keepOwnership(now);
+        nextPassAt = earliestNextPass(now, bootNow());
     }
 
     void keepOwnership(instant now)
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -16,7 +16,6 @@
 constexpr std::uint32_t maxTermAttempt = 1U
     << 31U; ///< later terms have none of these; the other half is for stored ones
 constexpr std::size_t maxOpenOccurrences = 64; ///< occurrences of one job that are open at the same time
-constexpr auto workersPerAdviceCall = 30; ///< assumed for one advice call when an objective is computed
 
 std::chrono::milliseconds objectiveOf(const accepted_job &job)
 {
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -516,3 +516,65 @@
         CHECK(cell.state.jobs.at("once").isOutcomeUnknown != isOtherListed);
     }
 }
+
+TEST_CASE("a best-effort gang with a latency target, of which a worker takes one member, starts whole or not at all")
+{
+    auto cell = makeCellOf({"a"});
+    auto gang = makeStep(2);
+    gang.isGang = true;
+    gang.isBestEffort = true;
+    gang.targetLatency = 50ms;
+    cell.addJob(owned_cell::makeJob("gang", {gang}));
+    CHECK(cell.runSchedulingPass().empty());
+    cell.addWorker(owned_cell::makeWorker("b", "r-b", wholeWorker));
+    CHECK(workersOf(cell.runSchedulingPass()) == std::set<worker_id> {"a", "b"});
+}
+
+TEST_CASE("a job that fails in a pass starts none of its other steps in it")
+{
+    auto cell = makeCellOf({"a"});
+    auto once = makeStep(1);
+    once.isAtMostOnce = true;
+    job_progress begunBefore;
+    begunBefore[0].steps[0].tasks[0].mayHaveBegun = true;
+    const auto job = owned_cell::makeJob("lost", {once, makeStep(2)});
+    step(cell.state, job_arrived {job, begunBefore, 11, false}, cell.now, cell.actions);
+    CHECK(cell.runSchedulingPass().empty());
+    CHECK(cell.state.jobs.at("lost").hasFailed);
+}
+
+TEST_CASE("a copy that has no other worker to go to doesn't keep the step's next task from starting")
+{
+    auto cell = makeCellOf({"a"});
+    auto copied = makeStep(2);
+    copied.allowsCopies = true;
+    cell.addJob(owned_cell::makeJob("job", {copied}));
+    const auto first = cell.runSchedulingPass();
+    REQUIRE(first.size() == 2);
+    cell.advance(2'300ms); // both runs are late now
+    cell.answerList("a", {{first.front().run, "", 50, 0}, {first.back().run, "", 50, 0}});
+    CHECK(cell.runSchedulingPass().empty());
+    cell.advance(100ms);
+    cell.answerList("a", {{first.front().run, "", 60, 0}}); // the second run is gone
+    const auto again = cell.runSchedulingPass();
+    REQUIRE(again.size() == 1);
+    CHECK(again.front().run.task.index == 1);
+}
+
+TEST_CASE("a ticket is used for as long as it is valid from its issue, not from the handling of a late answer")
+{
+    for (const auto lateness : {100ms, 1'500ms}) {
+        auto cell = makeCellOf({"a"});
+        auto advised = owned_cell::makeJob("advised", {makeStep(1)});
+        advised.queue.advice = advice_policy {25ms, 350us, 2s};
+        cell.addJob(advised);
+        CHECK(cell.runSchedulingPass().empty());
+        const auto issuedAt = cell.now + 26ms;
+        cell.advance(lateness);
+        step(cell.state, advice_answered {{"advised", 0, 0}, {"a"}, true, {{"a", "ticket"}}, 2s, false, issuedAt},
+             cell.now, cell.actions);
+        cell.advance(450ms);
+        cell.answerList("a", {});
+        CHECK(cell.runSchedulingPass().size() == (lateness == 100ms ? 1 : 0));
+    }
+}
