Weigh a drain's stop anew before it is sent again

A stop without an answer is sent again until its run has ended. For a drain that was right only at the time of the decision: if other tasks of the service fell away while the worker could not be reached, the next try stopped a task that was at work beside them, below what the service may miss.

The owner now sends such a stop again only while the service may miss the task. Until then the task counts as away, as the lost order may still be carried out, so no other one is stopped in its place. A cancelled job's stops go out at once.

The new case of supervision-test failed before: the stop was sent again with the next list of the worker.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -52,6 +52,7 @@
     instant sentAt; ///< when the start was sent, or the run was found on the worker
     instant runningSince; ///< when the worker accepted the start, or first listed the run
     bool isStopWanted = false;
+    bool isStopForDrain = false; ///< the stop is only wanted because the worker drains, so it may have to wait
     bool isStopPending = false; ///< a stop was sent and is not answered yet
     instant stopConfirmedAt; ///< when the worker confirmed the stop; zero before
     instant nextStopAt; ///< a stop that failed is not sent again before this time
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -123,6 +123,10 @@
 
 // --- supervision.cpp
 
+/// Returns whether the service may miss the task for now. Tasks that are away for other reasons count against its
+/// limit, and so does any that a new owner has not seen at work yet.
+bool mayMiss(const cell_state &state, const task_view &view, instant now);
+
 /// Requests copies of late runs, and stops stalled runs and runs that have to move off draining workers.
 void superviseRuns(cell_state &state, instant now, cell_actions &actions);
 
--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -40,22 +40,6 @@
     });
 }
 
-/// Returns whether the service may miss the task for now. Tasks that are away for other reasons count against its
-/// limit, and so does any that a new owner has not seen at work yet.
-bool mayMiss(const cell_state &state, const task_view &view, instant now)
-{
-    if (!view.spec->maxUnavailable) {
-        return true;
-    }
-    const auto limit = *view.spec->maxUnavailable;
-    if (view.spec->isGang) {
-        return std::ssize(view.step->tasks) <= limit; // its members only work together
-    }
-    const auto away = std::ranges::count_if(
-        view.step->tasks, [&](const task_state &task) { return &task != view.task && !isAtWork(state, task, now); });
-    return away < limit;
-}
-
 /// Stops services on a draining worker as far as they may miss tasks, and runs that save progress shortly before the
 /// worker is removed. Other runs and gangs are left to end by themselves.
 void stopOnDrainingWorker(cell_state &state, const task_ref &ref, const task_view &view, task_run &run,
@@ -69,6 +53,7 @@
     if ((view.spec->isService && mayMiss(state, view, now))
         || (!view.spec->isService && isDrainEndNear && view.spec->savesProgress && !view.spec->isGang)) {
         run.isStopWanted = true;
+        run.isStopForDrain = true;
         sendStopIfDue(state, ref, run, now, actions);
     }
 }
@@ -129,6 +114,20 @@
 
 } // namespace
 
+bool mayMiss(const cell_state &state, const task_view &view, instant now)
+{
+    if (!view.spec->maxUnavailable) {
+        return true;
+    }
+    const auto limit = *view.spec->maxUnavailable;
+    if (view.spec->isGang) {
+        return std::ssize(view.step->tasks) <= limit; // its members only work together
+    }
+    const auto away = std::ranges::count_if(
+        view.step->tasks, [&](const task_state &task) { return &task != view.task && !isAtWork(state, task, now); });
+    return away < limit;
+}
+
 void superviseRuns(cell_state &state, instant now, cell_actions &actions)
 {
     if (now < state.nextSupervisionAt) {
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -425,6 +425,12 @@
     if (worker == state.workers.end()) {
         return;
     }
+    if (run.isStopForDrain) {
+        // A stop that failed is weighed anew, because others may be away by now.
+        if (const auto view = findTask(state, ref); view && view->spec->isService && !mayMiss(state, *view, now)) {
+            return;
+        }
+    }
     run.isStopPending = true;
     actions.emplace_back(send_stop {run.worker, worker->second.description.address, run.boot, {ref, run.attempt}});
 }
@@ -435,6 +441,7 @@
     for (auto &run : task.runs) {
         if (run.attempt != except) {
             run.isStopWanted = true;
+            run.isStopForDrain = false;
             sendStopIfDue(state, ref, run, now, actions);
         }
     }
--- a/tests/unit/supervision_test.cpp
+++ b/tests/unit/supervision_test.cpp
@@ -350,3 +350,37 @@
         CHECK(stopsOfNextPass(cell).size() == (isAtMostOnce ? 0 : 1));
     }
 }
+
+TEST_CASE("a drain's stop that got no answer is not sent again while other tasks of the service are away")
+{
+    service_cell service(1);
+    auto &cell = service.cell;
+    drain(cell, "a");
+    const auto stopped = stopsOfNextPass(cell);
+    REQUIRE(stopped.size() == 1);
+    step(cell.state, stop_answered {"a", 1, stopped.front(), order_result::lost, cell.now}, cell.now, cell.actions);
+    const auto failed = service.runs.front() == stopped.front() ? service.runs.back() : service.runs.front();
+    std::erase(service.runs, failed);
+    cell.answerList("a", listAll(service.runs), {{1, failed, run_end::failed, ""}});
+    cell.advance(1'100ms);
+    cell.actions.clear();
+    cell.answerList("a", listAll(service.runs));
+    cell.answerList("b", {});
+    CHECK(stopsIn(cell.actions).empty());
+    const auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 1);
+    acceptStart(cell, starts.front());
+    CHECK(stopsIn(cell.actions).empty());
+    CHECK(stopsOfNextPass(cell).empty());
+    SECTION("it is sent when they are at work again")
+    {
+        cell.answerList("b", listAll({starts.front().run}));
+        CHECK(stopsOfNextPass(cell) == stopped);
+    }
+    SECTION("it is sent at once when the job is cancelled")
+    {
+        cell.actions.clear();
+        step(cell.state, job_cancelled {"service"}, cell.now, cell.actions);
+        CHECK(stopsIn(cell.actions).size() == 3);
+    }
+}
