Set a job aside whose progress can't be read

An unreadable progress row was logged, and its job was then loaded as if no progress were stored: tasks that had ended would have run again, at-most-once tasks among them. Progress that names an occurrence, step or task that the job doesn't have got into the core (one occurrence too many made the job complete without having run), and a row that held no list counted as no progress.

stored_jobs puts jobs together from their rows, without I/O, and gives out a job only if all of its rows can be read and match each other. The others are set aside: not run, their rows unchanged, so that callers get their status by the rows (running, or cancelled once they are).

The new test of the runner failed before: the job was loaded, and without its failed attempt.

--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -70,7 +70,8 @@
     job_requests requests {context, commits, [this](const job_id &id) { inbox.readJob(id); }};
     job_scan scan {context,
                    {[this](const job_id &id, auto done) { jobs.read(id, std::move(done)); },
-                    [this](const job_id &id) { return requests.isBeingAccepted(id); }},
+                    [this](const job_id &id) { return requests.isBeingAccepted(id); },
+                    [this](const job_id &id) { return jobs.isSetAside(id); }},
                    bootNow()};
 
     void close()
--- a/src/libprimrosecroft/cell/job_reader.cpp
+++ b/src/libprimrosecroft/cell/job_reader.cpp
@@ -1,7 +1,6 @@
 #include "cell/job_reader.h"
 
 #include "cell/store_timing.h"
-#include "core/error.h"
 
 #include <algorithm>
 #include <utility>
@@ -29,7 +28,7 @@
                                 m_loadTimer.once(readRetryDelay, [this, from] { loadPage(from); });
                                 return;
                             }
-                            std::ranges::for_each(result.rows, [this](const store_row &row) { collect(row); });
+                            std::ranges::for_each(result.rows, [this](const store_row &row) { m_loadedJobs.add(row); });
                             m_firstVersion = m_firstVersion.value_or(result.version);
                             if (result.hasMore && !result.rows.empty()) {
                                 loadPage(keyAfter(result.rows.back().place.key));
@@ -41,35 +40,9 @@
 
 void job_reader::addLoaded()
 {
-    for (auto &[id, job] : m_jobs) {
-        job.progress = std::move(m_progress[id]);
-        job.isCancelled = m_cancellations.contains(id);
-        m_context.apply(job);
-    }
-    clear();
-}
-
-void job_reader::collect(const store_row &row)
-{
-    const auto key = parseLiveKey(row.place.key);
-    if (!key) {
-        return;
-    }
-    try {
-        switch (key->kind) {
-        case live_row::job:
-            m_jobs[key->id] = {decodeJobOf(key->id, row.value), {}, row.version, false};
-            break;
-        case live_row::cancel:
-            m_cancellations.insert(key->id);
-            break;
-        case live_row::progress:
-            m_progress[key->id] = decodeProgress(row.value);
-            break;
-        }
-    } catch (const error &fault) {
-        m_context.log.write("cell", "row-unreadable", {{"id", key->id}, {"reason", fault.what()}});
-    }
+    const auto loaded = m_loadedJobs.take();
+    std::ranges::for_each(loaded.jobs, [this](const job_arrived &job) { m_context.apply(job); });
+    setAside(loaded.unreadable);
 }
 
 void job_reader::read(const job_id &id, read_handler done)
@@ -86,25 +59,40 @@
 
 void job_reader::applyRows(const job_id &id, const std::vector<store_row> &rows)
 {
-    std::ranges::for_each(rows, [this](const store_row &row) { collect(row); });
-    const auto found = m_jobs.find(id);
-    if (found != m_jobs.end()) {
-        found->second.progress = std::move(m_progress[id]);
-        found->second.isCancelled = m_cancellations.contains(id);
-        m_context.apply(found->second);
-        if (found->second.isCancelled) {
+    stored_job_collector collector;
+    std::ranges::for_each(rows, [&collector](const store_row &row) { collector.add(row); });
+    const auto stored = collector.take();
+    for (const auto &job : stored.jobs) {
+        m_context.apply(job);
+        if (job.isCancelled) {
             m_context.apply(job_cancelled {id});
         }
     }
-    clear();
+    if (stored.unreadable.empty()) {
+        m_setAside.erase(id);
+    }
+    setAside(stored.unreadable);
     m_context.requestPass();
 }
 
-void job_reader::clear()
+/// Logs the unreadable rows that haven't been logged before in this version.
+void job_reader::setAside(const std::vector<unreadable_row> &rows)
+{
+    for (const auto &row : rows) {
+        auto &logged = m_setAside[row.job];
+        if (row.version <= logged) {
+            continue;
+        }
+        logged = row.version;
+        m_context.log.writeAlways(
+            "cell", "row-unreadable",
+            {{"key", row.place.key}, {"version", std::to_string(row.version)}, {"reason", row.reason}});
+    }
+}
+
+bool job_reader::isSetAside(const job_id &id) const
 {
-    m_jobs.clear();
-    m_cancellations.clear();
-    m_progress.clear();
+    return m_setAside.contains(id);
 }
 
 void job_reader::stop()
--- a/src/libprimrosecroft/cell/job_reader.h
+++ b/src/libprimrosecroft/cell/job_reader.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "cell/runner_context.h"
+#include "cell/stored_jobs.h"
 #include "io/timer.h"
 
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace primrosecroft
@@ -31,20 +31,22 @@
     /// succeeded.
     void read(const job_id &id, read_handler done);
 
+    /// Returns whether a row of the job couldn't be read when its rows were last read. The core doesn't have such a
+    /// job; its rows stay as they are.
+    bool isSetAside(const job_id &id) const;
+
     void stop();
 
 private:
     void loadPage(const std::string &from);
-    void collect(const store_row &row);
     void applyRows(const job_id &id, const std::vector<store_row> &rows);
-    void clear();
+    void setAside(const std::vector<unreadable_row> &rows);
 
     const runner_context &m_context;
     std::function<void(row_version firstVersion)> m_loaded;
     std::optional<row_version> m_firstVersion; ///< of the store at the read of the first page
-    std::map<job_id, job_arrived> m_jobs; ///< jobs whose rows have been read but not yet given to the core
-    std::set<job_id> m_cancellations; ///< likewise, jobs with a cancel row
-    std::map<job_id, job_progress> m_progress; ///< likewise, the progress rows
+    stored_job_collector m_loadedJobs; ///< not given to the core yet
+    std::map<job_id, row_version> m_setAside; ///< version of the latest unreadable row of each such job
     timer m_loadTimer;
 };
 
--- a/src/libprimrosecroft/cell/job_scan.cpp
+++ b/src/libprimrosecroft/cell/job_scan.cpp
@@ -76,13 +76,16 @@
     const auto job = state.jobs.find(key->id);
     const bool isJobMissed = key->kind == live_row::job && job == state.jobs.end() && !m_links.isBeingAccepted(key->id);
     const bool isCancelMissed = key->kind == live_row::cancel && job != state.jobs.end() && !job->second.isCancelled;
-    if (isJobMissed || isCancelMissed) {
+    if (!isJobMissed && !isCancelMissed) {
+        return;
+    }
+    if (!m_links.isSetAside(key->id)) {
         m_context.log.write(
             "cell", "reconciled",
             {{"id", key->id}, {"version", std::to_string(row.version)}, {"cancel", isCancelMissed ? "1" : "0"}});
-        ++m_readsLeft;
-        m_links.readJob(key->id, [this](bool isRead) { finishRead(isRead); });
     }
+    ++m_readsLeft;
+    m_links.readJob(key->id, [this](bool isRead) { finishRead(isRead); });
 }
 
 /// Called after each read of a scan. After the last one the jobs that were stored before the scan are known, unless
--- a/src/libprimrosecroft/cell/job_scan.h
+++ b/src/libprimrosecroft/cell/job_scan.h
@@ -17,6 +17,7 @@
 {
     std::function<void(const job_id &id, std::function<void(bool isRead)> done)> readJob;
     std::function<bool(const job_id &id)> isBeingAccepted; ///< the job's acceptance is in flight
+    std::function<bool(const job_id &id)> isSetAside; ///< the job's rows couldn't be read when they were last read
 };
 
 /// Scans the live jobs, one scan after another, for jobs and cancellations of which no notice has reached this process.
--- a/src/libprimrosecroft/core/row_value.h
+++ b/src/libprimrosecroft/core/row_value.h
@@ -39,6 +39,8 @@
         const auto isValid = g_utf8_validate(text.data(), static_cast<gssize>(text.size()), nullptr) != FALSE;
         refuseUnless(isValid, "valid UTF-8"); // it could not be sent on
         return text;
+    } else if constexpr (std::same_as<value, nlohmann::json>) {
+        return source;
     } else {
         refuseUnless(source.is_array(), "a list");
         value result;
--- a/src/libprimrosecroft/jobs/job_rows.cpp
+++ b/src/libprimrosecroft/jobs/job_rows.cpp
@@ -1,8 +1,10 @@
 #include "jobs/job_rows.h"
 
 #include "core/error.h"
+#include "core/row_value.h"
 
 #include <algorithm>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <ranges>
 
@@ -45,6 +47,13 @@
     return bits;
 }
 
+void refuseUnless(bool isKnown, const std::string &part)
+{
+    if (!isKnown) {
+        throw error("check progress row", "", "it names " + part + " that the job doesn't have");
+    }
+}
+
 json toRow(const step_progress &step)
 {
     json row = json::object();
@@ -70,13 +79,14 @@
         step.done = unpackBits(found->get_binary());
     }
     if (const auto found = row.find("g"); found != row.end()) {
-        step.failedGangs = found->get<std::set<std::uint32_t>>();
+        step.failedGangs = rowValue<std::set<std::uint32_t>>(*found);
     }
     if (const auto found = row.find("t"); found != row.end()) {
         for (const auto &task : *found) {
             // A fourth element stands for mayHaveBegun and is stored only if that is true.
-            step.tasks[task.at(0).get<std::int32_t>()] = {task.at(1).get<std::set<std::uint32_t>>(),
-                                                          task.at(2).get<std::string>(), task.size() > 3};
+            const auto index = rowNumber<std::int32_t>(task.at(0), 0, maxTasksPerStep - 1);
+            step.tasks[index] = {rowValue<std::set<std::uint32_t>>(task.at(1)), rowValue<std::string>(task.at(2)),
+                                 task.size() > 3 && rowValue<bool>(task.at(3))};
         }
     }
     return step;
@@ -194,11 +204,11 @@
 {
     try {
         job_progress progress;
-        for (const auto &each : json::from_cbor(row)) {
-            auto &occurrence = progress[each.at(0).get<std::int32_t>()];
-            occurrence.isComplete = each.at(1).get<bool>();
+        for (const auto &each : rowValue<std::vector<json>>(json::from_cbor(row))) {
+            auto &occurrence = progress[rowNumber<std::int32_t>(each.at(0), 0, maxOccurrences - 1)];
+            occurrence.isComplete = rowValue<bool>(each.at(1));
             for (const auto &step : each.at(2)) {
-                occurrence.steps[step.at(0).get<std::int32_t>()] = stepFrom(step.at(1));
+                occurrence.steps[rowNumber<std::int32_t>(step.at(0), 0, maxSteps - 1)] = stepFrom(step.at(1));
             }
         }
         return progress;
@@ -207,6 +217,20 @@
     }
 }
 
+void checkProgress(const job_spec &spec, const job_progress &progress)
+{
+    for (const auto &[number, occurrence] : progress) {
+        refuseUnless(number < std::max(spec.occurrences, 1), "an occurrence");
+        for (const auto &[index, step] : occurrence.steps) {
+            refuseUnless(static_cast<std::size_t>(index) < spec.steps.size(), "a step");
+            const auto count = spec.steps[static_cast<std::size_t>(index)].count;
+            const auto isDoneAfterLast = std::ranges::any_of(step.done | std::views::drop(count), std::identity {});
+            refuseUnless(step.tasks.empty() || step.tasks.rbegin()->first < count, "a task");
+            refuseUnless(!isDoneAfterLast, "a task");
+        }
+    }
+}
+
 std::string encodeEnded(const ended_job &job)
 {
     std::string result;
--- a/src/libprimrosecroft/jobs/job_rows.h
+++ b/src/libprimrosecroft/jobs/job_rows.h
@@ -109,6 +109,9 @@
 /// Inverse of encodeProgress. Throws error if @p row is no encoded progress.
 job_progress decodeProgress(const std::string &row);
 
+/// Throws error if @p progress names an occurrence, step or task that a job of this form doesn't have.
+void checkProgress(const job_spec &spec, const job_progress &progress);
+
 /// How and when a job ended.
 struct ended_job
 {
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -233,3 +233,22 @@
     CHECK(outcome == store_outcome::refused);
     CHECK_FALSE(owner.rows.rows.rows().contains(jobPlace("a")));
 }
+
+TEST_CASE("a job whose progress can't be read isn't run, and is again once the row is mended")
+{
+    owner_process owner;
+    job_progress progress;
+    progress[0].steps[0].tasks[0].failedAttempts = {1};
+    owner.rows.rows.put(jobPlace("bad"), rowOf("bad"));
+    owner.rows.rows.put(progressPlace("bad"), "garbage");
+    owner.rows.rows.put(jobPlace("good"), rowOf("good"));
+    owner.begin();
+    CHECK(owner.hasJob("good"));
+    owner.runner.notice("bad", false);
+    CHECK_FALSE(owner.hasJob("bad")); // it would run tasks again that have ended
+    CHECK(owner.rows.rows.rows().contains(jobPlace("bad")));
+    owner.rows.rows.put(progressPlace("bad"), encodeProgress(progress));
+    REQUIRE(runUntil([&] { return owner.hasJob("bad"); }));
+    const auto &job = owner.runner.state()->jobs.at("bad");
+    CHECK(job.occurrences.at(0).steps.at(0).tasks.at(0).failedAttempts == std::set<std::uint32_t> {1});
+}
