Read the end of a job only with a status in which jobs end

decodeEnded took any number as the status, so that a bad row told a caller that an ended job is queued or running, or told it an empty state. Only complete, failed and cancelled are read now, and a time that isn't negative.

The new test failed before: none of the numbers -1, 0, 1, 5 and 300 was refused.

--- a/src/libprimrosecroft/jobs/job_rows.cpp
+++ b/src/libprimrosecroft/jobs/job_rows.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <ranges>
 
@@ -17,6 +18,8 @@
 using json = nlohmann::json;
 
 constexpr int bitsPerByte = 8;
+constexpr auto firstFinalStatus = job_status::complete; ///< a job ends with this status or a later one
+constexpr auto lastFinalStatus = job_status::cancelled;
 constexpr char jobSuffix = 'j';
 constexpr char cancelSuffix = 'c';
 constexpr char progressSuffix = 'p';
@@ -247,8 +250,11 @@
     try {
         const auto parsed = json::from_cbor(row);
         // A third element stands for isOutcomeUnknown and is stored only if that is true.
-        return {static_cast<job_status>(parsed.at(0).get<int>()),
-                std::chrono::milliseconds(parsed.at(1).get<std::int64_t>()), parsed.size() > 2};
+        const auto status =
+            rowNumber<int>(parsed.at(0), static_cast<int>(firstFinalStatus), static_cast<int>(lastFinalStatus));
+        const auto at = rowNumber<std::int64_t>(parsed.at(1), 0, std::numeric_limits<std::int64_t>::max());
+        return {static_cast<job_status>(status), std::chrono::milliseconds(at),
+                parsed.size() > 2 && rowValue<bool>(parsed.at(2))};
     } catch (const json::exception &fault) {
         throw error("decode ended row", "", fault.what());
     }
--- a/tests/unit/stored_jobs_test.cpp
+++ b/tests/unit/stored_jobs_test.cpp
@@ -108,3 +108,14 @@
         CHECK_THROWS_AS(decodeProgress(row), error);
     }
 }
+
+TEST_CASE("a row that says that a job ended is only read with a status in which jobs end")
+{
+    for (const auto status : {job_status::complete, job_status::failed, job_status::cancelled}) {
+        CHECK(decodeEnded(encodeEnded({status, std::chrono::milliseconds(5), true})).status == status);
+    }
+    for (const auto number : {-1, 0, 1, 5, 300}) {
+        CHECK_THROWS_AS(decodeEnded(encodeEnded({static_cast<job_status>(number)})), error);
+    }
+    CHECK_THROWS_AS(decodeEnded(encodeEnded({job_status::complete, std::chrono::milliseconds(-1)})), error);
+}
