--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -264,3 +264,32 @@
         CHECK(passes[each] - passes[each - 1] >= 2 * passTime);
     }
 }
+
+TEST_CASE("a job whose progress can't be read isn't run, and is again once the row is mended")
+{
+    owner_process owner;
+    job_progress progress;
+    progress[0].steps[0].tasks[0].failedAttempts = {1};
+    owner.rows.rows.put(jobPlace("bad"), rowOf("bad"));
+    owner.rows.rows.put(progressPlace("bad"), "garbage");
+    owner.rows.rows.put(jobPlace("good"), rowOf("good"));
+    owner.begin();
+    CHECK(owner.hasJob("good"));
+    owner.runner.notice("bad", false);
+    CHECK_FALSE(owner.hasJob("bad")); // it would run tasks again that have ended
+    CHECK(owner.rows.rows.rows().contains(jobPlace("bad")));
+    owner.rows.rows.put(progressPlace("bad"), encodeProgress(progress));
+    REQUIRE(runUntil([&] { return owner.hasJob("bad"); }));
+    const auto &job = owner.runner.state()->jobs.at("bad");
+    CHECK(job.occurrences.at(0).steps.at(0).tasks.at(0).failedAttempts == std::set<std::uint32_t> {1});
+}
+
+TEST_CASE("an owner that can't read the row of contacted workers serves, and lets no task start for now")
+{
+    owner_process owner;
+    owner.rows.rows.put(contactedWorkersPlace(), "garbage");
+    owner.rows.rows.put(jobPlace("a"), rowOf("a"));
+    REQUIRE_NOTHROW(owner.begin());
+    CHECK(owner.hasJob("a"));
+    CHECK(owner.runner.state()->areContactedWorkersUnknown);
+}
