Age a candidate's store contact by the time since its presence message

The owner chose a successor by the age of the candidate's store contact as of the receipt of its presence message. A process whose last message is 1.1 s old and said 1.5 s counted as one that reached the store 1.5 s ago, though it may be 2.6 s, over the limit of 1.6 s; and of two processes the one that has fallen silent could count as the one that reached the store last. The age is now counted to the moment of the choice, for the limit and for the order.

The new case of handover-test failed before: the process with an age of 1 s and a silence of 1 s was chosen as the only candidate, and one that reached the store 1.2 s ago was preferred to one that did 0.5 s ago.

--- a/src/libprimrosecroft/leadership/handover.cpp
+++ b/src/libprimrosecroft/leadership/handover.cpp
@@ -28,9 +28,16 @@
 constexpr auto minRelocationInterval = 10s; ///< between two hand-overs for the reason farFromStore
 constexpr auto settlingTime = 3s; ///< a process that has run for this long isn't just being restarted
 
+/// Time since the candidate last reached the store, as far as its last presence message shows.
+std::chrono::milliseconds storeAgeAt(const successor_candidate &candidate, instant now)
+{
+    return candidate.storeAge + std::chrono::duration_cast<std::chrono::milliseconds>(now - candidate.lastContactAt);
+}
+
 bool isUsable(const successor_candidate &candidate, instant now)
 {
-    return !candidate.isLeaving && candidate.lastContactAt + contactTimeout > now && candidate.storeAge < maxStoreAge;
+    return !candidate.isLeaving && candidate.lastContactAt + contactTimeout > now
+        && storeAgeAt(candidate, now) < maxStoreAge;
 }
 
 std::optional<handover_reason> reasonOf(const owner_status &owner, instant now)
@@ -80,7 +87,7 @@
         const auto &candidate = each.second;
         const bool isNear = candidate.region == nearest->second.region
             || candidate.storeRoundTrip <= minRoundTrip * nearFactor + nearMargin;
-        return std::tuple(!isNear, *reason == handover_reason::leaving ? candidate.uptime : candidate.storeAge);
+        return std::tuple(!isNear, *reason == handover_reason::leaving ? candidate.uptime : storeAgeAt(candidate, now));
     };
     return handover {std::ranges::min_element(usable, {}, order)->first, *reason};
 }
--- a/tests/unit/handover_test.cpp
+++ b/tests/unit/handover_test.cpp
@@ -105,3 +105,16 @@
     owner.handoverRequestedAt = now - 5s;
     CHECK_FALSE(successorOf(owner, {{"near", makeCandidate(7ms)}}));
 }
+
+TEST_CASE("a process whose store contact has grown too old since its presence message isn't asked to take over")
+{
+    auto owner = healthyOwner();
+    owner.isLeaving = true;
+    auto silent = makeCandidate(5ms, 1s);
+    silent.lastContactAt = now - 1s;
+    CHECK_FALSE(successorOf(owner, {{"silent", silent}}));
+    owner.isLeaving = false;
+    owner.confirmedAt = now - 1s;
+    silent.storeAge = 200ms; // 1.2 s ago by now
+    CHECK(successorOf(owner, {{"recent", makeCandidate(5ms, 400ms)}, {"silent", silent}}) == "recent");
+}
