Tell a process that hasn't read the store yet from the nearest one

A presence said a distance of 0 ms before the sender's first read of the store, and a missing value counted as 0 as well: a process that had just started was the nearest of all, so that the owner preferred it and its region, and a far owner moved to it. The distance is unset now until it has been measured, in the store's monitor, in the presence and in the candidate; an unmeasured candidate counts as farther than any other. A 0 from a sender of an earlier build counts as missing.

The new case of handover-test failed before (with the 0 ms that such a process had): it was preferred to a process at 20 ms, and an owner at 44 ms moved to it.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -91,6 +91,12 @@
     return std::to_string(millisecondsSince(since));
 }
 
+/// Text for logs; "unknown" if @p duration is unset.
+std::string toText(std::optional<std::chrono::milliseconds> duration)
+{
+    return duration ? std::to_string(duration->count()) : "unknown";
+}
+
 } // namespace
 
 struct cell_daemon::parts
@@ -308,7 +314,7 @@
                         {{"to", chosen->successor},
                          {"reason", toString(chosen->reason)},
                          {"unconfirmed_ms", ageInMs(runner.confirmedAt())},
-                         {"distance_ms", std::to_string(rows.minRoundTrip().count())}});
+                         {"distance_ms", toText(rows.minRoundTrip())}});
         wire::Message message;
         message.handover.token = leadership.version;
         message.__isset.handover = true;
@@ -355,7 +361,10 @@
         peer.storeAge = std::chrono::milliseconds(presence.storeAgeMs);
         peer.isLeaving = presence.leaving;
         peer.uptime = std::chrono::milliseconds(presence.upMs);
-        peer.storeRoundTrip = std::chrono::milliseconds(presence.storeDistanceMs);
+        peer.storeRoundTrip.reset();
+        if (presence.__isset.storeDistanceMs && presence.storeDistanceMs > 0) {
+            peer.storeRoundTrip = std::chrono::milliseconds(presence.storeDistanceMs);
+        }
         peer.region = presence.region;
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
@@ -382,7 +391,9 @@
         message.presence.storeAgeMs = millisecondsSince(rows.lastReachedAt());
         message.presence.leaving = isLeaving;
         message.presence.upMs = millisecondsSince(startedAt);
-        message.presence.__set_storeDistanceMs(rows.minRoundTrip().count());
+        if (const auto roundTrip = rows.minRoundTrip()) {
+            message.presence.__set_storeDistanceMs(roundTrip->count());
+        }
         message.presence.__set_region(settings.region);
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
--- a/src/libprimrosecroft/leadership/handover.cpp
+++ b/src/libprimrosecroft/leadership/handover.cpp
@@ -24,6 +24,7 @@
 constexpr int nearFactor = 2;
 constexpr auto nearMargin = 10ms;
 
+constexpr std::chrono::milliseconds unknownRoundTrip = 1h; ///< longer than any that is measured
 constexpr auto maxLocalRoundTrip = 25ms; ///< longer than any round trip within a region
 constexpr auto minRelocationInterval = 10s; ///< between two hand-overs for the reason farFromStore
 constexpr auto settlingTime = 3s; ///< a process that has run for this long isn't just being restarted
@@ -34,6 +35,12 @@
     return candidate.storeAge + std::chrono::duration_cast<std::chrono::milliseconds>(now - candidate.lastContactAt);
 }
 
+/// The candidate's round trip to the store; one that hasn't measured it counts as farther than any other.
+std::chrono::milliseconds distanceOf(const successor_candidate &candidate)
+{
+    return candidate.storeRoundTrip.value_or(unknownRoundTrip);
+}
+
 bool isUsable(const successor_candidate &candidate, instant now)
 {
     return !candidate.isLeaving && candidate.lastContactAt + contactTimeout > now
@@ -50,7 +57,7 @@
     if (isFailing || owner.confirmedAt + confirmationTimeout <= now) {
         return handover_reason::cutOff;
     }
-    if (owner.storeRoundTrip > maxLocalRoundTrip && owner.ownsSince + settlingTime <= now
+    if (owner.storeRoundTrip && *owner.storeRoundTrip > maxLocalRoundTrip && owner.ownsSince + settlingTime <= now
         && (!owner.handoverRequestedAt || *owner.handoverRequestedAt + minRelocationInterval <= now)) {
         return handover_reason::farFromStore;
     }
@@ -71,14 +78,13 @@
         return isUsable(each.second, now) && !(hasFailed && each.first == owner.lastSuccessor);
     };
     auto usable = candidates | std::views::filter(isCandidate);
-    const auto nearest =
-        std::ranges::min_element(usable, {}, [](const auto &each) { return each.second.storeRoundTrip; });
+    const auto nearest = std::ranges::min_element(usable, {}, [](const auto &each) { return distanceOf(each.second); });
     if (nearest == usable.end()) {
         return std::nullopt;
     }
-    const auto minRoundTrip = nearest->second.storeRoundTrip;
+    const auto minDistance = distanceOf(nearest->second);
     if (*reason == handover_reason::farFromStore
-        && (minRoundTrip * 2 > owner.storeRoundTrip || nearest->second.uptime < settlingTime)) {
+        && (minDistance > *owner.storeRoundTrip / 2 || nearest->second.uptime < settlingTime)) {
         return std::nullopt;
     }
     // When the owner leaves, the process with the shortest uptime is preferred: where machines are restarted one after
@@ -86,7 +92,7 @@
     const auto order = [&](const auto &each) {
         const auto &candidate = each.second;
         const bool isNear = candidate.region == nearest->second.region
-            || candidate.storeRoundTrip <= minRoundTrip * nearFactor + nearMargin;
+            || distanceOf(candidate) <= minDistance * nearFactor + nearMargin;
         return std::tuple(!isNear, *reason == handover_reason::leaving ? candidate.uptime : storeAgeAt(candidate, now));
     };
     return handover {std::ranges::min_element(usable, {}, order)->first, *reason};
--- a/src/libprimrosecroft/leadership/handover.h
+++ b/src/libprimrosecroft/leadership/handover.h
@@ -22,7 +22,8 @@
     std::string region;
     instant lastContactAt;
     std::chrono::milliseconds storeAge {0}; ///< at the last contact, time since it last reached the store
-    std::chrono::milliseconds storeRoundTrip {0}; ///< duration of its shortest read of the store since it started
+    /// Duration of its shortest read of the store since it started; unset before the first one.
+    std::optional<std::chrono::milliseconds> storeRoundTrip;
     std::chrono::milliseconds uptime {0}; ///< time since it started
     bool isLeaving = false; ///< it is about to stop
 };
@@ -34,7 +35,8 @@
     instant ownsSince;
     instant confirmedAt; ///< latest moment for which the store has confirmed the ownership
     std::optional<instant> storeFailingSince; ///< unset if the last call of the store was answered
-    std::chrono::milliseconds storeRoundTrip {0}; ///< duration of its shortest read of the store since it started
+    /// Duration of its shortest read of the store since it started; unset before the first one.
+    std::optional<std::chrono::milliseconds> storeRoundTrip;
     std::optional<instant> handoverRequestedAt; ///< of the latest request; unset before the first
     process_id lastSuccessor; ///< process of the latest request; empty if this ownership made none
 };
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -137,8 +137,8 @@
   3: required i64 storeAgeMs // milliseconds since the sender sent the last store call that was answered
   4: required bool leaving // the sender is about to stop
   5: required i64 upMs // milliseconds since the sender started
-  // Milliseconds that the sender's shortest read of the store has taken since it started; 0 before the first read. A
-  // missing value counts as 0.
+  // Milliseconds that the sender's shortest read of the store has taken since it started. Missing, or 0 from a sender of
+  // an earlier build, before the first read.
   6: optional i64 storeDistanceMs
   7: optional string region // of the sender; a missing value counts as empty
 }
--- a/src/libprimrosecroft/store/monitored_store.cpp
+++ b/src/libprimrosecroft/store/monitored_store.cpp
@@ -44,7 +44,7 @@
             const auto took = std::max<std::chrono::milliseconds>(
                 std::chrono::milliseconds(1),
                 std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - sentAt));
-            m_minRoundTrip = m_minRoundTrip.count() == 0 ? took : std::min(m_minRoundTrip, took);
+            m_minRoundTrip = std::min(m_minRoundTrip.value_or(took), took);
         }
         done(std::move(result));
     });
@@ -88,7 +88,7 @@
     return m_lastReachedAt;
 }
 
-std::chrono::milliseconds monitored_store::minRoundTrip() const
+std::optional<std::chrono::milliseconds> monitored_store::minRoundTrip() const
 {
     return m_minRoundTrip;
 }
--- a/src/libprimrosecroft/store/monitored_store.h
+++ b/src/libprimrosecroft/store/monitored_store.h
@@ -29,10 +29,10 @@
     instant lastReachedAt() const;
 
     /**
-     * Returns the shortest duration of a read so far; 0 before the first one. The minimum reflects the network
-     * distance to the store rather than its load.
+     * Returns the shortest duration of a read so far, or std::nullopt before the first one. The minimum reflects the
+     * network distance to the store rather than its load.
      */
-    std::chrono::milliseconds minRoundTrip() const;
+    std::optional<std::chrono::milliseconds> minRoundTrip() const;
 
     /// Returns the time of the first failure since the last answered call, or std::nullopt if there is none.
     std::optional<instant> failingSince() const;
@@ -52,7 +52,7 @@
     instant m_sampledAt; ///< when that answer arrived
     instant m_lastReachedAt;
     std::optional<instant> m_failingSince;
-    std::chrono::milliseconds m_minRoundTrip {0};
+    std::optional<std::chrono::milliseconds> m_minRoundTrip;
     std::chrono::duration<double, std::milli> m_smoothedCommitTime {0};
     std::uint64_t m_writes = 0;
     std::uint64_t m_reads = 0;
--- a/tests/unit/handover_test.cpp
+++ b/tests/unit/handover_test.cpp
@@ -118,3 +118,17 @@
     silent.storeAge = 200ms; // 1.2 s ago by now
     CHECK(successorOf(owner, {{"recent", makeCandidate(5ms, 400ms)}, {"silent", silent}}) == "recent");
 }
+
+TEST_CASE("a process that hasn't read the store yet doesn't count as the nearest one")
+{
+    auto owner = healthyOwner();
+    owner.confirmedAt = now - 1s;
+    auto unmeasured = makeCandidate(0ms, 100ms);
+    unmeasured.storeRoundTrip.reset();
+    unmeasured.region = "south";
+    CHECK(successorOf(owner, {{"near", makeCandidate(20ms)}, {"unmeasured", unmeasured}}) == "near");
+    CHECK(successorOf(owner, {{"a", unmeasured}, {"b", unmeasured}}) == "a");
+    owner = healthyOwner();
+    owner.storeRoundTrip = 44ms;
+    CHECK_FALSE(successorOf(owner, {{"unmeasured", unmeasured}}));
+}
