Move a far owner only to a process that is itself much nearer and settled

Whether a far owner moves was decided by the nearest candidate, where it moves by another rule: any process in the nearest one's region or at most twice as far plus 10 ms, the one that reached the store last. So an owner at 44 ms could move to one at 46 ms, which moves on again 3 s later, or to one that was just being restarted. The target itself must now have run for 3 s and have at most half of the owner's distance; so each move halves the distance, and none leads back. With the reasons in separate functions, each urgent one is decided before a relocation, as before.

--- a/src/libprimrosecroft/leadership/handover.cpp
+++ b/src/libprimrosecroft/leadership/handover.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 #include <tuple>
+#include <vector>
 
 namespace primrosecroft
 {
@@ -29,6 +29,8 @@
 constexpr auto minRelocationInterval = 10s; ///< between two hand-overs for the reason farFromStore
 constexpr auto settlingTime = 3s; ///< a process that has run for this long isn't just being restarted
 
+using candidate_list = std::vector<const std::map<process_id, successor_candidate>::value_type *>;
+
 /// Time since the candidate last reached the store, as far as its last presence message shows.
 std::chrono::milliseconds storeAgeAt(const successor_candidate &candidate, instant now)
 {
@@ -47,7 +49,8 @@
         && storeAgeAt(candidate, now) < maxStoreAge;
 }
 
-std::optional<handover_reason> reasonOf(const owner_status &owner, instant now)
+/// Reason for which any usable process is a better owner.
+std::optional<handover_reason> urgentReasonOf(const owner_status &owner, instant now)
 {
     if (owner.isLeaving) {
         return handover_reason::leaving;
@@ -57,9 +60,53 @@
     if (isFailing || owner.confirmedAt + confirmationTimeout <= now) {
         return handover_reason::cutOff;
     }
-    if (owner.storeRoundTrip && *owner.storeRoundTrip > maxLocalRoundTrip && owner.ownsSince + settlingTime <= now
-        && (!owner.handoverRequestedAt || *owner.handoverRequestedAt + minRelocationInterval <= now)) {
-        return handover_reason::farFromStore;
+    return std::nullopt;
+}
+
+bool mayRelocate(const owner_status &owner, instant now)
+{
+    return owner.ownsSince + settlingTime <= now
+        && (!owner.handoverRequestedAt || *owner.handoverRequestedAt + minRelocationInterval <= now);
+}
+
+candidate_list usableCandidates(const owner_status &owner, const std::map<process_id, successor_candidate> &candidates,
+                                instant now)
+{
+    const bool hasFailed = owner.handoverRequestedAt && *owner.handoverRequestedAt + 2 * takeOverTimeout > now;
+    candidate_list result;
+    for (const auto &each : candidates) {
+        if (isUsable(each.second, now) && !(hasFailed && each.first == owner.lastSuccessor)) {
+            result.push_back(&each);
+        }
+    }
+    return result;
+}
+
+/// Returns std::nullopt if @p list is empty.
+std::optional<handover> choose(const candidate_list &list, handover_reason reason, instant now)
+{
+    if (list.empty()) {
+        return std::nullopt;
+    }
+    const auto distance = [](const auto *each) { return distanceOf(each->second); };
+    const auto &nearest = (*std::ranges::min_element(list, {}, distance))->second;
+    // When the owner leaves, the process with the shortest uptime is preferred: where machines are restarted one after
+    // another, the one that was restarted last is the last to be stopped again.
+    const auto order = [&](const auto *each) {
+        const auto &candidate = each->second;
+        const bool isNear = candidate.region == nearest.region
+            || distanceOf(candidate) <= distanceOf(nearest) * nearFactor + nearMargin;
+        return std::tuple(!isNear, reason == handover_reason::leaving ? candidate.uptime : storeAgeAt(candidate, now));
+    };
+    return handover {(*std::ranges::min_element(list, {}, order))->first, reason};
+}
+
+std::optional<handover> planRelocation(const owner_status &owner, candidate_list list, instant now)
+{
+    std::erase_if(list, [](const auto *each) { return each->second.uptime < settlingTime; });
+    if (owner.storeRoundTrip && *owner.storeRoundTrip > maxLocalRoundTrip) {
+        std::erase_if(list, [&](const auto *each) { return distanceOf(each->second) > *owner.storeRoundTrip / 2; });
+        return choose(list, handover_reason::farFromStore, now);
     }
     return std::nullopt;
 }
@@ -69,33 +116,16 @@
 std::optional<handover> planHandover(const owner_status &owner,
                                      const std::map<process_id, successor_candidate> &candidates, instant now)
 {
-    const auto reason = reasonOf(owner, now);
-    if (!reason || (owner.handoverRequestedAt && *owner.handoverRequestedAt + takeOverTimeout > now)) {
+    if (owner.handoverRequestedAt && *owner.handoverRequestedAt + takeOverTimeout > now) {
         return std::nullopt;
     }
-    const bool hasFailed = owner.handoverRequestedAt && *owner.handoverRequestedAt + 2 * takeOverTimeout > now;
-    const auto isCandidate = [&](const auto &each) {
-        return isUsable(each.second, now) && !(hasFailed && each.first == owner.lastSuccessor);
-    };
-    auto usable = candidates | std::views::filter(isCandidate);
-    const auto nearest = std::ranges::min_element(usable, {}, [](const auto &each) { return distanceOf(each.second); });
-    if (nearest == usable.end()) {
-        return std::nullopt;
+    if (const auto reason = urgentReasonOf(owner, now)) {
+        return choose(usableCandidates(owner, candidates, now), *reason, now);
     }
-    const auto minDistance = distanceOf(nearest->second);
-    if (*reason == handover_reason::farFromStore
-        && (minDistance > *owner.storeRoundTrip / 2 || nearest->second.uptime < settlingTime)) {
-        return std::nullopt;
+    if (mayRelocate(owner, now)) {
+        return planRelocation(owner, usableCandidates(owner, candidates, now), now);
     }
-    // When the owner leaves, the process with the shortest uptime is preferred: where machines are restarted one after
-    // another, the one that was restarted last is the last to be stopped again.
-    const auto order = [&](const auto &each) {
-        const auto &candidate = each.second;
-        const bool isNear = candidate.region == nearest->second.region
-            || distanceOf(candidate) <= minDistance * nearFactor + nearMargin;
-        return std::tuple(!isNear, *reason == handover_reason::leaving ? candidate.uptime : storeAgeAt(candidate, now));
-    };
-    return handover {std::ranges::min_element(usable, {}, order)->first, *reason};
+    return std::nullopt;
 }
 
 const char *toString(handover_reason reason)
--- a/tests/unit/handover_test.cpp
+++ b/tests/unit/handover_test.cpp
@@ -132,3 +132,15 @@
     owner.storeRoundTrip = 44ms;
     CHECK_FALSE(successorOf(owner, {{"unmeasured", unmeasured}}));
 }
+
+TEST_CASE("a far owner moves only to a process that is itself much nearer and has run for a while")
+{
+    auto owner = healthyOwner();
+    owner.storeRoundTrip = 44ms;
+    const auto nearest = makeCandidate(18ms, 500ms);
+    const auto asFar = makeCandidate(46ms, 100ms);
+    auto restarted = makeCandidate(7ms, 100ms);
+    restarted.uptime = 500ms;
+    CHECK(successorOf(owner, {{"asFar", asFar}, {"nearest", nearest}}) == "nearest");
+    CHECK(successorOf(owner, {{"nearest", nearest}, {"restarted", restarted}}) == "nearest");
+}
