Choose the owner's successor by what its VM carries, and move a weak owner

On deployments with unlike VMs the owner was again and again one of 0.12 cores and 10 Mbit/s: it used all of them, and a backlog built up that never went. A successor was the process that reached the store last or started last, whatever its VM; and nothing moved the ownership off a weak VM later.

The settings' limits give a vm_capacity now (missing or odd values are unknown, and count as a usual VM), presences carry it, and the hand-over goes first to those that carry at least half of what the strongest candidate does, then by nearness and the criteria there were. What a VM carries is one number, the processor or what the link can keep busy, so that there is one order of strength. An owner hands over (reason weak) to a settled process that carries more than twice as much. A relocation goes to more capacity, or (far) to no less and at most half the distance: so none leads back, whichever processes are usable at times. On equal VMs capacity decides nothing, which a test shows with 5,000 drawn cases. The hand-over's line has the capacities.

The limits were not decoded at all before.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -91,7 +91,12 @@
     return std::to_string(millisecondsSince(since));
 }
 
-/// Text for logs; "unknown" if @p duration is unset.
+/// Text for logs; "unknown" if @p amount is unset.
+std::string toText(std::optional<std::int64_t> amount)
+{
+    return amount ? std::to_string(*amount) : "unknown";
+}
+
 std::string toText(std::optional<std::chrono::milliseconds> duration)
 {
     return duration ? std::to_string(duration->count()) : "unknown";
@@ -303,22 +308,27 @@
         }
         const auto now = bootNow();
         const auto chosen = planHandover({isLeaving, ownsSince, runner.confirmedAt(), rows.failingSince(),
-                                          rows.minRoundTrip(), handoverRequestedAt, lastSuccessor},
+                                          rows.minRoundTrip(), handoverRequestedAt, lastSuccessor, settings.capacity},
                                          knownPeers, now);
         if (!chosen) {
             return;
         }
         handoverRequestedAt = now;
         lastSuccessor = chosen->successor;
+        const auto &successor = knownPeers.at(chosen->successor);
         log.writeAlways("cell", "hand-over",
                         {{"to", chosen->successor},
                          {"reason", toString(chosen->reason)},
                          {"unconfirmed_ms", ageInMs(runner.confirmedAt())},
-                         {"distance_ms", toText(rows.minRoundTrip())}});
+                         {"distance_ms", toText(rows.minRoundTrip())},
+                         {"cores_milli", toText(settings.capacity.milliCores)},
+                         {"link_mbps", toText(settings.capacity.linkMbps)},
+                         {"to_cores_milli", toText(successor.capacity.milliCores)},
+                         {"to_link_mbps", toText(successor.capacity.linkMbps)}});
         wire::Message message;
         message.handover.token = leadership.version;
         message.__isset.handover = true;
-        peers.send(knownPeers.at(chosen->successor).address, message);
+        peers.send(successor.address, message);
     }
 
     // --- other daemons
@@ -366,6 +376,13 @@
             peer.storeRoundTrip = std::chrono::milliseconds(presence.storeDistanceMs);
         }
         peer.region = presence.region;
+        peer.capacity = {};
+        if (presence.__isset.milliCores) {
+            peer.capacity.milliCores = presence.milliCores;
+        }
+        if (presence.__isset.linkMbps) {
+            peer.capacity.linkMbps = presence.linkMbps;
+        }
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
         answer.ownerReport.token = leadership.version;
@@ -395,6 +412,12 @@
             message.presence.__set_storeDistanceMs(roundTrip->count());
         }
         message.presence.__set_region(settings.region);
+        if (settings.capacity.milliCores) {
+            message.presence.__set_milliCores(*settings.capacity.milliCores);
+        }
+        if (settings.capacity.linkMbps) {
+            message.presence.__set_linkMbps(*settings.capacity.linkMbps);
+        }
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
--- a/src/libprimrosecroft/leadership/handover.cpp
+++ b/src/libprimrosecroft/leadership/handover.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace primrosecroft
@@ -26,7 +27,8 @@
 
 constexpr std::chrono::milliseconds unknownRoundTrip = 1h; ///< longer than any that is measured
 constexpr auto maxLocalRoundTrip = 25ms; ///< longer than any round trip within a region
-constexpr auto minRelocationInterval = 10s; ///< between two hand-overs for the reason farFromStore
+constexpr auto minRelocationInterval =
+    10s; ///< between a hand-over and a relocation, for the reasons farFromStore and weak
 constexpr auto settlingTime = 3s; ///< a process that has run for this long isn't just being restarted
 
 using candidate_list = std::vector<const std::map<process_id, successor_candidate>::value_type *>;
@@ -83,11 +85,15 @@
 }
 
 /// Returns std::nullopt if @p list is empty.
-std::optional<handover> choose(const candidate_list &list, handover_reason reason, instant now)
+std::optional<handover> choose(candidate_list list, handover_reason reason, instant now)
 {
     if (list.empty()) {
         return std::nullopt;
     }
+    // First of all, the successor has to carry the cell: no nearness makes up for a VM that is too weak.
+    const auto carried = [](const auto *each) { return carriedMilliCores(each->second.capacity); };
+    const auto strongest = (*std::ranges::max_element(list, {}, carried))->second.capacity;
+    std::erase_if(list, [&](const auto *each) { return isMuchWeaker(each->second.capacity, strongest); });
     const auto distance = [](const auto *each) { return distanceOf(each->second); };
     const auto &nearest = (*std::ranges::min_element(list, {}, distance))->second;
     // When the owner leaves, the process with the shortest uptime is preferred: where machines are restarted one after
@@ -101,12 +107,24 @@
     return handover {(*std::ranges::min_element(list, {}, order))->first, reason};
 }
 
+/**
+ * A relocation goes to a process that carries more, or that carries no less and is much nearer. So a later one never
+ * leads back, whichever processes are usable then.
+ */
 std::optional<handover> planRelocation(const owner_status &owner, candidate_list list, instant now)
 {
     std::erase_if(list, [](const auto *each) { return each->second.uptime < settlingTime; });
+    auto stronger = list;
+    std::erase_if(stronger, [&](const auto *each) { return !isMuchWeaker(owner.capacity, each->second.capacity); });
+    if (!stronger.empty()) {
+        return choose(std::move(stronger), handover_reason::weak, now);
+    }
     if (owner.storeRoundTrip && *owner.storeRoundTrip > maxLocalRoundTrip) {
-        std::erase_if(list, [&](const auto *each) { return distanceOf(each->second) > *owner.storeRoundTrip / 2; });
-        return choose(list, handover_reason::farFromStore, now);
+        std::erase_if(list, [&](const auto *each) {
+            return distanceOf(each->second) > *owner.storeRoundTrip / 2
+                || carriedMilliCores(each->second.capacity) < carriedMilliCores(owner.capacity);
+        });
+        return choose(std::move(list), handover_reason::farFromStore, now);
     }
     return std::nullopt;
 }
@@ -130,7 +148,7 @@
 
 const char *toString(handover_reason reason)
 {
-    static constexpr std::array names {"leaving", "cut-off", "far"};
+    static constexpr std::array names {"leaving", "cut-off", "far", "weak"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/libprimrosecroft/leadership/handover.h
+++ b/src/libprimrosecroft/leadership/handover.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "core/vm_capacity.h"
 #include "io/peer_hub.h"
 
 #include <chrono>
@@ -26,6 +27,7 @@
     std::optional<std::chrono::milliseconds> storeRoundTrip;
     std::chrono::milliseconds uptime {0}; ///< time since it started
     bool isLeaving = false; ///< it is about to stop
+    vm_capacity capacity;
 };
 
 /// The owner's own state, which decides whether it requests a hand-over.
@@ -39,6 +41,7 @@
     std::optional<std::chrono::milliseconds> storeRoundTrip;
     std::optional<instant> handoverRequestedAt; ///< of the latest request; unset before the first
     process_id lastSuccessor; ///< process of the latest request; empty if this ownership made none
+    vm_capacity capacity;
 };
 
 enum class handover_reason
@@ -46,6 +49,7 @@
     leaving,
     cutOff, ///< other processes reach the store, the owner doesn't
     farFromStore, ///< another process has a much shorter round trip to the store
+    weak, ///< another process's VM carries more than twice as much
 };
 
 /// The process that should take over, and why.
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -1813,6 +1813,16 @@
   this->region = val;
 __isset.region = true;
 }
+
+void Presence::__set_milliCores(const int64_t val) {
+  this->milliCores = val;
+__isset.milliCores = true;
+}
+
+void Presence::__set_linkMbps(const int64_t val) {
+  this->linkMbps = val;
+__isset.linkMbps = true;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -1902,6 +1912,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milliCores);
+          this->__isset.milliCores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->linkMbps);
+          this->__isset.linkMbps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1959,6 +1985,16 @@
     xfer += oprot->writeString(this->region);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.milliCores) {
+    xfer += oprot->writeFieldBegin("milliCores", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->milliCores);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.linkMbps) {
+    xfer += oprot->writeFieldBegin("linkMbps", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->linkMbps);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1973,6 +2009,8 @@
   swap(a.upMs, b.upMs);
   swap(a.storeDistanceMs, b.storeDistanceMs);
   swap(a.region, b.region);
+  swap(a.milliCores, b.milliCores);
+  swap(a.linkMbps, b.linkMbps);
   swap(a.__isset, b.__isset);
 }
 
@@ -1984,6 +2022,8 @@
   upMs = other44.upMs;
   storeDistanceMs = other44.storeDistanceMs;
   region = other44.region;
+  milliCores = other44.milliCores;
+  linkMbps = other44.linkMbps;
   __isset = other44.__isset;
 }
 Presence& Presence::operator=(const Presence& other45) {
@@ -1994,6 +2034,8 @@
   upMs = other45.upMs;
   storeDistanceMs = other45.storeDistanceMs;
   region = other45.region;
+  milliCores = other45.milliCores;
+  linkMbps = other45.linkMbps;
   __isset = other45.__isset;
   return *this;
 }
@@ -2007,6 +2049,8 @@
   out << ", " << "upMs=" << to_string(upMs);
   out << ", " << "storeDistanceMs="; (__isset.storeDistanceMs ? (out << to_string(storeDistanceMs)) : (out << "<null>"));
   out << ", " << "region="; (__isset.region ? (out << to_string(region)) : (out << "<null>"));
+  out << ", " << "milliCores="; (__isset.milliCores ? (out << to_string(milliCores)) : (out << "<null>"));
+  out << ", " << "linkMbps="; (__isset.linkMbps ? (out << to_string(linkMbps)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -749,9 +749,11 @@
 std::ostream& operator<<(std::ostream& out, const AdviceReport& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : storeDistanceMs(false), region(false) {}
+  _Presence__isset() : storeDistanceMs(false), region(false), milliCores(false), linkMbps(false) {}
   bool storeDistanceMs :1;
   bool region :1;
+  bool milliCores :1;
+  bool linkMbps :1;
 } _Presence__isset;
 
 /**
@@ -771,7 +773,9 @@
              leaving(0),
              upMs(0),
              storeDistanceMs(0),
-             region() {
+             region(),
+             milliCores(0),
+             linkMbps(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -782,6 +786,8 @@
   int64_t upMs;
   int64_t storeDistanceMs;
   std::string region;
+  int64_t milliCores;
+  int64_t linkMbps;
 
   _Presence__isset __isset;
 
@@ -799,6 +805,10 @@
 
   void __set_region(const std::string& val);
 
+  void __set_milliCores(const int64_t val);
+
+  void __set_linkMbps(const int64_t val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(address == rhs.address))
@@ -819,6 +829,14 @@
       return false;
     else if (__isset.region && !(region == rhs.region))
       return false;
+    if (__isset.milliCores != rhs.__isset.milliCores)
+      return false;
+    else if (__isset.milliCores && !(milliCores == rhs.milliCores))
+      return false;
+    if (__isset.linkMbps != rhs.__isset.linkMbps)
+      return false;
+    else if (__isset.linkMbps && !(linkMbps == rhs.linkMbps))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -141,6 +141,9 @@
   // an earlier build, before the first read.
   6: optional i64 storeDistanceMs
   7: optional string region // of the sender; a missing value counts as empty
+  // Capacity of the sender's VM, in thousandths of a core and in Mbit/s. Missing if the sender doesn't know it.
+  8: optional i64 milliCores
+  9: optional i64 linkMbps
 }
 
 /** Reply to a Presence. Shows whether the sender is still the owner, and how many jobs wait. */
--- a/src/libprimrosecroft/settings/cell_daemon_settings.h
+++ b/src/libprimrosecroft/settings/cell_daemon_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "core/vm_capacity.h"
 #include "io/peer_hub.h"
 
 #include <chrono>
@@ -34,6 +35,7 @@
     /// A version must be in force within this span after its acknowledgement.
     std::chrono::milliseconds configurationApplyTimeout {0};
     std::chrono::milliseconds terminationGrace {0}; ///< between SIGTERM and SIGKILL to this daemon
+    vm_capacity capacity; ///< of the VM that this daemon runs on
     std::chrono::milliseconds statusRetention {0}; ///< minimum span for which an ended job is shown
 };
 
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -3,6 +3,7 @@
 #include "cell/detail/cell_parts.h"
 #include "core/overloaded.h"
 #include "jobs/job_rows.h"
+#include "leadership/handover.h"
 
 #include <algorithm>
 #include <ranges>
@@ -50,6 +51,10 @@
     std::uint64_t session = 0; ///< changes with each start and change of ownership; drops answers to an earlier one
     instant nextRenewal;
     bool isRenewing = false;
+    instant startedAt;
+    instant ownsSince;
+    std::optional<instant> handoverRequestedAt;
+    process_id lastSuccessor;
 };
 
 /// State of a task for the checks, from the ends that owners have acknowledged.
@@ -277,9 +282,45 @@
         process.leadership = makeLeadership(leadershipSettings, now);
         process.cell.reset();
         process.isDown = false;
+        process.startedAt = now;
+        process.handoverRequestedAt.reset();
         ++process.session;
     }
 
+    vm_capacity capacityOf(std::size_t index) const
+    {
+        return index < settings.capacities.size() ? settings.capacities[index] : vm_capacity {};
+    }
+
+    void tryHandover(std::size_t index)
+    {
+        auto &process = processes[index];
+        if (!process.cell) {
+            return;
+        }
+        std::map<process_id, successor_candidate> candidates;
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            const auto &other = processes[i];
+            if (i != index && !other.isDown && now >= other.frozenUntil && isStoreReachable(other)) {
+                const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - other.startedAt);
+                candidates[other.name] = {{}, "", now, 0ms, storeDelay, uptime, false, capacityOf(i)};
+            }
+        }
+        const auto chosen = planHandover({false, process.ownsSince, process.cell->confirmedAt, std::nullopt, storeDelay,
+                                          process.handoverRequestedAt, process.lastSuccessor, capacityOf(index)},
+                                         candidates, now);
+        if (!chosen) {
+            return;
+        }
+        process.handoverRequestedAt = now;
+        process.lastSuccessor = chosen->successor;
+        const auto found = std::ranges::find(processes, chosen->successor, &emulated_process::name);
+        const auto successor = static_cast<std::size_t>(found - processes.begin());
+        deliverWhenRunning(successor, found->session, [this, successor, token = process.token] {
+            stepLeadership(successor, handover_requested {token});
+        });
+    }
+
     void tick(std::size_t index)
     {
         auto &process = processes[index];
@@ -296,6 +337,9 @@
             nextLeadershipTick[index] = now + 200ms;
             contactOwner(index);
             stepLeadership(index, leadership_ticked {});
+            if (!settings.capacities.empty()) {
+                tryHandover(index);
+            }
         }
         if (process.cell) {
             step(*process.cell, clock_ticked {std::chrono::milliseconds(1'700'000'000'000) + elapsed(), store.now, 3},
@@ -401,6 +445,8 @@
         auto &process = processes[index];
         ++process.session;
         process.token = beginning.token;
+        process.ownsSince = now;
+        process.lastSuccessor.clear();
         cell_take_over takeOver;
         takeOver.token = beginning.token;
         takeOver.term = beginning.term;
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/cell.h"
+#include "core/vm_capacity.h"
 #include "executor_emulator.h"
 #include "leadership/leadership.h"
 #include "store_emulator.h"
@@ -42,6 +43,7 @@
     double faultScale = 1; ///< scales the number of faults and the share of lost messages; 0 for no faults
     std::chrono::milliseconds faultPeriod {20'000}; ///< from the start; jobs are submitted and faults begin in it
     std::chrono::milliseconds totalTime {60'000}; ///< of run(); jobs must have ended by then
+    std::vector<vm_capacity> capacities; ///< of the processes; if empty, no process hands over
     disabled_rule mutation = disabled_rule::none;
 };
 
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -105,6 +105,25 @@
     CHECK(emulation.storedEnd("a") == job_status::complete);
 }
 
+TEST_CASE("in a cell of unlike processes a strong one owns again within 12 s of each of several kills of the owner")
+{
+    constexpr vm_capacity strong {500, 200};
+    constexpr vm_capacity weak {120, 10};
+    auto settings = withoutFaults();
+    settings.capacities = {weak, weak, weak, strong, weak, weak, strong, weak};
+    settings.processes = settings.capacities.size();
+    cell_emulation emulation(settings);
+    emulation.runFor(12s);
+    for (int i = 0; i < 8; ++i) {
+        CAPTURE(i);
+        const auto owner = emulation.owner();
+        CHECK((owner == "p3" || owner == "p6"));
+        emulation.killOwner(2s);
+        emulation.runFor(12s);
+    }
+    CHECK(emulation.violation().empty());
+}
+
 TEST_CASE("orders of an owner that was frozen and resumes have no effect")
 {
     cell_emulation emulation(withoutFaults());
--- a/tests/unit/handover_test.cpp
+++ b/tests/unit/handover_test.cpp
@@ -1,6 +1,8 @@
 #include "leadership/handover.h"
 
 #include <catch2/catch.hpp>
+#include <random>
+#include <set>
 
 using namespace primrosecroft;
 using namespace std::chrono_literals;
@@ -22,7 +24,33 @@
 
 successor_candidate makeCandidate(std::chrono::milliseconds storeRoundTrip, std::chrono::milliseconds storeAge = 300ms)
 {
-    return {{"10.0.0.1", 1}, "north", now - 100ms, storeAge, storeRoundTrip, 60s, false};
+    return {{"10.0.0.1", 1}, "north", now - 100ms, storeAge, storeRoundTrip, 60s, false, {}};
+}
+
+constexpr vm_capacity strong {500, 200};
+constexpr vm_capacity weak {120, 10};
+
+owner_status ownerOn(const vm_capacity &capacity, std::chrono::milliseconds storeRoundTrip = 5ms)
+{
+    auto owner = healthyOwner();
+    owner.capacity = capacity;
+    owner.storeRoundTrip = storeRoundTrip;
+    return owner;
+}
+
+successor_candidate candidateOn(const vm_capacity &capacity, std::chrono::milliseconds storeRoundTrip = 5ms,
+                                std::chrono::milliseconds storeAge = 300ms)
+{
+    auto candidate = makeCandidate(storeRoundTrip, storeAge);
+    candidate.capacity = capacity;
+    return candidate;
+}
+
+successor_candidate farCandidateOn(const vm_capacity &capacity, std::chrono::milliseconds storeAge = 300ms)
+{
+    auto candidate = candidateOn(capacity, 44ms, storeAge);
+    candidate.region = "south";
+    return candidate;
 }
 
 successor_candidate inOtherRegion(std::chrono::milliseconds storeAge = 300ms)
@@ -39,6 +67,22 @@
     return found ? std::optional(found->successor) : std::nullopt;
 }
 
+/// Draws processes in two regions, some of which can't be the successor.
+std::map<process_id, successor_candidate> drawCandidates(std::mt19937 &random)
+{
+    const auto pick = [&random](int max) { return std::uniform_int_distribution(0, max)(random); };
+    std::map<process_id, successor_candidate> result;
+    for (const auto *name : {"a", "b", "c", "d", "e", "f"}) {
+        auto candidate = makeCandidate(pick(60) * 1ms, pick(2'000) * 1ms);
+        candidate.region = pick(1) == 0 ? "north" : "south";
+        candidate.lastContactAt = now - pick(1'500) * 1ms;
+        candidate.uptime = pick(9'000) * 1ms;
+        candidate.isLeaving = pick(9) == 0;
+        result[name] = candidate;
+    }
+    return result;
+}
+
 } // namespace
 
 TEST_CASE("a healthy owner keeps its shard")
@@ -144,3 +188,107 @@
     CHECK(successorOf(owner, {{"asFar", asFar}, {"nearest", nearest}}) == "nearest");
     CHECK(successorOf(owner, {{"nearest", nearest}, {"restarted", restarted}}) == "nearest");
 }
+
+TEST_CASE("an owner that leaves or is cut off hands over to a strong process, though a weak one comes first otherwise")
+{
+    auto owner = ownerOn(strong);
+    owner.confirmedAt = now - 1s;
+    const auto recentWeak = candidateOn(weak, 5ms, 10ms);
+    CHECK(successorOf(owner, {{"strong", candidateOn(strong, 7ms, 700ms)}, {"weak", recentWeak}}) == "strong");
+    CHECK(successorOf(owner, {{"far", farCandidateOn(strong)}, {"weak", recentWeak}}) == "far");
+    CHECK(successorOf(
+              owner,
+              {{"far", farCandidateOn(strong, 10ms)}, {"half", candidateOn({250, 100}, 5ms)}, {"weak", recentWeak}})
+          == "half");
+    CHECK(successorOf(owner, {{"weak", recentWeak}}) == "weak");
+    const auto slowLink = candidateOn({500, 10}, 5ms, 10ms);
+    CHECK(successorOf(owner, {{"link", slowLink}, {"strong", candidateOn(strong)}}) == "strong");
+    owner.isLeaving = true;
+    auto freshWeak = recentWeak;
+    freshWeak.uptime = 2s;
+    CHECK(successorOf(owner, {{"strong", candidateOn(strong)}, {"weak", freshWeak}}) == "strong");
+}
+
+TEST_CASE("an owner on a weak VM hands over to a strong process that has run for a while, but not again soon after")
+{
+    auto owner = ownerOn(weak);
+    const std::map<process_id, successor_candidate> candidates {
+        {"far", farCandidateOn(strong, 10ms)}, {"near", candidateOn(strong)}, {"weak", candidateOn(weak, 1ms, 10ms)}};
+    const auto found = planHandover(owner, candidates, now);
+    REQUIRE(found);
+    CHECK(found->successor == "near");
+    CHECK(found->reason == handover_reason::weak);
+    CHECK(successorOf(owner, {{"far", farCandidateOn(strong)}, {"weak", candidateOn(weak)}}) == "far");
+    auto restarted = candidateOn(strong);
+    restarted.uptime = 2s;
+    CHECK_FALSE(successorOf(owner, {{"restarted", restarted}}));
+    auto unreached = candidateOn(strong, 5ms, 5s);
+    CHECK_FALSE(successorOf(owner, {{"unreached", unreached}}));
+    owner.handoverRequestedAt = now - 5s;
+    CHECK_FALSE(successorOf(owner, candidates));
+    owner.handoverRequestedAt.reset();
+    owner.ownsSince = now - 2s;
+    CHECK_FALSE(successorOf(owner, candidates));
+}
+
+TEST_CASE("an owner on a strong VM stays, though others are a bit stronger or nearer and weak")
+{
+    CHECK_FALSE(successorOf(ownerOn(strong), {{"weak", candidateOn(weak, 1ms)}, {"more", candidateOn({900, 900})}}));
+    CHECK_FALSE(successorOf(ownerOn(strong, 44ms), {{"weak", candidateOn(weak, 1ms)}}));
+    CHECK(successorOf(ownerOn(strong, 44ms), {{"near", candidateOn(strong)}, {"weak", candidateOn(weak, 1ms)}})
+          == "near");
+    CHECK_FALSE(successorOf(ownerOn({250, 1'000}), {{"unknown", candidateOn({})}}));
+    CHECK_FALSE(successorOf(ownerOn({}), {{"usual", candidateOn({250, 1'000})}}));
+}
+
+TEST_CASE("on equal VMs capacity decides nothing")
+{
+    std::mt19937 random {1}; // NOLINT(cert-msc32-c,cert-msc51-cpp): the same cases in each run
+    int handovers = 0;
+    for (int i = 0; i < 5'000; ++i) {
+        auto owner = healthyOwner();
+        owner.isLeaving = i % 3 == 0;
+        owner.confirmedAt = i % 3 == 1 ? now - 1s : owner.confirmedAt;
+        owner.storeRoundTrip = i % 3 == 2 ? 44ms : 5ms;
+        auto candidates = drawCandidates(random);
+        const auto without = successorOf(owner, candidates);
+        owner.capacity = i % 2 == 0 ? weak : strong;
+        for (auto &[name, candidate] : candidates) {
+            candidate.capacity = owner.capacity;
+        }
+        REQUIRE(successorOf(owner, candidates) == without);
+        handovers += without ? 1 : 0;
+    }
+    CHECK(handovers > 1'000);
+}
+
+TEST_CASE("relocations never lead the ownership back, whichever processes are usable at times")
+{
+    std::mt19937 random {2}; // NOLINT(cert-msc32-c,cert-msc51-cpp): the same cases in each run
+    int moves = 0;
+    for (int deployment = 0; deployment < 2'000; ++deployment) {
+        const auto pick = [&random](int max) { return std::uniform_int_distribution(0, max)(random); };
+        auto processes = drawCandidates(random);
+        for (auto &[name, process] : processes) {
+            process.capacity = {100 + 50 * pick(9), 10 + 10 * pick(9)};
+        }
+        process_id owner = "a";
+        std::set<process_id> earlier {owner};
+        for (int round = 0; round < 40; ++round) {
+            auto candidates = processes;
+            candidates.erase(owner);
+            for (auto &[name, candidate] : candidates) {
+                candidate.uptime = 1h;
+                candidate.lastContactAt = pick(1) == 0 ? now : now - 1min;
+                candidate.storeAge = 0ms;
+            }
+            const auto &process = processes.at(owner);
+            if (const auto next = successorOf(ownerOn(process.capacity, *process.storeRoundTrip), candidates)) {
+                owner = *next;
+                ++moves;
+                REQUIRE(earlier.insert(owner).second);
+            }
+        }
+    }
+    CHECK(moves > 1'000);
+}
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -71,6 +71,25 @@
                       Catch::Contains("f.json") && Catch::Contains("bounds.holdMaxMs") && Catch::Contains("a number"));
 }
 
+TEST_CASE("the settings' limits tell the VM's capacity; what is missing or odd is unknown and no error")
+{
+    const auto capacityOf = [](const std::string &limits) {
+        auto text = settingsText;
+        text.insert(1, R"("limits": )" + limits + ",");
+        return platform::decodeSettings(text, "f.json").capacity;
+    };
+    CHECK(capacityOf(R"({"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0})")
+          == vm_capacity {250, 1'000});
+    CHECK(capacityOf(R"({"cpuShare": 0.12, "cores": 2, "linkMbps": 0.4})") == vm_capacity {240, 1});
+    CHECK(platform::decodeSettings(settingsText, "f.json").capacity == vm_capacity {});
+    for (const auto *limits : {"{}", "null", "[0.25]", "7", R"({"cpuShare": "0.25", "cores": 1, "linkMbps": null})",
+                               R"({"cpuShare": 0.25})", R"({"cpuShare": 0, "cores": 1, "linkMbps": -1})",
+                               R"({"cpuShare": 1e300, "cores": 1e300, "linkMbps": 1e300})"}) {
+        CAPTURE(limits);
+        CHECK(capacityOf(limits) == vm_capacity {});
+    }
+}
+
 TEST_CASE("a malformed or unknown entry of a worker is decoded as no worker")
 {
     CHECK_FALSE(platform::decodeWorker("w", "garbage"));
