Let a process much weaker than the former owner wait before it takes over

After an owner's end the process that came first took over, by its distance to the store and a jitter: on deployments with unlike VMs mostly a weak one, of which there are more. The owner's row now tells the capacity of its VM. A process that carries less than half of that waits 250 ms longer, which is more than the 200 ms between the messages that show a refused connection, so a strong process comes first where there is one. A restarted owner that finds its own name takes over at once as before, unless its VM has become that much weaker. A row of an earlier build has no capacity, which counts as a usual VM's; an earlier build reads this build's row, because the new elements stand at its end.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -71,6 +71,7 @@
     result.process = settings.process;
     result.incarnation = incarnation;
     result.address = settings.peers;
+    result.capacity = settings.capacity;
     return result;
 }
 
--- a/src/libprimrosecroft/leadership/leadership.cpp
+++ b/src/libprimrosecroft/leadership/leadership.cpp
@@ -21,6 +21,8 @@
 /// Round trips to the store that a process waits before it takes over, so that one nearer to the store comes first.
 constexpr int roundTripFactor = 3;
 constexpr std::size_t maxJitter = 40; ///< milliseconds over which processes with equal round trips spread take-overs
+/// Longer than the interval between the messages that show a refused connection, so that a strong process comes first.
+constexpr auto weakSuccessorDelay = 250ms;
 constexpr auto maxRoundTripDelay = 250ms; ///< limit on that wait, without the jitter
 
 /// True if this run of the process wrote the row.
@@ -29,11 +31,28 @@
     return row.process == state.settings.process && row.incarnation == state.settings.incarnation;
 }
 
+/// True if this process can't carry what the owner of the latest known row could.
+bool isWeakSuccessor(const leadership_state &state)
+{
+    return state.owner && isMuchWeaker(state.settings.capacity, state.owner->capacity);
+}
+
 std::chrono::milliseconds takeOverDelay(const leadership_state &state)
 {
     const auto jitter = std::hash<std::string> {}(state.settings.process) % maxJitter;
     return std::min<std::chrono::milliseconds>(maxRoundTripDelay, roundTripFactor * state.storeRoundTrip)
-        + std::chrono::milliseconds(jitter);
+        + std::chrono::milliseconds(jitter) + (isWeakSuccessor(state) ? weakSuccessorDelay : 0ms);
+}
+
+owner_row makeOwnRow(const leadership_state &state)
+{
+    owner_row row;
+    row.process = state.settings.process;
+    row.incarnation = state.settings.incarnation;
+    row.address = state.settings.address;
+    row.term = state.owner ? state.owner->term + 1 : 0;
+    row.capacity = state.settings.capacity;
+    return row;
 }
 
 void poll(leadership_state &state, std::vector<leadership_action> &actions)
@@ -51,12 +70,7 @@
     }
     state.isTakingOver = true;
     state.takeOverAt.reset();
-    owner_row row;
-    row.process = state.settings.process;
-    row.incarnation = state.settings.incarnation;
-    row.address = state.settings.address;
-    row.term = state.owner ? state.owner->term + 1 : 0;
-    actions.emplace_back(take_ownership {state.version, row});
+    actions.emplace_back(take_ownership {state.version, makeOwnRow(state)});
 }
 
 void beginOwnership(leadership_state &state, const owner_row &row, row_version version,
@@ -148,15 +162,16 @@
         } else if (!isOverdue) {
             state.isOwnerSuspected = false;
         }
-        // The row names an earlier run of this process, which has ended for certain: there is nothing to wait for.
+        // The row names an earlier run of this process, which has ended for certain: there is nothing to wait for,
+        // unless its VM has been replaced by a much weaker one.
         const bool isFormerSelf = state.owner->process == state.settings.process && !isOwn(state, *state.owner);
-        if (isFormerSelf || state.isHandoverRequested) {
+        const bool hasEnded =
+            isFormerSelf || state.isConnectionRefused || state.owner->hasResigned || hasOwnerFailed(state, now);
+        if (state.isHandoverRequested || (isFormerSelf && !isWeakSuccessor(state))) {
             takeOver(state, actions);
-        } else if ((state.isConnectionRefused || state.owner->hasResigned || hasOwnerFailed(state, now))
-                   && !state.takeOverAt) {
+        } else if (hasEnded && !state.takeOverAt) {
             state.takeOverAt = now + takeOverDelay(state);
-        } else if (state.takeOverAt && !state.isConnectionRefused && !state.owner->hasResigned
-                   && !hasOwnerFailed(state, now)) {
+        } else if (!hasEnded) {
             state.takeOverAt.reset(); // the owner has answered or renewed again
         }
     }
@@ -168,6 +183,20 @@
     }
 }
 
+json encodeAmount(const std::optional<std::int64_t> &amount)
+{
+    return amount ? json(*amount) : json();
+}
+
+/// Returns std::nullopt if the writer didn't know the amount, or is of an earlier build and wrote no such element.
+std::optional<std::int64_t> decodeAmount(const json &row, std::size_t index)
+{
+    if (index >= row.size() || row.at(index).is_null()) {
+        return std::nullopt;
+    }
+    return row.at(index).get<std::int64_t>();
+}
+
 } // namespace
 
 row_place ownerPlace()
@@ -183,8 +212,10 @@
 std::string encodeOwner(const owner_row &row)
 {
     std::string result;
+    // New elements go to the end: an earlier build reads those that it knows by their place.
     json::to_cbor(
-        json::array({row.process, row.incarnation, row.address.address, row.address.port, row.term, row.hasResigned}),
+        json::array({row.process, row.incarnation, row.address.address, row.address.port, row.term, row.hasResigned,
+                     encodeAmount(row.capacity.milliCores), encodeAmount(row.capacity.linkMbps)}),
         result);
     return result;
 }
@@ -199,6 +230,7 @@
         result.address = {parsed.at(2).get<std::string>(), parsed.at(3).get<std::uint16_t>()};
         result.term = parsed.at(4).get<std::int64_t>();
         result.hasResigned = parsed.at(5).get<bool>();
+        result.capacity = {decodeAmount(parsed, 6), decodeAmount(parsed, 7)};
         return result;
     } catch (const json::exception &fault) {
         throw error("decode owner row", "", fault.what());
@@ -233,13 +265,8 @@
                 state.isTakingOver = false;
                 state.isHandoverRequested = false;
                 if (answer.outcome == store_outcome::done) {
-                    owner_row row;
-                    row.process = state.settings.process;
-                    row.incarnation = state.settings.incarnation;
-                    row.address = state.settings.address;
-                    row.term = state.owner ? state.owner->term + 1 : 0;
                     if (answer.version > state.version) {
-                        beginOwnership(state, row, answer.version, actions);
+                        beginOwnership(state, makeOwnRow(state), answer.version, actions);
                     }
                     return;
                 }
--- a/src/libprimrosecroft/leadership/leadership.h
+++ b/src/libprimrosecroft/leadership/leadership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "core/vm_capacity.h"
 #include "io/peer_hub.h"
 #include "store/store.h"
 
@@ -29,6 +30,7 @@
     peer_address address;
     std::int64_t term = 0; ///< number of take-overs before this one
     bool hasResigned = false; ///< the owner gave up ownership; any process may take over without a timeout
+    vm_capacity capacity; ///< of the owner's VM; unknown in the row of an earlier build
 
     friend bool operator==(const owner_row &, const owner_row &) = default;
 };
@@ -37,6 +39,8 @@
 
 /// Row that the owner rewrites at intervals.
 row_place renewalPlace();
+
+/// An earlier build reads the encoded row as well: it ignores what it doesn't know.
 std::string encodeOwner(const owner_row &row);
 
 /// Inverse of encodeOwner. Throws error if @p row is no encoded owner's row.
@@ -47,6 +51,7 @@
     process_id process;
     std::int64_t incarnation = 0;
     peer_address address;
+    vm_capacity capacity; ///< of the VM that the process runs on
     /// The owner is suspected if it hasn't answered for this long.
     std::chrono::milliseconds suspicionTimeout {600};
     /// A suspected owner counts as failed if its renewal row hasn't changed for this long.
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -279,6 +279,7 @@
         leadership_settings leadershipSettings;
         leadershipSettings.process = process.name;
         leadershipSettings.incarnation = process.incarnation;
+        leadershipSettings.capacity = capacityOf(index);
         process.leadership = makeLeadership(leadershipSettings, now);
         process.cell.reset();
         process.isDown = false;
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -19,6 +19,22 @@
     return settings;
 }
 
+/// Processes p3 and p6 are strong, six others weak.
+emulation_settings unlikeProcesses()
+{
+    constexpr vm_capacity strong {500, 200};
+    constexpr vm_capacity weak {120, 10};
+    auto settings = withoutFaults();
+    settings.capacities = {weak, weak, weak, strong, weak, weak, strong, weak};
+    settings.processes = settings.capacities.size();
+    return settings;
+}
+
+bool isStrong(const process_id &process)
+{
+    return process == "p3" || process == "p6";
+}
+
 accepted_job makeJob(const std::string &id, std::vector<step_spec> steps)
 {
     accepted_job job;
@@ -107,18 +123,26 @@
 
 TEST_CASE("in a cell of unlike processes a strong one owns again within 12 s of each of several kills of the owner")
 {
-    constexpr vm_capacity strong {500, 200};
-    constexpr vm_capacity weak {120, 10};
-    auto settings = withoutFaults();
-    settings.capacities = {weak, weak, weak, strong, weak, weak, strong, weak};
-    settings.processes = settings.capacities.size();
-    cell_emulation emulation(settings);
+    cell_emulation emulation(unlikeProcesses());
+    emulation.runFor(12s);
+    for (int i = 0; i < 8; ++i) {
+        CAPTURE(i);
+        CHECK(isStrong(emulation.owner()));
+        emulation.killOwner(2s);
+        emulation.runFor(12s);
+    }
+    CHECK(emulation.violation().empty());
+}
+
+TEST_CASE("in a cell of unlike processes a strong one takes over within 1.5 s of each kill of a strong owner")
+{
+    cell_emulation emulation(unlikeProcesses());
     emulation.runFor(12s);
     for (int i = 0; i < 8; ++i) {
         CAPTURE(i);
-        const auto owner = emulation.owner();
-        CHECK((owner == "p3" || owner == "p6"));
         emulation.killOwner(2s);
+        emulation.runFor(1'500ms);
+        CHECK(isStrong(emulation.owner()));
         emulation.runFor(12s);
     }
     CHECK(emulation.violation().empty());
--- a/tests/unit/leadership_test.cpp
+++ b/tests/unit/leadership_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 /// Tests of the election of the owner, each with one sequence of messages.
 using namespace primrosecroft;
@@ -40,6 +41,38 @@
     return row;
 }
 
+constexpr vm_capacity strong {500, 200};
+constexpr vm_capacity weak {120, 10};
+
+owner_row rowOn(const vm_capacity &capacity)
+{
+    auto row = rowOf("b");
+    row.capacity = capacity;
+    return row;
+}
+
+/// Returns how long process @p name on such a VM waits, from a refused connection or its start, until it takes over
+/// from the owner of @p row.
+std::chrono::milliseconds takeOverWait(const vm_capacity &capacity, const owner_row &row, const process_id &name = "a")
+{
+    leadership_settings settings;
+    settings.process = name;
+    settings.incarnation = 1;
+    settings.capacity = capacity;
+    auto state = makeLeadership(settings, start);
+    if (hasAction<take_ownership>(step(state, owner_poll_answered {store_outcome::done, row, 9, 10, 5ms}, start))) {
+        return 0ms;
+    }
+    if (name != row.process) {
+        step(state, owner_connection_refused {}, start);
+    }
+    auto wait = 1ms;
+    while (wait < 5s && !hasAction<take_ownership>(step(state, leadership_ticked {}, start + wait))) {
+        ++wait;
+    }
+    return wait;
+}
+
 } // namespace
 
 TEST_CASE("a former owner that is leaving finds the new owner, so that it can forward requests")
@@ -84,3 +117,63 @@
     advance(1s, false);
     CHECK(hasTakenOver);
 }
+
+TEST_CASE("a process much weaker than the former owner waits 250 ms longer before it takes over")
+{
+    const auto wait = takeOverWait(strong, rowOn(strong));
+    CHECK(wait < 100ms);
+    CHECK(takeOverWait(weak, rowOn(strong)) == wait + 250ms);
+    CHECK(takeOverWait({250, 200}, rowOn(strong)) == wait);
+    CHECK(takeOverWait(weak, rowOn(weak)) == wait);
+    CHECK(takeOverWait(strong, rowOn(weak)) == wait);
+    auto resigned = rowOn(strong);
+    resigned.hasResigned = true;
+    CHECK(takeOverWait(weak, resigned) == wait + 250ms);
+}
+
+TEST_CASE("a restarted owner takes over at once, unless its VM has become much weaker")
+{
+    CHECK(takeOverWait(weak, rowOn(weak), "b") == 0ms);
+    CHECK(takeOverWait({}, rowOn({}), "b") == 0ms);
+    const auto wait = takeOverWait(weak, rowOn(strong), "b");
+    CHECK(wait >= 250ms);
+    CHECK(wait < 350ms);
+}
+
+TEST_CASE("the row that an owner writes tells its VM's capacity, also when it resigns")
+{
+    auto settings = leadership_settings {};
+    settings.process = "a";
+    settings.capacity = weak;
+    auto state = makeLeadership(settings, start);
+    step(state, owner_poll_answered {store_outcome::done, std::nullopt, 0, 0, 5ms}, start);
+    const auto taking = step(state, leadership_ticked {}, start + 1s);
+    REQUIRE(hasAction<take_ownership>(taking));
+    CHECK(std::get<take_ownership>(taking.front()).row.capacity == weak);
+    step(state, take_over_answered {store_outcome::done, 5}, start + 1s);
+    CHECK(state.owner->capacity == weak);
+    const auto resigning = step(state, resign_requested {}, start + 2s);
+    const auto written = std::ranges::find_if(
+        resigning, [](const auto &each) { return std::holds_alternative<write_resignation>(each); });
+    REQUIRE(written != resigning.end());
+    CHECK(std::get<write_resignation>(*written).row.capacity == weak);
+}
+
+TEST_CASE("an owner's row of an earlier build is read, and an earlier build reads a row of this one")
+{
+    auto row = rowOn(strong);
+    row.address = {"10.0.0.1", 7720};
+    CHECK(decodeOwner(encodeOwner(row)) == row);
+    row.capacity = {std::nullopt, 0};
+    CHECK(decodeOwner(encodeOwner(row)) == row);
+
+    std::string earlier;
+    nlohmann::json::to_cbor(nlohmann::json::array({"b", 2, "10.0.0.1", 7720, 1, false}), earlier);
+    row.capacity = {};
+    CHECK(decodeOwner(earlier) == row);
+    const auto elements = nlohmann::json::from_cbor(encodeOwner(row));
+    REQUIRE(elements.size() >= 6); // an earlier build reads these by their place
+    CHECK(elements.at(0) == "b");
+    CHECK(elements.at(3) == 7720);
+    CHECK(elements.at(5) == false);
+}
