Move the ownership off a process whose ticks come late

The settings tell a VM's capacity; a VM can turn slow without it. An owner that is too slow stayed the owner as long as it confirmed its ownership. Each process now measures by how much its 200 ms ticks come late (smoothed; one long pause doesn't count), presences tell it, and an owner that has been over 150 ms late for 1 s hands over (reason late) to a settled process of no less capacity, not far from the store, that is at most 50 ms late: after 10 s of ownership at the earliest and at most each 10 s. No relocation goes to a process that is over 150 ms late. The hand-over's line has late_ms.

The new cases of handover-test failed before: a late owner stayed, and a weak owner moved to a strong process that was late. Under a load that no process of the cell carries, the ownership may go round at most each 10 s; whether that costs more than it gives has not been measured on a deployment.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -13,6 +13,7 @@
 #include "io/timer.h"
 #include "leadership/handover.h"
 #include "leadership/leadership.h"
+#include "leadership/tick_lateness.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
 #include "owner_link.h"
@@ -302,15 +303,21 @@
         });
     }
 
+    std::int64_t latenessInMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(lateness.smoothed).count();
+    }
+
     void tryHandover()
     {
         if (!isOwner() || (!isLeaving && !runner.isServing())) {
             return;
         }
         const auto now = bootNow();
-        const auto chosen = planHandover({isLeaving, ownsSince, runner.confirmedAt(), rows.failingSince(),
-                                          rows.minRoundTrip(), handoverRequestedAt, lastSuccessor, settings.capacity},
-                                         knownPeers, now);
+        const auto chosen =
+            planHandover({isLeaving, ownsSince, runner.confirmedAt(), rows.failingSince(), rows.minRoundTrip(),
+                          handoverRequestedAt, lastSuccessor, settings.capacity, lateness.lateSince},
+                         knownPeers, now);
         if (!chosen) {
             return;
         }
@@ -324,6 +331,7 @@
                          {"distance_ms", toText(rows.minRoundTrip())},
                          {"cores_milli", toText(settings.capacity.milliCores)},
                          {"link_mbps", toText(settings.capacity.linkMbps)},
+                         {"late_ms", std::to_string(latenessInMs())},
                          {"to_cores_milli", toText(successor.capacity.milliCores)},
                          {"to_link_mbps", toText(successor.capacity.linkMbps)}});
         wire::Message message;
@@ -384,6 +392,10 @@
         if (presence.__isset.linkMbps) {
             peer.capacity.linkMbps = presence.linkMbps;
         }
+        peer.lateness.reset();
+        if (presence.__isset.lateMs) {
+            peer.lateness = std::chrono::milliseconds(presence.lateMs);
+        }
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
         answer.ownerReport.token = leadership.version;
@@ -419,6 +431,7 @@
         if (settings.capacity.linkMbps) {
             message.presence.__set_linkMbps(*settings.capacity.linkMbps);
         }
+        message.presence.__set_lateMs(latenessInMs());
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
@@ -556,6 +569,7 @@
 
     void tick()
     {
+        recordTick(lateness, presenceInterval, bootNow());
         advanceLeadership(leadership_ticked {});
         if (isOwner()) {
             tryHandover();
@@ -671,6 +685,7 @@
     timer ownershipLostTimer;
     timer leaveTimer;
     instant startedAt = bootNow();
+    tick_lateness lateness;
     /// When the last completed call for the owner's row was sent. A new ownership counts as confirmed from then on.
     instant ownershipConfirmedAt;
     std::optional<instant> handoverRequestedAt; ///< of the latest request; std::nullopt before the first one
--- a/src/libprimrosecroft/leadership/handover.cpp
+++ b/src/libprimrosecroft/leadership/handover.cpp
@@ -1,7 +1,10 @@
 #include "leadership/handover.h"
 
+#include "leadership/tick_lateness.h"
+
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -28,7 +31,9 @@
 constexpr std::chrono::milliseconds unknownRoundTrip = 1h; ///< longer than any that is measured
 constexpr auto maxLocalRoundTrip = 25ms; ///< longer than any round trip within a region
 constexpr auto minRelocationInterval =
-    10s; ///< between a hand-over and a relocation, for the reasons farFromStore and weak
+    10s; ///< between a hand-over and a relocation, for the reasons weak, late and farFromStore
+constexpr auto minLateTime = 1s; ///< an owner that has been late for this long isn't just busy for a moment
+constexpr auto maxPromptLateness = 50ms; ///< of a process that may relieve a late owner
 constexpr auto settlingTime = 3s; ///< a process that has run for this long isn't just being restarted
 
 using candidate_list = std::vector<const std::map<process_id, successor_candidate>::value_type *>;
@@ -107,24 +112,56 @@
     return handover {(*std::ranges::min_element(list, {}, order))->first, reason};
 }
 
+bool hasBeenLate(const owner_status &owner, instant now)
+{
+    return owner.lateSince && *owner.lateSince + minLateTime <= now && owner.ownsSince + minRelocationInterval <= now;
+}
+
+/// True if the candidate's ticks come in time, and it could do as well as the owner if that one's did.
+bool canRelieve(const successor_candidate &candidate, const owner_status &owner)
+{
+    return candidate.lateness && *candidate.lateness <= maxPromptLateness
+        && carriedMilliCores(candidate.capacity) >= carriedMilliCores(owner.capacity)
+        && distanceOf(candidate)
+        <= std::max<std::chrono::milliseconds>(owner.storeRoundTrip.value_or(0ms), maxLocalRoundTrip);
+}
+
+bool isMuchNearer(const successor_candidate &candidate, const owner_status &owner)
+{
+    return owner.storeRoundTrip && distanceOf(candidate) <= *owner.storeRoundTrip / 2
+        && carriedMilliCores(candidate.capacity) >= carriedMilliCores(owner.capacity);
+}
+
 /**
- * A relocation goes to a process that carries more, or that carries no less and is much nearer. So a later one never
- * leads back, whichever processes are usable then.
+ * For the reasons weak and far, a relocation goes to a process that carries more, or that carries no less and is much
+ * nearer. So a later one never leads back, whichever processes are usable then.
  */
-std::optional<handover> planRelocation(const owner_status &owner, candidate_list list, instant now)
+std::optional<handover> planRelocation(const owner_status &owner, const candidate_list &usable, instant now)
 {
-    std::erase_if(list, [](const auto *each) { return each->second.uptime < settlingTime; });
-    auto stronger = list;
-    std::erase_if(stronger, [&](const auto *each) { return !isMuchWeaker(owner.capacity, each->second.capacity); });
-    if (!stronger.empty()) {
-        return choose(std::move(stronger), handover_reason::weak, now);
+    const auto chooseAmong = [&](handover_reason reason, const auto &isSuitable) {
+        candidate_list list;
+        std::ranges::copy_if(usable, std::back_inserter(list), [&](const auto *each) {
+            const auto &candidate = each->second;
+            return candidate.uptime >= settlingTime && candidate.lateness.value_or(0ms) <= maxLateness
+                && isSuitable(candidate);
+        });
+        return choose(std::move(list), reason, now);
+    };
+    auto stronger = chooseAmong(
+        handover_reason::weak, [&](const auto &candidate) { return isMuchWeaker(owner.capacity, candidate.capacity); });
+    if (stronger) {
+        return stronger;
+    }
+    if (hasBeenLate(owner, now)) {
+        auto prompt =
+            chooseAmong(handover_reason::late, [&](const auto &candidate) { return canRelieve(candidate, owner); });
+        if (prompt) {
+            return prompt;
+        }
     }
     if (owner.storeRoundTrip && *owner.storeRoundTrip > maxLocalRoundTrip) {
-        std::erase_if(list, [&](const auto *each) {
-            return distanceOf(each->second) > *owner.storeRoundTrip / 2
-                || carriedMilliCores(each->second.capacity) < carriedMilliCores(owner.capacity);
-        });
-        return choose(std::move(list), handover_reason::farFromStore, now);
+        return chooseAmong(handover_reason::farFromStore,
+                           [&](const auto &candidate) { return isMuchNearer(candidate, owner); });
     }
     return std::nullopt;
 }
@@ -148,7 +185,7 @@
 
 const char *toString(handover_reason reason)
 {
-    static constexpr std::array names {"leaving", "cut-off", "far", "weak"};
+    static constexpr std::array names {"leaving", "cut-off", "far", "weak", "late"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/libprimrosecroft/leadership/handover.h
+++ b/src/libprimrosecroft/leadership/handover.h
@@ -28,6 +28,7 @@
     std::chrono::milliseconds uptime {0}; ///< time since it started
     bool isLeaving = false; ///< it is about to stop
     vm_capacity capacity;
+    std::optional<std::chrono::milliseconds> lateness; ///< smoothed, of its ticks; unset if it doesn't tell it
 };
 
 /// The owner's own state, which decides whether it requests a hand-over.
@@ -42,6 +43,7 @@
     std::optional<instant> handoverRequestedAt; ///< of the latest request; unset before the first
     process_id lastSuccessor; ///< process of the latest request; empty if this ownership made none
     vm_capacity capacity;
+    std::optional<instant> lateSince; ///< since when its ticks have been late; unset if they aren't
 };
 
 enum class handover_reason
@@ -50,6 +52,7 @@
     cutOff, ///< other processes reach the store, the owner doesn't
     farFromStore, ///< another process has a much shorter round trip to the store
     weak, ///< another process's VM carries more than twice as much
+    late, ///< the owner's ticks have been late for a while, another process's aren't
 };
 
 /// The process that should take over, and why.
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -1823,6 +1823,11 @@
   this->linkMbps = val;
 __isset.linkMbps = true;
 }
+
+void Presence::__set_lateMs(const int64_t val) {
+  this->lateMs = val;
+__isset.lateMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -1928,6 +1933,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lateMs);
+          this->__isset.lateMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1995,6 +2008,11 @@
     xfer += oprot->writeI64(this->linkMbps);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.lateMs) {
+    xfer += oprot->writeFieldBegin("lateMs", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->lateMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2011,6 +2029,7 @@
   swap(a.region, b.region);
   swap(a.milliCores, b.milliCores);
   swap(a.linkMbps, b.linkMbps);
+  swap(a.lateMs, b.lateMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2024,6 +2043,7 @@
   region = other44.region;
   milliCores = other44.milliCores;
   linkMbps = other44.linkMbps;
+  lateMs = other44.lateMs;
   __isset = other44.__isset;
 }
 Presence& Presence::operator=(const Presence& other45) {
@@ -2036,6 +2056,7 @@
   region = other45.region;
   milliCores = other45.milliCores;
   linkMbps = other45.linkMbps;
+  lateMs = other45.lateMs;
   __isset = other45.__isset;
   return *this;
 }
@@ -2051,6 +2072,7 @@
   out << ", " << "region="; (__isset.region ? (out << to_string(region)) : (out << "<null>"));
   out << ", " << "milliCores="; (__isset.milliCores ? (out << to_string(milliCores)) : (out << "<null>"));
   out << ", " << "linkMbps="; (__isset.linkMbps ? (out << to_string(linkMbps)) : (out << "<null>"));
+  out << ", " << "lateMs="; (__isset.lateMs ? (out << to_string(lateMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -749,11 +749,12 @@
 std::ostream& operator<<(std::ostream& out, const AdviceReport& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : storeDistanceMs(false), region(false), milliCores(false), linkMbps(false) {}
+  _Presence__isset() : storeDistanceMs(false), region(false), milliCores(false), linkMbps(false), lateMs(false) {}
   bool storeDistanceMs :1;
   bool region :1;
   bool milliCores :1;
   bool linkMbps :1;
+  bool lateMs :1;
 } _Presence__isset;
 
 /**
@@ -775,7 +776,8 @@
              storeDistanceMs(0),
              region(),
              milliCores(0),
-             linkMbps(0) {
+             linkMbps(0),
+             lateMs(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -788,6 +790,7 @@
   std::string region;
   int64_t milliCores;
   int64_t linkMbps;
+  int64_t lateMs;
 
   _Presence__isset __isset;
 
@@ -809,6 +812,8 @@
 
   void __set_linkMbps(const int64_t val);
 
+  void __set_lateMs(const int64_t val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(address == rhs.address))
@@ -837,6 +842,10 @@
       return false;
     else if (__isset.linkMbps && !(linkMbps == rhs.linkMbps))
       return false;
+    if (__isset.lateMs != rhs.__isset.lateMs)
+      return false;
+    else if (__isset.lateMs && !(lateMs == rhs.lateMs))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -144,6 +144,7 @@
   // Capacity of the sender's VM, in thousandths of a core and in Mbit/s. Missing if the sender doesn't know it.
   8: optional i64 milliCores
   9: optional i64 linkMbps
+  10: optional i64 lateMs // milliseconds by which the sender's regular ticks come late, smoothed
 }
 
 /** Reply to a Presence. Shows whether the sender is still the owner, and how many jobs wait. */
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -304,11 +304,18 @@
             const auto &other = processes[i];
             if (i != index && !other.isDown && now >= other.frozenUntil && isStoreReachable(other)) {
                 const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - other.startedAt);
-                candidates[other.name] = {{}, "", now, 0ms, storeDelay, uptime, false, capacityOf(i)};
+                candidates[other.name] = {{}, "", now, 0ms, storeDelay, uptime, false, capacityOf(i), {}};
             }
         }
-        const auto chosen = planHandover({false, process.ownsSince, process.cell->confirmedAt, std::nullopt, storeDelay,
-                                          process.handoverRequestedAt, process.lastSuccessor, capacityOf(index)},
+        const auto chosen = planHandover({false,
+                                          process.ownsSince,
+                                          process.cell->confirmedAt,
+                                          std::nullopt,
+                                          storeDelay,
+                                          process.handoverRequestedAt,
+                                          process.lastSuccessor,
+                                          capacityOf(index),
+                                          {}},
                                          candidates, now);
         if (!chosen) {
             return;
--- a/tests/unit/handover_test.cpp
+++ b/tests/unit/handover_test.cpp
@@ -1,4 +1,5 @@
 #include "leadership/handover.h"
+#include "leadership/tick_lateness.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -24,7 +25,7 @@
 
 successor_candidate makeCandidate(std::chrono::milliseconds storeRoundTrip, std::chrono::milliseconds storeAge = 300ms)
 {
-    return {{"10.0.0.1", 1}, "north", now - 100ms, storeAge, storeRoundTrip, 60s, false, {}};
+    return {{"10.0.0.1", 1}, "north", now - 100ms, storeAge, storeRoundTrip, 60s, false, {}, 0ms};
 }
 
 constexpr vm_capacity strong {500, 200};
@@ -292,3 +293,69 @@
     }
     CHECK(moves > 1'000);
 }
+
+TEST_CASE("an owner whose ticks are late for a second hands over to one of its capacity that isn't late, each 10 s")
+{
+    auto owner = ownerOn(strong);
+    owner.lateSince = now - 1s;
+    auto late = candidateOn(strong, 5ms, 10ms);
+    late.lateness = 100ms;
+    auto unknown = candidateOn(strong, 5ms, 10ms);
+    unknown.lateness.reset();
+    const auto lesser = candidateOn({450, 200}, 5ms, 10ms);
+    const auto farther = farCandidateOn({900, 900}, 10ms);
+    const std::map<process_id, successor_candidate> without {
+        {"farther", farther}, {"late", late}, {"lesser", lesser}, {"unknown", unknown}};
+    CHECK_FALSE(successorOf(owner, without));
+    auto candidates = without;
+    candidates["prompt"] = candidateOn(strong);
+    const auto found = planHandover(owner, candidates, now);
+    REQUIRE(found);
+    CHECK(found->successor == "prompt");
+    CHECK(found->reason == handover_reason::late);
+    auto recent = owner;
+    recent.ownsSince = now - 9s;
+    CHECK_FALSE(successorOf(recent, candidates));
+    recent = owner;
+    recent.handoverRequestedAt = now - 9s;
+    CHECK_FALSE(successorOf(recent, candidates));
+    recent = owner;
+    recent.lateSince = now - 900ms;
+    CHECK_FALSE(successorOf(recent, candidates));
+}
+
+TEST_CASE("an owner on a weak VM doesn't move to a strong process that is late")
+{
+    auto late = candidateOn(strong);
+    late.lateness = 200ms;
+    CHECK_FALSE(successorOf(ownerOn(weak), {{"late", late}}));
+    late.lateness.reset(); // of an earlier build
+    CHECK(successorOf(ownerOn(weak), {{"late", late}}) == "late");
+}
+
+TEST_CASE("a process is late once its ticks come late again and again, not after one long pause")
+{
+    tick_lateness lateness;
+    auto time = now;
+    const auto tickAfter = [&](std::chrono::milliseconds span) {
+        time += span;
+        recordTick(lateness, 200ms, time);
+    };
+    tickAfter(0ms);
+    tickAfter(200ms);
+    tickAfter(30s);
+    CHECK_FALSE(lateness.lateSince);
+    for (int i = 0; i < 10; ++i) {
+        tickAfter(210ms);
+    }
+    CHECK(lateness.smoothed < 30ms);
+    for (int i = 0; i < 10; ++i) {
+        tickAfter(500ms);
+    }
+    REQUIRE(lateness.lateSince);
+    CHECK(*lateness.lateSince < time - 1s);
+    for (int i = 0; i < 5; ++i) {
+        tickAfter(200ms);
+    }
+    CHECK_FALSE(lateness.lateSince);
+}
