Show that a hand-over between live owners can run a task twice

The emulation never handed over, so no schedule had two live processes of which one doesn't know yet that it was deposed. Two causes were seen, both in the cell's core and older than the relocations:

Two runs of a task at once (3 seeds): the new owner takes jobs accepted after its take-over for never in doubt, but a notice brings such a job to the former owner too, which starts it at workers that the new owner hasn't listed yet; or the new owner stops it there as a run of no known job, and starts it elsewhere while it still stops.

Runs exceed a worker's capacity (6 seeds): a worker's list omits runs that are being stopped, so the new owner places into their room.

--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <string>
+#include <vector>
 
 /// Runs the cell's emulation with random faults, one schedule for each seed. PRIMROSECROFT_SCHEDULES sets the number of
 /// schedules and PRIMROSECROFT_SEED the first seed.
@@ -18,11 +19,13 @@
 }
 
 /// Runs one schedule. Returns the violation that the checks detected, or an empty string if there is none.
-std::string runSeed(std::uint64_t seed, disabled_rule mutation = disabled_rule::none)
+std::string runSeed(std::uint64_t seed, disabled_rule mutation = disabled_rule::none,
+                    const std::vector<vm_capacity> &capacities = {})
 {
     emulation_settings settings;
     settings.seed = seed;
     settings.mutation = mutation;
+    settings.capacities = capacities;
     cell_emulation emulation(settings);
     return emulation.run();
 }
@@ -52,6 +55,17 @@
     }
 }
 
+TEST_CASE("no schedule in which live owners hand over breaks a guarantee", "[handovers]")
+{
+    const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
+    const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 400);
+    for (auto seed = first; seed < first + count; ++seed) {
+        const auto violation = runSeed(seed, disabled_rule::none, {{120, 10}, {500, 200}, {120, 10}});
+        INFO("seed " << seed << ": " << violation);
+        CHECK(violation.empty());
+    }
+}
+
 TEST_CASE("the checks detect the absence of each safety rule", "[mutations]")
 {
     constexpr std::uint64_t maxSeeds = 2'000;
