--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -13,6 +13,7 @@
 #include "io/timer.h"
 #include "leadership/handover.h"
 #include "leadership/leadership.h"
+#include "leadership/tick_lateness.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
 #include "owner_link.h"
@@ -71,6 +72,7 @@
     result.process = settings.process;
     result.incarnation = incarnation;
     result.address = settings.peers;
+    result.capacity = settings.capacity;
     return result;
 }
 
@@ -91,6 +93,17 @@
     return std::to_string(millisecondsSince(since));
 }
 
+/// Text for logs; "unknown" if @p amount is unset.
+std::string toText(std::optional<std::int64_t> amount)
+{
+    return amount ? std::to_string(*amount) : "unknown";
+}
+
+std::string toText(std::optional<std::chrono::milliseconds> duration)
+{
+    return duration ? std::to_string(duration->count()) : "unknown";
+}
+
 } // namespace
 
 struct cell_daemon::parts
@@ -290,29 +303,41 @@
         });
     }
 
+    std::int64_t latenessInMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(lateness.smoothed).count();
+    }
+
     void tryHandover()
     {
         if (!isOwner() || (!isLeaving && !runner.isServing())) {
             return;
         }
         const auto now = bootNow();
-        const auto chosen = planHandover({isLeaving, ownsSince, runner.confirmedAt(), rows.failingSince(),
-                                          rows.minRoundTrip(), handoverRequestedAt, lastSuccessor},
-                                         knownPeers, now);
+        const auto chosen =
+            planHandover({isLeaving, ownsSince, runner.confirmedAt(), rows.failingSince(), rows.minRoundTrip(),
+                          handoverRequestedAt, lastSuccessor, settings.capacity, lateness.lateSince},
+                         knownPeers, now);
         if (!chosen) {
             return;
         }
         handoverRequestedAt = now;
         lastSuccessor = chosen->successor;
+        const auto &successor = knownPeers.at(chosen->successor);
         log.writeAlways("cell", "hand-over",
                         {{"to", chosen->successor},
                          {"reason", toString(chosen->reason)},
                          {"unconfirmed_ms", ageInMs(runner.confirmedAt())},
-                         {"distance_ms", std::to_string(rows.minRoundTrip().count())}});
+                         {"distance_ms", toText(rows.minRoundTrip())},
+                         {"cores_milli", toText(settings.capacity.milliCores)},
+                         {"link_mbps", toText(settings.capacity.linkMbps)},
+                         {"late_ms", std::to_string(latenessInMs())},
+                         {"to_cores_milli", toText(successor.capacity.milliCores)},
+                         {"to_link_mbps", toText(successor.capacity.linkMbps)}});
         wire::Message message;
         message.handover.token = leadership.version;
         message.__isset.handover = true;
-        peers.send(knownPeers.at(chosen->successor).address, message);
+        peers.send(successor.address, message);
     }
 
     // --- other daemons
@@ -355,8 +380,22 @@
         peer.storeAge = std::chrono::milliseconds(presence.storeAgeMs);
         peer.isLeaving = presence.leaving;
         peer.uptime = std::chrono::milliseconds(presence.upMs);
-        peer.storeRoundTrip = std::chrono::milliseconds(presence.storeDistanceMs);
+        peer.storeRoundTrip.reset();
+        if (presence.__isset.storeDistanceMs && presence.storeDistanceMs > 0) {
+            peer.storeRoundTrip = std::chrono::milliseconds(presence.storeDistanceMs);
+        }
         peer.region = presence.region;
+        peer.capacity = {};
+        if (presence.__isset.milliCores) {
+            peer.capacity.milliCores = presence.milliCores;
+        }
+        if (presence.__isset.linkMbps) {
+            peer.capacity.linkMbps = presence.linkMbps;
+        }
+        peer.lateness.reset();
+        if (presence.__isset.lateMs) {
+            peer.lateness = std::chrono::milliseconds(presence.lateMs);
+        }
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
         answer.ownerReport.token = leadership.version;
@@ -382,8 +421,17 @@
         message.presence.storeAgeMs = millisecondsSince(rows.lastReachedAt());
         message.presence.leaving = isLeaving;
         message.presence.upMs = millisecondsSince(startedAt);
-        message.presence.__set_storeDistanceMs(rows.minRoundTrip().count());
+        if (const auto roundTrip = rows.minRoundTrip()) {
+            message.presence.__set_storeDistanceMs(roundTrip->count());
+        }
         message.presence.__set_region(settings.region);
+        if (settings.capacity.milliCores) {
+            message.presence.__set_milliCores(*settings.capacity.milliCores);
+        }
+        if (settings.capacity.linkMbps) {
+            message.presence.__set_linkMbps(*settings.capacity.linkMbps);
+        }
+        message.presence.__set_lateMs(latenessInMs());
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
@@ -521,6 +569,7 @@
 
     void tick()
     {
+        recordTick(lateness, presenceInterval, bootNow());
         advanceLeadership(leadership_ticked {});
         if (isOwner()) {
             tryHandover();
@@ -636,6 +685,7 @@
     timer ownershipLostTimer;
     timer leaveTimer;
     instant startedAt = bootNow();
+    tick_lateness lateness;
     /// When the last completed call for the owner's row was sent. A new ownership counts as confirmed from then on.
     instant ownershipConfirmedAt;
     std::optional<instant> handoverRequestedAt; ///< of the latest request; std::nullopt before the first one
--- a/src/libprimrosecroft/leadership/handover.h
+++ b/src/libprimrosecroft/leadership/handover.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "core/vm_capacity.h"
 #include "io/peer_hub.h"
 
 #include <chrono>
@@ -22,9 +23,12 @@
     std::string region;
     instant lastContactAt;
     std::chrono::milliseconds storeAge {0}; ///< at the last contact, time since it last reached the store
-    std::chrono::milliseconds storeRoundTrip {0}; ///< duration of its shortest read of the store since it started
+    /// Duration of its shortest read of the store since it started; unset before the first one.
+    std::optional<std::chrono::milliseconds> storeRoundTrip;
     std::chrono::milliseconds uptime {0}; ///< time since it started
     bool isLeaving = false; ///< it is about to stop
+    vm_capacity capacity;
+    std::optional<std::chrono::milliseconds> lateness; ///< smoothed, of its ticks; unset if it doesn't tell it
 };
 
 /// The owner's own state, which decides whether it requests a hand-over.
@@ -34,9 +38,12 @@
     instant ownsSince;
     instant confirmedAt; ///< latest moment for which the store has confirmed the ownership
     std::optional<instant> storeFailingSince; ///< unset if the last call of the store was answered
-    std::chrono::milliseconds storeRoundTrip {0}; ///< duration of its shortest read of the store since it started
+    /// Duration of its shortest read of the store since it started; unset before the first one.
+    std::optional<std::chrono::milliseconds> storeRoundTrip;
     std::optional<instant> handoverRequestedAt; ///< of the latest request; unset before the first
     process_id lastSuccessor; ///< process of the latest request; empty if this ownership made none
+    vm_capacity capacity;
+    std::optional<instant> lateSince; ///< since when its ticks have been late; unset if they aren't
 };
 
 enum class handover_reason
@@ -44,6 +51,8 @@
     leaving,
     cutOff, ///< other processes reach the store, the owner doesn't
     farFromStore, ///< another process has a much shorter round trip to the store
+    weak, ///< another process's VM carries more than twice as much
+    late, ///< the owner's ticks have been late for a while, another process's aren't
 };
 
 /// The process that should take over, and why.
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -4,6 +4,7 @@
 #include "cell/detail/cell_parts.h"
 #include "core/overloaded.h"
 #include "jobs/job_rows.h"
+#include "leadership/handover.h"
 
 #include <algorithm>
 #include <ranges>
@@ -56,6 +57,10 @@
     instant servesAt; ///< end of the load of the stored state, while it is the owner
     instant jobsScannedAt; ///< the jobs stored before are known, while it is the owner
     std::optional<waiting_counts> counts; ///< the latest that an owner has reported to it
+    instant startedAt;
+    instant ownsSince;
+    std::optional<instant> handoverRequestedAt;
+    process_id lastSuccessor;
 };
 
 /// State of a task for the checks, from the ends that owners have acknowledged.
@@ -280,13 +285,57 @@
         leadership_settings leadershipSettings;
         leadershipSettings.process = process.name;
         leadershipSettings.incarnation = process.incarnation;
+        leadershipSettings.capacity = capacityOf(index);
         process.leadership = makeLeadership(leadershipSettings, now);
         process.cell.reset();
         process.counts.reset();
         process.isDown = false;
+        process.startedAt = now;
+        process.handoverRequestedAt.reset();
         ++process.session;
     }
 
+    vm_capacity capacityOf(std::size_t index) const
+    {
+        return index < settings.capacities.size() ? settings.capacities[index] : vm_capacity {};
+    }
+
+    void tryHandover(std::size_t index)
+    {
+        auto &process = processes[index];
+        if (!process.cell) {
+            return;
+        }
+        std::map<process_id, successor_candidate> candidates;
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            const auto &other = processes[i];
+            if (i != index && !other.isDown && now >= other.frozenUntil && isStoreReachable(other)) {
+                const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - other.startedAt);
+                candidates[other.name] = {{}, "", now, 0ms, storeDelay, uptime, false, capacityOf(i), {}};
+            }
+        }
+        const auto chosen = planHandover({false,
+                                          process.ownsSince,
+                                          process.cell->confirmedAt,
+                                          std::nullopt,
+                                          storeDelay,
+                                          process.handoverRequestedAt,
+                                          process.lastSuccessor,
+                                          capacityOf(index),
+                                          {}},
+                                         candidates, now);
+        if (!chosen) {
+            return;
+        }
+        process.handoverRequestedAt = now;
+        process.lastSuccessor = chosen->successor;
+        const auto found = std::ranges::find(processes, chosen->successor, &emulated_process::name);
+        const auto successor = static_cast<std::size_t>(found - processes.begin());
+        deliverWhenRunning(successor, found->session, [this, successor, token = process.token] {
+            stepLeadership(successor, handover_requested {token});
+        });
+    }
+
     void tick(std::size_t index)
     {
         auto &process = processes[index];
@@ -304,6 +353,9 @@
             contactOwner(index);
             stepLeadership(index, leadership_ticked {});
             checkWaitingCount(process);
+            if (!settings.capacities.empty()) {
+                tryHandover(index);
+            }
         }
         if (process.cell && now < process.servesAt) {
             announceWorkersAndRenew(index);
@@ -454,6 +506,8 @@
         auto &process = processes[index];
         ++process.session;
         process.token = beginning.token;
+        process.ownsSince = now;
+        process.lastSuccessor.clear();
         cell_take_over takeOver;
         takeOver.token = beginning.token;
         takeOver.term = beginning.term;
