--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -80,6 +80,7 @@
 {
     cell_settings result;
     result.maxLease = settings.maxLease;
+    result.maxStopTime = settings.maxStopTime;
     return result;
 }
 
--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -47,6 +47,7 @@
                    [&](const commit_answered &answer) { handleCommitAnswer(state, answer, now, actions); },
                    [&](const ownership_confirmed &confirmed) {
                        state.confirmedAt = std::max(state.confirmedAt, confirmed.sentAt);
+                       state.confirmedVersion = std::max(state.confirmedVersion, confirmed.version);
                    },
                    [&](const rules_updated &updated) { state.rules = updated.rules; },
                    [&](const clock_ticked &clock) {
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -23,6 +23,7 @@
 struct cell_settings
 {
     std::chrono::milliseconds maxLease {6'000}; ///< the longest lease that the platform allows
+    std::chrono::milliseconds maxStopTime {200}; ///< a run holds its resources for up to this long after a stop
 };
 
 /// The take-over of the shard, from which an ownership starts.
@@ -187,6 +188,8 @@
     std::map<run_id, instant> unknownRuns;
     worker_health health;
     bool isReconciled = false; ///< the worker has sent a list under this owner's fencing token
+    /// By then the runs have ended that an earlier owner had stopped, and which no list shows. Zero if there are none.
+    instant formerStopsEndAt;
 };
 
 /// The ends that a worker listed in one boot, up to a number.
@@ -206,6 +209,9 @@
 {
     cell_settings settings;
     cell_take_over takeOver;
+    /// The ownership was in force at this version of the store or later. A job that was stored after it may belong to
+    /// a later owner, which has not read it and doesn't expect it to run.
+    row_version confirmedVersion = 0;
     instant confirmedAt; ///< the ownership was in force at this moment or later; zero if never confirmed
     std::chrono::milliseconds timeOfDay {0}; ///< since 1970
     std::chrono::milliseconds storeTime {0}; ///< the store's steady clock; 0 while it is not known
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -185,10 +185,11 @@
     row_version commitSequence = 0;
 };
 
-/// The store confirmed the ownership: it was in force at some moment after @p sentAt.
+/// The store confirmed the ownership: it was in force at some moment after @p sentAt, and at version @p version.
 struct ownership_confirmed
 {
     instant sentAt; ///< when the request to the store was sent
+    row_version version = 0; ///< of the store in its answer
 };
 
 /// The operators' rules were read from the store.
--- a/src/libprimrosecroft/cell/owned_commits.cpp
+++ b/src/libprimrosecroft/cell/owned_commits.cpp
@@ -91,7 +91,7 @@
                                 m_ownershipLost("a read found another owner's row");
                                 return;
                             }
-                            m_context.apply(ownership_confirmed {sentAt});
+                            m_context.apply(ownership_confirmed {sentAt, result.version});
                             abandonUnanswered(sentAt);
                         }));
 }
@@ -108,7 +108,7 @@
         return;
     }
     if (result.outcome == store_outcome::done) {
-        m_context.apply(ownership_confirmed {node.mapped().sentAt});
+        m_context.apply(ownership_confirmed {node.mapped().sentAt, result.version});
     }
     node.mapped().done(result);
 }
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -47,6 +47,13 @@
     }
 };
 
+/// Returns whether the job may have been stored after another process took over. If so, that owner hasn't read it with
+/// the stored state, so it would take a run of it for an unknown one, and start the task itself.
+bool mayBelongToLaterOwner(const cell_state &state, const job_state &job)
+{
+    return job.version > state.confirmedVersion;
+}
+
 /// Returns whether tasks of the job may still run under the leases of an earlier owner. Jobs that were accepted under
 /// this ownership are never in doubt.
 bool isJobInDoubt(const cell_state &state, const job_state &job, instant now)
@@ -76,7 +83,7 @@
 {
     std::vector<queued_step> result;
     for (auto &[id, job] : state.jobs) {
-        if (job.isCancelled || job.hasFailed) {
+        if (job.isCancelled || job.hasFailed || mayBelongToLaterOwner(state, job)) {
             continue;
         }
         const bool inDoubt = isJobInDoubt(state, job, now);
--- a/src/libprimrosecroft/settings/cell_daemon_settings.h
+++ b/src/libprimrosecroft/settings/cell_daemon_settings.h
@@ -32,6 +32,7 @@
     socket_address advice; ///< empty if no queue needs advice
 
     std::chrono::milliseconds maxLease {0}; ///< upper bound of the lease of a run on a worker
+    std::chrono::milliseconds maxStopTime {0}; ///< for which a run holds its resources after an order to stop
     /// A version must be in force within this span after its acknowledgement.
     std::chrono::milliseconds configurationApplyTimeout {0};
     std::chrono::milliseconds terminationGrace {0}; ///< between SIGTERM and SIGKILL to this daemon
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -594,7 +594,7 @@
                        return;
                    }
                    if (result.outcome == store_outcome::done) {
-                       stepCell(index, ownership_confirmed {sentAt});
+                       stepCell(index, ownership_confirmed {sentAt, result.version});
                    }
                    done(result);
                });
--- a/tests/standins/owned_cell.cpp
+++ b/tests/standins/owned_cell.cpp
@@ -59,7 +59,7 @@
 
 std::vector<send_start> owned_cell::runSchedulingPass()
 {
-    apply(ownership_confirmed {now});
+    apply(ownership_confirmed {now, ownerToken + 1});
     apply(clock_ticked {timeOfDay, 1s, adviceRoutes});
     actions.clear();
     primrosecroft::runSchedulingPass(state, now, actions);
