Remove the pace of runs, images of steps and flags that nobody reads

The core never asked for another pace, so send_pace, its way through the gateway to the workers and the pace of a run did nothing. Nobody read the image of a step, the number of a job's pending commit or the flag that a commit covers all changes. Rows of older builds may hold an image; like any key that a build doesn't know it is ignored, which a case of wire-test shows. An older build reads a missing image as an empty one.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -58,7 +58,6 @@
     instant nextStopAt; ///< a stop that failed is not sent again before this time
     std::int32_t percent = 0; ///< progress that the worker last reported
     instant lastProgressAt; ///< when percent last changed, or the start was sent or accepted
-    std::int32_t pace = 100; ///< percent of its full speed at which the run works; nothing changes it from 100
     std::int64_t load = 0; ///< as in listed_run
 };
 
@@ -132,7 +131,6 @@
     bool isOutcomeUnknown = false; ///< an at-most-once task was lost, so it may have done its work or not
     bool hasUnsavedChanges = false; ///< its stored rows are out of date
     bool isEndStored = false; ///< the job is kept only while its runs hold reservations on workers
-    std::uint64_t writing = 0; ///< unused: number of the commit that is pending, 0 if none is
 };
 
 /// A reading of a worker's clock, from which bounds of the worker's time at other moments are computed.
@@ -226,7 +224,6 @@
     bool isCommitPending = false;
     std::set<job_id> committingJobs; ///< jobs that the pending commit writes
     std::map<worker_id, covered_ends> committingEnds; ///< processed ends that are stored once the commit is done
-    bool committingAll = false; ///< unused: the commit covers all changes known when it was made
     instant nextCommitAt; ///< no commit is made before this time
     instant nextSupervisionAt;
 };
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -232,17 +232,6 @@
     run_id run;
 };
 
-/// Sets the share of its full speed at which a task works, in percent. The answer is ignored. Unused: the core never
-/// requests it.
-struct send_pace
-{
-    worker_id worker;
-    std::string address;
-    worker_boot boot = 0;
-    run_id run;
-    std::int32_t percent = 100;
-};
-
 /// Polls a worker for the runs that are running and those that have ended, and extends the lease of all its runs.
 struct send_list
 {
@@ -311,7 +300,7 @@
     worker_id worker;
 };
 
-using cell_action = std::variant<send_start, send_stop, send_pace, send_list, ask_advice, commit_rows, report_placed,
-                                 report_ended, report_job_end, report_worker_change, report_fenced>;
+using cell_action = std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed, report_ended,
+                                 report_job_end, report_worker_change, report_fenced>;
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -43,7 +43,7 @@
 constexpr auto jobScanInterval = 2s; ///< between the starts of two scans for stored jobs of which no notice has arrived
 constexpr auto jobScanRetryDelay = 400ms; ///< between a scan of which a read failed and the next one
 constexpr auto startTimeout = 600ms; ///< for a worker's answer to a start order
-constexpr auto stopTimeout = 600ms; ///< likewise to an order to stop a run or to change its pace
+constexpr auto stopTimeout = 600ms; ///< likewise to an order to stop a run
 
 std::string millisecondsText(duration amount)
 {
@@ -708,7 +708,6 @@
                     [this](const send_stop &order) {
                         runner.m_workers.stop(order, state.takeOver.token, stopTimeout, forwardAnswer<stop_answered>());
                     },
-                    [this](const send_pace &order) { runner.m_workers.pace(order, state.takeOver.token, stopTimeout); },
                     [this](const send_list &order) {
                         runner.m_workers.list(order, state.takeOver.token, order.timeout,
                                               forwardAnswer<list_answered>());
--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -19,7 +19,7 @@
 constexpr auto stallQuarantine = 6'000ms;
 constexpr auto drainMargin = 1'200ms; ///< runs with checkpoints are stopped this long before their worker is removed
 constexpr auto maxListAge = 1'500ms; ///< an older list is no sign that a service is at work; a worker lists twice in it
-constexpr std::int32_t fullPercent = 100; ///< full pace of a run; also the progress of a service that is up
+constexpr std::int32_t fullPercent = 100; ///< progress of a service that is up
 constexpr int copyFactor = 2; ///< a run is late after this many times its expected duration plus copyMargin
 constexpr auto copyMargin = 200ms;
 constexpr std::size_t minMeasuredRuns = 3; ///< below this number of ended runs only the estimate is used
@@ -65,7 +65,7 @@
 {
     const bool isServiceUp = view.spec->isService && run.percent >= fullPercent;
     if (!isRunningAndWanted(run) || isServiceUp || view.spec->isGang || view.spec->isAtMostOnce
-        || view.spec->isBestEffort || run.pace < fullPercent || run.lastProgressAt + stallTime > now
+        || view.spec->isBestEffort || run.lastProgressAt + stallTime > now
         || worker.lastListAt < run.lastProgressAt + stallTime) {
         return;
     }
--- a/src/libprimrosecroft/cell/worker_gateway.h
+++ b/src/libprimrosecroft/cell/worker_gateway.h
@@ -21,7 +21,6 @@
                        std::function<void(start_answered)> done) = 0;
     virtual void stop(const send_stop &order, row_version token, std::chrono::milliseconds timeout,
                       std::function<void(stop_answered)> done) = 0;
-    virtual void pace(const send_pace &order, row_version token, std::chrono::milliseconds timeout) = 0;
     virtual void list(const send_list &order, row_version token, std::chrono::milliseconds timeout,
                       std::function<void(list_answered)> done) = 0;
 };
--- a/src/libprimrosecroft/jobs/job.cpp
+++ b/src/libprimrosecroft/jobs/job.cpp
@@ -97,7 +97,6 @@
     put(row, "lb", step.label);
     put(row, "fd", step.failureDomain);
     put(row, "dr", step.dataRack);
-    put(row, "im", step.image);
     put(row, "pw", step.maxPerWorker);
     put(row, "tl", step.targetLatency.count());
     if (step.maxUnavailable) {
@@ -125,7 +124,6 @@
     get(row, "lb", step.label);
     get(row, "fd", step.failureDomain);
     get(row, "dr", step.dataRack);
-    get(row, "im", step.image);
     get(row, "pw", step.maxPerWorker);
     getTime(row, "tl", step.targetLatency);
     if (const auto found = row.find("mm"); found != row.end()) {
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -36,7 +36,6 @@
     std::string label; ///< label that a worker must have; empty for any worker
     failure_domain_id failureDomain; ///< failure domain that a worker must be in; empty for any
     std::string dataRack; ///< rack in which the tasks run fastest; empty for no preference
-    std::string image; ///< tasks of the same image behave alike
     std::int32_t maxPerWorker = 0; ///< tasks of this step in one occurrence on the same worker; 0 for no limit
     std::chrono::milliseconds targetLatency {0}; ///< target that a service has towards its own users; 0 for none
     /// Tasks of a service that orders may make unavailable at the same time, so 0 for none. Unset for no limit.
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/wire.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 /// Tests the decoding of the platform's texts, and that job rows are decoded as they were encoded.
 using namespace primrosecroft;
@@ -124,3 +125,15 @@
     CHECK(decoded.queue == job.queue);
     CHECK_THROWS_AS(decodeJob("garbage"), error);
 }
+
+TEST_CASE("values in a job row that only older or newer builds know are ignored")
+{
+    accepted_job job;
+    job.id = "a";
+    job.spec.steps.resize(1);
+    auto row = nlohmann::json::from_cbor(encodeJob(job));
+    row["s"][0]["im"] = "debian";
+    std::string encoded;
+    nlohmann::json::to_cbor(row, encoded);
+    CHECK(decodeJob(encoded).spec == job.spec);
+}
