Split the cell's file on workers by duty

workers.cpp held all that concerns workers in over 600 lines. It keeps what the platform's list says of them; leases.cpp has the leases and the polls that extend them, runs.cpp the runs with their reservations and orders, and health.cpp failures, successes and quarantines. The code of each function is as before, except that what a list says of runs and what a failure does to a worker's health are functions of their own. Behaviour is unchanged.

--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -68,23 +68,16 @@
 /// Marks a worker that the platform no longer lists. It is removed once all leases on it have expired.
 void unlistWorker(cell_state &state, const worker_id &id, cell_actions &actions);
 
-void handleStartAnswer(cell_state &state, const start_answered &message, instant now, cell_actions &actions);
-void handleStopAnswer(cell_state &state, const stop_answered &message, instant now);
-void handleListAnswer(cell_state &state, const list_answered &message, instant now, cell_actions &actions);
-
-/// Polls the workers whose list is due, and thereby extends their leases.
-void requestLists(cell_state &state, instant now, cell_actions &actions);
+/// Handles a restart of the worker: the runs of its previous boot are gone.
+void handleBootChange(cell_state &state, worker_state &worker, worker_boot boot, instant now, cell_actions &actions);
 
-/// Sends a stop if the run is to stop and none is pending or confirmed. A stop that failed is retried after a pause.
-void sendStopIfDue(cell_state &state, const task_ref &ref, task_run &run, instant now, cell_actions &actions);
+/// Returns whether the worker may take new tasks now.
+bool mayStartOn(const cell_state &state, const worker_state &worker, instant now);
 
-/// Stops every run of the task except the one with attempt number @p except; 0 stops all of them.
-void stopRuns(cell_state &state, const task_ref &ref, task_state &task, instant now, cell_actions &actions,
-              std::uint32_t except = 0);
+/// The worker's last label. Returns an empty string if it has no label.
+const std::string &rackOf(const worker_description &worker);
 
-/// Drops the runs of workers whose leases have all expired, and removes workers that the platform no longer lists. No
-/// worker is unreconciled any more once the leases of earlier owners have expired.
-void expireLeases(cell_state &state, instant now, cell_actions &actions);
+// --- leases.cpp
 
 /// The latest deadline that an order to the worker may carry: maxLease after the last confirmation of the ownership,
 /// not after the sending of the order. So all leases have expired when a later owner stops waiting for them. Returns
@@ -94,20 +87,50 @@
 /// Records the deadline of an order when it is sent, since the order may take effect even without an answer.
 void recordDeadline(worker_state &worker, worker_time deadline);
 
+void handleListAnswer(cell_state &state, const list_answered &message, instant now, cell_actions &actions);
+
+/// Polls the workers whose list is due, and thereby extends their leases.
+void requestLists(cell_state &state, instant now, cell_actions &actions);
+
+/// Drops the runs of workers whose leases have all expired, and removes workers that the platform no longer lists. No
+/// worker is unreconciled any more once the leases of earlier owners have expired.
+void expireLeases(cell_state &state, instant now, cell_actions &actions);
+
+// --- runs.cpp
+
 /// Reserves capacity for a run whose start is about to be sent, or that was found on the worker.
 void reserve(worker_state &worker, const run_id &run, const step_spec &spec);
 
 resources freeCapacity(const worker_state &worker);
 
-/// Keeps new tasks off the worker for the duration of @p pause and forgets its failures and stalls so far. Returns false
-/// and changes nothing if it is quarantined already or too many workers are.
+void handleStartAnswer(cell_state &state, const start_answered &message, instant now, cell_actions &actions);
+void handleStopAnswer(cell_state &state, const stop_answered &message, instant now);
+
+/// Handles what a list says of runs: those that run, those that have ended and those that it does not name.
+void handleListedRuns(cell_state &state, worker_state &worker, const list_answered &message, instant now,
+                      cell_actions &actions);
+
+/// Sends a stop if the run is to stop and none is pending or confirmed. A stop that failed is retried after a pause.
+void sendStopIfDue(cell_state &state, const task_ref &ref, task_run &run, instant now, cell_actions &actions);
+
+/// Stops every run of the task except the one with attempt number @p except; 0 stops all of them.
+void stopRuns(cell_state &state, const task_ref &ref, task_state &task, instant now, cell_actions &actions,
+              std::uint32_t except = 0);
+
+/// Drops all runs of a worker. They are over, but the worker has not listed their ends.
+void dropAllRuns(cell_state &state, worker_state &worker, instant now, cell_actions &actions, const char *reason);
+
+// --- health.cpp
+
+/// Keeps new tasks off the worker for the duration of @p pause and forgets its failures and stalls so far. Returns
+/// false and changes nothing if it is quarantined already or too many workers are.
 bool quarantine(const cell_state &state, worker_state &worker, std::chrono::milliseconds pause, instant now);
 
-/// Returns whether the worker may take new tasks now.
-bool mayStartOn(const cell_state &state, const worker_state &worker, instant now);
+/// Records that a task of the job failed on the worker, and quarantines the worker after failures of several jobs.
+void recordFailureOn(cell_state &state, worker_state &worker, const job_id &job, instant now, cell_actions &actions);
 
-/// The worker's last label. Returns an empty string if it has no label.
-const std::string &rackOf(const worker_description &worker);
+/// Records that a run of the task succeeded on the worker, and how fast it was there.
+void recordSuccessOn(worker_state &worker, const task_view &view, const task_run &run, instant now);
 
 // --- placing.cpp
 
--- /dev/null
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -0,0 +1,176 @@
+#include "cell/detail/cell_parts.h"
+
+#include <algorithm>
+#include <ranges>
+
+/// The leases on workers, and the lists that extend them.
+namespace primrosecroft::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto leaseMargin = 50ms; ///< covers rounding, and the time that a worker needs to end expired runs
+constexpr auto listPause = 35ms; ///< ends within this time are listed together
+constexpr auto listRetryDelay = 150ms; ///< pause after a list request that failed
+constexpr auto listTimeout = 700ms; ///< in addition to the wait that the request asks for
+constexpr auto firstListRetryDelay =
+    20ms; ///< short, because jobs of an earlier owner may wait for the worker's first list
+constexpr auto firstListTimeout = 350ms; ///< several times the round trip to another region
+constexpr auto listWait = 700ms; ///< a worker waits up to this long for an end; each list request extends the lease
+constexpr auto idleListInterval = 900ms; ///< for a worker on which nothing runs
+constexpr auto unlistedListInterval = 500ms; ///< for a worker that the platform does not list
+
+/// Lower bound of the worker's clock at the moment @p at, for a clock that runs at minClockRate to full speed.
+worker_time earliestWorkerTime(const clock_sample &sample, instant at)
+{
+    const auto since = std::chrono::duration_cast<worker_time>(at - sample.receivedAt);
+    return sample.clock
+        + (since.count() >= 0
+               ? worker_time(static_cast<std::int64_t>(static_cast<double>(since.count()) * minClockRate))
+               : since);
+}
+
+/// The latest moment at which the worker's clock passes @p deadline, for a clock that runs at minClockRate or faster.
+instant latestInstantOf(const clock_sample &sample, worker_time deadline)
+{
+    const auto left = std::max(worker_time(0), deadline - sample.clock);
+    return sample.receivedAt + std::chrono::duration_cast<duration>(left / minClockRate) + leaseMargin;
+}
+
+void markReconciled(cell_state &state, worker_state &worker)
+{
+    worker.isReconciled = true;
+    state.unreconciledWorkers.erase(worker.description.id);
+}
+
+/// Returns whether jobs of an earlier owner may wait for the worker's first list under this owner.
+bool isReconciliationPending(const cell_state &state, const worker_state &worker, instant now)
+{
+    return !worker.isReconciled && now < state.inDoubtUntil;
+}
+
+} // namespace
+
+std::optional<worker_time> leaseDeadline(const cell_state &state, const worker_state &worker)
+{
+    if (!worker.clock || state.confirmedAt == instant {}) {
+        return std::nullopt;
+    }
+    return earliestWorkerTime(*worker.clock, state.confirmedAt) + state.settings.maxLease;
+}
+
+void recordDeadline(worker_state &worker, worker_time deadline)
+{
+    worker.latestDeadline = std::max(worker.latestDeadline, deadline);
+    worker.leasesEndBy = latestInstantOf(*worker.clock, worker.latestDeadline);
+}
+
+void handleListAnswer(cell_state &state, const list_answered &message, instant now, cell_actions &actions)
+{
+    const auto found = state.workers.find(message.worker);
+    if (found == state.workers.end()) {
+        return;
+    }
+    auto &worker = found->second;
+    worker.isListPending = false;
+    worker.isUnresponsive = message.result != order_result::done;
+    worker.nextListAt = now
+        + (message.result == order_result::lost && isReconciliationPending(state, worker, now) ? firstListRetryDelay
+                                                                                               : listRetryDelay);
+    if (message.result == order_result::fenced) {
+        actions.emplace_back(report_fenced {message.worker});
+        return;
+    }
+    if (message.result == order_result::unreachable) {
+        // Behind a partition that refuses connections its runs would go on, so they are kept until the leases expire.
+        worker.lastListAt = {};
+        return;
+    }
+    if (message.result == order_result::bootMismatch) {
+        handleBootChange(state, worker, 0, now, actions); // 0 until its next list gives the new boot
+        worker.nextListAt = now;
+        return;
+    }
+    if (message.result != order_result::done) {
+        return;
+    }
+    if (message.boot < worker.description.boot) {
+        return; // a late answer from before the worker's last restart
+    }
+    handleBootChange(state, worker, message.boot, now, actions);
+    worker.clock = clock_sample {message.clock, now};
+    // The new clock sample usually gives a closer bound for the end of the leases.
+    if (worker.latestDeadline.count() > 0) {
+        worker.leasesEndBy = latestInstantOf(*worker.clock, worker.latestDeadline);
+    }
+    worker.lastListAt = now;
+    worker.nextListAt = now + listPause;
+    if (!worker.isReconciled) {
+        // Leases granted by an earlier owner may end later than those that this owner grants for now.
+        recordDeadline(worker, message.clock + state.settings.maxLease);
+    }
+    markReconciled(state, worker);
+    handleListedRuns(state, worker, message, now, actions);
+}
+
+void requestLists(cell_state &state, instant now, cell_actions &actions)
+{
+    for (auto &[id, worker] : state.workers) {
+        if (worker.isListPending || now < worker.nextListAt) {
+            continue;
+        }
+        const bool isBusy = !worker.reservations.empty() || !worker.unknownRuns.empty();
+        if (worker.clock && !isBusy && worker.lastListAt != instant {} && worker.processedEnd == worker.acknowledgedEnd
+            && now < worker.lastListAt + idleListInterval) {
+            continue;
+        }
+        if (!worker.isListed && now < worker.lastListAt + unlistedListInterval) {
+            continue;
+        }
+        // An order without an answer may have been carried out, so each further one would postpone the moment by which
+        // the leases of an unresponsive worker have surely expired.
+        const auto deadline = worker.isUnresponsive ? std::nullopt : leaseDeadline(state, worker);
+        if (deadline) {
+            recordDeadline(worker, *deadline);
+        }
+        const bool needsImmediateAnswer = std::ranges::any_of(worker.reservations, [&](const auto &held) {
+            const auto view = findTask(state, held.first.task);
+            const auto *run = view ? findRun(*view->task, id, held.first.attempt) : nullptr;
+            return run != nullptr && (run->phase == run_phase::unconfirmed || run->stopConfirmedAt != instant {});
+        });
+        const auto wait = deadline && isBusy && !needsImmediateAnswer ? std::chrono::milliseconds(listWait) : 0ms;
+        worker.isListPending = true;
+        actions.emplace_back(
+            send_list {id, worker.description.address, worker.description.boot, deadline, worker.acknowledgedEnd, wait,
+                       wait + (isReconciliationPending(state, worker, now) ? firstListTimeout : listTimeout)});
+    }
+}
+
+void expireLeases(cell_state &state, instant now, cell_actions &actions)
+{
+    std::vector<worker_id> removable;
+    for (auto &[id, worker] : state.workers) {
+        const bool haveLeasesExpired = worker.leasesEndBy != instant {} && worker.leasesEndBy <= now;
+        if (haveLeasesExpired && !worker.reservations.empty()) {
+            actions.emplace_back(report_worker_change {id, "leases expired"});
+            dropAllRuns(state, worker, now, actions, "lapsed unseen");
+        }
+        const bool hadNoLease = worker.leasesEndBy == instant {} && !state.unreconciledWorkers.contains(id);
+        if (!worker.isListed && worker.reservations.empty() && (haveLeasesExpired || hadNoLease)
+            && !worker.isListPending) {
+            removable.push_back(id);
+        }
+    }
+    for (const auto &id : removable) {
+        state.workers.erase(id);
+        actions.emplace_back(report_worker_change {id, "forgotten"});
+    }
+    if (now >= state.inDoubtUntil) {
+        state.unreconciledWorkers.clear();
+    }
+}
+
+} // namespace primrosecroft::detail
