--- a/src/libprimrosecroft/cell/order_sender.cpp
+++ b/src/libprimrosecroft/cell/order_sender.cpp
@@ -35,11 +35,6 @@
     m_workers.stop(order, token(), stopTimeout, forwardAnswer<stop_answered>());
 }
 
-void order_sender::send(const send_pace &order)
-{
-    m_workers.pace(order, token(), stopTimeout);
-}
-
 void order_sender::send(const send_list &order)
 {
     m_workers.list(order, token(), order.timeout, forwardAnswer<list_answered>());
--- a/src/libprimrosecroft/cell/order_sender.h
+++ b/src/libprimrosecroft/cell/order_sender.h
@@ -18,7 +18,6 @@
 
     void send(const send_start &order);
     void send(const send_stop &order);
-    void send(const send_pace &order);
     void send(const send_list &order);
     void send(const ask_advice &request);
 
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <cmath>
+#include <nlohmann/json.hpp>
 
 /// Tests the decoding of the platform's texts, and that job rows are decoded as they were encoded.
 using namespace primrosecroft;
@@ -168,3 +169,15 @@
     CHECK_FALSE(isReadable([](accepted_job &job) { job.spec.payload = "\xff"; }));
     CHECK_FALSE(isReadable([](accepted_job &job) { job.queue.slowdownFactor = std::nan(""); }));
 }
+
+TEST_CASE("values in a job row that only older or newer builds know are ignored")
+{
+    accepted_job job;
+    job.id = "a";
+    job.spec.steps.resize(1);
+    auto row = nlohmann::json::from_cbor(encodeJob(job));
+    row["s"][0]["im"] = "debian";
+    std::string encoded;
+    nlohmann::json::to_cbor(row, encoded);
+    CHECK(decodeJob(encoded).spec == job.spec);
+}
