--- a/src/libprimrosecroft/leadership/leadership.cpp
+++ b/src/libprimrosecroft/leadership/leadership.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/overloaded.h"
+#include "core/row_value.h"
 #include "jobs/job_rows.h"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
 constexpr std::size_t maxJitter = 40; ///< milliseconds over which processes with equal round trips spread take-overs
 /// Longer than the interval between the messages that show a refused connection, so that a strong process comes first.
 constexpr auto weakSuccessorDelay = 250ms;
+constexpr std::int64_t maxTerm = 4'000'000; ///< of a row that is read; the numbers of attempts grow by 1000 each term
 constexpr auto maxRoundTripDelay = 250ms; ///< limit on that wait, without the jitter
 
 /// True if this run of the process wrote the row.
@@ -225,11 +227,11 @@
     try {
         const auto parsed = json::from_cbor(row);
         owner_row result;
-        result.process = parsed.at(0).get<std::string>();
-        result.incarnation = parsed.at(1).get<std::int64_t>();
-        result.address = {parsed.at(2).get<std::string>(), parsed.at(3).get<std::uint16_t>()};
-        result.term = parsed.at(4).get<std::int64_t>();
-        result.hasResigned = parsed.at(5).get<bool>();
+        result.process = rowValue<std::string>(parsed.at(0));
+        result.incarnation = rowValue<std::int64_t>(parsed.at(1));
+        result.address = {rowValue<std::string>(parsed.at(2)), rowValue<std::uint16_t>(parsed.at(3))};
+        result.term = rowNumber<std::int64_t>(parsed.at(4), 0, maxTerm);
+        result.hasResigned = rowValue<bool>(parsed.at(5));
         result.capacity = {decodeAmount(parsed, 6), decodeAmount(parsed, 7)};
         return result;
     } catch (const json::exception &fault) {
@@ -237,6 +239,26 @@
     }
 }
 
+owner_poll_answered ownerPollOf(const range_result &result, std::chrono::milliseconds storeRoundTrip)
+{
+    owner_poll_answered answer;
+    answer.outcome = result.outcome;
+    answer.storeRoundTrip = storeRoundTrip;
+    answer.renewal = versionOf(result.rows, renewalPlace());
+    const auto owner = std::ranges::find(result.rows, ownerPlace(), &store_row::place);
+    if (owner == result.rows.end()) {
+        return answer;
+    }
+    try {
+        answer.row = decodeOwner(owner->value);
+        answer.version = owner->version;
+    } catch (const error &fault) {
+        answer.outcome = store_outcome::lost;
+        answer.fault = fault.what();
+    }
+    return answer;
+}
+
 leadership_state makeLeadership(const leadership_settings &settings, instant now)
 {
     leadership_state state;
@@ -271,6 +293,7 @@
                     return;
                 }
                 state.takeOverAt.reset();
+                state.hasPolled = false;
                 state.nextPollAt = now;
             },
             [&](const ownership_lost &) {
--- a/tests/unit/leadership_test.cpp
+++ b/tests/unit/leadership_test.cpp
@@ -1,5 +1,8 @@
 #include "leadership/leadership.h"
 
+#include "core/error.h"
+#include "jobs/job_rows.h"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -177,3 +180,54 @@
     CHECK(elements.at(3) == 7720);
     CHECK(elements.at(5) == false);
 }
+
+TEST_CASE("an owner's row that can't be read ends no process, nobody takes over, and a later valid row is adopted")
+{
+    leadership_settings settings;
+    settings.process = "a";
+    auto state = makeLeadership(settings, start);
+    range_result answer;
+    answer.outcome = store_outcome::done;
+    answer.rows = {{ownerPlace(), "garbage", 9, false}, {renewalPlace(), "1", 10, false}};
+    owner_poll_answered unreadable;
+    REQUIRE_NOTHROW(unreadable = ownerPollOf(answer, 5ms));
+    CHECK_FALSE(unreadable.fault.empty());
+    int polls = 0;
+    for (auto now = start; now < start + 10s; now += 100ms) {
+        const auto actions = step(state, leadership_ticked {}, now);
+        CHECK_FALSE(hasAction<take_ownership>(actions));
+        if (hasAction<poll_owner>(actions)) {
+            ++polls;
+            CHECK_FALSE(hasAction<take_ownership>(step(state, unreadable, now)));
+        }
+    }
+    CHECK(polls > 10);
+    answer.rows.front().value = encodeOwner(rowOf("b"));
+    answer.rows.front().version = 11;
+    const auto valid = ownerPollOf(answer, 5ms);
+    CHECK(valid.renewal == 10);
+    CHECK(hasAction<report_owner>(step(state, valid, start + 10s)));
+}
+
+TEST_CASE("an owner's row with a term below 0 is rejected")
+{
+    auto row = rowOf("b");
+    CHECK(decodeOwner(encodeOwner(row)) == row);
+    row.term = -1;
+    CHECK_THROWS_AS(decodeOwner(encodeOwner(row)), error);
+}
+
+TEST_CASE("a process that finds a row of its earlier run reads the row again after a take-over that conflicts")
+{
+    leadership_settings settings;
+    settings.process = "a";
+    settings.incarnation = 7;
+    auto state = makeLeadership(settings, start);
+    const auto found = step(state, owner_poll_answered {store_outcome::done, rowOf("a"), 9, 10, 5ms}, start);
+    REQUIRE(hasAction<take_ownership>(found));
+    const auto answered = step(state, take_over_answered {store_outcome::conflict, 0}, start + 10ms);
+    CHECK_FALSE(hasAction<take_ownership>(answered));
+    CHECK(hasAction<poll_owner>(answered));
+    CHECK(hasAction<report_owner>(
+        step(state, owner_poll_answered {store_outcome::done, rowOf("b"), 11, 12, 5ms}, start + 20ms)));
+}
