Forget the oldest of a peer's replaced incarnations, not the smallest

A daemon remembers the eight incarnations of each peer that were replaced last, so that their late heartbeats don't replace the running one. The ninth pushed out the smallest number instead of the oldest. Incarnations are random numbers: the one forgotten could be the last but one, whose late heartbeat then counted as a restart, and the running process was dropped as replaced for good.

The record is a queue in the order of replacement now. The new test failed before with falling numbers (the tenth incarnation, a late heartbeat of the eighth was not dropped) and passes with rising and falling ones. No other code drops the first element of a sorted set or map as the oldest.

--- a/src/libprimrosecroft/membership/membership.cpp
+++ b/src/libprimrosecroft/membership/membership.cpp
@@ -11,13 +11,20 @@
 
 constexpr std::size_t maxRetiredPerProcess = 8;
 
+bool isRetired(const membership_state &state, const peer_record &peer)
+{
+    const auto retired = state.retiredIncarnations.find(peer.process);
+    return retired != state.retiredIncarnations.end()
+        && std::ranges::find(retired->second, peer.incarnation) != retired->second.end();
+}
+
 void retireIncarnation(membership_state &state, const peer_record &peer)
 {
     auto &retired = state.retiredIncarnations[peer.process];
     if (retired.size() >= maxRetiredPerProcess) {
-        retired.erase(retired.begin());
+        retired.pop_front();
     }
-    retired.insert(peer.incarnation);
+    retired.push_back(peer.incarnation);
 }
 
 bool differs(const peer_record &before, const peer_record &after)
@@ -29,9 +36,7 @@
 
 heartbeat_effect recordHeartbeat(membership_state &state, peer_record peer, instant now)
 {
-    const auto retired = state.retiredIncarnations.find(peer.process);
-    if (peer.process == state.self
-        || (retired != state.retiredIncarnations.end() && retired->second.contains(peer.incarnation))) {
+    if (peer.process == state.self || isRetired(state, peer)) {
         return {true, false};
     }
     peer.lastContactAt = now;
--- a/src/libprimrosecroft/membership/membership.h
+++ b/src/libprimrosecroft/membership/membership.h
@@ -2,8 +2,8 @@
 
 #include "core/types.h"
 
+#include <deque>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -51,8 +51,8 @@
     failure_domain_id failureDomain;
     std::vector<listed_vm> vms; ///< the last list that could be read
     std::map<process_id, peer_record> peers; ///< without this process
-    /// Incarnations that another one has replaced. Their heartbeats are dropped.
-    std::map<process_id, std::set<std::int64_t>> retiredIncarnations;
+    /// The incarnations of each process that were replaced last, in this order. Their heartbeats are dropped.
+    std::map<process_id, std::deque<std::int64_t>> retiredIncarnations;
 };
 
 /// A peer counts as out of contact after this span without a heartbeat.
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -2,6 +2,7 @@
 #include "membership/daemon_row.h"
 #include "membership/membership.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace primrosecroft;
@@ -49,6 +50,20 @@
     CHECK(state.peers.at("dyce-e1-entryd").incarnation == 100);
 }
 
+TEST_CASE("late heartbeats of the eight incarnations that were replaced last are dropped, whatever their numbers")
+{
+    auto state = makeState();
+    const instant now {};
+    const auto isRising = GENERATE(true, false);
+    const auto incarnationOf = [isRising](std::int64_t round) { return isRising ? round : 100 - round; };
+    for (std::int64_t round = 1; round <= 20; ++round) {
+        recordHeartbeat(state, makePeer("dyce-e1-entryd", incarnationOf(round)), now);
+        for (auto late = std::max<std::int64_t>(1, round - 8); late < round; ++late) {
+            REQUIRE(recordHeartbeat(state, makePeer("dyce-e1-entryd", incarnationOf(late)), now).isDropped);
+        }
+    }
+}
+
 TEST_CASE("a leaving notice is final for its incarnation and doesn't apply to the next one")
 {
     auto state = makeState();
