Refuse a sheet's demand whose key belongs to another demand

A sheet's demand was taken as accepted at each conflict of its commit, and, once accepted, whatever the sheet made of it later under the same name. If the key belonged to another demand, the sheet's one never ran, and no log line or metric showed it. The commit also conflicts if only the job exists, so that a conflict alone doesn't tell that the demand is there.

After a conflict the row under the key is read and compared now. An equal demand is accepted; another one is refused, logged with its key and counted once for each content of the sheet's demand (primrosecroft_demands_refused_total, step="accept sheet demand"). Without a readable row nothing is settled, and the commit is repeated with the next period.

The other conflicts were looked through: a caller's demand compares the row already; a job is identified by its id alone, so that its conflict is the same job; a cancellation's conflict is documented as one of an ended job.

--- a/src/libprimrosecroft/demands/demand_service.cpp
+++ b/src/libprimrosecroft/demands/demand_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "observability/log_text.h"
 #include "observability/problem.h"
 #include "settings/checked_node.h"
 
@@ -42,6 +43,17 @@
             .dump());
 }
 
+/// Returns std::nullopt, and logs it, if the row can't be decoded.
+std::optional<demand_row> decodeIfReadable(const store_row &row)
+{
+    try {
+        return rowFromJson(row.value);
+    } catch (const error &fault) {
+        LOG(ERROR) << "demands: unreadable row, key=" << logText(row.place.key) << " reason=" << logText(fault.what());
+        return std::nullopt;
+    }
+}
+
 /// Outcome of an ended demand in answers to callers.
 std::string outcomeOf(const ended_job &ended)
 {
@@ -312,7 +324,7 @@
 /// Reads a demand and the state of its job. A row that can't be decoded counts as a failed read.
 void demand_service::readStored(const demand_key &key, std::function<void(const demand_result &)> done)
 {
-    m_store.readRow(demandPlace(key), [this, key, done = std::move(done)](const row_result &result) {
+    m_store.readRow(demandPlace(key), [this, done = std::move(done)](const row_result &result) {
         if (!result) {
             done(std::nullopt);
             return;
@@ -321,10 +333,9 @@
             done(demand_result {std::optional<stored_demand> {}});
             return;
         }
-        try {
-            readLive(rowFromJson((*result)->value), done);
-        } catch (const error &fault) {
-            LOG(ERROR) << "demands: unreadable row, key=" << key << " reason=" << fault.what();
+        if (const auto row = decodeIfReadable(**result)) {
+            readLive(*row, done);
+        } else {
             done(std::nullopt);
         }
     });
@@ -522,18 +533,44 @@
     for (const auto &[name, spec] : sheet->demands) {
         demand_row row {sheetDemandKey(*sheet, name), {}, spec};
         const auto home = sheetDemandHome(*sheet, row.key, spec);
-        if (m_accepted.contains(row.key) || home != m_settings.failureDomain) {
+        const auto settled = m_settledSheetDemands.find(row.key);
+        const bool isSettled = settled != m_settledSheetDemands.end() && settled->second == spec;
+        if (isSettled || home != m_settings.failureDomain) {
             continue;
         }
         row.home = *home;
-        m_store.commit(demandAcceptance(row, makeDemandJob(row, m_settings.pool, m_links.storeTime())),
-                       [this, key = row.key](const commit_result &result) {
-                           // A conflict means that a demand under this key has been accepted before.
-                           if (result.outcome == store_outcome::done || result.outcome == store_outcome::conflict) {
-                               m_accepted.insert(key);
-                           }
-                       });
+        acceptSheetDemand(row);
     }
 }
 
+void demand_service::acceptSheetDemand(const demand_row &row)
+{
+    m_store.commit(demandAcceptance(row, makeDemandJob(row, m_settings.pool, m_links.storeTime())),
+                   [this, row](const commit_result &result) {
+                       if (result.outcome == store_outcome::done) {
+                           m_settledSheetDemands[row.key] = row.spec;
+                       } else if (result.outcome == store_outcome::conflict) {
+                           settleSheetDemand(row);
+                       }
+                   });
+}
+
+/// Called when the key of a sheet's demand is in use. The row under it shows if this demand was accepted before, or if
+/// the key belongs to another demand. Without a row, the demand isn't settled and will be committed again.
+void demand_service::settleSheetDemand(const demand_row &row)
+{
+    m_store.readRow(demandPlace(row.key), [this, row](const row_result &result) {
+        const auto found = result && *result ? decodeIfReadable(**result) : std::nullopt;
+        if (!found) {
+            return;
+        }
+        m_settledSheetDemands[row.key] = row.spec;
+        if (found->spec != row.spec) {
+            m_measures.count("primrosecroft_demands_refused_total", "step", "accept sheet demand");
+            LOG(ERROR) << "demands: a sheet's demand was refused because its key belongs to another demand, key="
+                       << logText(row.key);
+        }
+    });
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/demands/demand_service.h
+++ b/src/libprimrosecroft/demands/demand_service.h
@@ -11,9 +11,9 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace primrosecroft
 {
@@ -59,7 +59,8 @@
     void serve(const std::shared_ptr<http_request> &request);
 
     /// Accepts those demands of the sheet in force whose home is this process's failure domain. Several processes may
-    /// do this at once: the key of a demand makes it idempotent. Called for each new sheet and periodically.
+    /// do this at once: the key of a demand makes it idempotent. A demand whose key belongs to another one is refused,
+    /// logged and counted. Called for each new sheet and periodically.
     void acceptSheetDemands();
 
 private:
@@ -92,6 +93,8 @@
     void list(const std::shared_ptr<http_request> &request);
     void cancel(const std::shared_ptr<cancellation> &entry);
     void commitCancel(const std::shared_ptr<cancellation> &entry, const stored_demand &found);
+    void acceptSheetDemand(const demand_row &row);
+    void settleSheetDemand(const demand_row &row);
     void giveUpCancel(const std::shared_ptr<cancellation> &entry);
     void refuse(const std::shared_ptr<http_request> &request, unsigned status, const std::string &step,
                 const std::string &detail, std::optional<std::chrono::milliseconds> retryAfter);
@@ -107,7 +110,9 @@
     demand_links m_links;
     demand_settings m_settings;
     std::deque<demand_key> m_unresolved; ///< keys that were answered with an unknown outcome, oldest first
-    std::set<demand_key> m_accepted; ///< keys of sheets' demands that are known to be accepted
+    /// Demands of sheets, by their keys, that are known to be accepted, or refused because their key belongs to
+    /// another.
+    std::map<demand_key, demand_spec> m_settledSheetDemands;
 };
 
 /// Chooses the failure domain in which a demand runs: the one that it names, otherwise @p own, otherwise the first one
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -20,6 +20,9 @@
                 std::function<void(commit_result)> done) override
     {
         ++commits;
+        if (beforeCommit) {
+            beforeCommit();
+        }
         if (ignoresCommits) {
             return;
         }
@@ -38,12 +41,12 @@
     {
         ++reads;
         auto result = rows.read(range);
-        if (isUnreachable) {
+        if (isUnreachable || refusesReads) {
             result = {};
             result.outcome = store_outcome::refused;
         }
         if (range.table == heldTable) {
-            m_held.push_back([done = std::move(done), result] { done(result); });
+            m_held.emplace_back([done = std::move(done), result] { done(result); });
             return;
         }
         answer([done = std::move(done), result] { done(result); });
@@ -81,6 +84,8 @@
     bool delaysAnswers = false;
     bool answersPolls = false; ///< if false, polls for changes get no answer, and the code under test must cope
     bool isUnreachable = false; ///< every commit and read is refused
+    bool refusesReads = false; ///< every read is refused
+    std::function<void()> beforeCommit; ///< called before each commit is carried out, if set
     bool ignoresCommits = false; ///< commits are neither carried out nor answered
     int commits = 0;
     int reads = 0;
