Set an unreadable history row aside, and name only committed versions

An unreadable row of the sheet's history ended the entry daemon: the answers to GET /v1/sheet/history and GET /v1/sheet/versions/N decoded it unguarded inside a callback of the main loop. And a PUT that lost against another one, when neither the history row nor the row in force could be read, was answered with 409 and its own version and writer as the one in force, which was never committed.

Each row is decoded under a guard and an unreadable one logged with its key. The history shows the other versions; a version whose row is unreadable is answered with 503, its neighbours as before. The conflict names the version in force, else the one that won, which was committed; if neither can be read it is answered with 503 (refused, nothing was written) and Retry-After. The follower's log line names the key too.

Other decoders of rows in the entry daemon are guarded already.

--- a/src/libprimrosecroft/configuration/configuration_follower.cpp
+++ b/src/libprimrosecroft/configuration/configuration_follower.cpp
@@ -26,7 +26,8 @@
     try {
         return {std::optional(configurationRowFromJson((*result)->value))};
     } catch (const error &fault) {
-        LOG(ERROR) << "configuration: unreadable row, reason=" << logText(fault.what());
+        LOG(ERROR) << "configuration: unreadable row, key=" << logText((*result)->place.key)
+                   << " reason=" << logText(fault.what());
         return {};
     }
 }
--- a/src/libprimrosecroft/configuration/sheet_service.cpp
+++ b/src/libprimrosecroft/configuration/sheet_service.cpp
@@ -12,6 +12,7 @@
 #include <glog/logging.h>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <ranges>
 #include <utility>
 
 namespace primrosecroft
@@ -78,20 +79,24 @@
     return isPlain && name.size() <= maxOperatorLength ? name : "";
 }
 
-/// Returns std::nullopt if the row is missing, can't be read or can't be decoded.
-std::optional<configuration_row> decodeIfReadable(const row_result &result)
+/// Returns std::nullopt, and logs it, if the row can't be decoded.
+std::optional<configuration_row> decodeIfReadable(const store_row &row)
 {
-    if (!result || !*result) {
-        return std::nullopt;
-    }
     try {
-        return configurationRowFromJson((*result)->value);
+        return configurationRowFromJson(row.value);
     } catch (const error &fault) {
-        LOG(ERROR) << "configuration: unreadable row, reason=" << logText(fault.what());
+        LOG(ERROR) << "configuration: unreadable row, key=" << logText(row.place.key)
+                   << " reason=" << logText(fault.what());
         return std::nullopt;
     }
 }
 
+/// Returns std::nullopt if the row is missing, can't be read or can't be decoded.
+std::optional<configuration_row> decodeIfReadable(const row_result &result)
+{
+    return result && *result ? decodeIfReadable(**result) : std::nullopt;
+}
+
 } // namespace
 
 /// A PUT of a sheet in progress.
@@ -154,13 +159,11 @@
             request->answer(storeUnreachable(request_outcome::refused, "read history"));
             return;
         }
-        std::vector<configuration_row> versions;
-        std::ranges::transform(*rows, std::back_inserter(versions),
-                               [](const store_row &row) { return configurationRowFromJson(row.value); });
-        std::ranges::reverse(versions);
         auto list = nlohmann::json::array();
-        for (const auto &each : versions) {
-            list.push_back({{"version", each.version}, {"hash", each.hash}, {"writer", each.writer}});
+        for (const auto &each : *rows | std::views::reverse) {
+            if (const auto row = decodeIfReadable(each)) {
+                list.push_back({{"version", row->version}, {"hash", row->hash}, {"writer", row->writer}});
+            }
         }
         request->answer(jsonResponse(statusOk, nlohmann::json {{"versions", list}}.dump()));
     });
@@ -186,14 +189,18 @@
             answerNotFound();
             return;
         }
-        const auto row = configurationRowFromJson((*result)->value);
-        m_store.getObject(row.hash, [request, row](const std::optional<std::string> &text) {
+        const auto row = decodeIfReadable(**result);
+        if (!row) {
+            request->answer(toResponse({statusUnavailable, request_outcome::refused, "read history", "platform",
+                                        "the row of this version is unreadable", storeRetryAfter, ""}));
+            return;
+        }
+        m_store.getObject(row->hash, [request, version = row->version](const std::optional<std::string> &text) {
             if (!text) {
                 request->answer(storeUnreachable(request_outcome::refused, "read sheet"));
                 return;
             }
-            request->answer(
-                {statusOk, {{"Content-Type", "application/yaml"}, {"ETag", entityTag(row.version)}}, *text});
+            request->answer({statusOk, {{"Content-Type", "application/yaml"}, {"ETag", entityTag(version)}}, *text});
         });
     });
 }
@@ -317,18 +324,22 @@
         } else if (entry->mayHaveTakenEffect && !winner) {
             entry->request->answer(storeUnreachable(request_outcome::unknown, "commit version"));
         } else {
-            answerConflict(entry);
+            answerConflict(entry, winner);
         }
     });
 }
 
-/// Answers that this change was not written. The answer names the version in force, which may be later than the one
-/// that was written instead. If it can't be read, the answer names the version of this change.
-void sheet_service::answerConflict(const std::shared_ptr<change> &entry)
+/// Answers that this change was not written. The answer names the version in force, which may be later than @p winner,
+/// the version that was written instead. If neither can be read, the answer names no version.
+void sheet_service::answerConflict(const std::shared_ptr<change> &entry, const std::optional<configuration_row> &winner)
 {
-    m_store.readRow(configurationPlace(), [entry](const row_result &result) {
+    m_store.readRow(configurationPlace(), [entry, winner](const row_result &result) {
         const auto current = decodeIfReadable(result);
-        entry->request->answer(versionConflict(current.value_or(entry->row)));
+        if (const auto known = current ? current : winner) {
+            entry->request->answer(versionConflict(*known));
+        } else {
+            entry->request->answer(storeUnreachable(request_outcome::refused, "compare version"));
+        }
     });
 }
 
--- a/src/libprimrosecroft/configuration/sheet_service.h
+++ b/src/libprimrosecroft/configuration/sheet_service.h
@@ -5,6 +5,7 @@
 #include "store/guarded_store.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace primrosecroft
@@ -37,7 +38,7 @@
     void commit(const std::shared_ptr<change> &entry, row_version rowVersion);
     void retryLost(const std::shared_ptr<change> &entry, row_version rowVersion);
     void confirmWriter(const std::shared_ptr<change> &entry);
-    void answerConflict(const std::shared_ptr<change> &entry);
+    void answerConflict(const std::shared_ptr<change> &entry, const std::optional<configuration_row> &winner);
     void answerDone(const std::shared_ptr<change> &entry);
 
     guarded_store &m_store;
