Tell all cell daemons of an owner that has never owned before

The new owner's notice went to the daemons that had sent it their presence, but only an owner gets presence messages, so that a first ownership was told to nobody. After the end of an owner it matters less: the others read its row each 150 ms then.

The notice goes to the former owner too, which knows the others from their presence, and a daemon to which the row is new passes it on. A row is new to a daemon only once, so that the notices end. A daemon that is dead gets none, as before, and the others find the new owner by its row.

Ruled out: filling the list of a new owner from the hand-over message, since a notice through the former owner also ends its ownership at once.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -200,6 +200,7 @@
                                                 {"term", std::to_string(report.row.term)},
                                                 {"resigned", report.row.hasResigned ? "1" : "0"}});
                                sendPresence();
+                               notifyPeersOfOwner(report.row, report.version);
                            },
                        },
                        action);
@@ -236,6 +237,7 @@
                          {"term", std::to_string(taking.row.term)},
                          {"heard_ms", ageInMs(leadership.lastContactAt)},
                          {"refused", leadership.isConnectionRefused ? "1" : "0"}});
+        formerOwner = leadership.owner ? std::optional(leadership.owner->address) : std::nullopt;
         const auto sentAt = bootNow();
         rows.commit({{{ownerPlace(), taking.expected}}, {{ownerPlace(), encodeOwner(taking.row)}}, {}}, takeOverTimeout,
                     [this, sentAt](const commit_result &result) {
@@ -250,7 +252,11 @@
         ownsSince = bootNow();
         lastSuccessor.clear();
         runner.begin(begun.token, begun.term, ownershipConfirmedAt);
-        notifyPeersOfOwner(*leadership.owner, begun.token);
+        const auto notice = notifyPeersOfOwner(*leadership.owner, begun.token);
+        if (formerOwner && *formerOwner != settings.peers) {
+            // Only it may know the others, which have sent it their presence. It passes the notice on to them.
+            peers.send(*formerOwner, notice);
+        }
         refreshAdviceRoutes();
     }
 
@@ -270,7 +276,8 @@
                     });
     }
 
-    void notifyPeersOfOwner(const owner_row &row, row_version version)
+    /// Sends a notice of the owner's row to all known daemons, and returns it.
+    wire::Message notifyPeersOfOwner(const owner_row &row, row_version version)
     {
         wire::Message message;
         message.ownerNotice.row = encodeOwner(row);
@@ -279,6 +286,7 @@
         for (const auto &[name, peer] : knownPeers) {
             peers.send(peer.address, message);
         }
+        return message;
     }
 
     void ownershipLost(const std::string &reason)
@@ -640,6 +648,7 @@
     instant ownershipConfirmedAt;
     std::optional<instant> handoverRequestedAt; ///< of the latest request; std::nullopt before the first one
     instant ownsSince;
+    std::optional<peer_address> formerOwner; ///< at the latest take-over; std::nullopt if no owner was known
     process_id lastSuccessor; ///< the daemon last asked to take over; empty if this ownership has asked none
     std::map<process_id, successor_candidate> knownPeers; ///< from the last presence message of each
     std::optional<waiting_counts> waitingCounts; ///< the latest that an owner has reported
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -905,7 +905,9 @@
 
 /**
  * Sent by a cell daemon when it has become the owner of the shard, or has resigned, to all daemons from which it has
- * received a Presence. The others notice it when they next read the owner's row. There is no reply.
+ * received a Presence, and to the former owner. A receiver to which the row is new passes the notice on to all daemons
+ * from which it has received a Presence itself. The others notice it when they next read the owner's row. There is no
+ * reply.
  */
 class OwnerNotice : public virtual ::apache::thrift::TBase {
  public:
