Let no cell daemon end at an unreadable row of the owner

An owner's row that can't be decoded ended every cell daemon of the cell at its next poll: the row was decoded unguarded in the callback of the read.

The notice with the same row, and the entry daemon's read of it, were guarded already.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -221,8 +221,7 @@
                           if (row.place.key == renewalPlace().key) {
                               answer.renewal = row.version;
                           } else if (row.place.key == ownerPlace().key) {
-                              answer.row = decodeOwner(row.value);
-                              answer.version = row.version;
+                              readOwnerInto(answer, row);
                           }
                       }
                       ownershipConfirmedAt = sentAt;
@@ -230,6 +229,18 @@
                   });
     }
 
+    /// A row that can't be decoded counts as a failed poll: who owns the shard isn't known then.
+    void readOwnerInto(owner_poll_answered &answer, const store_row &row)
+    {
+        try {
+            answer.row = decodeOwner(row.value);
+            answer.version = row.version;
+        } catch (const error &fault) {
+            log.write("cell", "row-unreadable", {{"key", row.place.key}, {"reason", fault.what()}});
+            answer.outcome = store_outcome::refused;
+        }
+    }
+
     void takeOwnership(const take_ownership &taking)
     {
         log.writeAlways("cell", "take-over",
