Begin each attempt of a booking with a state of its own

If an executor refused a booking with the mark that it leaves and its load, and the retry at the next executor got no answer, the mark and the load counted for that one too: it got no more requests for 300 s, its peers were told so, and its load was taken from the other's report. send() reset two of the eight fields of an attempt. They are one structure now, which each attempt begins anew.

The new test failed before (two executors leaving and two with a load instead of one) and passes. Other retries were looked through: those of demands and of callers' jobs keep only what must last, the doubt whether an earlier attempt took effect and the count of attempts.

--- a/src/libprimrosecroft/routing/booking_proxy.cpp
+++ b/src/libprimrosecroft/routing/booking_proxy.cpp
@@ -112,20 +112,26 @@
 
 struct booking_proxy::booking
 {
+    /// State of one attempt. Each attempt begins with a new one.
+    struct attempt
+    {
+        upstream_id upstream;
+        instant sentAt;
+        std::shared_ptr<http_stream> stream;
+        bool isUpstreamLeaving = false;
+        bool wasNotRun = false;
+        bool isStreaming = false; ///< the answer is passed on to the caller as it arrives
+        std::optional<std::int32_t> reportedLoad; ///< std::nullopt if the answer doesn't report one
+        http_response errorResponse; ///< a server error's answer, which goes to the caller if no retry is made
+    };
+
     std::uint64_t id = 0;
     std::shared_ptr<http_request> request; ///< the caller's
     http_call call;
     std::string pathAndQuery;
     instant arrivedAt;
     instant deadline;
-    instant sentAt;
-    std::shared_ptr<http_stream> stream;
-    upstream_id upstream;
-    bool isUpstreamLeaving = false;
-    bool wasNotRun = false;
-    bool isStreaming = false; ///< the answer is passed on to the caller as it arrives
-    std::optional<std::int32_t> reportedLoad; ///< std::nullopt if the answer doesn't report one
-    http_response errorResponse; ///< a server error's answer, kept because it goes to the caller if no retry is made
+    attempt latest;
 };
 
 booking_proxy::booking_proxy(http_client &http, metrics &measures, const routing_settings &settings,
@@ -225,10 +231,9 @@
 {
     const auto entry = m_bookings.at(action.id);
     const auto now = std::chrono::steady_clock::now();
-    entry->upstream = action.upstream;
-    entry->sentAt = now;
-    entry->wasNotRun = false;
-    entry->errorResponse = {};
+    entry->latest = {};
+    entry->latest.upstream = action.upstream;
+    entry->latest.sentAt = now;
     auto call = entry->call;
     call.url = m_addresses[action.upstream] + entry->pathAndQuery;
     call.timeout = std::max<std::chrono::milliseconds>(
@@ -241,45 +246,45 @@
     handlers.pieceReceived = [this, entry](std::string_view piece) { onBodyReceived(entry, piece); };
     handlers.ended = [this, entry] { onResponseEnded(entry); };
     handlers.failed = [this, entry](const http_failure &failure) { onAttemptFailed(entry, failure); };
-    entry->stream = m_http.stream(call, std::move(handlers));
+    entry->latest.stream = m_http.stream(call, std::move(handlers));
 }
 
 void booking_proxy::onResponseStarted(const std::shared_ptr<booking> &entry, unsigned status,
                                       const http_headers &headers)
 {
-    entry->isUpstreamLeaving = !headerValue(headers, leavingHeader).empty();
-    entry->wasNotRun = status == statusUnavailable && !headerValue(headers, notRunHeader).empty();
+    entry->latest.isUpstreamLeaving = !headerValue(headers, leavingHeader).empty();
+    entry->latest.wasNotRun = status == statusUnavailable && !headerValue(headers, notRunHeader).empty();
     const auto load = parseInteger(headerValue(headers, loadHeader));
-    entry->reportedLoad =
+    entry->latest.reportedLoad =
         load ? std::optional(static_cast<std::int32_t>(std::clamp<std::int64_t>(*load, 0, 1'000'000))) : std::nullopt;
     if (status >= firstServerErrorStatus) {
-        entry->errorResponse = {status, forwardedHeaders(headers), {}};
+        entry->latest.errorResponse = {status, forwardedHeaders(headers), {}};
     } else {
-        entry->isStreaming = true;
+        entry->latest.isStreaming = true;
         entry->request->beginStream(status, forwardedHeadersWithLength(headers));
     }
-    entry->stream->readMore();
+    entry->latest.stream->readMore();
 }
 
 void booking_proxy::onBodyReceived(const std::shared_ptr<booking> &entry, std::string_view piece)
 {
-    if (!entry->isStreaming) {
-        if (entry->errorResponse.body.size() < maxErrorBodyBytes) {
-            entry->errorResponse.body.append(piece);
+    if (!entry->latest.isStreaming) {
+        if (entry->latest.errorResponse.body.size() < maxErrorBodyBytes) {
+            entry->latest.errorResponse.body.append(piece);
         }
-        entry->stream->readMore();
+        entry->latest.stream->readMore();
         return;
     }
     entry->request->writePiece(piece, [weakEntry = std::weak_ptr(entry)] {
         if (const auto strong = weakEntry.lock()) {
-            strong->stream->readMore();
+            strong->latest.stream->readMore();
         }
     });
 }
 
 void booking_proxy::onResponseEnded(const std::shared_ptr<booking> &entry)
 {
-    if (entry->isStreaming) {
+    if (entry->latest.isStreaming) {
         entry->request->endStream();
         removeBooking(entry->id);
         m_measures.count("primrosecroft_bookings_total", "outcome", "answered");
@@ -289,14 +294,14 @@
         finishAttempt(entry, attempt_result::answered);
         return;
     }
-    finishAttempt(entry, entry->wasNotRun ? attempt_result::notRun : attempt_result::failed);
+    finishAttempt(entry, entry->latest.wasNotRun ? attempt_result::notRun : attempt_result::failed);
 }
 
 void booking_proxy::onAttemptFailed(const std::shared_ptr<booking> &entry, const http_failure &failure)
 {
     LOG_EVERY_N(WARNING, 50) << "routing: attempt failed, id=" << entry->id
                              << " reason=" << logText(failure.fault.what());
-    if (entry->isStreaming) {
+    if (entry->latest.isStreaming) {
         entry->request->abort();
         removeBooking(entry->id);
         m_measures.count("primrosecroft_bookings_total", "outcome", "broken");
@@ -307,10 +312,10 @@
 void booking_proxy::finishAttempt(const std::shared_ptr<booking> &entry, attempt_result result)
 {
     const auto took =
-        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - entry->sentAt);
-    const auto stream = std::exchange(entry->stream, nullptr);
-    handle(
-        attempt_finished {entry->id, result, entry->isUpstreamLeaving, entry->isStreaming, entry->reportedLoad, took});
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - entry->latest.sentAt);
+    const auto stream = std::exchange(entry->latest.stream, nullptr);
+    handle(attempt_finished {entry->id, result, entry->latest.isUpstreamLeaving, entry->latest.isStreaming,
+                             entry->latest.reportedLoad, took});
 }
 
 std::shared_ptr<booking_proxy::booking> booking_proxy::removeBooking(std::uint64_t id)
@@ -323,8 +328,8 @@
 {
     const auto entry = removeBooking(action.id);
     m_measures.count("primrosecroft_bookings_total", "outcome", "refused");
-    entry->request->answer(toResponse({statusUnavailable, request_outcome::refused, "route request", entry->upstream,
-                                       action.reason, action.retryAfter, ""}));
+    entry->request->answer(toResponse({statusUnavailable, request_outcome::refused, "route request",
+                                       entry->latest.upstream, action.reason, action.retryAfter, ""}));
 }
 
 void booking_proxy::reportUnknown(const report_unknown &action)
@@ -332,7 +337,7 @@
     const auto entry = removeBooking(action.id);
     m_measures.count("primrosecroft_bookings_total", "outcome", "unknown");
     entry->request->answer(
-        toResponse({statusGatewayTimeout, request_outcome::unknown, "await answer", entry->upstream,
+        toResponse({statusGatewayTimeout, request_outcome::unknown, "await answer", entry->latest.upstream,
                     "the request was sent and no complete answer arrived", std::nullopt, entry->pathAndQuery}));
 }
 
@@ -340,7 +345,7 @@
 {
     const auto entry = removeBooking(action.id);
     m_measures.count("primrosecroft_bookings_total", "outcome", "upstream_fault");
-    entry->request->answer(entry->errorResponse);
+    entry->request->answer(entry->latest.errorResponse);
 }
 
 } // namespace primrosecroft
--- a/tests/unit/booking_test.cpp
+++ b/tests/unit/booking_test.cpp
@@ -1,6 +1,7 @@
 #include "loopback.h"
 #include "routing/booking_proxy.h"
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
@@ -399,3 +400,30 @@
     CHECK_FALSE(contains(chunked, "hello"));
     CHECK(contains(daemon.ask(request("GET", "/booking/1")), "hello"));
 }
+
+TEST_CASE("a retry doesn't take over the leaving mark and the load of the attempt before")
+{
+    constexpr int warmUps = 11; // each adds 0.1 to the retry budget
+    std::atomic<int> requests = 0;
+    const auto script = answering([&requests](const std::string &) -> std::string {
+        const auto number = requests++;
+        if (number == warmUps) {
+            return "HTTP/1.1 503 Service Unavailable\r\nPrimrosecroft-Not-Run: 1\r\nPrimrosecroft-Leaving: 1\r\n"
+                   "Primrosecroft-Load: 7\r\nContent-Length: 0\r\n\r\n";
+        }
+        return number < warmUps ? answerOf("warm") : "";
+    });
+    scripted_peer first(script);
+    scripted_peer second(script);
+    const entry daemon({first.port(), second.port()});
+    for (int each = 0; each < warmUps; ++each) {
+        REQUIRE(contains(daemon.ask(request("GET", "/booking/warm")), "warm"));
+    }
+    daemon.ask(request("GET", "/booking/1"));
+    REQUIRE(requests == warmUps + 2);
+    const auto &state = daemon.proxy.state();
+    CHECK(state.leavingSince.size() == 1);
+    const auto withLoad =
+        std::ranges::count_if(state.upstreams, [](const auto &each) { return each.second.otherDaemonsLoad > 0; });
+    CHECK(withLoad == 1);
+}
