Count the bytes of bookings, so that the link budget is corrected

The routing core corrects the budget of the link between regions by the actual size of a request and its answer, but booking_proxy never set that size. Each request across the link counted as 4,096 bytes whatever it moved, so that large answers could take many times the budget of the link.

Each attempt now counts the bytes of its request and of what has arrived of the answer, with their headers. An attempt without a connection moved nothing and stays at 0, "unknown", so that it doesn't lower the average.

The new test failed before: an answer of 100,000 bytes took 4,096 of the budget and left the average at 4,096. routing-test, routing_golden-test and routing_cell-test pass unchanged.

--- a/src/libprimrosecroft/routing/booking_proxy.cpp
+++ b/src/libprimrosecroft/routing/booking_proxy.cpp
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <functional>
 #include <glib.h>
 #include <glog/logging.h>
+#include <numeric>
 #include <ranges>
 #include <utility>
 
@@ -53,6 +55,15 @@
     return std::ranges::find(idempotentMethods, request.method()) != idempotentMethods.end();
 }
 
+std::int64_t sizeOf(const http_headers &headers)
+{
+    constexpr std::size_t separators = 4; // colon, space and the end of the line
+    return std::transform_reduce(
+        headers.begin(), headers.end(), std::int64_t {0}, std::plus {}, [](const http_header &each) {
+            return static_cast<std::int64_t>(each.name.size() + each.value.size() + separators);
+        });
+}
+
 /// Headers that concern one connection only and aren't forwarded (RFC 9110, 7.6.1).
 bool isHopByHop(const std::string &name)
 {
@@ -122,6 +133,7 @@
         bool wasNotRun = false;
         bool isStreaming = false; ///< the answer is passed on to the caller as it arrives
         std::optional<std::int32_t> reportedLoad; ///< std::nullopt if the answer doesn't report one
+        std::int64_t bytes = 0; ///< of the request, and of what has arrived of the answer
         http_response errorResponse; ///< a server error's answer, which goes to the caller if no retry is made
     };
 
@@ -239,6 +251,7 @@
     call.timeout = std::max<std::chrono::milliseconds>(
         1ms, std::chrono::duration_cast<std::chrono::milliseconds>(entry->deadline - now));
     call.headers.push_back({requestIdHeader, std::to_string(entry->id)});
+    entry->latest.bytes = static_cast<std::int64_t>(call.url.size() + call.body.size()) + sizeOf(call.headers);
     http_stream::handlers handlers;
     handlers.headReceived = [this, entry](unsigned status, const http_headers &headers) {
         onResponseStarted(entry, status, headers);
@@ -252,6 +265,7 @@
 void booking_proxy::onResponseStarted(const std::shared_ptr<booking> &entry, unsigned status,
                                       const http_headers &headers)
 {
+    entry->latest.bytes += sizeOf(headers);
     entry->latest.isUpstreamLeaving = !headerValue(headers, leavingHeader).empty();
     entry->latest.wasNotRun = status == statusUnavailable && !headerValue(headers, notRunHeader).empty();
     const auto load = parseInteger(headerValue(headers, loadHeader));
@@ -268,6 +282,7 @@
 
 void booking_proxy::onBodyReceived(const std::shared_ptr<booking> &entry, std::string_view piece)
 {
+    entry->latest.bytes += static_cast<std::int64_t>(piece.size());
     if (!entry->latest.isStreaming) {
         if (entry->latest.errorResponse.body.size() < maxErrorBodyBytes) {
             entry->latest.errorResponse.body.append(piece);
@@ -314,8 +329,9 @@
     const auto took =
         std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - entry->latest.sentAt);
     const auto stream = std::exchange(entry->latest.stream, nullptr);
+    const auto bytes = result == attempt_result::unreachable ? 0 : entry->latest.bytes;
     handle(attempt_finished {entry->id, result, entry->latest.isUpstreamLeaving, entry->latest.isStreaming,
-                             entry->latest.reportedLoad, took});
+                             entry->latest.reportedLoad, took, bytes});
 }
 
 std::shared_ptr<booking_proxy::booking> booking_proxy::removeBooking(std::uint64_t id)
--- a/tests/unit/booking_test.cpp
+++ b/tests/unit/booking_test.cpp
@@ -427,3 +427,17 @@
         std::ranges::count_if(state.upstreams, [](const auto &each) { return each.second.otherDaemonsLoad > 0; });
     CHECK(withLoad == 1);
 }
+
+TEST_CASE("the link budget is corrected by the size of the request and its answer")
+{
+    scripted_peer upstream(answering([](const std::string &) { return answerOf(std::string(100'000, 'x')); }));
+    entry daemon({});
+    daemon.proxy.setUpstreams({{"far", vm_role::executor, "b", "other", "127.0.0.1", upstream.port(), false}});
+    const auto expected = daemon.proxy.state().bytesPerRequest;
+    REQUIRE(contains(daemon.ask(request("POST", "/booking/1", "", std::string(900, 'y'))), "200 OK"));
+    const auto &state = daemon.proxy.state();
+    CHECK(state.bytesPerRequest > expected);
+    const auto spent = state.settings.linkBytesPerSecond - state.linkBudget; // the budget was that of a full second
+    CHECK(spent >= 100'900);
+    CHECK(spent < 103'000);
+}
