Show each changed weight of the policy among a sheet's differences

The differences between two sheets compared only packingWeight and spreadWeight. An operator who changed balanceWeight, strandingWeight or shortFirst saw no change, and withDraining(), which takes "no differences" for "equal", would not have noticed if it had changed one of them. The reader of sheets and the comparison each had a list of the weights of their own; both use one list now.

The new test failed before at balanceWeight (0 differences instead of 1). The other parts of a sheet are compared by all their fields.

--- a/src/libprimrosecroft/configuration/sheet.cpp
+++ b/src/libprimrosecroft/configuration/sheet.cpp
@@ -18,14 +18,10 @@
 {
     placement_policy policy;
     node.allowKeys({"packingWeight", "balanceWeight", "spreadWeight", "strandingWeight", "shortFirst"});
-    const auto weight = [&node](const char *key, double &target) {
-        node.optional(key, [&target](const auto &child) { target = child.number(0, maxWeight); });
-    };
-    weight("packingWeight", policy.packingWeight);
-    weight("balanceWeight", policy.balanceWeight);
-    weight("spreadWeight", policy.spreadWeight);
-    weight("strandingWeight", policy.strandingWeight);
-    weight("shortFirst", policy.shortFirst);
+    for (const auto &weight : policyWeights) {
+        node.optional(weight.key,
+                      [&target = policy.*weight.value](const auto &child) { target = child.number(0, maxWeight); });
+    }
     return policy;
 }
 
--- a/src/libprimrosecroft/configuration/sheet.h
+++ b/src/libprimrosecroft/configuration/sheet.h
@@ -3,6 +3,7 @@
 #include "cell/cell_rules.h"
 #include "demands/demand.h"
 
+#include <array>
 #include <map>
 #include <string>
 #include <vector>
@@ -21,6 +22,22 @@
     bool isDraining = false; ///< it gets no new tasks
 };
 
+/// A weight of the placement policy, by its key in a sheet.
+struct policy_weight
+{
+    const char *key;
+    double placement_policy::*value;
+};
+
+/// All weights of the placement policy.
+inline constexpr std::array policyWeights {
+    policy_weight {"packingWeight", &placement_policy::packingWeight},
+    policy_weight {"balanceWeight", &placement_policy::balanceWeight},
+    policy_weight {"spreadWeight", &placement_policy::spreadWeight},
+    policy_weight {"strandingWeight", &placement_policy::strandingWeight},
+    policy_weight {"shortFirst", &placement_policy::shortFirst},
+};
+
 /**
  * A planning sheet: the placement policy, the failure domains with their workers, and the demands of the day.
  */
--- a/src/libprimrosecroft/configuration/sheet_change.cpp
+++ b/src/libprimrosecroft/configuration/sheet_change.cpp
@@ -68,8 +68,9 @@
     if (before.name != after.name) {
         result.push_back({change_kind::changed, "sheet", before.name, after.name});
     }
-    compareWeight("policy.packingWeight", before.policy.packingWeight, after.policy.packingWeight, result);
-    compareWeight("policy.spreadWeight", before.policy.spreadWeight, after.policy.spreadWeight, result);
+    for (const auto &[key, value] : policyWeights) {
+        compareWeight(std::string("policy.") + key, before.policy.*value, after.policy.*value, result);
+    }
     compare("failureDomains.", before.regions, after.regions, result);
     compare("workers.", before.workers, after.workers, result);
     compare("demands.", before.demands, after.demands, result);
--- a/tests/unit/sheet_change_test.cpp
+++ b/tests/unit/sheet_change_test.cpp
@@ -73,6 +73,23 @@
     CHECK(differences(before, before).empty());
 }
 
+TEST_CASE("differences show each weight of the policy")
+{
+    const auto before = readSheet(withAsciiRack(sheetText), "before");
+    for (const auto &[name, weight] : {std::pair {"packingWeight", &placement_policy::packingWeight},
+                                       std::pair {"balanceWeight", &placement_policy::balanceWeight},
+                                       std::pair {"spreadWeight", &placement_policy::spreadWeight},
+                                       std::pair {"strandingWeight", &placement_policy::strandingWeight},
+                                       std::pair {"shortFirst", &placement_policy::shortFirst}}) {
+        CAPTURE(name);
+        auto after = before;
+        after.policy.*weight += 1;
+        const auto changes = differences(before, after);
+        REQUIRE(changes.size() == 1);
+        CHECK(changes.front().what == std::string("policy.") + name);
+    }
+}
+
 TEST_CASE("administration needs the token, unless the settings open it, and is closed without either")
 {
     const administration_settings guarded {"0123456789abcdef", false};
