Answer 503 while it isn't known whether a demand was accepted

A demand that no failure domain could hold is refused with 422, unless its row shows that it was accepted under an earlier sheet. If the read of that row failed, the caller got 422 too, which tells it to give the demand up, although it may run. It gets 503 with Retry-After now, or "unknown" if an earlier commit may have taken effect. GET /v1/demands had the same cause: before the first sheet it answered 404, "no such failure domain"; it answers 503 like POST does.

The other failed reads of the demands, the sheets and the jobs are answered with 503 already.

--- a/src/libprimrosecroft/demands/demand_service.cpp
+++ b/src/libprimrosecroft/demands/demand_service.cpp
@@ -182,11 +182,16 @@
     request->answer(toResponse({status, request_outcome::refused, step, "", detail, retryAfter, ""}));
 }
 
+void demand_service::refuseWithoutSheet(const std::shared_ptr<http_request> &request)
+{
+    refuse(request, statusUnavailable, "find configuration", "no sheet is in force yet", storeRetryAfter);
+}
+
 void demand_service::submit(const std::shared_ptr<http_request> &request)
 {
     const auto *sheet = m_links.sheet();
     if (sheet == nullptr) {
-        refuse(request, statusUnavailable, "find configuration", "no sheet is in force yet", storeRetryAfter);
+        refuseWithoutSheet(request);
         return;
     }
     const auto entry = std::make_shared<submission>();
@@ -213,15 +218,17 @@
 }
 
 /// Refuses a demand that no failure domain could hold. If its row exists, it was accepted under an earlier sheet, and
-/// is answered as accepted.
+/// is answered as accepted. If the row can't be read, the caller may ask again.
 void demand_service::refuseUnlessAccepted(const std::shared_ptr<submission> &entry)
 {
     readStored(entry->state.row.key, [this, entry](const demand_result &found) {
-        if (found && *found && (*found)->row.spec == entry->state.row.spec) {
+        if (!found) {
+            carryOut(entry,
+                     entry->state.mayExist ? acceptance_action(answer_unknown {})
+                                           : acceptance_action(answer_not_run {}));
+        } else if (*found && (*found)->row.spec == entry->state.row.spec) {
             entry->state.row = (*found)->row;
             carryOut(entry, answer_accepted {});
-        } else if (!found && entry->state.mayExist) {
-            carryOut(entry, answer_unknown {});
         } else {
             refuse(entry->request, statusUnprocessable, "choose failure domain", "no failure domain could ever hold it",
                    std::nullopt);
@@ -416,7 +423,11 @@
 {
     const auto home = request->query("home").empty() ? m_settings.failureDomain : request->query("home");
     const auto *sheet = m_links.sheet();
-    if (sheet == nullptr || !sheet->regions.contains(home)) {
+    if (sheet == nullptr) {
+        refuseWithoutSheet(request);
+        return;
+    }
+    if (!sheet->regions.contains(home)) {
         refuse(request, statusNotFound, "list demands", "no such failure domain in the sheet in force", std::nullopt);
         return;
     }
--- a/src/libprimrosecroft/demands/demand_service.h
+++ b/src/libprimrosecroft/demands/demand_service.h
@@ -99,6 +99,8 @@
     void refuse(const std::shared_ptr<http_request> &request, unsigned status, const std::string &step,
                 const std::string &detail, std::optional<std::chrono::milliseconds> retryAfter);
 
+    void refuseWithoutSheet(const std::shared_ptr<http_request> &request);
+
     static http_response listResponse(const std::vector<store_row> &rows, const failure_domain_id &home,
                                       const demand_key &after);
     static http_response queryResponse(const stored_demand &found,
--- a/tests/unit/demand_service_test.cpp
+++ b/tests/unit/demand_service_test.cpp
@@ -40,10 +40,11 @@
     guarded_store rows {target, objects, 500ms};
     metrics measures;
     planning_sheet sheet = makeSheet();
+    bool hasSheet = true;
     demand_service service {rows,
                             measures,
                             {[](const job_id &, const report_handler &done) { done(std::nullopt); },
-                             [this] { return &sheet; }, [] { return 1'000ms; }},
+                             [this] { return hasSheet ? &sheet : nullptr; }, [] { return 1'000ms; }},
                             {"dyce", "pool", 2'000ms}};
 
     /// Stores a demand under the key of the sheet's demand.
@@ -126,3 +127,25 @@
     CHECK(process.target.commits == 2);
     CHECK_THAT(process.text(), !Contains("accept sheet demand"));
 }
+
+TEST_CASE("a demand that fits nowhere is not refused for good while its row can't be read")
+{
+    demand_process process;
+    const std::string body = R"({"kind":"batch","team":"yard","tasks":1,"cores":100,"memory":"1GiB","runTime":"1s"})";
+    CHECK(process.submit(body).status == statusUnprocessable);
+    process.target.refusesReads = true;
+    const auto answer = process.submit(body);
+    CHECK(answer.status == statusUnavailable);
+    CHECK_FALSE(headerValue(answer.headers, "Retry-After").empty());
+}
+
+TEST_CASE("the demands of a failure domain are not missing for good before the first sheet")
+{
+    demand_process process;
+    process.hasSheet = false;
+    const auto request = std::make_shared<fake_request>("GET", "/v1/demands");
+    process.service.serve(request);
+    REQUIRE(request->response);
+    CHECK(request->response->status == statusUnavailable);
+    CHECK_FALSE(headerValue(request->response->headers, "Retry-After").empty());
+}
