Take a deadline header with trailing text as invalid

The cell daemon read the number at the beginning of a deadline header and took no notice of what followed: "1500x" and "1500.5" counted as 1,500 ms, while the comment said that an invalid header counts as missing. The entry daemon and the sheet service checked the end, each with a copy of the parser. All three use one function now (core/parse_integer), which accepts only a whole integer.

The other parsers of numbers (addresses, settings, tasks) check the end already.

--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -2,10 +2,10 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/parse_integer.h"
 #include "observability/problem.h"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -43,12 +43,11 @@
 /// invalid, and 60 s for longer times.
 std::chrono::milliseconds parseTimeout(const std::string &text)
 {
-    std::int64_t amount = 0;
-    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), amount);
-    if (fault != std::errc() || amount <= 0) {
+    const auto amount = parseInteger(text);
+    if (!amount || *amount <= 0) {
         return defaultTimeout;
     }
-    return std::min<std::chrono::milliseconds>(std::chrono::milliseconds(amount), 60s);
+    return std::min<std::chrono::milliseconds>(std::chrono::milliseconds(*amount), 60s);
 }
 
 } // namespace
--- a/src/libprimrosecroft/configuration/sheet_service.cpp
+++ b/src/libprimrosecroft/configuration/sheet_service.cpp
@@ -2,13 +2,13 @@
 
 #include "core/checksum.h"
 #include "core/error.h"
+#include "core/parse_integer.h"
 #include "jobs/job_rows.h"
 #include "observability/log_text.h"
 #include "observability/problem.h"
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <glog/logging.h>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -42,11 +42,9 @@
     if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"') {
         return std::nullopt;
     }
-    std::int64_t version = 0;
-    const auto *end = tag.data() + tag.size() - 1;
-    const auto [stop, status] = std::from_chars(tag.data() + 1, end, version);
-    const auto inRange = version >= 0 && version < std::numeric_limits<std::int64_t>::max();
-    return status == std::errc {} && stop == end && inRange ? std::optional(version) : std::nullopt;
+    const auto version = parseInteger(std::string_view(tag).substr(1, tag.size() - 2));
+    const auto inRange = version && *version >= 0 && *version < std::numeric_limits<std::int64_t>::max();
+    return inRange ? version : std::nullopt;
 }
 
 http_response storeUnreachable(request_outcome outcome, const std::string &step)
--- a/src/libprimrosecroft/routing/booking_proxy.cpp
+++ b/src/libprimrosecroft/routing/booking_proxy.cpp
@@ -1,11 +1,11 @@
 #include "routing/booking_proxy.h"
 
+#include "core/parse_integer.h"
 #include "observability/log_text.h"
 #include "observability/problem.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <functional>
 #include <glib.h>
 #include <glog/logging.h>
@@ -33,17 +33,6 @@
 constexpr const char *leavingHeader = "Primrosecroft-Leaving";
 constexpr const char *notRunHeader = "Primrosecroft-Not-Run";
 
-/// Returns std::nullopt unless the whole text is an integer.
-std::optional<std::int64_t> parseInteger(const std::string &text)
-{
-    std::int64_t value = 0;
-    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (status != std::errc {} || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 /// The caller's header decides. Without it, a request is repeatable if its method is idempotent (RFC 9110, 9.2.2).
 bool isRepeatable(const http_request &request)
 {
--- /dev/null
+++ b/tests/unit/caller_service_test.cpp
@@ -0,0 +1,87 @@
+#include "callers/caller_service.h"
+#include "core/clock.h"
+#include "fake_request.h"
+#include "fake_store.h"
+#include "loopback.h"
+
+#include <catch2/catch.hpp>
+
+/// Tests of callers' requests with an owner that can't be reached and a store in memory.
+using namespace primrosecroft;
+using namespace std::chrono_literals;
+using loopback::runUntil;
+
+namespace
+{
+
+const job_id job = "0123456789abcdef";
+
+queue_table makeQueues()
+{
+    queue_table table;
+    queue_route route;
+    route.host = "jobs.example";
+    route.prefix = "/q/";
+    route.queue.name = "q";
+    table.routes = {route};
+    return table;
+}
+
+struct caller_process
+{
+    caller_links makeLinks()
+    {
+        caller_links links;
+        links.queues = [this] { return &queues; };
+        links.storeTime = [] { return 1'000ms; };
+        links.notifyOwner = [](const job_id &, bool) { };
+        links.storeThroughOwner = [this](const job_id &, const std::string &, bool, std::chrono::milliseconds timeout,
+                                         const std::function<void(store_outcome)> &done) {
+            ownerTimeout = timeout;
+            done(store_outcome::refused);
+        };
+        links.askOwner = [](const job_id &, std::chrono::milliseconds, const std::function<void(owner_answer)> &done) {
+            done({});
+        };
+        links.isOwnerResponsive = [] { return false; };
+        links.isIsolated = [] { return false; };
+        links.countWaitingJobs = [](const queue_name &) { return std::nullopt; };
+        return links;
+    }
+
+    std::shared_ptr<fake_request> cancel(const std::string &deadline = {})
+    {
+        auto request = std::make_shared<fake_request>("DELETE", "/q/" + job,
+                                                      http_headers {{"Host", "jobs.example"}, {"Deadline", deadline}});
+        service.serve(request);
+        return request;
+    }
+
+    fake_store rows;
+    queue_table queues = makeQueues();
+    std::chrono::milliseconds ownerTimeout {0};
+    decision_log log {0, -1};
+    metrics measures;
+    caller_service service {rows,
+                            {[](const std::string &) { return job_spec {}; },
+                             [](job_status status) { return toString(status); },
+                             [](std::int64_t count) { return std::to_string(count); }, "Deadline"},
+                            makeLinks(),
+                            log,
+                            measures};
+};
+
+} // namespace
+
+TEST_CASE("a deadline header with trailing text is invalid")
+{
+    caller_process process;
+    process.rows.refusesReads = true;
+    process.cancel("1500");
+    CHECK(process.ownerTimeout <= 1'200ms);
+    for (const auto *text : {"1500x", "1500 ms", "1500.5", " 1500", "-1500", ""}) {
+        CAPTURE(text);
+        process.cancel(text);
+        CHECK(process.ownerTimeout > 2'500ms); // the default
+    }
+}
