Wait between the attempts of a cancellation

If the owner couldn't be reached, a cell daemon repeated a failed read or commit of a cancellation at once. A store that refuses calls for a moment answers at once, so that all four attempts were used up within the same millisecond and the caller got 504; and the attempts burdened a store that had trouble.

The new test (a store that fails for 200 ms) failed before with 504 and without a stored cancellation, and passes. The other retries, of jobs, demands, sheets and the queue follower, wait already.

--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -316,7 +316,7 @@
     }
     m_store.read(liveRows(entry->id), entry->boundedTimeout(readTimeout), [this, entry](const range_result &result) {
         if (result.outcome != store_outcome::done) {
-            cancel(entry);
+            retryCancel(entry);
             return;
         }
         const auto job = std::ranges::find(result.rows, jobPlace(entry->id), &store_row::place);
@@ -332,12 +332,17 @@
                 m_links.notifyOwner(entry->id, true);
                 answer(entry, statusOk, "", "cancelled");
             } else {
-                cancel(entry); // the job has just ended, or the commit has to be repeated
+                retryCancel(entry); // the job has just ended, or the commit has to be repeated
             }
         });
     });
 }
 
+void caller_service::retryCancel(const exchange_pointer &entry)
+{
+    entry->retryTimer.once(retryDelay, [this, entry] { cancel(entry); });
+}
+
 void caller_service::answerWaiting(const exchange_pointer &entry, const queue_route &route)
 {
     const auto count = m_links.countWaitingJobs(route.queue.name);
--- a/src/libprimrosecroft/callers/caller_service.h
+++ b/src/libprimrosecroft/callers/caller_service.h
@@ -96,6 +96,7 @@
     void endedFromRows(const exchange_pointer &entry, std::function<void(std::optional<ended_job>)> done);
     void cancelThroughOwner(const exchange_pointer &entry);
     void cancel(const exchange_pointer &entry);
+    void retryCancel(const exchange_pointer &entry);
     void answerWaiting(const exchange_pointer &entry, const queue_route &route);
     void answer(const exchange_pointer &entry, unsigned status, const std::string &body, const std::string &outcome,
                 bool allowsRetry = false);
--- a/tests/unit/caller_service_test.cpp
+++ b/tests/unit/caller_service_test.cpp
@@ -73,6 +73,23 @@
 
 } // namespace
 
+TEST_CASE("a cancellation outlasts a store that fails for a moment")
+{
+    caller_process process;
+    accepted_job accepted;
+    accepted.id = job;
+    process.rows.rows.put(jobPlace(job), encodeJob(accepted));
+    process.rows.refusesReads = true;
+    const auto begin = bootNow();
+    const auto request = process.cancel();
+    timer back;
+    back.once(200ms, [&process] { process.rows.refusesReads = false; });
+    CHECK(runUntil([&request] { return request->response.has_value(); }));
+    CHECK(request->response->status == statusOk);
+    CHECK(process.rows.rows.rows().contains(cancelPlace(job)));
+    CHECK(bootNow() < begin + 3s);
+}
+
 TEST_CASE("a deadline header with trailing text is invalid")
 {
     caller_process process;
