Keep the count of dropped log lines as a counter

primrosecroft_log_lines_dropped went back to 0 with each line that was written, so that a scrape showed drops only while the output was still stuck. The number of drops so far and the number already reported by a line are two counts now: the metric never goes back, and each written line reports the drops since the last one, as before. A line whose own write fails reports nothing as reported.

--- a/src/libprimrosecroft/observability/decision_log.cpp
+++ b/src/libprimrosecroft/observability/decision_log.cpp
@@ -73,15 +73,17 @@
     if (skipped > 0) {
         line.append(" skipped=").append(std::to_string(skipped));
     }
-    if (m_droppedLines > 0) {
-        line.append(" dropped=").append(std::to_string(m_droppedLines));
-        m_droppedLines = 0;
+    const auto unreported = m_droppedLines - m_reportedDrops;
+    if (unreported > 0) {
+        line.append(" dropped=").append(std::to_string(unreported));
     }
     line.append("\n");
     // A pipe takes a write of up to PIPE_BUF bytes either whole or not at all (POSIX), and it was writable above.
     if (::write(m_descriptor, line.data(), line.size()) < 0) {
         ++m_droppedLines;
+        return;
     }
+    m_reportedDrops += unreported;
 }
 
 std::uint64_t decision_log::droppedLines() const
--- a/src/libprimrosecroft/observability/decision_log.h
+++ b/src/libprimrosecroft/observability/decision_log.h
@@ -35,7 +35,7 @@
     /// Writes without rate limit, for events that must not be skipped: start, stop, lost and regained dependencies.
     void writeAlways(std::string_view component, std::string_view event, std::initializer_list<log_field> fields);
 
-    /// Returns the number of lines dropped since the last line that was written.
+    /// Returns the number of lines dropped so far.
     std::uint64_t droppedLines() const;
 
 private:
@@ -54,6 +54,7 @@
     int m_descriptor;
     std::map<std::string, budget, std::less<>> m_budgets;
     std::uint64_t m_droppedLines = 0;
+    std::uint64_t m_reportedDrops = 0; ///< dropped lines that a written line has reported
 };
 
 } // namespace primrosecroft
