Lose only the message whose handler fails, not its connection

peer_hub decoded and handled a message inside one try, so that an error thrown by a handler was logged as an invalid message and closed the connection: the frames behind it and the replies to all requests over it were lost. Decoding and handling are apart now. An invalid frame still closes the connection, since what follows can't be found; a handler's error is logged with the sender, and its message alone is lost.

The other tries around a callback were looked through: caller_service::endedFromRows, demand_service::readEnded and the entry daemon's askOwner call back inside theirs, but what they call only answers requests or sends messages and throws no error.

--- a/src/libprimrosecroft/io/peer_hub.cpp
+++ b/src/libprimrosecroft/io/peer_hub.cpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <glib-unix.h>
 #include <glog/logging.h>
+#include <optional>
 #include <set>
 #include <unistd.h>
 #include <utility>
@@ -99,14 +100,8 @@
         m_buffer.append(bytes);
         try {
             std::size_t begin = 0;
-            while (!m_isClosed && m_buffer.size() - begin >= frameHeaderSize) {
-                const auto size = frameBodySize(std::string_view(m_buffer).substr(begin, frameHeaderSize));
-                if (m_buffer.size() - begin < frameHeaderSize + size) {
-                    break;
-                }
-                const auto message = decodeFrameBody(std::string_view(m_buffer).substr(begin + frameHeaderSize, size));
-                begin += frameHeaderSize + size;
-                m_handler(message);
+            while (const auto message = takeMessage(begin)) {
+                handleMessage(*message);
             }
             m_buffer.erase(0, begin);
         } catch (const error &refused) {
@@ -122,6 +117,34 @@
         }
     }
 
+    /// Decodes the frame that starts at @p begin and moves @p begin behind it. Returns std::nullopt if the frame isn't
+    /// complete or the connection is closed. Throws error if it is invalid.
+    std::optional<wire::Message> takeMessage(std::size_t &begin) const
+    {
+        if (m_isClosed || m_buffer.size() - begin < frameHeaderSize) {
+            return std::nullopt;
+        }
+        const auto rest = std::string_view(m_buffer).substr(begin);
+        const auto size = frameBodySize(rest.substr(0, frameHeaderSize));
+        if (rest.size() < frameHeaderSize + size) {
+            return std::nullopt;
+        }
+        begin += frameHeaderSize + size;
+        return decodeFrameBody(rest.substr(frameHeaderSize, size));
+    }
+
+    /// A failure of the handler says nothing about the connection, over which the messages of others' requests come
+    /// too.
+    void handleMessage(const wire::Message &message)
+    {
+        try {
+            m_handler(message);
+        } catch (const error &fault) {
+            LOG(ERROR) << "peers: a message could not be handled, from=" << logText(message.sender.process)
+                       << " reason=" << logText(fault.what());
+        }
+    }
+
     tcp_socket m_socket;
     std::shared_ptr<byte_counts> m_counts;
     frame_handler m_handler;
--- a/tests/unit/peer_hub_test.cpp
+++ b/tests/unit/peer_hub_test.cpp
@@ -1,3 +1,4 @@
+#include "core/error.h"
 #include "io/glib_pointer.h"
 #include "io/peer_hub.h"
 #include "io/timer.h"
@@ -78,6 +79,24 @@
     CHECK(runUntil([&arrived] { return std::ranges::find(arrived, "second") != arrived.end(); }));
 }
 
+TEST_CASE("a message whose handler fails loses only itself")
+{
+    std::vector<std::string> arrived;
+    peer_hub receiver(makeSender("b"), [&arrived](const wire::Message &message, const auto &) {
+        if (message.jobQuery.id == "bad") {
+            throw error("handle message", "", "it fails");
+        }
+        arrived.push_back(message.jobQuery.id);
+    });
+    receiver.listen({loopback, port});
+    peer_hub sender(makeSender("a"), [](const wire::Message &, const auto &) { });
+    for (const auto *key : {"first", "bad", "second"}) {
+        sender.send({loopback, port}, makeNotice(key));
+    }
+    CHECK(runUntil([&arrived] { return arrived.size() == 2; }));
+    CHECK(arrived == std::vector<std::string> {"first", "second"});
+}
+
 TEST_CASE("malformed bytes, an invalid length and an incomplete frame affect only their own connection")
 {
     int received = 0;
