Refuse bodies over the configuration's limit, as soon as that is known

Nothing read queue_table::maxRequestBytes: the cell daemon took bodies of up to 1 MiB whatever the configuration in force said. And a body over the server's own limit was answered with 413 only after it had been read whole; without a declared length the connection was closed without an answer.

The limit of each configuration in force goes to the callers' server now, and the server answers 413 as soon as the declared length, or the bytes so far, exceed the limit. It closes the connection afterwards, but discards the rest of the body before, until the end of the request or of its time, since a close with unread bytes could reset the connection before the caller has read the answer. Once a connection is closing, further bytes are dropped. A limit that isn't positive counts as missing: while nothing read it, it did no harm.

Failed before: the new test of a body of which two bytes or none arrive (no answer), and process-jobs_refused with 300,000 bytes (400 instead of 413). The check that a too long body ends only its own connection passes unchanged.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -617,7 +617,7 @@
         const auto sources = {g_unix_signal_add(SIGTERM, &parts::onTerminate, this),
                               g_unix_signal_add(SIGINT, &parts::onTerminate, this),
                               g_unix_signal_add(SIGHUP, &parts::onReload, this)};
-        queues.start([](const queue_table &) { });
+        queues.start([this](const queue_table &table) { callerServer.setMaxBodySize(table.maxRequestBytes); });
         tickTimer.every(presenceInterval, [this] { tick(); });
         tick();
         g_main_loop_run(loop.get());
--- a/src/libprimrosecroft/io/http.h
+++ b/src/libprimrosecroft/io/http.h
@@ -20,6 +20,7 @@
 inline constexpr unsigned statusNotFound = 404;
 inline constexpr unsigned statusMethodNotAllowed = 405;
 inline constexpr unsigned statusConflict = 409;
+inline constexpr unsigned statusContentTooLarge = 413;
 inline constexpr unsigned statusUnprocessable = 422;
 inline constexpr unsigned statusPreconditionRequired = 428;
 inline constexpr unsigned firstServerErrorStatus = 500;
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -218,7 +218,8 @@
                 return 0;
             };
             result.on_body = [](http_parser *parser, const char *at, size_t length) {
-                return of(parser).onBody({at, length}) ? 0 : 1;
+                of(parser).onBody({at, length});
+                return 0;
             };
             result.on_message_complete = [](http_parser *parser) {
                 of(parser).m_isComplete = true;
@@ -268,26 +269,42 @@
         m_request.keepAlive = http_should_keep_alive(&m_parser) != 0;
         const auto limit = static_cast<std::uint64_t>(m_state->limits.maxBodySize);
         const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
-        m_isBodyTooLong = hasLength && m_parser.content_length > limit;
-        if (g_ascii_strcasecmp(headerValue(m_request.headers, "Expect").c_str(), "100-continue") == 0
-            && !m_isBodyTooLong) {
+        if (hasLength && m_parser.content_length > limit) {
+            refuseBody();
+        } else if (g_ascii_strcasecmp(headerValue(m_request.headers, "Expect").c_str(), "100-continue") == 0) {
             m_socket.write("HTTP/1.1 100 Continue\r\n\r\n");
         }
     }
 
-    /// Returns false if a body without a declared length exceeds the limit; one with a declared length is discarded.
-    bool onBody(std::string_view piece)
+    void onBody(std::string_view piece)
     {
         if (m_isBodyTooLong) {
-            return true;
+            return;
         }
         m_request.body.append(piece);
-        return m_request.body.size() <= static_cast<std::size_t>(m_state->limits.maxBodySize);
+        if (m_request.body.size() > static_cast<std::size_t>(m_state->limits.maxBodySize)) {
+            refuseBody();
+        }
+    }
+
+    /// Answers before the body has arrived. The rest of it is discarded until it is complete or the time for the
+    /// request is over, because closing at once could reset the connection before the caller has read the answer.
+    void refuseBody()
+    {
+        m_isBodyTooLong = true;
+        m_request.body.clear();
+        m_request.keepAlive = false;
+        const http_headers headers {{"Content-Type", "application/problem+json"}};
+        m_socket.write(encodeHead(statusContentTooLarge, headers, bodyTooLong.size(), false)
+                       + std::string(bodyTooLong));
     }
 
     void onBytes(std::string_view bytes)
     {
         const auto self = shared_from_this();
+        if (m_isClosing) {
+            return;
+        }
         m_input.append(bytes);
         if (m_isServing) {
             m_socket.setReading(m_input.size() < maxPipelinedBytes);
@@ -310,6 +327,10 @@
             }
             m_isComplete = false;
             http_parser_pause(&m_parser, 0);
+            if (m_isBodyTooLong) {
+                closeWhenDrained();
+                return;
+            }
             serve();
         }
         if (m_hasEnded && !m_isServing && !isDisconnected()) {
@@ -523,10 +544,6 @@
     m_isServing = true;
     m_deadline.stop();
     ++m_state->inFlight;
-    if (m_isBodyTooLong) {
-        answer({413, {{"Content-Type", "application/problem+json"}}, std::string(bodyTooLong)});
-        return;
-    }
     const auto handler = m_state->handler;
     handler(std::make_shared<server_request>(shared_from_this()));
 }
@@ -583,6 +600,11 @@
     return m_parts->listener < 0 ? 0 : boundPort(m_parts->listener);
 }
 
+void http_server::setMaxBodySize(std::int64_t size)
+{
+    m_parts->state->limits.maxBodySize = size;
+}
+
 void http_server::closeAfterResponses()
 {
     m_parts->state->isStopping = true;
--- a/tests/process/jobs_refused.sh
+++ b/tests/process/jobs_refused.sh
@@ -13,6 +13,8 @@
 expect "no steps" "$(submit 1 00000000000000a2 q '{"spec":"x","phases":[]}')" 400
 expect "a step after a later one" "$(submit 1 00000000000000a3 q '{"spec":"x","phases":[{"count":1,"after":[1]},{"count":1}]}')" 400
 expect "huge count" "$(submit 1 00000000000000a4 q '{"spec":"x","phases":[{"count":99999999999}]}')" 400
+printf '{"spec":"%*s"}' 300000 x >"$CELL/long"
+expect "a body over the limit of the configuration" "$(submit 1 00000000000000a6 q "@$CELL/long")" 413
 expect "bad id" "$(submit 1 xyz q "$good")" 400
 expect "no queue" "$(submit 1 00000000000000a5 nowhere "$good")" 404
 expect "unknown job" "$(stateOf 1 00000000000000ff q)" "{}410"
--- a/tests/unit/booking_test.cpp
+++ b/tests/unit/booking_test.cpp
@@ -401,6 +401,31 @@
     CHECK(contains(daemon.ask(request("GET", "/booking/1")), "hello"));
 }
 
+TEST_CASE("a request body over the limit is refused before it has arrived completely")
+{
+    const auto *const head =
+        GENERATE("Content-Length: 5000\r\n\r\nab", "Expect: 100-continue\r\nContent-Length: 5000\r\n\r\n");
+    const entry daemon({});
+    const auto caller = connectTo(daemon.server.port());
+    caller->write(std::string("POST /booking/1 HTTP/1.1\r\nHost: e\r\n") + head);
+    const auto answer = await(std::async(std::launch::async, [&caller] { return caller->readAll(); }));
+    CHECK(answer.starts_with("HTTP/1.1 413"));
+    CHECK(contains(answer, "Connection: close"));
+    CHECK(looksComplete(answer));
+}
+
+TEST_CASE("the limit of request bodies can be changed while the server runs")
+{
+    scripted_peer upstream(answering([](const std::string &) { return answerOf("hello"); }));
+    entry daemon({upstream.port()});
+    CHECK(contains(daemon.ask(request("POST", "/booking/1", "", std::string(900, 'x'))), "hello"));
+    daemon.server.setMaxBodySize(100);
+    CHECK(contains(daemon.ask(request("POST", "/booking/1", "", std::string(101, 'x'))), "413"));
+    CHECK(contains(daemon.ask(request("POST", "/booking/1", "", std::string(100, 'x'))), "hello"));
+    daemon.server.setMaxBodySize(2'000);
+    CHECK(contains(daemon.ask(request("POST", "/booking/1", "", std::string(1'900, 'x'))), "hello"));
+}
+
 TEST_CASE("a retry doesn't take over the leaving mark and the load of the attempt before")
 {
     constexpr int warmUps = 11; // each adds 0.1 to the retry budget
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -110,3 +110,14 @@
     CHECK(decoded.queue == job.queue);
     CHECK_THROWS_AS(decodeJob("garbage"), error);
 }
+
+TEST_CASE("a limit of request bodies that isn't positive counts as missing")
+{
+    const auto limitOf = [](const std::string &limits) {
+        return platform::decodeQueueTable(R"({"version":1,"routes":[],"limits":)" + limits + "}").maxRequestBytes;
+    };
+    CHECK(limitOf(R"({"maxBodyBytes":1000})") == 1'000);
+    for (const auto *limits : {"{}", R"({"maxBodyBytes":0})", R"({"maxBodyBytes":-1})"}) {
+        CHECK(limitOf(limits) == queue_table {}.maxRequestBytes);
+    }
+}
