Read no bounds from the settings that nothing uses

The cell daemon read the bounds of the configuration's time to apply and of the retention of a job's status into configurationApplyTimeout and statusRetention, which nothing used. Settings without one of the two ended the process at its start, though it needs neither. Both are gone; other bounds are still required.

The new test failed before ("bounds.configApplyMs: expected a value").

--- a/src/libprimrosecroft/settings/cell_daemon_settings.h
+++ b/src/libprimrosecroft/settings/cell_daemon_settings.h
@@ -31,10 +31,7 @@
     socket_address advice; ///< empty if no queue needs advice
 
     std::chrono::milliseconds maxLease {0}; ///< upper bound of the lease of a run on a worker
-    /// A version must be in force within this span after its acknowledgement.
-    std::chrono::milliseconds configurationApplyTimeout {0};
     std::chrono::milliseconds terminationGrace {0}; ///< between SIGTERM and SIGKILL to this daemon
-    std::chrono::milliseconds statusRetention {0}; ///< minimum span for which an ended job is shown
 };
 
 } // namespace primrosecroft
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -71,6 +71,15 @@
                       Catch::Contains("f.json") && Catch::Contains("bounds.holdMaxMs") && Catch::Contains("a number"));
 }
 
+TEST_CASE("settings without the bounds that nothing uses are valid")
+{
+    auto text = settingsText;
+    for (const std::string bound : {R"("configApplyMs": 2500, )", R"(, "status_s": 120)"}) {
+        text.erase(text.find(bound), bound.size());
+    }
+    CHECK(platform::decodeSettings(text, "f.json").maxLease == 6'000ms);
+}
+
 TEST_CASE("a malformed or unknown entry of a worker is decoded as no worker")
 {
     CHECK_FALSE(platform::decodeWorker("w", "garbage"));
