--- a/src/burn/main.cpp
+++ b/src/burn/main.cpp
@@ -1,8 +1,8 @@
 #include "burn_output.h"
 #include "burn_picture.h"
 #include "core/error.h"
+#include "core/read_file.h"
 #include "io/http_client.h"
-#include "settings/daemon_settings.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -6,6 +6,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/overloaded.h"
+#include "core/read_file.h"
 #include "io/glib_pointer.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
@@ -22,7 +23,6 @@
 #include "primrosecroft_types.h"
 #include "protocol/sender.h"
 #include "queues/queue_follower.h"
-#include "settings/daemon_settings.h"
 #include "store/monitored_store.h"
 
 #include <algorithm>
--- a/src/ctl/control_call.cpp
+++ b/src/ctl/control_call.cpp
@@ -2,9 +2,9 @@
 
 #include "configuration/sheet_change.h"
 #include "core/error.h"
+#include "core/read_file.h"
 #include "io/http_client.h"
 #include "io/timer.h"
-#include "settings/daemon_settings.h"
 
 #include <algorithm>
 #include <array>
--- a/src/ctl/control_commands.cpp
+++ b/src/ctl/control_commands.cpp
@@ -3,8 +3,8 @@
 #include "configuration/sheet_change.h"
 #include "control_call.h"
 #include "core/error.h"
+#include "core/read_file.h"
 #include "io/glib_pointer.h"
-#include "settings/daemon_settings.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
--- a/src/entryd/entry_daemon.cpp
+++ b/src/entryd/entry_daemon.cpp
@@ -42,7 +42,7 @@
 constexpr unsigned bookingConnections = 64; ///< to each executor
 constexpr unsigned storeConnections = 16;
 
-routing_settings makeRoutingSettings(const daemon_settings &settings)
+routing_settings makeRoutingSettings(const entry_daemon_settings &settings)
 {
     routing_settings routing;
     routing.address = settings.address;
@@ -56,7 +56,7 @@
 
 struct entry_daemon::parts
 {
-    explicit parts(const daemon_settings &own)
+    explicit parts(const entry_daemon_settings &own)
         : settings(own)
         , incarnation(makeIncarnation())
         , storeClient(storeHttp, {own.platformAddress, own.platformPort})
@@ -316,7 +316,7 @@
         return exitStatus;
     }
 
-    daemon_settings settings;
+    entry_daemon_settings settings;
     std::int64_t incarnation;
     loop_pointer loop {g_main_loop_new(nullptr, FALSE)};
     http_client bookingHttp {bookingConnections};
@@ -342,7 +342,7 @@
     int exitStatus = 0;
 };
 
-entry_daemon::entry_daemon(const daemon_settings &settings)
+entry_daemon::entry_daemon(const entry_daemon_settings &settings)
     : m_parts(std::make_unique<parts>(settings))
 {
 }
--- a/src/entryd/entry_daemon.h
+++ b/src/entryd/entry_daemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "settings/daemon_settings.h"
+#include "settings/entry_daemon_settings.h"
 
 #include <memory>
 
@@ -11,7 +11,7 @@
 class entry_daemon
 {
 public:
-    explicit entry_daemon(const daemon_settings &settings);
+    explicit entry_daemon(const entry_daemon_settings &settings);
     ~entry_daemon();
     entry_daemon(const entry_daemon &) = delete;
     entry_daemon &operator=(const entry_daemon &) = delete;
--- a/src/entryd/entry_peers.cpp
+++ b/src/entryd/entry_peers.cpp
@@ -32,9 +32,9 @@
 
 } // namespace
 
-entry_peers::entry_peers(const daemon_settings &settings, std::int64_t incarnation, monitored_store &monitoredStore,
-                         guarded_store &rows, configuration_follower &configuration, upstream_source source,
-                         entry_peers_links links)
+entry_peers::entry_peers(const entry_daemon_settings &settings, std::int64_t incarnation,
+                         monitored_store &monitoredStore, guarded_store &rows, configuration_follower &configuration,
+                         upstream_source source, entry_peers_links links)
     : m_settings(settings)
     , m_monitoredStore(monitoredStore)
     , m_store(rows)
--- a/src/entryd/entry_peers.h
+++ b/src/entryd/entry_peers.h
@@ -4,7 +4,7 @@
 #include "io/peer_hub.h"
 #include "io/timer.h"
 #include "membership/membership.h"
-#include "settings/daemon_settings.h"
+#include "settings/entry_daemon_settings.h"
 #include "store/guarded_store.h"
 #include "store/monitored_store.h"
 
@@ -36,7 +36,7 @@
 class entry_peers
 {
 public:
-    entry_peers(const daemon_settings &settings, std::int64_t incarnation, monitored_store &monitoredStore,
+    entry_peers(const entry_daemon_settings &settings, std::int64_t incarnation, monitored_store &monitoredStore,
                 guarded_store &rows, configuration_follower &configuration, upstream_source source,
                 entry_peers_links links);
 
@@ -70,7 +70,7 @@
     void applyDaemonRows(const std::vector<store_row> &rows, std::vector<listed_vm> &vms);
     void writeOwnRow();
 
-    const daemon_settings &m_settings;
+    const entry_daemon_settings &m_settings;
     monitored_store &m_monitoredStore;
     guarded_store &m_store;
     configuration_follower &m_configuration;
--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -17,7 +17,7 @@
     app.add_flag("--print-settings", printOnly, "print all settings, including defaults, and exit");
     CLI11_PARSE(app, argc, argv);
     try {
-        const auto settings = loadDaemonSettings(path);
+        const auto settings = loadEntryDaemonSettings(path);
         if (printOnly) {
             std::cout << toYaml(settings);
             return 0;
--- a/src/libprimrosecroft/settings/daemon_settings.cpp
+++ b/src/libprimrosecroft/settings/entry_daemon_settings.cpp
@@ -1,12 +1,11 @@
-#include "settings/daemon_settings.h"
+#include "settings/entry_daemon_settings.h"
 
 #include "core/error.h"
+#include "core/read_file.h"
 #include "settings/checked_node.h"
 
 #include <algorithm>
-#include <fstream>
 #include <gio/gio.h>
-#include <iterator>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -42,7 +41,7 @@
     parent.optional(key, [&](const auto &child) { target = child.time(low, high); });
 }
 
-void readIntervals(const checked_node &node, daemon_settings &settings)
+void readIntervals(const checked_node &node, entry_daemon_settings &settings)
 {
     node.allowKeys({"heartbeat", "configuration", "vmList"});
     readTime(node, "heartbeat", settings.heartbeatInterval, 100ms, 60s);
@@ -50,14 +49,14 @@
     readTime(node, "vmList", settings.vmListInterval, 100ms, 10min);
 }
 
-void readShutdown(const checked_node &node, daemon_settings &settings)
+void readShutdown(const checked_node &node, entry_daemon_settings &settings)
 {
     node.allowKeys({"balancerPause", "limit"});
     readTime(node, "balancerPause", settings.balancerPause, 0ms, 5min);
     readTime(node, "limit", settings.shutdownTimeout, 100ms, 1h);
 }
 
-void readListen(const checked_node &node, daemon_settings &settings)
+void readListen(const checked_node &node, entry_daemon_settings &settings)
 {
     node.allowKeys({"address", "http", "peers"});
     node.required("address", [&](const auto &child) { settings.address = readAddress(child); });
@@ -65,7 +64,7 @@
     node.required("peers", [&](const auto &child) { settings.peerPort = readPort(child); });
 }
 
-void readPlatform(const checked_node &node, daemon_settings &settings)
+void readPlatform(const checked_node &node, entry_daemon_settings &settings)
 {
     node.allowKeys({"address", "port", "timeout"});
     node.required("address", [&](const auto &child) { settings.platformAddress = readAddress(child); });
@@ -73,21 +72,21 @@
     readTime(node, "timeout", settings.platformTimeout, 50ms, 1min);
 }
 
-void readPools(const checked_node &node, daemon_settings &settings)
+void readPools(const checked_node &node, entry_daemon_settings &settings)
 {
     node.allowKeys({"bookings", "tasks"});
     node.optional("bookings", [&](const auto &child) { settings.bookingPool = child.name(); });
     node.optional("tasks", [&](const auto &child) { settings.taskPool = child.name(); });
 }
 
-void readDeadlines(const checked_node &node, daemon_settings &settings)
+void readDeadlines(const checked_node &node, entry_daemon_settings &settings)
 {
     node.allowKeys({"booking", "accept"});
     readTime(node, "booking", settings.bookingDeadline, 10ms, 10min);
     readTime(node, "accept", settings.acceptDeadline, 10ms, 10min);
 }
 
-void readAdministration(const checked_node &node, daemon_settings &settings)
+void readAdministration(const checked_node &node, entry_daemon_settings &settings)
 {
     node.allowKeys({"tokenFile", "open"});
     node.optional("tokenFile", [&](const auto &child) { settings.tokenFile = child.text(); });
@@ -120,10 +119,10 @@
 
 } // namespace
 
-daemon_settings readDaemonSettings(const std::string &text, const std::string &file)
+entry_daemon_settings readEntryDaemonSettings(const std::string &text, const std::string &file)
 {
     const auto root = checked_node::parse(text, file).collectingFaults();
-    daemon_settings settings;
+    entry_daemon_settings settings;
     root.runCheck([&] {
         root.allowKeys({"process", "failureDomain", "region", "listen", "platform", "pools", "intervals", "shutdown",
                         "deadlines", "administration"});
@@ -142,7 +141,7 @@
     return settings;
 }
 
-std::string toYaml(const daemon_settings &settings)
+std::string toYaml(const entry_daemon_settings &settings)
 {
     std::ostringstream out;
     out << "process: " << settings.process << "\nfailureDomain: " << settings.failureDomain
@@ -165,18 +164,9 @@
     return out.str();
 }
 
-std::string readFile(const std::string &path)
+entry_daemon_settings loadEntryDaemonSettings(const std::string &path)
 {
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream) {
-        throw error("read file", "", "can't open " + path);
-    }
-    return {std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
-}
-
-daemon_settings loadDaemonSettings(const std::string &path)
-{
-    auto settings = readDaemonSettings(readFile(path), path);
+    auto settings = readEntryDaemonSettings(readFile(path), path);
     if (!settings.tokenFile.empty()) {
         settings.administrationToken = readToken(settings.tokenFile);
     }
--- a/src/libprimrosecroft/settings/daemon_settings.h
+++ b/src/libprimrosecroft/settings/entry_daemon_settings.h
@@ -8,7 +8,7 @@
 {
 
 /// Settings of an entry daemon, from its own YAML file.
-struct daemon_settings
+struct entry_daemon_settings
 {
     process_id process;
     failure_domain_id failureDomain;
@@ -44,16 +44,13 @@
 
 /// Parses the settings. Throws error with one line for each fault, which names file, line, column, key and what was
 /// expected. @p file is the file's name in errors.
-daemon_settings readDaemonSettings(const std::string &text, const std::string &file);
+entry_daemon_settings readEntryDaemonSettings(const std::string &text, const std::string &file);
 
 /// Prints all settings as YAML, defaults included. Parsing the text gives the same settings.
-std::string toYaml(const daemon_settings &settings);
+std::string toYaml(const entry_daemon_settings &settings);
 
 /// Reads and parses the settings file, and reads the token file. Throws error if one of them can't be read or is
 /// invalid.
-daemon_settings loadDaemonSettings(const std::string &path);
-
-/// Returns the content of a file. Throws error if it can't be read.
-std::string readFile(const std::string &path);
+entry_daemon_settings loadEntryDaemonSettings(const std::string &path);
 
 } // namespace primrosecroft
--- a/tests/demo/demo_load.cpp
+++ b/tests/demo/demo_load.cpp
@@ -1,8 +1,8 @@
 #include "configuration/sheet.h"
 #include "core/error.h"
+#include "core/read_file.h"
 #include "io/http_client.h"
 #include "io/timer.h"
-#include "settings/daemon_settings.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -1,11 +1,11 @@
 #include "configuration/sheet.h"
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/read_file.h"
 #include "executor_emulator.h"
 #include "io/http_server.h"
 #include "io/timer.h"
 #include "platform/wire.h"
-#include "settings/daemon_settings.h"
 #include "store_emulator.h"
 
 #include <CLI/CLI.hpp>
--- a/tests/unit/fuzz_inputs.cpp
+++ b/tests/unit/fuzz_inputs.cpp
@@ -5,7 +5,7 @@
 #include "primrosecroft_types.h"
 #include "protocol/frame.h"
 #include "settings/checked_node.h"
-#include "settings/daemon_settings.h"
+#include "settings/entry_daemon_settings.h"
 
 namespace primrosecroft
 {
@@ -37,7 +37,7 @@
         readSheet(input, "sheet");
         break;
     case 1:
-        readDaemonSettings(input, "settings");
+        readEntryDaemonSettings(input, "settings");
         break;
     case 2:
         readDemand(checked_node::parseJson(input, "request"));
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -1,6 +1,6 @@
 #include "configuration/sheet.h"
 #include "core/error.h"
-#include "settings/daemon_settings.h"
+#include "settings/entry_daemon_settings.h"
 
 #include <catch2/catch.hpp>
 
@@ -76,9 +76,9 @@
 TEST_CASE("all faults of a settings file are reported")
 {
     const auto faults = faultsOf([] {
-        readDaemonSettings("process: a b\nregion: r\nlisten: {address: host, http: 0, peers: 7401}\n"
-                           "platform: {address: 127.0.0.1, port: 1, timeout: 2}\nintervals: {vmList: 1ms}\n",
-                           "e.yaml");
+        readEntryDaemonSettings("process: a b\nregion: r\nlisten: {address: host, http: 0, peers: 7401}\n"
+                                "platform: {address: 127.0.0.1, port: 1, timeout: 2}\nintervals: {vmList: 1ms}\n",
+                                "e.yaml");
     });
     CHECK_THAT(faults,
                Contains("line 1, column 10, process") && Contains("the key 'failureDomain'")
@@ -89,23 +89,23 @@
 
 TEST_CASE("printed settings, defaults included, parse to the same settings")
 {
-    auto settings = readDaemonSettings(minimalSettings, "e.yaml");
+    auto settings = readEntryDaemonSettings(minimalSettings, "e.yaml");
     const auto printed = toYaml(settings);
     CHECK_THAT(printed,
                Contains("heartbeat: 2000ms") && Contains("pools: {bookings: bookings, tasks: tasks}")
                    && !Contains("administration"));
-    CHECK(toYaml(readDaemonSettings(printed, "printed")) == printed);
+    CHECK(toYaml(readEntryDaemonSettings(printed, "printed")) == printed);
     settings.isAdministrationOpen = true;
-    CHECK(readDaemonSettings(toYaml(settings), "printed").isAdministrationOpen);
+    CHECK(readEntryDaemonSettings(toYaml(settings), "printed").isAdministrationOpen);
     settings.isAdministrationOpen = false;
     settings.tokenFile = "/run/pri\"mrose token";
-    CHECK(readDaemonSettings(toYaml(settings), "printed").tokenFile == settings.tokenFile);
+    CHECK(readEntryDaemonSettings(toYaml(settings), "printed").tokenFile == settings.tokenFile);
 }
 
 TEST_CASE("administration is closed unless the settings open it or name a token file")
 {
-    CHECK_FALSE(readDaemonSettings(minimalSettings, "e.yaml").isAdministrationOpen);
-    const auto with = [](const std::string &text) { return readDaemonSettings(minimalSettings + text, "e.yaml"); };
+    CHECK_FALSE(readEntryDaemonSettings(minimalSettings, "e.yaml").isAdministrationOpen);
+    const auto with = [](const std::string &text) { return readEntryDaemonSettings(minimalSettings + text, "e.yaml"); };
     CHECK(with("administration: {open: true}\n").isAdministrationOpen);
     CHECK(with("administration: {tokenFile: /run/token}\n").tokenFile == "/run/token");
     CHECK_THROWS_AS(with("administration: {open: false}\n"), error);
