--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -6,6 +6,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/overloaded.h"
+#include "core/read_file.h"
 #include "io/glib_pointer.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
@@ -23,7 +24,6 @@
 #include "primrosecroft_types.h"
 #include "protocol/sender.h"
 #include "queues/queue_follower.h"
-#include "settings/daemon_settings.h"
 #include "store/monitored_store.h"
 
 #include <algorithm>
@@ -214,6 +214,7 @@
                                                 {"term", std::to_string(report.row.term)},
                                                 {"resigned", report.row.hasResigned ? "1" : "0"}});
                                sendPresence();
+                               notifyPeersOfOwner(report.row, report.version);
                            },
                        },
                        action);
@@ -244,6 +245,7 @@
                          {"term", std::to_string(taking.row.term)},
                          {"heard_ms", ageInMs(leadership.lastContactAt)},
                          {"refused", leadership.isConnectionRefused ? "1" : "0"}});
+        formerOwner = leadership.owner ? std::optional(leadership.owner->address) : std::nullopt;
         const auto sentAt = bootNow();
         rows.commit({{{ownerPlace(), taking.expected}}, {{ownerPlace(), encodeOwner(taking.row)}}, {}}, takeOverTimeout,
                     [this, sentAt](const commit_result &result) {
@@ -258,7 +260,11 @@
         ownsSince = bootNow();
         lastSuccessor.clear();
         runner.begin(begun.token, begun.term, ownershipConfirmedAt);
-        notifyPeersOfOwner(*leadership.owner, begun.token);
+        const auto notice = notifyPeersOfOwner(*leadership.owner, begun.token);
+        if (formerOwner && *formerOwner != settings.peers) {
+            // Only it may know the others, which have sent it their presence. It passes the notice on to them.
+            peers.send(*formerOwner, notice);
+        }
         refreshAdviceRoutes();
     }
 
@@ -278,7 +284,8 @@
                     });
     }
 
-    void notifyPeersOfOwner(const owner_row &row, row_version version)
+    /// Sends a notice of the owner's row to all known daemons, and returns it.
+    wire::Message notifyPeersOfOwner(const owner_row &row, row_version version)
     {
         wire::Message message;
         message.ownerNotice.row = encodeOwner(row);
@@ -287,6 +294,7 @@
         for (const auto &[name, peer] : knownPeers) {
             peers.send(peer.address, message);
         }
+        return message;
     }
 
     void ownershipLost(const std::string &reason)
@@ -642,7 +650,7 @@
         const auto sources = {g_unix_signal_add(SIGTERM, &parts::onTerminate, this),
                               g_unix_signal_add(SIGINT, &parts::onTerminate, this),
                               g_unix_signal_add(SIGHUP, &parts::onReload, this)};
-        queues.start([](const queue_table &) { });
+        queues.start([this](const queue_table &table) { callerServer.setMaxBodySize(table.maxRequestBytes); });
         tickTimer.every(presenceInterval, [this] { tick(); });
         tick();
         g_main_loop_run(loop.get());
@@ -685,6 +693,7 @@
     instant ownershipConfirmedAt;
     std::optional<instant> handoverRequestedAt; ///< of the latest request; std::nullopt before the first one
     instant ownsSince;
+    std::optional<peer_address> formerOwner; ///< at the latest take-over; std::nullopt if no owner was known
     process_id lastSuccessor; ///< the daemon last asked to take over; empty if this ownership has asked none
     std::map<process_id, successor_candidate> knownPeers; ///< from the last presence message of each
     std::optional<waiting_counts> waitingCounts; ///< the latest that an owner has reported
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -2,10 +2,10 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/parse_integer.h"
 #include "observability/problem.h"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -43,12 +43,11 @@
 /// invalid, and 60 s for longer times.
 std::chrono::milliseconds parseTimeout(const std::string &text)
 {
-    std::int64_t amount = 0;
-    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), amount);
-    if (fault != std::errc() || amount <= 0) {
+    const auto amount = parseInteger(text);
+    if (!amount || *amount <= 0) {
         return defaultTimeout;
     }
-    return std::min<std::chrono::milliseconds>(std::chrono::milliseconds(amount), 60s);
+    return std::min<std::chrono::milliseconds>(std::chrono::milliseconds(*amount), 60s);
 }
 
 } // namespace
@@ -317,7 +316,7 @@
     }
     m_store.read(liveRows(entry->id), entry->boundedTimeout(readTimeout), [this, entry](const range_result &result) {
         if (result.outcome != store_outcome::done) {
-            cancel(entry);
+            retryCancel(entry);
             return;
         }
         const auto job = std::ranges::find(result.rows, jobPlace(entry->id), &store_row::place);
@@ -333,12 +332,17 @@
                 m_links.notifyOwner(entry->id, true);
                 answer(entry, statusOk, "", "cancelled");
             } else {
-                cancel(entry); // the job has just ended, or the commit has to be repeated
+                retryCancel(entry); // the job has just ended, or the commit has to be repeated
             }
         });
     });
 }
 
+void caller_service::retryCancel(const exchange_pointer &entry)
+{
+    entry->retryTimer.once(retryDelay, [this, entry] { cancel(entry); });
+}
+
 void caller_service::answerWaiting(const exchange_pointer &entry, const queue_route &route)
 {
     const auto count = m_links.countWaitingJobs(route.queue.name);
--- a/src/libprimrosecroft/demands/demand_service.cpp
+++ b/src/libprimrosecroft/demands/demand_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "observability/log_text.h"
 #include "observability/problem.h"
 #include "settings/checked_node.h"
 
@@ -42,6 +43,17 @@
             .dump());
 }
 
+/// Returns std::nullopt, and logs it, if the row can't be decoded.
+std::optional<demand_row> decodeIfReadable(const store_row &row)
+{
+    try {
+        return rowFromJson(row.value);
+    } catch (const error &fault) {
+        LOG(ERROR) << "demands: unreadable row, key=" << logText(row.place.key) << " reason=" << logText(fault.what());
+        return std::nullopt;
+    }
+}
+
 /// Outcome of an ended demand in answers to callers.
 std::string outcomeOf(const ended_job &ended)
 {
@@ -170,11 +182,16 @@
     request->answer(toResponse({status, request_outcome::refused, step, "", detail, retryAfter, ""}));
 }
 
+void demand_service::refuseWithoutSheet(const std::shared_ptr<http_request> &request)
+{
+    refuse(request, statusUnavailable, "find configuration", "no sheet is in force yet", storeRetryAfter);
+}
+
 void demand_service::submit(const std::shared_ptr<http_request> &request)
 {
     const auto *sheet = m_links.sheet();
     if (sheet == nullptr) {
-        refuse(request, statusUnavailable, "find configuration", "no sheet is in force yet", storeRetryAfter);
+        refuseWithoutSheet(request);
         return;
     }
     const auto entry = std::make_shared<submission>();
@@ -201,15 +218,17 @@
 }
 
 /// Refuses a demand that no failure domain could hold. If its row exists, it was accepted under an earlier sheet, and
-/// is answered as accepted.
+/// is answered as accepted. If the row can't be read, the caller may ask again.
 void demand_service::refuseUnlessAccepted(const std::shared_ptr<submission> &entry)
 {
     readStored(entry->state.row.key, [this, entry](const demand_result &found) {
-        if (found && *found && (*found)->row.spec == entry->state.row.spec) {
+        if (!found) {
+            carryOut(entry,
+                     entry->state.mayExist ? acceptance_action(answer_unknown {})
+                                           : acceptance_action(answer_not_run {}));
+        } else if (*found && (*found)->row.spec == entry->state.row.spec) {
             entry->state.row = (*found)->row;
             carryOut(entry, answer_accepted {});
-        } else if (!found && entry->state.mayExist) {
-            carryOut(entry, answer_unknown {});
         } else {
             refuse(entry->request, statusUnprocessable, "choose failure domain", "no failure domain could ever hold it",
                    std::nullopt);
@@ -312,7 +331,7 @@
 /// Reads a demand and the state of its job. A row that can't be decoded counts as a failed read.
 void demand_service::readStored(const demand_key &key, std::function<void(const demand_result &)> done)
 {
-    m_store.readRow(demandPlace(key), [this, key, done = std::move(done)](const row_result &result) {
+    m_store.readRow(demandPlace(key), [this, done = std::move(done)](const row_result &result) {
         if (!result) {
             done(std::nullopt);
             return;
@@ -321,10 +340,9 @@
             done(demand_result {std::optional<stored_demand> {}});
             return;
         }
-        try {
-            readLive(rowFromJson((*result)->value), done);
-        } catch (const error &fault) {
-            LOG(ERROR) << "demands: unreadable row, key=" << key << " reason=" << fault.what();
+        if (const auto row = decodeIfReadable(**result)) {
+            readLive(*row, done);
+        } else {
             done(std::nullopt);
         }
     });
@@ -405,7 +423,11 @@
 {
     const auto home = request->query("home").empty() ? m_settings.failureDomain : request->query("home");
     const auto *sheet = m_links.sheet();
-    if (sheet == nullptr || !sheet->regions.contains(home)) {
+    if (sheet == nullptr) {
+        refuseWithoutSheet(request);
+        return;
+    }
+    if (!sheet->regions.contains(home)) {
         refuse(request, statusNotFound, "list demands", "no such failure domain in the sheet in force", std::nullopt);
         return;
     }
@@ -522,18 +544,44 @@
     for (const auto &[name, spec] : sheet->demands) {
         demand_row row {sheetDemandKey(*sheet, name), {}, spec};
         const auto home = sheetDemandHome(*sheet, row.key, spec);
-        if (m_accepted.contains(row.key) || home != m_settings.failureDomain) {
+        const auto settled = m_settledSheetDemands.find(row.key);
+        const bool isSettled = settled != m_settledSheetDemands.end() && settled->second == spec;
+        if (isSettled || home != m_settings.failureDomain) {
             continue;
         }
         row.home = *home;
-        m_store.commit(demandAcceptance(row, makeDemandJob(row, m_settings.pool, m_links.storeTime())),
-                       [this, key = row.key](const commit_result &result) {
-                           // A conflict means that a demand under this key has been accepted before.
-                           if (result.outcome == store_outcome::done || result.outcome == store_outcome::conflict) {
-                               m_accepted.insert(key);
-                           }
-                       });
+        acceptSheetDemand(row);
     }
 }
 
+void demand_service::acceptSheetDemand(const demand_row &row)
+{
+    m_store.commit(demandAcceptance(row, makeDemandJob(row, m_settings.pool, m_links.storeTime())),
+                   [this, row](const commit_result &result) {
+                       if (result.outcome == store_outcome::done) {
+                           m_settledSheetDemands[row.key] = row.spec;
+                       } else if (result.outcome == store_outcome::conflict) {
+                           settleSheetDemand(row);
+                       }
+                   });
+}
+
+/// Called when the key of a sheet's demand is in use. The row under it shows if this demand was accepted before, or if
+/// the key belongs to another demand. Without a row, the demand isn't settled and will be committed again.
+void demand_service::settleSheetDemand(const demand_row &row)
+{
+    m_store.readRow(demandPlace(row.key), [this, row](const row_result &result) {
+        const auto found = result && *result ? decodeIfReadable(**result) : std::nullopt;
+        if (!found) {
+            return;
+        }
+        m_settledSheetDemands[row.key] = row.spec;
+        if (found->spec != row.spec) {
+            m_measures.count("primrosecroft_demands_refused_total", "step", "accept sheet demand");
+            LOG(ERROR) << "demands: a sheet's demand was refused because its key belongs to another demand, key="
+                       << logText(row.key);
+        }
+    });
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -8,7 +8,9 @@
 /** Identifies the process that sent a message, and the run of that process. */
 struct Sender {
   1: required string process // name of the process from its settings
-  2: required string role // program of the process: "celld" or "entryd"
+  // Program of the process: "celld" or "entryd". No receiver uses it, but builds that run beside this one refuse a
+  // message without it.
+  2: required string role
   3: required string failureDomain
   4: required i64 incarnation // random number that identifies one run of the process; has no order
 }
@@ -161,7 +163,9 @@
 
 /**
  * Sent by a cell daemon when it has become the owner of the shard, or has resigned, to all daemons from which it has
- * received a Presence. The others notice it when they next read the owner's row. There is no reply.
+ * received a Presence, and to the former owner. A receiver to which the row is new passes the notice on to all daemons
+ * from which it has received a Presence itself. The others notice it when they next read the owner's row. There is no
+ * reply.
  */
 struct OwnerNotice {
   1: required binary row // the owner's row in the encoding of the store
--- a/tests/unit/booking_test.cpp
+++ b/tests/unit/booking_test.cpp
@@ -1,6 +1,7 @@
 #include "loopback.h"
 #include "routing/booking_proxy.h"
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
@@ -399,3 +400,69 @@
     CHECK_FALSE(contains(chunked, "hello"));
     CHECK(contains(daemon.ask(request("GET", "/booking/1")), "hello"));
 }
+
+TEST_CASE("a request body over the limit is refused before it has arrived completely")
+{
+    const auto *const head =
+        GENERATE("Content-Length: 5000\r\n\r\nab", "Expect: 100-continue\r\nContent-Length: 5000\r\n\r\n");
+    const entry daemon({});
+    const auto caller = connectTo(daemon.server.port());
+    caller->write(std::string("POST /booking/1 HTTP/1.1\r\nHost: e\r\n") + head);
+    const auto answer = await(std::async(std::launch::async, [&caller] { return caller->readAll(); }));
+    CHECK(answer.starts_with("HTTP/1.1 413"));
+    CHECK(contains(answer, "Connection: close"));
+    CHECK(looksComplete(answer));
+}
+
+TEST_CASE("the limit of request bodies can be changed while the server runs")
+{
+    scripted_peer upstream(answering([](const std::string &) { return answerOf("hello"); }));
+    entry daemon({upstream.port()});
+    CHECK(contains(daemon.ask(request("POST", "/booking/1", "", std::string(900, 'x'))), "hello"));
+    daemon.server.setMaxBodySize(100);
+    CHECK(contains(daemon.ask(request("POST", "/booking/1", "", std::string(101, 'x'))), "413"));
+    CHECK(contains(daemon.ask(request("POST", "/booking/1", "", std::string(100, 'x'))), "hello"));
+    daemon.server.setMaxBodySize(2'000);
+    CHECK(contains(daemon.ask(request("POST", "/booking/1", "", std::string(1'900, 'x'))), "hello"));
+}
+
+TEST_CASE("a retry doesn't take over the leaving mark and the load of the attempt before")
+{
+    constexpr int warmUps = 11; // each adds 0.1 to the retry budget
+    std::atomic<int> requests = 0;
+    const auto script = answering([&requests](const std::string &) -> std::string {
+        const auto number = requests++;
+        if (number == warmUps) {
+            return "HTTP/1.1 503 Service Unavailable\r\nPrimrosecroft-Not-Run: 1\r\nPrimrosecroft-Leaving: 1\r\n"
+                   "Primrosecroft-Load: 7\r\nContent-Length: 0\r\n\r\n";
+        }
+        return number < warmUps ? answerOf("warm") : "";
+    });
+    scripted_peer first(script);
+    scripted_peer second(script);
+    const entry daemon({first.port(), second.port()});
+    for (int each = 0; each < warmUps; ++each) {
+        REQUIRE(contains(daemon.ask(request("GET", "/booking/warm")), "warm"));
+    }
+    daemon.ask(request("GET", "/booking/1"));
+    REQUIRE(requests == warmUps + 2);
+    const auto &state = daemon.proxy.state();
+    CHECK(state.leavingSince.size() == 1);
+    const auto withLoad =
+        std::ranges::count_if(state.upstreams, [](const auto &each) { return each.second.otherDaemonsLoad > 0; });
+    CHECK(withLoad == 1);
+}
+
+TEST_CASE("the link budget is corrected by the size of the request and its answer")
+{
+    scripted_peer upstream(answering([](const std::string &) { return answerOf(std::string(100'000, 'x')); }));
+    entry daemon({});
+    daemon.proxy.setUpstreams({{"far", vm_role::executor, "b", "other", "127.0.0.1", upstream.port(), false}});
+    const auto expected = daemon.proxy.state().bytesPerRequest;
+    REQUIRE(contains(daemon.ask(request("POST", "/booking/1", "", std::string(900, 'y'))), "200 OK"));
+    const auto &state = daemon.proxy.state();
+    CHECK(state.bytesPerRequest > expected);
+    const auto spent = state.settings.linkBytesPerSecond - state.linkBudget; // the budget was that of a full second
+    CHECK(spent >= 100'900);
+    CHECK(spent < 103'000);
+}
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -20,6 +20,9 @@
                 std::function<void(commit_result)> done) override
     {
         ++commits;
+        if (beforeCommit) {
+            beforeCommit();
+        }
         if (ignoresCommits) {
             return;
         }
@@ -38,7 +41,7 @@
     {
         ++reads;
         auto result = rows.read(range);
-        if (isUnreachable || range.table == refusedTable) {
+        if (isUnreachable || refusesReads || range.table == refusedTable) {
             result = {};
             result.outcome = store_outcome::refused;
         }
@@ -82,6 +85,8 @@
     bool delaysAnswers = false;
     bool answersPolls = false; ///< if false, polls for changes get no answer, and the code under test must cope
     bool isUnreachable = false; ///< every commit and read is refused
+    bool refusesReads = false; ///< every read is refused
+    std::function<void()> beforeCommit; ///< called before each commit is carried out, if set
     bool ignoresCommits = false; ///< commits are neither carried out nor answered
     int commits = 0;
     int reads = 0;
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -106,6 +106,15 @@
     }
 }
 
+TEST_CASE("settings without the bounds that nothing uses are valid")
+{
+    auto text = settingsText;
+    for (const std::string bound : {R"("configApplyMs": 2500, )", R"(, "status_s": 120)"}) {
+        text.erase(text.find(bound), bound.size());
+    }
+    CHECK(platform::decodeSettings(text, "f.json").maxLease == 6'000ms);
+}
+
 TEST_CASE("a malformed or unknown entry of a worker is decoded as no worker")
 {
     CHECK_FALSE(platform::decodeWorker("w", "garbage"));
@@ -181,3 +190,14 @@
     nlohmann::json::to_cbor(row, encoded);
     CHECK(decodeJob(encoded).spec == job.spec);
 }
+
+TEST_CASE("a limit of request bodies that isn't positive counts as missing")
+{
+    const auto limitOf = [](const std::string &limits) {
+        return platform::decodeQueueTable(R"({"version":1,"routes":[],"limits":)" + limits + "}").maxRequestBytes;
+    };
+    CHECK(limitOf(R"({"maxBodyBytes":1000})") == 1'000);
+    for (const auto *limits : {"{}", R"({"maxBodyBytes":0})", R"({"maxBodyBytes":-1})"}) {
+        CHECK(limitOf(limits) == queue_table {}.maxRequestBytes);
+    }
+}
