Serve with an unreadable row of contacted workers, and wait until leases have expired

decodeContactedWorkers was called without a guard while a new owner loads: an unreadable row ended the process, and each next owner after it. Taking the row as empty would be wrong, since the row names the workers that may still run tasks of an earlier owner.

Such an owner serves now, but no task starts before the leases of an earlier owner have expired (inDoubtUntil, about 6.2 s), and it leaves the row as it is until then, so that an owner that follows at once waits as well. Then it writes the row anew. The row is logged with its key, as is an unreadable row of rules.

Both new tests failed before: the runner's with the exception, the core's because the row was written at once (with the new member present, but without effect).

--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -174,7 +174,7 @@
                 + " workers usable, "
                 + (job.accepted.queue.advice ? std::to_string(allowed) + " known to be allowed" : "all allowed")
                 + (each.advice.isRequestPending ? ", a request for advice is pending" : "")
-                + (now < state.inDoubtUntil && !state.unreconciledWorkers.empty()
+                + (now < state.inDoubtUntil && (!state.unreconciledWorkers.empty() || state.areContactedWorkersUnknown)
                        ? ", leases of an earlier owner may still be in force"
                        : "");
         }
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -207,6 +207,9 @@
     std::set<worker_id> unreconciledWorkers; ///< workers that may still run tasks of an earlier owner
     instant inDoubtUntil; ///< by then the leases of an earlier owner have expired
     std::set<worker_id> contactedWorkers; ///< as stored for the next owner; only these workers may get tasks
+    /// Their row can't be read, so any worker may run tasks of an earlier owner. No task starts until inDoubtUntil, and
+    /// the row stays as it is, so that a next owner waits as well.
+    bool areContactedWorkersUnknown = false;
     std::uint64_t contactedWorkersCommit = 0; ///< number of the pending commit that stores them anew; 0 for none
     std::set<worker_id> contactedWorkersSent; ///< the workers that this commit stores
     cell_rules rules;
--- a/src/libprimrosecroft/cell/cell_rows_reader.cpp
+++ b/src/libprimrosecroft/cell/cell_rows_reader.cpp
@@ -1,7 +1,6 @@
 #include "cell/cell_rows_reader.h"
 
 #include "cell/store_timing.h"
-#include "core/error.h"
 
 #include <algorithm>
 #include <utility>
@@ -25,18 +24,36 @@
                 m_retryTimer.once(readRetryDelay, [this, done] { load(done); });
                 return;
             }
-            auto &state = m_context.state;
-            state.commitSequence = versionOf(result.rows, commitSequencePlace());
-            const auto contacted = std::ranges::find(result.rows, contactedWorkersPlace(), &store_row::place);
-            if (contacted != result.rows.end()) {
-                state.contactedWorkers = decodeContactedWorkers(contacted->value);
-                state.unreconciledWorkers = state.contactedWorkers;
-            }
+            m_context.state.commitSequence = versionOf(result.rows, commitSequencePlace());
+            applyContactedWorkers(result.rows);
             applyRules(result.rows);
             done(result.version);
         }));
 }
 
+void cell_rows_reader::applyContactedWorkers(const std::vector<store_row> &rows)
+{
+    auto &state = m_context.state;
+    const auto row = std::ranges::find(rows, contactedWorkersPlace(), &store_row::place);
+    if (row == rows.end()) {
+        return;
+    }
+    try {
+        state.contactedWorkers = decodeContactedWorkers(row->value);
+        state.unreconciledWorkers = state.contactedWorkers;
+    } catch (const error &fault) {
+        state.areContactedWorkersUnknown = true;
+        logUnreadable(*row, fault);
+    }
+}
+
+void cell_rows_reader::logUnreadable(const store_row &row, const error &fault)
+{
+    m_context.log.writeAlways(
+        "cell", "row-unreadable",
+        {{"key", row.place.key}, {"version", std::to_string(row.version)}, {"reason", fault.what()}});
+}
+
 void cell_rows_reader::readRules(std::function<void(bool isRead)> done)
 {
     const auto place = rulesPlace();
@@ -64,7 +81,7 @@
         m_rulesVersion = row->version;
         m_context.apply(rules_updated {rules});
     } catch (const error &fault) {
-        m_context.log.write("cell", "row-unreadable", {{"id", row->place.key}, {"reason", fault.what()}});
+        logUnreadable(*row, fault);
     }
 }
 
--- a/src/libprimrosecroft/cell/cell_rows_reader.h
+++ b/src/libprimrosecroft/cell/cell_rows_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/runner_context.h"
+#include "core/error.h"
 #include "io/timer.h"
 
 #include <functional>
@@ -25,7 +26,9 @@
     void stop();
 
 private:
+    void applyContactedWorkers(const std::vector<store_row> &rows);
     void applyRules(const std::vector<store_row> &rows);
+    void logUnreadable(const store_row &row, const error &fault);
 
     const runner_context &m_context;
     row_version m_rulesVersion = row_condition::absent; ///< of the row with the rules in force
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -155,7 +155,7 @@
 
 void writeContactedWorkers(limited_transaction &transaction, cell_state &state, std::uint64_t number)
 {
-    if (state.contactedWorkersCommit != 0) {
+    if (state.contactedWorkersCommit != 0 || state.areContactedWorkersUnknown) {
         return;
     }
     auto wanted = state.unreconciledWorkers;
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -615,6 +615,7 @@
     }
     if (now >= state.inDoubtUntil) {
         state.unreconciledWorkers.clear();
+        state.areContactedWorkersUnknown = false;
     }
 }
 
--- a/src/libprimrosecroft/jobs/job_rows.cpp
+++ b/src/libprimrosecroft/jobs/job_rows.cpp
@@ -152,7 +152,7 @@
 std::set<worker_id> decodeContactedWorkers(const std::string &row)
 {
     try {
-        return json::from_cbor(row).get<std::set<worker_id>>();
+        return rowValue<std::set<worker_id>>(json::from_cbor(row));
     } catch (const json::exception &fault) {
         throw error("decode contacted workers", "", fault.what());
     }
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -252,3 +252,13 @@
     const auto &job = owner.runner.state()->jobs.at("bad");
     CHECK(job.occurrences.at(0).steps.at(0).tasks.at(0).failedAttempts == std::set<std::uint32_t> {1});
 }
+
+TEST_CASE("an owner that can't read the row of contacted workers serves, and lets no task start for now")
+{
+    owner_process owner;
+    owner.rows.rows.put(contactedWorkersPlace(), "garbage");
+    owner.rows.rows.put(jobPlace("a"), rowOf("a"));
+    REQUIRE_NOTHROW(owner.begin());
+    CHECK(owner.hasJob("a"));
+    CHECK(owner.runner.state()->areContactedWorkersUnknown);
+}
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -369,3 +369,27 @@
     cell.confirmCommit();
     CHECK(cell.state.unsavedJobs.empty());
 }
+
+TEST_CASE("while the workers that an earlier owner contacted are unknown, no task starts and the row is kept")
+{
+    owned_cell cell;
+    cell.state.areContactedWorkersUnknown = true;
+    step(cell.state, worker_listed {owned_cell::makeWorker("w", "r", {8'000, 16'000, 0})}, cell.now, cell.actions);
+    cell.addJob(owned_cell::makeJob("a", {makeStep(1, 400ms)}));
+    const auto doubtEndsAt = cell.state.inDoubtUntil;
+    REQUIRE(doubtEndsAt > cell.now + 6s);
+    for (; cell.now < doubtEndsAt; cell.advance(100ms)) {
+        cell.answerList("w", {});
+        CHECK(cell.runSchedulingPass().empty());
+        CHECK(commitsIn(cell.actions).empty()); // the next owner must find the row unreadable too
+    }
+    cell.answerList("w", {});
+    cell.runSchedulingPass();
+    const auto commits = commitsIn(cell.actions);
+    REQUIRE(commits.size() == 1);
+    CHECK(std::ranges::find(commits.front().writes, contactedWorkersPlace(), &row_write::place)
+          != commits.front().writes.end());
+    cell.confirmCommit();
+    cell.advance(50ms);
+    CHECK(cell.runSchedulingPass().size() == 1);
+}
