Go on with an owner's row that can't be read, without taking over

Each daemon reads the owner's row and decoded it without a guard: one unreadable row ended all daemons of the cell, also after their restart. ownerPollOf builds the message for the election now, as a function that tests can call, and such a row counts as a failed poll. So nobody owns by guessing: a take-over would need the row's term, from which the numbers of attempts follow. The entry daemon's read and the notice from another daemon were guarded already. Terms below 0, ports out of range and text that isn't UTF-8 are refused too.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -213,16 +213,10 @@
         const auto sentAt = bootNow();
         rows.read({cellTable, shardPartition, ownerPlace().key, keyAfter(renewalPlace().key), 2}, ownerReadTimeout,
                   [this, sentAt](const range_result &result) {
-                      owner_poll_answered answer;
-                      answer.outcome = result.outcome;
-                      answer.storeRoundTrip = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - sentAt);
-                      for (const auto &row : result.rows) {
-                          if (row.place.key == renewalPlace().key) {
-                              answer.renewal = row.version;
-                          } else if (row.place.key == ownerPlace().key) {
-                              answer.row = decodeOwner(row.value);
-                              answer.version = row.version;
-                          }
+                      const auto answer = ownerPollOf(
+                          result, std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - sentAt));
+                      if (!answer.fault.empty()) {
+                          log.write("cell", "row-unreadable", {{"key", ownerPlace().key}, {"reason", answer.fault}});
                       }
                       ownershipConfirmedAt = sentAt;
                       advanceLeadership(answer);
--- a/src/libprimrosecroft/leadership/leadership.cpp
+++ b/src/libprimrosecroft/leadership/leadership.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/overloaded.h"
+#include "core/row_value.h"
 #include "jobs/job_rows.h"
 
 #include <algorithm>
@@ -21,6 +22,7 @@
 /// Round trips to the store that a process waits before it takes over, so that one nearer to the store comes first.
 constexpr int roundTripFactor = 3;
 constexpr std::size_t maxJitter = 40; ///< milliseconds over which processes with equal round trips spread take-overs
+constexpr std::int64_t maxTerm = 4'000'000; ///< of a row that is read; the numbers of attempts grow by 1000 each term
 constexpr auto maxRoundTripDelay = 250ms; ///< limit on that wait, without the jitter
 
 /// True if this run of the process wrote the row.
@@ -194,17 +196,37 @@
     try {
         const auto parsed = json::from_cbor(row);
         owner_row result;
-        result.process = parsed.at(0).get<std::string>();
-        result.incarnation = parsed.at(1).get<std::int64_t>();
-        result.address = {parsed.at(2).get<std::string>(), parsed.at(3).get<std::uint16_t>()};
-        result.term = parsed.at(4).get<std::int64_t>();
-        result.hasResigned = parsed.at(5).get<bool>();
+        result.process = rowValue<std::string>(parsed.at(0));
+        result.incarnation = rowValue<std::int64_t>(parsed.at(1));
+        result.address = {rowValue<std::string>(parsed.at(2)), rowValue<std::uint16_t>(parsed.at(3))};
+        result.term = rowNumber<std::int64_t>(parsed.at(4), 0, maxTerm);
+        result.hasResigned = rowValue<bool>(parsed.at(5));
         return result;
     } catch (const json::exception &fault) {
         throw error("decode owner row", "", fault.what());
     }
 }
 
+owner_poll_answered ownerPollOf(const range_result &result, std::chrono::milliseconds storeRoundTrip)
+{
+    owner_poll_answered answer;
+    answer.outcome = result.outcome;
+    answer.storeRoundTrip = storeRoundTrip;
+    answer.renewal = versionOf(result.rows, renewalPlace());
+    const auto owner = std::ranges::find(result.rows, ownerPlace(), &store_row::place);
+    if (owner == result.rows.end()) {
+        return answer;
+    }
+    try {
+        answer.row = decodeOwner(owner->value);
+        answer.version = owner->version;
+    } catch (const error &fault) {
+        answer.outcome = store_outcome::lost;
+        answer.fault = fault.what();
+    }
+    return answer;
+}
+
 leadership_state makeLeadership(const leadership_settings &settings, instant now)
 {
     leadership_state state;
--- a/src/libprimrosecroft/leadership/leadership.h
+++ b/src/libprimrosecroft/leadership/leadership.h
@@ -66,6 +66,7 @@
     row_version version = 0; ///< of the owner's row
     row_version renewal = 0; ///< of the renewal row; 0 if there is none
     std::chrono::milliseconds storeRoundTrip {0}; ///< duration of the read
+    std::string fault = {}; ///< why the owner's row can't be read; empty if it can
 };
 
 /// A process answered that it is the owner under @p token.
@@ -124,6 +125,10 @@
                                         owner_reported, handover_requested, take_over_answered, ownership_lost,
                                         leave_requested, resign_requested, leadership_ticked>;
 
+/// Returns the message for the store's answer to a read of the owner's row and the renewal row. A row that can't be
+/// read counts as a failed poll: nobody may take over from an owner that isn't known, and a later valid row is adopted.
+owner_poll_answered ownerPollOf(const range_result &result, std::chrono::milliseconds storeRoundTrip);
+
 // --- output actions
 
 /// Read the owner's row and the renewal row, and answer with owner_poll_answered.
--- a/tests/unit/leadership_test.cpp
+++ b/tests/unit/leadership_test.cpp
@@ -1,5 +1,8 @@
 #include "leadership/leadership.h"
 
+#include "core/error.h"
+#include "jobs/job_rows.h"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -84,3 +87,39 @@
     advance(1s, false);
     CHECK(hasTakenOver);
 }
+
+TEST_CASE("an owner's row that can't be read ends no process, nobody takes over, and a later valid row is adopted")
+{
+    leadership_settings settings;
+    settings.process = "a";
+    auto state = makeLeadership(settings, start);
+    range_result answer;
+    answer.outcome = store_outcome::done;
+    answer.rows = {{ownerPlace(), "garbage", 9, false}, {renewalPlace(), "1", 10, false}};
+    owner_poll_answered unreadable;
+    REQUIRE_NOTHROW(unreadable = ownerPollOf(answer, 5ms));
+    CHECK_FALSE(unreadable.fault.empty());
+    int polls = 0;
+    for (auto now = start; now < start + 10s; now += 100ms) {
+        const auto actions = step(state, leadership_ticked {}, now);
+        CHECK_FALSE(hasAction<take_ownership>(actions));
+        if (hasAction<poll_owner>(actions)) {
+            ++polls;
+            CHECK_FALSE(hasAction<take_ownership>(step(state, unreadable, now)));
+        }
+    }
+    CHECK(polls > 10);
+    answer.rows.front().value = encodeOwner(rowOf("b"));
+    answer.rows.front().version = 11;
+    const auto valid = ownerPollOf(answer, 5ms);
+    CHECK(valid.renewal == 10);
+    CHECK(hasAction<report_owner>(step(state, valid, start + 10s)));
+}
+
+TEST_CASE("an owner's row with a term below 0 is rejected")
+{
+    auto row = rowOf("b");
+    CHECK(decodeOwner(encodeOwner(row)) == row);
+    row.term = -1;
+    CHECK_THROWS_AS(decodeOwner(encodeOwner(row)), error);
+}
