Read the owner's row before a failed take-over is repeated

A process that finds the row of its own earlier run takes over at once. If that take-over conflicted, since another process had taken over in between, the step that handled the answer sent the same take-over again, without a pause and with the same outdated condition; and as a poll is only sent while no take-over is pending, the row was never read again. It went on until the new owner's notice happened to arrive. After a take-over that failed, nothing is taken over now before a poll has succeeded.

--- a/src/libprimrosecroft/leadership/leadership.cpp
+++ b/src/libprimrosecroft/leadership/leadership.cpp
@@ -266,6 +266,7 @@
                     return;
                 }
                 state.takeOverAt.reset();
+                state.hasPolled = false;
                 state.nextPollAt = now;
             },
             [&](const ownership_lost &) {
--- a/src/libprimrosecroft/leadership/leadership.h
+++ b/src/libprimrosecroft/leadership/leadership.h
@@ -179,7 +179,7 @@
     leadership_settings settings;
     std::optional<owner_row> owner; ///< latest known row; unset before one was read or reported
     row_version version = 0; ///< of that row; the owner's fencing token unless the owner resigned
-    bool hasPolled = false; ///< a poll has succeeded
+    bool hasPolled = false; ///< a poll has succeeded, after the last take-over that failed
     bool owns = false; ///< this process is the owner
     bool isLeaving = false;
     bool isPolling = false; ///< a poll hasn't been answered yet
--- a/tests/unit/leadership_test.cpp
+++ b/tests/unit/leadership_test.cpp
@@ -123,3 +123,18 @@
     row.term = -1;
     CHECK_THROWS_AS(decodeOwner(encodeOwner(row)), error);
 }
+
+TEST_CASE("a process that finds a row of its earlier run reads the row again after a take-over that conflicts")
+{
+    leadership_settings settings;
+    settings.process = "a";
+    settings.incarnation = 7;
+    auto state = makeLeadership(settings, start);
+    const auto found = step(state, owner_poll_answered {store_outcome::done, rowOf("a"), 9, 10, 5ms}, start);
+    REQUIRE(hasAction<take_ownership>(found));
+    const auto answered = step(state, take_over_answered {store_outcome::conflict, 0}, start + 10ms);
+    CHECK_FALSE(hasAction<take_ownership>(answered));
+    CHECK(hasAction<poll_owner>(answered));
+    CHECK(hasAction<report_owner>(
+        step(state, owner_poll_answered {store_outcome::done, rowOf("b"), 11, 12, 5ms}, start + 20ms)));
+}
