Refuse rules with a weight that isn't finite

decodeRules took any number as a weight of the placement policy. With NaN the costs of the workers have no order, so that sorting by them isn't defined. The new test failed before: both rows were read.

--- a/src/libprimrosecroft/cell/cell_rules.cpp
+++ b/src/libprimrosecroft/cell/cell_rules.cpp
@@ -1,6 +1,6 @@
 #include "cell/cell_rules.h"
 
-#include "core/error.h"
+#include "core/row_value.h"
 
 #include <nlohmann/json.hpp>
 
@@ -24,8 +24,8 @@
     try {
         const auto parsed = nlohmann::json::from_cbor(row);
         const auto &policy = parsed.at("policy");
-        const auto weight = [&policy](std::size_t index) { return policy.at(index).get<double>(); };
-        return {parsed.at("drained").get<std::set<worker_id>>(),
+        const auto weight = [&policy](std::size_t index) { return rowValue<double>(policy.at(index)); };
+        return {rowValue<std::set<worker_id>>(parsed.at("drained")),
                 {weight(0), weight(1), weight(2), weight(3), weight(4)}};
     } catch (const nlohmann::json::exception &fault) {
         throw error("decode cell rules", "", fault.what());
--- a/tests/unit/stored_jobs_test.cpp
+++ b/tests/unit/stored_jobs_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 
 /// Tests how the rows of live jobs are put together, and which jobs are set aside.
 using namespace primrosecroft;
@@ -119,3 +120,15 @@
     }
     CHECK_THROWS_AS(decodeEnded(encodeEnded({job_status::complete, std::chrono::milliseconds(-1)})), error);
 }
+
+TEST_CASE("rules with a weight that isn't finite, or with workers that aren't texts, are rejected")
+{
+    cell_rules rules;
+    rules.drained = {"w1"};
+    CHECK(decodeRules(encodeRules(rules)) == rules);
+    rules.policy.balanceWeight = std::nan(""); // no order of the workers would be defined
+    CHECK_THROWS_AS(decodeRules(encodeRules(rules)), error);
+    rules = {};
+    rules.drained = {std::string(1, '\xff')};
+    CHECK_THROWS_AS(decodeRules(encodeRules(rules)), error);
+}
