Fuzz the decoders of the store's rows

The fuzz test mutates rows of jobs, progress, ends, owners, rules and contacted workers as well, and lets a cell run the jobs that are read. Any exception but error, which is what the runner handles, fails the test.

--- a/tests/unit/fuzz_inputs.h
+++ b/tests/unit/fuzz_inputs.h
@@ -6,8 +6,10 @@
 namespace primrosecroft
 {
 
-/// Number of readers of outside input that are tested: of a sheet, of settings, of a demand in JSON and of a frame.
-inline constexpr std::size_t fuzzTargetCount = 4;
+/// Number of readers of outside input that are tested: of a sheet, of settings, of a demand in JSON, of a frame, and of
+/// the store's rows of a job, its progress, its end, an owner, rules and contacted workers. What is read of a job and
+/// its progress is also given to the cell.
+inline constexpr std::size_t fuzzTargetCount = 10;
 
 /// Returns a valid input of a reader.
 std::string validInput(std::size_t target);
