--- a/tests/unit/fuzz_inputs.cpp
+++ b/tests/unit/fuzz_inputs.cpp
@@ -132,7 +132,7 @@
     case 6:
         return encodeEnded({job_status::failed, std::chrono::milliseconds(70'000), true});
     case 7:
-        return encodeOwner({"process", 5, {"127.0.0.1", 80}, 7, false});
+        return encodeOwner({"process", 5, {"127.0.0.1", 80}, 7, false, {}});
     case 8:
         return encodeRules({{"w1", "w2"}, {}});
     case 9:
