Count an emulated confirmation from when its read was sent

In the emulated cell, the confirmation by a poll of the owner's row counted from two one-way delays before the answer was handled. A process that was frozen in between took a confirmation for fresh that was as old as the freeze; real daemons count from when the read is sent. It counts so in the emulation now, and only if the store answered.

A new check in each step of the schedules: no confirmation counts from after the store's last contact with its process. All other checks are as before.

--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -235,6 +235,7 @@
                 at(now + 900ms, [reply] { reply({}); });
                 return;
             }
+            servedAt[process] = now;
             const bool isLost = isFaultPeriod() && chance(0.05 * settings.faultScale);
             if (isLost && chance(0.5)) {
                 at(now + std::chrono::milliseconds(pick(1'000, 6'000)),
@@ -366,10 +367,11 @@
     void pollOwnerRow(std::size_t index)
     {
         const auto session = processes[index].session;
-        at(now + storeDelay, [this, index, session] {
+        at(now + storeDelay, [this, index, session, sentAt = now] {
             owner_poll_answered polled;
             polled.storeRoundTrip = storeDelay;
             if (isStoreReachable(processes[index])) {
+                servedAt[index] = now;
                 polled.outcome = store_outcome::done;
                 if (const auto row = store.rows().find(ownerPlace()); row != store.rows().end()) {
                     polled.row = decodeOwner(row->second.value);
@@ -379,8 +381,10 @@
                     polled.renewal = row->second.version;
                 }
             }
-            deliverWhenRunning(index, session, [this, index, polled] {
-                ownershipConfirmedAt[index] = now - 2 * storeDelay;
+            deliverWhenRunning(index, session, [this, index, polled, sentAt] {
+                if (polled.outcome == store_outcome::done) {
+                    ownershipConfirmedAt[index] = sentAt;
+                }
                 stepLeadership(index, polled);
             });
         });
@@ -391,7 +395,9 @@
         const auto sentAt = now;
         commit(index, {{{ownerPlace(), taking.expected}}, {{ownerPlace(), encodeOwner(taking.row)}}, {}},
                [this, index, sentAt](const commit_result &result) {
-                   ownershipConfirmedAt[index] = sentAt;
+                   if (result.outcome == store_outcome::done) {
+                       ownershipConfirmedAt[index] = sentAt;
+                   }
                    stepLeadership(index, take_over_answered {result.outcome, result.version});
                });
     }
@@ -666,8 +672,21 @@
         });
     }
 
+    /// A confirmation can't count from after the store's last contact with the process: another one may own the shard
+    /// since then.
+    void checkConfirmations()
+    {
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            const auto &cell = processes[i].cell;
+            if (ownershipConfirmedAt[i] > servedAt[i] || (cell && cell->confirmedAt > servedAt[i])) {
+                violation = "an ownership counts as confirmed after the store's last contact with " + processes[i].name;
+            }
+        }
+    }
+
     void check()
     {
+        checkConfirmations();
         std::set<task_ref> runningTasks;
         for (const auto &worker : workers) {
             if (worker.isDown) {
@@ -818,7 +837,8 @@
     std::vector<emulated_worker> workers;
     std::vector<emulated_process> processes;
     std::map<std::size_t, instant> nextLeadershipTick;
-    std::map<std::size_t, instant> ownershipConfirmedAt; ///< by process: start of its last poll or take-over
+    std::map<std::size_t, instant> ownershipConfirmedAt; ///< by process: start of its last answered poll or take-over
+    std::map<std::size_t, instant> servedAt; ///< by process: when the store last carried out a request of it
     std::map<job_id, accepted_job> jobs;
     std::map<task_ref, observed_task> tasks;
     std::set<job_id> checkedEnds;
