Keep one copy of the conversion from and to base64

The client of the store and the stand-in of the platform each had one. Both use core/base64 now. No change of behaviour; jobs through the stand-in run as before.

--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -1,4 +1,5 @@
 #include "configuration/sheet.h"
+#include "core/base64.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/read_file.h"
@@ -38,23 +39,6 @@
 constexpr const char *taskPool = "tasks";
 constexpr const char *bookingPool = "bookings";
 
-std::string toBase64(const std::string &bytes)
-{
-    char *text = g_base64_encode(reinterpret_cast<const guchar *>(bytes.data()), bytes.size());
-    std::string result = text;
-    g_free(text);
-    return result;
-}
-
-std::string fromBase64(const std::string &text)
-{
-    gsize size = 0;
-    auto *bytes = reinterpret_cast<char *>(g_base64_decode(text.c_str(), &size));
-    std::string result(bytes, size);
-    g_free(bytes);
-    return result;
-}
-
 http_response makeAnswer(unsigned status, const json &body)
 {
     return {status, {{"Content-Type", "application/json"}}, body.dump()};
