Give a new owner's loaded jobs their age from the first pass on

A new owner took each stored job as accepted at its load, since it told its core the store's time only at the first pass, after the load: hopeless jobs then went before those that can still meet their objective, which undoes the order of service after each change of owner, and the time of a job's end report was too short. The clocks are told before the loaded jobs are. The new case of cell_runner failed before (the job counted as accepted at the load, 60 s after its acceptance).

--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/cell/cell_runner.cpp
@@ -108,6 +108,7 @@
         if (--loadsLeft > 0) {
             return;
         }
+        tellClocks(state.adviceRoutes, bootNow()); // the ages of the loaded jobs depend on them
         jobs.addLoaded();
         reports.writeServing(state, bootNow() - startedAt);
         isLoaded = true;
@@ -152,6 +153,11 @@
         keepOwnership(bootNow());
     }
 
+    void tellClocks(std::int32_t adviceRoutes, instant now)
+    {
+        step(state, clock_ticked {timeOfDay(), runner.m_store.storeTime(), adviceRoutes}, now, actions);
+    }
+
     /// Runs a pass, or schedules one if the pause after the last one isn't over.
     void runPass()
     {
@@ -161,8 +167,7 @@
             requestPass();
             return;
         }
-        step(state, clock_ticked {timeOfDay(), runner.m_store.storeTime(), runner.m_links.adviceRoutes()}, now,
-             actions);
+        tellClocks(runner.m_links.adviceRoutes(), now);
         runSchedulingPass(state, now, actions);
         carryOut();
         if (now >= lastSummaryAt + summaryInterval) {
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -293,3 +293,15 @@
     CHECK(owner.hasJob("a"));
     CHECK(owner.runner.state()->areContactedWorkersUnknown);
 }
+
+TEST_CASE("a job that a new owner loads is as old as its acceptance tells, not as the load")
+{
+    owner_process owner;
+    auto job = decodeJob(rowOf("old"));
+    job.acceptedAt = 5s;
+    owner.rows.rows.put(jobPlace("old"), encodeJob(job));
+    owner.rows.rows.now = 65s;
+    owner.begin();
+    REQUIRE(owner.hasJob("old"));
+    CHECK(owner.runner.state()->jobs.at("old").arrivedAt <= bootNow() - 59s);
+}
