Hand over as cut off only to a process that has reached the store later

A successor must now have reached the store after the owner's last confirmation. The new case of handover failed before.

--- a/src/libprimrosecroft/leadership/handover.cpp
+++ b/src/libprimrosecroft/leadership/handover.cpp
@@ -56,6 +56,13 @@
         && storeAgeAt(candidate, now) < maxStoreAge;
 }
 
+/// True if the candidate has reached the store after the store last confirmed the ownership. In a store that is slow
+/// for everyone no process has, and a hand-over would gain nothing.
+bool reachedStoreLater(const successor_candidate &candidate, const owner_status &owner)
+{
+    return candidate.lastContactAt - candidate.storeAge > owner.confirmedAt;
+}
+
 /// Reason for which any usable process is a better owner.
 std::optional<handover_reason> urgentReasonOf(const owner_status &owner, instant now)
 {
@@ -175,7 +182,11 @@
         return std::nullopt;
     }
     if (const auto reason = urgentReasonOf(owner, now)) {
-        return choose(usableCandidates(owner, candidates, now), *reason, now);
+        auto usable = usableCandidates(owner, candidates, now);
+        if (*reason == handover_reason::cutOff) {
+            std::erase_if(usable, [&](const auto *each) { return !reachedStoreLater(each->second, owner); });
+        }
+        return choose(std::move(usable), *reason, now);
     }
     if (mayRelocate(owner, now)) {
         return planRelocation(owner, usableCandidates(owner, candidates, now), now);
--- a/tests/unit/handover_test.cpp
+++ b/tests/unit/handover_test.cpp
@@ -359,3 +359,14 @@
     }
     CHECK_FALSE(lateness.lateSince);
 }
+
+TEST_CASE("an owner that is unconfirmed because the store is slow for every process does not hand over")
+{
+    auto owner = healthyOwner();
+    owner.confirmedAt = now - 1'000ms;
+    CHECK_FALSE(planHandover(owner, {{"a", makeCandidate(5ms, 950ms)}}, now));
+    const auto chosen = planHandover(owner, {{"a", makeCandidate(5ms, 950ms)}, {"b", makeCandidate(5ms, 300ms)}}, now);
+    REQUIRE(chosen);
+    CHECK(chosen->successor == "b");
+    CHECK(chosen->reason == handover_reason::cutOff);
+}
