Count an ownership as confirmed, and a submission as stored, by answers only

Two more places where a default looks like a value, found by the review. The time of a failed poll or take-over was kept as that of a confirmation, so that an ownership that becomes known from a peer could begin with a lease bound that the store never gave. And a report without an outcome would have been read as done. Neither can be seen from outside today but in a race with a lost answer; the emulation has checked the first since its confirmations count from their reads.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -233,7 +233,9 @@
                       if (!answer.fault.empty()) {
                           log.write("cell", "row-unreadable", {{"key", ownerPlace().key}, {"reason", answer.fault}});
                       }
-                      ownershipConfirmedAt = sentAt;
+                      if (answer.outcome == store_outcome::done) {
+                          ownershipConfirmedAt = sentAt;
+                      }
                       advanceLeadership(answer);
                   });
     }
@@ -249,7 +251,9 @@
         const auto sentAt = bootNow();
         rows.commit({{{ownerPlace(), taking.expected}}, {{ownerPlace(), encodeOwner(taking.row)}}, {}}, takeOverTimeout,
                     [this, sentAt](const commit_result &result) {
-                        ownershipConfirmedAt = sentAt;
+                        if (result.outcome == store_outcome::done) {
+                            ownershipConfirmedAt = sentAt;
+                        }
                         advanceLeadership(take_over_answered {result.outcome, result.version});
                     });
     }
--- a/src/celld/owner_link.cpp
+++ b/src/celld/owner_link.cpp
@@ -157,7 +157,7 @@
     m_peers.ask(*address, message, attemptTimeout,
                 [this, address, id, row, cancelled, remainingTime = timeout - attemptTimeout,
                  done = std::move(done)](const std::optional<wire::Message> &reply) {
-                    if (reply && reply->__isset.jobReport) {
+                    if (reply && reply->__isset.jobReport && reply->jobReport.__isset.outcome) {
                         done(static_cast<store_outcome>(reply->jobReport.outcome));
                     } else if (remainingTime > 0ms && m_owner.address() == address && m_owner.isResponsive()) {
                         // The owner is responsive, so the store must be slow. The repeated request finds the submission
