--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -21,6 +21,9 @@
     return text == nullptr ? fallback : std::stoull(text);
 }
 
+/// Capacities of processes between which live owners hand over.
+const std::vector<vm_capacity> unlikeCapacities {{120, 10}, {500, 200}, {120, 10}};
+
 /// Runs one schedule. Returns the violation that the checks detected, or an empty string if there is none.
 std::string runSeed(std::uint64_t seed, disabled_rule mutation = disabled_rule::none, std::size_t drains = 0,
                     const std::vector<vm_capacity> &capacities = {})
@@ -41,10 +44,11 @@
 
 /// Returns the first seed up to @p maxSeed with which the checks detect that the rule is missing, or 0 if there is
 /// none.
-std::uint64_t firstViolation(disabled_rule mutation, std::uint64_t maxSeed, std::size_t drains = 0)
+std::uint64_t firstViolation(disabled_rule mutation, std::uint64_t maxSeed, std::size_t drains = 0,
+                             const std::vector<vm_capacity> &capacities = {})
 {
     for (std::uint64_t seed = 1; seed <= maxSeed; ++seed) {
-        if (!runSeed(seed, mutation, drains).empty()) {
+        if (!runSeed(seed, mutation, drains, capacities).empty()) {
             return seed;
         }
     }
@@ -80,7 +84,7 @@
     const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
     const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 400);
     for (auto seed = first; seed < first + count; ++seed) {
-        const auto violation = runSeed(seed, disabled_rule::none, 0, {{120, 10}, {500, 200}, {120, 10}});
+        const auto violation = runSeed(seed, disabled_rule::none, 0, unlikeCapacities);
         INFO("seed " << seed << ": " << violation);
         CHECK(violation.empty());
     }
@@ -96,6 +100,8 @@
     CHECK(firstViolation(disabled_rule::commitSequence, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::ownershipCondition, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::countsOnlyWhenLoaded, maxSeeds) != 0);
+    CHECK(firstViolation(disabled_rule::startConfirmed, maxSeeds, 0, unlikeCapacities) != 0);
+    CHECK(firstViolation(disabled_rule::waitForFormerStops, maxSeeds, 0, unlikeCapacities) != 0);
     CHECK(firstViolation(disabled_rule::acknowledgeAfterCommit, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::maxUnavailable, maxSeeds, drainsPerSchedule) != 0);
 }
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -7,6 +7,7 @@
 #include "leadership/handover.h"
 
 #include <algorithm>
+#include <limits>
 #include <ranges>
 #include <set>
 #include <utility>
@@ -520,6 +521,12 @@
         takeOver.takenAt = now;
         process.cell = std::make_unique<cell_state>(makeCell({}, takeOver));
         process.cell->confirmedAt = ownershipConfirmedAt[index];
+        if (settings.mutation == disabled_rule::startConfirmed) {
+            process.cell->confirmedVersion = std::numeric_limits<row_version>::max();
+        }
+        if (settings.mutation == disabled_rule::waitForFormerStops) {
+            process.cell->settings.maxStopTime = -1s;
+        }
         process.jobsScannedAt = now;
         process.servesAt = now + drawLoadTime();
         if (const auto sequence = store.rows().find(commitSequencePlace()); sequence != store.rows().end()) {
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -33,6 +33,8 @@
     commitSequence, ///< disabled: a transaction that is committed late overwrites newer rows
     countsOnlyWhenLoaded, ///< disabled: an owner that loads reports zero waiting jobs, and counts are as old as their
                           ///< arrival
+    startConfirmed, ///< disabled: an owner starts jobs that were stored after the last confirmation of its ownership
+    waitForFormerStops, ///< disabled: a new owner uses a worker at once on which a former owner's stops go on
     acknowledgeAfterCommit, ///< disabled: ends are acknowledged, and so forgotten by workers, before they are stored
     maxUnavailable, ///< disabled: services have no limit of tasks that may be unavailable
 };
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -251,6 +251,29 @@
     CHECK(std::ranges::count_if(inTime, isNew) * 10 >= arrived * 8);
 }
 
+TEST_CASE("a job that was stored after the last confirmation of the ownership waits for the next one")
+{
+    auto cell = makeCellOf({"a"});
+    const row_version later = 1'000;
+    step(cell.state, job_arrived {owned_cell::makeJob("new", {makeStep(1)}), {}, later, false}, cell.now, cell.actions);
+    CHECK(cell.runSchedulingPass().empty());
+    step(cell.state, ownership_confirmed {cell.now, later}, cell.now, cell.actions);
+    CHECK(cell.runSchedulingPass().size() == 1);
+}
+
+TEST_CASE("a worker of an earlier owner gets no task while that owner's stops may go on")
+{
+    owned_cell cell;
+    cell.state.unreconciledWorkers = {"a"};
+    cell.addWorker(owned_cell::makeWorker("a", "r", wholeWorker));
+    cell.addJob(owned_cell::makeJob("new", {makeStep(1)}));
+    CHECK(cell.runSchedulingPass().empty());
+    CHECK(cell.state.unreconciledWorkers.contains("a"));
+    cell.advance(cell.state.settings.maxStopTime + 60ms);
+    CHECK(cell.runSchedulingPass().size() == 1);
+    CHECK(cell.state.unreconciledWorkers.empty());
+}
+
 TEST_CASE("a gang starts with all members or not at all")
 {
     auto cell = makeCellOf({"a", "b"});
