--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -55,39 +55,33 @@
     return 0;
 }
 
-} // namespace
-
-TEST_CASE("no schedule breaks a guarantee", "[schedules]")
+/// Runs the schedules of the seeds that the environment names.
+void checkSchedules(std::size_t drains = 0, const std::vector<vm_capacity> &capacities = {})
 {
     const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
     const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 400);
     for (auto seed = first; seed < first + count; ++seed) {
-        const auto violation = runSeed(seed);
+        const auto violation = runSeed(seed, disabled_rule::none, drains, capacities);
         INFO("seed " << seed << ": " << violation);
         CHECK(violation.empty());
     }
 }
 
+} // namespace
+
+TEST_CASE("no schedule breaks a guarantee", "[schedules]")
+{
+    checkSchedules();
+}
+
 TEST_CASE("no schedule with drains breaks a guarantee or makes a service miss more than it may", "[schedules]")
 {
-    const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
-    const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 400);
-    for (auto seed = first; seed < first + count; ++seed) {
-        const auto violation = runSeed(seed, disabled_rule::none, drainsPerSchedule);
-        INFO("seed " << seed << ": " << violation);
-        CHECK(violation.empty());
-    }
+    checkSchedules(drainsPerSchedule);
 }
 
 TEST_CASE("no schedule in which live owners hand over breaks a guarantee", "[handovers]")
 {
-    const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
-    const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 400);
-    for (auto seed = first; seed < first + count; ++seed) {
-        const auto violation = runSeed(seed, disabled_rule::none, 0, unlikeCapacities);
-        INFO("seed " << seed << ": " << violation);
-        CHECK(violation.empty());
-    }
+    checkSchedules(0, unlikeCapacities);
 }
 
 TEST_CASE("the checks detect the absence of each safety rule", "[mutations]")
