--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -21,9 +21,12 @@
 #include "platform/store_client.h"
 #include "platform/wire.h"
 #include "platform/worker_client.h"
+#include "presence_messages.h"
 #include "primrosecroft_types.h"
 #include "protocol/sender.h"
 #include "queues/queue_follower.h"
+#include "relays/order_relay.h"
+#include "relays/relayed_workers.h"
 #include "store/monitored_store.h"
 
 #include <algorithm>
@@ -47,6 +50,9 @@
 /// A daemon without a message for this long counts as unreachable and gets no requests for advice.
 constexpr auto contactTimeout = 1'200ms;
 
+/// A daemon without a message for this long relays no orders.
+constexpr auto relayContactTimeout = 700ms;
+
 /// The store counts as unreachable if no call sent within this span was answered. Must exceed the 0.8 s that a feed
 /// call waits, because feed calls are the regular evidence that the store is reachable.
 constexpr auto storeTimeout = 1'500ms;
@@ -58,6 +64,7 @@
 /// in every ready process within a bounded time.
 constexpr auto maxConfigurationAge = 2'200ms;
 
+constexpr auto trafficLogInterval = 10s; ///< between two reports of an owner's traffic with other daemons
 constexpr auto ownerReadTimeout = 500ms;
 constexpr auto takeOverTimeout = 1'000ms;
 constexpr auto minLeaveTime = 3'500ms; ///< from SIGTERM to exit; the balancer stops sending within two of its probes
@@ -125,7 +132,9 @@
                 [this](const wire::Message &message, const auto &reply) { handleMessage(message, reply); })
         , queues(rows, {platform::configurationTable, platform::configurationKey, platform::decodeQueueTable}, log)
         , leadership(makeLeadership(makeLeadershipSettings(settings, incarnation), bootNow()))
-        , runner(rows, workers, {platform::workerTable, platform::decodeWorker},
+        , relay(workers, peers, log, measures)
+        , relayedWorkers(workers, peers, settings.peers, incarnation, makeRelayLinks(), log, measures)
+        , runner(rows, relayedWorkers, {platform::workerTable, platform::decodeWorker},
                  {[this](const ask_advice &request, auto done) {
                       adviceDispatcher.ask(request, bootNow(), std::move(done));
                   },
@@ -163,6 +172,37 @@
         return links;
     }
 
+    relay_links makeRelayLinks()
+    {
+        relay_links links;
+        links.failureDomainOf = [this](const worker_id &id) {
+            const auto *state = runner.state();
+            const auto worker = state->workers.find(id);
+            return worker == state->workers.end() ? failure_domain_id() : worker->second.description.failureDomain;
+        };
+        links.plan = [this] { return currentRelayPlan(); };
+        links.addressOf = [this](const process_id &process) { return knownPeers.at(process).address; };
+        return links;
+    }
+
+    relay_plan currentRelayPlan() const
+    {
+        worker_counts workersOfDomains;
+        for (const auto &[id, worker] : runner.state()->workers) {
+            ++workersOfDomains[worker.description.failureDomain];
+        }
+        std::vector<relay_candidate> candidates;
+        for (const auto &[process, peer] : knownPeers) {
+            const bool isUsable = peer.canRelay && !peer.isLeaving
+                && peer.lastContactAt + relayContactTimeout > bootNow() && peer.lateness.value_or(0ms) <= maxLateness
+                && !relayedWorkers.isSuspected(process, peer.lastContactAt);
+            if (isUsable) {
+                candidates.push_back({process, peer.failureDomain, peer.capacity});
+            }
+        }
+        return planRelays(settings.capacity, workersOfDomains, candidates);
+    }
+
     // --- ownership
 
     bool isOwner() const
@@ -263,6 +303,7 @@
         log.writeAlways("cell", "owns", {{"token", std::to_string(begun.token)}, {"term", std::to_string(begun.term)}});
         ownsSince = bootNow();
         lastSuccessor.clear();
+        relayedWorkers.reset();
         runner.begin(begun.token, begun.term, ownershipConfirmedAt);
         const auto notice = notifyPeersOfOwner(*leadership.owner, begun.token);
         if (formerOwner && *formerOwner != settings.peers) {
@@ -276,6 +317,7 @@
     {
         log.writeAlways("cell", "no-longer-owns", {{"reason", ended.reason}});
         runner.end();
+        relayedWorkers.reset();
     }
 
     void resign(const write_resignation &resignation)
@@ -363,12 +405,26 @@
             handleAdviceQuery(message.adviceQuery, reply);
         } else if (message.__isset.ownerNotice) {
             handleOwnerNotice(message.ownerNotice);
+        } else if (message.__isset.orderBatch) {
+            relay.handle(message.orderBatch, message.sender);
+        } else if (message.__isset.orderResults) {
+            handleOrderResults(message);
         } else if (message.__isset.handover) {
             log.writeAlways("cell", "hand-over-asked", {{"from", message.sender.process}});
             advanceLeadership(handover_requested {message.handover.token});
         }
     }
 
+    void handleOrderResults(const wire::Message &message)
+    {
+        if (const auto peer = knownPeers.find(message.sender.process); peer != knownPeers.end()) {
+            peer->second.lastContactAt = bootNow();
+        }
+        if (isOwner()) {
+            relayedWorkers.handle(message.orderResults);
+        }
+    }
+
     void handleOwnerNotice(const wire::OwnerNotice &notice)
     {
         try {
@@ -380,29 +436,7 @@
 
     void handlePresence(const wire::Message &message, const std::function<void(wire::Message)> &reply)
     {
-        const auto &presence = message.presence;
-        auto &peer = knownPeers[message.sender.process];
-        peer.address = {presence.address, static_cast<std::uint16_t>(presence.port)};
-        peer.lastContactAt = bootNow();
-        peer.storeAge = std::chrono::milliseconds(presence.storeAgeMs);
-        peer.isLeaving = presence.leaving;
-        peer.uptime = std::chrono::milliseconds(presence.upMs);
-        peer.storeRoundTrip.reset();
-        if (presence.__isset.storeDistanceMs && presence.storeDistanceMs > 0) {
-            peer.storeRoundTrip = std::chrono::milliseconds(presence.storeDistanceMs);
-        }
-        peer.region = presence.region;
-        peer.capacity = {};
-        if (presence.__isset.milliCores) {
-            peer.capacity.milliCores = presence.milliCores;
-        }
-        if (presence.__isset.linkMbps) {
-            peer.capacity.linkMbps = presence.linkMbps;
-        }
-        peer.lateness.reset();
-        if (presence.__isset.lateMs) {
-            peer.lateness = std::chrono::milliseconds(presence.lateMs);
-        }
+        knownPeers[message.sender.process] = decodePresence(message, bootNow());
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
         answer.ownerReport.token = leadership.version;
@@ -423,22 +457,10 @@
             return;
         }
         wire::Message message;
-        message.presence.address = settings.peers.address;
-        message.presence.port = settings.peers.port;
-        message.presence.storeAgeMs = millisecondsSince(rows.lastReachedAt());
-        message.presence.leaving = isLeaving;
-        message.presence.upMs = millisecondsSince(startedAt);
-        if (const auto roundTrip = rows.minRoundTrip()) {
-            message.presence.__set_storeDistanceMs(roundTrip->count());
-        }
-        message.presence.__set_region(settings.region);
-        if (settings.capacity.milliCores) {
-            message.presence.__set_milliCores(*settings.capacity.milliCores);
-        }
-        if (settings.capacity.linkMbps) {
-            message.presence.__set_linkMbps(*settings.capacity.linkMbps);
-        }
-        message.presence.__set_lateMs(latenessInMs());
+        message.presence = encodePresence(
+            {settings.peers, settings.region, std::chrono::milliseconds(millisecondsSince(rows.lastReachedAt())),
+             isLeaving, std::chrono::milliseconds(millisecondsSince(startedAt)), rows.minRoundTrip(), settings.capacity,
+             std::chrono::milliseconds(latenessInMs())});
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
@@ -567,6 +589,10 @@
         measures.set("primrosecroft_log_lines_dropped", static_cast<double>(log.droppedLines()));
         measures.set("primrosecroft_queues_version",
                      static_cast<double>(queues.current() ? queues.current()->version : 0));
+        for (const auto &[kind, traffic] : peers.traffic()) {
+            measures.set("primrosecroft_peer_sent_bytes_" + kind, static_cast<double>(traffic.sentBytes));
+            measures.set("primrosecroft_peer_received_bytes_" + kind, static_cast<double>(traffic.receivedBytes));
+        }
         if (const auto *state = runner.state(); state != nullptr) {
             measures.set("primrosecroft_jobs_live", static_cast<double>(state->jobs.size()));
             measures.set("primrosecroft_workers_known", static_cast<double>(state->workers.size()));
@@ -574,6 +600,19 @@
         request->answer({statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, measures.text()});
     }
 
+    /// Logs what each kind of message to and from other daemons has taken of the link since the start.
+    void logTraffic()
+    {
+        for (const auto &[kind, traffic] : peers.traffic()) {
+            log.write("peers", "traffic",
+                      {{"kind", kind},
+                       {"sent", std::to_string(traffic.sentFrames)},
+                       {"sent_bytes", std::to_string(traffic.sentBytes)},
+                       {"received", std::to_string(traffic.receivedFrames)},
+                       {"received_bytes", std::to_string(traffic.receivedBytes)}});
+        }
+    }
+
     void tick()
     {
         recordTick(lateness, presenceInterval, bootNow());
@@ -581,6 +620,13 @@
         if (isOwner()) {
             tryHandover();
             refreshAdviceRoutes();
+            if (runner.isServing()) {
+                relayedWorkers.refreshPlan();
+            }
+            if (bootNow() >= trafficLoggedAt + trafficLogInterval) {
+                trafficLoggedAt = bootNow();
+                logTraffic();
+            }
         } else {
             sendPresence();
         }
@@ -682,12 +728,15 @@
     queue_follower queues;
     leadership_state leadership;
     advice_dispatcher adviceDispatcher;
+    order_relay relay;
+    relayed_workers relayedWorkers;
     cell_runner runner;
     owner_link ownerLink;
     caller_service callers;
     http_server callerServer;
     http_server readinessServer;
     http_server metricsServer;
+    instant trafficLoggedAt;
     timer tickTimer;
     timer ownershipLostTimer;
     timer leaveTimer;
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -123,6 +123,7 @@
     invalid, ///< refused as malformed
     unreachable, ///< connection refused: nothing was done; the worker may have ended or be partitioned off
     lost, ///< no answer: the order may have been carried out, or may be carried out later
+    notSent, ///< nothing was done: a relay had to turn the order away before it reached the worker
 };
 
 /// Answer to send_start. Every order is answered exactly once, with `lost` if no answer arrived in time.
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -320,6 +320,7 @@
     case order_result::alreadyEnded:
     case order_result::deadlinePassed:
     case order_result::invalid:
+    case order_result::notSent:
         break;
     }
     actions.emplace_back(report_ended {message.run, message.worker, "start refused"});
--- a/src/libprimrosecroft/io/peer_hub.cpp
+++ b/src/libprimrosecroft/io/peer_hub.cpp
@@ -37,6 +37,7 @@
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     std::uint64_t framesSent = 0;
+    std::map<std::string, frame_traffic> byKind;
 };
 
 /// One connection that carries frames in both directions. It closes itself on the first error.
@@ -130,7 +131,11 @@
             return std::nullopt;
         }
         begin += frameHeaderSize + size;
-        return decodeFrameBody(rest.substr(frameHeaderSize, size));
+        auto message = decodeFrameBody(rest.substr(frameHeaderSize, size));
+        auto &traffic = m_counts->byKind[kindOf(message)];
+        ++traffic.receivedFrames;
+        traffic.receivedBytes += frameHeaderSize + size;
+        return message;
     }
 
     /// A failure of the handler says nothing about the connection, over which the messages of others' requests come
@@ -249,7 +254,11 @@
         if (!message.__isset.replyTo && message.id == 0) {
             message.id = ++lastId;
         }
-        return encodeFrame(message);
+        auto frame = encodeFrame(message);
+        auto &traffic = counts->byKind[kindOf(message)];
+        ++traffic.sentFrames;
+        traffic.sentBytes += frame.size();
+        return frame;
     }
 
     void startLink(const std::shared_ptr<frame_link> &link, std::function<void(int)> closed)
@@ -295,6 +304,7 @@
         }
         peer.link = std::make_shared<frame_link>(descriptor, counts);
         peer.hasAnswered = false;
+        peer.refusedConnection = false;
         startLink(peer.link, [weakSelf = weak_from_this(), address](int fault) {
             if (const auto owner = weakSelf.lock()) {
                 owner->onClosed(address, fault);
@@ -427,4 +437,9 @@
     return m_parts->counts->received;
 }
 
+const std::map<std::string, frame_traffic> &peer_hub::traffic() const
+{
+    return m_parts->counts->byKind;
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/io/peer_hub.h
+++ b/src/libprimrosecroft/io/peer_hub.h
@@ -29,6 +29,15 @@
 
 std::string toString(const peer_address &peer);
 
+/// Frames of one kind of message, and their bytes with headers.
+struct frame_traffic
+{
+    std::uint64_t sentFrames = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t receivedFrames = 0;
+    std::uint64_t receivedBytes = 0;
+};
+
 /**
  * Exchanges framed Thrift messages with primrosecroft's other processes. Sending never blocks: messages to a peer
  * that can't be reached are lost, and requests to it end without a reply.
@@ -65,6 +74,9 @@
     std::uint64_t bytesSent() const;
     std::uint64_t bytesReceived() const;
 
+    /// Traffic since construction, by kind of message.
+    const std::map<std::string, frame_traffic> &traffic() const;
+
 private:
     struct parts;
     std::shared_ptr<parts> m_parts;
--- a/src/libprimrosecroft/io/tcp_socket.cpp
+++ b/src/libprimrosecroft/io/tcp_socket.cpp
@@ -110,7 +110,9 @@
     while (!isDrained()) {
         const auto count = send(m_descriptor, m_queued.data() + m_written, m_queued.size() - m_written, MSG_NOSIGNAL);
         if (count < 0) {
-            return; // an error is reported again when the socket becomes ready next
+            // Handled when the socket becomes ready next. The system reports an error only once.
+            m_sendFault = errno == EAGAIN || errno == EINTR ? m_sendFault : errno;
+            return;
         }
         m_written += static_cast<std::size_t>(count);
         m_hasSent = true;
@@ -173,8 +175,8 @@
     int fault = 0;
     socklen_t size = sizeof fault;
     getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &fault, &size);
-    if (fault != 0) {
-        fail(fault);
+    if (fault != 0 || m_sendFault != 0) {
+        fail(fault != 0 ? fault : m_sendFault);
         return;
     }
     std::array<char, readBufferSize> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): read into
--- a/src/libprimrosecroft/io/tcp_socket.h
+++ b/src/libprimrosecroft/io/tcp_socket.h
@@ -69,6 +69,7 @@
     bool m_isReading = true;
     bool m_hasEnded = false;
     bool m_hasSent = false;
+    int m_sendFault = 0; ///< error number of a send that failed; 0 for none
     std::size_t m_written = 0; ///< bytes of m_queued that the kernel has taken
     std::string m_queued;
     handlers m_handlers;
--- a/src/libprimrosecroft/leadership/handover.h
+++ b/src/libprimrosecroft/leadership/handover.h
@@ -29,6 +29,8 @@
     bool isLeaving = false; ///< it is about to stop
     vm_capacity capacity;
     std::optional<std::chrono::milliseconds> lateness; ///< smoothed, of its ticks; unset if it doesn't tell it
+    failure_domain_id failureDomain {};
+    bool canRelay = false; ///< it can carry the owner's orders to workers
 };
 
 /// The owner's own state, which decides whether it requests a hand-over.
--- a/src/libprimrosecroft/protocol/frame.cpp
+++ b/src/libprimrosecroft/protocol/frame.cpp
@@ -3,6 +3,9 @@
 #include "core/error.h"
 #include "primrosecroft_types.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -38,6 +41,31 @@
     return frame + body;
 }
 
+const char *kindOf(const wire::Message &message)
+{
+    const auto &set = message.__isset;
+    const std::initializer_list<std::pair<bool, const char *>> kinds {
+        {set.heartbeat, "heartbeat"},
+        {set.configurationRequest, "configuration_request"},
+        {set.configurationBody, "configuration_body"},
+        {set.leavingNotice, "leaving_notice"},
+        {set.jobNotice, "job_notice"},
+        {set.jobSubmission, "job_submission"},
+        {set.jobQuery, "job_query"},
+        {set.jobReport, "job_report"},
+        {set.adviceQuery, "advice_query"},
+        {set.adviceReport, "advice_report"},
+        {set.presence, "presence"},
+        {set.ownerReport, "owner_report"},
+        {set.ownerNotice, "owner_notice"},
+        {set.handover, "handover"},
+        {set.orderBatch, "order_batch"},
+        {set.orderResults, "order_results"},
+    };
+    const auto *found = std::ranges::find_if(kinds, &std::pair<bool, const char *>::first);
+    return found == kinds.end() ? "other" : found->second;
+}
+
 std::size_t frameBodySize(std::string_view header)
 {
     std::size_t size = 0;
--- a/src/libprimrosecroft/protocol/frame.h
+++ b/src/libprimrosecroft/protocol/frame.h
@@ -18,6 +18,9 @@
 /// Encodes a message as a frame: header, then body. Throws error if the body exceeds maxFrameBytes.
 std::string encodeFrame(const wire::Message &message);
 
+/// Name of the field that is set in the message, for metrics. "other" if this build knows none.
+const char *kindOf(const wire::Message &message);
+
 /// Returns the length of the body that follows @p header. Throws error if it is 0 or exceeds maxFrameBytes.
 std::size_t frameBodySize(std::string_view header);
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -1828,6 +1828,11 @@
   this->lateMs = val;
 __isset.lateMs = true;
 }
+
+void Presence::__set_relays(const bool val) {
+  this->relays = val;
+__isset.relays = true;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -1941,6 +1946,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relays);
+          this->__isset.relays = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2013,6 +2026,11 @@
     xfer += oprot->writeI64(this->lateMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.relays) {
+    xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->relays);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2030,6 +2048,7 @@
   swap(a.milliCores, b.milliCores);
   swap(a.linkMbps, b.linkMbps);
   swap(a.lateMs, b.lateMs);
+  swap(a.relays, b.relays);
   swap(a.__isset, b.__isset);
 }
 
@@ -2044,6 +2063,7 @@
   milliCores = other44.milliCores;
   linkMbps = other44.linkMbps;
   lateMs = other44.lateMs;
+  relays = other44.relays;
   __isset = other44.__isset;
 }
 Presence& Presence::operator=(const Presence& other45) {
@@ -2057,6 +2077,7 @@
   milliCores = other45.milliCores;
   linkMbps = other45.linkMbps;
   lateMs = other45.lateMs;
+  relays = other45.relays;
   __isset = other45.__isset;
   return *this;
 }
@@ -2073,6 +2094,7 @@
   out << ", " << "milliCores="; (__isset.milliCores ? (out << to_string(milliCores)) : (out << "<null>"));
   out << ", " << "linkMbps="; (__isset.linkMbps ? (out << to_string(linkMbps)) : (out << "<null>"));
   out << ", " << "lateMs="; (__isset.lateMs ? (out << to_string(lateMs)) : (out << "<null>"));
+  out << ", " << "relays="; (__isset.relays ? (out << to_string(relays)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2471,100 +2493,37 @@
 }
 
 
-Message::~Message() noexcept {
-}
-
-
-void Message::__set_id(const int64_t val) {
-  this->id = val;
-}
-
-void Message::__set_replyTo(const int64_t val) {
-  this->replyTo = val;
-__isset.replyTo = true;
-}
-
-void Message::__set_sender(const Sender& val) {
-  this->sender = val;
-}
-
-void Message::__set_heartbeat(const Heartbeat& val) {
-  this->heartbeat = val;
-__isset.heartbeat = true;
-}
-
-void Message::__set_configurationRequest(const ConfigurationRequest& val) {
-  this->configurationRequest = val;
-__isset.configurationRequest = true;
-}
-
-void Message::__set_configurationBody(const ConfigurationBody& val) {
-  this->configurationBody = val;
-__isset.configurationBody = true;
-}
-
-void Message::__set_leavingNotice(const LeavingNotice& val) {
-  this->leavingNotice = val;
-__isset.leavingNotice = true;
-}
-
-void Message::__set_jobNotice(const JobNotice& val) {
-  this->jobNotice = val;
-__isset.jobNotice = true;
-}
-
-void Message::__set_jobSubmission(const JobSubmission& val) {
-  this->jobSubmission = val;
-__isset.jobSubmission = true;
-}
-
-void Message::__set_jobQuery(const JobQuery& val) {
-  this->jobQuery = val;
-__isset.jobQuery = true;
-}
-
-void Message::__set_jobReport(const JobReport& val) {
-  this->jobReport = val;
-__isset.jobReport = true;
+TaskRun::~TaskRun() noexcept {
 }
 
-void Message::__set_adviceQuery(const AdviceQuery& val) {
-  this->adviceQuery = val;
-__isset.adviceQuery = true;
-}
 
-void Message::__set_adviceReport(const AdviceReport& val) {
-  this->adviceReport = val;
-__isset.adviceReport = true;
+void TaskRun::__set_job(const std::string& val) {
+  this->job = val;
 }
 
-void Message::__set_presence(const Presence& val) {
-  this->presence = val;
-__isset.presence = true;
+void TaskRun::__set_occurrence(const int32_t val) {
+  this->occurrence = val;
 }
 
-void Message::__set_ownerReport(const OwnerReport& val) {
-  this->ownerReport = val;
-__isset.ownerReport = true;
+void TaskRun::__set_step(const int32_t val) {
+  this->step = val;
 }
 
-void Message::__set_ownerNotice(const OwnerNotice& val) {
-  this->ownerNotice = val;
-__isset.ownerNotice = true;
+void TaskRun::__set_index(const int32_t val) {
+  this->index = val;
 }
 
-void Message::__set_handover(const Handover& val) {
-  this->handover = val;
-__isset.handover = true;
+void TaskRun::__set_attempt(const int64_t val) {
+  this->attempt = val;
 }
-std::ostream& operator<<(std::ostream& out, const Message& obj)
+std::ostream& operator<<(std::ostream& out, const TaskRun& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TaskRun::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2576,8 +2535,11 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_id = false;
-  bool isset_sender = false;
+  bool isset_job = false;
+  bool isset_occurrence = false;
+  bool isset_step = false;
+  bool isset_index = false;
+  bool isset_attempt = false;
 
   while (true)
   {
@@ -2588,137 +2550,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          isset_id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          isset_job = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->replyTo);
-          this->__isset.replyTo = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrence);
+          isset_occurrence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->sender.read(iprot);
-          isset_sender = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          isset_step = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->heartbeat.read(iprot);
-          this->__isset.heartbeat = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          isset_index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->configurationRequest.read(iprot);
-          this->__isset.configurationRequest = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->configurationBody.read(iprot);
-          this->__isset.configurationBody = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leavingNotice.read(iprot);
-          this->__isset.leavingNotice = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->jobNotice.read(iprot);
-          this->__isset.jobNotice = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->jobSubmission.read(iprot);
-          this->__isset.jobSubmission = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->jobQuery.read(iprot);
-          this->__isset.jobQuery = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->jobReport.read(iprot);
-          this->__isset.jobReport = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->adviceQuery.read(iprot);
-          this->__isset.adviceQuery = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->adviceReport.read(iprot);
-          this->__isset.adviceReport = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->presence.read(iprot);
-          this->__isset.presence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 18:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ownerReport.read(iprot);
-          this->__isset.ownerReport = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 19:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ownerNotice.read(iprot);
-          this->__isset.ownerNotice = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 20:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->handover.read(iprot);
-          this->__isset.handover = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
+          isset_attempt = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2732,43 +2598,2277 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_id)
+  if (!isset_job)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_sender)
+  if (!isset_occurrence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_step)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_index)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_attempt)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t Message::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TaskRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Message");
+  xfer += oprot->writeStructBegin("TaskRun");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.replyTo) {
-    xfer += oprot->writeFieldBegin("replyTo", ::apache::thrift::protocol::T_I64, 2);
-    xfer += oprot->writeI64(this->replyTo);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldBegin("occurrence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->occurrence);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.heartbeat) {
-    xfer += oprot->writeFieldBegin("heartbeat", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->heartbeat.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.configurationRequest) {
-    xfer += oprot->writeFieldBegin("configurationRequest", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->configurationRequest.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.configurationBody) {
-    xfer += oprot->writeFieldBegin("configurationBody", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TaskRun &a, TaskRun &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.occurrence, b.occurrence);
+  swap(a.step, b.step);
+  swap(a.index, b.index);
+  swap(a.attempt, b.attempt);
+}
+
+TaskRun::TaskRun(const TaskRun& other60) {
+  job = other60.job;
+  occurrence = other60.occurrence;
+  step = other60.step;
+  index = other60.index;
+  attempt = other60.attempt;
+}
+TaskRun& TaskRun::operator=(const TaskRun& other61) {
+  job = other61.job;
+  occurrence = other61.occurrence;
+  step = other61.step;
+  index = other61.index;
+  attempt = other61.attempt;
+  return *this;
+}
+void TaskRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TaskRun(";
+  out << "job=" << to_string(job);
+  out << ", " << "occurrence=" << to_string(occurrence);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ")";
+}
+
+
+OrderTarget::~OrderTarget() noexcept {
+}
+
+
+void OrderTarget::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void OrderTarget::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void OrderTarget::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void OrderTarget::__set_boot(const int64_t val) {
+  this->boot = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrderTarget& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrderTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_number = false;
+  bool isset_worker = false;
+  bool isset_address = false;
+  bool isset_boot = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          isset_worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->boot);
+          isset_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_worker)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_boot)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t OrderTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrderTarget");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->boot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrderTarget &a, OrderTarget &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.worker, b.worker);
+  swap(a.address, b.address);
+  swap(a.boot, b.boot);
+}
+
+OrderTarget::OrderTarget(const OrderTarget& other62) {
+  number = other62.number;
+  worker = other62.worker;
+  address = other62.address;
+  boot = other62.boot;
+}
+OrderTarget& OrderTarget::operator=(const OrderTarget& other63) {
+  number = other63.number;
+  worker = other63.worker;
+  address = other63.address;
+  boot = other63.boot;
+  return *this;
+}
+void OrderTarget::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrderTarget(";
+  out << "number=" << to_string(number);
+  out << ", " << "worker=" << to_string(worker);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "boot=" << to_string(boot);
+  out << ")";
+}
+
+
+StartOrder::~StartOrder() noexcept {
+}
+
+
+void StartOrder::__set_target(const OrderTarget& val) {
+  this->target = val;
+}
+
+void StartOrder::__set_run(const TaskRun& val) {
+  this->run = val;
+}
+
+void StartOrder::__set_payload(const int32_t val) {
+  this->payload = val;
+__isset.payload = true;
+}
+
+void StartOrder::__set_deadlineMs(const int64_t val) {
+  this->deadlineMs = val;
+}
+
+void StartOrder::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+__isset.checkpoint = true;
+}
+
+void StartOrder::__set_ticket(const std::string& val) {
+  this->ticket = val;
+__isset.ticket = true;
+}
+std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StartOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_target = false;
+  bool isset_run = false;
+  bool isset_deadlineMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target.read(iprot);
+          isset_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          isset_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->payload);
+          this->__isset.payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadlineMs);
+          isset_deadlineMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ticket);
+          this->__isset.ticket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_target)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_run)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_deadlineMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StartOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StartOrder");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->target.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.payload) {
+    xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->payload);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("deadlineMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->deadlineMs);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.checkpoint) {
+    xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeBinary(this->checkpoint);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ticket) {
+    xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->ticket);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StartOrder &a, StartOrder &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.run, b.run);
+  swap(a.payload, b.payload);
+  swap(a.deadlineMs, b.deadlineMs);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.ticket, b.ticket);
+  swap(a.__isset, b.__isset);
+}
+
+StartOrder::StartOrder(const StartOrder& other64) {
+  target = other64.target;
+  run = other64.run;
+  payload = other64.payload;
+  deadlineMs = other64.deadlineMs;
+  checkpoint = other64.checkpoint;
+  ticket = other64.ticket;
+  __isset = other64.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other65) {
+  target = other65.target;
+  run = other65.run;
+  payload = other65.payload;
+  deadlineMs = other65.deadlineMs;
+  checkpoint = other65.checkpoint;
+  ticket = other65.ticket;
+  __isset = other65.__isset;
+  return *this;
+}
+void StartOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StartOrder(";
+  out << "target=" << to_string(target);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "payload="; (__isset.payload ? (out << to_string(payload)) : (out << "<null>"));
+  out << ", " << "deadlineMs=" << to_string(deadlineMs);
+  out << ", " << "checkpoint="; (__isset.checkpoint ? (out << to_string(checkpoint)) : (out << "<null>"));
+  out << ", " << "ticket="; (__isset.ticket ? (out << to_string(ticket)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StopOrder::~StopOrder() noexcept {
+}
+
+
+void StopOrder::__set_target(const OrderTarget& val) {
+  this->target = val;
+}
+
+void StopOrder::__set_run(const TaskRun& val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const StopOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StopOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_target = false;
+  bool isset_run = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target.read(iprot);
+          isset_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          isset_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_target)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_run)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StopOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StopOrder");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->target.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StopOrder &a, StopOrder &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.run, b.run);
+}
+
+StopOrder::StopOrder(const StopOrder& other66) {
+  target = other66.target;
+  run = other66.run;
+}
+StopOrder& StopOrder::operator=(const StopOrder& other67) {
+  target = other67.target;
+  run = other67.run;
+  return *this;
+}
+void StopOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StopOrder(";
+  out << "target=" << to_string(target);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
+ListOrder::~ListOrder() noexcept {
+}
+
+
+void ListOrder::__set_target(const OrderTarget& val) {
+  this->target = val;
+}
+
+void ListOrder::__set_deadlineMs(const int64_t val) {
+  this->deadlineMs = val;
+__isset.deadlineMs = true;
+}
+
+void ListOrder::__set_acknowledgedEnd(const int64_t val) {
+  this->acknowledgedEnd = val;
+}
+
+void ListOrder::__set_waitMs(const int64_t val) {
+  this->waitMs = val;
+}
+
+void ListOrder::__set_timeoutMs(const int64_t val) {
+  this->timeoutMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ListOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_target = false;
+  bool isset_acknowledgedEnd = false;
+  bool isset_waitMs = false;
+  bool isset_timeoutMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target.read(iprot);
+          isset_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadlineMs);
+          this->__isset.deadlineMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acknowledgedEnd);
+          isset_acknowledgedEnd = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitMs);
+          isset_waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeoutMs);
+          isset_timeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_target)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_acknowledgedEnd)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waitMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_timeoutMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ListOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListOrder");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->target.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.deadlineMs) {
+    xfer += oprot->writeFieldBegin("deadlineMs", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->deadlineMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("acknowledgedEnd", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->acknowledgedEnd);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->timeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListOrder &a, ListOrder &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.deadlineMs, b.deadlineMs);
+  swap(a.acknowledgedEnd, b.acknowledgedEnd);
+  swap(a.waitMs, b.waitMs);
+  swap(a.timeoutMs, b.timeoutMs);
+  swap(a.__isset, b.__isset);
+}
+
+ListOrder::ListOrder(const ListOrder& other68) {
+  target = other68.target;
+  deadlineMs = other68.deadlineMs;
+  acknowledgedEnd = other68.acknowledgedEnd;
+  waitMs = other68.waitMs;
+  timeoutMs = other68.timeoutMs;
+  __isset = other68.__isset;
+}
+ListOrder& ListOrder::operator=(const ListOrder& other69) {
+  target = other69.target;
+  deadlineMs = other69.deadlineMs;
+  acknowledgedEnd = other69.acknowledgedEnd;
+  waitMs = other69.waitMs;
+  timeoutMs = other69.timeoutMs;
+  __isset = other69.__isset;
+  return *this;
+}
+void ListOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListOrder(";
+  out << "target=" << to_string(target);
+  out << ", " << "deadlineMs="; (__isset.deadlineMs ? (out << to_string(deadlineMs)) : (out << "<null>"));
+  out << ", " << "acknowledgedEnd=" << to_string(acknowledgedEnd);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ")";
+}
+
+
+OrderBatch::~OrderBatch() noexcept {
+}
+
+
+void OrderBatch::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void OrderBatch::__set_replyAddress(const std::string& val) {
+  this->replyAddress = val;
+}
+
+void OrderBatch::__set_replyPort(const int32_t val) {
+  this->replyPort = val;
+}
+
+void OrderBatch::__set_timeoutMs(const int64_t val) {
+  this->timeoutMs = val;
+}
+
+void OrderBatch::__set_payloads(const std::vector<std::string> & val) {
+  this->payloads = val;
+}
+
+void OrderBatch::__set_starts(const std::vector<StartOrder> & val) {
+  this->starts = val;
+}
+
+void OrderBatch::__set_stops(const std::vector<StopOrder> & val) {
+  this->stops = val;
+}
+
+void OrderBatch::__set_lists(const std::vector<ListOrder> & val) {
+  this->lists = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrderBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrderBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_token = false;
+  bool isset_replyAddress = false;
+  bool isset_replyPort = false;
+  bool isset_timeoutMs = false;
+  bool isset_payloads = false;
+  bool isset_starts = false;
+  bool isset_stops = false;
+  bool isset_lists = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          isset_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->replyAddress);
+          isset_replyAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->replyPort);
+          isset_replyPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeoutMs);
+          isset_timeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->payloads.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->payloads.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += iprot->readBinary(this->payloads[_i74]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_payloads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->starts.clear();
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->starts.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
+            {
+              xfer += this->starts[_i79].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_starts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->stops.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->stops.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += this->stops[_i84].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_stops = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lists.clear();
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->lists.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
+            {
+              xfer += this->lists[_i89].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_lists = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_token)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_replyAddress)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_replyPort)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_timeoutMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_payloads)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_starts)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_stops)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lists)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t OrderBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrderBatch");
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replyAddress", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->replyAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replyPort", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->replyPort);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->timeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
+    std::vector<std::string> ::const_iterator _iter90;
+    for (_iter90 = this->payloads.begin(); _iter90 != this->payloads.end(); ++_iter90)
+    {
+      xfer += oprot->writeBinary((*_iter90));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
+    std::vector<StartOrder> ::const_iterator _iter91;
+    for (_iter91 = this->starts.begin(); _iter91 != this->starts.end(); ++_iter91)
+    {
+      xfer += (*_iter91).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stops.size()));
+    std::vector<StopOrder> ::const_iterator _iter92;
+    for (_iter92 = this->stops.begin(); _iter92 != this->stops.end(); ++_iter92)
+    {
+      xfer += (*_iter92).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lists", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lists.size()));
+    std::vector<ListOrder> ::const_iterator _iter93;
+    for (_iter93 = this->lists.begin(); _iter93 != this->lists.end(); ++_iter93)
+    {
+      xfer += (*_iter93).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrderBatch &a, OrderBatch &b) {
+  using ::std::swap;
+  swap(a.token, b.token);
+  swap(a.replyAddress, b.replyAddress);
+  swap(a.replyPort, b.replyPort);
+  swap(a.timeoutMs, b.timeoutMs);
+  swap(a.payloads, b.payloads);
+  swap(a.starts, b.starts);
+  swap(a.stops, b.stops);
+  swap(a.lists, b.lists);
+}
+
+OrderBatch::OrderBatch(const OrderBatch& other94) {
+  token = other94.token;
+  replyAddress = other94.replyAddress;
+  replyPort = other94.replyPort;
+  timeoutMs = other94.timeoutMs;
+  payloads = other94.payloads;
+  starts = other94.starts;
+  stops = other94.stops;
+  lists = other94.lists;
+}
+OrderBatch& OrderBatch::operator=(const OrderBatch& other95) {
+  token = other95.token;
+  replyAddress = other95.replyAddress;
+  replyPort = other95.replyPort;
+  timeoutMs = other95.timeoutMs;
+  payloads = other95.payloads;
+  starts = other95.starts;
+  stops = other95.stops;
+  lists = other95.lists;
+  return *this;
+}
+void OrderBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrderBatch(";
+  out << "token=" << to_string(token);
+  out << ", " << "replyAddress=" << to_string(replyAddress);
+  out << ", " << "replyPort=" << to_string(replyPort);
+  out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ", " << "payloads=" << to_string(payloads);
+  out << ", " << "starts=" << to_string(starts);
+  out << ", " << "stops=" << to_string(stops);
+  out << ", " << "lists=" << to_string(lists);
+  out << ")";
+}
+
+
+OrderResult::~OrderResult() noexcept {
+}
+
+
+void OrderResult::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void OrderResult::__set_result(const int32_t val) {
+  this->result = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrderResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrderResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_number = false;
+  bool isset_result = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->result);
+          isset_result = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_result)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t OrderResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrderResult");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->result);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrderResult &a, OrderResult &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.result, b.result);
+}
+
+OrderResult::OrderResult(const OrderResult& other96) noexcept {
+  number = other96.number;
+  result = other96.result;
+}
+OrderResult& OrderResult::operator=(const OrderResult& other97) noexcept {
+  number = other97.number;
+  result = other97.result;
+  return *this;
+}
+void OrderResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrderResult(";
+  out << "number=" << to_string(number);
+  out << ", " << "result=" << to_string(result);
+  out << ")";
+}
+
+
+ListedRun::~ListedRun() noexcept {
+}
+
+
+void ListedRun::__set_run(const TaskRun& val) {
+  this->run = val;
+}
+
+void ListedRun::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+__isset.checkpoint = true;
+}
+
+void ListedRun::__set_percent(const int32_t val) {
+  this->percent = val;
+}
+
+void ListedRun::__set_load(const int64_t val) {
+  this->load = val;
+}
+std::ostream& operator<<(std::ostream& out, const ListedRun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListedRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_run = false;
+  bool isset_percent = false;
+  bool isset_load = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          isset_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->percent);
+          isset_percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->load);
+          isset_load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_run)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_percent)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_load)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ListedRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListedRun");
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.checkpoint) {
+    xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeBinary(this->checkpoint);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListedRun &a, ListedRun &b) {
+  using ::std::swap;
+  swap(a.run, b.run);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.percent, b.percent);
+  swap(a.load, b.load);
+  swap(a.__isset, b.__isset);
+}
+
+ListedRun::ListedRun(const ListedRun& other98) {
+  run = other98.run;
+  checkpoint = other98.checkpoint;
+  percent = other98.percent;
+  load = other98.load;
+  __isset = other98.__isset;
+}
+ListedRun& ListedRun::operator=(const ListedRun& other99) {
+  run = other99.run;
+  checkpoint = other99.checkpoint;
+  percent = other99.percent;
+  load = other99.load;
+  __isset = other99.__isset;
+  return *this;
+}
+void ListedRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListedRun(";
+  out << "run=" << to_string(run);
+  out << ", " << "checkpoint="; (__isset.checkpoint ? (out << to_string(checkpoint)) : (out << "<null>"));
+  out << ", " << "percent=" << to_string(percent);
+  out << ", " << "load=" << to_string(load);
+  out << ")";
+}
+
+
+ListedEnd::~ListedEnd() noexcept {
+}
+
+
+void ListedEnd::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void ListedEnd::__set_run(const TaskRun& val) {
+  this->run = val;
+}
+
+void ListedEnd::__set_how(const int32_t val) {
+  this->how = val;
+}
+
+void ListedEnd::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+__isset.checkpoint = true;
+}
+std::ostream& operator<<(std::ostream& out, const ListedEnd& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListedEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_number = false;
+  bool isset_run = false;
+  bool isset_how = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          isset_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->how);
+          isset_how = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_run)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_how)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ListedEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListedEnd");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("how", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->how);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.checkpoint) {
+    xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeBinary(this->checkpoint);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListedEnd &a, ListedEnd &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.run, b.run);
+  swap(a.how, b.how);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+ListedEnd::ListedEnd(const ListedEnd& other100) {
+  number = other100.number;
+  run = other100.run;
+  how = other100.how;
+  checkpoint = other100.checkpoint;
+  __isset = other100.__isset;
+}
+ListedEnd& ListedEnd::operator=(const ListedEnd& other101) {
+  number = other101.number;
+  run = other101.run;
+  how = other101.how;
+  checkpoint = other101.checkpoint;
+  __isset = other101.__isset;
+  return *this;
+}
+void ListedEnd::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListedEnd(";
+  out << "number=" << to_string(number);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "how=" << to_string(how);
+  out << ", " << "checkpoint="; (__isset.checkpoint ? (out << to_string(checkpoint)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ListResult::~ListResult() noexcept {
+}
+
+
+void ListResult::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void ListResult::__set_result(const int32_t val) {
+  this->result = val;
+}
+
+void ListResult::__set_boot(const int64_t val) {
+  this->boot = val;
+}
+
+void ListResult::__set_clockMs(const int64_t val) {
+  this->clockMs = val;
+}
+
+void ListResult::__set_running(const std::vector<ListedRun> & val) {
+  this->running = val;
+}
+
+void ListResult::__set_ended(const std::vector<ListedEnd> & val) {
+  this->ended = val;
+}
+std::ostream& operator<<(std::ostream& out, const ListResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_number = false;
+  bool isset_result = false;
+  bool isset_boot = false;
+  bool isset_clockMs = false;
+  bool isset_running = false;
+  bool isset_ended = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->result);
+          isset_result = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->boot);
+          isset_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clockMs);
+          isset_clockMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->running.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
+            {
+              xfer += this->running[_i106].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->ended.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
+            {
+              xfer += this->ended[_i111].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_result)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_boot)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_clockMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_running)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ended)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ListResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListResult");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->result);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->boot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clockMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->clockMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<ListedRun> ::const_iterator _iter112;
+    for (_iter112 = this->running.begin(); _iter112 != this->running.end(); ++_iter112)
+    {
+      xfer += (*_iter112).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
+    std::vector<ListedEnd> ::const_iterator _iter113;
+    for (_iter113 = this->ended.begin(); _iter113 != this->ended.end(); ++_iter113)
+    {
+      xfer += (*_iter113).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListResult &a, ListResult &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.result, b.result);
+  swap(a.boot, b.boot);
+  swap(a.clockMs, b.clockMs);
+  swap(a.running, b.running);
+  swap(a.ended, b.ended);
+}
+
+ListResult::ListResult(const ListResult& other114) {
+  number = other114.number;
+  result = other114.result;
+  boot = other114.boot;
+  clockMs = other114.clockMs;
+  running = other114.running;
+  ended = other114.ended;
+}
+ListResult& ListResult::operator=(const ListResult& other115) {
+  number = other115.number;
+  result = other115.result;
+  boot = other115.boot;
+  clockMs = other115.clockMs;
+  running = other115.running;
+  ended = other115.ended;
+  return *this;
+}
+void ListResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListResult(";
+  out << "number=" << to_string(number);
+  out << ", " << "result=" << to_string(result);
+  out << ", " << "boot=" << to_string(boot);
+  out << ", " << "clockMs=" << to_string(clockMs);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "ended=" << to_string(ended);
+  out << ")";
+}
+
+
+OrderResults::~OrderResults() noexcept {
+}
+
+
+void OrderResults::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void OrderResults::__set_results(const std::vector<OrderResult> & val) {
+  this->results = val;
+}
+
+void OrderResults::__set_lists(const std::vector<ListResult> & val) {
+  this->lists = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrderResults& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrderResults::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_incarnation = false;
+  bool isset_results = false;
+  bool isset_lists = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          isset_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->results.clear();
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->results.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
+            {
+              xfer += this->results[_i120].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_results = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lists.clear();
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->lists.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
+            {
+              xfer += this->lists[_i125].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_lists = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_incarnation)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_results)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lists)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t OrderResults::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrderResults");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
+    std::vector<OrderResult> ::const_iterator _iter126;
+    for (_iter126 = this->results.begin(); _iter126 != this->results.end(); ++_iter126)
+    {
+      xfer += (*_iter126).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lists", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lists.size()));
+    std::vector<ListResult> ::const_iterator _iter127;
+    for (_iter127 = this->lists.begin(); _iter127 != this->lists.end(); ++_iter127)
+    {
+      xfer += (*_iter127).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrderResults &a, OrderResults &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.results, b.results);
+  swap(a.lists, b.lists);
+}
+
+OrderResults::OrderResults(const OrderResults& other128) {
+  incarnation = other128.incarnation;
+  results = other128.results;
+  lists = other128.lists;
+}
+OrderResults& OrderResults::operator=(const OrderResults& other129) {
+  incarnation = other129.incarnation;
+  results = other129.results;
+  lists = other129.lists;
+  return *this;
+}
+void OrderResults::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrderResults(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "results=" << to_string(results);
+  out << ", " << "lists=" << to_string(lists);
+  out << ")";
+}
+
+
+Message::~Message() noexcept {
+}
+
+
+void Message::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void Message::__set_replyTo(const int64_t val) {
+  this->replyTo = val;
+__isset.replyTo = true;
+}
+
+void Message::__set_sender(const Sender& val) {
+  this->sender = val;
+}
+
+void Message::__set_heartbeat(const Heartbeat& val) {
+  this->heartbeat = val;
+__isset.heartbeat = true;
+}
+
+void Message::__set_configurationRequest(const ConfigurationRequest& val) {
+  this->configurationRequest = val;
+__isset.configurationRequest = true;
+}
+
+void Message::__set_configurationBody(const ConfigurationBody& val) {
+  this->configurationBody = val;
+__isset.configurationBody = true;
+}
+
+void Message::__set_leavingNotice(const LeavingNotice& val) {
+  this->leavingNotice = val;
+__isset.leavingNotice = true;
+}
+
+void Message::__set_jobNotice(const JobNotice& val) {
+  this->jobNotice = val;
+__isset.jobNotice = true;
+}
+
+void Message::__set_jobSubmission(const JobSubmission& val) {
+  this->jobSubmission = val;
+__isset.jobSubmission = true;
+}
+
+void Message::__set_jobQuery(const JobQuery& val) {
+  this->jobQuery = val;
+__isset.jobQuery = true;
+}
+
+void Message::__set_jobReport(const JobReport& val) {
+  this->jobReport = val;
+__isset.jobReport = true;
+}
+
+void Message::__set_adviceQuery(const AdviceQuery& val) {
+  this->adviceQuery = val;
+__isset.adviceQuery = true;
+}
+
+void Message::__set_adviceReport(const AdviceReport& val) {
+  this->adviceReport = val;
+__isset.adviceReport = true;
+}
+
+void Message::__set_presence(const Presence& val) {
+  this->presence = val;
+__isset.presence = true;
+}
+
+void Message::__set_ownerReport(const OwnerReport& val) {
+  this->ownerReport = val;
+__isset.ownerReport = true;
+}
+
+void Message::__set_ownerNotice(const OwnerNotice& val) {
+  this->ownerNotice = val;
+__isset.ownerNotice = true;
+}
+
+void Message::__set_handover(const Handover& val) {
+  this->handover = val;
+__isset.handover = true;
+}
+
+void Message::__set_orderBatch(const OrderBatch& val) {
+  this->orderBatch = val;
+__isset.orderBatch = true;
+}
+
+void Message::__set_orderResults(const OrderResults& val) {
+  this->orderResults = val;
+__isset.orderResults = true;
+}
+std::ostream& operator<<(std::ostream& out, const Message& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_sender = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replyTo);
+          this->__isset.replyTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          isset_sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->heartbeat.read(iprot);
+          this->__isset.heartbeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configurationRequest.read(iprot);
+          this->__isset.configurationRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configurationBody.read(iprot);
+          this->__isset.configurationBody = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leavingNotice.read(iprot);
+          this->__isset.leavingNotice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->jobNotice.read(iprot);
+          this->__isset.jobNotice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->jobSubmission.read(iprot);
+          this->__isset.jobSubmission = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->jobQuery.read(iprot);
+          this->__isset.jobQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->jobReport.read(iprot);
+          this->__isset.jobReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->adviceQuery.read(iprot);
+          this->__isset.adviceQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->adviceReport.read(iprot);
+          this->__isset.adviceReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->presence.read(iprot);
+          this->__isset.presence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ownerReport.read(iprot);
+          this->__isset.ownerReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ownerNotice.read(iprot);
+          this->__isset.ownerNotice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->handover.read(iprot);
+          this->__isset.handover = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->orderBatch.read(iprot);
+          this->__isset.orderBatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->orderResults.read(iprot);
+          this->__isset.orderResults = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sender)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Message::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Message");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.replyTo) {
+    xfer += oprot->writeFieldBegin("replyTo", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->replyTo);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.heartbeat) {
+    xfer += oprot->writeFieldBegin("heartbeat", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->heartbeat.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configurationRequest) {
+    xfer += oprot->writeFieldBegin("configurationRequest", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->configurationRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configurationBody) {
+    xfer += oprot->writeFieldBegin("configurationBody", ::apache::thrift::protocol::T_STRUCT, 6);
     xfer += this->configurationBody.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
@@ -2827,6 +4927,16 @@
     xfer += this->handover.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.orderBatch) {
+    xfer += oprot->writeFieldBegin("orderBatch", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->orderBatch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.orderResults) {
+    xfer += oprot->writeFieldBegin("orderResults", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->orderResults.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2851,48 +4961,54 @@
   swap(a.ownerReport, b.ownerReport);
   swap(a.ownerNotice, b.ownerNotice);
   swap(a.handover, b.handover);
+  swap(a.orderBatch, b.orderBatch);
+  swap(a.orderResults, b.orderResults);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other60) {
-  id = other60.id;
-  replyTo = other60.replyTo;
-  sender = other60.sender;
-  heartbeat = other60.heartbeat;
-  configurationRequest = other60.configurationRequest;
-  configurationBody = other60.configurationBody;
-  leavingNotice = other60.leavingNotice;
-  jobNotice = other60.jobNotice;
-  jobSubmission = other60.jobSubmission;
-  jobQuery = other60.jobQuery;
-  jobReport = other60.jobReport;
-  adviceQuery = other60.adviceQuery;
-  adviceReport = other60.adviceReport;
-  presence = other60.presence;
-  ownerReport = other60.ownerReport;
-  ownerNotice = other60.ownerNotice;
-  handover = other60.handover;
-  __isset = other60.__isset;
-}
-Message& Message::operator=(const Message& other61) {
-  id = other61.id;
-  replyTo = other61.replyTo;
-  sender = other61.sender;
-  heartbeat = other61.heartbeat;
-  configurationRequest = other61.configurationRequest;
-  configurationBody = other61.configurationBody;
-  leavingNotice = other61.leavingNotice;
-  jobNotice = other61.jobNotice;
-  jobSubmission = other61.jobSubmission;
-  jobQuery = other61.jobQuery;
-  jobReport = other61.jobReport;
-  adviceQuery = other61.adviceQuery;
-  adviceReport = other61.adviceReport;
-  presence = other61.presence;
-  ownerReport = other61.ownerReport;
-  ownerNotice = other61.ownerNotice;
-  handover = other61.handover;
-  __isset = other61.__isset;
+Message::Message(const Message& other130) {
+  id = other130.id;
+  replyTo = other130.replyTo;
+  sender = other130.sender;
+  heartbeat = other130.heartbeat;
+  configurationRequest = other130.configurationRequest;
+  configurationBody = other130.configurationBody;
+  leavingNotice = other130.leavingNotice;
+  jobNotice = other130.jobNotice;
+  jobSubmission = other130.jobSubmission;
+  jobQuery = other130.jobQuery;
+  jobReport = other130.jobReport;
+  adviceQuery = other130.adviceQuery;
+  adviceReport = other130.adviceReport;
+  presence = other130.presence;
+  ownerReport = other130.ownerReport;
+  ownerNotice = other130.ownerNotice;
+  handover = other130.handover;
+  orderBatch = other130.orderBatch;
+  orderResults = other130.orderResults;
+  __isset = other130.__isset;
+}
+Message& Message::operator=(const Message& other131) {
+  id = other131.id;
+  replyTo = other131.replyTo;
+  sender = other131.sender;
+  heartbeat = other131.heartbeat;
+  configurationRequest = other131.configurationRequest;
+  configurationBody = other131.configurationBody;
+  leavingNotice = other131.leavingNotice;
+  jobNotice = other131.jobNotice;
+  jobSubmission = other131.jobSubmission;
+  jobQuery = other131.jobQuery;
+  jobReport = other131.jobReport;
+  adviceQuery = other131.adviceQuery;
+  adviceReport = other131.adviceReport;
+  presence = other131.presence;
+  ownerReport = other131.ownerReport;
+  ownerNotice = other131.ownerNotice;
+  handover = other131.handover;
+  orderBatch = other131.orderBatch;
+  orderResults = other131.orderResults;
+  __isset = other131.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -2915,6 +5031,8 @@
   out << ", " << "ownerReport="; (__isset.ownerReport ? (out << to_string(ownerReport)) : (out << "<null>"));
   out << ", " << "ownerNotice="; (__isset.ownerNotice ? (out << to_string(ownerNotice)) : (out << "<null>"));
   out << ", " << "handover="; (__isset.handover ? (out << to_string(handover)) : (out << "<null>"));
+  out << ", " << "orderBatch="; (__isset.orderBatch ? (out << to_string(orderBatch)) : (out << "<null>"));
+  out << ", " << "orderResults="; (__isset.orderResults ? (out << to_string(orderResults)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -55,6 +55,28 @@
 
 class Handover;
 
+class TaskRun;
+
+class OrderTarget;
+
+class StartOrder;
+
+class StopOrder;
+
+class ListOrder;
+
+class OrderBatch;
+
+class OrderResult;
+
+class ListedRun;
+
+class ListedEnd;
+
+class ListResult;
+
+class OrderResults;
+
 class Message;
 
 
@@ -749,12 +771,13 @@
 std::ostream& operator<<(std::ostream& out, const AdviceReport& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : storeDistanceMs(false), region(false), milliCores(false), linkMbps(false), lateMs(false) {}
+  _Presence__isset() : storeDistanceMs(false), region(false), milliCores(false), linkMbps(false), lateMs(false), relays(false) {}
   bool storeDistanceMs :1;
   bool region :1;
   bool milliCores :1;
   bool linkMbps :1;
   bool lateMs :1;
+  bool relays :1;
 } _Presence__isset;
 
 /**
@@ -777,7 +800,8 @@
              region(),
              milliCores(0),
              linkMbps(0),
-             lateMs(0) {
+             lateMs(0),
+             relays(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -791,6 +815,7 @@
   int64_t milliCores;
   int64_t linkMbps;
   int64_t lateMs;
+  bool relays;
 
   _Presence__isset __isset;
 
@@ -814,6 +839,8 @@
 
   void __set_lateMs(const int64_t val);
 
+  void __set_relays(const bool val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(address == rhs.address))
@@ -846,6 +873,10 @@
       return false;
     else if (__isset.lateMs && !(lateMs == rhs.lateMs))
       return false;
+    if (__isset.relays != rhs.__isset.relays)
+      return false;
+    else if (__isset.relays && !(relays == rhs.relays))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
@@ -1018,8 +1049,694 @@
 
 std::ostream& operator<<(std::ostream& out, const Handover& obj);
 
+
+/**
+ * One attempt at a task.
+ */
+class TaskRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  TaskRun(const TaskRun&);
+  TaskRun& operator=(const TaskRun&);
+  TaskRun() noexcept
+          : job(),
+            occurrence(0),
+            step(0),
+            index(0),
+            attempt(0) {
+  }
+
+  virtual ~TaskRun() noexcept;
+  std::string job;
+  int32_t occurrence;
+  int32_t step;
+  int32_t index;
+  int64_t attempt;
+
+  void __set_job(const std::string& val);
+
+  void __set_occurrence(const int32_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_index(const int32_t val);
+
+  void __set_attempt(const int64_t val);
+
+  bool operator == (const TaskRun & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(occurrence == rhs.occurrence))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    return true;
+  }
+  bool operator != (const TaskRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TaskRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TaskRun &a, TaskRun &b);
+
+std::ostream& operator<<(std::ostream& out, const TaskRun& obj);
+
+
+/**
+ * The worker that an order is for.
+ */
+class OrderTarget : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderTarget(const OrderTarget&);
+  OrderTarget& operator=(const OrderTarget&);
+  OrderTarget() noexcept
+              : number(0),
+                worker(),
+                address(),
+                boot(0) {
+  }
+
+  virtual ~OrderTarget() noexcept;
+  int64_t number;
+  std::string worker;
+  std::string address;
+  int64_t boot;
+
+  void __set_number(const int64_t val);
+
+  void __set_worker(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_boot(const int64_t val);
+
+  bool operator == (const OrderTarget & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(boot == rhs.boot))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderTarget &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderTarget & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderTarget &a, OrderTarget &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderTarget& obj);
+
+typedef struct _StartOrder__isset {
+  _StartOrder__isset() : payload(false), checkpoint(false), ticket(false) {}
+  bool payload :1;
+  bool checkpoint :1;
+  bool ticket :1;
+} _StartOrder__isset;
+
+/**
+ * Starts a run on a worker.
+ */
+class StartOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  StartOrder(const StartOrder&);
+  StartOrder& operator=(const StartOrder&);
+  StartOrder() noexcept
+             : payload(0),
+               deadlineMs(0),
+               checkpoint(),
+               ticket() {
+  }
+
+  virtual ~StartOrder() noexcept;
+  OrderTarget target;
+  TaskRun run;
+  int32_t payload;
+  int64_t deadlineMs;
+  std::string checkpoint;
+  std::string ticket;
+
+  _StartOrder__isset __isset;
+
+  void __set_target(const OrderTarget& val);
+
+  void __set_run(const TaskRun& val);
+
+  void __set_payload(const int32_t val);
+
+  void __set_deadlineMs(const int64_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_ticket(const std::string& val);
+
+  bool operator == (const StartOrder & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (__isset.payload != rhs.__isset.payload)
+      return false;
+    else if (__isset.payload && !(payload == rhs.payload))
+      return false;
+    if (!(deadlineMs == rhs.deadlineMs))
+      return false;
+    if (__isset.checkpoint != rhs.__isset.checkpoint)
+      return false;
+    else if (__isset.checkpoint && !(checkpoint == rhs.checkpoint))
+      return false;
+    if (__isset.ticket != rhs.__isset.ticket)
+      return false;
+    else if (__isset.ticket && !(ticket == rhs.ticket))
+      return false;
+    return true;
+  }
+  bool operator != (const StartOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StartOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StartOrder &a, StartOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StartOrder& obj);
+
+
+/**
+ * Stops a run.
+ */
+class StopOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  StopOrder(const StopOrder&);
+  StopOrder& operator=(const StopOrder&);
+  StopOrder() noexcept {
+  }
+
+  virtual ~StopOrder() noexcept;
+  OrderTarget target;
+  TaskRun run;
+
+  void __set_target(const OrderTarget& val);
+
+  void __set_run(const TaskRun& val);
+
+  bool operator == (const StopOrder & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const StopOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StopOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StopOrder &a, StopOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StopOrder& obj);
+
+typedef struct _ListOrder__isset {
+  _ListOrder__isset() : deadlineMs(false) {}
+  bool deadlineMs :1;
+} _ListOrder__isset;
+
+/**
+ * Polls a worker for its runs, and extends their leases.
+ */
+class ListOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListOrder(const ListOrder&);
+  ListOrder& operator=(const ListOrder&);
+  ListOrder() noexcept
+            : deadlineMs(0),
+              acknowledgedEnd(0),
+              waitMs(0),
+              timeoutMs(0) {
+  }
+
+  virtual ~ListOrder() noexcept;
+  OrderTarget target;
+  int64_t deadlineMs;
+  int64_t acknowledgedEnd;
+  int64_t waitMs;
+  int64_t timeoutMs;
+
+  _ListOrder__isset __isset;
+
+  void __set_target(const OrderTarget& val);
+
+  void __set_deadlineMs(const int64_t val);
+
+  void __set_acknowledgedEnd(const int64_t val);
+
+  void __set_waitMs(const int64_t val);
+
+  void __set_timeoutMs(const int64_t val);
+
+  bool operator == (const ListOrder & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (__isset.deadlineMs != rhs.__isset.deadlineMs)
+      return false;
+    else if (__isset.deadlineMs && !(deadlineMs == rhs.deadlineMs))
+      return false;
+    if (!(acknowledgedEnd == rhs.acknowledgedEnd))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    if (!(timeoutMs == rhs.timeoutMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ListOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListOrder &a, ListOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const ListOrder& obj);
+
+
+/**
+ * Sent by the owner to a relay, which sends each order to its worker. The results come in OrderResults messages. A
+ * relay decides nothing: it neither repeats nor keeps an order.
+ */
+class OrderBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderBatch(const OrderBatch&);
+  OrderBatch& operator=(const OrderBatch&);
+  OrderBatch() noexcept
+             : token(0),
+               replyAddress(),
+               replyPort(0),
+               timeoutMs(0) {
+  }
+
+  virtual ~OrderBatch() noexcept;
+  int64_t token;
+  std::string replyAddress;
+  int32_t replyPort;
+  int64_t timeoutMs;
+  std::vector<std::string>  payloads;
+  std::vector<StartOrder>  starts;
+  std::vector<StopOrder>  stops;
+  std::vector<ListOrder>  lists;
+
+  void __set_token(const int64_t val);
+
+  void __set_replyAddress(const std::string& val);
+
+  void __set_replyPort(const int32_t val);
+
+  void __set_timeoutMs(const int64_t val);
+
+  void __set_payloads(const std::vector<std::string> & val);
+
+  void __set_starts(const std::vector<StartOrder> & val);
+
+  void __set_stops(const std::vector<StopOrder> & val);
+
+  void __set_lists(const std::vector<ListOrder> & val);
+
+  bool operator == (const OrderBatch & rhs) const
+  {
+    if (!(token == rhs.token))
+      return false;
+    if (!(replyAddress == rhs.replyAddress))
+      return false;
+    if (!(replyPort == rhs.replyPort))
+      return false;
+    if (!(timeoutMs == rhs.timeoutMs))
+      return false;
+    if (!(payloads == rhs.payloads))
+      return false;
+    if (!(starts == rhs.starts))
+      return false;
+    if (!(stops == rhs.stops))
+      return false;
+    if (!(lists == rhs.lists))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderBatch &a, OrderBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderBatch& obj);
+
+
+/**
+ * Outcome of a start or a stop.
+ */
+class OrderResult : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderResult(const OrderResult&) noexcept;
+  OrderResult& operator=(const OrderResult&) noexcept;
+  OrderResult() noexcept
+              : number(0),
+                result(0) {
+  }
+
+  virtual ~OrderResult() noexcept;
+  int64_t number;
+  int32_t result;
+
+  void __set_number(const int64_t val);
+
+  void __set_result(const int32_t val);
+
+  bool operator == (const OrderResult & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(result == rhs.result))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderResult &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderResult & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderResult &a, OrderResult &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderResult& obj);
+
+typedef struct _ListedRun__isset {
+  _ListedRun__isset() : checkpoint(false) {}
+  bool checkpoint :1;
+} _ListedRun__isset;
+
+class ListedRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListedRun(const ListedRun&);
+  ListedRun& operator=(const ListedRun&);
+  ListedRun() noexcept
+            : checkpoint(),
+              percent(0),
+              load(0) {
+  }
+
+  virtual ~ListedRun() noexcept;
+  TaskRun run;
+  std::string checkpoint;
+  int32_t percent;
+  int64_t load;
+
+  _ListedRun__isset __isset;
+
+  void __set_run(const TaskRun& val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_percent(const int32_t val);
+
+  void __set_load(const int64_t val);
+
+  bool operator == (const ListedRun & rhs) const
+  {
+    if (!(run == rhs.run))
+      return false;
+    if (__isset.checkpoint != rhs.__isset.checkpoint)
+      return false;
+    else if (__isset.checkpoint && !(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(percent == rhs.percent))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const ListedRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListedRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListedRun &a, ListedRun &b);
+
+std::ostream& operator<<(std::ostream& out, const ListedRun& obj);
+
+typedef struct _ListedEnd__isset {
+  _ListedEnd__isset() : checkpoint(false) {}
+  bool checkpoint :1;
+} _ListedEnd__isset;
+
+class ListedEnd : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListedEnd(const ListedEnd&);
+  ListedEnd& operator=(const ListedEnd&);
+  ListedEnd() noexcept
+            : number(0),
+              how(0),
+              checkpoint() {
+  }
+
+  virtual ~ListedEnd() noexcept;
+  int64_t number;
+  TaskRun run;
+  int32_t how;
+  std::string checkpoint;
+
+  _ListedEnd__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_run(const TaskRun& val);
+
+  void __set_how(const int32_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const ListedEnd & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(how == rhs.how))
+      return false;
+    if (__isset.checkpoint != rhs.__isset.checkpoint)
+      return false;
+    else if (__isset.checkpoint && !(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const ListedEnd &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListedEnd & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListedEnd &a, ListedEnd &b);
+
+std::ostream& operator<<(std::ostream& out, const ListedEnd& obj);
+
+
+/**
+ * A worker's answer to a ListOrder. All but the first two fields are meaningless unless the result is done.
+ */
+class ListResult : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListResult(const ListResult&);
+  ListResult& operator=(const ListResult&);
+  ListResult() noexcept
+             : number(0),
+               result(0),
+               boot(0),
+               clockMs(0) {
+  }
+
+  virtual ~ListResult() noexcept;
+  int64_t number;
+  int32_t result;
+  int64_t boot;
+  int64_t clockMs;
+  std::vector<ListedRun>  running;
+  std::vector<ListedEnd>  ended;
+
+  void __set_number(const int64_t val);
+
+  void __set_result(const int32_t val);
+
+  void __set_boot(const int64_t val);
+
+  void __set_clockMs(const int64_t val);
+
+  void __set_running(const std::vector<ListedRun> & val);
+
+  void __set_ended(const std::vector<ListedEnd> & val);
+
+  bool operator == (const ListResult & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(result == rhs.result))
+      return false;
+    if (!(boot == rhs.boot))
+      return false;
+    if (!(clockMs == rhs.clockMs))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    return true;
+  }
+  bool operator != (const ListResult &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListResult & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListResult &a, ListResult &b);
+
+std::ostream& operator<<(std::ostream& out, const ListResult& obj);
+
+
+/**
+ * Sent by a relay to the owner, with the results of some orders in any order. There is no reply.
+ */
+class OrderResults : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderResults(const OrderResults&);
+  OrderResults& operator=(const OrderResults&);
+  OrderResults() noexcept
+               : incarnation(0) {
+  }
+
+  virtual ~OrderResults() noexcept;
+  int64_t incarnation;
+  std::vector<OrderResult>  results;
+  std::vector<ListResult>  lists;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_results(const std::vector<OrderResult> & val);
+
+  void __set_lists(const std::vector<ListResult> & val);
+
+  bool operator == (const OrderResults & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(results == rhs.results))
+      return false;
+    if (!(lists == rhs.lists))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderResults &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderResults & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderResults &a, OrderResults &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderResults& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : replyTo(false), heartbeat(false), configurationRequest(false), configurationBody(false), leavingNotice(false), jobNotice(false), jobSubmission(false), jobQuery(false), jobReport(false), adviceQuery(false), adviceReport(false), presence(false), ownerReport(false), ownerNotice(false), handover(false) {}
+  _Message__isset() : replyTo(false), heartbeat(false), configurationRequest(false), configurationBody(false), leavingNotice(false), jobNotice(false), jobSubmission(false), jobQuery(false), jobReport(false), adviceQuery(false), adviceReport(false), presence(false), ownerReport(false), ownerNotice(false), handover(false), orderBatch(false), orderResults(false) {}
   bool replyTo :1;
   bool heartbeat :1;
   bool configurationRequest :1;
@@ -1035,6 +1752,8 @@
   bool ownerReport :1;
   bool ownerNotice :1;
   bool handover :1;
+  bool orderBatch :1;
+  bool orderResults :1;
 } _Message__isset;
 
 /**
@@ -1068,6 +1787,8 @@
   OwnerReport ownerReport;
   OwnerNotice ownerNotice;
   Handover handover;
+  OrderBatch orderBatch;
+  OrderResults orderResults;
 
   _Message__isset __isset;
 
@@ -1105,6 +1826,10 @@
 
   void __set_handover(const Handover& val);
 
+  void __set_orderBatch(const OrderBatch& val);
+
+  void __set_orderResults(const OrderResults& val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(id == rhs.id))
@@ -1171,6 +1896,14 @@
       return false;
     else if (__isset.handover && !(handover == rhs.handover))
       return false;
+    if (__isset.orderBatch != rhs.__isset.orderBatch)
+      return false;
+    else if (__isset.orderBatch && !(orderBatch == rhs.orderBatch))
+      return false;
+    if (__isset.orderResults != rhs.__isset.orderResults)
+      return false;
+    else if (__isset.orderResults && !(orderResults == rhs.orderResults))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -147,6 +147,7 @@
   8: optional i64 milliCores
   9: optional i64 linkMbps
   10: optional i64 lateMs // milliseconds by which the sender's regular ticks come late, smoothed
+  11: optional bool relays // the sender can relay orders; false if missing, as from an earlier build
 }
 
 /** Reply to a Presence. Shows whether the sender is still the owner, and how many jobs wait. */
@@ -177,6 +178,100 @@
   1: required i64 token // the sender's fencing token; no effect unless it is the known owner's
 }
 
+/** One attempt at a task. */
+struct TaskRun {
+  1: required string job
+  2: required i32 occurrence // number of the occurrence of the job, from 0
+  3: required i32 step // index of the step within the job, from 0
+  4: required i32 index // of the task within the step, from 0
+  5: required i64 attempt
+}
+
+/** The worker that an order is for. */
+struct OrderTarget {
+  1: required i64 number // of the order; identifies its result
+  2: required string worker
+  3: required string address // IP address and port
+  4: required i64 boot // the only boot that may carry out the order; 0 for any
+}
+
+/** Starts a run on a worker. */
+struct StartOrder {
+  1: required OrderTarget target
+  2: required TaskRun run
+  3: optional i32 payload // index into the batch's payloads; missing: the one that came with an earlier start of the job
+  4: required i64 deadlineMs // end of the lease on the worker's clock
+  5: optional binary checkpoint // missing: the task begins from its start
+  6: optional string ticket // missing if the queue needs none
+}
+
+/** Stops a run. */
+struct StopOrder {
+  1: required OrderTarget target
+  2: required TaskRun run
+}
+
+/** Polls a worker for its runs, and extends their leases. */
+struct ListOrder {
+  1: required OrderTarget target
+  2: optional i64 deadlineMs // new end of the leases on the worker's clock; missing: they stay as they are
+  3: required i64 acknowledgedEnd // the worker may forget ends up to this number
+  4: required i64 waitMs // for which the worker may hold its answer back until a run ends
+  5: required i64 timeoutMs // for the answer, from the relay's request to the worker
+}
+
+/**
+ * Sent by the owner to a relay, which sends each order to its worker. The results come in OrderResults messages. A
+ * relay decides nothing: it neither repeats nor keeps an order.
+ */
+struct OrderBatch {
+  1: required i64 token // the owner's fencing token, for all orders
+  2: required string replyAddress // to which the results are sent
+  3: required i32 replyPort
+  4: required i64 timeoutMs // for the workers' answers to starts and stops
+  5: required list<binary> payloads // of the jobs whose tasks start
+  6: required list<StartOrder> starts
+  7: required list<StopOrder> stops
+  8: required list<ListOrder> lists
+}
+
+/** Outcome of a start or a stop. */
+struct OrderResult {
+  1: required i64 number // of the order
+  2: required i32 result // an order_result
+}
+
+struct ListedRun {
+  1: required TaskRun run
+  2: optional binary checkpoint
+  3: required i32 percent
+  4: required i64 load
+}
+
+struct ListedEnd {
+  1: required i64 number
+  2: required TaskRun run
+  3: required i32 how // a run_end
+  4: optional binary checkpoint
+}
+
+/** A worker's answer to a ListOrder. All but the first two fields are meaningless unless the result is done. */
+struct ListResult {
+  1: required i64 number // of the order
+  2: required i32 result // an order_result
+  3: required i64 boot
+  4: required i64 clockMs // the worker's clock
+  5: required list<ListedRun> running
+  6: required list<ListedEnd> ended
+}
+
+/** Sent by a relay to the owner, with the results of some orders in any order. There is no reply. */
+struct OrderResults {
+  1: required i64 incarnation // of the owner that gave the orders; another run of the process ignores the results
+  2: required list<OrderResult> results
+  3: required list<ListResult> lists
+}
+
 /** One message. Exactly one of the fields from heartbeat on is set. */
 struct Message {
   1: required i64 id // number of the message, from 1 in each run of its sender; 0 in a reply
@@ -196,4 +291,6 @@
   18: optional OwnerReport ownerReport
   19: optional OwnerNotice ownerNotice
   20: optional Handover handover
+  21: optional OrderBatch orderBatch
+  22: optional OrderResults orderResults
 }
--- /dev/null
+++ b/src/libprimrosecroft/relays/order_relay.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "cell/worker_gateway.h"
+#include "io/peer_hub.h"
+#include "io/timer.h"
+#include "observability/decision_log.h"
+#include "observability/metrics.h"
+#include "relays/kept_payloads.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace primrosecroft
+{
+
+namespace wire
+{
+class OrderBatch;
+class OrderResults;
+class Sender;
+class StartOrder;
+} // namespace wire
+
+/**
+ * Carries orders of the owner to workers and returns their results, several in one message. It decides nothing: each
+ * order is sent once, under the owner's fencing token and with the deadlines that the owner has set, so a late order is
+ * refused by the worker like one that the owner sent late.
+ */
+class order_relay
+{
+public:
+    order_relay(worker_gateway &workers, peer_hub &peers, decision_log &log, metrics &measures);
+    ~order_relay();
+    order_relay(const order_relay &) = delete;
+    order_relay &operator=(const order_relay &) = delete;
+
+    /// Sends the orders of a batch. Orders beyond the limit of pending ones are returned as not sent.
+    void handle(const wire::OrderBatch &batch, const wire::Sender &owner);
+
+private:
+    /// The run of an owner to which results go.
+    struct destination
+    {
+        peer_address address;
+        std::int64_t incarnation = 0;
+
+        friend auto operator<=>(const destination &, const destination &) = default;
+    };
+
+    /// The results that wait for being sent to @p target.
+    wire::OrderResults &resultsFor(const destination &target);
+    void addResult(const destination &target, std::int64_t number, order_result result);
+    void sendResults();
+    bool admit();
+    std::optional<std::string> payloadOf(const wire::StartOrder &order, const wire::OrderBatch &batch);
+
+    worker_gateway &m_workers;
+    peer_hub &m_peers;
+    decision_log &m_log;
+    metrics &m_measures;
+    std::map<destination, std::unique_ptr<wire::OrderResults>> m_results;
+    std::size_t m_pendingOrders = 0;
+    kept_payloads m_payloads;
+    timer m_sendTimer;
+};
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/relays/relay_plan.cpp
@@ -0,0 +1,78 @@
+#include "relays/relay_plan.h"
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <numeric>
+#include <ranges>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+constexpr std::int64_t milliCoresPerTenWorkers = 25; ///< that a process needs for the calls to ten workers
+constexpr std::size_t minRelays = 2; ///< for a failure domain, so that the loss of one doesn't stop all its orders
+
+/// Differs for each pair, so that each relay comes first for its share of the workers.
+std::size_t rankOf(const process_id &relay, const worker_id &worker)
+{
+    return std::hash<std::string> {}(relay + '/' + worker);
+}
+
+/// The strongest of @p candidates, as many as carry @p workers.
+std::vector<process_id> chooseRelays(std::vector<relay_candidate> candidates, std::size_t workers)
+{
+    if (candidates.empty()) {
+        return {};
+    }
+    const auto order = [](const relay_candidate &each) {
+        return std::tuple(-carriedMilliCores(each.capacity), std::hash<std::string> {}(each.process));
+    };
+    std::ranges::sort(candidates, {}, order);
+    const auto strongest = candidates.front().capacity;
+    std::erase_if(candidates, [&](const auto &each) { return isMuchWeaker(each.capacity, strongest); });
+    const auto carriedByEach = std::max<std::size_t>(1, carriedWorkers(strongest));
+    const auto needed = std::max(minRelays, (workers + carriedByEach - 1) / carriedByEach);
+    std::vector<process_id> result;
+    std::ranges::transform(candidates | std::views::take(needed), std::back_inserter(result),
+                           &relay_candidate::process);
+    return result;
+}
+
+} // namespace
+
+std::size_t carriedWorkers(const vm_capacity &capacity)
+{
+    return static_cast<std::size_t>(carriedMilliCores(capacity) * 10 / milliCoresPerTenWorkers);
+}
+
+relay_plan planRelays(const vm_capacity &owner, const worker_counts &workers,
+                      const std::vector<relay_candidate> &candidates)
+{
+    const auto total = std::accumulate(workers.begin(), workers.end(), std::size_t {0},
+                                       [](std::size_t sum, const auto &each) { return sum + each.second; });
+    relay_plan plan;
+    if (total <= carriedWorkers(owner) || candidates.empty()) {
+        return plan;
+    }
+    for (const auto &[domain, count] : workers) {
+        std::vector<relay_candidate> local;
+        std::ranges::copy_if(candidates, std::back_inserter(local),
+                             [&](const auto &each) { return each.failureDomain == domain; });
+        plan.relays[domain] = chooseRelays(local.empty() ? candidates : std::move(local), count);
+    }
+    return plan;
+}
+
+process_id relayFor(const relay_plan &plan, const worker_id &worker, const failure_domain_id &failureDomain)
+{
+    const auto relays = plan.relays.find(failureDomain);
+    if (relays == plan.relays.end() || relays->second.empty()) {
+        return {};
+    }
+    return *std::ranges::max_element(relays->second, {}, [&](const process_id &each) { return rankOf(each, worker); });
+}
+
+} // namespace primrosecroft
