Acknowledge each worker's ends as soon as they are stored

Callers saw (large site, burst): tasks that had ended ran again after a hand-over, since their ends were listed and repeated for seconds without being acknowledged; the lists grew with each of them.

Cause: ends were acknowledged only by a commit that contained all unsaved jobs. With more than about 90 changed jobs at a time no commit does, so no end of any worker was acknowledged any more while the load lasted. Also the unsaved jobs were written in the order of their ids, so with more changes than commits can take the last ids were never written.

Change: a job remembers each worker's first end that isn't in its stored rows. A commit acknowledges each worker's ends before the first one that only a later commit stores. Commits go round: each begins after the job that the last one wrote last.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -117,6 +117,13 @@
     bool isComplete = false;
 };
 
+/// An end that a worker listed in one boot, or all its ends up to that one.
+struct covered_ends
+{
+    worker_boot boot = 0;
+    std::int64_t number = 0;
+};
+
 struct job_state
 {
     accepted_job accepted;
@@ -132,6 +139,9 @@
     bool hasFailed = false;
     bool isOutcomeUnknown = false; ///< an at-most-once task was lost, so it may have done its work or not
     bool hasUnsavedChanges = false; ///< its stored rows are out of date
+    /// For each worker, an end no later than its first one that isn't in the job's stored rows. Workers whose ends are
+    /// all stored are missing.
+    std::map<worker_id, covered_ends> unsavedEnds;
     bool isTooLarge = false; ///< its rows with all checkpoints don't fit into one commit
     bool isEndStored = false; ///< the job is kept only while its runs hold reservations on workers
 };
@@ -190,13 +200,6 @@
     instant formerStopsEndAt;
 };
 
-/// The ends that a worker listed in one boot, up to a number.
-struct covered_ends
-{
-    worker_boot boot = 0;
-    std::int64_t number = 0;
-};
-
 /// Statistics of the advice service's answers for one queue.
 struct advice_stats
 {
@@ -236,6 +239,7 @@
     std::uint64_t lastCommit = 0; ///< number of the last commit
     bool isCommitPending = false;
     std::set<job_id> committingJobs; ///< jobs that the pending commit writes
+    job_id lastJobWritten; ///< the last one of the last commit; the next commit begins with the one after it
     std::map<worker_id, covered_ends> committingEnds; ///< processed ends that are stored once the commit is done
     instant nextCommitAt; ///< no commit is made before this time
     instant nextSupervisionAt;
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -99,7 +99,9 @@
 void writeJobs(limited_transaction &transaction, cell_state &state, cell_actions &actions)
 {
     state.committingJobs.clear();
-    for (const auto &id : state.unsavedJobs) {
+    std::vector<job_id> order(state.unsavedJobs.begin(), state.unsavedJobs.end());
+    std::ranges::rotate(order, std::ranges::upper_bound(order, state.lastJobWritten));
+    for (const auto &id : order) {
         auto &job = state.jobs.at(id);
         auto rows = rowsOf(state, job, progress_detail::full);
         const bool isTooLarge = !transaction.fitsAlone(rows);
@@ -119,6 +121,45 @@
         job.hasUnsavedChanges = false;
         job.hasProgress = job.hasProgress || rows.removals.empty(); // rows without removals are a progress row
         state.committingJobs.insert(id);
+        state.lastJobWritten = id;
+    }
+}
+
+/// Sets which ends will be stored once the commit of committingJobs is done: those before each worker's first end that
+/// only a later commit stores.
+void coverEnds(cell_state &state)
+{
+    state.committingEnds.clear();
+    for (const auto &[id, worker] : state.workers) {
+        if (worker.processedEnd > worker.acknowledgedEnd) {
+            state.committingEnds[id] = {worker.description.boot, worker.processedEnd};
+        }
+    }
+    for (const auto &id : state.unsavedJobs) {
+        if (state.committingJobs.contains(id)) {
+            continue;
+        }
+        for (const auto &[worker, first] : state.jobs.at(id).unsavedEnds) {
+            const auto covered = state.committingEnds.find(worker);
+            if (covered != state.committingEnds.end() && covered->second.boot == first.boot) {
+                covered->second.number = std::min(covered->second.number, first.number - 1);
+            }
+        }
+    }
+}
+
+/// Forgets the ends of a job whose rows have been stored. Ends that came after the commit was made stay.
+void forgetStoredEnds(const cell_state &state, job_state &job)
+{
+    if (!job.hasUnsavedChanges) {
+        job.unsavedEnds.clear();
+        return;
+    }
+    for (auto &[worker, first] : job.unsavedEnds) {
+        const auto covered = state.committingEnds.find(worker);
+        if (covered != state.committingEnds.end() && covered->second.boot == first.boot) {
+            first.number = std::max(first.number, covered->second.number + 1);
+        }
     }
 }
 
@@ -193,15 +234,7 @@
     limited_transaction transaction(ownershipSize() + sizeOf({{sequenceCondition}, {sequenceWrite}, {}}));
     writeContactedWorkers(transaction, state, number);
     writeJobs(transaction, state, actions);
-    state.committingEnds.clear();
-    if (state.committingJobs.size() == state.unsavedJobs.size()) {
-        // The commit contains all unsaved jobs, so once it is done every end processed so far is stored.
-        for (auto &[id, worker] : state.workers) {
-            if (worker.processedEnd > worker.acknowledgedEnd) {
-                state.committingEnds[id] = {worker.description.boot, worker.processedEnd};
-            }
-        }
-    }
+    coverEnds(state);
     if (state.committingJobs.empty() && state.contactedWorkersCommit != number) {
         acknowledgeEnds(state);
         state.nextCommitAt = state.unsavedJobs.empty() ? state.nextCommitAt : now + commitRetryDelay;
@@ -235,6 +268,7 @@
             job.hasUnsavedChanges = true; // writing the same rows again is harmless if the commit took effect
             continue;
         }
+        forgetStoredEnds(state, job);
         if (!job.hasUnsavedChanges) {
             state.unsavedJobs.erase(id);
             markStartsStored(job);
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -105,6 +105,20 @@
     dropRun(state, worker, end.run, past, now, actions);
 }
 
+/// The worker must keep the end until the changes that it has made to its job are stored.
+void holdUntilStored(cell_state &state, const worker_state &worker, const listed_end &end)
+{
+    const auto job = state.jobs.find(end.run.task.job);
+    if (job == state.jobs.end() || !job->second.hasUnsavedChanges) {
+        return;
+    }
+    const covered_ends own {worker.description.boot, end.number};
+    auto &first = job->second.unsavedEnds.try_emplace(worker.description.id, own).first->second;
+    if (first.boot != own.boot) {
+        first = own;
+    }
+}
+
 /// Adds a listed run that is not known here, because an earlier owner started it or its start was delayed. It is
 /// kept if its task still needs a run, and stopped otherwise.
 void adoptRun(cell_state &state, worker_state &worker, const listed_run &listed, instant now, cell_actions &actions)
@@ -372,6 +386,7 @@
         if (end.number > worker.processedEnd) {
             worker.processedEnd = end.number;
             handleEnd(state, worker, end, now, actions);
+            holdUntilStored(state, worker, end);
         }
     }
     handleAbsentRuns(state, worker, listed, message.ended.size() < maxEndsPerList, message, now, actions);
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 
 /// The cell's core in virtual time. Each case is one scenario.
 using namespace primrosecroft;
@@ -352,6 +353,53 @@
     CHECK(cell.state.workers.at("w").acknowledgedEnd == 1);
 }
 
+TEST_CASE("ends that a commit stores are acknowledged, although other jobs wait for the next commit")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("w", "r", {8'000, 16'000, 0}));
+    cell.addWorker(owned_cell::makeWorker("v", "r", {8'000, 16'000, 0}));
+    cell.addJob(owned_cell::makeJob("a", {makeStep(4, 400ms)}));
+    cell.addJob(owned_cell::makeJob("z", {makeStep(4, 400ms)}));
+    const auto starts = cell.runSchedulingPass();
+    REQUIRE(starts.size() == 8);
+    cell.confirmCommit();
+    std::map<worker_id, std::vector<listed_end>> ends;
+    for (const auto &start : starts) {
+        auto &own = ends[start.worker];
+        own.push_back({std::ssize(own) + 1, start.run, run_end::done, ""});
+    }
+    for (const auto &[worker, own] : ends) {
+        cell.answerList(worker, {}, own);
+    }
+    addCancelledJobs(cell, 60);
+    cell.advance(50ms);
+    cell.runSchedulingPass();
+    cell.confirmCommit();
+    REQUIRE(cell.state.unsavedJobs.contains("z"));
+    REQUIRE_FALSE(cell.state.unsavedJobs.contains("a"));
+    for (const auto &[worker, own] : ends) {
+        const auto stored = std::ranges::find_if(own, [](const auto &end) { return end.run.task.job == "z"; });
+        CHECK(cell.state.workers.at(worker).acknowledgedEnd == stored - own.begin());
+    }
+}
+
+TEST_CASE("each unsaved job is stored in turn, although new changes of others come with each commit")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("w", "r", {8'000, 16'000, 0}));
+    cell.addJob(owned_cell::makeJob("z", {makeStep(1, 400ms)}));
+    const auto starts = cell.runSchedulingPass();
+    cell.confirmCommit();
+    cell.answerList("w", {}, {{1, starts.front().run, run_end::done, ""}});
+    for (int commit = 0; commit < 8; ++commit) {
+        addCancelledJobs(cell, 30 * (commit + 1));
+        cell.advance(50ms);
+        cell.runSchedulingPass();
+        cell.confirmCommit();
+    }
+    CHECK(cell.state.workers.at("w").acknowledgedEnd == 1);
+}
+
 TEST_CASE("a commit of jobs with large checkpoints has at most as many bytes as the store takes")
 {
     owned_cell cell;
