Keep relays while they answer, and spread those of a region that isn't in contact yet

Cause: the plan changed several times a second. One result that was overdue made its relay suspected until its next message, which came within milliseconds; relays of equal strength replaced each other as processes came into contact; and three failure domains without a process in contact went to the same two relays, which then were too slow to answer.

Change: a relay is suspected only if nothing has come from it since the unanswered order was sent. A plan keeps the relays of the one before unless much stronger processes are there. Failure domains without a process spread over all. A relay may be without a message for 1 s (0.7 s before).

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -51,7 +51,7 @@
 constexpr auto contactTimeout = 1'200ms;
 
 /// A daemon without a message for this long relays no orders.
-constexpr auto relayContactTimeout = 700ms;
+constexpr auto relayContactTimeout = 1'000ms;
 
 /// The store counts as unreachable if no call sent within this span was answered. Must exceed the 0.8 s that a feed
 /// call waits, because feed calls are the regular evidence that the store is reachable.
@@ -180,12 +180,12 @@
             const auto worker = state->workers.find(id);
             return worker == state->workers.end() ? failure_domain_id() : worker->second.description.failureDomain;
         };
-        links.plan = [this] { return currentRelayPlan(); };
+        links.plan = [this](const relay_plan &before) { return currentRelayPlan(before); };
         links.addressOf = [this](const process_id &process) { return knownPeers.at(process).address; };
         return links;
     }
 
-    relay_plan currentRelayPlan() const
+    relay_plan currentRelayPlan(const relay_plan &before) const
     {
         worker_counts workersOfDomains;
         for (const auto &[id, worker] : runner.state()->workers) {
@@ -200,7 +200,7 @@
                 candidates.push_back({process, peer.failureDomain, peer.capacity});
             }
         }
-        return planRelays(settings.capacity, workersOfDomains, candidates);
+        return planRelays(settings.capacity, workersOfDomains, candidates, before);
     }
 
     // --- ownership
--- a/src/libprimrosecroft/relays/relay_plan.cpp
+++ b/src/libprimrosecroft/relays/relay_plan.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <numeric>
 #include <ranges>
+#include <tuple>
 
 namespace primrosecroft
 {
@@ -15,24 +16,28 @@
 constexpr std::int64_t milliCoresPerTenWorkers = 25; ///< that a process needs for the calls to ten workers
 constexpr std::size_t minRelays = 2; ///< for a failure domain, so that the loss of one doesn't stop all its orders
 
-/// Differs for each pair, so that each relay comes first for its share of the workers.
-std::size_t rankOf(const process_id &relay, const worker_id &worker)
+/// Differs for each pair, so that each relay comes first for its share of the workers or failure domains.
+std::size_t rankOf(const process_id &relay, const std::string &served)
 {
-    return std::hash<std::string> {}(relay + '/' + worker);
+    return std::hash<std::string> {}(relay + '/' + served);
 }
 
-/// The strongest of @p candidates, as many as carry @p workers.
-std::vector<process_id> chooseRelays(std::vector<relay_candidate> candidates, std::size_t workers)
+/// The strongest of @p candidates, as many as carry @p workers; those in @p before first.
+std::vector<process_id> chooseRelays(std::vector<relay_candidate> candidates, std::size_t workers,
+                                     const failure_domain_id &domain, const std::vector<process_id> &before)
 {
     if (candidates.empty()) {
         return {};
     }
-    const auto order = [](const relay_candidate &each) {
-        return std::tuple(-carriedMilliCores(each.capacity), std::hash<std::string> {}(each.process));
+    const auto carried = [](const relay_candidate &each) { return carriedMilliCores(each.capacity); };
+    const auto strongest = std::ranges::max_element(candidates, {}, carried)->capacity;
+    std::erase_if(candidates, [&](const auto &each) { return isMuchWeaker(each.capacity, strongest); });
+    // The rank spreads the failure domains without own candidates over all others.
+    const auto order = [&](const relay_candidate &each) {
+        const bool isNew = std::ranges::find(before, each.process) == before.end();
+        return std::tuple(isNew, -carried(each), rankOf(each.process, domain));
     };
     std::ranges::sort(candidates, {}, order);
-    const auto strongest = candidates.front().capacity;
-    std::erase_if(candidates, [&](const auto &each) { return isMuchWeaker(each.capacity, strongest); });
     const auto carriedByEach = std::max<std::size_t>(1, carriedWorkers(strongest));
     const auto needed = std::max(minRelays, (workers + carriedByEach - 1) / carriedByEach);
     std::vector<process_id> result;
@@ -49,7 +54,7 @@
 }
 
 relay_plan planRelays(const vm_capacity &owner, const worker_counts &workers,
-                      const std::vector<relay_candidate> &candidates)
+                      const std::vector<relay_candidate> &candidates, const relay_plan &before)
 {
     const auto total = std::accumulate(workers.begin(), workers.end(), std::size_t {0},
                                        [](std::size_t sum, const auto &each) { return sum + each.second; });
@@ -61,7 +66,9 @@
         std::vector<relay_candidate> local;
         std::ranges::copy_if(candidates, std::back_inserter(local),
                              [&](const auto &each) { return each.failureDomain == domain; });
-        plan.relays[domain] = chooseRelays(local.empty() ? candidates : std::move(local), count);
+        const auto former = before.relays.find(domain);
+        plan.relays[domain] = chooseRelays(local.empty() ? candidates : std::move(local), count, domain,
+                                           former == before.relays.end() ? std::vector<process_id>() : former->second);
     }
     return plan;
 }
--- a/src/libprimrosecroft/relays/relay_plan.h
+++ b/src/libprimrosecroft/relays/relay_plan.h
@@ -38,9 +38,10 @@
 std::size_t carriedWorkers(const vm_capacity &capacity);
 
 /// The relays that the owner on a VM of capacity @p owner needs. A failure domain without a candidate gets relays from
-/// the other ones.
+/// the other ones. The relays of the plan @p before stay where they are candidates and no much stronger one is, since
+/// each change makes workers' connections anew.
 relay_plan planRelays(const vm_capacity &owner, const worker_counts &workers,
-                      const std::vector<relay_candidate> &candidates);
+                      const std::vector<relay_candidate> &candidates, const relay_plan &before = {});
 
 /// Returns the relay for a worker, or an empty name if the owner sends the worker's orders itself. When a relay leaves
 /// the plan, only its own workers get another one.
--- a/src/libprimrosecroft/relays/relayed_workers.cpp
+++ b/src/libprimrosecroft/relays/relayed_workers.cpp
@@ -114,7 +114,7 @@
 
 void relayed_workers::refreshPlan()
 {
-    auto plan = m_links.plan();
+    auto plan = m_links.plan(m_plan);
     m_hasPlan = true;
     if (plan == m_plan) {
         return;
@@ -163,7 +163,8 @@
                                      pending_handler handler)
 {
     const auto number = ++m_lastNumber;
-    m_pending.emplace(number, pending_order {relay, bootNow() + timeout + relayMargin, std::move(handler)});
+    const auto now = bootNow();
+    m_pending.emplace(number, pending_order {relay, now, now + timeout + relayMargin, std::move(handler)});
     if (!m_overdueTimer.isRunning()) {
         m_overdueTimer.every(overdueInterval, [this] { finishOverdue(); });
     }
@@ -239,7 +240,8 @@
     for (const auto &[number, order] : m_pending) {
         if (order.deadline <= now || refusing.contains(order.relay)) {
             overdue.push_back(number);
-            m_states[order.relay].suspectedAt = now;
+            auto &unansweredSince = m_states[order.relay].unansweredSince;
+            unansweredSince = std::max(unansweredSince, order.sentAt);
         }
     }
     if (!overdue.empty()) {
@@ -257,7 +259,7 @@
 bool relayed_workers::isSuspected(const process_id &relay, instant lastContactAt) const
 {
     const auto found = m_states.find(relay);
-    return found != m_states.end() && found->second.suspectedAt >= lastContactAt;
+    return found != m_states.end() && found->second.unansweredSince >= lastContactAt;
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/relays/relayed_workers.h
+++ b/src/libprimrosecroft/relays/relayed_workers.h
@@ -29,7 +29,8 @@
 struct relay_links
 {
     std::function<failure_domain_id(const worker_id &worker)> failureDomainOf; ///< empty if the worker isn't known
-    std::function<relay_plan()> plan; ///< for the present workers and processes
+    /// The plan for the present workers and processes, after the plan @p before.
+    std::function<relay_plan(const relay_plan &before)> plan;
     std::function<peer_address(const process_id &relay)> addressOf;
 };
 
@@ -80,6 +81,7 @@
     struct pending_order
     {
         process_id relay;
+        instant sentAt;
         instant deadline;
         pending_handler handler;
     };
@@ -90,7 +92,7 @@
         std::unique_ptr<wire::OrderBatch> batch; ///< orders for the next message; empty if there are none
         std::map<job_id, std::int32_t> batchPayloads; ///< index of the job's payload in the batch
         std::set<job_id> payloadsSent; ///< jobs whose payload the relay has got
-        instant suspectedAt; ///< when an order was last found to have no result
+        instant unansweredSince; ///< when the latest order without a result was sent; zero if there was none
     };
 
     process_id relayOf(const worker_id &worker);
--- a/tests/unit/relay_plan_test.cpp
+++ b/tests/unit/relay_plan_test.cpp
@@ -98,3 +98,25 @@
     REQUIRE(workers.size() == 4);
     CHECK(std::ranges::all_of(workers, [](const auto &each) { return each.second > 20 && each.second < 70; }));
 }
+
+TEST_CASE("a relay stays when an equal process becomes known, and goes when a much stronger one does")
+{
+    const auto first = planRelays(weak, {{"dyce", 60}}, candidatesOf("dyce", 0, 2));
+    const auto second = planRelays(weak, {{"dyce", 60}}, candidatesOf("dyce", 0, 30), first);
+    CHECK(std::set(first.relays.at("dyce").begin(), first.relays.at("dyce").end())
+          == std::set(second.relays.at("dyce").begin(), second.relays.at("dyce").end()));
+    const auto third = planRelays(weak, {{"dyce", 60}}, candidatesOf("dyce", 2, 30), second);
+    CHECK(std::ranges::all_of(third.relays.at("dyce"),
+                              [](const auto &each) { return each == "dyce-0" || each == "dyce-1"; }));
+}
+
+TEST_CASE("the failure domains of a region that isn't in contact yet spread over the processes that are")
+{
+    const auto plan =
+        planRelays(strong, {{"keith", 180}, {"peterhead", 180}, {"elgin", 180}}, candidatesOf("dyce", 6, 0));
+    std::set<process_id> relays;
+    for (const auto &[domain, names] : plan.relays) {
+        relays.insert(names.begin(), names.end());
+    }
+    CHECK(relays.size() > 2);
+}
