Leave a quarter of the advice routes to cheap calls

Cause: calls for the wide queues, which take up to a second, could be pending on all VMs but two. Two routes answer some 33 cheap calls a second, 75 and more are needed; the rest waited behind costly calls in the service's queues.

Change: costly calls leave a quarter of the routes free, two at least, so seven VMs keep what they had.

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -21,7 +21,10 @@
 /// Costly calls are also made before capacity is free.
 constexpr auto costlyAdviceTime = 100ms;
 
-constexpr std::int32_t routesKeptForCheapCalls = 2; ///< advice routes that costly calls leave free
+/// Advice routes that costly calls leave free: a share of all, so that cheap calls don't wait behind them in the
+/// service's queues, however large the cell is.
+constexpr std::int32_t routesForEachCheapOne = 4;
+constexpr std::int32_t minRoutesForCheapCalls = 2;
 constexpr std::int32_t cheapCallsPerRoute = 2; ///< limit of pending cheap calls for each advice route
 
 /// Early calls are made this long, plus their duration, before the estimated end of the step's predecessors.
@@ -41,7 +44,8 @@
 /// is valid is useless.
 bool mayCall(cell_state &state, const advice_policy &policy)
 {
-    const auto maxPendingCalls = isCostly(policy) ? std::max(1, state.adviceRoutes - routesKeptForCheapCalls)
+    const auto routesForCheapCalls = std::max(minRoutesForCheapCalls, state.adviceRoutes / routesForEachCheapOne);
+    const auto maxPendingCalls = isCostly(policy) ? std::max(1, state.adviceRoutes - routesForCheapCalls)
                                                   : state.adviceRoutes * cheapCallsPerRoute;
     return pendingCalls(state, policy) < maxPendingCalls;
 }
