Restart a service's tasks before a backlog of more urgent queues

Cause: services were served by their queue's priority like all others; in a backlog they waited as long as it lasted.

Change: a service's task that has waited for 2 s goes before all other work. The test replays a backlog of urgent jobs around a service that lost a task; without the change the service waits for its end.

--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -25,10 +25,15 @@
 /// A step later than this many times the objective goes behind all others, whatever its priority. Services never do.
 constexpr double farOverdueFactor = 3;
 
+/// A service's task that has waited this long goes before all other work: its users have no service meanwhile, and in a
+/// backlog of more urgent queues it would wait as long as that lasts.
+constexpr auto maxServiceWait = 2s;
+
 /// A step with pending tasks. Steps are sorted in the order in which they are served.
 struct queued_step
 {
     waiting_step waiting;
+    bool isOther = true; ///< false for a service with a task that has waited for longer than maxServiceWait
     bool isFarOverdue = false; ///< so late that its job gains nothing by being served early
     std::int32_t priority = 0; ///< 0 is served first
     /// The job can't meet its objective any more. Served after those that can, so that a backlog of late jobs doesn't
@@ -40,10 +45,10 @@
 
     friend bool operator<(const queued_step &left, const queued_step &right)
     {
-        return std::tie(left.isFarOverdue, left.priority, left.isLate, left.due, left.waiting.job->accepted.id,
-                        left.waiting.occurrenceNumber, left.waiting.index)
-            < std::tie(right.isFarOverdue, right.priority, right.isLate, right.due, right.waiting.job->accepted.id,
-                       right.waiting.occurrenceNumber, right.waiting.index);
+        return std::tie(left.isOther, left.isFarOverdue, left.priority, left.isLate, left.due,
+                        left.waiting.job->accepted.id, left.waiting.occurrenceNumber, left.waiting.index)
+            < std::tie(right.isOther, right.isFarOverdue, right.priority, right.isLate, right.due,
+                       right.waiting.job->accepted.id, right.waiting.occurrenceNumber, right.waiting.index);
     }
 };
 
@@ -62,6 +67,14 @@
         && job.version != 0;
 }
 
+/// Returns whether a task of the service has waited for longer than maxServiceWait.
+bool isServiceOverdue(const waiting_step &waiting, instant now)
+{
+    return waiting.spec->isService && std::ranges::any_of(waiting.step->pendingTasks, [&](std::int32_t index) {
+               return waiting.step->tasks[static_cast<std::size_t>(index)].pendingSince + maxServiceWait <= now;
+           });
+}
+
 queued_step queuedStepOf(const cell_state &state, const waiting_step &waiting, instant now)
 {
     const auto &job = *waiting.job;
@@ -71,6 +84,7 @@
         std::min<duration>(waiting.spec->estimate, maxOrderingEstimate) * state.rules.policy.shortFirst;
     queued_step result;
     result.waiting = waiting;
+    result.isOther = !isServiceOverdue(waiting, now);
     result.priority = job.accepted.queue.priority;
     result.due = begin + objective + std::chrono::duration_cast<duration>(orderingDelay);
     result.isLate = !waiting.spec->isService && now + waiting.step->criticalPath > begin + objective;
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -586,6 +586,51 @@
     CHECK(again.front().run.task.index == 1);
 }
 
+TEST_CASE("a backlog of steps with costly advice leaves a quarter of a large cell's advice routes to cheap calls")
+{
+    auto cell = makeCellOf({"a", "b"});
+    cell.adviceRoutes = 40;
+    for (int number = 0; number < 80; ++number) {
+        auto costly = owned_cell::makeJob("costly-" + std::to_string(number), {makeStep(1)});
+        costly.queue.advice = advice_policy {440ms, 6ms, 2s};
+        cell.addJob(costly);
+    }
+    cell.runSchedulingPass();
+    cell.runSchedulingPass();
+    CHECK(cell.state.costlyAdviceCalls == 30);
+}
+
+TEST_CASE("a service that lost a task gets it back before a backlog of queues with a higher priority is served")
+{
+    auto cell = makeCellOf({"a"});
+    step(cell.state, storedService(), cell.now, cell.actions);
+    cell.state.jobs.at("service").accepted.queue.priority = 1;
+    const auto first = cell.runSchedulingPass();
+    REQUIRE(first.size() == 1);
+    step(cell.state, start_answered {"a", 1, first.front().run, order_result::done, cell.now}, cell.now, cell.actions);
+    cell.advance(3s);
+    for (int number = 0; number < 4; ++number) {
+        cell.addJob(owned_cell::makeJob("urgent-" + std::to_string(number), {makeStep(40)}));
+    }
+    cell.answerList("a", {}, {{1, first.front().run, run_end::stopped, ""}});
+    auto starts = cell.runSchedulingPass();
+    CHECK(starts.front().run.task.job != "service");
+    std::vector<listed_end> ends;
+    std::int64_t number = 1;
+    const auto isService = [](const send_start &start) { return start.run.task.job == "service"; };
+    const auto begin = cell.now;
+    while (std::ranges::none_of(starts, isService) && cell.now < begin + 5s) {
+        cell.advance(700ms);
+        std::ranges::transform(starts, std::back_inserter(ends), [&number](const auto &start) {
+            return listed_end {++number, start.run, run_end::done, ""};
+        });
+        cell.answerList("a", {}, std::exchange(ends, {}));
+        starts = cell.runSchedulingPass();
+    }
+    CHECK(cell.now < begin + 3s);
+    CHECK(summarize(cell.state, cell.now).waitingTasks > 0);
+}
+
 TEST_CASE("a ticket is used for as long as it is valid from its issue, not from the handling of a late answer")
 {
     for (const auto lateness : {100ms, 1'500ms}) {
