Read payloads in the store where the owner's link is narrow, and count the bytes of all calls

Cause, by the new counts of bytes by kind: of 4.7 MB that the owner sent to relays in 36 s some 3.5 MB were payloads, as each relay starts a few tasks of a job. Ruled out: presences and their answers (0.4 MB each way), advice (0.2 MB).

Change: an owner whose link has less than 10 Mbit/s doesn't send payloads; a relay reads the job's row once. If it can't, it says that the task wasn't started, and the next start brings the payload. The log tells the bytes of calls to the store, the workers and the advice service beside those of peer messages.

An owner's row tells when it was taken, and how many take-overs before it followed each other within 10 s from owners that hadn't ended. Each doubles the time (at most four times) without an answer, a renewal or a confirmation after which an owner counts as failed or cut off. Ends for certain, such as a refused connection, count as before.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -132,8 +132,9 @@
                 [this](const wire::Message &message, const auto &reply) { handleMessage(message, reply); })
         , queues(rows, {platform::configurationTable, platform::configurationKey, platform::decodeQueueTable}, log)
         , leadership(makeLeadership(makeLeadershipSettings(settings, incarnation), bootNow()))
-        , relay(workers, peers, log, measures)
-        , relayedWorkers(workers, peers, settings.peers, incarnation, makeRelayLinks(), log, measures)
+        , relay(workers, rows, peers, log, measures)
+        , relayedWorkers(workers, peers, settings.peers, incarnation, settings.capacity, makeRelayLinks(), log,
+                         measures)
         , runner(rows, relayedWorkers, {platform::workerTable, platform::decodeWorker},
                  {[this](const ask_advice &request, auto done) {
                       adviceDispatcher.ask(request, bootNow(), std::move(done));
@@ -363,10 +364,10 @@
             return;
         }
         const auto now = bootNow();
-        const auto chosen =
-            planHandover({isLeaving, ownsSince, runner.confirmedAt(), rows.failingSince(), rows.minRoundTrip(),
-                          handoverRequestedAt, lastSuccessor, settings.capacity, lateness.lateSince},
-                         knownPeers, now);
+        const auto chosen = planHandover({isLeaving, ownsSince, runner.confirmedAt(), rows.failingSince(),
+                                          rows.minRoundTrip(), handoverRequestedAt, lastSuccessor, settings.capacity,
+                                          lateness.lateSince, patienceWith(*leadership.owner)},
+                                         knownPeers, now);
         if (!chosen) {
             return;
         }
@@ -600,23 +601,32 @@
         request->answer({statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, measures.text()});
     }
 
-    /// Logs what each kind of message to and from other daemons has taken of the link since the start.
+    /// Logs what each kind of message has taken of the link since the start.
     void logTraffic()
     {
-        for (const auto &[kind, traffic] : peers.traffic()) {
-            log.write("peers", "traffic",
+        const auto write = [this](const std::string &kind, const frame_traffic &traffic) {
+            log.write("process", "traffic",
                       {{"kind", kind},
                        {"sent", std::to_string(traffic.sentFrames)},
                        {"sent_bytes", std::to_string(traffic.sentBytes)},
                        {"received", std::to_string(traffic.receivedFrames)},
                        {"received_bytes", std::to_string(traffic.receivedBytes)}});
+        };
+        for (const auto &[kind, traffic] : peers.traffic()) {
+            write(kind, traffic);
         }
+        const auto writeCalls = [&write](const std::string &kind, const http_byte_counts &bytes) {
+            write(kind, {bytes.calls, bytes.sent, bytes.calls, bytes.received});
+        };
+        writeCalls("store", storeHttp.callBytes());
+        writeCalls("workers", workerHttp.callBytes());
+        writeCalls("advice", adviceHttp.callBytes());
     }
 
     void tick()
     {
         recordTick(lateness, presenceInterval, bootNow());
-        advanceLeadership(leadership_ticked {});
+        advanceLeadership(leadership_ticked {rows.storeTime()});
         if (isOwner()) {
             tryHandover();
             refreshAdviceRoutes();
--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -519,9 +519,9 @@
     m_parts->pools->connectionsPerHost = connectionsPerHost;
 }
 
-const http_byte_counts &http_client::controlBytes() const
+const http_byte_counts &http_client::callBytes() const
 {
-    return *m_controlBytes;
+    return *m_callBytes;
 }
 
 http_client::~http_client()
@@ -571,7 +571,7 @@
     handlers.ended = [state, done] { done(std::move(state->answer)); };
     handlers.failed = [done](http_failure failure) { done(std::move(failure)); };
     auto source = std::make_shared<response_stream>(request, std::move(handlers), m_parts->pools);
-    source->setByteCounts(m_controlBytes);
+    source->setByteCounts(m_callBytes);
     state->source = source;
     source->readMore();
     source->start(request.timeout);
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -88,7 +88,7 @@
     void call(const http_call &request, const std::function<void(http_outcome)> &done);
 
     /// Returns the traffic of call(), that is, of calls to the platform and workers. Streamed requests aren't counted.
-    const http_byte_counts &controlBytes() const;
+    const http_byte_counts &callBytes() const;
 
     /// Sends a request; the response is passed to @p handlers piece by piece.
     std::shared_ptr<http_stream> stream(const http_call &request, http_stream::handlers handlers);
@@ -96,7 +96,7 @@
 private:
     struct parts;
     std::unique_ptr<parts> m_parts;
-    std::shared_ptr<http_byte_counts> m_controlBytes = std::make_shared<http_byte_counts>();
+    std::shared_ptr<http_byte_counts> m_callBytes = std::make_shared<http_byte_counts>();
 };
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/leadership/handover.cpp
+++ b/src/libprimrosecroft/leadership/handover.cpp
@@ -71,7 +71,7 @@
     }
     const bool isFailing = owner.storeFailingSince && *owner.storeFailingSince + failureTimeout <= now
         && owner.confirmedAt + failureTimeout <= now;
-    if (isFailing || owner.confirmedAt + confirmationTimeout <= now) {
+    if (isFailing || owner.confirmedAt + owner.patience * confirmationTimeout <= now) {
         return handover_reason::cutOff;
     }
     return std::nullopt;
--- a/src/libprimrosecroft/leadership/handover.h
+++ b/src/libprimrosecroft/leadership/handover.h
@@ -46,6 +46,7 @@
     process_id lastSuccessor; ///< process of the latest request; empty if this ownership made none
     vm_capacity capacity;
     std::optional<instant> lateSince; ///< since when its ticks have been late; unset if they aren't
+    int patience = 1; ///< factor for the time without confirmation after which it counts as cut off
 };
 
 enum class handover_reason
--- a/src/libprimrosecroft/leadership/leadership.cpp
+++ b/src/libprimrosecroft/leadership/leadership.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -25,6 +26,9 @@
 /// Longer than the interval between the messages that show a refused connection, so that a strong process comes first.
 constexpr auto weakSuccessorDelay = 250ms;
 constexpr std::int64_t maxTerm = 4'000'000; ///< of a row that is read; the numbers of attempts grow by 1000 each term
+/// An ownership that lasted for this long wasn't in vain, so the take-over after it is a first one.
+constexpr auto minOwnershipTime = 10s;
+constexpr std::int32_t maxDoubtfulTakeOvers = 2; ///< that make the next one wait longer
 constexpr auto maxRoundTripDelay = 250ms; ///< limit on that wait, without the jitter
 
 /// True if this run of the process wrote the row.
@@ -46,6 +50,21 @@
         + std::chrono::milliseconds(jitter) + (isWeakSuccessor(state) ? weakSuccessorDelay : 0ms);
 }
 
+/// True if the owner of the latest row has ended or given up the ownership for certain.
+bool hasEndedForCertain(const leadership_state &state)
+{
+    return state.owner->process == state.settings.process || state.isConnectionRefused || state.owner->hasResigned;
+}
+
+std::int32_t doubtfulTakeOvers(const leadership_state &state)
+{
+    if (!state.owner || state.owner->takenAt.count() == 0
+        || state.storeTime >= state.owner->takenAt + minOwnershipTime) {
+        return 0;
+    }
+    return std::min(state.owner->doubtfulTakeOvers + (hasEndedForCertain(state) ? 0 : 1), maxDoubtfulTakeOvers);
+}
+
 owner_row makeOwnRow(const leadership_state &state)
 {
     owner_row row;
@@ -54,6 +73,8 @@
     row.address = state.settings.address;
     row.term = state.owner ? state.owner->term + 1 : 0;
     row.capacity = state.settings.capacity;
+    row.takenAt = state.storeTime;
+    row.doubtfulTakeOvers = doubtfulTakeOvers(state);
     return row;
 }
 
@@ -146,7 +167,8 @@
 
 bool hasOwnerFailed(const leadership_state &state, instant now)
 {
-    return state.isOwnerSuspected && now >= state.renewalUnchangedSince + state.settings.renewalTimeout;
+    return state.isOwnerSuspected
+        && now >= state.renewalUnchangedSince + patienceWith(*state.owner) * state.settings.renewalTimeout;
 }
 
 void tick(leadership_state &state, instant now, std::vector<leadership_action> &actions)
@@ -156,7 +178,8 @@
     }
     // A leaving process also keeps track of the owner, because it forwards requests to the next one.
     if (state.hasPolled && state.owner) {
-        const bool isOverdue = now >= state.lastContactAt + state.settings.suspicionTimeout;
+        const bool isOverdue =
+            now >= state.lastContactAt + patienceWith(*state.owner) * state.settings.suspicionTimeout;
         if (isOverdue && !state.isOwnerSuspected) {
             state.isOwnerSuspected = true;
             state.renewalUnchangedSince = now;
@@ -201,6 +224,11 @@
 
 } // namespace
 
+int patienceWith(const owner_row &row)
+{
+    return 1 << row.doubtfulTakeOvers;
+}
+
 row_place ownerPlace()
 {
     return {cellTable, shardPartition, "owner"};
@@ -215,10 +243,10 @@
 {
     std::string result;
     // New elements go to the end: an earlier build reads those that it knows by their place.
-    json::to_cbor(
-        json::array({row.process, row.incarnation, row.address.address, row.address.port, row.term, row.hasResigned,
-                     encodeAmount(row.capacity.milliCores), encodeAmount(row.capacity.linkMbps)}),
-        result);
+    json::to_cbor(json::array({row.process, row.incarnation, row.address.address, row.address.port, row.term,
+                               row.hasResigned, encodeAmount(row.capacity.milliCores),
+                               encodeAmount(row.capacity.linkMbps), row.takenAt.count(), row.doubtfulTakeOvers}),
+                  result);
     return result;
 }
 
@@ -233,6 +261,11 @@
         result.term = rowNumber<std::int64_t>(parsed.at(4), 0, maxTerm);
         result.hasResigned = rowValue<bool>(parsed.at(5));
         result.capacity = {decodeAmount(parsed, 6), decodeAmount(parsed, 7)};
+        if (parsed.size() > 9) { // the row of an earlier build is shorter
+            result.takenAt = std::chrono::milliseconds(
+                rowNumber<std::int64_t>(parsed.at(8), 0, std::numeric_limits<std::int64_t>::max()));
+            result.doubtfulTakeOvers = rowNumber<std::int32_t>(parsed.at(9), 0, maxDoubtfulTakeOvers);
+        }
         return result;
     } catch (const json::exception &fault) {
         throw error("decode owner row", "", fault.what());
@@ -311,7 +344,7 @@
                 }
                 state.isLeaving = true;
             },
-            [&](const leadership_ticked &) {},
+            [&](const leadership_ticked &tick) { state.storeTime = tick.storeTime; },
         },
         message);
     tick(state, now, actions);
--- a/src/libprimrosecroft/leadership/leadership.h
+++ b/src/libprimrosecroft/leadership/leadership.h
@@ -31,10 +31,20 @@
     std::int64_t term = 0; ///< number of take-overs before this one
     bool hasResigned = false; ///< the owner gave up ownership; any process may take over without a timeout
     vm_capacity capacity; ///< of the owner's VM; unknown in the row of an earlier build
+    std::chrono::milliseconds takenAt {
+        0}; ///< on the store's steady clock; 0 if unknown, as in the row of an earlier build
+    /// Number of take-overs before this one, each soon after the one before, from owners that hadn't ended. They show
+    /// that an owner seems to have failed for a cause that the next one shares, such as a narrow link.
+    std::int32_t doubtfulTakeOvers = 0;
 
     friend bool operator==(const owner_row &, const owner_row &) = default;
 };
 
+/// Factor for the time without a sign of life after which the owner of @p row counts as failed or cut off. A take-over
+/// reads all jobs and asks all workers, so each that brought nothing makes the next one wait longer; otherwise owners
+/// that are busy with their own take-over would be replaced for ever.
+int patienceWith(const owner_row &row);
+
 row_place ownerPlace();
 
 /// Row that the owner rewrites at intervals.
@@ -124,6 +134,7 @@
 /// Sent at short intervals, so that timeouts are detected.
 struct leadership_ticked
 {
+    std::chrono::milliseconds storeTime {0}; ///< the store's steady clock; 0 while it is not known
 };
 
 using leadership_message = std::variant<owner_poll_answered, owner_answer_received, owner_connection_refused,
@@ -196,6 +207,7 @@
     std::optional<instant> takeOverAt; ///< when this process takes over, unless the owner answers before
     row_version renewal = 0; ///< version of the renewal row at the last poll
     instant renewalUnchangedSince; ///< start of the observed time without a renewal
+    std::chrono::milliseconds storeTime {0}; ///< the store's steady clock at the last tick; 0 while it is not known
     bool isOwnerSuspected = false; ///< no answer for suspicionTimeout, so that renewals are polled more often
     /// Duration of the shortest recent poll: a shorter poll replaces it, a longer one at most doubles it. 0 before the
     /// first poll.
--- a/src/libprimrosecroft/relays/order_relay.cpp
+++ b/src/libprimrosecroft/relays/order_relay.cpp
@@ -1,9 +1,11 @@
 #include "relays/order_relay.h"
 
 #include "core/error.h"
+#include "jobs/job_rows.h"
 #include "primrosecroft_types.h"
 #include "relays/order_frames.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace primrosecroft
@@ -15,12 +17,14 @@
 using namespace std::chrono_literals;
 
 constexpr auto resultDelay = 6ms; ///< results within this time go into one message
+constexpr auto payloadReadTimeout = 300ms;
 constexpr std::size_t maxPendingOrders = 4'000;
 
 } // namespace
 
-order_relay::order_relay(worker_gateway &workers, peer_hub &peers, decision_log &log, metrics &measures)
+order_relay::order_relay(worker_gateway &workers, store &rows, peer_hub &peers, decision_log &log, metrics &measures)
     : m_workers(workers)
+    , m_rows(rows)
     , m_peers(peers)
     , m_log(log)
     , m_measures(measures)
@@ -61,29 +65,59 @@
     }
     for (const auto &each : batch.starts) {
         carry(each, [&](const auto &order, auto done) {
-            auto start = order_frames::decode(order);
-            const auto payload = payloadOf(order, batch);
-            if (!payload) {
-                done(start_answered {start.worker, start.boot, start.run, order_result::notSent, {}});
-                return;
-            }
-            start.payload = *payload;
-            m_workers.start(start, batch.token, timeout, std::move(done));
+            findPayload(order, batch,
+                        [this, start = order_frames::decode(order), token = batch.token, timeout,
+                         done = std::move(done)](const std::optional<std::string> &payload) mutable {
+                            if (!payload) {
+                                done(start_answered {start.worker, start.boot, start.run, order_result::notSent, {}});
+                                return;
+                            }
+                            start.payload = *payload;
+                            m_workers.start(start, token, timeout, std::move(done));
+                        });
         });
     }
     m_measures.count("primrosecroft_relayed_orders", "kind", "batch");
 }
 
-/// Returns the payload of the job, which only the first start of the job brings. Returns std::nullopt if it isn't kept
-/// here any more.
-std::optional<std::string> order_relay::payloadOf(const wire::StartOrder &order, const wire::OrderBatch &batch)
+/// Calls @p done with the payload of the order's job: the one that came with the batch or is kept from an earlier
+/// start, else the one in the job's row. Calls it with std::nullopt if there is no such row, or the store doesn't
+/// answer.
+void order_relay::findPayload(const wire::StartOrder &order, const wire::OrderBatch &batch, payload_handler done)
 {
+    const auto &job = order.run.job;
     if (order.__isset.payload) {
-        const auto &payload = batch.payloads.at(static_cast<std::size_t>(order.payload));
-        m_payloads.keep(order.run.job, payload);
-        return payload;
+        m_payloads.keep(job, batch.payloads.at(static_cast<std::size_t>(order.payload)));
+    }
+    if (const auto kept = m_payloads.find(job)) {
+        done(kept);
+        return;
+    }
+    auto &waiting = m_payloadReads[job];
+    waiting.push_back(std::move(done));
+    if (waiting.size() == 1) {
+        readPayload(job);
     }
-    return m_payloads.find(order.run.job);
+}
+
+void order_relay::readPayload(const job_id &job)
+{
+    m_rows.read(rangeOf(jobPlace(job)), payloadReadTimeout, [this, job](const range_result &result) {
+        std::optional<std::string> payload;
+        try {
+            if (result.outcome == store_outcome::done && !result.rows.empty()) {
+                payload = decodeJob(result.rows.front().value).spec.payload;
+                m_payloads.keep(job, *payload);
+            }
+        } catch (const error &fault) {
+            m_log.write("relays", "row-unreadable", {{"id", job}, {"reason", fault.what()}});
+        }
+        if (!payload) {
+            m_log.write("relays", "no-payload", {{"id", job}, {"outcome", toString(result.outcome)}});
+        }
+        const auto node = m_payloadReads.extract(job);
+        std::ranges::for_each(node.mapped(), [&payload](const auto &done) { done(payload); });
+    });
 }
 
 bool order_relay::admit()
--- a/src/libprimrosecroft/relays/order_relay.h
+++ b/src/libprimrosecroft/relays/order_relay.h
@@ -6,11 +6,15 @@
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
 #include "relays/kept_payloads.h"
+#include "store/store.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace primrosecroft
 {
@@ -31,7 +35,8 @@
 class order_relay
 {
 public:
-    order_relay(worker_gateway &workers, peer_hub &peers, decision_log &log, metrics &measures);
+    /// @p rows is read for the payloads of jobs that an owner on a narrow link doesn't send.
+    order_relay(worker_gateway &workers, store &rows, peer_hub &peers, decision_log &log, metrics &measures);
     ~order_relay();
     order_relay(const order_relay &) = delete;
     order_relay &operator=(const order_relay &) = delete;
@@ -54,15 +59,20 @@
     void addResult(const destination &target, std::int64_t number, order_result result);
     void sendResults();
     bool admit();
-    std::optional<std::string> payloadOf(const wire::StartOrder &order, const wire::OrderBatch &batch);
+    using payload_handler = std::function<void(const std::optional<std::string> &payload)>;
+
+    void findPayload(const wire::StartOrder &order, const wire::OrderBatch &batch, payload_handler done);
+    void readPayload(const job_id &job);
 
     worker_gateway &m_workers;
+    store &m_rows;
     peer_hub &m_peers;
     decision_log &m_log;
     metrics &m_measures;
     std::map<destination, std::unique_ptr<wire::OrderResults>> m_results;
     std::size_t m_pendingOrders = 0;
     kept_payloads m_payloads;
+    std::map<job_id, std::vector<payload_handler>> m_payloadReads; ///< starts that wait for the read of a job's row
     timer m_sendTimer;
 };
 
--- a/src/libprimrosecroft/relays/relayed_workers.cpp
+++ b/src/libprimrosecroft/relays/relayed_workers.cpp
@@ -19,7 +19,7 @@
 
 constexpr auto relayMargin = 250ms; ///< for a result to come from a relay, in addition to the worker's time
 constexpr auto overdueInterval = 50ms; ///< between two searches for orders without a result
-constexpr std::size_t maxBatchPayloadBytes = std::size_t {256} * 1024; ///< a batch is sent at once when it has more
+constexpr std::int64_t minMbpsForPayloads = 10; ///< of the owner's link; on a narrower one relays read the payloads
 
 /// Sent payloads are forgotten, and so sent again, when there are more. A relay may have dropped the oldest ones by
 /// then.
@@ -28,11 +28,13 @@
 } // namespace
 
 relayed_workers::relayed_workers(worker_gateway &direct, peer_hub &peers, const peer_address &self,
-                                 std::int64_t incarnation, relay_links links, decision_log &log, metrics &measures)
+                                 std::int64_t incarnation, const vm_capacity &capacity, relay_links links,
+                                 decision_log &log, metrics &measures)
     : m_direct(direct)
     , m_peers(peers)
     , m_self(self)
     , m_incarnation(incarnation)
+    , m_isLinkNarrow(capacity.linkMbps && *capacity.linkMbps < minMbpsForPayloads)
     , m_links(std::move(links))
     , m_log(log)
     , m_measures(measures)
@@ -55,10 +57,7 @@
     auto encoded = order_frames::encode(number, order);
     auto &state = m_states[relay];
     const auto &job = order.run.task.job;
-    if (state.payloadsSent.size() >= maxPayloadsSent) {
-        state.payloadsSent.clear();
-    }
-    if (state.payloadsSent.insert(job).second) {
+    if (mustSendPayload(state, job)) {
         state.batchPayloads[job] = static_cast<std::int32_t>(batch.payloads.size());
         batch.payloads.push_back(order.payload);
     }
@@ -97,6 +96,18 @@
     batchFor(relay, token, timeout).lists.push_back(order_frames::encode(number, order));
 }
 
+/// Each relay starts a few tasks of a job, so payloads are most of the bytes that an owner would send.
+bool relayed_workers::mustSendPayload(relay_state &relay, const job_id &job) const
+{
+    if (m_isLinkNarrow) {
+        return relay.payloadsMissed.erase(job) > 0;
+    }
+    if (relay.payloadsSent.size() >= maxPayloadsSent) {
+        relay.payloadsSent.clear();
+    }
+    return relay.payloadsSent.insert(job).second;
+}
+
 process_id relayed_workers::relayOf(const worker_id &worker)
 {
     if (!m_hasPlan) {
@@ -217,7 +228,9 @@
         [&](auto &pending) {
             if constexpr (requires { pending.unanswered.run; }) {
                 if (result == order_result::notSent) {
-                    m_states[node.mapped().relay].payloadsSent.erase(pending.unanswered.run.task.job);
+                    const auto &job = pending.unanswered.run.task.job;
+                    m_states[node.mapped().relay].payloadsSent.erase(job);
+                    m_states[node.mapped().relay].payloadsMissed.insert(job);
                 }
             }
             pending.unanswered.result = result;
--- a/src/libprimrosecroft/relays/relayed_workers.h
+++ b/src/libprimrosecroft/relays/relayed_workers.h
@@ -43,9 +43,10 @@
 {
 public:
     /// @p direct sends the orders of workers without a relay. @p self and @p incarnation identify this run of the
-    /// process, to which the results return.
+    /// process, to which the results return. On a narrow link, which @p capacity tells, relays read payloads in the
+    /// store.
     relayed_workers(worker_gateway &direct, peer_hub &peers, const peer_address &self, std::int64_t incarnation,
-                    relay_links links, decision_log &log, metrics &measures);
+                    const vm_capacity &capacity, relay_links links, decision_log &log, metrics &measures);
     ~relayed_workers() override;
 
     void start(const send_start &order, row_version token, std::chrono::milliseconds timeout,
@@ -92,10 +93,12 @@
         std::unique_ptr<wire::OrderBatch> batch; ///< orders for the next message; empty if there are none
         std::map<job_id, std::int32_t> batchPayloads; ///< index of the job's payload in the batch
         std::set<job_id> payloadsSent; ///< jobs whose payload the relay has got
+        std::set<job_id> payloadsMissed; ///< jobs whose payload the relay couldn't read in the store
         instant unansweredSince; ///< when the latest order without a result was sent; zero if there was none
     };
 
     process_id relayOf(const worker_id &worker);
+    bool mustSendPayload(relay_state &relay, const job_id &job) const;
     wire::OrderBatch &batchFor(const process_id &relay, row_version token, std::chrono::milliseconds timeout);
     std::int64_t expect(const process_id &relay, std::chrono::milliseconds timeout, pending_handler handler);
     void sendBatches();
@@ -106,6 +109,7 @@
     peer_hub &m_peers;
     peer_address m_self;
     std::int64_t m_incarnation;
+    bool m_isLinkNarrow;
     relay_links m_links;
     decision_log &m_log;
     metrics &m_measures;
--- a/tests/unit/handover_test.cpp
+++ b/tests/unit/handover_test.cpp
@@ -370,3 +370,15 @@
     CHECK(chosen->successor == "b");
     CHECK(chosen->reason == handover_reason::cutOff);
 }
+
+TEST_CASE("an owner after take-overs that brought nothing waits longer for its confirmation before it hands over")
+{
+    auto owner = healthyOwner();
+    owner.confirmedAt = now - 1'500ms;
+    const std::map<process_id, successor_candidate> candidates {{"b", makeCandidate(5ms)}};
+    CHECK(successorOf(owner, candidates) == "b");
+    owner.patience = 2;
+    CHECK_FALSE(successorOf(owner, candidates));
+    owner.confirmedAt = now - 1'900ms;
+    CHECK(successorOf(owner, candidates) == "b");
+}
--- a/tests/unit/leadership_test.cpp
+++ b/tests/unit/leadership_test.cpp
@@ -231,3 +231,68 @@
     CHECK(hasAction<report_owner>(
         step(state, owner_poll_answered {store_outcome::done, rowOf("b"), 11, 12, 5ms}, start + 20ms)));
 }
+
+TEST_CASE("owners that are replaced soon after their take-over get more time to show that they run")
+{
+    auto row = rowOf("b");
+    row.takenAt = 100s;
+    leadership_settings settings;
+    settings.process = "a";
+    std::vector<std::int32_t> counts;
+    std::vector<std::chrono::milliseconds> waits;
+    for (int takeOver = 0; takeOver < 4; ++takeOver) {
+        auto state = makeLeadership(settings, start);
+        step(state, owner_poll_answered {store_outcome::done, row, 9, 10, 5ms}, start);
+        std::vector<leadership_action> actions;
+        auto wait = 0ms;
+        while (!hasAction<take_ownership>(actions) && wait < 20s) {
+            wait += 10ms;
+            actions = step(state, leadership_ticked {row.takenAt + wait}, start + wait);
+            if (hasAction<poll_owner>(actions)) {
+                step(state, owner_poll_answered {store_outcome::done, row, 9, 10, 5ms}, start + wait);
+            }
+        }
+        REQUIRE(hasAction<take_ownership>(actions));
+        waits.push_back(wait);
+        row = std::get<take_ownership>(actions.back()).row;
+        row.process = "b";
+        counts.push_back(row.doubtfulTakeOvers);
+    }
+    CHECK(counts == std::vector<std::int32_t> {1, 2, 2, 2});
+    CHECK(waits[1] > waits[0] + 900ms);
+    CHECK(waits[2] > waits[1] + 1'800ms);
+    CHECK(waits[3] < 6s);
+}
+
+TEST_CASE("an owner whose process has ended is replaced as soon as ever, and an owner after a long ownership, too")
+{
+    auto row = rowOf("b");
+    row.takenAt = 100s;
+    row.doubtfulTakeOvers = 2;
+    CHECK(takeOverWait(strong, row) < 300ms);
+    leadership_settings settings;
+    settings.process = "a";
+    auto state = makeLeadership(settings, start);
+    step(state, owner_poll_answered {store_outcome::done, row, 9, 10, 5ms}, start);
+    step(state, handover_requested {9}, start);
+    step(state, take_over_answered {store_outcome::refused, 0}, start);
+    step(state, leadership_ticked {row.takenAt + 11s}, start);
+    step(state, owner_poll_answered {store_outcome::done, row, 9, 10, 5ms}, start);
+    const auto actions = step(state, handover_requested {9}, start);
+    REQUIRE(hasAction<take_ownership>(actions));
+    CHECK(std::get<take_ownership>(actions.front()).row.doubtfulTakeOvers == 0);
+}
+
+TEST_CASE("an owner's row tells when it was taken; the row of an earlier build doesn't")
+{
+    auto row = rowOn(weak);
+    row.takenAt = 123'456ms;
+    row.doubtfulTakeOvers = 2;
+    CHECK(decodeOwner(encodeOwner(row)) == row);
+    auto parsed = nlohmann::json::from_cbor(encodeOwner(row));
+    parsed.erase(8);
+    parsed.erase(8);
+    std::string earlier;
+    nlohmann::json::to_cbor(parsed, earlier);
+    CHECK(decodeOwner(earlier) == rowOn(weak));
+}
