Read jobs in pages that fit a narrow link

Cause: a new owner reads its jobs in pages of 500 rows with a timeout of 1.5 s. Some 140 live jobs make 400 kB, which such a link doesn't carry in that time; the read was repeated for ever and kept the link full. The scan for jobs without a notice read the same pages every 2 s, and 0.4 s after a failed one.

Change: pages adapt to what their reads take (read_paging, pure): a failed one makes the next a quarter, a slow one a half, a fast one twice as large. Scans use a quarter of the time at most.

--- a/src/libprimrosecroft/cell/job_reader.cpp
+++ b/src/libprimrosecroft/cell/job_reader.cpp
@@ -21,10 +21,12 @@
 
 void job_reader::loadPage(const std::string &from)
 {
-    m_context.rows.read({jobTable, shardPartition, from, "", 500}, readTimeout,
-                        m_context.guard.wrap([this, from](const range_result &result) {
+    const auto sentAt = bootNow();
+    m_context.rows.read({jobTable, shardPartition, from, "", m_paging.rows}, readTimeout,
+                        m_context.guard.wrap([this, from, sentAt](const range_result &result) {
+                            recordPage(m_paging, sentAt, result.outcome == store_outcome::done, bootNow());
                             if (result.outcome != store_outcome::done) {
-                                m_context.log.write("cell", "load-retry", {});
+                                m_context.log.write("cell", "load-retry", {{"rows", std::to_string(m_paging.rows)}});
                                 m_loadTimer.once(readRetryDelay, [this, from] { loadPage(from); });
                                 return;
                             }
--- a/src/libprimrosecroft/cell/job_reader.h
+++ b/src/libprimrosecroft/cell/job_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/read_paging.h"
 #include "cell/runner_context.h"
 #include "cell/stored_jobs.h"
 #include "io/timer.h"
@@ -45,6 +46,7 @@
     const runner_context &m_context;
     std::function<void(row_version firstVersion)> m_loaded;
     std::optional<row_version> m_firstVersion; ///< of the store at the read of the first page
+    read_paging m_paging;
     stored_job_collector m_loadedJobs; ///< not given to the core yet
     std::map<job_id, row_version> m_setAside; ///< version of the latest unreadable row of each such job
     timer m_loadTimer;
--- a/src/libprimrosecroft/cell/job_scan.cpp
+++ b/src/libprimrosecroft/cell/job_scan.cpp
@@ -53,9 +53,11 @@
 void job_scan::readPage(const std::string &from)
 {
     ++m_readsLeft;
-    m_context.rows.read({jobTable, shardPartition, from, "", 500}, readTimeout,
-                        m_context.guard.wrap([this](const range_result &result) {
+    const auto sentAt = bootNow();
+    m_context.rows.read({jobTable, shardPartition, from, "", m_paging.rows}, readTimeout,
+                        m_context.guard.wrap([this, sentAt](const range_result &result) {
                             const bool isRead = result.outcome == store_outcome::done;
+                            recordPage(m_paging, sentAt, isRead, bootNow());
                             if (isRead) {
                                 std::ranges::for_each(result.rows, [this](const store_row &row) { checkRow(row); });
                             }
@@ -96,12 +98,13 @@
     if (--m_readsLeft > 0) {
         return;
     }
+    const auto now = bootNow();
     if (m_hasFailed) {
-        schedule(bootNow() + scanRetryDelay);
+        schedule(now + pauseAfterScan(now - m_startedAt, scanRetryDelay));
         return;
     }
     m_knownAt = m_startedAt;
-    start();
+    schedule(now + pauseAfterScan(now - m_startedAt, jobScanInterval));
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/job_scan.h
+++ b/src/libprimrosecroft/cell/job_scan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/read_paging.h"
 #include "cell/runner_context.h"
 #include "io/timer.h"
 
@@ -47,6 +48,7 @@
     instant m_startedAt; ///< of the running scan, or the last one
     int m_readsLeft = 0; ///< of the running scan, which is over when all have ended
     bool m_hasFailed = false; ///< a read has failed, so some jobs may still be unknown
+    read_paging m_paging;
     timer m_timer;
 };
 
