Name workers for three times the tasks that wait in cheap advice calls

Cause: a call named workers with room for 1.3 times the tasks that wait. Until its answer came, other steps had taken part of that room, so the step asked again, and again.

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -13,7 +13,10 @@
 
 constexpr auto ticketRenewalLead = 500ms; ///< tickets of pending tasks are renewed this long before they expire
 constexpr std::size_t maxWorkersPerAdviceCall = 100;
-constexpr double adviceCapacityFactor = 1.3; ///< capacity that is asked for, relative to the capacity needed
+/// Capacity that is asked for, relative to the capacity needed. Much for cheap calls, in which a further worker costs
+/// little: while an answer is under way, other steps take some of the capacity.
+constexpr double costlyCapacityFactor = 1.3;
+constexpr double cheapCapacityFactor = 3;
 constexpr auto adviceRetryDelay = 200ms; ///< pause after a call without an answer
 constexpr double allowedShareWeight = 0.1; ///< weight of the newest answer in the smoothed share of allowed workers
 
@@ -154,7 +157,8 @@
         return result;
     }
     const auto share = std::max(0.05, state.advice[waiting.job->accepted.queue.name].allowedShare);
-    const double wanted = needed * adviceCapacityFactor;
+    const bool isCostlyCall = isCostly(*waiting.job->accepted.queue.advice);
+    const double wanted = needed * (isCostlyCall ? costlyCapacityFactor : cheapCapacityFactor);
     std::ranges::make_heap(options, isWorse);
     while (!options.empty() && covered < wanted && result.size() < maxWorkersPerAdviceCall) {
         std::ranges::pop_heap(options, isWorse);
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -600,6 +600,26 @@
     CHECK(cell.state.costlyAdviceCalls == 30);
 }
 
+TEST_CASE("a cheap advice call names workers for three times the tasks that wait, so that others may take some of them")
+{
+    for (const auto decide : {30ms, 440ms}) {
+        owned_cell cell;
+        for (int number = 0; number < 40; ++number) {
+            const auto id = "w" + std::to_string(number);
+            cell.addWorker(owned_cell::makeWorker(id, "r", {2'000, 4'000, 0}));
+        }
+        auto advised = owned_cell::makeJob("advised", {makeStep(5)});
+        advised.queue.advice = advice_policy {decide, 1ms, 2s};
+        cell.state.advice[advised.queue.name].allowedShare = 0.5;
+        cell.addJob(advised);
+        cell.runSchedulingPass();
+        const auto call = std::ranges::find_if(
+            cell.actions, [](const auto &action) { return std::holds_alternative<ask_advice>(action); });
+        REQUIRE(call != cell.actions.end());
+        CHECK(std::get<ask_advice>(*call).workers.size() == (decide == 30ms ? 30 : 13));
+    }
+}
+
 TEST_CASE("a service that lost a task gets it back before a backlog of queues with a higher priority is served")
 {
     auto cell = makeCellOf({"a"});
