--- a/src/entryd/entry_daemon.cpp
+++ b/src/entryd/entry_daemon.cpp
@@ -214,8 +214,7 @@
         measures.set("primrosecroft_peer_bytes_sent", static_cast<double>(entryPeers.hub().bytesSent()));
         measures.set("primrosecroft_peer_bytes_received", static_cast<double>(entryPeers.hub().bytesReceived()));
         measures.set("primrosecroft_control_http_bytes_sent", static_cast<double>(storeHttp.callBytes().sent));
-        measures.set("primrosecroft_control_http_bytes_received",
-                     static_cast<double>(storeHttp.callBytes().received));
+        measures.set("primrosecroft_control_http_bytes_received", static_cast<double>(storeHttp.callBytes().received));
         measures.set("primrosecroft_control_http_calls", static_cast<double>(storeHttp.callBytes().calls));
         measures.set("primrosecroft_store_reads", static_cast<double>(monitoredStore.reads()));
         measures.set("primrosecroft_store_writes", static_cast<double>(monitoredStore.writes()));
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -606,7 +606,7 @@
         owned_cell cell;
         for (int number = 0; number < 40; ++number) {
             const auto id = "w" + std::to_string(number);
-            cell.addWorker(owned_cell::makeWorker(id, "r", {2'000, 4'000, 0}));
+            cell.addWorker(owned_cell::makeWorker(id, "r", {1'000, 4'000, 0}));
         }
         auto advised = owned_cell::makeJob("advised", {makeStep(5)});
         advised.queue.advice = advice_policy {decide, 1ms, 2s};
