Refuse a start whose payload its batch doesn't have

Found by reading the change: an index out of range in another process's message threw an exception that the hub doesn't catch, and would have ended the relay's daemon.

--- a/src/libprimrosecroft/relays/order_relay.cpp
+++ b/src/libprimrosecroft/relays/order_relay.cpp
@@ -87,7 +87,10 @@
 {
     const auto &job = order.run.job;
     if (order.__isset.payload) {
-        m_payloads.keep(job, batch.payloads.at(static_cast<std::size_t>(order.payload)));
+        if (order.payload < 0 || order.payload >= std::ssize(batch.payloads)) {
+            throw error("relay a start", "", "the batch has no payload " + std::to_string(order.payload));
+        }
+        m_payloads.keep(job, batch.payloads[static_cast<std::size_t>(order.payload)]);
     }
     if (const auto kept = m_payloads.find(job)) {
         done(kept);
--- a/src/libprimrosecroft/relays/order_relay.h
+++ b/src/libprimrosecroft/relays/order_relay.h
@@ -41,7 +41,8 @@
     order_relay(const order_relay &) = delete;
     order_relay &operator=(const order_relay &) = delete;
 
-    /// Sends the orders of a batch. Orders beyond the limit of pending ones are returned as not sent.
+    /// Sends the orders of a batch. Orders beyond the limit of pending ones are returned as not sent. Throws error if a
+    /// start names a payload that the batch doesn't have.
     void handle(const wire::OrderBatch &batch, const wire::Sender &owner);
 
 private:
--- a/src/libprimrosecroft/relays/relayed_workers.h
+++ b/src/libprimrosecroft/relays/relayed_workers.h
@@ -64,8 +64,9 @@
 
     void handle(const wire::OrderResults &results);
 
-    /// Returns true if the relay has left an order without a result, and nothing has come from it since. @p
-    /// lastContactAt is when its last message arrived.
+    /// Returns true if the relay has left an order without a result, and nothing has come from it since the order was
+    /// sent. @p lastContactAt is when its last message arrived. A relay that is only slow isn't suspected: its workers
+    /// would move to relays that are as busy.
     bool isSuspected(const process_id &relay, instant lastContactAt) const;
 
 private:
--- a/tests/unit/relayed_workers_test.cpp
+++ b/tests/unit/relayed_workers_test.cpp
@@ -1,4 +1,5 @@
 #include "core/clock.h"
+#include "core/error.h"
 #include "fake_store.h"
 #include "jobs/job_rows.h"
 #include "loopback.h"
@@ -256,6 +257,20 @@
     CHECK_FALSE(cell.owner.isSuspected("relay", lastContactAt + 100ms)); // a message after the order: slow, not gone
 }
 
+TEST_CASE("a batch whose start names a payload that it doesn't have is refused, and starts nothing")
+{
+    owner_and_relay cell;
+    wire::OrderBatch batch;
+    wire::StartOrder start;
+    start.run.job = "a";
+    for (const auto index : {0, -1, 7}) {
+        start.__set_payload(index);
+        batch.starts = {start};
+        CHECK_THROWS_AS(cell.relay->handle(batch, senderOf("owner")), error);
+    }
+    CHECK(cell.workers.starts.empty());
+}
+
 TEST_CASE("orders go to the workers directly while there is no relay")
 {
     owner_and_relay cell;
