--- a/src/libprimrosecroft/relays/order_relay.cpp
+++ b/src/libprimrosecroft/relays/order_relay.cpp
@@ -158,7 +158,7 @@
 {
     for (auto &[target, results] : std::exchange(m_results, {})) {
         wire::Message message;
-        message.orderResults = std::move(*results);
+        swap(message.orderResults, *results);
         message.__isset.orderResults = true;
         m_peers.send(target.address, message);
     }
--- a/src/libprimrosecroft/relays/relay_plan.cpp
+++ b/src/libprimrosecroft/relays/relay_plan.cpp
@@ -66,8 +66,11 @@
         std::vector<relay_candidate> local;
         std::ranges::copy_if(candidates, std::back_inserter(local),
                              [&](const auto &each) { return each.failureDomain == domain; });
+        if (local.empty()) {
+            local = candidates;
+        }
         const auto former = before.relays.find(domain);
-        plan.relays[domain] = chooseRelays(local.empty() ? candidates : std::move(local), count, domain,
+        plan.relays[domain] = chooseRelays(std::move(local), count, domain,
                                            former == before.relays.end() ? std::vector<process_id>() : former->second);
     }
     return plan;
--- a/src/libprimrosecroft/relays/relayed_workers.cpp
+++ b/src/libprimrosecroft/relays/relayed_workers.cpp
@@ -189,7 +189,7 @@
             continue;
         }
         wire::Message message;
-        message.orderBatch = std::move(*state.batch);
+        swap(message.orderBatch, *state.batch);
         message.__isset.orderBatch = true;
         state.batch.reset();
         state.batchPayloads.clear();
--- a/tests/unit/relay_plan_test.cpp
+++ b/tests/unit/relay_plan_test.cpp
@@ -17,7 +17,9 @@
 std::vector<relay_candidate> candidatesOf(const failure_domain_id &domain, int strongOnes, int weakOnes)
 {
     std::vector<relay_candidate> result;
-    for (int number = 0; number < strongOnes + weakOnes; ++number) {
+    const int count = strongOnes + weakOnes;
+    result.reserve(static_cast<std::size_t>(count));
+    for (int number = 0; number < count; ++number) {
         result.push_back({domain + '-' + std::to_string(number), domain, number < strongOnes ? strong : weak});
     }
     return result;
