--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -287,6 +287,7 @@
                         {{"expected", std::to_string(taking.expected)},
                          {"term", std::to_string(taking.row.term)},
                          {"heard_ms", ageInMs(leadership.lastContactAt)},
+                         {"unrenewed_ms", std::to_string(unrenewedTime(leadership).count())},
                          {"refused", leadership.isConnectionRefused ? "1" : "0"}});
         formerOwner = leadership.owner ? std::optional(leadership.owner->address) : std::nullopt;
         const auto sentAt = bootNow();
--- a/src/libprimrosecroft/leadership/leadership.cpp
+++ b/src/libprimrosecroft/leadership/leadership.cpp
@@ -137,13 +137,23 @@
     actions.emplace_back(report_owner {row, version});
 }
 
+/// The store read the renewal between the sending of the poll and its answer. So it was unchanged at least from the
+/// first answer that showed it until the latest poll was sent, however long the answers took.
+void recordRenewal(leadership_state &state, const owner_poll_answered &answer, instant now)
+{
+    if (!state.renewal || state.renewal->version != answer.renewal) {
+        state.renewal = observed_renewal {answer.renewal, now, now};
+        return;
+    }
+    state.renewal->unchangedUntil = std::max(state.renewal->unchangedUntil, now - answer.storeRoundTrip);
+}
+
 void handlePoll(leadership_state &state, const owner_poll_answered &answer, instant now,
                 std::vector<leadership_action> &actions)
 {
     state.isPolling = false;
     if (answer.outcome != store_outcome::done) {
         state.nextPollAt = now + state.settings.retryDelay;
-        state.renewalUnchangedSince = now; // a renewal before the failed poll may have been missed
         return;
     }
     state.storeRoundTrip = state.storeRoundTrip.count() == 0
@@ -159,16 +169,13 @@
         return;
     }
     adopt(state, *answer.row, answer.version, now, actions);
-    if (answer.renewal != state.renewal) {
-        state.renewal = answer.renewal;
-        state.renewalUnchangedSince = now;
-    }
+    recordRenewal(state, answer, now);
 }
 
-bool hasOwnerFailed(const leadership_state &state, instant now)
+/// True if the store has shown that the owner didn't renew for long enough. Polls without an answer show nothing.
+bool hasOwnerFailed(const leadership_state &state)
 {
-    return state.isOwnerSuspected
-        && now >= state.renewalUnchangedSince + patienceWith(*state.owner) * state.settings.renewalTimeout;
+    return state.isOwnerSuspected && unrenewedTime(state) >= patienceWith(*state.owner) * state.settings.renewalTimeout;
 }
 
 void tick(leadership_state &state, instant now, std::vector<leadership_action> &actions)
@@ -182,7 +189,7 @@
             now >= state.lastContactAt + patienceWith(*state.owner) * state.settings.suspicionTimeout;
         if (isOverdue && !state.isOwnerSuspected) {
             state.isOwnerSuspected = true;
-            state.renewalUnchangedSince = now;
+            state.renewal.reset();
             state.nextPollAt = now;
         } else if (!isOverdue) {
             state.isOwnerSuspected = false;
@@ -191,7 +198,7 @@
         // unless its VM has been replaced by a much weaker one.
         const bool isFormerSelf = state.owner->process == state.settings.process && !isOwn(state, *state.owner);
         const bool hasEnded =
-            isFormerSelf || state.isConnectionRefused || state.owner->hasResigned || hasOwnerFailed(state, now);
+            isFormerSelf || state.isConnectionRefused || state.owner->hasResigned || hasOwnerFailed(state);
         if (state.isHandoverRequested || (isFormerSelf && !isWeakSuccessor(state))) {
             takeOver(state, actions);
         } else if (hasEnded && !state.takeOverAt) {
@@ -292,6 +299,15 @@
     return answer;
 }
 
+std::chrono::milliseconds unrenewedTime(const leadership_state &state)
+{
+    if (!state.renewal) {
+        return 0ms;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(state.renewal->unchangedUntil
+                                                                 - state.renewal->firstSeenAt);
+}
+
 leadership_state makeLeadership(const leadership_settings &settings, instant now)
 {
     leadership_state state;
--- a/src/libprimrosecroft/leadership/leadership.h
+++ b/src/libprimrosecroft/leadership/leadership.h
@@ -189,6 +189,14 @@
 using leadership_action =
     std::variant<poll_owner, take_ownership, begin_ownership, end_ownership, write_resignation, report_owner>;
 
+/// The renewal row as polls of the store have shown it.
+struct observed_renewal
+{
+    row_version version = 0;
+    instant firstSeenAt; ///< when the first answer with this version arrived
+    instant unchangedUntil; ///< the store still held this version then, or later
+};
+
 /// State of leadership in one process. Changed only by step().
 struct leadership_state
 {
@@ -205,8 +213,7 @@
     instant lastContactAt; ///< last answer of the owner, or when its row became known
     instant nextPollAt;
     std::optional<instant> takeOverAt; ///< when this process takes over, unless the owner answers before
-    row_version renewal = 0; ///< version of the renewal row at the last poll
-    instant renewalUnchangedSince; ///< start of the observed time without a renewal
+    std::optional<observed_renewal> renewal; ///< unset before the first poll since the owner became suspected
     std::chrono::milliseconds storeTime {0}; ///< the store's steady clock at the last tick; 0 while it is not known
     bool isOwnerSuspected = false; ///< no answer for suspicionTimeout, so that renewals are polled more often
     /// Duration of the shortest recent poll: a shorter poll replaces it, a longer one at most doubles it. 0 before the
@@ -214,6 +221,9 @@
     std::chrono::milliseconds storeRoundTrip {0};
 };
 
+/// Returns for how long the store has shown the same renewal, since the owner became suspected.
+std::chrono::milliseconds unrenewedTime(const leadership_state &state);
+
 /// Returns the state of a process that started at @p now, without a known owner.
 leadership_state makeLeadership(const leadership_settings &settings, instant now);
 
