--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -1,5 +1,6 @@
 #include "io/http_client.h"
 
+#include "core/clock.h"
 #include "io/tcp_socket.h"
 #include "io/timer.h"
 
@@ -122,6 +123,8 @@
         , m_method(request.method)
         , m_step(request.method + ' ' + request.url)
         , m_needsFreshConnection(request.needsFreshConnection)
+        , m_timeout(request.timeout)
+        , m_maxTransferTime(request.maxTransferTime)
         , m_target(parseTarget(request.url))
     {
         if (m_target) {
@@ -143,17 +146,15 @@
         m_bytes = std::move(bytes);
     }
 
-    void start(std::chrono::milliseconds timeout)
+    void start()
     {
         m_self = shared_from_this();
         if (!m_target) {
             failLater("the URL is invalid");
             return;
         }
-        m_deadline.once(timeout, [this] {
-            m_hasTimedOut = true;
-            fail("no response within the timeout");
-        });
+        m_startedAt = bootNow();
+        startTimeout(m_timeout);
         begin();
     }
 
@@ -200,6 +201,25 @@
     }
 
 private:
+    void startTimeout(std::chrono::milliseconds timeout)
+    {
+        m_deadline.once(timeout, [this] {
+            m_hasTimedOut = true;
+            fail("no response within the timeout");
+        });
+    }
+
+    /// Gives the rest of the response another timeout, as long as maxTransferTime allows it.
+    void extendTimeout()
+    {
+        if (m_maxTransferTime.count() == 0 || m_isFinished) {
+            return;
+        }
+        const auto remaining =
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_startedAt + m_maxTransferTime - bootNow());
+        startTimeout(std::clamp(remaining, std::chrono::milliseconds(0), m_timeout));
+    }
+
     void open(host_pool &pool)
     {
         int descriptor = -1;
@@ -321,6 +341,7 @@
     {
         const auto self = shared_from_this();
         m_received += bytes.size();
+        extendTimeout();
         auto &parser = m_connection->parser;
         const auto used = http_parser_execute(&parser, &parserSettings(), bytes.data(), bytes.size());
         if (m_isComplete) {
@@ -471,6 +492,9 @@
     std::string m_method;
     std::string m_step; ///< method and URL, named in errors
     bool m_needsFreshConnection;
+    std::chrono::milliseconds m_timeout;
+    std::chrono::milliseconds m_maxTransferTime; ///< 0: m_timeout limits the whole exchange
+    instant m_startedAt;
     std::optional<http_target> m_target; ///< unset if the URL is invalid
     std::string m_request; ///< head and body
     client_connection *m_connection = nullptr; ///< nullptr before one is used and after it has been released
@@ -537,7 +561,7 @@
 std::shared_ptr<http_stream> http_client::stream(const http_call &request, http_stream::handlers handlers)
 {
     auto result = std::make_shared<response_stream>(request, std::move(handlers), m_parts->pools);
-    result->start(request.timeout);
+    result->start();
     return result;
 }
 
@@ -574,7 +598,7 @@
     source->setByteCounts(m_callBytes);
     state->source = source;
     source->readMore();
-    source->start(request.timeout);
+    source->start();
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -20,11 +20,15 @@
     http_headers headers;
     std::string body;
     std::string contentType = "application/json";
-    std::chrono::milliseconds timeout {2'000}; ///< for the whole response to arrive
+    std::chrono::milliseconds timeout {2'000}; ///< for the whole response to arrive, unless maxTransferTime is set
 
     /// Uses a new connection for this request only, even if the host has connectionsPerHost already. The peer may close
     /// a reused connection just as the request is sent, and then it is unknown whether the request was carried out.
     bool needsFreshConnection = false;
+
+    /// If not 0, each piece of the response starts the timeout anew, and this limits the time for the whole response. A
+    /// large response over a full link then arrives late, instead of being given up and requested again for ever.
+    std::chrono::milliseconds maxTransferTime {0};
 };
 
 /// Reason why no complete response arrived.
--- a/src/libprimrosecroft/store/store.h
+++ b/src/libprimrosecroft/store/store.h
@@ -126,12 +126,15 @@
 
     virtual void commit(const store_transaction &transaction, std::chrono::milliseconds timeout,
                         std::function<void(commit_result)> done) = 0;
+
+    /// The call fails after @p timeout in which nothing of the answer arrived, so that a large answer over a full link
+    /// isn't given up and read again for ever.
     virtual void read(const row_range &range, std::chrono::milliseconds timeout,
                       std::function<void(range_result)> done) = 0;
 
     /**
      * Long poll for changes of a table after the version @p after. The store answers at the first change, at the
-     * latest after @p wait; the call fails after @p wait plus @p timeout.
+     * latest after @p wait; the call fails after @p wait plus @p timeout in which nothing of the answer arrived.
      */
     virtual void pollChanges(const std::string &table, row_version after, std::chrono::milliseconds wait,
                              std::chrono::milliseconds timeout, std::function<void(feed_result)> done) = 0;
