Start tasks on workers that answer before those whose last list got no answer

Cause: a worker takes tasks until its last list is 2.5 s old, also after a list request that got no answer, and packing prefers the workers that were fullest. Such a start also puts off the moment by which all leases on that worker have expired, so its other tasks start elsewhere later, which requestLists() avoids for the same reason.

Ruled out: taking no tasks there at all. A list may be lost on the way, and then the room there would be free and unused.

Test: of two workers that are equal but for the last list, each of one task and one call for advice. Both cases failed before (the task and the call went to the silent worker, and its leases were prolonged) and pass now; with nothing else free, tasks still go there.

Why it works: the cost of such a worker is above that of every other preference, and advice is asked about it last.

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -70,11 +70,13 @@
 /// A worker to ask about.
 struct advice_option
 {
-    int order = 0; ///< 0 and 1: free capacity, 2 and 3: none; even: known to be allowed
+    int order = 0; ///< 0 and 1: free capacity, 2 and 3: none; even: known to be allowed; more by lastResort: asked last
     std::int32_t capacity = 0;
     usable_workers::position worker = 0;
 };
 
+constexpr int lastResort = 4; ///< added to the order of workers that didn't answer their last list request
+
 /// Orders heaps of options, of which the best is on top.
 bool isWorse(const advice_option &left, const advice_option &right)
 {
@@ -122,8 +124,8 @@
 }
 
 /// Workers to ask the advice service about, best first: those with free capacity before those without, and within
-/// both groups those known to be allowed before those not asked about yet. Returns no worker if those with tickets have
-/// capacity for @p needed tasks.
+/// both groups those known to be allowed before those not asked about yet. Workers that didn't answer their last list
+/// request come last. Returns no worker if those with tickets have capacity for @p needed tasks.
 std::vector<worker_id> chooseWorkersToAsk(cell_state &state, usable_workers &usable, const waiting_step &waiting,
                                           std::int32_t needed, bool mayAskWithoutCapacity, instant now)
 {
@@ -145,7 +147,8 @@
             covered += available;
             continue;
         }
-        const int order = known == worker_knowledge::renewable ? 0 : 1;
+        const int order = (known == worker_knowledge::renewable ? 0 : 1)
+            + (usable.at(worker).worker->isUnresponsive ? lastResort : 0);
         if (available > 0) {
             options.push_back({order, available, worker});
         } else if (mayAskWithoutCapacity) {
--- a/src/libprimrosecroft/cell/candidates.cpp
+++ b/src/libprimrosecroft/cell/candidates.cpp
@@ -65,17 +65,19 @@
     return count;
 }
 
-/// Cost of a task of the step on the candidate. The weights put the preferred rack and interference between tasks
-/// first, then the worker's speed, then the deployment's placement policy.
+/// Cost of a task of the step on the candidate. The weights put workers that answer first: a start without an answer
+/// holds its task until the lease has expired. Then come the preferred rack and interference between tasks, then the
+/// worker's speed, then the deployment's placement policy.
 double costOf(const placement_policy &policy, const usable_workers &usable, const waiting_step &waiting,
               const candidate &target, const step_candidates &options)
 {
+    constexpr double unresponsiveWeight = 1'000;
     constexpr double rackWeight = 100;
     constexpr double interferenceWeight = 50;
     constexpr double slownessWeight = 10;
     const auto &spec = *waiting.spec;
     const auto &[worker, available, unclaimedCores, hasLatencySensitive] = usable.at(target.worker);
-    double result = 0;
+    double result = worker->isUnresponsive ? unresponsiveWeight : 0;
     if (!options.rack.empty() && rackOf(worker->description) != options.rack) {
         result += rackWeight;
     }
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -155,6 +155,17 @@
     return std::nullopt;
 }
 
+/// Returns the request for advice of the last pass, if it made one.
+std::optional<ask_advice> lastAdviceRequest(const owned_cell &cell)
+{
+    for (const auto &action : cell.actions) {
+        if (const auto *request = std::get_if<ask_advice>(&action)) {
+            return *request;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 TEST_CASE("tasks start only on workers that have the required label, pool and failure domain")
@@ -716,6 +727,38 @@
     CHECK(*startedAt < lostAt + 6s);
 }
 
+TEST_CASE("a task goes to a worker whose last list request got no answer only if no other has room")
+{
+    auto cell = makeCellOf({"a", "b"});
+    list_answered unanswered;
+    unanswered.worker = "a";
+    unanswered.sentAt = cell.now;
+    step(cell.state, unanswered, cell.now, cell.actions);
+    cell.advance(100ms);
+    const auto leasesEndBy = cell.state.workers.at("a").leasesEndBy;
+    cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    CHECK(workersOf(cell.runSchedulingPass()) == std::set<worker_id> {"b"});
+    CHECK(cell.state.workers.at("a").leasesEndBy == leasesEndBy);
+    cell.addJob(owned_cell::makeJob("wide", {makeStep(8)}));
+    CHECK(workersOf(cell.runSchedulingPass()) == std::set<worker_id> {"a", "b"});
+}
+
+TEST_CASE("advice is asked about workers whose last list request got no answer only after all others with room")
+{
+    auto cell = makeCellOf({"a", "b"});
+    list_answered unanswered;
+    unanswered.worker = "a";
+    unanswered.sentAt = cell.now;
+    step(cell.state, unanswered, cell.now, cell.actions);
+    auto job = owned_cell::makeJob("job", {makeStep(1)});
+    job.queue.advice = advice_policy {50ms, 1ms, 2s};
+    cell.addJob(job);
+    cell.runSchedulingPass();
+    const auto request = lastAdviceRequest(cell);
+    REQUIRE(request);
+    CHECK(request->workers == std::vector<worker_id> {"b"});
+}
+
 TEST_CASE("a ticket is used for as long as it is valid from its issue, not from the handling of a late answer")
 {
     for (const auto lateness : {100ms, 1'500ms}) {
