Ask for advice about workers to which a task may go, before those that it avoids or runs on

Cause: a call for advice names workers until their capacity covers the tasks, so a step of one task has tickets for one worker or two. Capacity of a worker that the task avoids, or on which it runs, counted as covering it: while that worker has room and a ticket, no call is made, and when the ticket expires, the same worker is named again.

Ruled out: leaving these workers out altogether. A task that avoids all workers but those that were refused would wait for ever; the test has this case.

Why it works: such workers count as covering nothing and are asked about after all others. Gangs ignore what tasks avoid, so nothing changes for them.

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -1,5 +1,7 @@
 #include "cell/detail/advice_requests.h"
 
+#include "core/contains.h"
+
 #include <algorithm>
 #include <ranges>
 
@@ -58,6 +60,16 @@
     return advice.isRequestPending || now < advice.retryAt;
 }
 
+/// Returns whether a pending task of the step may go to the worker: it doesn't avoid it, nor runs there already.
+/// Members of gangs go everywhere.
+bool mayTakeAny(const waiting_step &waiting, const worker_id &worker)
+{
+    return waiting.spec->isGang || std::ranges::any_of(waiting.step->pendingTasks, [&](std::int32_t index) {
+               const auto &task = waiting.step->tasks[static_cast<std::size_t>(index)];
+               return !task.avoidedWorkers.contains(worker) && !contains(task.runs, worker, &task_run::worker);
+           });
+}
+
 /// What is known of a worker for the tasks of a step.
 enum class worker_knowledge : std::uint8_t
 {
@@ -75,7 +87,9 @@
     usable_workers::position worker = 0;
 };
 
-constexpr int lastResort = 4; ///< added to the order of workers that didn't answer their last list request
+/// Added to the order of workers that didn't answer their last list request, or to which no pending task goes while it
+/// has another choice.
+constexpr int lastResort = 4;
 
 /// Orders heaps of options, of which the best is on top.
 bool isWorse(const advice_option &left, const advice_option &right)
@@ -125,7 +139,8 @@
 
 /// Workers to ask the advice service about, best first: those with free capacity before those without, and within
 /// both groups those known to be allowed before those not asked about yet. Workers that didn't answer their last list
-/// request come last. Returns no worker if those with tickets have capacity for @p needed tasks.
+/// request come last, and so do those that all pending tasks avoid or on which they run. Returns no worker if those
+/// with tickets have capacity for @p needed tasks.
 std::vector<worker_id> chooseWorkersToAsk(cell_state &state, usable_workers &usable, const waiting_step &waiting,
                                           std::int32_t needed, bool mayAskWithoutCapacity, instant now)
 {
@@ -143,12 +158,13 @@
             continue;
         }
         const auto available = capacity.of(worker);
+        const bool isChoice = mayTakeAny(waiting, usable.at(worker).worker->description.id);
         if (known == worker_knowledge::valid) {
-            covered += available;
+            covered += isChoice ? available : 0;
             continue;
         }
-        const int order = (known == worker_knowledge::renewable ? 0 : 1)
-            + (usable.at(worker).worker->isUnresponsive ? lastResort : 0);
+        const bool isLast = !isChoice || usable.at(worker).worker->isUnresponsive;
+        const int order = (known == worker_knowledge::renewable ? 0 : 1) + (isLast ? lastResort : 0);
         if (available > 0) {
             options.push_back({order, available, worker});
         } else if (mayAskWithoutCapacity) {
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -166,6 +166,15 @@
     return std::nullopt;
 }
 
+/// Answers that each worker of the request may run the step, with tickets that are valid for 2 s.
+void allowAll(owned_cell &cell, const ask_advice &request)
+{
+    advice_answered answer {request.step, request.workers, true, {}, 2s, request.isCostly, cell.now};
+    std::ranges::transform(request.workers, std::back_inserter(answer.allowed),
+                           [](const worker_id &id) { return worker_ticket {id, "ticket"}; });
+    step(cell.state, answer, cell.now, cell.actions);
+}
+
 } // namespace
 
 TEST_CASE("tasks start only on workers that have the required label, pool and failure domain")
@@ -759,6 +768,61 @@
     CHECK(request->workers == std::vector<worker_id> {"b"});
 }
 
+TEST_CASE("a late run gets its copy on another worker although its own, with room and a ticket, needs no more advice")
+{
+    auto cell = makeCellOf({"a", "b"});
+    auto copied = makeStep(1);
+    copied.allowsCopies = true;
+    auto job = owned_cell::makeJob("job", {copied});
+    job.queue.advice = advice_policy {50ms, 1ms, 2s};
+    cell.addJob(job);
+    std::vector<send_start> starts;
+    std::vector<listed_run> runs;
+    for (int number = 0; number < 50 && starts.size() < 2; ++number) {
+        const auto newest = cell.runSchedulingPass();
+        starts.insert(starts.end(), newest.begin(), newest.end());
+        if (const auto request = lastAdviceRequest(cell)) {
+            cell.advance(50ms);
+            allowAll(cell, *request);
+        }
+        cell.advance(100ms);
+        for (const auto &id : {"a", "b"}) {
+            const bool isThere = !starts.empty() && starts.front().worker == id;
+            cell.answerList(id,
+                            isThere ? std::vector<listed_run> {{starts.front().run, "", number, 0}}
+                                    : std::vector<listed_run> {});
+        }
+    }
+    REQUIRE(starts.size() == 2);
+    CHECK(workersOf(starts) == std::set<worker_id> {"a", "b"});
+}
+
+TEST_CASE("a task that avoids a worker with room asks for advice about others while its other allowed worker is full")
+{
+    auto cell = makeCellOf({"a", "b", "c"});
+    auto job = owned_cell::makeJob("job", {makeStep(1)});
+    job.queue.advice = advice_policy {50ms, 1ms, 2s};
+    cell.addJob(job);
+    auto &waiting = cell.state.jobs.at("job").occurrences.at(0).steps.front();
+    waiting.tasks.front().avoidedWorkers = {"a"};
+    for (const auto *id : {"a", "b"}) {
+        waiting.advice.workers[id] = {true, "ticket", cell.now + 2s};
+    }
+    cell.state.workers.at("b").used = wholeWorker;
+    CHECK(cell.runSchedulingPass().empty());
+    const auto request = lastAdviceRequest(cell);
+    REQUIRE(request);
+    CHECK(request->workers == std::vector<worker_id> {"c"});
+    // Where no other worker is left, the one that is avoided is asked about, so that the task can run there at last.
+    waiting.advice = {};
+    waiting.advice.workers["b"] = {};
+    waiting.advice.workers["c"] = {};
+    CHECK(cell.runSchedulingPass().empty());
+    const auto last = lastAdviceRequest(cell);
+    REQUIRE(last);
+    CHECK(last->workers == std::vector<worker_id> {"a"});
+}
+
 TEST_CASE("a ticket is used for as long as it is valid from its issue, not from the handling of a late answer")
 {
     for (const auto lateness : {100ms, 1'500ms}) {
