Ask for no advice about workers that are too small for a task

Cause: the first ten steps that need costly advice may ask about workers without free capacity, so that tickets are there when capacity is freed. They did so about workers that are too small for a task even when empty, again each time a ticket expired. Such a job comes first until it is late by three times its objective, a service for ever, and costly calls are limited to the routes.

Test: one advice route, a step larger than each worker and one that fits. Before: the call is for the first (failed); after: for the second.

Why it works: room that a worker never has can't be freed. A larger worker that comes later is asked about as before.

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -91,6 +91,13 @@
 /// has another choice.
 constexpr int lastResort = 4;
 
+/// Returns whether a task of the step has room on the worker while nothing else runs there.
+bool fitsOnEmpty(const worker_description &worker, const step_spec &spec)
+{
+    return worker.capacity.milliCores >= spec.size.milliCores && worker.capacity.memoryMib >= spec.size.memoryMib
+        && worker.capacity.accelerators >= spec.size.accelerators;
+}
+
 /// Orders heaps of options, of which the best is on top.
 bool isWorse(const advice_option &left, const advice_option &right)
 {
@@ -138,9 +145,9 @@
 }
 
 /// Workers to ask the advice service about, best first: those with free capacity before those without, and within
-/// both groups those known to be allowed before those not asked about yet. Workers that didn't answer their last list
-/// request come last, and so do those that all pending tasks avoid or on which they run. Returns no worker if those
-/// with tickets have capacity for @p needed tasks.
+/// both groups those known to be allowed before those not asked about yet. Those too small for a task are left out.
+/// Workers that didn't answer their last list request come last, and so do those that all pending tasks avoid or on
+/// which they run. Returns no worker if those with tickets have capacity for @p needed tasks.
 std::vector<worker_id> chooseWorkersToAsk(cell_state &state, usable_workers &usable, const waiting_step &waiting,
                                           std::int32_t needed, bool mayAskWithoutCapacity, instant now)
 {
@@ -167,7 +174,7 @@
         const int order = (known == worker_knowledge::renewable ? 0 : 1) + (isLast ? lastResort : 0);
         if (available > 0) {
             options.push_back({order, available, worker});
-        } else if (mayAskWithoutCapacity) {
+        } else if (mayAskWithoutCapacity && fitsOnEmpty(usable.at(worker).worker->description, *waiting.spec)) {
             options.push_back({order + 2, 1, worker});
         }
     }
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -823,6 +823,20 @@
     CHECK(last->workers == std::vector<worker_id> {"a"});
 }
 
+TEST_CASE("a step whose tasks are larger than any worker takes no advice route from a step that fits")
+{
+    auto cell = makeCellOf({"a", "b"});
+    for (const auto &[id, milliCores] : {std::pair {"1-large", 9'000}, std::pair {"2-small", 1'000}}) {
+        auto job = owned_cell::makeJob(id, {makeStep(1, milliCores)});
+        job.queue.advice = advice_policy {440ms, 6ms, 2s};
+        cell.addJob(job);
+    }
+    cell.runSchedulingPass();
+    const auto request = lastAdviceRequest(cell);
+    REQUIRE(request);
+    CHECK(request->step.job == "2-small");
+}
+
 TEST_CASE("a ticket is used for as long as it is valid from its issue, not from the handling of a late answer")
 {
     for (const auto lateness : {100ms, 1'500ms}) {
