Let a silent worker leave the contacted workers once all its leases have expired

Cause: the row of contacted workers named each worker that the platform lists, also one that hasn't answered for so long that its leases have all expired. The next owner waits for that worker's list before it takes any earlier job as not running.

Ruled out: a shorter wait in general. The next owner can't know how long the leases are that the one before has granted; for a worker that fell silent shortly before the take-over it waits as before.

Test: of two workers one doesn't answer. Before: it stays among the contacted ones (failed); after: it stays as long as its leases may be in force, leaves the row then, and takes no task before the row names it again. 2,000 schedules with hand-overs and 400 without pass.

Why it works: what has no lease in force doesn't run, by the same bound after which the owner itself starts those tasks elsewhere; an order that arrives later is past its deadline. A worker that leaves the row takes no tasks, as with drained ones.

--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -197,14 +197,22 @@
         && worker.unknownRuns.empty();
 }
 
-void writeContactedWorkers(limited_transaction &transaction, cell_state &state, std::uint64_t number)
+/// Returns whether the worker doesn't answer and surely runs nothing any more, because all leases on it have expired.
+/// It can then leave the row of contacted workers too, until it answers.
+bool isSilentWithoutLeases(const cell_state &state, const worker_state &worker, instant now)
+{
+    return worker.isUnresponsive && worker.reservations.empty() && worker.leasesEndBy <= now
+        && state.inDoubtUntil <= now;
+}
+
+void writeContactedWorkers(limited_transaction &transaction, cell_state &state, std::uint64_t number, instant now)
 {
     if (state.contactedWorkersCommit != 0 || state.areContactedWorkersUnknown) {
         return;
     }
     auto wanted = state.unreconciledWorkers;
     for (const auto &[id, worker] : state.workers) {
-        if (!isDrained(worker)) {
+        if (!isDrained(worker) && !isSilentWithoutLeases(state, worker, now)) {
             wanted.insert(id);
         }
     }
@@ -232,7 +240,7 @@
     const row_condition sequenceCondition {commitSequencePlace(), state.commitSequence};
     const row_write sequenceWrite {commitSequencePlace(), "1"};
     limited_transaction transaction(ownershipSize() + sizeOf({{sequenceCondition}, {sequenceWrite}, {}}));
-    writeContactedWorkers(transaction, state, number);
+    writeContactedWorkers(transaction, state, number, now);
     writeJobs(transaction, state, actions);
     coverEnds(state);
     if (state.committingJobs.empty() && state.contactedWorkersCommit != number) {
