--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <ranges>
 #include <set>
+#include <utility>
 
 /// Placement of tasks on workers. Each case covers one rule.
 using namespace primrosecroft;
@@ -116,6 +118,63 @@
     return starts;
 }
 
+/// Returns the cell of a process that takes over at @p now and whose only worker answers at once.
+owned_cell makeNextOwner(instant now, const job_arrived &job)
+{
+    owned_cell cell;
+    cell.advance(std::chrono::duration_cast<std::chrono::milliseconds>(now - cell.now));
+    cell_take_over takeOver;
+    takeOver.token = 10;
+    takeOver.takenAt = cell.now;
+    takeOver.contactedWorkers = {"a"};
+    cell.state = makeCell({}, takeOver);
+    step(cell.state, clock_ticked {cell.timeOfDay, 100s, 1}, cell.now, cell.actions);
+    step(cell.state, job, cell.now, cell.actions);
+    cell.addWorker(owned_cell::makeWorker("a", "r-a", wholeWorker));
+    return cell;
+}
+
+/// Serves a backlog of urgent tasks of 300 ms on the worker until @p end. Returns when a task of the service started.
+std::optional<instant> serveUrgentJobs(owned_cell &cell, instant end)
+{
+    for (int number = 0; number < 4; ++number) {
+        cell.addJob(owned_cell::makeJob("urgent-" + std::to_string(number), {makeStep(40)}));
+    }
+    std::vector<listed_end> ends;
+    auto number = cell.state.workers.at("a").processedEnd;
+    for (; cell.now < end; cell.advance(300ms)) {
+        cell.answerList("a", {}, std::exchange(ends, {}));
+        const auto starts = cell.runSchedulingPass();
+        if (std::ranges::any_of(starts, [](const auto &each) { return each.run.task.job == "service"; })) {
+            return cell.now;
+        }
+        std::ranges::transform(starts, std::back_inserter(ends), [&number](const auto &start) {
+            return listed_end {++number, start.run, run_end::done, ""};
+        });
+    }
+    return std::nullopt;
+}
+
+/// Returns the request for advice of the last pass, if it made one.
+std::optional<ask_advice> lastAdviceRequest(const owned_cell &cell)
+{
+    for (const auto &action : cell.actions) {
+        if (const auto *request = std::get_if<ask_advice>(&action)) {
+            return *request;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Answers that each worker of the request may run the step, with tickets that are valid for 2 s.
+void allowAll(owned_cell &cell, const ask_advice &request)
+{
+    advice_answered answer {request.step, request.workers, true, {}, 2s, request.isCostly, cell.now};
+    std::ranges::transform(request.workers, std::back_inserter(answer.allowed),
+                           [](const worker_id &id) { return worker_ticket {id, "ticket"}; });
+    step(cell.state, answer, cell.now, cell.actions);
+}
+
 } // namespace
 
 TEST_CASE("tasks start only on workers that have the required label, pool and failure domain")
@@ -651,6 +710,133 @@
     CHECK(summarize(cell.state, cell.now).waitingTasks > 0);
 }
 
+TEST_CASE("a service's task runs again within 6 s of its last run while two owners follow each other in a backlog")
+{
+    auto service = storedService();
+    service.job.queue.priority = 1;
+    service.job.acceptedAt = 10s;
+    auto cell = makeCellOf({"a"});
+    step(cell.state, service, cell.now, cell.actions);
+    const auto first = cell.runSchedulingPass();
+    REQUIRE(first.size() == 1);
+    step(cell.state, start_answered {"a", 1, first.front().run, order_result::done, cell.now}, cell.now, cell.actions);
+    cell.advance(3s);
+    const auto lostAt = cell.now;
+    cell.answerList("a", {}, {{1, first.front().run, run_end::lapsed, ""}});
+    REQUIRE_FALSE(serveUrgentJobs(cell, lostAt + 1'800ms));
+    std::optional<instant> startedAt;
+    for (const auto ownsUntil : {4'400ms, 9'000ms}) {
+        if (!startedAt) {
+            cell = makeNextOwner(cell.now + 800ms, service); // there is no owner while the next one reads the rows
+            startedAt = serveUrgentJobs(cell, lostAt + ownsUntil);
+        }
+    }
+    REQUIRE(startedAt);
+    INFO("after " << std::chrono::duration_cast<std::chrono::milliseconds>(*startedAt - lostAt).count() << " ms");
+    CHECK(*startedAt < lostAt + 6s);
+}
+
+TEST_CASE("a task goes to a worker whose last list request got no answer only if no other has room")
+{
+    auto cell = makeCellOf({"a", "b"});
+    list_answered unanswered;
+    unanswered.worker = "a";
+    unanswered.sentAt = cell.now;
+    step(cell.state, unanswered, cell.now, cell.actions);
+    cell.advance(100ms);
+    const auto leasesEndBy = cell.state.workers.at("a").leasesEndBy;
+    cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    CHECK(workersOf(cell.runSchedulingPass()) == std::set<worker_id> {"b"});
+    CHECK(cell.state.workers.at("a").leasesEndBy == leasesEndBy);
+    cell.addJob(owned_cell::makeJob("wide", {makeStep(8)}));
+    CHECK(workersOf(cell.runSchedulingPass()) == std::set<worker_id> {"a", "b"});
+}
+
+TEST_CASE("advice is asked about workers whose last list request got no answer only after all others with room")
+{
+    auto cell = makeCellOf({"a", "b"});
+    list_answered unanswered;
+    unanswered.worker = "a";
+    unanswered.sentAt = cell.now;
+    step(cell.state, unanswered, cell.now, cell.actions);
+    auto job = owned_cell::makeJob("job", {makeStep(1)});
+    job.queue.advice = advice_policy {50ms, 1ms, 2s};
+    cell.addJob(job);
+    cell.runSchedulingPass();
+    const auto request = lastAdviceRequest(cell);
+    REQUIRE(request);
+    CHECK(request->workers == std::vector<worker_id> {"b"});
+}
+
+TEST_CASE("a late run gets its copy on another worker although its own, with room and a ticket, needs no more advice")
+{
+    auto cell = makeCellOf({"a", "b"});
+    auto copied = makeStep(1);
+    copied.allowsCopies = true;
+    auto job = owned_cell::makeJob("job", {copied});
+    job.queue.advice = advice_policy {50ms, 1ms, 2s};
+    cell.addJob(job);
+    std::vector<send_start> starts;
+    std::vector<listed_run> runs;
+    for (int number = 0; number < 50 && starts.size() < 2; ++number) {
+        const auto newest = cell.runSchedulingPass();
+        starts.insert(starts.end(), newest.begin(), newest.end());
+        if (const auto request = lastAdviceRequest(cell)) {
+            cell.advance(50ms);
+            allowAll(cell, *request);
+        }
+        cell.advance(100ms);
+        for (const auto &id : {"a", "b"}) {
+            const bool isThere = !starts.empty() && starts.front().worker == id;
+            cell.answerList(id,
+                            isThere ? std::vector<listed_run> {{starts.front().run, "", number, 0}}
+                                    : std::vector<listed_run> {});
+        }
+    }
+    REQUIRE(starts.size() == 2);
+    CHECK(workersOf(starts) == std::set<worker_id> {"a", "b"});
+}
+
+TEST_CASE("a task that avoids a worker with room asks for advice about others while its other allowed worker is full")
+{
+    auto cell = makeCellOf({"a", "b", "c"});
+    auto job = owned_cell::makeJob("job", {makeStep(1)});
+    job.queue.advice = advice_policy {50ms, 1ms, 2s};
+    cell.addJob(job);
+    auto &waiting = cell.state.jobs.at("job").occurrences.at(0).steps.front();
+    waiting.tasks.front().avoidedWorkers = {"a"};
+    for (const auto *id : {"a", "b"}) {
+        waiting.advice.workers[id] = {true, "ticket", cell.now + 2s};
+    }
+    cell.state.workers.at("b").used = wholeWorker;
+    CHECK(cell.runSchedulingPass().empty());
+    const auto request = lastAdviceRequest(cell);
+    REQUIRE(request);
+    CHECK(request->workers == std::vector<worker_id> {"c"});
+    // Where no other worker is left, the one that is avoided is asked about, so that the task can run there at last.
+    waiting.advice = {};
+    waiting.advice.workers["b"] = {};
+    waiting.advice.workers["c"] = {};
+    CHECK(cell.runSchedulingPass().empty());
+    const auto last = lastAdviceRequest(cell);
+    REQUIRE(last);
+    CHECK(last->workers == std::vector<worker_id> {"a"});
+}
+
+TEST_CASE("a step whose tasks are larger than any worker takes no advice route from a step that fits")
+{
+    auto cell = makeCellOf({"a", "b"});
+    for (const auto &[id, milliCores] : {std::pair {"1-large", 9'000}, std::pair {"2-small", 1'000}}) {
+        auto job = owned_cell::makeJob(id, {makeStep(1, milliCores)});
+        job.queue.advice = advice_policy {440ms, 6ms, 2s};
+        cell.addJob(job);
+    }
+    cell.runSchedulingPass();
+    const auto request = lastAdviceRequest(cell);
+    REQUIRE(request);
+    CHECK(request->step.job == "2-small");
+}
+
 TEST_CASE("a ticket is used for as long as it is valid from its issue, not from the handling of a late answer")
 {
     for (const auto lateness : {100ms, 1'500ms}) {
