--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -3,6 +3,7 @@
 #include "advice_dispatcher.h"
 #include "callers/caller_service.h"
 #include "cell/cell_runner.h"
+#include "configuration_link.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/overloaded.h"
@@ -130,7 +131,9 @@
         , advice(adviceHttp, settings.advice)
         , peers(makeSender(settings.process, "celld", settings.failureDomain, incarnation),
                 [this](const wire::Message &message, const auto &reply) { handleMessage(message, reply); })
-        , queues(rows, {platform::configurationTable, platform::configurationKey, platform::decodeQueueTable}, log)
+        , queues(rows, {platform::configurationTable, platform::configurationKey, platform::decodeQueueTable}, log,
+                 [this](const ask_source &question, auto done) { configurationLink.ask(question, std::move(done)); })
+        , configurationLink(peers, queues, settings.peers)
         , leadership(makeLeadership(makeLeadershipSettings(settings, incarnation), bootNow()))
         , relay(workers, rows, peers, log, measures)
         , relayedWorkers(workers, peers, settings.peers, incarnation, settings.capacity, makeRelayLinks(), log,
@@ -413,6 +416,8 @@
         } else if (message.__isset.handover) {
             log.writeAlways("cell", "hand-over-asked", {{"from", message.sender.process}});
             advanceLeadership(handover_requested {message.handover.token});
+        } else if (message.__isset.configurationPoll) {
+            configurationLink.handlePoll(message.configurationPoll, reply);
         }
     }
 
@@ -438,6 +443,7 @@
     void handlePresence(const wire::Message &message, const std::function<void(wire::Message)> &reply)
     {
         knownPeers[message.sender.process] = decodePresence(message, bootNow());
+        configurationLink.notePresence(message);
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
         answer.ownerReport.token = leadership.version;
@@ -447,6 +453,9 @@
         } else if (isOwner()) {
             log.write("cell", "no-counts", {{"for", message.sender.process}, {"reason", "loading"}});
         }
+        if (isOwner()) {
+            configurationLink.addSource(answer.ownerReport, message.sender.process, ownsSince);
+        }
         answer.__isset.ownerReport = true;
         reply(answer);
     }
@@ -462,6 +471,7 @@
             {settings.peers, settings.region, std::chrono::milliseconds(millisecondsSince(rows.lastReachedAt())),
              isLeaving, std::chrono::milliseconds(millisecondsSince(startedAt)), rows.minRoundTrip(), settings.capacity,
              std::chrono::milliseconds(latenessInMs())});
+        configurationLink.addAge(message.presence);
         message.__isset.presence = true;
         const auto process = leadership.owner->process;
         peers.ask(*address, message, presenceTimeout,
@@ -475,6 +485,7 @@
                       if (!reply->ownerReport.owns) {
                           return;
                       }
+                      configurationLink.handleReport(reply->ownerReport, sentAt);
                       if (reply->ownerReport.__isset.waitingAgeMs) {
                           const auto &report = reply->ownerReport;
                           keepLater(waitingCounts,
@@ -736,6 +747,7 @@
     platform::advice_client advice;
     peer_hub peers;
     queue_follower queues;
+    configuration_link configurationLink;
     leadership_state leadership;
     advice_dispatcher adviceDispatcher;
     order_relay relay;
--- a/src/libprimrosecroft/protocol/frame.cpp
+++ b/src/libprimrosecroft/protocol/frame.cpp
@@ -61,6 +61,8 @@
         {set.handover, "handover"},
         {set.orderBatch, "order_batch"},
         {set.orderResults, "order_results"},
+        {set.configurationPoll, "configuration_poll"},
+        {set.configurationNews, "configuration_news"},
     };
     const auto *found = std::ranges::find_if(kinds, &std::pair<bool, const char *>::first);
     return found == kinds.end() ? "other" : found->second;
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -1833,6 +1833,11 @@
   this->relays = val;
 __isset.relays = true;
 }
+
+void Presence::__set_configurationAgeMs(const int64_t val) {
+  this->configurationAgeMs = val;
+__isset.configurationAgeMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Presence& obj)
 {
   obj.printTo(out);
@@ -1954,6 +1959,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationAgeMs);
+          this->__isset.configurationAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2031,6 +2044,11 @@
     xfer += oprot->writeBool(this->relays);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configurationAgeMs) {
+    xfer += oprot->writeFieldBegin("configurationAgeMs", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->configurationAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2049,6 +2067,7 @@
   swap(a.linkMbps, b.linkMbps);
   swap(a.lateMs, b.lateMs);
   swap(a.relays, b.relays);
+  swap(a.configurationAgeMs, b.configurationAgeMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2064,6 +2083,7 @@
   linkMbps = other44.linkMbps;
   lateMs = other44.lateMs;
   relays = other44.relays;
+  configurationAgeMs = other44.configurationAgeMs;
   __isset = other44.__isset;
 }
 Presence& Presence::operator=(const Presence& other45) {
@@ -2078,6 +2098,7 @@
   linkMbps = other45.linkMbps;
   lateMs = other45.lateMs;
   relays = other45.relays;
+  configurationAgeMs = other45.configurationAgeMs;
   __isset = other45.__isset;
   return *this;
 }
@@ -2095,6 +2116,7 @@
   out << ", " << "linkMbps="; (__isset.linkMbps ? (out << to_string(linkMbps)) : (out << "<null>"));
   out << ", " << "lateMs="; (__isset.lateMs ? (out << to_string(lateMs)) : (out << "<null>"));
   out << ", " << "relays="; (__isset.relays ? (out << to_string(relays)) : (out << "<null>"));
+  out << ", " << "configurationAgeMs="; (__isset.configurationAgeMs ? (out << to_string(configurationAgeMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2119,6 +2141,16 @@
   this->waitingAgeMs = val;
 __isset.waitingAgeMs = true;
 }
+
+void OwnerReport::__set_configurationAddress(const std::string& val) {
+  this->configurationAddress = val;
+__isset.configurationAddress = true;
+}
+
+void OwnerReport::__set_configurationPort(const int32_t val) {
+  this->configurationPort = val;
+__isset.configurationPort = true;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerReport& obj)
 {
   obj.printTo(out);
@@ -2197,6 +2229,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->configurationAddress);
+          this->__isset.configurationAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->configurationPort);
+          this->__isset.configurationPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2246,6 +2294,16 @@
     xfer += oprot->writeI64(this->waitingAgeMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configurationAddress) {
+    xfer += oprot->writeFieldBegin("configurationAddress", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->configurationAddress);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configurationPort) {
+    xfer += oprot->writeFieldBegin("configurationPort", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->configurationPort);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2257,6 +2315,8 @@
   swap(a.token, b.token);
   swap(a.waiting, b.waiting);
   swap(a.waitingAgeMs, b.waitingAgeMs);
+  swap(a.configurationAddress, b.configurationAddress);
+  swap(a.configurationPort, b.configurationPort);
   swap(a.__isset, b.__isset);
 }
 
@@ -2265,6 +2325,8 @@
   token = other54.token;
   waiting = other54.waiting;
   waitingAgeMs = other54.waitingAgeMs;
+  configurationAddress = other54.configurationAddress;
+  configurationPort = other54.configurationPort;
   __isset = other54.__isset;
 }
 OwnerReport& OwnerReport::operator=(const OwnerReport& other55) {
@@ -2272,6 +2334,8 @@
   token = other55.token;
   waiting = other55.waiting;
   waitingAgeMs = other55.waitingAgeMs;
+  configurationAddress = other55.configurationAddress;
+  configurationPort = other55.configurationPort;
   __isset = other55.__isset;
   return *this;
 }
@@ -2282,6 +2346,8 @@
   out << ", " << "token=" << to_string(token);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "waitingAgeMs="; (__isset.waitingAgeMs ? (out << to_string(waitingAgeMs)) : (out << "<null>"));
+  out << ", " << "configurationAddress="; (__isset.configurationAddress ? (out << to_string(configurationAddress)) : (out << "<null>"));
+  out << ", " << "configurationPort="; (__isset.configurationPort ? (out << to_string(configurationPort)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4545,6 +4611,305 @@
 }
 
 
+ConfigurationPoll::~ConfigurationPoll() noexcept {
+}
+
+
+void ConfigurationPoll::__set_rowVersion(const int64_t val) {
+  this->rowVersion = val;
+}
+
+void ConfigurationPoll::__set_waitMs(const int64_t val) {
+  this->waitMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationPoll& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_rowVersion = false;
+  bool isset_waitMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rowVersion);
+          isset_rowVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitMs);
+          isset_waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_rowVersion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waitMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ConfigurationPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationPoll");
+
+  xfer += oprot->writeFieldBegin("rowVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->rowVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationPoll &a, ConfigurationPoll &b) {
+  using ::std::swap;
+  swap(a.rowVersion, b.rowVersion);
+  swap(a.waitMs, b.waitMs);
+}
+
+ConfigurationPoll::ConfigurationPoll(const ConfigurationPoll& other130) noexcept {
+  rowVersion = other130.rowVersion;
+  waitMs = other130.waitMs;
+}
+ConfigurationPoll& ConfigurationPoll::operator=(const ConfigurationPoll& other131) noexcept {
+  rowVersion = other131.rowVersion;
+  waitMs = other131.waitMs;
+  return *this;
+}
+void ConfigurationPoll::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationPoll(";
+  out << "rowVersion=" << to_string(rowVersion);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ")";
+}
+
+
+ConfigurationNews::~ConfigurationNews() noexcept {
+}
+
+
+void ConfigurationNews::__set_rowVersion(const int64_t val) {
+  this->rowVersion = val;
+}
+
+void ConfigurationNews::__set_checkedVersion(const int64_t val) {
+  this->checkedVersion = val;
+}
+
+void ConfigurationNews::__set_confirmedAgeMs(const int64_t val) {
+  this->confirmedAgeMs = val;
+__isset.confirmedAgeMs = true;
+}
+
+void ConfigurationNews::__set_value(const std::string& val) {
+  this->value = val;
+__isset.value = true;
+}
+
+void ConfigurationNews::__set_tooLarge(const bool val) {
+  this->tooLarge = val;
+__isset.tooLarge = true;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_rowVersion = false;
+  bool isset_checkedVersion = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rowVersion);
+          isset_rowVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->checkedVersion);
+          isset_checkedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirmedAgeMs);
+          this->__isset.confirmedAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->tooLarge);
+          this->__isset.tooLarge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_rowVersion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_checkedVersion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ConfigurationNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationNews");
+
+  xfer += oprot->writeFieldBegin("rowVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->rowVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkedVersion", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->checkedVersion);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.confirmedAgeMs) {
+    xfer += oprot->writeFieldBegin("confirmedAgeMs", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->confirmedAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.value) {
+    xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeBinary(this->value);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.tooLarge) {
+    xfer += oprot->writeFieldBegin("tooLarge", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->tooLarge);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationNews &a, ConfigurationNews &b) {
+  using ::std::swap;
+  swap(a.rowVersion, b.rowVersion);
+  swap(a.checkedVersion, b.checkedVersion);
+  swap(a.confirmedAgeMs, b.confirmedAgeMs);
+  swap(a.value, b.value);
+  swap(a.tooLarge, b.tooLarge);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigurationNews::ConfigurationNews(const ConfigurationNews& other132) {
+  rowVersion = other132.rowVersion;
+  checkedVersion = other132.checkedVersion;
+  confirmedAgeMs = other132.confirmedAgeMs;
+  value = other132.value;
+  tooLarge = other132.tooLarge;
+  __isset = other132.__isset;
+}
+ConfigurationNews& ConfigurationNews::operator=(const ConfigurationNews& other133) {
+  rowVersion = other133.rowVersion;
+  checkedVersion = other133.checkedVersion;
+  confirmedAgeMs = other133.confirmedAgeMs;
+  value = other133.value;
+  tooLarge = other133.tooLarge;
+  __isset = other133.__isset;
+  return *this;
+}
+void ConfigurationNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationNews(";
+  out << "rowVersion=" << to_string(rowVersion);
+  out << ", " << "checkedVersion=" << to_string(checkedVersion);
+  out << ", " << "confirmedAgeMs="; (__isset.confirmedAgeMs ? (out << to_string(confirmedAgeMs)) : (out << "<null>"));
+  out << ", " << "value="; (__isset.value ? (out << to_string(value)) : (out << "<null>"));
+  out << ", " << "tooLarge="; (__isset.tooLarge ? (out << to_string(tooLarge)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -4641,6 +5006,16 @@
   this->orderResults = val;
 __isset.orderResults = true;
 }
+
+void Message::__set_configurationPoll(const ConfigurationPoll& val) {
+  this->configurationPoll = val;
+__isset.configurationPoll = true;
+}
+
+void Message::__set_configurationNews(const ConfigurationNews& val) {
+  this->configurationNews = val;
+__isset.configurationNews = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -4823,6 +5198,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configurationPoll.read(iprot);
+          this->__isset.configurationPoll = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configurationNews.read(iprot);
+          this->__isset.configurationNews = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4937,6 +5328,16 @@
     xfer += this->orderResults.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configurationPoll) {
+    xfer += oprot->writeFieldBegin("configurationPoll", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->configurationPoll.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configurationNews) {
+    xfer += oprot->writeFieldBegin("configurationNews", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->configurationNews.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4963,52 +5364,58 @@
   swap(a.handover, b.handover);
   swap(a.orderBatch, b.orderBatch);
   swap(a.orderResults, b.orderResults);
+  swap(a.configurationPoll, b.configurationPoll);
+  swap(a.configurationNews, b.configurationNews);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other130) {
-  id = other130.id;
-  replyTo = other130.replyTo;
-  sender = other130.sender;
-  heartbeat = other130.heartbeat;
-  configurationRequest = other130.configurationRequest;
-  configurationBody = other130.configurationBody;
-  leavingNotice = other130.leavingNotice;
-  jobNotice = other130.jobNotice;
-  jobSubmission = other130.jobSubmission;
-  jobQuery = other130.jobQuery;
-  jobReport = other130.jobReport;
-  adviceQuery = other130.adviceQuery;
-  adviceReport = other130.adviceReport;
-  presence = other130.presence;
-  ownerReport = other130.ownerReport;
-  ownerNotice = other130.ownerNotice;
-  handover = other130.handover;
-  orderBatch = other130.orderBatch;
-  orderResults = other130.orderResults;
-  __isset = other130.__isset;
-}
-Message& Message::operator=(const Message& other131) {
-  id = other131.id;
-  replyTo = other131.replyTo;
-  sender = other131.sender;
-  heartbeat = other131.heartbeat;
-  configurationRequest = other131.configurationRequest;
-  configurationBody = other131.configurationBody;
-  leavingNotice = other131.leavingNotice;
-  jobNotice = other131.jobNotice;
-  jobSubmission = other131.jobSubmission;
-  jobQuery = other131.jobQuery;
-  jobReport = other131.jobReport;
-  adviceQuery = other131.adviceQuery;
-  adviceReport = other131.adviceReport;
-  presence = other131.presence;
-  ownerReport = other131.ownerReport;
-  ownerNotice = other131.ownerNotice;
-  handover = other131.handover;
-  orderBatch = other131.orderBatch;
-  orderResults = other131.orderResults;
-  __isset = other131.__isset;
+Message::Message(const Message& other134) {
+  id = other134.id;
+  replyTo = other134.replyTo;
+  sender = other134.sender;
+  heartbeat = other134.heartbeat;
+  configurationRequest = other134.configurationRequest;
+  configurationBody = other134.configurationBody;
+  leavingNotice = other134.leavingNotice;
+  jobNotice = other134.jobNotice;
+  jobSubmission = other134.jobSubmission;
+  jobQuery = other134.jobQuery;
+  jobReport = other134.jobReport;
+  adviceQuery = other134.adviceQuery;
+  adviceReport = other134.adviceReport;
+  presence = other134.presence;
+  ownerReport = other134.ownerReport;
+  ownerNotice = other134.ownerNotice;
+  handover = other134.handover;
+  orderBatch = other134.orderBatch;
+  orderResults = other134.orderResults;
+  configurationPoll = other134.configurationPoll;
+  configurationNews = other134.configurationNews;
+  __isset = other134.__isset;
+}
+Message& Message::operator=(const Message& other135) {
+  id = other135.id;
+  replyTo = other135.replyTo;
+  sender = other135.sender;
+  heartbeat = other135.heartbeat;
+  configurationRequest = other135.configurationRequest;
+  configurationBody = other135.configurationBody;
+  leavingNotice = other135.leavingNotice;
+  jobNotice = other135.jobNotice;
+  jobSubmission = other135.jobSubmission;
+  jobQuery = other135.jobQuery;
+  jobReport = other135.jobReport;
+  adviceQuery = other135.adviceQuery;
+  adviceReport = other135.adviceReport;
+  presence = other135.presence;
+  ownerReport = other135.ownerReport;
+  ownerNotice = other135.ownerNotice;
+  handover = other135.handover;
+  orderBatch = other135.orderBatch;
+  orderResults = other135.orderResults;
+  configurationPoll = other135.configurationPoll;
+  configurationNews = other135.configurationNews;
+  __isset = other135.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -5033,6 +5440,8 @@
   out << ", " << "handover="; (__isset.handover ? (out << to_string(handover)) : (out << "<null>"));
   out << ", " << "orderBatch="; (__isset.orderBatch ? (out << to_string(orderBatch)) : (out << "<null>"));
   out << ", " << "orderResults="; (__isset.orderResults ? (out << to_string(orderResults)) : (out << "<null>"));
+  out << ", " << "configurationPoll="; (__isset.configurationPoll ? (out << to_string(configurationPoll)) : (out << "<null>"));
+  out << ", " << "configurationNews="; (__isset.configurationNews ? (out << to_string(configurationNews)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -77,6 +77,10 @@
 
 class OrderResults;
 
+class ConfigurationPoll;
+
+class ConfigurationNews;
+
 class Message;
 
 
@@ -771,13 +775,14 @@
 std::ostream& operator<<(std::ostream& out, const AdviceReport& obj);
 
 typedef struct _Presence__isset {
-  _Presence__isset() : storeDistanceMs(false), region(false), milliCores(false), linkMbps(false), lateMs(false), relays(false) {}
+  _Presence__isset() : storeDistanceMs(false), region(false), milliCores(false), linkMbps(false), lateMs(false), relays(false), configurationAgeMs(false) {}
   bool storeDistanceMs :1;
   bool region :1;
   bool milliCores :1;
   bool linkMbps :1;
   bool lateMs :1;
   bool relays :1;
+  bool configurationAgeMs :1;
 } _Presence__isset;
 
 /**
@@ -801,7 +806,8 @@
              milliCores(0),
              linkMbps(0),
              lateMs(0),
-             relays(0) {
+             relays(0),
+             configurationAgeMs(0) {
   }
 
   virtual ~Presence() noexcept;
@@ -816,6 +822,7 @@
   int64_t linkMbps;
   int64_t lateMs;
   bool relays;
+  int64_t configurationAgeMs;
 
   _Presence__isset __isset;
 
@@ -841,6 +848,8 @@
 
   void __set_relays(const bool val);
 
+  void __set_configurationAgeMs(const int64_t val);
+
   bool operator == (const Presence & rhs) const
   {
     if (!(address == rhs.address))
@@ -877,6 +886,10 @@
       return false;
     else if (__isset.relays && !(relays == rhs.relays))
       return false;
+    if (__isset.configurationAgeMs != rhs.__isset.configurationAgeMs)
+      return false;
+    else if (__isset.configurationAgeMs && !(configurationAgeMs == rhs.configurationAgeMs))
+      return false;
     return true;
   }
   bool operator != (const Presence &rhs) const {
@@ -896,8 +909,10 @@
 std::ostream& operator<<(std::ostream& out, const Presence& obj);
 
 typedef struct _OwnerReport__isset {
-  _OwnerReport__isset() : waitingAgeMs(false) {}
+  _OwnerReport__isset() : waitingAgeMs(false), configurationAddress(false), configurationPort(false) {}
   bool waitingAgeMs :1;
+  bool configurationAddress :1;
+  bool configurationPort :1;
 } _OwnerReport__isset;
 
 /**
@@ -911,7 +926,9 @@
   OwnerReport() noexcept
               : owns(0),
                 token(0),
-                waitingAgeMs(0) {
+                waitingAgeMs(0),
+                configurationAddress(),
+                configurationPort(0) {
   }
 
   virtual ~OwnerReport() noexcept;
@@ -919,6 +936,8 @@
   int64_t token;
   std::map<std::string, int64_t>  waiting;
   int64_t waitingAgeMs;
+  std::string configurationAddress;
+  int32_t configurationPort;
 
   _OwnerReport__isset __isset;
 
@@ -930,6 +949,10 @@
 
   void __set_waitingAgeMs(const int64_t val);
 
+  void __set_configurationAddress(const std::string& val);
+
+  void __set_configurationPort(const int32_t val);
+
   bool operator == (const OwnerReport & rhs) const
   {
     if (!(owns == rhs.owns))
@@ -942,6 +965,14 @@
       return false;
     else if (__isset.waitingAgeMs && !(waitingAgeMs == rhs.waitingAgeMs))
       return false;
+    if (__isset.configurationAddress != rhs.__isset.configurationAddress)
+      return false;
+    else if (__isset.configurationAddress && !(configurationAddress == rhs.configurationAddress))
+      return false;
+    if (__isset.configurationPort != rhs.__isset.configurationPort)
+      return false;
+    else if (__isset.configurationPort && !(configurationPort == rhs.configurationPort))
+      return false;
     return true;
   }
   bool operator != (const OwnerReport &rhs) const {
@@ -1735,8 +1766,133 @@
 
 std::ostream& operator<<(std::ostream& out, const OrderResults& obj);
 
+
+/**
+ * Asks a cell daemon for a newer row of the configuration. The reply is a ConfigurationNews: at once if the receiver
+ * has a newer row, otherwise when its own row is confirmed again, at the latest after waitMs.
+ */
+class ConfigurationPoll : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationPoll(const ConfigurationPoll&) noexcept;
+  ConfigurationPoll& operator=(const ConfigurationPoll&) noexcept;
+  ConfigurationPoll() noexcept
+                    : rowVersion(0),
+                      waitMs(0) {
+  }
+
+  virtual ~ConfigurationPoll() noexcept;
+  int64_t rowVersion;
+  int64_t waitMs;
+
+  void __set_rowVersion(const int64_t val);
+
+  void __set_waitMs(const int64_t val);
+
+  bool operator == (const ConfigurationPoll & rhs) const
+  {
+    if (!(rowVersion == rhs.rowVersion))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationPoll &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationPoll & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationPoll &a, ConfigurationPoll &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationPoll& obj);
+
+typedef struct _ConfigurationNews__isset {
+  _ConfigurationNews__isset() : confirmedAgeMs(false), value(false), tooLarge(false) {}
+  bool confirmedAgeMs :1;
+  bool value :1;
+  bool tooLarge :1;
+} _ConfigurationNews__isset;
+
+/**
+ * Reply to a ConfigurationPoll.
+ */
+class ConfigurationNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationNews(const ConfigurationNews&);
+  ConfigurationNews& operator=(const ConfigurationNews&);
+  ConfigurationNews() noexcept
+                    : rowVersion(0),
+                      checkedVersion(0),
+                      confirmedAgeMs(0),
+                      value(),
+                      tooLarge(0) {
+  }
+
+  virtual ~ConfigurationNews() noexcept;
+  int64_t rowVersion;
+  int64_t checkedVersion;
+  int64_t confirmedAgeMs;
+  std::string value;
+  bool tooLarge;
+
+  _ConfigurationNews__isset __isset;
+
+  void __set_rowVersion(const int64_t val);
+
+  void __set_checkedVersion(const int64_t val);
+
+  void __set_confirmedAgeMs(const int64_t val);
+
+  void __set_value(const std::string& val);
+
+  void __set_tooLarge(const bool val);
+
+  bool operator == (const ConfigurationNews & rhs) const
+  {
+    if (!(rowVersion == rhs.rowVersion))
+      return false;
+    if (!(checkedVersion == rhs.checkedVersion))
+      return false;
+    if (__isset.confirmedAgeMs != rhs.__isset.confirmedAgeMs)
+      return false;
+    else if (__isset.confirmedAgeMs && !(confirmedAgeMs == rhs.confirmedAgeMs))
+      return false;
+    if (__isset.value != rhs.__isset.value)
+      return false;
+    else if (__isset.value && !(value == rhs.value))
+      return false;
+    if (__isset.tooLarge != rhs.__isset.tooLarge)
+      return false;
+    else if (__isset.tooLarge && !(tooLarge == rhs.tooLarge))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationNews &a, ConfigurationNews &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationNews& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : replyTo(false), heartbeat(false), configurationRequest(false), configurationBody(false), leavingNotice(false), jobNotice(false), jobSubmission(false), jobQuery(false), jobReport(false), adviceQuery(false), adviceReport(false), presence(false), ownerReport(false), ownerNotice(false), handover(false), orderBatch(false), orderResults(false) {}
+  _Message__isset() : replyTo(false), heartbeat(false), configurationRequest(false), configurationBody(false), leavingNotice(false), jobNotice(false), jobSubmission(false), jobQuery(false), jobReport(false), adviceQuery(false), adviceReport(false), presence(false), ownerReport(false), ownerNotice(false), handover(false), orderBatch(false), orderResults(false), configurationPoll(false), configurationNews(false) {}
   bool replyTo :1;
   bool heartbeat :1;
   bool configurationRequest :1;
@@ -1754,6 +1910,8 @@
   bool handover :1;
   bool orderBatch :1;
   bool orderResults :1;
+  bool configurationPoll :1;
+  bool configurationNews :1;
 } _Message__isset;
 
 /**
@@ -1789,6 +1947,8 @@
   Handover handover;
   OrderBatch orderBatch;
   OrderResults orderResults;
+  ConfigurationPoll configurationPoll;
+  ConfigurationNews configurationNews;
 
   _Message__isset __isset;
 
@@ -1830,6 +1990,10 @@
 
   void __set_orderResults(const OrderResults& val);
 
+  void __set_configurationPoll(const ConfigurationPoll& val);
+
+  void __set_configurationNews(const ConfigurationNews& val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(id == rhs.id))
@@ -1904,6 +2068,14 @@
       return false;
     else if (__isset.orderResults && !(orderResults == rhs.orderResults))
       return false;
+    if (__isset.configurationPoll != rhs.__isset.configurationPoll)
+      return false;
+    else if (__isset.configurationPoll && !(configurationPoll == rhs.configurationPoll))
+      return false;
+    if (__isset.configurationNews != rhs.__isset.configurationNews)
+      return false;
+    else if (__isset.configurationNews && !(configurationNews == rhs.configurationNews))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -148,6 +148,9 @@
   9: optional i64 linkMbps
   10: optional i64 lateMs // milliseconds by which the sender's regular ticks come late, smoothed
   11: optional bool relays // the sender can relay orders; false if missing, as from an earlier build
+  // Milliseconds since the sender's configuration was last confirmed. Missing if it never was, and from an earlier
+  // build, which doesn't answer a ConfigurationPoll.
+  12: optional i64 configurationAgeMs
 }
 
 /** Reply to a Presence. Shows whether the sender is still the owner, and how many jobs wait. */
@@ -160,6 +163,10 @@
   // Milliseconds since the moment for which these numbers hold. Missing if the sender isn't the owner or hasn't loaded
   // the stored state.
   4: optional i64 waitingAgeMs
+  // The daemon of the receiver's region that reads the configuration from the store for the others. It is the receiver
+  // itself if the address is its own. Missing if the sender names none, as in an earlier build.
+  5: optional string configurationAddress
+  6: optional i32 configurationPort
 }
 
 /**
@@ -272,6 +279,26 @@
   3: required list<ListResult> lists
 }
 
+/**
+ * Asks a cell daemon for a newer row of the configuration. The reply is a ConfigurationNews: at once if the receiver
+ * has a newer row, otherwise when its own row is confirmed again, at the latest after waitMs.
+ */
+struct ConfigurationPoll {
+  1: required i64 rowVersion // version of the newest row that the sender has; 0 if it has none
+  2: required i64 waitMs // the receiver limits it to 0..2000
+}
+
+/** Reply to a ConfigurationPoll. */
+struct ConfigurationNews {
+  1: required i64 rowVersion // version of the newest row that the sender has; 0 if it has none
+  2: required i64 checkedVersion // version of the store up to which the sender has all changes of the configuration
+  // Milliseconds from the moment at which the sender's row was the newest one to the arrival of the poll; negative if
+  // it was so after that. Missing if the store has never confirmed the row.
+  3: optional i64 confirmedAgeMs
+  4: optional binary value // the row; missing if the poll names this version or a later one
+  5: optional bool tooLarge // the row doesn't fit a message and has to be read from the store
+}
+
 /** One message. Exactly one of the fields from heartbeat on is set. */
 struct Message {
   1: required i64 id // number of the message, from 1 in each run of its sender; 0 in a reply
@@ -293,4 +320,6 @@
   20: optional Handover handover
   21: optional OrderBatch orderBatch
   22: optional OrderResults orderResults
+  23: optional ConfigurationPoll configurationPoll
+  24: optional ConfigurationNews configurationNews
 }
