--- a/src/libprimrosecroft/queues/queue_following.cpp
+++ b/src/libprimrosecroft/queues/queue_following.cpp
@@ -146,7 +146,11 @@
             return false;
         }
         state.rowVersion = news.rowVersion;
-        actions.emplace_back(apply_row {{{}, *news.value, news.rowVersion, false}, answer.source});
+        apply_row received;
+        received.row.value = *news.value;
+        received.row.version = news.rowVersion;
+        received.source = answer.source;
+        actions.emplace_back(std::move(received));
     }
     state.checkedVersion = std::max(state.checkedVersion, news.checkedVersion);
     return true;
