Don't take an answer for advice that was overtaken by a later one for younger than it is

No caller reported it.

Cause: the lower bound of an answer's age is that of the answer handled before it plus its own cost, also if that answer belongs to a call sent later. Two calls through one daemon can be answered in either order.

The test failed before: a call of 30 ms that is handled after one of 2 s sent behind it counted as issued after 2.03 s. Now the bound of an earlier answer counts only for calls sent after its own; an overtaken call counts from its own sending.

--- a/src/celld/advice_dispatcher.cpp
+++ b/src/celld/advice_dispatcher.cpp
@@ -22,6 +22,7 @@
     const auto isGone = [this](const auto &each) { return !m_routes.contains(each.first); };
     std::erase_if(m_freeAt, isGone);
     std::erase_if(m_issuedAt, isGone);
+    std::erase_if(m_lastAnswered, isGone);
 }
 
 std::int32_t advice_dispatcher::routeCount() const
@@ -41,11 +42,11 @@
     freeAt = std::max(now, freeAt) + request.cost;
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(freeAt - now) + networkMargin;
     earliest->second(request, timeout,
-                     [this, name = earliest->first, timeout, isCostly = request.isCostly, sentAt = now,
-                      cost = request.cost, done = std::move(done)](advice_answered answer) {
+                     [this, name = earliest->first, number = ++m_lastCall, timeout, isCostly = request.isCostly,
+                      sentAt = now, cost = request.cost, done = std::move(done)](advice_answered answer) {
                          answer.isCostly = isCostly;
                          if (answer.isAnswered) {
-                             answer.issuedAt = issuedSince(name, sentAt, cost);
+                             answer.issuedAt = issuedSince(name, number, sentAt, cost);
                          }
                          if (!answer.isAnswered && m_freeAt.contains(name)) {
                              // Prefers the other daemons, since this one may not answer the next request either.
@@ -55,8 +56,13 @@
                      });
 }
 
-instant advice_dispatcher::issuedSince(const process_id &route, instant sentAt, duration cost)
+instant advice_dispatcher::issuedSince(const process_id &route, std::uint64_t number, instant sentAt, duration cost)
 {
+    auto &lastAnswered = m_lastAnswered[route];
+    if (number < lastAnswered) {
+        return sentAt + cost; // overtaken by a later call's answer, so it may have been issued before that one
+    }
+    lastAnswered = number;
     auto &issuedAt = m_issuedAt[route];
     issuedAt = std::max(issuedAt, sentAt) + cost;
     return issuedAt;
--- a/src/celld/advice_dispatcher.h
+++ b/src/celld/advice_dispatcher.h
@@ -36,11 +36,13 @@
 private:
     std::map<process_id, advice_route> m_routes;
     /// Lower bound of the moment at which the service answered this call, on the owner's clock. The answer may have
-    /// come late, but one route's calls are answered one after the other.
-    instant issuedSince(const process_id &route, instant sentAt, duration cost);
+    /// come late, but one route's calls are answered one after the other, in the order of their @p number.
+    instant issuedSince(const process_id &route, std::uint64_t number, instant sentAt, duration cost);
 
     std::map<process_id, instant> m_freeAt; ///< when a daemon's requests are expected to be answered
     std::map<process_id, instant> m_issuedAt; ///< lower bound of when a daemon's last answered request was answered
+    std::map<process_id, std::uint64_t> m_lastAnswered; ///< highest number of a daemon's answered requests
+    std::uint64_t m_lastCall = 0;
 };
 
 } // namespace primrosecroft
--- a/tests/unit/advice_dispatcher_test.cpp
+++ b/tests/unit/advice_dispatcher_test.cpp
@@ -57,6 +57,16 @@
     CHECK(route.issuedAt == route.now + 2'030ms);
 }
 
+TEST_CASE("an answer that was overtaken by a later call's answer isn't taken for younger than it is")
+{
+    one_route route;
+    route.ask(30ms);
+    route.ask(2s);
+    route.answer(1);
+    route.answer(0);
+    CHECK(route.issuedAt == route.now + 30ms);
+}
+
 TEST_CASE("a call without an answer makes the next answer on its route no younger")
 {
     one_route route;
