Choose a daemon for advice by its recent answers, and ask another one when it is late

Cause: a call without an answer only moved its daemon's free moment by the call's timeout. The call, the transport's margin and the cell's pause before the next ask take longer than that, so in an idle cell the first two daemons by name took turns for ever.

Tried and dropped: one call without an answer shuts a daemon off, and hedges and trials share one budget.

Now each daemon has evidence: its failures in a row, and the smoothed delay and deviation beyond a call's expected time. After a failure it pauses for 0.5 s and counts as in doubt, which others must outweigh by their queues; after two in a row it gets no step's call while another one is believed, only a trial after a pause that doubles up to 4 s. A trial repeats an ask that has been answered, so no step waits for it. A call that is late by more than its daemon's patience is made once more through the best other daemon, and the first answer counts. Each ask has at most one second call; hedges and trials are a quarter of the asks each, beyond a burst of eight. Ties go to the least delay; before the first call has ended, the owner's own way and its region go first. routeCount() counts the daemons that are believed, and at least half of all: calls lost through more than half of them tell of the service.

An answer's age stays a lower bound: it counts from the sending of the very call that was answered, on that call's route.

The log line advice route-late and the metric primrosecroft_advice_calls tell failed and hedged calls.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -1,6 +1,7 @@
 #include "cell_daemon.h"
 
 #include "advice_dispatcher.h"
+#include "advice_report.h"
 #include "callers/caller_service.h"
 #include "cell/cell_runner.h"
 #include "core/clock.h"
@@ -50,6 +51,12 @@
 /// A daemon without a message for this long counts as unreachable and gets no requests for advice.
 constexpr auto contactTimeout = 1'200ms;
 
+/// Delay of advice through other daemons, until calls have shown it; above the usual ones, so that a daemon whose calls
+/// have been answered goes first.
+constexpr auto nearAdviceDelay = 20ms; ///< in the owner's region
+constexpr auto farAdviceDelay = 100ms; ///< in another region
+constexpr auto adviceCheckInterval = 50ms; ///< between two looks for calls that are late
+
 /// A daemon without a message for this long relays no orders.
 constexpr auto relayContactTimeout = 1'000ms;
 
@@ -136,9 +143,7 @@
         , relayedWorkers(workers, peers, settings.peers, incarnation, settings.capacity, makeRelayLinks(), log,
                          measures)
         , runner(rows, relayedWorkers, {platform::workerTable, platform::decodeWorker},
-                 {[this](const ask_advice &request, auto done) {
-                      adviceDispatcher.ask(request, bootNow(), std::move(done));
-                  },
+                 {[this](const ask_advice &request, auto done) { adviceDispatcher.ask(request, std::move(done)); },
                   [this] { return adviceDispatcher.routeCount(); },
                   [this](const std::string &reason) { ownershipLost(reason); }},
                  makeCellSettings(settings), log, measures)
@@ -490,16 +495,18 @@
     void refreshAdviceRoutes()
     {
         std::map<process_id, advice_dispatcher::advice_route> routes;
-        routes[settings.process] = [this](const ask_advice &request, std::chrono::milliseconds timeout, auto done) {
+        routes[settings.process].call = [this](const ask_advice &request, std::chrono::milliseconds timeout,
+                                               auto done) {
             advice.ask(request.step, request.workers, timeout, std::move(done));
         };
         const auto now = bootNow();
         for (const auto &[name, peer] : knownPeers) {
             if (!peer.isLeaving && peer.lastContactAt + contactTimeout > now) {
-                routes[name] = [this, address = peer.address](const ask_advice &request,
-                                                              std::chrono::milliseconds timeout, auto done) {
+                const auto call = [this, address = peer.address](const ask_advice &request,
+                                                                 std::chrono::milliseconds timeout, auto done) {
                     requestAdviceThroughPeer(address, request, timeout, std::move(done));
                 };
+                routes[name] = {call, peer.region == settings.region ? nearAdviceDelay : farAdviceDelay};
             }
         }
         adviceDispatcher.setRoutes(std::move(routes));
@@ -712,6 +719,11 @@
                               g_unix_signal_add(SIGHUP, &parts::onReload, this)};
         queues.start([this](const queue_table &table) { callerServer.setMaxBodySize(table.maxRequestBytes); });
         tickTimer.every(presenceInterval, [this] { tick(); });
+        adviceTimer.every(adviceCheckInterval, [this] {
+            if (isOwner()) {
+                adviceDispatcher.hedgeLateCalls();
+            }
+        });
         tick();
         g_main_loop_run(loop.get());
         for (const auto source : sources) {
@@ -737,7 +749,8 @@
     peer_hub peers;
     queue_follower queues;
     leadership_state leadership;
-    advice_dispatcher adviceDispatcher;
+    advice_dispatcher adviceDispatcher {
+        bootNow, [this](const advice_call_report &report) { reportAdviceCall(report, log, measures); }};
     order_relay relay;
     relayed_workers relayedWorkers;
     cell_runner runner;
@@ -748,6 +761,7 @@
     http_server metricsServer;
     instant trafficLoggedAt;
     timer tickTimer;
+    timer adviceTimer;
     timer ownershipLostTimer;
     timer leaveTimer;
     instant startedAt = bootNow();
