Check in the emulation that no task waits for long that could run

The check reads the workers' runs and capacity and the rows in the store, and nothing that an owner believes. A ready task of a batch step runs within 3 s while a worker has room for it twice over at each moment, once the last fault and a settling time are over: the longest lease on the slowest clock, the timeouts for suspicion and renewals, and a load. A task of a service runs within 6 s after its last run, without a fault for the last 4 s; for it, room that comes back each second counts, because it goes before other work. The end of a worker and a hand-over count as faults of a moment.

The schedules have services that lose tasks, wide steps, gangs, bursts of urgent narrow jobs, workers that leave with a notice while new ones start, hand-overs, killed owners and cut workers; some queues need advice, for which there is an emulated service: costly calls, a share of workers allowed, tickets that expire, calls without an answer. Gangs run only after the faults, because the emulated workers don't break a gang that lost a member.

The counts of waiting jobs are now checked for the queue that they are asked for; before, all jobs were on that queue.

--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -1,12 +1,14 @@
 #include "cell_emulation.h"
+#include "liveness_schedule.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <iostream>
 #include <string>
 #include <vector>
 
 /// Runs the cell's emulation with random faults, one schedule for each seed. PRIMROSECROFT_SCHEDULES sets the number of
-/// schedules and PRIMROSECROFT_SEED the first seed.
+/// schedules and PRIMROSECROFT_SEED the first seed. With PRIMROSECROFT_TRACE set, schedules of liveness print a trace.
 using namespace primrosecroft;
 using namespace std::chrono_literals;
 
@@ -67,6 +69,22 @@
     }
 }
 
+/// Runs the schedules of liveness of the seeds that the environment names.
+void checkLiveness(worker_replacement replacement)
+{
+    const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
+    const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 100);
+    std::function<void(const std::string &)> onTrace;
+    if (std::getenv("PRIMROSECROFT_TRACE") != nullptr) {
+        onTrace = [](const std::string &line) { std::cerr << line << '\n'; };
+    }
+    for (auto seed = first; seed < first + count; ++seed) {
+        const auto violation = runLivenessSchedule(seed, replacement, onTrace);
+        INFO("seed " << seed << ": " << violation);
+        CHECK(violation.empty());
+    }
+}
+
 } // namespace
 
 TEST_CASE("no schedule breaks a guarantee", "[schedules]")
@@ -84,6 +102,17 @@
     checkSchedules(0, unlikeCapacities);
 }
 
+TEST_CASE("no task waits for long that could run while workers restart and owners change", "[liveness]")
+{
+    checkLiveness(worker_replacement::restarts);
+}
+
+TEST_CASE("no task waits for long that could run while workers leave for good and owners change",
+          "[liveness_replacements]")
+{
+    checkLiveness(worker_replacement::goneForGood);
+}
+
 TEST_CASE("the checks detect the absence of each safety rule", "[mutations]")
 {
     constexpr std::uint64_t maxSeeds = 2'000;
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -5,6 +5,7 @@
 #include "core/overloaded.h"
 #include "jobs/job_rows.h"
 #include "leadership/handover.h"
+#include "liveness_check.h"
 
 #include <algorithm>
 #include <limits>
@@ -27,6 +28,7 @@
 constexpr auto minLateDelayMs = 2'000; ///< of an order whose answer is lost and which the worker carries out late
 constexpr auto maxLateDelayMs = 12'000;
 constexpr auto jobScanInterval = 2s; ///< between two scans of an owner for stored jobs that it doesn't know
+constexpr auto countedQueue = "queue"; ///< whose counts of waiting jobs are checked
 constexpr auto maxUncountedTime = 5s; ///< a job that has waited for longer must be in the counts that callers get
 
 struct emulated_worker
@@ -38,6 +40,7 @@
     bool isDown = false;
     worker_description announced; ///< as in the platform's list, which lags behind the worker
     instant nextAnnouncement;
+    bool isGone = false; ///< it is down for good, and the platform no longer lists it
 };
 
 struct emulated_process
@@ -79,16 +82,11 @@
         : settings(emulationSettings)
         , emulation(outer)
         , random(emulationSettings.seed)
+        , advice({.seed = emulationSettings.seed})
+        , liveness(settlingTime(emulationSettings))
     {
         for (std::size_t i = 0; i < settings.workers; ++i) {
-            worker_description worker;
-            worker.id = "w" + std::to_string(i);
-            worker.boot = 1;
-            worker.address = "10.0.0." + std::to_string(i) + ":80";
-            worker.pool = "pool";
-            worker.labels = {"a", "rack" + std::to_string(i / 2)};
-            worker.capacity = {8'000, 16'000, 0};
-            workers.push_back({executor_emulator(worker, i % 2 == 0 ? 1.0 : 0.98), {}, false, {}, false, worker, {}});
+            addWorker();
         }
         for (std::size_t i = 0; i < settings.processes; ++i) {
             processes.push_back({});
@@ -96,6 +94,16 @@
         }
     }
 
+    /// Longest time from the end of the last fault until an owner has settled: a failed owner is suspected and found
+    /// without renewals, the next one loads, and the leases of the one before end on the slowest clock.
+    static std::chrono::milliseconds settlingTime(const emulation_settings &settings)
+    {
+        const leadership_settings timeouts;
+        const auto longestLease =
+            std::chrono::ceil<std::chrono::milliseconds>(cell_settings {}.maxLease / detail::minClockRate);
+        return longestLease + timeouts.suspicionTimeout + timeouts.renewalTimeout + settings.maxLoadTime;
+    }
+
     // --- time
 
     void at(instant when, std::function<void()> action)
@@ -136,10 +144,24 @@
 
     // --- workers
 
+    std::size_t addWorker()
+    {
+        const auto index = workers.size();
+        worker_description worker;
+        worker.id = "w" + std::to_string(index);
+        worker.boot = 1;
+        worker.address = "10.0.0." + std::to_string(index) + ":80";
+        worker.pool = "pool";
+        worker.labels = {"a", "rack" + std::to_string(index / 2)};
+        worker.capacity = {8'000, 16'000, 0};
+        workers.push_back({executor_emulator(worker, index % 2 == 0 ? 1.0 : 0.98), {}, false, {}, false, worker, {}});
+        return index;
+    }
+
     void advance(emulated_worker &worker)
     {
         if (worker.isDown) {
-            if (now >= worker.downUntil) {
+            if (!worker.isGone && now >= worker.downUntil) {
                 worker.isDown = false;
                 worker.executor.reboot(worker.executor.description().boot + 1);
                 worker.executor.description().capacity.milliCores =
@@ -189,6 +211,7 @@
         if (isUnanswered && chance(0.6)) {
             const auto delay = std::chrono::milliseconds(pick(minLateDelayMs, maxLateDelayMs));
             at(now + delay, [this, id, carryOut] {
+                lastFaultAt = now;
                 auto *worker = find(id);
                 if (worker != nullptr && isReachable(*worker)) {
                     carryOut(*worker);
@@ -250,8 +273,10 @@
             servedAt[process] = now;
             const bool isLost = isFaultPeriod() && chance(0.05 * settings.faultScale);
             if (isLost && chance(0.5)) {
-                at(now + std::chrono::milliseconds(pick(1'000, 6'000)),
-                   [this, transaction] { store.commit(transaction); });
+                at(now + std::chrono::milliseconds(pick(1'000, 6'000)), [this, transaction] {
+                    lastFaultAt = now;
+                    store.commit(transaction);
+                });
                 at(now + 900ms, [reply] { reply({}); });
                 return;
             }
@@ -414,10 +439,11 @@
     void checkWaitingCount(const emulated_process &process)
     {
         const auto own = process.leadership.owns ? countsOf(process) : std::nullopt;
-        const auto told = countOf(own ? own : process.counts, "queue", now);
+        const auto told = countOf(own ? own : process.counts, countedQueue, now);
         const auto waiting = std::ranges::count_if(jobs, [this](const auto &job) {
             const auto stored = storedAt.find(job.first);
-            return stored != storedAt.end() && stored->second + maxUncountedTime < now && !begunJobs.contains(job.first)
+            return job.second.queue.name == countedQueue && stored != storedAt.end()
+                && stored->second + maxUncountedTime < now && !begunJobs.contains(job.first)
                 && !checkedEnds.contains(job.first) && !store.rows().contains(cancelPlace(job.first));
         });
         if (told && told->jobs * 2 < waiting) {
@@ -571,6 +597,9 @@
             if (process.cell && !worker.isDown) {
                 step(*process.cell, worker_listed {worker.announced}, now, actions);
             }
+            if (process.cell && worker.isGone) {
+                step(*process.cell, worker_unlisted {worker.announced.id}, now, actions);
+            }
         }
         if (now < process.nextRenewal || process.isRenewing) {
             return;
@@ -637,6 +666,7 @@
                                    });
                            },
                            [&](const send_list &order) { sendList(index, order, token); },
+                           [&](const ask_advice &request) { askAdvice(index, request); },
                            [&](const commit_rows &rows) {
                                ownedCommit(index, rows.transaction, [this, index, rows](const commit_result &result) {
                                    const auto sequence = result.outcome == store_outcome::done
@@ -675,6 +705,22 @@
             });
     }
 
+    void askAdvice(std::size_t index, const ask_advice &request)
+    {
+        const auto session = processes[index].session;
+        const auto valid = jobs.at(request.step.job).queue.advice->valid;
+        const auto due = advice.ask(request, valid, now);
+        if (emulation.onTrace) {
+            emulation.onTrace("ask for " + request.step.job + " step " + std::to_string(request.step.step) + " about "
+                              + std::to_string(request.workers.size()) + " workers: "
+                              + (due.answer.isAnswered ? std::to_string(due.answer.allowed.size()) + " allowed"
+                                                       : std::string("unanswered"))
+                              + " after " + std::to_string(due.delay.count()) + " ms");
+        }
+        at(now + due.delay + 2 * orderDelay,
+           [this, index, session, answer = due.answer] { deliver(index, session, answer); });
+    }
+
     void sendList(std::size_t index, send_list order, row_version token)
     {
         list_answered lostAnswer;
@@ -715,6 +761,10 @@
             return order_result::invalid;
         }
         const auto &step = job->second.spec.steps[static_cast<std::size_t>(order.run.task.step)];
+        const step_ref stepRef {order.run.task.job, order.run.task.occurrence, order.run.task.step};
+        if (job->second.queue.advice && !advice.accepts(stepRef, order.worker, order.ticket, now)) {
+            return order_result::noTicket;
+        }
         worker.executor.sizes[order.run.task] = step.size;
         const auto before = worker.executor.running();
         const auto result = worker.executor.start(order, token, behaviourOf(order.run, step));
@@ -855,6 +905,50 @@
                 checkEnd(place.key, decodeEnded(row.value).status);
             }
         }
+        if (settings.checksLiveness && violation.empty()) {
+            checkLiveness();
+        }
+    }
+
+    bool isFaultInForce() const
+    {
+        return (isFaultPeriod() && settings.faultScale > 0) || now < storeDownUntil
+            || std::ranges::any_of(
+                   processes,
+                   [this](const emulated_process &each) {
+                       return each.isDown || now < each.frozenUntil
+                           || (each.isDisconnected && now < each.disconnectedUntil);
+                   })
+            || std::ranges::any_of(
+                   workers,
+                   [this](const emulated_worker &each) {
+                       return !each.isGone && (each.isDown || now < each.disconnectedUntil);
+                   });
+    }
+
+    /// Checks that no task waits for long that could run, from the stored jobs and the workers alone.
+    void checkLiveness()
+    {
+        if (isFaultInForce()) {
+            lastFaultAt = now;
+        }
+        observed_cell observed {now, lastFaultAt, jobs, store, advice, {}};
+        for (const auto &worker : workers) {
+            observed.workers.push_back(
+                {&worker.executor, !worker.isDown, isReachable(worker) && !worker.executor.description().isDraining});
+        }
+        const auto late = liveness.observe(observed);
+        if (!late) {
+            return;
+        }
+        const auto sinceStart = [this](instant time) {
+            return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time - startedAt).count())
+                + " ms";
+        };
+        violation = std::string(late->isService ? "a task of a service" : "a task of a batch step")
+            + " doesn't run although it could: " + toString(late->task) + " at " + sinceStart(now) + ", since "
+            + sinceStart(late->since) + ", with room on " + late->worker + ", last fault at " + sinceStart(lastFaultAt)
+            + "; " + emulation.explain(late->task.job);
     }
 
     void checkEnd(const job_id &id, job_status status)
@@ -898,6 +992,7 @@
             processes[index].cell.reset();
             processes[index].leadership.owns = false;
             ++processes[index].session;
+            lastFaultAt = now;
         }
     }
 
@@ -992,6 +1087,39 @@
         });
     }
 
+    void removeWorker(std::size_t index, std::chrono::milliseconds notice)
+    {
+        auto &description = workers[index].executor.description();
+        description.isDraining = true;
+        description.remaining = notice;
+        at(now + notice, [this, index] {
+            auto &worker = workers[index];
+            worker.isDown = true;
+            worker.isGone = true;
+            worker.executor.reboot(worker.executor.description().boot + 1); // its runs end with it
+            lastFaultAt = now;
+        });
+    }
+
+    void handOver()
+    {
+        const auto owner = ownerIndex();
+        if (owner >= processes.size()) {
+            return;
+        }
+        for (std::size_t i = 1; i < processes.size(); ++i) {
+            const auto successor = (owner + i) % processes.size();
+            if (!processes[successor].isDown) {
+                lastFaultAt = now;
+                deliverWhenRunning(successor, processes[successor].session,
+                                   [this, successor, token = processes[owner].token] {
+                                       stepLeadership(successor, handover_requested {token});
+                                   });
+                return;
+            }
+        }
+    }
+
     void submit(accepted_job job)
     {
         jobs[job.id] = job;
@@ -1029,6 +1157,9 @@
     emulation_settings settings;
     cell_emulation &emulation;
     std::mt19937_64 random;
+    advice_emulator advice;
+    liveness_check liveness;
+    instant lastFaultAt {std::chrono::seconds(1'000)};
     instant now {std::chrono::seconds(1'000)};
     instant startedAt {std::chrono::seconds(1'000)};
     std::multimap<instant, std::function<void()>> events;
@@ -1146,6 +1277,21 @@
     m_parts->drain(worker, span);
 }
 
+std::size_t cell_emulation::addWorker()
+{
+    return m_parts->addWorker();
+}
+
+void cell_emulation::removeWorker(std::size_t worker, std::chrono::milliseconds notice)
+{
+    m_parts->removeWorker(worker, notice);
+}
+
+void cell_emulation::handOver()
+{
+    m_parts->handOver();
+}
+
 void cell_emulation::stopStore(std::chrono::milliseconds span)
 {
     m_parts->storeDownUntil = m_parts->now + span;
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "advice_emulator.h"
 #include "cell/cell.h"
 #include "core/vm_capacity.h"
 #include "executor_emulator.h"
@@ -53,6 +54,7 @@
     std::chrono::milliseconds maxLoadTime {0}; ///< a new owner loads for up to this long in the fault period
     std::vector<vm_capacity> capacities; ///< of the processes; if empty, no process hands over
     disabled_rule mutation = disabled_rule::none;
+    bool checksLiveness = false; ///< also checks that no task waits for long that could run
 };
 
 class cell_emulation
@@ -93,6 +95,15 @@
     /// Lets the platform drain a worker, which restarts after @p span.
     void drainWorker(std::size_t worker, std::chrono::milliseconds span);
 
+    /// Starts one more worker. Returns its index.
+    std::size_t addWorker();
+
+    /// Lets the platform drain a worker, which ends for good after @p notice. It then answers nothing any more.
+    void removeWorker(std::size_t worker, std::chrono::milliseconds notice);
+
+    /// Lets the owner request that another process takes over, the next one that runs. Does nothing if there is none.
+    void handOver();
+
     /// Makes the store unreachable for all processes.
     void stopStore(std::chrono::milliseconds span);
     void runFor(std::chrono::milliseconds span);
@@ -116,7 +127,7 @@
     std::function<task_behaviour(const run_id &run, const step_spec &step)> behaviour;
 
     /// Called, if not empty, with a line for each start order that reaches a worker, each successful end of a task that
-    /// is acknowledged and each random fault, to trace a violation.
+    /// is acknowledged, each call of the advice service and each random fault, to trace a violation.
     std::function<void(const std::string &line)> onTrace;
 
 private:
