Count a lost service task's wait from the last sign of its run

Cause: the owner learns by the end of the leases, 6.1 s later, that the runs on a silent worker are over. From then on the task waited behind a backlog of urgent jobs for another 2 s, because its wait counted from that moment.

Ruled out: doubt after a take-over (the last one was over) and advice (the queue needs none).

Now the wait counts from the last order that extended the leases of the worker, so the task goes before all other work as soon as it may start. The unit test failed before: the urgent job got the worker.

--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -119,6 +119,12 @@
     }
 }
 
+/// Returns about when the worker last got an order that extended its leases, which it doesn't while it is unresponsive.
+instant lastSignOf(const cell_state &state, const worker_state &worker, instant now)
+{
+    return worker.leasesEndBy == instant {} ? now : std::min(now, worker.leasesEndBy - state.settings.maxLease);
+}
+
 /// Adds a listed run that is not known here, because an earlier owner started it or its start was delayed. It is
 /// kept if its task still needs a run, and stopped otherwise.
 void adoptRun(cell_state &state, worker_state &worker, const listed_run &listed, instant now, cell_actions &actions)
@@ -251,9 +257,15 @@
 void dropAllRuns(cell_state &state, worker_state &worker, instant now, cell_actions &actions, const char *reason)
 {
     const auto reservations = worker.reservations;
+    const auto lastSign = lastSignOf(state, worker, now);
     for (const auto &[run, held] : reservations) {
         actions.emplace_back(report_ended {run, worker.description.id, reason});
         dropRun(state, worker, run, past_run::mayHaveRun, now, actions);
+        const auto view = findTask(state, run.task);
+        if (view && view->spec->isService && view->task->runs.empty()) {
+            // Its users may have had no service since then, so it has waited for this long already.
+            view->task->pendingSince = std::min(view->task->pendingSince, lastSign);
+        }
     }
     worker.unknownRuns.clear();
 }
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -651,6 +651,38 @@
     CHECK(summarize(cell.state, cell.now).waitingTasks > 0);
 }
 
+TEST_CASE("a service whose worker went silent starts as soon as the leases there are over, before an urgent backlog")
+{
+    auto cell = makeCellOf({"a"});
+    step(cell.state, storedService(), cell.now, cell.actions);
+    cell.state.jobs.at("service").accepted.queue.priority = 1;
+    const auto first = cell.runSchedulingPass();
+    REQUIRE(first.size() == 1);
+    step(cell.state, start_answered {"a", 1, first.front().run, order_result::done, cell.now}, cell.now, cell.actions);
+    cell.answerList("a", {{first.front().run, "", 100, 0}});
+    cell.runSchedulingPass(); // requests a list, to which the worker gives no answer any more
+    list_answered unanswered;
+    unanswered.worker = "a";
+    unanswered.sentAt = cell.now;
+    step(cell.state, unanswered, cell.now, cell.actions);
+    cell.addWorker(owned_cell::makeWorker("b", "r-b", wholeWorker));
+    const auto leasesEndBy = cell.state.workers.at("a").leasesEndBy;
+    while (cell.now < leasesEndBy) {
+        cell.advance(100ms);
+        cell.answerList("b", {});
+        step(cell.state, unanswered, cell.now, cell.actions);
+        const auto starts = cell.runSchedulingPass();
+        CHECK((cell.now >= leasesEndBy || starts.empty()));
+        if (cell.now + 100ms >= leasesEndBy && !cell.state.jobs.contains("urgent")) {
+            cell.addJob(owned_cell::makeJob("urgent", {makeStep(1, wholeWorker.milliCores)}));
+        }
+        if (cell.now >= leasesEndBy) {
+            REQUIRE(starts.size() == 1);
+            CHECK(starts.front().run.task.job == "service");
+        }
+    }
+}
+
 TEST_CASE("a ticket is used for as long as it is valid from its issue, not from the handling of a late answer")
 {
     for (const auto lateness : {100ms, 1'500ms}) {
