Name several workers in a costly advice call, not one after the other

Cause: a call names workers until their expected capacity covers the need, which one large worker does for a narrow step. That it may be refused as a whole didn't count, so each refusal cost a whole call.

Ruled out: the limit of pending calls (no other step asked in between) and free capacity.

Now a costly call also names further workers with free capacity until it is 95 % likely that one of them is allowed, as far as they make the call at most a tenth longer. Cheap calls stay as they are. The unit test failed before (1 worker named instead of 5).

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -17,6 +17,10 @@
 /// little: while an answer is under way, other steps take some of the capacity.
 constexpr double costlyCapacityFactor = 1.3;
 constexpr double cheapCapacityFactor = 3;
+/// A costly call names further workers with free capacity until it is this unlikely that all of them are refused: each
+/// answer in vain costs the step a whole call.
+constexpr double maxRefusalChance = 0.05;
+constexpr std::int64_t costShareOfFurtherWorkers = 10; ///< they add at most one part in this many to a call's duration
 constexpr auto adviceRetryDelay = 200ms; ///< pause after a call without an answer
 constexpr double allowedShareWeight = 0.1; ///< weight of the newest answer in the smoothed share of allowed workers
 
@@ -121,6 +125,17 @@
     return result;
 }
 
+/// Number of workers that a call may name for a better chance that one of them is allowed.
+std::size_t maxWorkersForChance(const advice_policy &policy)
+{
+    if (!isCostly(policy)) {
+        return 0; // cheap calls name many workers anyway
+    }
+    const auto affordable = policy.perWorker.count() > 0 ? policy.decide / costShareOfFurtherWorkers / policy.perWorker
+                                                         : static_cast<std::int64_t>(maxWorkersPerAdviceCall);
+    return static_cast<std::size_t>(std::clamp<std::int64_t>(affordable, 0, maxWorkersPerAdviceCall));
+}
+
 /// Workers to ask the advice service about, best first: those with free capacity before those without, and within
 /// both groups those known to be allowed before those not asked about yet. Returns no worker if those with tickets have
 /// capacity for @p needed tasks.
@@ -157,13 +172,22 @@
         return result;
     }
     const auto share = std::max(0.05, state.advice[waiting.job->accepted.queue.name].allowedShare);
-    const bool isCostlyCall = isCostly(*waiting.job->accepted.queue.advice);
-    const double wanted = needed * (isCostlyCall ? costlyCapacityFactor : cheapCapacityFactor);
+    const auto &policy = *waiting.job->accepted.queue.advice;
+    const double wanted = needed * (isCostly(policy) ? costlyCapacityFactor : cheapCapacityFactor);
+    const auto maxForChance = maxWorkersForChance(policy);
+    double refusalChance = covered > 0 ? 0 : 1; // of all workers with free capacity
     std::ranges::make_heap(options, isWorse);
-    while (!options.empty() && covered < wanted && result.size() < maxWorkersPerAdviceCall) {
+    while (!options.empty() && result.size() < maxWorkersPerAdviceCall) {
+        const bool isForChance = covered >= wanted;
+        if (isForChance
+            && (options.front().order > 1 || refusalChance <= maxRefusalChance || result.size() >= maxForChance)) {
+            break;
+        }
         std::ranges::pop_heap(options, isWorse);
         const auto &best = options.back();
-        covered += best.capacity * (best.order % 2 == 0 ? 1 : share);
+        const double chance = best.order % 2 == 0 ? 1 : share;
+        covered += best.capacity * chance;
+        refusalChance *= best.order > 1 ? 1 : 1 - chance;
         result.push_back(usable.at(best.worker).worker->description.id);
         options.pop_back();
     }
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -620,6 +620,29 @@
     }
 }
 
+TEST_CASE("a step isn't asked about one worker after the other in costly calls, each of which may be in vain")
+{
+    owned_cell cell;
+    for (int number = 0; number < 20; ++number) {
+        cell.addWorker(owned_cell::makeWorker("w" + std::to_string(number), "r", wholeWorker));
+    }
+    auto advised = owned_cell::makeJob("advised", {makeStep(1)});
+    advised.queue.advice = advice_policy {440ms, 6ms, 2s};
+    for (const auto &[share, expected] : {std::pair(0.5, 5), std::pair(0.9, 2), std::pair(0.1, 7)}) {
+        advised.id = "advised-" + std::to_string(expected);
+        cell.state.advice[advised.queue.name].allowedShare = share;
+        cell.state.costlyAdviceCalls = 0;
+        cell.addJob(advised);
+        cell.runSchedulingPass();
+        const auto call = std::ranges::find_if(cell.actions, [&advised](const auto &action) {
+            const auto *ask = std::get_if<ask_advice>(&action);
+            return ask != nullptr && ask->step.job == advised.id;
+        });
+        REQUIRE(call != cell.actions.end());
+        CHECK(std::ssize(std::get<ask_advice>(*call).workers) == expected);
+    }
+}
+
 TEST_CASE("a service that lost a task gets it back before a backlog of queues with a higher priority is served")
 {
     auto cell = makeCellOf({"a"});
