Let services lose tasks behind a backlog in the schedules of liveness

Causes: the tasks of services fitted beside those of a backlog; an urgent job counts as far overdue after 2.1 s and then goes behind all others; few runs of services ended by themselves late.

Now a service has tasks that don't fit beside those of a backlog, the urgent jobs of a backlog have a long objective, and most runs of services end by themselves. The rule is in the product, so it is no disabled_rule, which are switched in the emulation.

--- a/tests/standins/liveness_schedule.cpp
+++ b/tests/standins/liveness_schedule.cpp
@@ -23,9 +23,12 @@
 constexpr auto calmBegins = 32'000ms; ///< what is submitted from then on meets a settled cell, or nearly so
 constexpr auto submissionsEnd = 56'000ms;
 constexpr auto totalTime = 70'000ms;
-constexpr std::int64_t urgentCores = 3'500; ///< two urgent tasks fill most of a worker
 constexpr std::int32_t urgentTasksPerJob = 4;
-constexpr std::int64_t lossesInTen = 3; ///< of ten runs of a service, so many end by themselves
+constexpr std::int64_t backlogCores = workerCores / 4; ///< of an urgent task in a backlog, four of which fill a worker
+constexpr std::int32_t backlogTasksPerJob = 8;
+/// So long that the jobs of a backlog don't count as far overdue, which would put all other work before them.
+constexpr auto backlogTarget = 20'000ms;
+constexpr std::int64_t lossesInTen = 8; ///< of ten runs of a service, so many end by themselves
 
 struct schedule
 {
@@ -78,7 +81,7 @@
             return std::uniform_int_distribution<std::int64_t>(min, max)(own);
         };
         if (ownDraw(1, 10) <= lossesInTen) {
-            return {std::chrono::milliseconds(ownDraw(2'000, 12'000)), true, false, 0, 0ms};
+            return {std::chrono::milliseconds(ownDraw(3'000, 25'000)), true, false, 0, 0ms};
         }
         return {step.estimate, false, true, 0, step.estimate};
     }
@@ -109,10 +112,12 @@
 
     void drawServices()
     {
-        for (int i = 0; i < 3; ++i) {
+        for (int i = 0; i < 4; ++i) {
+            const bool isLarge = i == 3; // its tasks don't fit beside the tasks of a backlog
             step_spec step;
-            step.count = static_cast<std::int32_t>(draw(2, 6));
-            step.size = {draw(500, 1'500), draw(100, 1'000), 0};
+            step.count = static_cast<std::int32_t>(draw(2, isLarge ? 3 : 6));
+            step.size = {isLarge ? draw(backlogCores + 500, backlogCores + 1'000) : draw(500, 1'500), draw(100, 1'000),
+                         0};
             step.estimate = drawTime(100ms, 1'500ms);
             step.isService = true;
             if (draw(0, 3) > 0) {
@@ -187,9 +192,13 @@
     /// the workers free at each moment.
     void drawBacklog(const std::string &name, std::chrono::milliseconds begin)
     {
-        const auto jobs = draw(100, 220);
+        const auto jobs = draw(250, 400);
+        auto step = urgentStep(backlogCores, 100ms);
+        step.count = backlogTasksPerJob;
         for (std::int64_t i = 0; i < jobs; ++i) {
-            submitAt(begin, jobOf(name + "-" + std::to_string(i), 0, urgentStep(urgentCores, 100ms)));
+            auto job = jobOf(name + "-" + std::to_string(i), 0, step);
+            job.queue.target = backlogTarget;
+            submitAt(begin, job);
         }
     }
 
