--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -710,6 +710,61 @@
     CHECK(summarize(cell.state, cell.now).waitingTasks > 0);
 }
 
+TEST_CASE("a step isn't asked about one worker after the other in costly calls, each of which may be in vain")
+{
+    owned_cell cell;
+    for (int number = 0; number < 20; ++number) {
+        cell.addWorker(owned_cell::makeWorker("w" + std::to_string(number), "r", wholeWorker));
+    }
+    auto advised = owned_cell::makeJob("advised", {makeStep(1)});
+    advised.queue.advice = advice_policy {440ms, 6ms, 2s};
+    for (const auto &[share, expected] : {std::pair(0.5, 5), std::pair(0.9, 2), std::pair(0.1, 7)}) {
+        advised.id = "advised-" + std::to_string(expected);
+        cell.state.advice[advised.queue.name].allowedShare = share;
+        cell.state.costlyAdviceCalls = 0;
+        cell.addJob(advised);
+        cell.runSchedulingPass();
+        const auto call = std::ranges::find_if(cell.actions, [&advised](const auto &action) {
+            const auto *ask = std::get_if<ask_advice>(&action);
+            return ask != nullptr && ask->step.job == advised.id;
+        });
+        REQUIRE(call != cell.actions.end());
+        CHECK(std::ssize(std::get<ask_advice>(*call).workers) == expected);
+    }
+}
+
+TEST_CASE("a service whose worker went silent starts as soon as the leases there are over, before an urgent backlog")
+{
+    auto cell = makeCellOf({"a"});
+    step(cell.state, storedService(), cell.now, cell.actions);
+    cell.state.jobs.at("service").accepted.queue.priority = 1;
+    const auto first = cell.runSchedulingPass();
+    REQUIRE(first.size() == 1);
+    step(cell.state, start_answered {"a", 1, first.front().run, order_result::done, cell.now}, cell.now, cell.actions);
+    cell.answerList("a", {{first.front().run, "", 100, 0}});
+    cell.runSchedulingPass(); // requests a list, to which the worker gives no answer any more
+    list_answered unanswered;
+    unanswered.worker = "a";
+    unanswered.sentAt = cell.now;
+    step(cell.state, unanswered, cell.now, cell.actions);
+    cell.addWorker(owned_cell::makeWorker("b", "r-b", wholeWorker));
+    const auto leasesEndBy = cell.state.workers.at("a").leasesEndBy;
+    while (cell.now < leasesEndBy) {
+        cell.advance(100ms);
+        cell.answerList("b", {});
+        step(cell.state, unanswered, cell.now, cell.actions);
+        const auto starts = cell.runSchedulingPass();
+        CHECK((cell.now >= leasesEndBy || starts.empty()));
+        if (cell.now + 100ms >= leasesEndBy && !cell.state.jobs.contains("urgent")) {
+            cell.addJob(owned_cell::makeJob("urgent", {makeStep(1, wholeWorker.milliCores)}));
+        }
+        if (cell.now >= leasesEndBy) {
+            REQUIRE(starts.size() == 1);
+            CHECK(starts.front().run.task.job == "service");
+        }
+    }
+}
+
 TEST_CASE("a service's task runs again within 6 s of its last run while two owners follow each other in a backlog")
 {
     auto service = storedService();
