--- a/src/libprimrosecroft/queues/queue_follower.cpp
+++ b/src/libprimrosecroft/queues/queue_follower.cpp
@@ -124,7 +124,8 @@
 void queue_follower::read()
 {
     const auto sentAt = bootNow();
-    const auto range = rangeOf({m_source.table, "", m_source.key});
+    auto range = rangeOf({m_source.table, "", m_source.key});
+    range.isLarge = true;
     m_store.read(range, readTimeout, [this, sentAt](const range_result &result) {
         advance(
             store_answered {sentAt, result.outcome == store_outcome::done, false, result.version, rowsOf(result.rows)});
--- a/src/libprimrosecroft/store/store.h
+++ b/src/libprimrosecroft/store/store.h
@@ -85,6 +85,10 @@
     std::string from; ///< empty: from the first key on
     std::string before; ///< empty: up to the last key
     int limit = 500; ///< maximum number of rows in one answer
+
+    /// The answer may be large for the link. The read's timeout is then the time in which nothing of it arrives, so that
+    /// an answer over a full link isn't given up and read again for ever.
+    bool isLarge = false;
 };
 
 /// One page of a range.
@@ -126,9 +130,6 @@
 
     virtual void commit(const store_transaction &transaction, std::chrono::milliseconds timeout,
                         std::function<void(commit_result)> done) = 0;
-
-    /// The call fails after @p timeout in which nothing of the answer arrived, so that a large answer over a full link
-    /// isn't given up and read again for ever.
     virtual void read(const row_range &range, std::chrono::milliseconds timeout,
                       std::function<void(range_result)> done) = 0;
 
--- a/tests/unit/slow_region_test.cpp
+++ b/tests/unit/slow_region_test.cpp
@@ -152,6 +152,19 @@
     CHECK(store.reads() == 1);
 }
 
+TEST_CASE("a read that isn't marked as large ends at its timeout, although its answer still arrives")
+{
+    const slow_store source(12, 150ms);
+    http_client http;
+    platform::store_client client(http, {"127.0.0.1", source.port()});
+    std::optional<store_outcome> outcome;
+    const auto sentAt = bootNow();
+    client.read(rangeOf({"op", "", "config"}), 400ms, [&](const range_result &result) { outcome = result.outcome; });
+    CHECK(runUntil([&] { return outcome.has_value(); }));
+    CHECK(outcome == store_outcome::lost);
+    CHECK(bootNow() < sentAt + 1s);
+}
+
 TEST_CASE("no process takes over from an owner that renews, because its own polls of the store get no answer")
 {
     CHECK_FALSE(takesOverFromRenewingOwner(500ms, store_outcome::lost));
