--- a/src/libprimrosecroft/store/store.h
+++ b/src/libprimrosecroft/store/store.h
@@ -86,8 +86,8 @@
     std::string before; ///< empty: up to the last key
     int limit = 500; ///< maximum number of rows in one answer
 
-    /// The answer may be large for the link. The read's timeout is then the time in which nothing of it arrives, so that
-    /// an answer over a full link isn't given up and read again for ever.
+    /// The answer may be large for the link. The read's timeout is then the time in which nothing of it arrives, so
+    /// that an answer over a full link isn't given up and read again for ever.
     bool isLarge = false;
 };
 
