--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -92,6 +92,12 @@
     /// Restarts a worker with another capacity.
     void rebootWorker(std::size_t worker, std::int64_t milliCores);
 
+    /// Crashes a worker, which starts again after @p span. Connections to it are refused meanwhile.
+    void crashWorker(std::size_t worker, std::chrono::milliseconds span);
+
+    /// Returns how many workers each task has crashed. Tasks that have crashed none are missing.
+    const std::map<task_ref, int> &crashes() const;
+
     /// Lets the platform drain a worker, which restarts after @p span.
     void drainWorker(std::size_t worker, std::chrono::milliseconds span);
 
--- /dev/null
+++ b/tests/standins/crash_check.cpp
@@ -0,0 +1,33 @@
+#include "crash_check.h"
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+constexpr int crashLimit = 3; ///< workers crashed under a task, from which on its starts are counted
+constexpr int startLimit = 3; ///< so many further starts break the rule
+
+} // namespace
+
+void crash_check::recordCrash(const task_ref &task)
+{
+    ++m_crashes[task];
+}
+
+std::string crash_check::recordStart(const task_ref &task)
+{
+    const auto found = m_crashes.find(task);
+    if (found == m_crashes.end() || found->second < crashLimit || ++m_startsAfterLimit[task] < startLimit) {
+        return {};
+    }
+    return "started three times more after it had crashed three workers: " + toString(task);
+}
+
+const std::map<task_ref, int> &crash_check::crashes() const
+{
+    return m_crashes;
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/tests/standins/crash_schedule.cpp
@@ -0,0 +1,214 @@
+#include "crash_schedule.h"
+
+#include "cell_emulation.h"
+
+#include <random>
+#include <set>
+#include <utility>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t workerCount = 10;
+constexpr auto workBegins = 1'000ms;
+constexpr auto workEnds = 20'000ms;
+constexpr auto totalTime = 80'000ms;
+constexpr int crashWaves = 4;
+constexpr double crashedShare = 0.4; ///< of the workers, in each wave
+constexpr std::int64_t lateCrashOneIn =
+    4; ///< of the tasks that crash workers, one in this many does so later in its run
+
+struct crash_schedule
+{
+    explicit crash_schedule(std::uint64_t seed)
+        : random(seed + 5'000'011) // other numbers than those of the emulation
+        , emulation(settingsOf(seed))
+    {
+        emulation.behaviour = [this](const run_id &run, const step_spec &step) { return behaviourOf(run, step); };
+    }
+
+    static emulation_settings settingsOf(std::uint64_t seed)
+    {
+        emulation_settings settings;
+        settings.seed = seed;
+        settings.workers = workerCount;
+        settings.faultPeriod = workEnds;
+        settings.faultScale = 0.5;
+        settings.maxLoadTime = 1'500ms;
+        return settings;
+    }
+
+    std::int64_t draw(std::int64_t min, std::int64_t max)
+    {
+        return std::uniform_int_distribution<std::int64_t>(min, max)(random);
+    }
+
+    std::chrono::milliseconds drawTime(std::chrono::milliseconds min, std::chrono::milliseconds max)
+    {
+        return std::chrono::milliseconds(draw(min.count(), max.count()));
+    }
+
+    task_behaviour behaviourOf(const run_id &run, const step_spec &step) const
+    {
+        task_behaviour result {step.estimate, false, step.isService, 0, step.isService ? step.estimate : 0ms, {}};
+        if (const auto found = crashTimes.find(run.task); found != crashTimes.end()) {
+            result.crashesAfter = found->second;
+        }
+        return result;
+    }
+
+    accepted_job drawJob(const std::string &name)
+    {
+        accepted_job job;
+        job.id = name;
+        job.queue = {"queue", "pool", 0, 3, 2, 500ms, std::nullopt};
+        const auto steps = draw(1, 2);
+        const bool allowsCopies = draw(0, 1) == 1;
+        for (std::int64_t number = 0; number < steps; ++number) {
+            step_spec step;
+            step.count = static_cast<std::int32_t>(draw(1, 6));
+            step.size = {draw(500, 2'500), draw(100, 2'000), 0};
+            step.estimate = drawTime(200ms, 3'000ms);
+            step.allowsCopies = allowsCopies;
+            if (number > 0) {
+                step.after = {static_cast<std::int32_t>(number - 1)};
+            }
+            job.spec.steps.push_back(step);
+        }
+        return job;
+    }
+
+    void submitAt(std::chrono::milliseconds time, const accepted_job &job)
+    {
+        jobs.insert(job.id);
+        events.emplace(time, [this, job] { emulation.submit(job); });
+    }
+
+    void drawWork()
+    {
+        for (int i = 0; i < 40; ++i) {
+            submitAt(drawTime(workBegins, workEnds), drawJob("job" + std::to_string(i)));
+        }
+    }
+
+    void drawDeadlyTasks()
+    {
+        for (int i = 0; i < 5; ++i) {
+            const auto job = drawJob("deadly" + std::to_string(i));
+            const auto step = static_cast<std::int32_t>(draw(0, std::ssize(job.spec.steps) - 1));
+            const auto isLate = draw(1, lateCrashOneIn) == 1;
+            const auto work = job.spec.steps[static_cast<std::size_t>(step)].estimate;
+            crashTimes[{job.id, 0, step, 0}] = isLate ? work / 2 : 10ms;
+            submitAt(drawTime(workBegins, workEnds / 2), job);
+        }
+    }
+
+    void drawCrashWaves()
+    {
+        for (int i = 0; i < crashWaves; ++i) {
+            const auto time = workBegins + (i + 1) * 4'000ms;
+            for (std::size_t worker = 0; worker < workerCount; ++worker) {
+                if (std::bernoulli_distribution(crashedShare)(random)) {
+                    const auto span = drawTime(1'000ms, 4'000ms);
+                    events.emplace(time, [this, worker, span] { emulation.crashWorker(worker, span); });
+                }
+            }
+        }
+    }
+
+    void drawOwnerChanges()
+    {
+        const auto count = draw(0, 2);
+        for (std::int64_t i = 0; i < count; ++i) {
+            const auto span = drawTime(300ms, 4'000ms);
+            const bool isKill = draw(0, 1) == 0;
+            events.emplace(drawTime(workBegins, workEnds), [this, span, isKill] {
+                if (isKill) {
+                    emulation.killOwner(span);
+                } else {
+                    emulation.handOver();
+                }
+            });
+        }
+    }
+
+    void drawDisconnections()
+    {
+        const auto count = draw(0, 3);
+        for (std::int64_t i = 0; i < count; ++i) {
+            const auto worker = static_cast<std::size_t>(draw(0, workerCount - 1));
+            const auto span = drawTime(500ms, 9'000ms);
+            events.emplace(drawTime(workBegins, workEnds),
+                           [this, worker, span] { emulation.disconnectWorker(worker, span); });
+        }
+    }
+
+    /// Returns the first wrong end of a job, empty if there is none.
+    std::string findWrongEnd() const
+    {
+        for (const auto &id : jobs) {
+            const auto end = emulation.storedEnd(id);
+            if (!end) {
+                return "not ended long after the last fault: " + id + "; " + emulation.explain(id);
+            }
+            const bool isDeadly = crashTimes.lower_bound({id, 0, 0, 0}) != crashTimes.lower_bound({id, 1, 0, 0});
+            if (*end == job_status::failed && !isDeadly) {
+                return "failed although none of its tasks crashes workers: " + id;
+            }
+        }
+        return {};
+    }
+
+    crash_outcome run(const std::function<void(const std::string &line)> &onTrace)
+    {
+        if (onTrace) {
+            emulation.onTrace = [&](const std::string &line) {
+                onTrace(std::to_string(emulation.elapsed().count()) + " " + line);
+            };
+        }
+        for (const auto &[time, event] : events) {
+            if (emulation.elapsed() < time) {
+                emulation.runFor(time - emulation.elapsed());
+            }
+            event();
+        }
+        emulation.runFor(totalTime - emulation.elapsed());
+        crash_outcome outcome;
+        outcome.violation = emulation.violation().empty() ? findWrongEnd() : emulation.violation();
+        for (const auto &[task, count] : emulation.crashes()) {
+            ++outcome.workersByTask[count];
+        }
+        return outcome;
+    }
+
+    std::mt19937_64 random;
+    cell_emulation emulation;
+    std::set<job_id> jobs;
+    std::map<task_ref, std::chrono::milliseconds> crashTimes; ///< of the tasks that crash workers, from their start
+    std::multimap<std::chrono::milliseconds, std::function<void()>> events;
+};
+
+} // namespace
+
+crash_outcome runCrashSchedule(std::uint64_t seed, crash_cause cause,
+                               const std::function<void(const std::string &line)> &onTrace)
+{
+    crash_schedule drawn(seed);
+    drawn.drawWork();
+    if (cause != crash_cause::workers) {
+        drawn.drawDeadlyTasks();
+    }
+    if (cause != crash_cause::tasks) {
+        drawn.drawCrashWaves();
+    }
+    drawn.drawOwnerChanges();
+    drawn.drawDisconnections();
+    return drawn.run(onTrace);
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/tests/standins/crash_schedule.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+/**
+ * Seeded schedules in which tasks crash the workers that start them, workers crash by themselves, and owners change.
+ */
+namespace primrosecroft
+{
+
+enum class crash_cause
+{
+    tasks, ///< each time by the same tasks
+    workers, ///< many workers at once, under whatever runs there
+    tasksAndWorkers,
+};
+
+struct crash_outcome
+{
+    std::string violation; ///< empty if the checks found none
+    std::map<int, int> workersByTask; ///< by the number of workers that a task crashed, the number of such tasks
+};
+
+/// Runs the schedule of a seed. Its violations are those of the emulation, a job that has failed although none of its
+/// tasks crashes workers, and a job that hasn't ended long after the last fault. @p onTrace may be empty.
+crash_outcome runCrashSchedule(std::uint64_t seed, crash_cause cause,
+                               const std::function<void(const std::string &line)> &onTrace);
+
+} // namespace primrosecroft
