--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -302,7 +302,7 @@
 {
     worker_id worker;
     std::string how; ///< restarted, unlisted or silent
-    std::chrono::milliseconds silentFor {0}; ///< since the first list request that failed
+    std::chrono::milliseconds silentFor {0}; ///< since its last answer, or the last start there
     std::size_t suspects = 0; ///< tasks and gangs there that it hadn't survived yet
     std::size_t others = 0; ///< those that it had
     bool isTrial = false; ///< the only suspect had started alone there
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -293,7 +293,9 @@
     if (worker.description.isDraining || worker.description.boot <= worker.lostBoot) {
         return; // it was to leave, or its loss is counted and its next boot isn't known yet
     }
-    worker.lostBoot = worker.description.boot;
+    if (how == worker_loss::restarted) { // otherwise it may come back in the same boot, and be lost again
+        worker.lostBoot = worker.description.boot;
+    }
     const bool isProven = how != worker_loss::silent;
     if (isProven) {
         recordFailedTrialSince(state, worker, now, actions);
--- a/tests/unit/worker_loss_test.cpp
+++ b/tests/unit/worker_loss_test.cpp
@@ -213,6 +213,24 @@
     CHECK(cell.cell.state.jobs.at("job").occurrences.at(0).steps[0].tasks[0].losses.counts == lost_workers {});
 }
 
+TEST_CASE("the crash of a worker counts that was silent for longer than its leases before, in the same boot")
+{
+    crashing_cell cell({"a"});
+    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    REQUIRE(cell.startPending().size() == 1);
+    cell.cell.advance(20s); // the leases expire
+    cell.cell.runSchedulingPass();
+    cell.running.clear();
+    cell.advanceAndList(100ms);
+    REQUIRE(cell.startPending().size() == 1);
+    cell.cell.actions.clear();
+    cell.crash("a");
+    CHECK(std::ranges::any_of(cell.cell.actions, [](const cell_action &action) {
+        const auto *loss = std::get_if<report_worker_loss>(&action);
+        return loss != nullptr && loss->how == "restarted";
+    }));
+}
+
 TEST_CASE("a gang under which workers crash is given up as a whole")
 {
     crashing_cell cell({"a", "b", "c", "d"});
