Count a job as waiting of which only a suspect's counted start is stored, and a service at work as survived

Causes: - cell-schedules (4), cell-handovers: 'reports 0 waiting jobs while 1 have waited'. The start of a suspect is now stored before it is sent, and a later owner took any stored progress for a start. Counts of lost workers don't tell of one. - placing: a service that a list had shown at work was a suspect when its leases expired. It is survived by then. - supervision: a copy of a run that may be why its worker is silent is sent once it is stored, one commit later.

--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -129,6 +129,22 @@
     }
 }
 
+/// Returns whether the stored progress shows that a task has started. Counts of lost workers don't, since a suspect's
+/// start is counted before it is sent.
+bool tellsOfStart(const job_progress &progress)
+{
+    const auto isOfStart = [](const task_progress &task) {
+        return !task.failedAttempts.empty() || !task.checkpoint.empty() || task.mayHaveBegun;
+    };
+    const auto hasStart = [&](const step_progress &step) {
+        return !step.done.empty() || !step.failedGangs.empty() || step.attemptLimit != 0
+            || std::ranges::any_of(std::views::values(step.tasks), isOfStart);
+    };
+    return std::ranges::any_of(std::views::values(progress), [&](const occurrence_progress &occurrence) {
+        return occurrence.isComplete || std::ranges::any_of(std::views::values(occurrence.steps), hasStart);
+    });
+}
+
 bool hasCompleted(const job_state &job)
 {
     const auto occurrenceCount = std::max(job.accepted.spec.occurrences, 1);
@@ -212,7 +228,7 @@
     job.objective = objectiveOf(message.job);
     job.isCancelled = message.isCancelled;
     job.hasProgress = !message.progress.empty();
-    job.hasStarted = job.hasProgress;
+    job.hasStarted = tellsOfStart(message.progress);
     if (job.isCancelled) {
         markUnsaved(state, job);
     }
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto trialTime = 150ms; ///< a worker that answers this long after a start has survived it
+constexpr std::int32_t fullPercent = 100; ///< progress of a service that is at work, or of work that is done
 constexpr auto longTrialTime = 10'000ms; ///< for tasks under which workers were lost later
 constexpr std::uint32_t laterLossesBeforeLongTrial = 2;
 constexpr std::uint32_t lossesBeforeBlame = 2; ///< with a failed trial among them
@@ -26,11 +27,13 @@
     return losses.counts.later >= laterLossesBeforeLongTrial;
 }
 
-/// Returns whether the worker has answered long enough after the start of the run there.
+/// Returns whether the worker has answered long enough after the start of the run there, or has shown it at work.
 bool isSurvived(const worker_state &worker, const task_run &run, const loss_record &losses)
 {
-    const auto time = run.isTrial && needsLongTrial(losses) ? longTrialTime : trialTime;
-    return run.phase == run_phase::running && worker.lastSignAt >= run.runningSince + time;
+    const bool isLong = run.isTrial && needsLongTrial(losses);
+    const bool isAtWork = !isLong && run.percent >= fullPercent;
+    return run.phase == run_phase::running
+        && (isAtWork || worker.lastSignAt >= run.runningSince + (isLong ? longTrialTime : trialTime));
 }
 
 std::string toString(worker_loss how)
--- a/tests/unit/supervision_test.cpp
+++ b/tests/unit/supervision_test.cpp
@@ -188,7 +188,8 @@
     const auto first = cell.runSchedulingPass();
     REQUIRE(first.size() == 1);
     acceptStart(cell, first.front());
-    cell.advance(300ms);
+    advanceAndList(cell, 200ms, first.front(), 10); // so the worker has survived its start
+    cell.advance(100ms);
     list_answered lost;
     lost.worker = first.front().worker;
     lost.sentAt = cell.now;
@@ -204,6 +205,25 @@
     CHECK(std::ranges::find(stops, first.front().run) != stops.end());
 }
 
+TEST_CASE("a run that may be why its worker is unresponsive gets a copy as soon as that is stored")
+{
+    auto cell = makeCellOf({"a", "b"});
+    cell.addJob(owned_cell::makeJob("job", {makeStep(true)}));
+    const auto first = cell.runSchedulingPass();
+    REQUIRE(first.size() == 1);
+    acceptStart(cell, first.front());
+    cell.advance(300ms);
+    list_answered lost;
+    lost.worker = first.front().worker;
+    lost.sentAt = cell.now;
+    step(cell.state, lost, cell.now, cell.actions);
+    CHECK(cell.runSchedulingPass().empty());
+    cell.confirmCommit();
+    const auto copies = cell.runSchedulingPass();
+    REQUIRE(copies.size() == 1);
+    CHECK(copies.front().worker != first.front().worker);
+}
+
 TEST_CASE("a drain stops as many tasks of a service as may be unavailable, and the next ones when those are at work")
 {
     service_cell service(1);
--- a/tests/unit/worker_loss_test.cpp
+++ b/tests/unit/worker_loss_test.cpp
@@ -231,6 +231,16 @@
     }));
 }
 
+TEST_CASE("a job of which only a counted start is stored counts as waiting")
+{
+    crashing_cell cell({"a"});
+    job_progress progress;
+    progress[0].steps[0].tasks[0].lost = {1, 0, 0};
+    const auto job = owned_cell::makeJob("job", {makeStep(1)});
+    step(cell.cell.state, job_arrived {job, progress, 11, false}, cell.cell.now, cell.cell.actions);
+    CHECK(waitingJobs(cell.cell.state)["queue"] == 1);
+}
+
 TEST_CASE("a gang under which workers crash is given up as a whole")
 {
     crashing_cell cell({"a", "b", "c", "d"});
