--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -3,7 +3,6 @@
 #include "advice_dispatcher.h"
 #include "advice_report.h"
 #include "callers/caller_service.h"
-#include "cell/cell_runner.h"
 #include "configuration_link.h"
 #include "core/clock.h"
 #include "core/error.h"
@@ -20,6 +19,7 @@
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
 #include "owner_link.h"
+#include "owner_session/cell_runner.h"
 #include "platform/store_client.h"
 #include "platform/wire.h"
 #include "platform/worker_client.h"
@@ -729,7 +729,10 @@
         const auto sources = {g_unix_signal_add(SIGTERM, &parts::onTerminate, this),
                               g_unix_signal_add(SIGINT, &parts::onTerminate, this),
                               g_unix_signal_add(SIGHUP, &parts::onReload, this)};
-        queues.start([this](const queue_table &table) { callerServer.setMaxBodySize(table.maxRequestBytes); });
+        queues.start([this](const queue_table &table) {
+            callerServer.setMaxBodySize(table.maxRequestBytes);
+            runner.setWorkspaces(policiesOf(table));
+        });
         tickTimer.every(presenceInterval, [this] { tick(); });
         adviceTimer.every(adviceCheckInterval, [this] {
             if (isOwner()) {
--- a/src/celld/owner_link.h
+++ b/src/celld/owner_link.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "callers/caller_service.h"
-#include "cell/cell_runner.h"
 #include "io/peer_hub.h"
 #include "observability/decision_log.h"
+#include "owner_session/cell_runner.h"
 #include "store/store.h"
 
 #include <functional>
--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -51,6 +51,7 @@
                        state.confirmedVersion = std::max(state.confirmedVersion, confirmed.version);
                    },
                    [&](const rules_updated &updated) { state.rules = updated.rules; },
+                   [&](const workspaces_updated &updated) { state.workspaces = updated.workspaces; },
                    [&](const clock_ticked &clock) {
                        state.timeOfDay = clock.timeOfDay;
                        state.storeTime = clock.storeTime;
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -258,6 +258,7 @@
     std::uint64_t contactedWorkersCommit = 0; ///< number of the pending commit that stores them anew; 0 for none
     std::set<worker_id> contactedWorkersSent; ///< the workers that this commit stores
     cell_rules rules;
+    workspace_policies workspaces; ///< of the configuration in force
     std::map<job_id, job_state> jobs;
     std::map<job_id, job_status> finishedJobs; ///< jobs whose end is stored, the latest ones
     std::deque<job_id> finishedJobsOrder; ///< the same jobs, oldest end first
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -199,6 +199,12 @@
     cell_rules rules;
 };
 
+/// A configuration has come into force at the owner.
+struct workspaces_updated
+{
+    workspace_policies workspaces;
+};
+
 /// Readings of the clocks, and the number of processes that can call the advice service. Sent before each pass.
 struct clock_ticked
 {
@@ -207,9 +213,9 @@
     std::int32_t adviceRoutes = 1; ///< processes that can call the advice service
 };
 
-using cell_message =
-    std::variant<worker_listed, worker_unlisted, job_arrived, job_cancelled, start_answered, stop_answered,
-                 list_answered, advice_answered, commit_answered, ownership_confirmed, rules_updated, clock_ticked>;
+using cell_message = std::variant<worker_listed, worker_unlisted, job_arrived, job_cancelled, start_answered,
+                                  stop_answered, list_answered, advice_answered, commit_answered, ownership_confirmed,
+                                  rules_updated, workspaces_updated, clock_ticked>;
 
 // --- actions
 
--- a/src/libprimrosecroft/jobs/job.cpp
+++ b/src/libprimrosecroft/jobs/job.cpp
@@ -114,6 +114,7 @@
     put(row, "dr", step.dataRack);
     put(row, "pw", step.maxPerWorker);
     put(row, "tl", step.targetLatency.count());
+    put(row, "im", step.image);
     if (step.maxUnavailable) {
         row["mm"] = *step.maxUnavailable; // also 0, which differs from a missing value
     }
@@ -141,6 +142,7 @@
     get(row, "dr", step.dataRack);
     get(row, "pw", step.maxPerWorker);
     getTime(row, "tl", step.targetLatency);
+    get(row, "im", step.image);
     if (const auto found = row.find("mm"); found != row.end()) {
         step.maxUnavailable = found->get<std::int32_t>();
     }
@@ -251,6 +253,7 @@
     row["i"] = job.id;
     row["q"] = toRow(job.queue);
     row["t"] = job.acceptedAt.count();
+    put(row, "w", job.workspace);
     put(row, "p", job.spec.payload);
     put(row, "o", job.spec.occurrences);
     put(row, "f", job.spec.firstDue.count());
@@ -271,6 +274,7 @@
         get(parsed, "i", job.id);
         job.queue = queueFrom(parsed.at("q"));
         getTime(parsed, "t", job.acceptedAt);
+        get(parsed, "w", job.workspace);
         get(parsed, "p", job.spec.payload);
         get(parsed, "o", job.spec.occurrences);
         getTime(parsed, "f", job.spec.firstDue);
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "workspaces/workspace.h"
 
 #include <chrono>
 #include <compare>
@@ -40,6 +41,7 @@
     std::chrono::milliseconds targetLatency {0}; ///< target that a service has towards its own users; 0 for none
     /// Tasks of a service that orders may make unavailable at the same time, so 0 for none. Unset for no limit.
     std::optional<std::int32_t> maxUnavailable;
+    std::string image; ///< what the tasks run; those of one image behave alike; empty if unknown
 
     friend bool operator==(const step_spec &, const step_spec &) = default;
 };
@@ -88,6 +90,7 @@
     job_id id;
     job_spec spec;
     queue_policy queue;
+    workspace_name workspace; ///< empty if the job belongs to none
     std::chrono::milliseconds acceptedAt {0}; ///< on the store's steady clock
 };
 
--- a/src/libprimrosecroft/cell/acceptance_batcher.cpp
+++ b/src/libprimrosecroft/owner_session/acceptance_batcher.cpp
@@ -1,4 +1,4 @@
-#include "cell/acceptance_batcher.h"
+#include "owner_session/acceptance_batcher.h"
 
 #include "core/clock.h"
 #include "jobs/job_rows.h"
--- a/src/libprimrosecroft/cell/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -1,4 +1,4 @@
-#include "cell/cell_log.h"
+#include "owner_session/cell_log.h"
 
 #include <string>
 
--- a/src/libprimrosecroft/cell/cell_rows_reader.h
+++ b/src/libprimrosecroft/owner_session/cell_rows_reader.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "cell/runner_context.h"
 #include "core/error.h"
 #include "io/timer.h"
+#include "owner_session/runner_context.h"
 
 #include <functional>
 #include <vector>
--- a/src/libprimrosecroft/cell/cell_runner.cpp
+++ b/src/libprimrosecroft/owner_session/cell_runner.cpp
@@ -1,18 +1,18 @@
-#include "cell/cell_runner.h"
+#include "owner_session/cell_runner.h"
 
 #include "callers/waiting_counts.h"
-#include "cell/cell_log.h"
-#include "cell/cell_rows_reader.h"
-#include "cell/inbox_reader.h"
-#include "cell/job_reader.h"
-#include "cell/job_requests.h"
-#include "cell/job_scan.h"
-#include "cell/order_sender.h"
-#include "cell/owned_commits.h"
-#include "cell/pass_pacing.h"
-#include "cell/runner_context.h"
 #include "core/clock.h"
 #include "core/overloaded.h"
+#include "owner_session/cell_log.h"
+#include "owner_session/cell_rows_reader.h"
+#include "owner_session/inbox_reader.h"
+#include "owner_session/job_reader.h"
+#include "owner_session/job_requests.h"
+#include "owner_session/job_scan.h"
+#include "owner_session/order_sender.h"
+#include "owner_session/owned_commits.h"
+#include "owner_session/pass_pacing.h"
+#include "owner_session/runner_context.h"
 
 #include <algorithm>
 #include <utility>
@@ -40,6 +40,7 @@
         , startedAt(takeOver.takenAt)
     {
         state.confirmedAt = confirmedAt;
+        state.workspaces = ownRunner.m_workspaces;
     }
 
     cell_runner &runner;
@@ -265,6 +266,15 @@
     }
 }
 
+void cell_runner::setWorkspaces(workspace_policies workspaces)
+{
+    m_workspaces = std::move(workspaces);
+    if (m_session) {
+        m_session->context.apply(workspaces_updated {m_workspaces});
+        m_session->requestPass();
+    }
+}
+
 bool cell_runner::isServing() const
 {
     return m_session && m_session->isLoaded;
--- a/src/libprimrosecroft/cell/cell_runner.h
+++ b/src/libprimrosecroft/owner_session/cell_runner.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "cell/acceptance_batcher.h"
 #include "cell/cell.h"
-#include "cell/worker_feed.h"
-#include "cell/worker_gateway.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
+#include "owner_session/acceptance_batcher.h"
+#include "owner_session/worker_feed.h"
+#include "owner_session/worker_gateway.h"
 #include "store/monitored_store.h"
 
 #include <functional>
@@ -44,6 +44,9 @@
     /// Ends the ownership. No order and no write is sent after this.
     void end();
 
+    /// Passes the workspaces of a configuration that has come into force to the core, also for later ownerships.
+    void setWorkspaces(workspace_policies workspaces);
+
     /// True once the stored state has been loaded.
     bool isServing() const;
 
@@ -76,6 +79,7 @@
     worker_source m_source;
     runner_links m_links;
     cell_settings m_settings;
+    workspace_policies m_workspaces;
     decision_log &m_log;
     metrics &m_measures;
     std::shared_ptr<session> m_session;
--- a/src/libprimrosecroft/cell/job_reader.cpp
+++ b/src/libprimrosecroft/owner_session/job_reader.cpp
@@ -1,6 +1,6 @@
-#include "cell/job_reader.h"
+#include "owner_session/job_reader.h"
 
-#include "cell/store_timing.h"
+#include "owner_session/store_timing.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libprimrosecroft/cell/job_reader.h
+++ b/src/libprimrosecroft/owner_session/job_reader.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "cell/read_paging.h"
-#include "cell/runner_context.h"
-#include "cell/stored_jobs.h"
 #include "io/timer.h"
+#include "owner_session/read_paging.h"
+#include "owner_session/runner_context.h"
+#include "owner_session/stored_jobs.h"
 
 #include <functional>
 #include <map>
--- a/src/libprimrosecroft/cell/job_requests.cpp
+++ b/src/libprimrosecroft/owner_session/job_requests.cpp
@@ -1,4 +1,4 @@
-#include "cell/job_requests.h"
+#include "owner_session/job_requests.h"
 
 #include "core/error.h"
 
--- a/src/libprimrosecroft/cell/job_requests.h
+++ b/src/libprimrosecroft/owner_session/job_requests.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "cell/acceptance_batcher.h"
-#include "cell/owned_commits.h"
-#include "cell/runner_context.h"
+#include "owner_session/acceptance_batcher.h"
+#include "owner_session/owned_commits.h"
+#include "owner_session/runner_context.h"
 
 #include <functional>
 #include <map>
--- a/src/libprimrosecroft/cell/job_scan.cpp
+++ b/src/libprimrosecroft/owner_session/job_scan.cpp
@@ -1,6 +1,6 @@
-#include "cell/job_scan.h"
+#include "owner_session/job_scan.h"
 
-#include "cell/store_timing.h"
+#include "owner_session/store_timing.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libprimrosecroft/cell/job_scan.h
+++ b/src/libprimrosecroft/owner_session/job_scan.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "cell/read_paging.h"
-#include "cell/runner_context.h"
 #include "io/timer.h"
+#include "owner_session/read_paging.h"
+#include "owner_session/runner_context.h"
 
 #include <functional>
 #include <string>
--- a/src/libprimrosecroft/cell/order_sender.cpp
+++ b/src/libprimrosecroft/owner_session/order_sender.cpp
@@ -1,4 +1,4 @@
-#include "cell/order_sender.h"
+#include "owner_session/order_sender.h"
 
 namespace primrosecroft
 {
--- a/src/libprimrosecroft/cell/order_sender.h
+++ b/src/libprimrosecroft/owner_session/order_sender.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cell/runner_context.h"
-#include "cell/worker_gateway.h"
+#include "owner_session/runner_context.h"
+#include "owner_session/worker_gateway.h"
 
 #include <functional>
 
--- a/src/libprimrosecroft/cell/owned_commits.cpp
+++ b/src/libprimrosecroft/owner_session/owned_commits.cpp
@@ -1,4 +1,4 @@
-#include "cell/owned_commits.h"
+#include "owner_session/owned_commits.h"
 
 #include "leadership/leadership.h"
 #include "leadership/owned_commit.h"
--- a/src/libprimrosecroft/cell/owned_commits.h
+++ b/src/libprimrosecroft/owner_session/owned_commits.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cell/runner_context.h"
+#include "owner_session/runner_context.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/libprimrosecroft/cell/runner_context.h
+++ b/src/libprimrosecroft/owner_session/runner_context.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "cell/cell.h"
-#include "cell/session_guard.h"
 #include "core/clock.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
+#include "owner_session/session_guard.h"
 #include "store/monitored_store.h"
 
 #include <functional>
--- a/src/libprimrosecroft/cell/stored_jobs.cpp
+++ b/src/libprimrosecroft/owner_session/stored_jobs.cpp
@@ -1,4 +1,4 @@
-#include "cell/stored_jobs.h"
+#include "owner_session/stored_jobs.h"
 
 #include "core/error.h"
 
--- a/src/libprimrosecroft/cell/worker_feed.cpp
+++ b/src/libprimrosecroft/owner_session/worker_feed.cpp
@@ -1,6 +1,6 @@
-#include "cell/worker_feed.h"
+#include "owner_session/worker_feed.h"
 
-#include "cell/store_timing.h"
+#include "owner_session/store_timing.h"
 
 #include <algorithm>
 #include <ranges>
--- a/src/libprimrosecroft/cell/worker_feed.h
+++ b/src/libprimrosecroft/owner_session/worker_feed.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cell/runner_context.h"
 #include "io/timer.h"
+#include "owner_session/runner_context.h"
 
 #include <functional>
 #include <memory>
--- a/src/libprimrosecroft/queues/queue_table.cpp
+++ b/src/libprimrosecroft/queues/queue_table.cpp
@@ -31,4 +31,15 @@
     return best;
 }
 
+workspace_policies policiesOf(const queue_table &table)
+{
+    workspace_policies result;
+    if (table.workspaces) {
+        for (const auto &each : *table.workspaces) {
+            result.emplace(each.name, each.policy);
+        }
+    }
+    return result;
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/relays/relayed_workers.h
+++ b/src/libprimrosecroft/relays/relayed_workers.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "cell/worker_gateway.h"
 #include "io/peer_hub.h"
 #include "io/timer.h"
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
+#include "owner_session/worker_gateway.h"
 #include "relays/relay_plan.h"
 
 #include <cstdint>
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -1,6 +1,6 @@
-#include "cell/pass_pacing.h"
 #include "loopback.h"
 #include "owner_process.h"
+#include "owner_session/pass_pacing.h"
 
 #include <catch2/catch.hpp>
 #include <thread>
--- a/tests/unit/fuzz_inputs.cpp
+++ b/tests/unit/fuzz_inputs.cpp
@@ -1,10 +1,10 @@
 #include "fuzz_inputs.h"
 
-#include "cell/stored_jobs.h"
 #include "configuration/sheet.h"
 #include "core/error.h"
 #include "leadership/leadership.h"
 #include "owned_cell.h"
+#include "owner_session/stored_jobs.h"
 #include "primrosecroft_types.h"
 #include "protocol/frame.h"
 #include "settings/checked_node.h"
--- a/tests/unit/owner_process.h
+++ b/tests/unit/owner_process.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "cell/cell_runner.h"
 #include "core/clock.h"
 #include "fake_store.h"
 #include "jobs/job_rows.h"
 #include "leadership/leadership.h"
+#include "owner_session/cell_runner.h"
 
 #include <string>
 
--- a/tests/unit/read_paging_test.cpp
+++ b/tests/unit/read_paging_test.cpp
@@ -1,4 +1,4 @@
-#include "cell/read_paging.h"
+#include "owner_session/read_paging.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/stored_jobs_test.cpp
+++ b/tests/unit/stored_jobs_test.cpp
@@ -1,5 +1,5 @@
-#include "cell/stored_jobs.h"
 #include "core/error.h"
+#include "owner_session/stored_jobs.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
