--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -1,6 +1,7 @@
 #include "cell/detail/advice_requests.h"
 #include "cell/detail/candidates.h"
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/serving_order.h"
 #include "cell/detail/worker_loss.h"
 
 #include <algorithm>
@@ -21,108 +22,9 @@
 /// Only this many steps of a pass, the first ones that need advice, may ask about workers without free capacity.
 constexpr std::size_t maxStepsAskingWithoutCapacity = 10;
 
-constexpr auto maxOrderingEstimate = 120s; ///< a longer estimate moves a step no further back in the queue
-
-/// A step later than this many times the objective goes behind all others, whatever its priority. Services never do.
-constexpr double farOverdueFactor = 3;
-
-/// A service's task that has waited this long goes before all other work: its users have no service meanwhile, and in a
-/// backlog of more urgent queues it would wait as long as that lasts.
-constexpr auto maxServiceWait = 2s;
-
 /// A suspect that has waited this long for a worker on which a trial may begin goes to any other one.
 constexpr auto maxTrialWait = 2s;
 
-/// A step with pending tasks. Steps are sorted in the order in which they are served.
-struct queued_step
-{
-    waiting_step waiting;
-    bool isOther = true; ///< false for a service with a task that has waited for longer than maxServiceWait
-    bool isFarOverdue = false; ///< so late that its job gains nothing by being served early
-    std::int32_t priority = 0; ///< 0 is served first
-    /// The job can't meet its objective any more. Served after those that can, so that a backlog of late jobs doesn't
-    /// make each job late that arrives after it.
-    bool isLate = false;
-    /// End of the job's objective, put off for long steps by the policy; the earlier is served first. The objective
-    /// begins when the job arrived or, for a job with a schedule, when the step became ready.
-    instant due;
-
-    friend bool operator<(const queued_step &left, const queued_step &right)
-    {
-        return std::tie(left.isOther, left.isFarOverdue, left.priority, left.isLate, left.due,
-                        left.waiting.job->accepted.id, left.waiting.occurrenceNumber, left.waiting.index)
-            < std::tie(right.isOther, right.isFarOverdue, right.priority, right.isLate, right.due,
-                       right.waiting.job->accepted.id, right.waiting.occurrenceNumber, right.waiting.index);
-    }
-};
-
-/// Returns whether the job may have been stored after another process took over. If so, that owner hasn't read it with
-/// the stored state, so it would take a run of it for an unknown one, and start the task itself.
-bool mayBelongToLaterOwner(const cell_state &state, const job_state &job)
-{
-    return job.version > state.confirmedVersion;
-}
-
-/// Returns whether tasks of the job may still run under the leases of an earlier owner. Jobs that were accepted under
-/// this ownership are never in doubt.
-bool isJobInDoubt(const cell_state &state, const job_state &job, instant now)
-{
-    return !state.unreconciledWorkers.empty() && now < state.inDoubtUntil && job.version < state.takeOver.token
-        && job.version != 0;
-}
-
-/// Returns whether a task of the service has waited for longer than maxServiceWait.
-bool isServiceOverdue(const waiting_step &waiting, instant now)
-{
-    return waiting.spec->isService && std::ranges::any_of(waiting.step->pendingTasks, [&](std::int32_t index) {
-               return waiting.step->tasks[static_cast<std::size_t>(index)].awaySince + maxServiceWait <= now;
-           });
-}
-
-queued_step queuedStepOf(const cell_state &state, const waiting_step &waiting, instant now)
-{
-    const auto &job = *waiting.job;
-    const auto objective = std::chrono::duration_cast<duration>(job.objective);
-    const auto begin = job.accepted.spec.occurrences > 0 ? waiting.step->readyAt : job.arrivedAt;
-    const auto orderingDelay =
-        std::min<duration>(waiting.spec->estimate, maxOrderingEstimate) * state.rules.policy.shortFirst;
-    queued_step result;
-    result.waiting = waiting;
-    result.isOther = !isServiceOverdue(waiting, now);
-    result.priority = job.accepted.queue.priority;
-    result.due = begin + objective + std::chrono::duration_cast<duration>(orderingDelay);
-    result.isLate = !waiting.spec->isService && now + waiting.step->criticalPath > begin + objective;
-    result.isFarOverdue =
-        !waiting.spec->isService && now > begin + std::chrono::duration_cast<duration>(objective * farOverdueFactor);
-    return result;
-}
-
-std::vector<queued_step> queuedSteps(cell_state &state, instant now)
-{
-    std::vector<queued_step> result;
-    for (auto &[id, job] : state.jobs) {
-        if (job.isCancelled || job.hasFailed || mayBelongToLaterOwner(state, job)) {
-            continue;
-        }
-        const bool inDoubt = isJobInDoubt(state, job, now);
-        for (auto &[number, occurrence] : job.occurrences) {
-            if (occurrence.isComplete) {
-                continue;
-            }
-            for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
-                const auto waiting = waitingStepOf(job, number, occurrence, index);
-                // While an earlier owner's run may still exist, only a step that allows copies may start another one.
-                if (waiting.step->isReady && !waiting.step->pendingTasks.empty()
-                    && (!inDoubt || waiting.spec->allowsCopies)) {
-                    result.push_back(queuedStepOf(state, waiting, now));
-                }
-            }
-        }
-    }
-    std::sort(result.begin(), result.end());
-    return result;
-}
-
 /// Sends the start of a task to the worker and reserves its capacity there.
 void startTask(cell_state &state, const waiting_step &waiting, std::int32_t index, std::uint32_t attempt,
                worker_state &worker, instant now, cell_actions &actions)
--- /dev/null
+++ b/src/libprimrosecroft/cell/serving_order.cpp
@@ -0,0 +1,90 @@
+#include "cell/detail/serving_order.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace primrosecroft::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto maxOrderingEstimate = 120s; ///< a longer estimate moves a step no further back in the queue
+
+/// A step later than this many times the objective goes behind all others, whatever its priority. Services never do.
+constexpr double farOverdueFactor = 3;
+
+/// A service's task that has waited this long goes before all other work: its users have no service meanwhile, and in a
+/// backlog of more urgent queues it would wait as long as that lasts.
+constexpr auto maxServiceWait = 2s;
+
+/// Returns whether the job may have been stored after another process took over. If so, that owner hasn't read it with
+/// the stored state, so it would take a run of it for an unknown one, and start the task itself.
+bool mayBelongToLaterOwner(const cell_state &state, const job_state &job)
+{
+    return job.version > state.confirmedVersion;
+}
+
+/// Returns whether tasks of the job may still run under the leases of an earlier owner. Jobs that were accepted under
+/// this ownership are never in doubt.
+bool isJobInDoubt(const cell_state &state, const job_state &job, instant now)
+{
+    return !state.unreconciledWorkers.empty() && now < state.inDoubtUntil && job.version < state.takeOver.token
+        && job.version != 0;
+}
+
+/// Returns whether a task of the service has waited for longer than maxServiceWait.
+bool isServiceOverdue(const step_state &step, const step_spec &spec, instant now)
+{
+    return spec.isService && std::ranges::any_of(step.pendingTasks, [&](std::int32_t index) {
+               return step.tasks[static_cast<std::size_t>(index)].awaySince + maxServiceWait <= now;
+           });
+}
+
+} // namespace
+
+serving_rank servingRankOf(const cell_state &state, const job_state &job, const step_state &step, const step_spec &spec,
+                           instant now)
+{
+    const auto objective = std::chrono::duration_cast<duration>(job.objective);
+    const auto begin = job.accepted.spec.occurrences > 0 ? step.readyAt : job.arrivedAt;
+    const auto orderingDelay = std::min<duration>(spec.estimate, maxOrderingEstimate) * state.rules.policy.shortFirst;
+    serving_rank result;
+    result.isOther = !isServiceOverdue(step, spec, now);
+    result.priority = job.accepted.queue.priority;
+    result.due = begin + objective + std::chrono::duration_cast<duration>(orderingDelay);
+    result.isLate = !spec.isService && now + step.criticalPath > begin + objective;
+    result.isFarOverdue =
+        !spec.isService && now > begin + std::chrono::duration_cast<duration>(objective * farOverdueFactor);
+    return result;
+}
+
+std::vector<queued_step> queuedSteps(cell_state &state, instant now)
+{
+    std::vector<queued_step> result;
+    for (auto &[id, job] : state.jobs) {
+        if (job.isCancelled || job.hasFailed || mayBelongToLaterOwner(state, job)) {
+            continue;
+        }
+        const bool inDoubt = isJobInDoubt(state, job, now);
+        for (auto &[number, occurrence] : job.occurrences) {
+            if (occurrence.isComplete) {
+                continue;
+            }
+            for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+                const auto waiting = waitingStepOf(job, number, occurrence, index);
+                // While an earlier owner's run may still exist, only a step that allows copies may start another one.
+                if (waiting.step->isReady && !waiting.step->pendingTasks.empty()
+                    && (!inDoubt || waiting.spec->allowsCopies)) {
+                    result.push_back({waiting, servingRankOf(state, job, *waiting.step, *waiting.spec, now)});
+                }
+            }
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+} // namespace primrosecroft::detail
