Start no task that brings its workspace above its limit

Cause: the owner knew no limits.

The owner charges each workspace with the reservations of its runs and, after a take-over, with the lower of the tasks that may run unseen and the capacity of the workers that haven't told yet. Jobs wider than their limit run in waves, which their objective counts; what waits for its limit is passed over, asks for no advice, and the log tells the figures. Runs of ended jobs on workers that don't answer a new owner aren't charged yet: docs/design/workspaces.md.

Ruled out: charging the capacity of silent workers to every workspace, as one cut rack would stop all small ones for 6 s.

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -1,5 +1,6 @@
 #include "cell/detail/advice_requests.h"
 
+#include "cell/detail/workspace_limits.h"
 #include "core/contains.h"
 
 #include <algorithm>
@@ -220,6 +221,17 @@
     return result;
 }
 
+/// Number of tasks for which the step needs workers: those that wait, as far as the limit of its workspace lets them
+/// run.
+std::int32_t neededTasks(const cell_state &state, const waiting_step &waiting)
+{
+    const auto &step = *waiting.step;
+    const auto waitingTasks = step.isReady ? std::ssize(step.pendingTasks) : std::ssize(step.tasks);
+    const auto allowed = step.isReady ? startableTasks(state, *waiting.job, *waiting.spec)
+                                      : concurrentTasks(state, waiting.job->accepted, *waiting.spec);
+    return static_cast<std::int32_t>(std::min<std::int64_t>(waitingTasks, allowed));
+}
+
 /// Returns whether each predecessor of the step is expected to end before @p soon.
 bool isReadySoon(const job_state &job, const occurrence_state &occurrence, const step_spec &spec, instant soon)
 {
@@ -245,8 +257,10 @@
     if (isWaitingForAnswer(advice, now) || !mayCall(state, policy)) {
         return;
     }
-    const auto needed = static_cast<std::int32_t>(waiting.step->isReady ? waiting.step->pendingTasks.size()
-                                                                        : waiting.step->tasks.size());
+    const auto needed = neededTasks(state, waiting);
+    if (needed == 0) {
+        return; // the limit of its workspace lets none start
+    }
     const auto workers =
         chooseWorkersToAsk(state, usable, waiting, needed, isCostly(policy) && mayAskWithoutCapacity, now);
     if (workers.empty()) {
--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/detail/cell_parts.h"
 #include "cell/detail/worker_loss.h"
+#include "cell/detail/workspace_limits.h"
 #include "core/overloaded.h"
 
 #include <algorithm>
@@ -51,7 +52,7 @@
                        state.confirmedVersion = std::max(state.confirmedVersion, confirmed.version);
                    },
                    [&](const rules_updated &updated) { state.rules = updated.rules; },
-                   [&](const workspaces_updated &updated) { state.workspaces = updated.workspaces; },
+                   [&](const workspaces_updated &updated) { updateWorkspaces(state, updated.workspaces); },
                    [&](const clock_ticked &clock) {
                        state.timeOfDay = clock.timeOfDay;
                        state.storeTime = clock.storeTime;
@@ -133,6 +134,7 @@
     result.jobs = state.jobs.size();
     result.workers = state.workers.size();
     result.unreconciled = state.unreconciledWorkers.size();
+    std::set<workspace_name> overLimit;
     for (const auto &[id, job] : state.jobs) {
         for (const auto &[number, occurrence] : job.occurrences) {
             for (const auto &each : occurrence.steps) {
@@ -140,10 +142,16 @@
                 if (each.isReady && !each.pendingTasks.empty() && !occurrence.isComplete) {
                     ++result.waitingSteps;
                     result.waitingTasks += each.pendingTasks.size();
+                    const auto index = static_cast<std::size_t>(&each - occurrence.steps.data());
+                    if (startableTasks(state, job, job.accepted.spec.steps[index]) == 0) {
+                        ++result.stepsOverLimit;
+                        overLimit.insert(job.accepted.workspace);
+                    }
                 }
             }
         }
     }
+    result.workspacesOverLimit = overLimit.size();
     for (const auto &[id, worker] : state.workers) {
         result.usedCores += worker.used.milliCores;
         if (mayStartOn(state, worker, now)) {
@@ -182,6 +190,7 @@
                 + (job.accepted.queue.advice ? std::to_string(allowed) + " known to be allowed" : "all allowed")
                 + (suspects > 0 ? ", " + std::to_string(suspects) + " may crash their workers and start only alone"
                                 : "")
+                + explainLimit(state, job, job.accepted.spec.steps[index])
                 + (each.advice.isRequestPending ? ", a request for advice is pending" : "")
                 + (now < state.inDoubtUntil && (!state.unreconciledWorkers.empty() || state.areContactedWorkersUnknown)
                        ? ", leases of an earlier owner may still be in force"
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/cell_messages.h"
+#include "workspaces/workspace_usage.h"
 
 #include <deque>
 #include <map>
@@ -92,6 +93,7 @@
     /// have been, since rows don't hold it.
     instant awaySince;
     instant notBefore; ///< the task may not start before this time
+    std::int32_t unseenRuns = 0; ///< runs since an earlier owner that may exist and count as unseen for its workspace
 };
 
 /// Answer of the advice service about one worker.
@@ -176,6 +178,7 @@
 {
     resources size; ///< without processor time if the task is best-effort
     std::int64_t declaredCores = 0; ///< processor time that the step asks for, in thousandths of a core
+    workspace_name workspace; ///< that the run counts for; empty for none
     bool isLatencySensitive = false; ///< the task has a latency target
     bool isBestEffort = false;
 };
@@ -259,6 +262,9 @@
     std::set<worker_id> contactedWorkersSent; ///< the workers that this commit stores
     cell_rules rules;
     workspace_policies workspaces; ///< of the configuration in force
+    bool areWorkspacesKnown = false; ///< a configuration has told them; until then no task of a workspace starts
+    workspace_usage usage;
+    std::map<workspace_name, instant> nextLimitReports; ///< no report of a reached limit is made before this time
     std::map<job_id, job_state> jobs;
     std::map<job_id, job_status> finishedJobs; ///< jobs whose end is stored, the latest ones
     std::deque<job_id> finishedJobsOrder; ///< the same jobs, oldest end first
@@ -310,6 +316,8 @@
     std::size_t jobs = 0;
     std::size_t waitingSteps = 0; ///< steps that are ready and have pending tasks
     std::size_t waitingTasks = 0;
+    std::size_t stepsOverLimit = 0; ///< waiting steps of which the limit of their workspace lets no task start now
+    std::size_t workspacesOverLimit = 0; ///< workspaces with such steps
     std::size_t stepsAwaitingAdvice = 0; ///< steps with a pending request to the advice service
     std::size_t workers = 0;
     std::size_t usable = 0; ///< workers that may take tasks now
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -340,6 +340,18 @@
     std::size_t bytes = 0; ///< bound on the encoded length of the rows
 };
 
+/// A step waits only for the limit of its workspace. Reported from time to time for each workspace.
+struct report_limit_reached
+{
+    workspace_name workspace;
+    step_ref step;
+    std::size_t waitingTasks = 0; ///< of the step
+    resources needed; ///< by one task
+    resources running; ///< by the workspace's runs
+    resources mostInUse; ///< with what may run unseen since an earlier owner
+    resources limit;
+};
+
 /// A worker refused an order because it obeys a later owner.
 struct report_fenced
 {
@@ -348,6 +360,6 @@
 
 using cell_action = std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed, report_ended,
                                  report_job_end, report_worker_change, report_worker_loss, report_suspect,
-                                 report_given_up, report_job_size, report_fenced>;
+                                 report_given_up, report_job_size, report_limit_reached, report_fenced>;
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -32,6 +32,9 @@
 /// Adds a job unless it is known already.
 void addJob(cell_state &state, const job_arrived &message, instant now);
 
+/// Takes over the workspaces of a configuration that has come into force. Their limits count in the jobs' objectives.
+void updateWorkspaces(cell_state &state, const workspace_policies &workspaces);
+
 /// Cancels a job and stops its runs. Does nothing if the job is unknown or over.
 void cancelJob(cell_state &state, const job_id &id, instant now, cell_actions &actions);
 
@@ -107,7 +110,7 @@
 // --- runs.cpp
 
 /// Reserves capacity for a run whose start is about to be sent, or that was found on the worker.
-void reserve(worker_state &worker, const run_id &run, const step_spec &spec);
+void reserve(cell_state &state, worker_state &worker, const run_id &run, const task_view &view);
 
 resources freeCapacity(const worker_state &worker);
 
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/workspace_limits.h"
 
 #include <algorithm>
 #include <ranges>
@@ -17,9 +18,27 @@
     << 31U; ///< later terms have none of these; the other half is for stored ones
 constexpr std::size_t maxOpenOccurrences = 64; ///< occurrences of one job that are open at the same time
 
-std::chrono::milliseconds objectiveOf(const accepted_job &job)
+/// Estimated duration of each step of the job. A step runs in waves if the limit of its workspace doesn't let all its
+/// tasks run at the same time.
+std::vector<std::chrono::milliseconds> stepDurations(const cell_state &state, const accepted_job &job)
 {
-    auto criticalPath = criticalPathDuration(job.spec);
+    std::vector<std::chrono::milliseconds> result;
+    std::ranges::transform(job.spec.steps, std::back_inserter(result), [&](const step_spec &spec) {
+        const auto atOnce = std::clamp<std::int64_t>(concurrentTasks(state, job, spec), 1, spec.count);
+        return spec.isService || spec.isGang ? spec.estimate : spec.estimate * ((spec.count + atOnce - 1) / atOnce);
+    });
+    return result;
+}
+
+std::vector<std::chrono::milliseconds> criticalPathsOf(const cell_state &state, const accepted_job &job)
+{
+    return criticalPathsFromSteps(job.spec, stepDurations(state, job));
+}
+
+std::chrono::milliseconds objectiveOf(const cell_state &state, const accepted_job &job)
+{
+    const auto paths = criticalPathsOf(state, job);
+    auto criticalPath = paths.empty() ? 0ms : std::ranges::max(paths);
     if (job.queue.advice) {
         const auto call = job.queue.advice->decide + workersPerAdviceCall * job.queue.advice->perWorker;
         criticalPath +=
@@ -64,16 +83,17 @@
 }
 
 /// Makes an occurrence from its stored progress. @p progress is nullptr if none is stored.
-occurrence_state makeOccurrence(const cell_state &state, const job_spec &spec, const occurrence_progress *progress,
+occurrence_state makeOccurrence(const cell_state &state, const accepted_job &job, const occurrence_progress *progress,
                                 instant now)
 {
+    const auto &spec = job.spec;
     occurrence_state occurrence;
     if (progress != nullptr && progress->isComplete) {
         occurrence.isComplete = true;
         return occurrence;
     }
     const auto term = state.takeOver.term;
-    const auto criticalPaths = criticalPathsFromSteps(spec);
+    const auto criticalPaths = criticalPathsOf(state, job);
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         auto &step = occurrence.steps.emplace_back();
         step.criticalPath = criticalPaths[index];
@@ -225,7 +245,7 @@
         ? std::max(0ms, state.storeTime - message.job.acceptedAt)
         : 0ms;
     job.arrivedAt = now - age;
-    job.objective = objectiveOf(message.job);
+    job.objective = objectiveOf(state, message.job);
     job.isCancelled = message.isCancelled;
     job.hasProgress = !message.progress.empty();
     job.hasStarted = tellsOfStart(message.progress);
@@ -233,14 +253,17 @@
         markUnsaved(state, job);
     }
     for (const auto &[number, progress] : message.progress) {
-        job.occurrences[number] = makeOccurrence(state, job.accepted.spec, &progress, now);
+        job.occurrences[number] = makeOccurrence(state, job.accepted, &progress, now);
         job.openOccurrences += progress.isComplete ? 0 : 1;
+        countUnseen(state, job, number);
         job.nextOccurrence = std::max(job.nextOccurrence, number + 1);
     }
     if (job.accepted.spec.occurrences > 0) {
+        countUnseenNext(state, job);
         beginDueOccurrences(state, job, now);
     } else if (job.occurrences.empty()) {
-        job.occurrences[0] = makeOccurrence(state, job.accepted.spec, nullptr, now);
+        job.occurrences[0] = makeOccurrence(state, job.accepted, nullptr, now);
+        countUnseen(state, job, 0);
         job.openOccurrences = 1;
         job.nextOccurrence = 1;
     }
@@ -256,12 +279,34 @@
     while (!isAborted(job) && job.nextOccurrence < spec.occurrences
            && static_cast<std::size_t>(job.openOccurrences) < maxOpenOccurrences
            && state.timeOfDay >= spec.firstDue + job.nextOccurrence * spec.interval) {
-        job.occurrences[job.nextOccurrence] = makeOccurrence(state, spec, nullptr, now);
+        job.occurrences[job.nextOccurrence] = makeOccurrence(state, job.accepted, nullptr, now);
+        countUnseen(state, job, job.nextOccurrence);
         ++job.openOccurrences;
         ++job.nextOccurrence;
     }
 }
 
+void updateWorkspaces(cell_state &state, const workspace_policies &workspaces)
+{
+    state.areWorkspacesKnown = true;
+    if (workspaces == state.workspaces) {
+        return;
+    }
+    state.workspaces = workspaces;
+    for (auto &job : std::views::values(state.jobs)) {
+        if (job.accepted.workspace.empty()) {
+            continue;
+        }
+        job.objective = objectiveOf(state, job.accepted);
+        const auto paths = criticalPathsOf(state, job.accepted);
+        for (auto &occurrence : std::views::values(job.occurrences)) {
+            for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+                occurrence.steps[index].criticalPath = paths[index];
+            }
+        }
+    }
+}
+
 void cancelJob(cell_state &state, const job_id &id, instant now, cell_actions &actions)
 {
     const auto found = state.jobs.find(id);
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -3,6 +3,7 @@
 #include "cell/detail/cell_parts.h"
 #include "cell/detail/serving_order.h"
 #include "cell/detail/worker_loss.h"
+#include "cell/detail/workspace_limits.h"
 
 #include <algorithm>
 #include <ranges>
@@ -25,6 +26,11 @@
 /// A suspect that has waited this long for a worker on which a trial may begin goes to any other one.
 constexpr auto maxTrialWait = 2s;
 
+task_view viewOf(const waiting_step &waiting, task_state &task)
+{
+    return {waiting.job, waiting.occurrence, waiting.step, waiting.spec, &task};
+}
+
 /// Sends the start of a task to the worker and reserves its capacity there.
 void startTask(cell_state &state, const waiting_step &waiting, std::int32_t index, std::uint32_t attempt,
                worker_state &worker, instant now, cell_actions &actions)
@@ -33,7 +39,7 @@
     const auto deadline = *leaseDeadline(state, worker);
     recordDeadline(worker, deadline);
     const run_id id {{waiting.job->accepted.id, waiting.occurrenceNumber, waiting.index, index}, attempt};
-    reserve(worker, id, *waiting.spec);
+    reserve(state, worker, id, viewOf(waiting, task));
     task_run run;
     run.worker = worker.description.id;
     run.boot = worker.description.boot;
@@ -74,11 +80,6 @@
         && static_cast<std::int32_t>(task.failedAttempts.size()) < waiting.job->accepted.queue.maxFailures;
 }
 
-task_view viewOf(const waiting_step &waiting, task_state &task)
-{
-    return {waiting.job, waiting.occurrence, waiting.step, waiting.spec, &task};
-}
-
 /// Returns whether the suspect still waits for a worker on which a trial may begin.
 bool mayWaitForTrial(const task_state &task, instant now)
 {
@@ -181,8 +182,9 @@
     step.pendingTasks.clear();
 }
 
-void placeStep(cell_state &state, usable_workers &usable, const waiting_step &waiting, instant now,
-               cell_actions &actions)
+/// Starts tasks of the step, @p startable at most.
+void placeStep(cell_state &state, usable_workers &usable, const waiting_step &waiting, std::int64_t startable,
+               instant now, cell_actions &actions)
 {
     const auto &policy = state.rules.policy;
     auto options = candidatesFor(policy, usable, waiting, now);
@@ -200,7 +202,7 @@
         auto &task = waiting.step->tasks[static_cast<std::size_t>(index)];
         candidate *target = nullptr;
         const task_ref ref {waiting.job->accepted.id, waiting.occurrenceNumber, waiting.index, index};
-        if (!isFull && mayStart(waiting, task, now)
+        if (!isFull && startable > 0 && mayStart(waiting, task, now)
             && ensureLossesStored(state, ref, viewOf(waiting, task), now, actions)
             && ensureAttemptReserved(state, *waiting.job, *waiting.step, task.lastAttempt + 1)
             && ensureStartStored(state, waiting, task, now, actions)) {
@@ -216,6 +218,7 @@
         }
         const bool isTrial = isSuspect(state, false, *waiting.step, task) && usable.at(target->worker).hasSurvivedAll;
         startTask(state, waiting, index, task.lastAttempt + 1, *usable.at(target->worker).worker, now, actions);
+        --startable;
         if (isTrial) {
             beginTrial(usable, waiting, index);
         }
@@ -232,14 +235,22 @@
         return;
     }
     usable_workers usable(state, now);
+    updateUnseenBounds(state);
     std::size_t stepsNeedingAdvice = 0;
     for (const auto &queued : queuedSteps(state, now)) {
         const auto &waiting = queued.waiting;
         if (waiting.job->hasFailed) {
             continue; // in this pass
         }
-        placeStep(state, usable, waiting, now, actions);
-        if (waiting.job->accepted.queue.advice && !waiting.job->hasFailed && !waiting.step->pendingTasks.empty()) {
+        if (const auto startable = startableTasks(state, *waiting.job, *waiting.spec); startable > 0) {
+            placeStep(state, usable, waiting, startable, now, actions);
+        }
+        if (waiting.job->hasFailed || waiting.step->pendingTasks.empty()) {
+            continue;
+        }
+        if (startableTasks(state, *waiting.job, *waiting.spec) == 0) {
+            reportLimit(state, waiting, now, actions);
+        } else if (waiting.job->accepted.queue.advice) {
             requestAdvice(state, usable, waiting, stepsNeedingAdvice < maxStepsAskingWithoutCapacity, now, actions);
             ++stepsNeedingAdvice;
         }
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -1,5 +1,6 @@
 #include "cell/detail/cell_parts.h"
 #include "cell/detail/worker_loss.h"
+#include "cell/detail/workspace_limits.h"
 
 #include <algorithm>
 #include <ranges>
@@ -20,7 +21,15 @@
 constexpr auto crashPause = 1'000ms;
 constexpr std::size_t maxEndsPerList = 500; ///< a list with this many ends may be incomplete
 
-void release(worker_state &worker, const run_id &run)
+/// What the run counts for its workspace.
+resources countedSize(const reservation &held)
+{
+    auto size = held.size;
+    size.milliCores = held.declaredCores;
+    return size;
+}
+
+void release(cell_state &state, worker_state &worker, const run_id &run)
 {
     const auto found = worker.reservations.find(run);
     if (found != worker.reservations.end()) {
@@ -29,6 +38,7 @@
         worker.latencySensitiveCount -= held.isLatencySensitive ? 1 : 0;
         worker.bestEffortCount -= held.isBestEffort ? 1 : 0;
         worker.bestEffortCores -= held.isBestEffort ? held.declaredCores : 0;
+        removeRun(state.usage, held.workspace, countedSize(held));
         worker.reservations.erase(found);
     }
     if (worker.trial == run) {
@@ -69,7 +79,7 @@
 void dropRun(cell_state &state, worker_state &worker, const run_id &run, past_run past, instant now,
              cell_actions &actions, run_loss loss = run_loss::none)
 {
-    release(worker, run);
+    release(state, worker, run);
     if (const auto view = findTask(state, run.task)) {
         if (auto *known = findRun(*view->task, worker.description.id, run.attempt);
             known != nullptr && loss == run_loss::none) {
@@ -88,7 +98,7 @@
     worker.unknownRuns.erase(end.run);
     const auto view = findTask(state, end.run.task);
     if (!view) {
-        release(worker, end.run);
+        release(state, worker, end.run);
         return;
     }
     static constexpr std::array endNames {"done", "failed", "stopped", "lapsed", "broken", "alone"};
@@ -153,7 +163,8 @@
     }
     const bool isOver = view->task->isDone || view->job->isCancelled || view->job->hasFailed;
     const bool isWanted = !isOver && (view->task->runs.empty() || view->spec->allowsCopies);
-    reserve(worker, listed.run, *view->spec);
+    reserve(state, worker, listed.run, *view);
+    countAsSeen(state, *view);
     task_run run;
     run.worker = worker.description.id;
     run.boot = worker.description.boot;
@@ -250,10 +261,12 @@
 
 } // namespace
 
-void reserve(worker_state &worker, const run_id &run, const step_spec &spec)
+void reserve(cell_state &state, worker_state &worker, const run_id &run, const task_view &view)
 {
-    release(worker, run);
-    reservation held {spec.size, spec.size.milliCores, spec.targetLatency.count() > 0, spec.isBestEffort};
+    release(state, worker, run);
+    const auto &spec = *view.spec;
+    reservation held {spec.size, spec.size.milliCores, view.job->accepted.workspace, spec.targetLatency.count() > 0,
+                      spec.isBestEffort};
     if (held.isBestEffort) {
         held.size.milliCores = 0; // a best-effort task uses the processor time that other tasks leave
     }
@@ -261,7 +274,8 @@
     worker.latencySensitiveCount += held.isLatencySensitive ? 1 : 0;
     worker.bestEffortCount += held.isBestEffort ? 1 : 0;
     worker.bestEffortCores += held.isBestEffort ? held.declaredCores : 0;
-    worker.reservations[run] = held;
+    addRun(state.usage, held.workspace, countedSize(held));
+    worker.reservations[run] = std::move(held);
 }
 
 void noteStart(worker_state &worker, instant now)
--- a/src/libprimrosecroft/cell/serving_order.cpp
+++ b/src/libprimrosecroft/cell/serving_order.cpp
@@ -1,5 +1,7 @@
 #include "cell/detail/serving_order.h"
 
+#include "cell/detail/workspace_limits.h"
+
 #include <algorithm>
 #include <ranges>
 
@@ -76,8 +78,9 @@
             for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
                 const auto waiting = waitingStepOf(job, number, occurrence, index);
                 // While an earlier owner's run may still exist, only a step that allows copies may start another one.
-                if (waiting.step->isReady && !waiting.step->pendingTasks.empty()
-                    && (!inDoubt || waiting.spec->allowsCopies)) {
+                // Not under a limit, for which a task counts as two unseen runs at most, whatever the number of owners.
+                const bool mayCopy = waiting.spec->allowsCopies && !hasLimit(state, job.accepted.workspace);
+                if (waiting.step->isReady && !waiting.step->pendingTasks.empty() && (!inDoubt || mayCopy)) {
                     result.push_back({waiting, servingRankOf(state, job, *waiting.step, *waiting.spec, now)});
                 }
             }
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -133,6 +133,10 @@
 /// For each step, the sum of the estimates along the longest chain of dependent steps that begins with it.
 std::vector<std::chrono::milliseconds> criticalPathsFromSteps(const job_spec &spec);
 
+/// Likewise, with a duration for each step in place of its estimate.
+std::vector<std::chrono::milliseconds> criticalPathsFromSteps(const job_spec &spec,
+                                                              const std::vector<std::chrono::milliseconds> &durations);
+
 /// Sum of the estimates along the longest chain of dependent steps; 0 for a job without steps.
 std::chrono::milliseconds criticalPathDuration(const job_spec &spec);
 
--- a/src/libprimrosecroft/owner_session/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -13,6 +13,13 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(amount).count());
 }
 
+/// Milli-cores, MiB of memory and accelerators.
+std::string amounts(const resources &value)
+{
+    return std::to_string(value.milliCores) + "/" + std::to_string(value.memoryMib) + "/"
+        + std::to_string(value.accelerators);
+}
+
 } // namespace
 
 cell_log::cell_log(decision_log &log, metrics &measures)
@@ -102,6 +109,19 @@
     m_log.write("cell", "job-too-large", {{"id", report.id}, {"bytes", std::to_string(report.bytes)}});
 }
 
+void cell_log::write(const report_limit_reached &report)
+{
+    m_log.write("cell", "over-limit",
+                {{"workspace", report.workspace},
+                 {"job", report.step.job},
+                 {"step", std::to_string(report.step.step)},
+                 {"waiting_tasks", std::to_string(report.waitingTasks)},
+                 {"need", amounts(report.needed)},
+                 {"running", amounts(report.running)},
+                 {"most_in_use", amounts(report.mostInUse)},
+                 {"limit", amounts(report.limit)}});
+}
+
 void cell_log::writeSummary(const cell_state &state, instant now)
 {
     const auto summary = summarize(state, now);
@@ -112,6 +132,8 @@
                 {{"jobs", std::to_string(summary.jobs)},
                  {"waiting_steps", std::to_string(summary.waitingSteps)},
                  {"waiting_tasks", std::to_string(summary.waitingTasks)},
+                 {"over_limit_steps", std::to_string(summary.stepsOverLimit)},
+                 {"over_limit_workspaces", std::to_string(summary.workspacesOverLimit)},
                  {"asking", std::to_string(summary.stepsAwaitingAdvice)},
                  {"workers", std::to_string(summary.workers)},
                  {"usable", std::to_string(summary.usable)},
--- a/src/libprimrosecroft/owner_session/cell_log.h
+++ b/src/libprimrosecroft/owner_session/cell_log.h
@@ -21,6 +21,7 @@
     void write(const report_suspect &report);
     void write(const report_given_up &report);
     void write(const report_job_size &report);
+    void write(const report_limit_reached &report);
 
     /// Writes the line that summarizes the cell.
     void writeSummary(const cell_state &state, instant now);
--- a/src/libprimrosecroft/owner_session/cell_runner.cpp
+++ b/src/libprimrosecroft/owner_session/cell_runner.cpp
@@ -40,7 +40,10 @@
         , startedAt(takeOver.takenAt)
     {
         state.confirmedAt = confirmedAt;
-        state.workspaces = ownRunner.m_workspaces;
+        if (ownRunner.m_workspaces) {
+            state.workspaces = *ownRunner.m_workspaces;
+            state.areWorkspacesKnown = true;
+        }
     }
 
     cell_runner &runner;
@@ -270,7 +273,7 @@
 {
     m_workspaces = std::move(workspaces);
     if (m_session) {
-        m_session->context.apply(workspaces_updated {m_workspaces});
+        m_session->context.apply(workspaces_updated {*m_workspaces});
         m_session->requestPass();
     }
 }
--- a/src/libprimrosecroft/owner_session/cell_runner.h
+++ b/src/libprimrosecroft/owner_session/cell_runner.h
@@ -79,7 +79,7 @@
     worker_source m_source;
     runner_links m_links;
     cell_settings m_settings;
-    workspace_policies m_workspaces;
+    std::optional<workspace_policies> m_workspaces; ///< std::nullopt until a configuration has told them
     decision_log &m_log;
     metrics &m_measures;
     std::shared_ptr<session> m_session;
