Play schedules of limits with owners that change, lost and late orders, cuts and cancellations

Each rule taken out is found: limit not checked, stops, unconfirmed starts or unseen runs not counted. A gang counts as ended in the emulation with the first end of a member, as the core and the platform take it; the emulation had no gangs before.

--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -1,5 +1,6 @@
 #include "cell_emulation.h"
 #include "crash_schedule.h"
+#include "limit_schedule.h"
 #include "liveness_schedule.h"
 
 #include <catch2/catch.hpp>
@@ -111,6 +112,29 @@
     }
 }
 
+/// Runs the schedules of limits of the seeds that the environment names.
+void checkLimits()
+{
+    const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
+    const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 100);
+    for (auto seed = first; seed < first + count; ++seed) {
+        const auto violation = runLimitSchedule(seed, tracer());
+        INFO("seed " << seed << ": " << violation);
+        CHECK(violation.empty());
+    }
+}
+
+/// Returns the first seed up to @p maxSeed whose schedule of limits shows that the rule is missing, or 0.
+std::uint64_t firstLimitViolation(disabled_rule mutation, std::uint64_t maxSeed)
+{
+    for (std::uint64_t seed = 1; seed <= maxSeed; ++seed) {
+        if (!runLimitSchedule(seed, {}, mutation).empty()) {
+            return seed;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 TEST_CASE("no schedule breaks a guarantee", "[schedules]")
@@ -159,6 +183,20 @@
     checkCrashes(crash_cause::tasksAndWorkers);
 }
 
+TEST_CASE("no start brings a workspace above its limit", "[limits]")
+{
+    checkLimits();
+}
+
+TEST_CASE("the checks detect the absence of each rule of limits", "[mutations][limit_mutations]")
+{
+    constexpr std::uint64_t maxSeeds = 300;
+    CHECK(firstLimitViolation(disabled_rule::limitChecked, maxSeeds) != 0);
+    CHECK(firstLimitViolation(disabled_rule::limitCountsStops, maxSeeds) != 0);
+    CHECK(firstLimitViolation(disabled_rule::limitCountsUnconfirmed, maxSeeds) != 0);
+    CHECK(firstLimitViolation(disabled_rule::limitCountsUnseen, maxSeeds) != 0);
+}
+
 TEST_CASE("the checks detect the absence of each safety rule", "[mutations]")
 {
     constexpr std::uint64_t maxSeeds = 2'000;
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -6,6 +6,7 @@
 #include "crash_check.h"
 #include "jobs/job_rows.h"
 #include "leadership/handover.h"
+#include "limit_check.h"
 #include "liveness_check.h"
 
 #include <algorithm>
@@ -31,6 +32,7 @@
 constexpr auto minLateDelayMs = 2'000; ///< of an order whose answer is lost and which the worker carries out late
 constexpr auto maxLateDelayMs = 12'000;
 constexpr auto jobScanInterval = 2s; ///< between two scans of an owner for stored jobs that it doesn't know
+constexpr auto maxConfigurationDelayMs = 1'500; ///< until a process that runs knows of a new configuration
 constexpr auto countedQueue = "queue"; ///< whose counts of waiting jobs are checked
 constexpr auto maxUncountedTime = 5s; ///< a job that has waited for longer must be in the counts that callers get
 
@@ -68,6 +70,7 @@
     instant ownsSince;
     std::optional<instant> handoverRequestedAt;
     process_id lastSuccessor;
+    std::optional<workspace_policies> workspaces; ///< of the configuration that is in force there
 };
 
 /// State of a task for the checks, from the ends that owners have acknowledged.
@@ -338,6 +341,7 @@
         process.cell.reset();
         process.counts.reset();
         process.isDown = false;
+        process.workspaces = workspaces;
         process.startedAt = now;
         process.handoverRequestedAt.reset();
         ++process.session;
@@ -412,7 +416,9 @@
         if (process.cell) {
             step(*process.cell, clock_ticked {std::chrono::milliseconds(1'700'000'000'000) + elapsed(), store.now, 3},
                  now, actions);
+            takeOutOfUsage(*process.cell);
             runSchedulingPass(*process.cell, now, actions);
+            checkUsage(*process.cell);
             carryOut(index);
             announceWorkersAndRenew(index);
         }
@@ -421,6 +427,49 @@
         }
     }
 
+    /// Takes out of the workspaces' usage what the disabled rule would count.
+    void takeOutOfUsage(cell_state &cell) const
+    {
+        if (settings.mutation == disabled_rule::limitCountsUnseen) {
+            forgetUnseen(cell.usage);
+        } else if (settings.mutation == disabled_rule::limitCountsStops) {
+            recountRuns(cell, [](const task_run &run) { return !run.isStopWanted; });
+        } else if (settings.mutation == disabled_rule::limitCountsUnconfirmed) {
+            recountRuns(cell, [](const task_run &run) { return run.phase == run_phase::running; });
+        }
+    }
+
+    /// Checks that each workspace is charged with what is reserved for its runs.
+    void checkUsage(cell_state &cell)
+    {
+        const auto isMutated = settings.mutation == disabled_rule::limitCountsStops
+            || settings.mutation == disabled_rule::limitCountsUnconfirmed;
+        const auto counted = cell.usage.loads;
+        recountRuns(cell, [](const task_run &) { return true; });
+        if (!isMutated && counted != cell.usage.loads) {
+            violation = "what a workspace is charged with isn't what is reserved for its runs";
+        }
+    }
+
+    /// Counts the reservations of runs anew that fulfil the condition.
+    template<typename condition>
+    static void recountRuns(cell_state &cell, const condition &isCounted)
+    {
+        for (auto &[name, load] : cell.usage.loads) {
+            load.running = {};
+            load.runs = 0;
+        }
+        for (auto &[id, worker] : cell.workers) {
+            for (const auto &[run, held] : worker.reservations) {
+                const auto view = detail::findTask(cell, run.task);
+                const auto *known = view ? detail::findRun(*view->task, id, run.attempt) : nullptr;
+                if (known == nullptr || isCounted(*known)) {
+                    addRun(cell.usage, held.workspace, held.size);
+                }
+            }
+        }
+    }
+
     /// Hands the cell every stored job that it doesn't have, because the notice of it may not have reached the owner.
     void scanStoredJobs(std::size_t index)
     {
@@ -568,6 +617,9 @@
         takeOver.takenAt = now;
         process.cell = std::make_unique<cell_state>(makeCell({}, takeOver));
         process.cell->confirmedAt = ownershipConfirmedAt[index];
+        if (process.workspaces) {
+            step(*process.cell, workspaces_updated {*process.workspaces}, now, actions);
+        }
         if (settings.mutation == disabled_rule::startConfirmed) {
             process.cell->confirmedVersion = std::numeric_limits<row_version>::max();
         }
@@ -756,7 +808,7 @@
         sendOrder<start_answered>(
             index, order.worker, lostAnswer, [this, order, token, sentAt = now](emulated_worker &worker) {
                 start_answered answer {order.worker, order.boot, order.run, order_result::lost, sentAt};
-                answer.result = startRun(worker, order, token);
+                answer.result = startRun(worker, order, token, sentAt);
                 return answer;
             });
     }
@@ -809,7 +861,7 @@
 
     // --- checks of what happens on the workers
 
-    order_result startRun(emulated_worker &worker, const send_start &order, row_version token)
+    order_result startRun(emulated_worker &worker, const send_start &order, row_version token, instant sentAt)
     {
         const auto job = jobs.find(order.run.task.job);
         if (job == jobs.end()) {
@@ -836,6 +888,7 @@
         }
         if (result == order_result::done && !before.contains(order.run)) {
             checkStart(order.run, step);
+            checkLimit(job->second.workspace, sentAt);
         }
         return result;
     }
@@ -917,16 +970,62 @@
         }
     }
 
+    /// Checks after a start, of which the order was sent at @p sentAt, that the workspace is within its limit.
+    void checkLimit(const workspace_name &name, instant sentAt)
+    {
+        resources running;
+        for (const auto &worker : workers) {
+            if (worker.isDown) {
+                continue;
+            }
+            for (const auto &run : worker.executor.running()) {
+                const auto &job = jobs.at(run.task.job);
+                if (job.workspace == name) {
+                    running += job.spec.steps[static_cast<std::size_t>(run.task.step)].size;
+                }
+            }
+        }
+        const auto exceeded =
+            limits.exceeded(name, running, sentAt - std::chrono::milliseconds(maxConfigurationDelayMs));
+        if (!exceeded.empty()) {
+            violation = exceeded;
+        }
+    }
+
+    /// Puts the newest workspaces into force at a process, once it isn't frozen. One that is down reads them later.
+    void configureProcess(std::size_t index)
+    {
+        auto &process = processes[index];
+        if (now < process.frozenUntil) {
+            at(process.frozenUntil, [this, index] { configureProcess(index); });
+            return;
+        }
+        process.workspaces = workspaces;
+        stepCell(index, workspaces_updated {*workspaces});
+    }
+
+    void configure(const workspace_policies &policies)
+    {
+        limits.add(policies, now);
+        workspaces = settings.mutation == disabled_rule::limitChecked ? workspace_policies {} : policies;
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            at(now + std::chrono::milliseconds(pick(0, maxConfigurationDelayMs)), [this, i] { configureProcess(i); });
+        }
+    }
+
     bool allowsCopies(const task_ref &task) const
     {
         return jobs.at(task.job).spec.steps[static_cast<std::size_t>(task.step)].allowsCopies;
     }
 
-    /// Returns true if a run of the task has ended successfully on any worker, acknowledged or not.
-    bool hasEnded(const task_ref &task) const
+    /// Returns true if a run of the task has ended successfully on any worker, acknowledged or not. The end of one
+    /// member ends its gang.
+    bool hasEnded(task_ref task) const
     {
+        const bool isGang = jobs.at(task.job).spec.steps[static_cast<std::size_t>(task.step)].isGang;
         return std::ranges::any_of(workers, [&](const emulated_worker &worker) {
             return std::ranges::any_of(worker.executor.ends(), [&](const auto &each) {
+                task.index = isGang ? each.end.run.task.index : task.index;
                 return each.end.run.task == task && each.end.how == run_end::done;
             });
         });
@@ -1224,6 +1323,8 @@
     advice_emulator advice;
     liveness_check liveness;
     crash_check crashes;
+    limit_check limits;
+    std::optional<workspace_policies> workspaces; ///< of the newest configuration
     instant lastFaultAt {std::chrono::seconds(1'000)};
     instant now {std::chrono::seconds(1'000)};
     instant startedAt {std::chrono::seconds(1'000)};
@@ -1362,6 +1463,11 @@
     m_parts->removeWorker(worker, notice);
 }
 
+void cell_emulation::configure(const workspace_policies &workspaces)
+{
+    m_parts->configure(workspaces);
+}
+
 void cell_emulation::handOver()
 {
     m_parts->handOver();
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -39,6 +39,10 @@
     acknowledgeAfterCommit, ///< disabled: ends are acknowledged, and so forgotten by workers, before they are stored
     maxUnavailable, ///< disabled: services have no limit of tasks that may be unavailable
     lossCounts, ///< disabled: owners forget at once under which tasks workers were lost
+    limitChecked, ///< disabled: owners know no limits of workspaces
+    limitCountsStops, ///< disabled: runs that are being stopped don't count for their workspace
+    limitCountsUnconfirmed, ///< disabled: starts without an answer don't count for their workspace
+    limitCountsUnseen, ///< disabled: what may run since an earlier owner doesn't count for its workspace
 };
 
 struct emulation_settings
@@ -108,6 +112,9 @@
     /// Lets the platform drain a worker, which ends for good after @p notice. It then answers nothing any more.
     void removeWorker(std::size_t worker, std::chrono::milliseconds notice);
 
+    /// Puts the workspaces of a configuration into force, at each process after a delay of its own.
+    void configure(const workspace_policies &workspaces);
+
     /// Lets the owner request that another process takes over, the next one that runs. Does nothing if there is none.
     void handOver();
 
