Take callers' calls by their workspace's key, and confirm the configuration through the owner

Cause: nothing asked for a key; and a process that the store turned away while it served others heard of no new configuration until the store answered it again.

Now: caller_service asks for a key of a workspace (401 before the body is looked at; 404 stays 404; public routes and deployments without workspaces as before), and a job carries its workspace. The owner tells each process in its answers to presences which row it has and how old its confirmation is. So a process is confirmed by it, or asks it for the row. Beyond the deployment's bound after the last confirmation a call that needs a key is answered 503, as nothing is known. Processes that wait for a slow transfer don't ask the owner, so a change still takes the link between regions once.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -155,7 +155,8 @@
               {[this] { return isOwner(); }, [this] { return ownerAddress(); }, [this] { return isOwnerResponsive(); }},
               log)
         , callers(rows,
-                  {platform::decodeJobBody, platform::encodeStatus, platform::encodeWaiting, platform::deadlineHeader},
+                  {platform::decodeJobBody, platform::encodeStatus, platform::encodeWaiting, platform::deadlineHeader,
+                   platform::keyHeader},
                   makeCallerLinks(), log, measures)
         , callerServer({}, [this](const std::shared_ptr<http_request> &request) { callers.serve(request); })
         , readinessServer({}, [this](const std::shared_ptr<http_request> &request) { answerReadiness(request); })
@@ -167,6 +168,8 @@
     {
         caller_links links;
         links.queues = [this] { return queues.current() ? &*queues.current() : nullptr; };
+        links.keys = [this] { return keys ? &*keys : nullptr; };
+        links.isConfigurationCurrent = [this] { return isConfigurationCurrent(); };
         links.storeTime = [this] { return rows.storeTime(); };
         links.notifyOwner = [this](const job_id &id, bool cancelled) { ownerLink.notify(id, cancelled); };
         links.askOwner = [this](const job_id &id, std::chrono::milliseconds timeout, auto done) {
@@ -461,6 +464,7 @@
         }
         if (isOwner()) {
             configurationLink.addSource(answer.ownerReport, message.sender.process, ownsSince);
+            configurationLink.addWord(answer.ownerReport, bootNow());
         }
         answer.__isset.ownerReport = true;
         reply(answer);
@@ -491,7 +495,7 @@
                       if (!reply->ownerReport.owns) {
                           return;
                       }
-                      configurationLink.handleReport(reply->ownerReport, sentAt);
+                      configurationLink.handleReport(reply->ownerReport, *address, sentAt);
                       if (reply->ownerReport.__isset.waitingAgeMs) {
                           const auto &report = reply->ownerReport;
                           keepLater(waitingCounts,
@@ -589,6 +593,27 @@
         return countOf(own ? own : waitingCounts, queue, bootNow());
     }
 
+    // --- the configuration
+
+    void applyConfiguration(const queue_table &table)
+    {
+        callerServer.setMaxBodySize(table.maxRequestBytes);
+        runner.setWorkspaces(policiesOf(table));
+        keys = table.workspaces ? std::optional<key_index>(*table.workspaces) : std::nullopt;
+        if (table.workspaces) {
+            for (const auto &each : findSharedKeys(*table.workspaces)) {
+                log.write("queues", "key-shared", {{"holder", each.holder}, {"other", each.other}});
+            }
+        }
+    }
+
+    bool isConfigurationCurrent() const
+    {
+        const bool isExtended = queues.isStoreOutForAll() && !isIsolated();
+        const auto limit = settings.maxConfigurationDelay + (isExtended ? settings.maxOutageDelay : 0ms);
+        return queues.confirmedAt() + limit >= bootNow();
+    }
+
     // --- the process
 
     bool isReady() const
@@ -647,6 +672,9 @@
         recordTick(lateness, presenceInterval, bootNow());
         advanceLeadership(leadership_ticked {rows.storeTime()});
         if (isOwner()) {
+            if (const auto word = queues.ownWord(bootNow())) {
+                queues.tellWord(*word); // what the others hear
+            }
             tryHandover();
             refreshAdviceRoutes();
             if (runner.isServing()) {
@@ -729,10 +757,7 @@
         const auto sources = {g_unix_signal_add(SIGTERM, &parts::onTerminate, this),
                               g_unix_signal_add(SIGINT, &parts::onTerminate, this),
                               g_unix_signal_add(SIGHUP, &parts::onReload, this)};
-        queues.start([this](const queue_table &table) {
-            callerServer.setMaxBodySize(table.maxRequestBytes);
-            runner.setWorkspaces(policiesOf(table));
-        });
+        queues.start([this](const queue_table &table) { applyConfiguration(table); });
         tickTimer.every(presenceInterval, [this] { tick(); });
         adviceTimer.every(adviceCheckInterval, [this] {
             if (isOwner()) {
@@ -763,6 +788,7 @@
     platform::advice_client advice;
     peer_hub peers;
     queue_follower queues;
+    std::optional<key_index> keys; ///< of the configuration in force; unset if it has no workspaces
     configuration_link configurationLink;
     leadership_state leadership;
     advice_dispatcher adviceDispatcher {
--- a/src/celld/configuration_link.cpp
+++ b/src/celld/configuration_link.cpp
@@ -109,6 +109,14 @@
     report.__set_configurationPort(address.port);
 }
 
+void configuration_link::addWord(wire::OwnerReport &report, instant askedAt) const
+{
+    if (const auto word = m_queues.ownWord(askedAt)) {
+        report.__set_configurationRow(word->rowVersion);
+        report.__set_configurationAgeMs(word->confirmedAge.count());
+    }
+}
+
 void configuration_link::addAge(wire::Presence &presence) const
 {
     if (m_queues.confirmedAt() != instant {}) {
@@ -117,8 +125,12 @@
     }
 }
 
-void configuration_link::handleReport(const wire::OwnerReport &report, instant sentAt)
+void configuration_link::handleReport(const wire::OwnerReport &report, const peer_address &owner, instant sentAt)
 {
+    if (report.__isset.configurationRow && report.__isset.configurationAgeMs) {
+        const auto age = *decodeTime(true, report.configurationAgeMs);
+        m_queues.tellWord({owner, sentAt, report.configurationRow, age});
+    }
     if (!report.__isset.configurationAddress || !report.__isset.configurationPort) {
         return;
     }
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -59,6 +59,7 @@
     std::string kind; ///< submit, cancel or status
     job_id id; ///< empty if the path holds no valid one
     queue_name queue;
+    workspace_name workspace; ///< of the caller; empty without workspaces and on a public route
     std::string row; ///< of a submitted job
     instant receivedAt;
     instant deadline; ///< without answerReserve
@@ -132,11 +133,9 @@
         return;
     }
     const auto *route = findQueue(*queues, request->header("Host"), path);
-    if (route == nullptr) {
-        answer(entry, statusNotFound, "", "no-such-queue");
+    if (!admit(entry, route)) {
         return;
     }
-    entry->queue = route->queue.name;
     entry->id = path.substr(route->prefix.size());
     if (m_links.isIsolated()) {
         answer(entry, statusGatewayTimeout, "", "isolated", true); // another process may reach the store or the owner
@@ -162,6 +161,37 @@
     }
 }
 
+/// Decides whether the configuration allows the request, and notes its queue and workspace. If it doesn't, or this
+/// process can't know, answers the request and returns false. The body isn't looked at.
+bool caller_service::admit(const exchange_pointer &entry, const queue_route *route)
+{
+    const auto *keys = m_links.keys();
+    const bool needsKey = keys != nullptr && (route == nullptr || !route->isPublic);
+    if (needsKey && !m_links.isConfigurationCurrent()) {
+        if (m_links.isIsolated()) {
+            answer(entry, statusGatewayTimeout, "", "isolated", true);
+        } else {
+            answer(entry, statusUnavailable, "", "configuration-stale", true);
+        }
+        return false;
+    }
+    if (route == nullptr) {
+        answer(entry, statusNotFound, "", "no-such-queue");
+        return false;
+    }
+    entry->queue = route->queue.name;
+    if (!needsKey) {
+        return true;
+    }
+    const auto *workspace = keys->find(entry->request->header(m_codec.keyHeader));
+    if (workspace == nullptr) {
+        answer(entry, statusUnauthorized, "", "unknown-key");
+        return false;
+    }
+    entry->workspace = *workspace;
+    return true;
+}
+
 void caller_service::submit(const exchange_pointer &entry, const queue_route &route)
 {
     accepted_job job;
@@ -174,6 +204,7 @@
     }
     job.id = entry->id;
     job.queue = route.queue;
+    job.workspace = entry->workspace;
     job.acceptedAt = m_links.storeTime();
     entry->row = encodeJob(job);
     commitThroughOwner(entry);
@@ -371,7 +402,8 @@
     const auto took = std::chrono::duration_cast<std::chrono::microseconds>(bootNow() - entry->receivedAt);
     m_measures.observe("primrosecroft_request_seconds", "kind", entry->kind, took);
     if (entry->kind != "status" || status != statusOk) {
-        m_log.write("callers", entry->kind,
+        // Refused keys have a line budget of their own, so that a flood of them leaves the other lines theirs.
+        m_log.write("callers", status == statusUnauthorized ? "refused-key" : entry->kind,
                     {{"id", entry->id},
                      {"queue", entry->queue},
                      {"status", std::to_string(status)},
--- a/src/libprimrosecroft/callers/caller_service.h
+++ b/src/libprimrosecroft/callers/caller_service.h
@@ -8,6 +8,7 @@
 #include "observability/metrics.h"
 #include "queues/queue_table.h"
 #include "store/store.h"
+#include "workspaces/key_index.h"
 
 #include <functional>
 #include <map>
@@ -25,6 +26,7 @@
     std::function<std::string(job_status)> encodeStatus;
     std::function<std::string(std::int64_t)> encodeWaiting; ///< body with the number of waiting jobs
     std::string deadlineHeader; ///< header with the time in milliseconds that the caller waits for the answer
+    std::string keyHeader; ///< header with the key of the caller's workspace
 };
 
 /// The owner's answer to a query about a job.
@@ -38,6 +40,11 @@
 struct caller_links
 {
     std::function<const queue_table *()> queues; ///< returns nullptr before the first configuration is in force
+    std::function<const key_index *()> keys; ///< of that configuration; nullptr if it has no workspaces
+
+    /// False if a newer configuration may have been in force elsewhere for longer than the deployment allows.
+    std::function<bool()> isConfigurationCurrent;
+
     std::function<std::chrono::milliseconds()> storeTime; ///< the store's steady clock; 0 before its first answer
 
     /// Sends the owner the notice that a job was accepted or cancelled.
@@ -68,6 +75,9 @@
  * Serves callers' HTTP requests to submit, query and cancel jobs. A job is accepted once its row
  * is committed, and cancelled by a second row. Jobs are identified by their id alone: a repeated
  * submission of the same id, at any process and any time, doesn't create a second job.
+ *
+ * If the deployment has workspaces, a request needs the key of one, unless its route is public. It isn't decided by a
+ * configuration that may be out of date.
  */
 class caller_service
 {
@@ -88,6 +98,7 @@
     struct exchange;
     using exchange_pointer = std::shared_ptr<exchange>;
 
+    bool admit(const exchange_pointer &entry, const queue_route *route);
     void submit(const exchange_pointer &entry, const queue_route &route);
     void commitThroughOwner(const exchange_pointer &entry);
     void commit(const exchange_pointer &entry);
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -2151,6 +2151,16 @@
   this->configurationPort = val;
 __isset.configurationPort = true;
 }
+
+void OwnerReport::__set_configurationRow(const int64_t val) {
+  this->configurationRow = val;
+__isset.configurationRow = true;
+}
+
+void OwnerReport::__set_configurationAgeMs(const int64_t val) {
+  this->configurationAgeMs = val;
+__isset.configurationAgeMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerReport& obj)
 {
   obj.printTo(out);
@@ -2245,6 +2255,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationRow);
+          this->__isset.configurationRow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationAgeMs);
+          this->__isset.configurationAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2304,6 +2330,16 @@
     xfer += oprot->writeI32(this->configurationPort);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configurationRow) {
+    xfer += oprot->writeFieldBegin("configurationRow", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->configurationRow);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configurationAgeMs) {
+    xfer += oprot->writeFieldBegin("configurationAgeMs", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->configurationAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2317,6 +2353,8 @@
   swap(a.waitingAgeMs, b.waitingAgeMs);
   swap(a.configurationAddress, b.configurationAddress);
   swap(a.configurationPort, b.configurationPort);
+  swap(a.configurationRow, b.configurationRow);
+  swap(a.configurationAgeMs, b.configurationAgeMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2327,6 +2365,8 @@
   waitingAgeMs = other54.waitingAgeMs;
   configurationAddress = other54.configurationAddress;
   configurationPort = other54.configurationPort;
+  configurationRow = other54.configurationRow;
+  configurationAgeMs = other54.configurationAgeMs;
   __isset = other54.__isset;
 }
 OwnerReport& OwnerReport::operator=(const OwnerReport& other55) {
@@ -2336,6 +2376,8 @@
   waitingAgeMs = other55.waitingAgeMs;
   configurationAddress = other55.configurationAddress;
   configurationPort = other55.configurationPort;
+  configurationRow = other55.configurationRow;
+  configurationAgeMs = other55.configurationAgeMs;
   __isset = other55.__isset;
   return *this;
 }
@@ -2348,6 +2390,8 @@
   out << ", " << "waitingAgeMs="; (__isset.waitingAgeMs ? (out << to_string(waitingAgeMs)) : (out << "<null>"));
   out << ", " << "configurationAddress="; (__isset.configurationAddress ? (out << to_string(configurationAddress)) : (out << "<null>"));
   out << ", " << "configurationPort="; (__isset.configurationPort ? (out << to_string(configurationPort)) : (out << "<null>"));
+  out << ", " << "configurationRow="; (__isset.configurationRow ? (out << to_string(configurationRow)) : (out << "<null>"));
+  out << ", " << "configurationAgeMs="; (__isset.configurationAgeMs ? (out << to_string(configurationAgeMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -909,10 +909,12 @@
 std::ostream& operator<<(std::ostream& out, const Presence& obj);
 
 typedef struct _OwnerReport__isset {
-  _OwnerReport__isset() : waitingAgeMs(false), configurationAddress(false), configurationPort(false) {}
+  _OwnerReport__isset() : waitingAgeMs(false), configurationAddress(false), configurationPort(false), configurationRow(false), configurationAgeMs(false) {}
   bool waitingAgeMs :1;
   bool configurationAddress :1;
   bool configurationPort :1;
+  bool configurationRow :1;
+  bool configurationAgeMs :1;
 } _OwnerReport__isset;
 
 /**
@@ -928,7 +930,9 @@
                 token(0),
                 waitingAgeMs(0),
                 configurationAddress(),
-                configurationPort(0) {
+                configurationPort(0),
+                configurationRow(0),
+                configurationAgeMs(0) {
   }
 
   virtual ~OwnerReport() noexcept;
@@ -938,6 +942,8 @@
   int64_t waitingAgeMs;
   std::string configurationAddress;
   int32_t configurationPort;
+  int64_t configurationRow;
+  int64_t configurationAgeMs;
 
   _OwnerReport__isset __isset;
 
@@ -953,6 +959,10 @@
 
   void __set_configurationPort(const int32_t val);
 
+  void __set_configurationRow(const int64_t val);
+
+  void __set_configurationAgeMs(const int64_t val);
+
   bool operator == (const OwnerReport & rhs) const
   {
     if (!(owns == rhs.owns))
@@ -973,6 +983,14 @@
       return false;
     else if (__isset.configurationPort && !(configurationPort == rhs.configurationPort))
       return false;
+    if (__isset.configurationRow != rhs.__isset.configurationRow)
+      return false;
+    else if (__isset.configurationRow && !(configurationRow == rhs.configurationRow))
+      return false;
+    if (__isset.configurationAgeMs != rhs.__isset.configurationAgeMs)
+      return false;
+    else if (__isset.configurationAgeMs && !(configurationAgeMs == rhs.configurationAgeMs))
+      return false;
     return true;
   }
   bool operator != (const OwnerReport &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -167,6 +167,11 @@
   // itself if the address is its own. Missing if the sender names none, as in an earlier build.
   5: optional string configurationAddress
   6: optional i32 configurationPort
+  // Version of the configuration's row that the sender has, and milliseconds from the moment at which that row was the
+  // newest one to the arrival of the Presence. Missing if the sender's configuration has no workspaces, if it was never
+  // confirmed, and from an earlier build.
+  7: optional i64 configurationRow
+  8: optional i64 configurationAgeMs
 }
 
 /**
--- a/src/libprimrosecroft/queues/queue_follower.cpp
+++ b/src/libprimrosecroft/queues/queue_follower.cpp
@@ -61,6 +61,27 @@
     }
 }
 
+void queue_follower::tellWord(const owner_word &word)
+{
+    if (m_askSource) {
+        advanceBeside(owner_told {word});
+    }
+}
+
+std::optional<owner_word> queue_follower::ownWord(instant askedAt) const
+{
+    const auto news = primrosecroft::newsFor(m_state, askedAt);
+    if (!m_current || !m_current->workspaces || !news.confirmedAge) {
+        return std::nullopt;
+    }
+    return owner_word {{}, askedAt, news.rowVersion, *news.confirmedAge};
+}
+
+bool queue_follower::isStoreOutForAll() const
+{
+    return primrosecroft::isStoreOutForAll(m_state, bootNow());
+}
+
 void queue_follower::answer(row_version known, std::chrono::milliseconds wait,
                             std::function<void(configuration_news)> reply)
 {
@@ -92,6 +113,18 @@
     }
 }
 
+/// Handles a message that doesn't end the call in flight, so that none of its actions leads to the next message.
+void queue_follower::advanceBeside(const following_message &message)
+{
+    const auto rowBefore = m_state.rowVersion;
+    for (const auto &action : step(m_state, message, bootNow())) {
+        perform(action);
+    }
+    if (m_state.rowVersion != rowBefore) {
+        answerQuestions();
+    }
+}
+
 void queue_follower::perform(const following_action &action)
 {
     std::visit(
@@ -100,6 +133,7 @@
             [this](const poll_store &call) { poll(call); },
             [this](const probe_store &) { probe(); },
             [this](const ask_source &call) { ask(call); },
+            [this](const ask_owner &call) { askOwner(call); },
             [this](const pause_following &pause) { m_retry.once(pause.delay, [this] { advance(following_due {}); }); },
             [this](const apply_row &received) { apply(received); },
             [this](const report_store_lost &) {
@@ -156,6 +190,15 @@
     });
 }
 
+void queue_follower::askOwner(const ask_owner &call)
+{
+    const auto sentAt = bootNow();
+    m_askSource({call.owner, call.rowVersion, 0ms, call.timeout},
+                [this, sentAt, owner = call.owner](std::optional<configuration_news> news) {
+                    advanceBeside(owner_answered {sentAt, owner, std::move(news)});
+                });
+}
+
 void queue_follower::apply(const apply_row &received)
 {
     const auto &row = received.row;
--- a/src/libprimrosecroft/queues/queue_follower.h
+++ b/src/libprimrosecroft/queues/queue_follower.h
@@ -51,6 +51,16 @@
     /// process itself.
     void tellSource(const std::optional<peer_address> &source, instant sentAt);
 
+    /// Takes what the owner tells of its row. Asks it if its row is newer.
+    void tellWord(const owner_word &word);
+
+    /// This process's row, as it tells it to others while it is the owner. Returns std::nullopt if the configuration
+    /// has no workspaces or was never confirmed.
+    std::optional<owner_word> ownWord(instant askedAt) const;
+
+    /// True if the store confirms the configuration to no process.
+    bool isStoreOutForAll() const;
+
     /// Answers the question of another process that has the row of version @p known: at once if this process has a
     /// newer one, otherwise when its row is confirmed again, at the latest after @p wait.
     void answer(row_version known, std::chrono::milliseconds wait, std::function<void(configuration_news)> reply);
@@ -64,11 +74,13 @@
     };
 
     void advance(const following_message &message);
+    void advanceBeside(const following_message &message);
     void perform(const following_action &action);
     void read();
     void poll(const poll_store &call);
     void probe();
     void ask(const ask_source &call);
+    void askOwner(const ask_owner &call);
     void apply(const apply_row &received);
     std::vector<store_row> rowsOf(const std::vector<store_row> &rows) const;
     void answerQuestions();
--- a/src/libprimrosecroft/queues/queue_following.cpp
+++ b/src/libprimrosecroft/queues/queue_following.cpp
@@ -38,6 +38,16 @@
 constexpr milliseconds minSourcePause = 3s; ///< after the first failure; doubles with each further one in a row
 constexpr milliseconds maxSourcePause = 30s;
 
+/// A process that is behind the owner asks it at once if it doesn't reach the store. Otherwise the change is on its
+/// way, and a second transfer would delay it: the owner is asked when the confirmation gets this old, shortly before a
+/// source is given up, or without a source after this time, if that is sooner.
+constexpr milliseconds ownerAskAge = 1'600ms;
+constexpr milliseconds ownerAskDelay = 700ms;
+constexpr milliseconds ownerAskTimeout = 1s; ///< then the next word of the owner leads to another question
+
+constexpr milliseconds ownerContactTimeout = 1'200ms; ///< since the last word
+constexpr milliseconds maxConfirmedAge = 1'500ms; ///< of a row that is followed in a store which answers
+
 using action_list = std::vector<following_action>;
 
 bool isFreshEnoughToAsk(const following_state &state, instant now)
@@ -137,10 +147,9 @@
     proceed(state, now, actions);
 }
 
-/// Takes what the source tells. Returns false if this process still lacks the source's row.
-bool takeNews(following_state &state, const source_answered &answer, action_list &actions)
+/// Takes what the process @p from tells. Returns false if this process still lacks its row.
+bool takeNews(following_state &state, const configuration_news &news, const peer_address &from, action_list &actions)
 {
-    const auto &news = *answer.news;
     if (news.rowVersion > state.rowVersion) {
         if (!news.value) {
             return false;
@@ -149,7 +158,7 @@
         apply_row received;
         received.row.value = *news.value;
         received.row.version = news.rowVersion;
-        received.source = answer.source;
+        received.source = from;
         actions.emplace_back(std::move(received));
     }
     state.checkedVersion = std::max(state.checkedVersion, news.checkedVersion);
@@ -162,7 +171,7 @@
     if (!answer.news) {
         return "no-answer";
     }
-    if (!takeNews(state, answer, actions)) {
+    if (!takeNews(state, *answer.news, answer.source, actions)) {
         return answer.news->isTooLarge ? "too-large" : "no-value";
     }
     if (!answer.news->confirmedAge) {
@@ -194,6 +203,50 @@
     proceed(state, now, actions);
 }
 
+/// When a process that is behind is to ask the owner.
+instant ownerQuestionDueAt(const following_state &state, instant now)
+{
+    const instant latest = state.confirmedAt + ownerAskAge;
+    if (hasUsableSource(state, now)) {
+        return latest;
+    }
+    return std::min<instant>(latest, *state.behindSince + (state.isStoreLost ? 0ms : ownerAskDelay));
+}
+
+/// Takes the owner's word: it confirms this process's row, or shows that this process is behind.
+void handleOwnerWord(following_state &state, const owner_word &word, instant now, action_list &actions)
+{
+    if (state.word && word.sentAt < state.word->sentAt) {
+        return;
+    }
+    state.word = word;
+    if (word.rowVersion <= state.rowVersion) {
+        // The owner got the question after it was sent, so its confirmation is no older than this.
+        state.confirmedAt = std::max(state.confirmedAt, std::min<instant>(word.sentAt - word.confirmedAge, now));
+        state.behindSince.reset();
+        return;
+    }
+    state.behindSince = state.behindSince.value_or(now);
+    if (!state.isOwnerAsked && ownerQuestionDueAt(state, now) <= now) {
+        state.isOwnerAsked = true;
+        actions.emplace_back(ask_owner {word.owner, state.rowVersion, ownerAskTimeout});
+    }
+}
+
+void handleOwnerAnswer(following_state &state, const owner_answered &answer, instant now, action_list &actions)
+{
+    state.isOwnerAsked = false;
+    if (!answer.news || !takeNews(state, *answer.news, answer.owner, actions)) {
+        return;
+    }
+    state.behindSince.reset();
+    if (answer.news->confirmedAge) {
+        state.isReadDue = false; // the owner, or whoever it has the row from, has read it
+        state.confirmedAt =
+            std::max(state.confirmedAt, std::min<instant>(answer.sentAt - *answer.news->confirmedAge, now));
+    }
+}
+
 } // namespace
 
 std::vector<following_action> step(following_state &state, const following_message &message, instant now)
@@ -204,6 +257,8 @@
                    [&](const store_answered &answer) { handleStoreAnswer(state, answer, now, actions); },
                    [&](const source_answered &answer) { handleSourceAnswer(state, answer, now, actions); },
                    [&](const probe_ended &) { state.isProbing = false; },
+                   [&](const owner_told &told) { handleOwnerWord(state, told.word, now, actions); },
+                   [&](const owner_answered &answer) { handleOwnerAnswer(state, answer, now, actions); },
                },
                message);
     return actions;
@@ -223,6 +278,12 @@
     state.sharedUntil = std::max<instant>(state.sharedUntil, now + askedLifetime);
 }
 
+bool isStoreOutForAll(const following_state &state, instant now)
+{
+    return state.isStoreLost && state.word && state.word->sentAt + ownerContactTimeout > now
+        && state.word->confirmedAge > maxConfirmedAge;
+}
+
 configuration_news newsFor(const following_state &state, instant askedAt)
 {
     configuration_news result;
--- a/src/libprimrosecroft/queues/queue_following.h
+++ b/src/libprimrosecroft/queues/queue_following.h
@@ -17,6 +17,15 @@
 namespace primrosecroft
 {
 
+/// What the owner told of the configuration's row last.
+struct owner_word
+{
+    peer_address owner;
+    instant sentAt; ///< when the question was sent to which this is the answer
+    row_version rowVersion = 0; ///< that the owner has
+    std::chrono::milliseconds confirmedAge {0}; ///< from the moment for which its row is confirmed to the question
+};
+
 /// What is known of the configuration's row and where it is followed. Changed only by the functions below.
 struct following_state
 {
@@ -34,6 +43,9 @@
     bool isStoreLost = false; ///< the latest call of the store failed, and nothing has been confirmed since
     bool isConfirmationDue = false; ///< the next poll of the store is to be answered soon
     instant sharedUntil; ///< until then other processes may ask this one, so its row is confirmed more often
+    std::optional<owner_word> word; ///< the latest one
+    std::optional<instant> behindSince; ///< when an owner first told a newer row than this process has
+    bool isOwnerAsked = false; ///< a question to the owner is in flight
 };
 
 /// What a process tells another that asks it.
@@ -76,7 +88,22 @@
 {
 };
 
-using following_message = std::variant<following_due, store_answered, source_answered, probe_ended>;
+/// The owner told which row it has.
+struct owner_told
+{
+    owner_word word;
+};
+
+/// A call to the owner ended.
+struct owner_answered
+{
+    instant sentAt;
+    peer_address owner;
+    std::optional<configuration_news> news; ///< unset if there was no answer in time
+};
+
+using following_message =
+    std::variant<following_due, store_answered, source_answered, probe_ended, owner_told, owner_answered>;
 
 struct read_store
 {
@@ -102,6 +129,14 @@
     std::chrono::milliseconds timeout {0}; ///< for its answer
 };
 
+/// Ask the owner for its newer row, beside the call that is in flight.
+struct ask_owner
+{
+    peer_address owner;
+    row_version rowVersion = 0; ///< that this process has
+    std::chrono::milliseconds timeout {0};
+};
+
 /// Send a following_due after this delay.
 struct pause_following
 {
@@ -141,11 +176,11 @@
 };
 
 using following_action =
-    std::variant<read_store, poll_store, probe_store, ask_source, pause_following, apply_row, report_store_lost,
-                 report_store_regained, report_history_gone, report_place, report_source_lost>;
+    std::variant<read_store, poll_store, probe_store, ask_source, ask_owner, pause_following, apply_row,
+                 report_store_lost, report_store_regained, report_history_gone, report_place, report_source_lost>;
 
-/// Handles one message at time @p now. Returns the actions in their order; the last one, if it isn't a
-/// report, leads to the next message.
+/// Handles one message at time @p now. Returns the actions in their order; after a following_due, store_answered or
+/// source_answered the last one leads to the next of these messages.
 std::vector<following_action> step(following_state &state, const following_message &message, instant now);
 
 /// Takes note of the source that an owner tells in the answer to a message sent at @p sentAt; unset if it is this
@@ -155,6 +190,10 @@
 /// Takes note that another process asks this one.
 void noteQuestion(following_state &state, instant now);
 
+/// True if the store confirms the configuration to no process: this one can't reach it, and the owner is in contact but
+/// has no recent confirmation either. An owner that the store turns away alone hands over.
+bool isStoreOutForAll(const following_state &state, instant now);
+
 /// Returns what this process tells another that asked at @p askedAt, without the value of the row.
 configuration_news newsFor(const following_state &state, instant askedAt);
 
--- a/src/libprimrosecroft/settings/cell_daemon_settings.h
+++ b/src/libprimrosecroft/settings/cell_daemon_settings.h
@@ -33,6 +33,10 @@
 
     std::chrono::milliseconds maxLease {0}; ///< upper bound of the lease of a run on a worker
     std::chrono::milliseconds maxStopTime {0}; ///< for which a run holds its resources after an order to stop
+    /// Within which a new configuration has to be in force at each daemon.
+    std::chrono::milliseconds maxConfigurationDelay {0};
+    /// By which a store that doesn't serve all daemons may extend that.
+    std::chrono::milliseconds maxOutageDelay {0};
     std::chrono::milliseconds terminationGrace {0}; ///< between SIGTERM and SIGKILL to this daemon
     vm_capacity capacity; ///< of the VM that this daemon runs on
 };
--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <ranges>
+#include <sstream>
 
 /**
  * Emulates the users' platform on loopback addresses in real time: the store, the workers and the advice service, as
@@ -31,6 +32,7 @@
 constexpr std::uint16_t storePort = 7701;
 constexpr std::uint16_t advicePort = 7702;
 constexpr std::uint16_t controlPort = 7703;
+constexpr std::uint16_t otherStorePort = 7704; ///< of the same store, for daemons that it is to turn away alone
 constexpr std::uint16_t workerPort = 7500;
 constexpr auto tickInterval = 10ms;
 constexpr auto announcementInterval = 500ms;
@@ -154,6 +156,13 @@
     void listen()
     {
         listenOn(networkPrefix + ".0.1", storePort, [this](const auto &request) { serveStore(request); });
+        listenOn(networkPrefix + ".0.1", otherStorePort, [this](const auto &request) {
+            if (refusesOtherPort) {
+                request->answer({statusUnavailable, {}, ""});
+            } else {
+                serveStore(request);
+            }
+        });
         listenOn(networkPrefix + ".0.2", advicePort, [this](const auto &request) { serveAdvice(request); });
         listenOn(networkPrefix + ".0.1", controlPort, [this](const auto &request) { serveControl(request); });
         for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -230,7 +239,9 @@
         store.put({platform::workerTable, "", "i-unreadable"}, "not JSON"); // readers have to skip it
     }
 
-    void putConfiguration(int version)
+    /// Puts a configuration in force. @p keys lists the workspaces' keys, such as `a:key1,b:key2`; empty for a
+    /// deployment without workspaces.
+    void putConfiguration(int version, const std::string &keys = {})
     {
         const json route {{"name", "q"},   {"host", "jobs.example"}, {"pathPrefix", "/q/"},  {"service", "pool"},
                           {"priority", 0}, {"maxAttempts", 2},       {"stretchFactor", 1.5}, {"targetLatencyMs", 500}};
@@ -238,8 +249,27 @@
         advised["name"] = "advised";
         advised["pathPrefix"] = "/advised/";
         advised["advice"] = {{"decideMs", 20.0}, {"periodMs", 0.3}, {"validMs", ticketValidity.count()}};
-        store.put({platform::configurationTable, "", platform::configurationKey},
-                  json {{"version", version}, {"routes", {route, advised}}, {"services", json::array()}}.dump());
+        json configuration {{"version", version}, {"routes", {route, advised}}, {"services", json::array()}};
+        if (!keys.empty()) {
+            configuration["tenants"] = workspaceList(keys);
+        }
+        store.put({platform::configurationTable, "", platform::configurationKey}, configuration.dump());
+    }
+
+    static json workspaceList(const std::string &keys)
+    {
+        std::map<std::string, json> keysOf;
+        for (std::istringstream list(keys); !list.eof();) {
+            std::string entry;
+            std::getline(list, entry, ',');
+            const auto separator = entry.find(':');
+            keysOf[entry.substr(0, separator)].push_back(entry.substr(separator + 1));
+        }
+        auto result = json::array();
+        for (const auto &[name, own] : keysOf) {
+            result.push_back({{"name", name}, {"apiKeys", own}});
+        }
+        return result;
     }
 
     // --- the store
@@ -512,7 +542,9 @@
         } else if (request->path() == "/drop-history") {
             store.dropHistory();
         } else if (request->path() == "/configure") {
-            putConfiguration(static_cast<int>(number("version")));
+            putConfiguration(static_cast<int>(number("version")), request->query("keys"));
+        } else if (request->path() == "/other-store") {
+            refusesOtherPort = request->query("mode") == "out";
         } else if (request->path() == "/reboot") {
             workers.at(static_cast<std::size_t>(number("worker"))).reboot(timeOfDay().count());
         }
@@ -557,6 +589,7 @@
     timer announcementTimer;
     instant lastTickAt = bootNow();
     instant storeDownUntil;
+    bool refusesOtherPort = false; ///< requests at otherStorePort are answered 503
     std::string delayedTable; ///< reads of its rows are answered late, by readDelay; empty for none
     std::chrono::milliseconds readDelay {0};
     int answersToLose = 0; ///< transactions that the store commits and doesn't answer
--- a/tests/unit/caller_service_test.cpp
+++ b/tests/unit/caller_service_test.cpp
@@ -1,10 +1,17 @@
 #include "callers/caller_service.h"
+#include "core/checksum.h"
 #include "core/clock.h"
 #include "fake_request.h"
 #include "fake_store.h"
 #include "loopback.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
 
 /// Tests of callers' requests with an owner that can't be reached and a store in memory.
 using namespace primrosecroft;
@@ -23,7 +30,11 @@
     route.host = "jobs.example";
     route.prefix = "/q/";
     route.queue.name = "q";
-    table.routes = {route};
+    queue_route open = route;
+    open.prefix = "/open/";
+    open.queue.name = "open";
+    open.isPublic = true;
+    table.routes = {route, open};
     return table;
 }
 
@@ -33,18 +44,22 @@
     {
         caller_links links;
         links.queues = [this] { return &queues; };
+        links.keys = [this] { return keys ? &*keys : nullptr; };
+        links.isConfigurationCurrent = [this] { return isCurrent; };
         links.storeTime = [] { return 1'000ms; };
         links.notifyOwner = [](const job_id &, bool) { };
-        links.storeThroughOwner = [this](const job_id &, const std::string &, bool, std::chrono::milliseconds timeout,
+        links.storeThroughOwner = [this](const job_id &, const std::string &row, bool,
+                                         std::chrono::milliseconds timeout,
                                          const std::function<void(store_outcome)> &done) {
             ownerTimeout = timeout;
-            done(store_outcome::refused);
+            storedRows.push_back(row);
+            done(ownerOutcome);
         };
         links.askOwner = [](const job_id &, std::chrono::milliseconds, const std::function<void(owner_answer)> &done) {
             done({});
         };
         links.isOwnerResponsive = [] { return false; };
-        links.isIsolated = [] { return false; };
+        links.isIsolated = [this] { return isIsolated; };
         links.countWaitingJobs = [](const queue_name &) { return std::nullopt; };
         return links;
     }
@@ -57,15 +72,51 @@
         return request;
     }
 
+    /// The answer to a call with the header of the key, or without it if @p key is unset.
+    unsigned statusOf(const std::string &method, const std::string &path, const std::optional<std::string> &key)
+    {
+        http_headers headers {{"Host", "jobs.example"}};
+        if (key) {
+            headers.push_back({"Key", *key});
+        }
+        last = std::make_shared<fake_request>(method, path, headers, "body");
+        service.serve(last);
+        return last->response ? last->response->status : 0;
+    }
+
+    /// Puts a configuration with these keys of workspaces a and b in force.
+    void setKeys(const std::vector<std::string> &keysOfA, const std::vector<std::string> &keysOfB)
+    {
+        const auto digests = [](const std::vector<std::string> &texts) {
+            std::set<key_digest> result;
+            std::ranges::transform(texts, std::inserter(result, result.end()), sha256);
+            return result;
+        };
+        queues.workspaces = {{"a", {}, digests(keysOfA)}, {"b", {}, digests(keysOfB)}};
+        keys.emplace(*queues.workspaces);
+    }
+
     fake_store rows;
+    std::optional<key_index> keys;
+    bool isCurrent = true;
+    bool isIsolated = false;
+    int decodedBodies = 0;
+    store_outcome ownerOutcome = store_outcome::refused;
+    std::vector<std::string> storedRows; ///< sent to the owner; empty for cancellations
+    std::shared_ptr<fake_request> last;
     queue_table queues = makeQueues();
     std::chrono::milliseconds ownerTimeout {0};
     decision_log log {0, -1};
     metrics measures;
     caller_service service {rows,
-                            {[](const std::string &) { return job_spec {}; },
+                            {[this](const std::string &) {
+                                 ++decodedBodies;
+                                 job_spec spec;
+                                 spec.steps.emplace_back();
+                                 return spec;
+                             },
                              [](job_status status) { return toString(status); },
-                             [](std::int64_t count) { return std::to_string(count); }, "Deadline"},
+                             [](std::int64_t count) { return std::to_string(count); }, "Deadline", "Key"},
                             makeLinks(),
                             log,
                             measures};
@@ -102,3 +153,84 @@
         CHECK(process.ownerTimeout > 2'500ms); // the default
     }
 }
+
+TEST_CASE("a call needs a key of a workspace, unless its route is public")
+{
+    caller_process process;
+    process.ownerOutcome = store_outcome::done;
+    process.setKeys({"first"}, {"second"});
+    for (const auto *method : {"POST", "GET", "DELETE"}) {
+        for (const auto &path : {"/q/" + job, std::string("/q/")}) {
+            for (const auto &key : {std::optional<std::string>(), std::optional<std::string>("third"),
+                                    std::optional<std::string>(""), std::optional(sha256("first"))}) {
+                CAPTURE(method, path, key.value_or("none"));
+                CHECK(process.statusOf(method, path, key) == statusUnauthorized);
+            }
+        }
+    }
+    CHECK(process.decodedBodies == 0);
+    CHECK(process.storedRows.empty());
+    CHECK(process.statusOf("POST", "/q/" + job, "first") == statusOk);
+    CHECK(process.statusOf("DELETE", "/q/" + job, "second") == statusOk);
+    CHECK(process.statusOf("POST", "/open/" + job, {}) == statusOk);
+    CHECK(process.statusOf("POST", "/open/" + job, "third") == statusOk);
+    CHECK(process.statusOf("POST", "/none/" + job, {}) == statusNotFound);
+    CHECK(process.statusOf("POST", "/none/" + job, "first") == statusNotFound);
+}
+
+TEST_CASE("a job carries the workspace of its caller's key")
+{
+    caller_process process;
+    process.ownerOutcome = store_outcome::done;
+    process.setKeys({"first"}, {"second"});
+    process.statusOf("POST", "/q/" + job, "second");
+    process.statusOf("POST", "/open/" + job, "second");
+    CHECK(decodeJob(process.storedRows.at(0)).workspace == "b");
+    CHECK(decodeJob(process.storedRows.at(1)).workspace.empty());
+}
+
+TEST_CASE("a key that is taken away or added counts from the next call on")
+{
+    caller_process process;
+    process.ownerOutcome = store_outcome::done;
+    process.setKeys({"first"}, {});
+    CHECK(process.statusOf("POST", "/q/" + job, "first") == statusOk);
+    process.setKeys({"other"}, {});
+    CHECK(process.statusOf("POST", "/q/" + job, "first") == statusUnauthorized);
+    CHECK(process.statusOf("DELETE", "/q/" + job, "other") == statusOk);
+}
+
+TEST_CASE("a configuration that may be out of date decides no call")
+{
+    caller_process process;
+    process.ownerOutcome = store_outcome::done;
+    process.setKeys({"first"}, {});
+    process.isCurrent = false;
+    for (const auto *method : {"POST", "GET", "DELETE"}) {
+        for (const auto *path : {"/q/0123456789abcdef", "/q/", "/none/0123456789abcdef"}) {
+            for (const auto *key : {"first", "third"}) {
+                CAPTURE(method, path, key);
+                CHECK(process.statusOf(method, path, key) == statusUnavailable);
+                CHECK_FALSE(headerValue(process.last->response->headers, "Retry-After").empty());
+            }
+        }
+    }
+    CHECK(process.decodedBodies == 0);
+    CHECK(process.storedRows.empty());
+    CHECK(process.statusOf("POST", "/open/" + job, {}) == statusOk); // a public route needs no key
+    process.isIsolated = true;
+    CHECK(process.statusOf("POST", "/q/" + job, "third") == statusGatewayTimeout); // another process may know
+    process.isIsolated = false;
+    process.isCurrent = true;
+    CHECK(process.statusOf("POST", "/q/" + job, "first") == statusOk);
+}
+
+TEST_CASE("without workspaces neither a key nor a recent confirmation is needed")
+{
+    caller_process process;
+    process.ownerOutcome = store_outcome::done;
+    process.isCurrent = false;
+    CHECK(process.statusOf("POST", "/q/" + job, {}) == statusOk);
+    CHECK(process.statusOf("POST", "/none/" + job, {}) == statusNotFound);
+    CHECK(decodeJob(process.storedRows.at(0)).workspace.empty());
+}
--- a/tests/unit/configuration_link_test.cpp
+++ b/tests/unit/configuration_link_test.cpp
@@ -197,7 +197,7 @@
             owner.notePresence(message);
             wire::OwnerReport report;
             owner.addSource(report, message.sender.process, ownsSince);
-            each->link.handleReport(report, bootNow());
+            each->link.handleReport(report, {loopback, firstPort - 1}, bootNow());
         }
     }
 
--- a/tests/unit/queue_following_test.cpp
+++ b/tests/unit/queue_following_test.cpp
@@ -306,22 +306,42 @@
     void perform(following_process &from, const ask_source &call)
     {
         from.askedSourceAt.push_back(now);
+        ask<source_answered>(from, call);
+    }
+
+    void perform(following_process &from, const ask_owner &call)
+    {
+        ++ownerQuestions;
+        ask<owner_answered>(from, {call.owner, call.rowVersion, 0ms, call.timeout});
+    }
+
+    following_process *find(const peer_address &address)
+    {
+        if (owner && owner->address == address) {
+            return owner.get();
+        }
+        const auto found = std::ranges::find_if(processes, [&](const auto &each) { return each->address == address; });
+        return found == processes.end() ? nullptr : found->get();
+    }
+
+    template<typename answered>
+    void ask(following_process &from, const ask_source &call)
+    {
         const auto sentAt = clockOf(from);
         const auto isOver = std::make_shared<bool>(false);
         const auto end = [this, &from, sentAt, isOver, call](const std::optional<configuration_news> &news) {
             deliver(from, [this, &from, sentAt, isOver, call, news] {
                 if (!std::exchange(*isOver, true)) {
-                    advance(from, source_answered {sentAt, call.source, news});
+                    advance(from, answered {sentAt, call.source, news});
                 }
             });
         };
         at(now + call.timeout, [end] { end(std::nullopt); });
-        const auto found =
-            std::ranges::find_if(processes, [&](const auto &each) { return each->address == call.source; });
-        if (found == processes.end()) {
+        auto *found = find(call.source);
+        if (found == nullptr) {
             return;
         }
-        auto &asked = **found;
+        auto &asked = *found;
         if (asked.isDead) {
             at(now + peerRoundTrip, [end] { end(std::nullopt); }); // refused
             return;
@@ -354,7 +374,7 @@
             }
             reply(news);
         };
-        if (asked.state.rowVersion > call.rowVersion) {
+        if (asked.state.rowVersion > call.rowVersion || call.wait == 0ms) {
             answer();
             return;
         }
@@ -415,6 +435,44 @@
         }
     }
 
+    /// From now on the owner follows the configuration too, and tells the processes which row it has.
+    void startWords()
+    {
+        owner = std::make_unique<following_process>();
+        owner->name = "owner";
+        owner->address = {"10.0.0.9", 8161};
+        owner->clockOffset = 70s;
+        advance(*owner, following_due {});
+        at(now + 70ms, [this] { wordTick(); });
+        runFor(2s);
+        oldest = 0ms;
+        storeTransfers = 0;
+    }
+
+    void wordTick()
+    {
+        at(now + presenceInterval, [this] { wordTick(); });
+        for (const auto &each : processes) {
+            const bool isHeard = !each->isDead && !each->isFrozen && !each->isCutFromPeers;
+            if (isHeard && !owner->isDead && !owner->isFrozen) {
+                at(now + peerRoundTrip / 2,
+                   [this, &target = *each, sentAt = clockOf(*each)] { tellWord(target, sentAt); });
+            }
+        }
+    }
+
+    /// The presence message that @p target sent at @p sentAt has arrived at the owner.
+    void tellWord(following_process &target, instant sentAt)
+    {
+        const auto news = newsFor(owner->state, clockOf(*owner));
+        if (!news.confirmedAge) {
+            return;
+        }
+        const owner_word word {owner->address, sentAt, news.rowVersion, *news.confirmedAge};
+        at(now + peerRoundTrip / 2,
+           [this, &target, word] { deliver(target, [this, &target, word] { advance(target, owner_told {word}); }); });
+    }
+
     following_process &source()
     {
         return **std::ranges::find_if(processes, [this](const auto &each) { return each->name == sources.at("far"); });
@@ -440,6 +498,8 @@
     configuration_sources sources;
     std::optional<peer_address> forcedSource;
     bool isOwnerAlive = true;
+    std::unique_ptr<following_process> owner; ///< unset until startWords()
+    int ownerQuestions = 0;
     std::set<std::string> excepted; ///< processes whose confirmation may grow old
     std::set<std::string> wrongConfirmations;
     milliseconds oldest {0}; ///< greatest age of a confirmation at any process that isn't excepted
@@ -793,3 +853,131 @@
     CHECK(newsFor(state, start + 1us).confirmedAge == 1ms);
     CHECK(newsFor(state, start - 1us).confirmedAge == 0ms);
 }
+
+TEST_CASE("processes that the store turns away hear of a change from the owner")
+{
+    for (const auto phase : {0ms, 130ms, 260ms, 390ms, 520ms, 650ms}) {
+        for (const bool isSourceCut : {false, true}) {
+            INFO("cut after " << phase.count() << " ms, the source too: " << isSourceCut);
+            region far;
+            far.startWords();
+            far.runFor(phase);
+            for (const auto index : {3, 6, 9, 12, 14}) {
+                far.process(index).isCutFromStore = true;
+            }
+            far.source().isCutFromStore = isSourceCut;
+            far.runFor(1'500ms);
+            far.write();
+            far.runFor(2'500ms); // our bound in an outage
+            CHECK(far.allHave(2));
+            far.runFor(6s);
+            far.write();
+            far.runFor(2'500ms);
+            CHECK(far.allHave(3));
+            CHECK(far.oldest < maxReadyAge);
+            std::ranges::for_each(far.processes, [](const auto &each) { each->isCutFromStore = false; });
+            checkOutcome(far);
+        }
+    }
+}
+
+TEST_CASE("a change in the moment in which the store turns processes away reaches them in time")
+{
+    for (const auto phase : {-300ms, -150ms, -20ms, 0ms, 20ms, 150ms, 300ms}) {
+        INFO("change " << phase.count() << " ms after the cut");
+        region far;
+        far.startWords();
+        const auto cut = [&far] {
+            for (const auto index : {2, 5, 8, 11, 14}) {
+                far.process(index).isCutFromStore = true;
+            }
+        };
+        far.at(far.now + 400ms, cut);
+        far.at(far.now + 400ms + phase, [&far] { far.write(); });
+        far.runFor(400ms + phase + 2'500ms);
+        CHECK(far.allHave(2));
+    }
+}
+
+TEST_CASE("a process that starts while the store turns it away takes the configuration from the owner")
+{
+    region far;
+    far.startWords();
+    auto &fresh = far.process(4);
+    fresh.isCutFromStore = true;
+    far.forcedSource = peer_address {"10.0.0.99", 8161}; // nobody listens there
+    fresh.state = {};
+    fresh.inForce = 0;
+    far.excepted.insert(fresh.name);
+    far.at(far.now, [&] { far.advance(fresh, following_due {}); });
+    far.runFor(2'500ms);
+    CHECK(fresh.inForce == 1);
+    CHECK(far.wrongConfirmations.empty());
+}
+
+TEST_CASE("an owner that the store turns away confirms nobody beyond its own confirmation")
+{
+    region far(false); // no process is told a source
+    far.startWords();
+    auto &cut = far.process(5);
+    far.excepted.insert(cut.name);
+    cut.isCutFromStore = true;
+    far.runFor(3s);
+    CHECK(far.clockOf(cut) - cut.state.confirmedAt < maxReadyAge);
+    CHECK_FALSE(isStoreOutForAll(cut.state, far.clockOf(cut)));
+    far.owner->isCutFromStore = true;
+    far.runFor(1'500ms); // until its last poll is over
+    far.write();
+    far.runFor(4s);
+    CHECK(cut.inForce == 1);
+    CHECK(far.clockOf(cut) - cut.state.confirmedAt > 4s);
+    CHECK(isStoreOutForAll(cut.state, far.clockOf(cut)));
+    CHECK(far.wrongConfirmations.empty());
+    far.owner->isCutFromStore = false;
+    far.runFor(2'500ms);
+    CHECK(cut.inForce == 2);
+    CHECK_FALSE(isStoreOutForAll(cut.state, far.clockOf(cut)));
+    CHECK(far.wrongConfirmations.empty());
+}
+
+TEST_CASE("without the owner's word a process isn't extended in its use of an old configuration")
+{
+    region far(false);
+    far.startWords();
+    auto &cut = far.process(5);
+    far.isStoreOut = true;
+    far.runFor(4s);
+    CHECK(isStoreOutForAll(cut.state, far.clockOf(cut)));
+    far.owner->isDead = true;
+    far.runFor(1'300ms);
+    CHECK_FALSE(isStoreOutForAll(cut.state, far.clockOf(cut)));
+}
+
+TEST_CASE("an owner with an older row takes no version back")
+{
+    region far;
+    far.startWords();
+    far.owner->isCutFromStore = true;
+    far.runFor(1'500ms);
+    far.write();
+    far.runFor(3s);
+    CHECK(far.owner->inForce == 1);
+    CHECK(far.allHave(2));
+    CHECK(far.ownerQuestions == 0);
+    checkOutcome(far);
+}
+
+TEST_CASE("while the store answers, nobody asks the owner")
+{
+    for (const auto transferTime : {95ms, 450ms}) {
+        region far;
+        far.rowTransferTime = transferTime;
+        far.startWords();
+        far.write();
+        far.runFor(3s);
+        CHECK(far.allHave(2));
+        CHECK(far.ownerQuestions == 0);
+        CHECK(far.storeTransfers == 2); // the source's and the owner's
+        checkOutcome(far);
+    }
+}
