Check that a job row keeps workspace and images, and take another name for the unknown field

Cause: wire failed, since 'values that only other builds know are ignored' used the field im, which has a meaning again since. The check stays as strict, with a name that no build has used, also at the row's top level.

--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -185,12 +185,26 @@
     job.id = "a";
     job.spec.steps.resize(1);
     auto row = nlohmann::json::from_cbor(encodeJob(job));
-    row["s"][0]["im"] = "debian";
+    row["s"][0]["unheard-of"] = "debian";
+    row["unheard-of"] = 1;
     std::string encoded;
     nlohmann::json::to_cbor(row, encoded);
     CHECK(decodeJob(encoded).spec == job.spec);
 }
 
+TEST_CASE("a job row keeps the workspace and the images, and is readable without them")
+{
+    accepted_job job;
+    job.id = "a";
+    job.spec.steps.resize(1);
+    CHECK(decodeJob(encodeJob(job)).workspace.empty());
+    CHECK(decodeJob(encodeJob(job)).spec.steps[0].image.empty());
+    job.workspace = "north";
+    job.spec.steps[0].image = "debian";
+    CHECK(decodeJob(encodeJob(job)).workspace == "north");
+    CHECK(decodeJob(encodeJob(job)).spec == job.spec);
+}
+
 TEST_CASE("a limit of request bodies that isn't positive counts as missing")
 {
     const auto limitOf = [](const std::string &limits) {
