--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -601,9 +601,22 @@
         runner.setWorkspaces(policiesOf(table));
         keys = table.workspaces ? std::optional<key_index>(*table.workspaces) : std::nullopt;
         if (table.workspaces) {
-            for (const auto &each : findSharedKeys(*table.workspaces)) {
-                log.write("queues", "key-shared", {{"holder", each.holder}, {"other", each.other}});
-            }
+            reportWorkspaces(table.version, *table.workspaces);
+        }
+    }
+
+    void reportWorkspaces(std::int64_t version, const std::vector<workspace> &workspaces)
+    {
+        std::size_t keyCount = 0;
+        for (const auto &each : workspaces) {
+            keyCount += each.keys.size();
+        }
+        log.writeAlways("queues", "workspaces",
+                        {{"version", std::to_string(version)},
+                         {"count", std::to_string(workspaces.size())},
+                         {"keys", std::to_string(keyCount)}});
+        for (const auto &each : findSharedKeys(workspaces)) {
+            log.write("queues", "key-shared", {{"holder", each.holder}, {"other", each.other}});
         }
     }
 
@@ -632,6 +645,10 @@
         measures.set("primrosecroft_store_writes", static_cast<double>(rows.writes()));
         measures.set("primrosecroft_store_reads", static_cast<double>(rows.reads()));
         measures.set("primrosecroft_log_lines_dropped", static_cast<double>(log.droppedLines()));
+        if (queues.confirmedAt() != instant {}) {
+            measures.set("primrosecroft_configuration_age_seconds",
+                         std::chrono::duration<double>(bootNow() - queues.confirmedAt()).count());
+        }
         measures.set("primrosecroft_queues_version",
                      static_cast<double>(queues.current() ? queues.current()->version : 0));
         for (const auto &[kind, traffic] : peers.traffic()) {
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -412,6 +412,9 @@
                      {"ms", std::to_string(took.count() / 1'000)}});
     }
     m_measures.count("primrosecroft_requests", "outcome", entry->kind + '-' + outcome);
+    if (!entry->workspace.empty()) {
+        m_measures.count("primrosecroft_workspace_requests", "workspace", entry->workspace);
+    }
     http_response result {status, {{"Content-Type", "application/json"}}, body.empty() ? "{}" : body};
     if (allowsRetry) {
         result.headers.push_back({"Retry-After", std::to_string(std::chrono::seconds(retryAfter).count())});
--- a/tests/unit/caller_service_test.cpp
+++ b/tests/unit/caller_service_test.cpp
@@ -234,3 +234,26 @@
     CHECK(process.statusOf("POST", "/none/" + job, {}) == statusNotFound);
     CHECK(decodeJob(process.storedRows.at(0)).workspace.empty());
 }
+
+TEST_CASE("calls are counted for their workspaces, with a bounded number of names")
+{
+    caller_process process;
+    process.ownerOutcome = store_outcome::done;
+    process.setKeys({"first"}, {"second"});
+    process.statusOf("POST", "/q/" + job, "first");
+    process.statusOf("DELETE", "/q/" + job, "first");
+    process.statusOf("POST", "/q/" + job, "third");
+    CHECK(process.measures.text().find(R"(primrosecroft_workspace_requests{workspace="a"} 2)") != std::string::npos);
+    CHECK(process.measures.text().find(R"(workspace="b")") == std::string::npos);
+    std::vector<workspace> many;
+    for (int number = 0; number < 200; ++number) {
+        many.push_back({"w" + std::to_string(number), {}, {sha256("k" + std::to_string(number))}});
+    }
+    process.keys.emplace(many);
+    for (int number = 0; number < 200; ++number) {
+        CHECK(process.statusOf("POST", "/q/" + job, "k" + std::to_string(number)) == statusOk);
+    }
+    const auto text = process.measures.text();
+    CHECK(text.find(R"(primrosecroft_workspace_requests{workspace="other"})") != std::string::npos);
+    CHECK(text.find(R"(workspace="w199")") == std::string::npos);
+}
