--- a/tests/unit/caller_service_test.cpp
+++ b/tests/unit/caller_service_test.cpp
@@ -246,6 +246,7 @@
     CHECK(process.measures.text().find(R"(primrosecroft_workspace_requests{workspace="a"} 2)") != std::string::npos);
     CHECK(process.measures.text().find(R"(workspace="b")") == std::string::npos);
     std::vector<workspace> many;
+    many.reserve(200);
     for (int number = 0; number < 200; ++number) {
         many.push_back({"w" + std::to_string(number), {}, {sha256("k" + std::to_string(number))}});
     }
