Check the decoding of workspaces and of the bounds on configurations

Nothing tested that keys are kept as digests only, that an error about an entry shows no key, and the defaults of the bounds. The new cases pass on the code as it was.

--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -1,9 +1,12 @@
+#include "core/checksum.h"
 #include "core/error.h"
 #include "platform/wire.h"
 
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <string>
 
 /// Tests the decoding of the platform's texts, and that job rows are decoded as they were encoded.
 using namespace primrosecroft;
@@ -115,6 +118,40 @@
     CHECK(platform::decodeSettings(text, "f.json").maxLease == 6'000ms);
 }
 
+TEST_CASE("the settings' bounds tell for how long a configuration may be used without confirmation")
+{
+    auto text = settingsText;
+    const std::string bound = R"("configApplyMs": 2500)";
+    text.replace(text.find(bound), bound.size(), R"("configApplyMs": 4000, "outerMs": 8000)");
+    const auto settings = platform::decodeSettings(text, "f.json");
+    CHECK(settings.maxConfigurationDelay == 4'000ms);
+    CHECK(settings.maxOutageDelay == 8'000ms);
+    text = settingsText;
+    text.erase(text.find(bound), bound.size() + 2);
+    CHECK(platform::decodeSettings(text, "f.json").maxConfigurationDelay == 2'500ms);
+    CHECK(platform::decodeSettings(text, "f.json").maxOutageDelay == 0ms);
+}
+
+TEST_CASE("a configuration's keys are kept as digests, and an entry that can't be read is an error that shows none")
+{
+    const auto tableOf = [](const std::string &workspaces) {
+        return platform::decodeQueueTable(R"({"version":1,"routes":[],"tenants":)" + workspaces + "}");
+    };
+    const auto table = tableOf(R"([{"name":"a","apiKeys":["secret"],"weight":3,"maxCount":{"cpu":500}}])");
+    REQUIRE(table.workspaces);
+    CHECK(table.workspaces->at(0).keys == std::set<key_digest> {sha256("secret")});
+    CHECK(table.workspaces->at(0).policy == workspace_policy {3, {500, 0, 0}});
+    CHECK_FALSE(platform::decodeQueueTable(R"({"version":1,"routes":[]})").workspaces);
+    CHECK(tableOf("[]").workspaces->empty());
+    for (const auto *faulty :
+         {R"([{"apiKeys":["secret"]}])", R"([{"name":"a"}])", R"([{"name":"a","apiKeys":"secret"}])",
+          R"([{"name":"a","apiKeys":["secret",7]}])", R"(["secret"])"}) {
+        CAPTURE(faulty);
+        CHECK_THROWS_AS(tableOf(faulty), error);
+        CHECK_THROWS_WITH(tableOf(faulty), !Catch::Contains("secret"));
+    }
+}
+
 TEST_CASE("a malformed or unknown entry of a worker is decoded as no worker")
 {
     CHECK_FALSE(platform::decodeWorker("w", "garbage"));
