--- a/tests/standins/limit_check.cpp
+++ b/tests/standins/limit_check.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <ranges>
 
 namespace primrosecroft
 {
@@ -34,11 +35,11 @@
 std::string limit_check::exceeded(const workspace_name &name, const resources &running, instant since) const
 {
     resources highest;
-    for (auto each = m_configurations.rbegin(); each != m_configurations.rend(); ++each) {
-        const auto limit = limitIn(each->policies, name);
+    for (const auto &each : std::views::reverse(m_configurations)) {
+        const auto limit = limitIn(each.policies, name);
         highest = {std::max(highest.milliCores, limit.milliCores), std::max(highest.memoryMib, limit.memoryMib),
                    std::max(highest.accelerators, limit.accelerators)};
-        if (each->begin <= since) {
+        if (each.begin <= since) {
             break;
         }
     }
