Order and watch work by the durations that were learned

Objectives, lateness, advice ahead of a step, copies, stalled runs and the slowness of workers went by the callers' estimates. A run so long that one percent takes seconds no longer counts as stalled after 3 s.

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -221,15 +221,14 @@
 }
 
 /// Returns whether each predecessor of the step is expected to end before @p soon.
-bool isReadySoon(const job_state &job, const occurrence_state &occurrence, const step_spec &spec, instant soon)
+bool isReadySoon(const occurrence_state &occurrence, const step_spec &spec, instant now, instant soon)
 {
     return std::ranges::all_of(spec.after, [&](std::int32_t predecessor) {
         const auto &earlier = occurrence.steps[static_cast<std::size_t>(predecessor)];
-        const auto &earlierSpec = job.accepted.spec.steps[static_cast<std::size_t>(predecessor)];
         return earlier.isReady && earlier.pendingTasks.empty()
             && std::ranges::all_of(earlier.tasks, [&](const task_state &task) {
                    return task.isDone || std::ranges::any_of(task.runs, [&](const task_run &run) {
-                              return run.sentAt + earlierSpec.estimate < soon;
+                              return now + remainingTime(earlier, run, now) < soon;
                           });
                });
     });
@@ -271,7 +270,7 @@
                 const auto &each = occurrence.steps[index];
                 const bool isCandidate = !each.isReady && each.advice.workers.empty() && mayCall(state, policy)
                     && !isWaitingForAnswer(each.advice, now);
-                if (isCandidate && isReadySoon(job, occurrence, job.accepted.spec.steps[index], soon)) {
+                if (isCandidate && isReadySoon(occurrence, job.accepted.spec.steps[index], now, soon)) {
                     requestAdvice(state, usable, waitingStepOf(job, number, occurrence, index), false, now, actions);
                 }
             }
--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -70,6 +70,7 @@
             beginDueOccurrences(state, job, now);
         }
     }
+    renewForecastsIfDue(state, now);
     superviseRuns(state, now, actions);
     placeTasks(state, now, actions);
     requestLists(state, now, actions);
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/cell_messages.h"
+#include "durations/step_times.h"
 
 #include <deque>
 #include <map>
@@ -24,6 +25,7 @@
 {
     std::chrono::milliseconds maxLease {6'000}; ///< the longest lease that the platform allows
     std::chrono::milliseconds maxStopTime {200}; ///< a run holds its resources for up to this long after a stop
+    bool learnsDurations = true; ///< otherwise tasks are expected to take the caller's estimate
 };
 
 /// The take-over of the shard, from which an ownership starts.
@@ -58,6 +60,8 @@
     instant stopConfirmedAt; ///< when the worker confirmed the stop; zero before
     instant nextStopAt; ///< a stop that failed is not sent again before this time
     std::int32_t percent = 0; ///< progress that the worker last reported
+    std::int32_t firstPercent = 0; ///< progress at firstPercentAt
+    instant firstPercentAt; ///< its progress is known since then; zero for a resumed run that no list has shown
     instant lastProgressAt; ///< when percent last changed, or the start was sent or accepted
     std::int64_t load = 0; ///< as in listed_run
     bool isCounted = false; ///< counted ahead among the workers lost under its task, which may crash them
@@ -117,7 +121,9 @@
     std::int32_t doneCount = 0;
     bool isReady = false; ///< all steps that it waits for have ended
     instant readyAt;
-    std::chrono::milliseconds criticalPath {0}; ///< estimated time from the step's start to the end of its occurrence
+    duration_forecast forecast; ///< of one of its tasks
+    /// Expected time from the step's start to the end of its occurrence, on the safe side if forecasts are wide.
+    std::chrono::milliseconds criticalPath {0};
     std::set<std::uint32_t> failedGangs; ///< attempts of the gang that failed
     std::uint32_t gangAttempt = 0; ///< last attempt, which all members of the gang share
     std::uint32_t attemptLimit = 0; ///< attempts up to this number may start; a later owner's are higher
@@ -125,7 +131,7 @@
     loss_record gangLosses; ///< of the whole gang
     bool hasPassedTrial = false; ///< a worker has survived a task that was suspected to crash it
     step_advice advice;
-    std::vector<std::chrono::milliseconds> durations; ///< of successful runs, without very short ones
+    step_times times; ///< of the tasks that have ended
 };
 
 /// One execution of a job's steps. A job without a schedule has one occurrence.
@@ -187,7 +193,7 @@
     std::int32_t stalls = 0; ///< runs that stalled there, counted from the same moment
     instant quarantinedUntil; ///< no new tasks start there before this time; zero before the first quarantine
     std::chrono::milliseconds pause {0}; ///< length of the last quarantine for failed tasks; 0 after a success
-    double slowness = 1; ///< smoothed ratio of the time that work takes there to its estimate; above 1 is slower
+    double slowness = 1; ///< smoothed ratio of the time that work takes there to its forecast; above 1 is slower
 };
 
 struct worker_state
@@ -264,6 +270,9 @@
     std::deque<job_id> finishedJobsOrder; ///< the same jobs, oldest end first
     std::set<job_id> jobsToRemove; ///< jobs whose end is stored, kept until all their runs are over
     std::map<queue_name, advice_stats> advice;
+    duration_model durations; ///< learned from the runs that have ended, also under earlier owners
+    double usualSlowness = 1; ///< smoothed slowness of the workers on which tasks ended; that of a usual worker
+    instant nextForecastAt; ///< forecasts of waiting steps are not renewed before this time
     std::int32_t adviceRoutes = 1; ///< processes that can call the advice service
     std::int32_t cheapAdviceCalls = 0; ///< calls of the advice service that are pending
     std::int32_t costlyAdviceCalls = 0; ///< likewise, of the calls that take long
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -141,7 +141,25 @@
 void recordFailureOn(cell_state &state, worker_state &worker, const job_id &job, instant now, cell_actions &actions);
 
 /// Records that a run of the task succeeded on the worker, and how fast it was there.
-void recordSuccessOn(worker_state &worker, const task_view &view, const task_run &run, instant now);
+void recordSuccessOn(cell_state &state, worker_state &worker, const task_view &view, const task_run &run, instant now);
+
+// --- run_times.cpp
+
+/// Renews the forecast of each step of the job, and with them its critical paths and its objective.
+void renewForecasts(const cell_state &state, job_state &job);
+
+/// Renews the forecasts of all jobs of which a step waits, once in a while.
+void renewForecastsIfDue(cell_state &state, instant now);
+
+/// Learns from a run that is over how long tasks of its kind take.
+void learnFrom(cell_state &state, const worker_state &worker, const task_view &view, const task_run &run, run_end how,
+               instant now);
+
+/// Time that a run will still take: by its progress once it has made some, otherwise by the forecast of its step.
+std::chrono::milliseconds remainingTime(const step_state &step, const task_run &run, instant now);
+
+/// Time in which a run that works gets from one percent to the next.
+std::chrono::milliseconds timePerPercent(const step_state &step, const task_run &run);
 
 // --- placing.cpp
 
--- a/src/libprimrosecroft/cell/health.cpp
+++ b/src/libprimrosecroft/cell/health.cpp
@@ -1,6 +1,7 @@
 #include "cell/detail/cell_parts.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 /// The health of workers: their failures, successes and quarantines.
@@ -29,6 +30,14 @@
         state.workers, [now](const auto &each) { return each.second.health.quarantinedUntil > now; }));
 }
 
+/// How much a run tells of its worker: all if its time was known before, the less the wider the forecast is.
+double sharpnessOf(const duration_forecast &expected)
+{
+    const auto early = std::max(1ms, expected.early);
+    const auto octaves = std::log2(static_cast<double>(expected.late.count()) / static_cast<double>(early.count()));
+    return 1 / (1 + octaves * octaves);
+}
+
 void quarantineForFailures(cell_state &state, worker_state &worker, instant now, cell_actions &actions)
 {
     const auto pause = std::clamp<std::chrono::milliseconds>(worker.health.pause * 2, minQuarantine, maxQuarantine);
@@ -61,20 +70,19 @@
     }
 }
 
-void recordSuccessOn(worker_state &worker, const task_view &view, const task_run &run, instant now)
+void recordSuccessOn(cell_state &state, worker_state &worker, const task_view &view, const task_run &run, instant now)
 {
     worker.health.failedJobs.clear();
     worker.health.stalls = 0;
     worker.health.pause = 0ms;
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.runningSince);
-    if (took >= minMeasuredTime) {
-        view.step->durations.push_back(took);
-    }
-    if (took >= minMeasuredTime && view.spec->estimate >= minMeasuredTime && view.task->checkpoint.empty()) {
+    const auto &expected = view.step->forecast;
+    if (took >= minMeasuredTime && expected.median >= minMeasuredTime && view.task->checkpoint.empty()) {
         const auto ratio =
-            std::clamp(static_cast<double>(took.count()) / static_cast<double>(view.spec->estimate.count()), 0.2, 10.0);
-        worker.health.slowness += (ratio - worker.health.slowness) * slownessWeight;
+            std::clamp(static_cast<double>(took.count()) / static_cast<double>(expected.median.count()), 0.2, 10.0);
+        worker.health.slowness += (ratio - worker.health.slowness) * slownessWeight * sharpnessOf(expected);
     }
+    learnFrom(state, worker, view, run, run_end::done, now);
 }
 
 } // namespace primrosecroft::detail
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -17,19 +17,6 @@
     << 31U; ///< later terms have none of these; the other half is for stored ones
 constexpr std::size_t maxOpenOccurrences = 64; ///< occurrences of one job that are open at the same time
 
-std::chrono::milliseconds objectiveOf(const accepted_job &job)
-{
-    auto criticalPath = criticalPathDuration(job.spec);
-    if (job.queue.advice) {
-        const auto call = job.queue.advice->decide + workersPerAdviceCall * job.queue.advice->perWorker;
-        criticalPath +=
-            std::chrono::duration_cast<std::chrono::milliseconds>(call) * static_cast<int>(job.spec.steps.size());
-    }
-    return std::chrono::milliseconds(
-               static_cast<std::int64_t>(static_cast<double>(criticalPath.count()) * job.queue.slowdownFactor))
-        + job.queue.target;
-}
-
 /// The highest attempt number that owners of earlier terms may use without storing it.
 std::uint32_t attemptsBefore(std::int64_t term)
 {
@@ -73,10 +60,8 @@
         return occurrence;
     }
     const auto term = state.takeOver.term;
-    const auto criticalPaths = criticalPathsFromSteps(spec);
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         auto &step = occurrence.steps.emplace_back();
-        step.criticalPath = criticalPaths[index];
         step.tasks.resize(static_cast<std::size_t>(spec.steps[index].count));
         const step_progress *stored = nullptr;
         if (progress != nullptr) {
@@ -225,7 +210,6 @@
         ? std::max(0ms, state.storeTime - message.job.acceptedAt)
         : 0ms;
     job.arrivedAt = now - age;
-    job.objective = objectiveOf(message.job);
     job.isCancelled = message.isCancelled;
     job.hasProgress = !message.progress.empty();
     job.hasStarted = tellsOfStart(message.progress);
@@ -244,6 +228,7 @@
         job.openOccurrences = 1;
         job.nextOccurrence = 1;
     }
+    renewForecasts(state, job);
     const bool isOfEarlierOwner = job.version != 0 && job.version < state.takeOver.token;
     if (isOfEarlierOwner && job.accepted.spec.occurrences == 0) {
         countAwayFromAcceptance(job);
@@ -253,12 +238,17 @@
 void beginDueOccurrences(cell_state &state, job_state &job, instant now)
 {
     const auto &spec = job.accepted.spec;
+    bool hasBegun = false;
     while (!isAborted(job) && job.nextOccurrence < spec.occurrences
            && static_cast<std::size_t>(job.openOccurrences) < maxOpenOccurrences
            && state.timeOfDay >= spec.firstDue + job.nextOccurrence * spec.interval) {
         job.occurrences[job.nextOccurrence] = makeOccurrence(state, spec, nullptr, now);
         ++job.openOccurrences;
         ++job.nextOccurrence;
+        hasBegun = true;
+    }
+    if (hasBegun) {
+        renewForecasts(state, job);
     }
 }
 
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -71,9 +71,11 @@
 {
     release(worker, run);
     if (const auto view = findTask(state, run.task)) {
-        if (auto *known = findRun(*view->task, worker.description.id, run.attempt);
-            known != nullptr && loss == run_loss::none) {
+        auto *known = findRun(*view->task, worker.description.id, run.attempt);
+        if (known != nullptr && loss == run_loss::none) {
             uncountRun(*view, *known);
+        } else if (known != nullptr) {
+            learnFrom(state, worker, *view, *known, run_end::lapsed, now);
         }
         removeRun(*view->task, worker.description.id, run.attempt);
         if (view->spec->isAtMostOnce && past == past_run::mayHaveRun) {
@@ -108,13 +110,15 @@
         }
     } else if (end.how == run_end::done) {
         if (const auto *run = findRun(*view->task, worker.description.id, end.run.attempt)) {
-            recordSuccessOn(worker, *view, *run, now);
+            recordSuccessOn(state, worker, *view, *run, now);
         }
         completeTask(state, end.run.task, *view, now, actions);
     } else if (end.how == run_end::failed) {
         view->task->avoidedWorkers.insert(worker.description.id);
         recordTaskFailure(state, end.run, *view, now, actions);
         recordFailureOn(state, worker, end.run.task.job, now, actions);
+    } else if (const auto *run = findRun(*view->task, worker.description.id, end.run.attempt)) {
+        learnFrom(state, worker, *view, *run, end.how, now);
     }
     const auto past = end.how == run_end::gangBroken ? pastOfBrokenRun(*view) : past_run::mayHaveRun;
     dropRun(state, worker, end.run, past, now, actions);
@@ -163,6 +167,8 @@
     run.runningSince = now;
     run.lastProgressAt = now;
     run.percent = listed.percent;
+    run.firstPercent = listed.percent;
+    run.firstPercentAt = now;
     run.isStopWanted = !isWanted;
     view->task->lastAttempt = std::max(view->task->lastAttempt, run.attempt);
     view->step->gangAttempt = std::max(view->step->gangAttempt, run.attempt);
@@ -182,6 +188,10 @@
         run.phase = run_phase::running;
         run.runningSince = now;
     }
+    if (run.firstPercentAt == instant {}) {
+        run.firstPercent = listed.percent;
+        run.firstPercentAt = now;
+    }
     if (listed.percent != run.percent || run.lastProgressAt == instant {}) {
         run.percent = listed.percent;
         run.lastProgressAt = now;
@@ -344,6 +354,9 @@
             run->phase = run_phase::running;
             run->runningSince = now;
             run->lastProgressAt = now;
+            if (view->task->checkpoint.empty()) {
+                run->firstPercentAt = now;
+            }
         }
         view->job->hasStarted = true;
         sendStopIfDue(state, message.run.task, *run, now, actions);
--- a/src/libprimrosecroft/cell/serving_order.cpp
+++ b/src/libprimrosecroft/cell/serving_order.cpp
@@ -50,7 +50,8 @@
 {
     const auto objective = std::chrono::duration_cast<duration>(job.objective);
     const auto begin = job.accepted.spec.occurrences > 0 ? step.readyAt : job.arrivedAt;
-    const auto orderingDelay = std::min<duration>(spec.estimate, maxOrderingEstimate) * state.rules.policy.shortFirst;
+    const auto orderingDelay =
+        std::min<duration>(step.forecast.median, maxOrderingEstimate) * state.rules.policy.shortFirst;
     serving_rank result;
     result.isOther = !isServiceOverdue(step, spec, now);
     result.priority = job.accepted.queue.priority;
--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -14,15 +14,16 @@
 using namespace std::chrono_literals;
 
 constexpr auto supervisionInterval = 100ms;
-constexpr auto stallTime = 3'000ms; ///< a run without progress for this long counts as stalled
+constexpr auto minStallTime = 3'000ms; ///< no run counts as stalled before it is without progress for this long
+constexpr auto maxStallTime = 30'000ms; ///< any run does after this time, whatever was expected of it
+constexpr int stallPercents = 3; ///< a stalled run is without progress for as long as this many percent usually take
 constexpr std::int32_t stallsBeforeQuarantine = 2;
 constexpr auto stallQuarantine = 6'000ms;
 constexpr auto drainMargin = 1'200ms; ///< runs with checkpoints are stopped this long before their worker is removed
 constexpr auto maxListAge = 1'500ms; ///< an older list is no sign that a service is at work; a worker lists twice in it
 constexpr std::int32_t fullPercent = 100; ///< progress of a service that is up
-constexpr int copyFactor = 2; ///< a run is late after this many times its expected duration plus copyMargin
+constexpr int copyFactor = 2; ///< a run is late at the earliest after this many times its forecast, and copyMargin
 constexpr auto copyMargin = 200ms;
-constexpr std::size_t minMeasuredRuns = 3; ///< below this number of ended runs only the estimate is used
 
 /// Returns whether the run is running and is not to stop.
 bool isRunningAndWanted(const task_run &run)
@@ -58,11 +59,18 @@
     }
 }
 
-/// Stops a run that has not progressed for stallTime, and quarantines its worker if this happens repeatedly. A list has
-/// to arrive after that time first, since earlier ones may not show the latest progress.
+/// Progress comes in whole percents, so that a long run shows none for a while.
+std::chrono::milliseconds stallTimeOf(const step_state &step, const task_run &run)
+{
+    return std::clamp<std::chrono::milliseconds>(stallPercents * timePerPercent(step, run), minStallTime, maxStallTime);
+}
+
+/// Stops a run that has not progressed for its stall time, and quarantines its worker if this happens repeatedly. A
+/// list has to arrive after that time first, since earlier ones may not show the latest progress.
 void stopStalledRun(cell_state &state, const task_ref &ref, const task_view &view, task_run &run, worker_state &worker,
                     instant now, cell_actions &actions)
 {
+    const auto stallTime = stallTimeOf(*view.step, run);
     const bool isServiceUp = view.spec->isService && run.percent >= fullPercent;
     if (!isRunningAndWanted(run) || isServiceUp || view.spec->isGang || view.spec->isAtMostOnce
         || view.spec->isBestEffort || run.lastProgressAt + stallTime > now
@@ -80,16 +88,10 @@
     }
 }
 
-/// Expected duration of a run of the step: the median of the measured ones, but at least the estimate.
-std::chrono::milliseconds expectedTime(const step_state &step, const step_spec &spec)
+/// The time after which a run counts as late. With a wide forecast that is when nine of ten have ended.
+std::chrono::milliseconds lateTime(const duration_forecast &forecast)
 {
-    if (step.durations.size() < minMeasuredRuns) {
-        return spec.estimate;
-    }
-    auto sorted = step.durations;
-    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
-    std::ranges::nth_element(sorted, middle);
-    return std::max(spec.estimate, *middle);
+    return std::max(copyFactor * forecast.median, forecast.late) + copyMargin;
 }
 
 /// Requests a copy, if the step allows copies, when the only run is late or its worker is unresponsive.
@@ -101,7 +103,7 @@
         || task.runs.size() != 1 || run.isStopWanted) {
         return;
     }
-    const bool isLate = run.sentAt + copyFactor * expectedTime(*view.step, *view.spec) + copyMargin <= now;
+    const bool isLate = run.sentAt + lateTime(view.step->forecast) <= now;
     if (!isLate && !worker.isUnresponsive) {
         return;
     }
--- a/src/libprimrosecroft/jobs/job.cpp
+++ b/src/libprimrosecroft/jobs/job.cpp
@@ -229,10 +229,18 @@
 }
 
 std::vector<std::chrono::milliseconds> criticalPathsFromSteps(const job_spec &spec)
+{
+    std::vector<std::chrono::milliseconds> estimates;
+    std::ranges::transform(spec.steps, std::back_inserter(estimates), &step_spec::estimate);
+    return criticalPathsFromSteps(spec, estimates);
+}
+
+std::vector<std::chrono::milliseconds> criticalPathsFromSteps(const job_spec &spec,
+                                                              std::span<const std::chrono::milliseconds> times)
 {
     std::vector<std::chrono::milliseconds> result(spec.steps.size());
     for (auto index = spec.steps.size(); index-- > 0;) {
-        result[index] += spec.steps[index].estimate; // the steps that wait for it come later and have set their maximum
+        result[index] += times[index]; // the steps that wait for it come later and have set their maximum
         for (const auto each : spec.steps[index].after) {
             auto &predecessor = result.at(static_cast<std::size_t>(each));
             predecessor = std::max(predecessor, result[index]);
--- a/src/libprimrosecroft/jobs/job.h
+++ b/src/libprimrosecroft/jobs/job.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -133,6 +134,10 @@
 /// For each step, the sum of the estimates along the longest chain of dependent steps that begins with it.
 std::vector<std::chrono::milliseconds> criticalPathsFromSteps(const job_spec &spec);
 
+/// Likewise, with the durations @p times in place of the estimates, one for each step.
+std::vector<std::chrono::milliseconds> criticalPathsFromSteps(const job_spec &spec,
+                                                              std::span<const std::chrono::milliseconds> times);
+
 /// Sum of the estimates along the longest chain of dependent steps; 0 for a job without steps.
 std::chrono::milliseconds criticalPathDuration(const job_spec &spec);
 
--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -2,8 +2,10 @@
 #include "crash_schedule.h"
 #include "liveness_schedule.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -70,6 +72,39 @@
     }
 }
 
+/// Work of a task whose estimate is off by ten, either way, or right.
+task_behaviour unlikeEstimate(const run_id &run, const step_spec &step)
+{
+    constexpr std::array workTenths {1, 10, 100};
+    const auto which = std::hash<std::string>()(run.task.job + std::to_string(run.task.step)) % workTenths.size();
+    const auto work = step.estimate * workTenths.at(which) / 10;
+    return {work, false, step.isService, 0, step.isService ? work : 0ms, {}};
+}
+
+/// Runs schedules in which owners begin with durations that are @p factor times the real ones.
+void checkWrongForecasts(double factor, bool allowsCopies)
+{
+    const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
+    const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 100);
+    for (auto seed = first; seed < first + count; ++seed) {
+        emulation_settings settings;
+        settings.seed = seed;
+        settings.maxLoadTime = 2'500ms;
+        settings.totalTime = 200'000ms; // the longest jobs take ten times as long as in other schedules
+        settings.allowsCopies = allowsCopies;
+        for (int run = 0; run < 100; ++run) {
+            const std::chrono::milliseconds estimate(100 + run * 49);
+            const auto learned = std::chrono::duration_cast<std::chrono::milliseconds>(estimate * factor);
+            learn(settings.durations, {{"queue", "", estimate}, learned, true, 1});
+        }
+        cell_emulation emulation(settings);
+        emulation.behaviour = unlikeEstimate;
+        const auto violation = emulation.run();
+        INFO("seed " << seed << ": " << violation);
+        CHECK(violation.empty());
+    }
+}
+
 /// Returns a function that prints the lines of a trace, empty unless the environment asks for traces.
 std::function<void(const std::string &)> tracer()
 {
@@ -128,6 +163,14 @@
     checkSchedules(0, unlikeCapacities);
 }
 
+TEST_CASE("no schedule with forecasts and estimates that are off by ten breaks a guarantee", "[forecasts]")
+{
+    for (const double factor : {0.1, 10.0}) {
+        checkWrongForecasts(factor, false);
+        checkWrongForecasts(factor, true);
+    }
+}
+
 TEST_CASE("no task waits for long that could run while workers restart and owners change", "[liveness]")
 {
     checkLiveness(worker_replacement::restarts);
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -567,6 +567,7 @@
         takeOver.term = beginning.term;
         takeOver.takenAt = now;
         process.cell = std::make_unique<cell_state>(makeCell({}, takeOver));
+        process.cell->durations = settings.durations;
         process.cell->confirmedAt = ownershipConfirmedAt[index];
         if (settings.mutation == disabled_rule::startConfirmed) {
             process.cell->confirmedVersion = std::numeric_limits<row_version>::max();
@@ -1268,6 +1269,7 @@
             step.count = static_cast<std::int32_t>(state.pick(1, 5));
             step.size = {state.pick(500, 4'000), state.pick(100, 4'000), 0};
             step.estimate = std::chrono::milliseconds(state.pick(100, 5'000));
+            step.allowsCopies = state.settings.allowsCopies;
             if (number > 0) {
                 step.after = {static_cast<std::int32_t>(number - 1)};
             }
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -55,6 +55,8 @@
     std::chrono::milliseconds maxLoadTime {0}; ///< a new owner loads for up to this long in the fault period
     std::vector<vm_capacity> capacities; ///< of the processes; if empty, no process hands over
     disabled_rule mutation = disabled_rule::none;
+    bool allowsCopies = false; ///< the tasks of the jobs that run() submits may run in several copies
+    duration_model durations; ///< that each owner begins with
     bool checksLiveness = false; ///< also checks that no task waits for long that could run
 };
 
