Keep learned durations over a change of the owner

A new owner would begin from nothing. The next one reads it with the other rows of the cell, and leaves it aside with a log line if it can't be read or is of another version. The summary and the metrics tell the errors of forecasts and of estimates.

--- a/src/libprimrosecroft/owner_session/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -1,5 +1,8 @@
 #include "owner_session/cell_log.h"
 
+#include "durations/duration_report.h"
+
+#include <cmath>
 #include <string>
 
 namespace primrosecroft
@@ -13,6 +16,11 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(amount).count());
 }
 
+std::string percentText(double share)
+{
+    return std::to_string(std::lround(share * 100));
+}
+
 } // namespace
 
 cell_log::cell_log(decision_log &log, metrics &measures)
@@ -108,6 +116,10 @@
     m_measures.set("primrosecroft_tasks_waiting", static_cast<double>(summary.waitingTasks));
     m_measures.set("primrosecroft_workers_usable", static_cast<double>(summary.usable));
     m_measures.set("primrosecroft_millicores_used", static_cast<double>(summary.usedCores));
+    const auto errors = errorsOf(state.durations);
+    m_measures.set("primrosecroft_duration_runs", static_cast<double>(state.durations.runs));
+    m_measures.set("primrosecroft_duration_forecast_error", errors.forecasts);
+    m_measures.set("primrosecroft_duration_estimate_error", errors.estimates);
     m_log.write("cell", "summary",
                 {{"jobs", std::to_string(summary.jobs)},
                  {"waiting_steps", std::to_string(summary.waitingSteps)},
@@ -118,7 +130,10 @@
                  {"unresolved", std::to_string(summary.unreconciled)},
                  {"used", std::to_string(summary.usedCores)},
                  {"offered", std::to_string(summary.offeredCores)},
-                 {"confirmed_ms", millisecondsText(now - state.confirmedAt)}});
+                 {"confirmed_ms", millisecondsText(now - state.confirmedAt)},
+                 {"learned_runs", std::to_string(state.durations.runs)},
+                 {"forecast_error_percent", percentText(errors.forecasts)},
+                 {"estimate_error_percent", percentText(errors.estimates)}});
 }
 
 void cell_log::writeServing(const cell_state &state, duration took)
--- a/src/libprimrosecroft/owner_session/cell_rows_reader.cpp
+++ b/src/libprimrosecroft/owner_session/cell_rows_reader.cpp
@@ -1,5 +1,6 @@
 #include "owner_session/cell_rows_reader.h"
 
+#include "durations/duration_row.h"
 #include "owner_session/store_timing.h"
 
 #include <algorithm>
@@ -25,12 +26,27 @@
                 return;
             }
             m_context.state.commitSequence = versionOf(result.rows, commitSequencePlace());
+            applyDurations(result.rows);
             applyContactedWorkers(result.rows);
             applyRules(result.rows);
             done(result.version);
         }));
 }
 
+/// A row that can't be read is left aside, since the durations can be learned anew.
+void cell_rows_reader::applyDurations(const std::vector<store_row> &rows)
+{
+    const auto row = std::ranges::find(rows, durationsPlace(), &store_row::place);
+    if (row == rows.end() || !m_context.state.settings.learnsDurations) {
+        return;
+    }
+    try {
+        m_context.state.durations = decodeDurations(row->value);
+    } catch (const error &fault) {
+        logUnreadable(*row, fault);
+    }
+}
+
 void cell_rows_reader::applyContactedWorkers(const std::vector<store_row> &rows)
 {
     auto &state = m_context.state;
--- a/src/libprimrosecroft/owner_session/cell_rows_reader.h
+++ b/src/libprimrosecroft/owner_session/cell_rows_reader.h
@@ -26,6 +26,7 @@
     void stop();
 
 private:
+    void applyDurations(const std::vector<store_row> &rows);
     void applyContactedWorkers(const std::vector<store_row> &rows);
     void applyRules(const std::vector<store_row> &rows);
     void logUnreadable(const store_row &row, const error &fault);
--- a/src/libprimrosecroft/owner_session/cell_runner.cpp
+++ b/src/libprimrosecroft/owner_session/cell_runner.cpp
@@ -5,6 +5,7 @@
 #include "core/overloaded.h"
 #include "owner_session/cell_log.h"
 #include "owner_session/cell_rows_reader.h"
+#include "owner_session/duration_keeper.h"
 #include "owner_session/inbox_reader.h"
 #include "owner_session/job_reader.h"
 #include "owner_session/job_requests.h"
@@ -61,6 +62,7 @@
     cell_log reports {runner.m_log, runner.m_measures};
     order_sender orders {context, runner.m_workers, runner.m_links.askAdvice};
     owned_commits commits {context, runner.m_links.ownershipLost};
+    duration_keeper durations {context, commits};
     worker_feed workers {context, runner.m_source};
     cell_rows_reader cellRows {context};
     job_reader jobs {context};
@@ -175,6 +177,7 @@
             lastSummaryAt = now;
             logSummary(now);
         }
+        durations.storeIfDue(now);
         keepOwnership(now);
         nextPassAt = earliestNextPass(now, bootNow());
     }
--- a/tests/unit/cell_runner_test.cpp
+++ b/tests/unit/cell_runner_test.cpp
@@ -1,3 +1,4 @@
+#include "durations/duration_row.h"
 #include "loopback.h"
 #include "owner_process.h"
 #include "owner_session/pass_pacing.h"
@@ -294,6 +295,31 @@
     CHECK(owner.runner.state()->areContactedWorkersUnknown);
 }
 
+TEST_CASE("an owner goes on with the durations that an earlier one learned")
+{
+    duration_model learned;
+    for (int run = 0; run < 20; ++run) {
+        learn(learned, {{"queue", "image", 1'000ms}, 5'000ms, true, 1});
+    }
+    owner_process owner;
+    owner.rows.rows.put(durationsPlace(), encodeDurations(learned));
+    owner.begin();
+    REQUIRE(owner.runner.state() != nullptr);
+    CHECK(owner.runner.state()->durations.runs == 20);
+    CHECK(forecast(owner.runner.state()->durations, {"queue", "image", 1'000ms}).median > 4'000ms);
+}
+
+TEST_CASE("an owner that can't read the stored durations serves and learns anew")
+{
+    for (const std::string row : {"", "\xff", "\xa1\x61v\x18\x63"}) { // the last one has version 99
+        owner_process owner;
+        owner.rows.rows.put(durationsPlace(), row);
+        owner.begin();
+        REQUIRE(owner.runner.state() != nullptr);
+        CHECK(owner.runner.state()->durations.runs == 0);
+    }
+}
+
 TEST_CASE("a job that a new owner loads is as old as its acceptance tells, not as the load")
 {
     owner_process owner;
