--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -8,6 +8,7 @@
 #include "core/error.h"
 #include "core/overloaded.h"
 #include "core/read_file.h"
+#include "durations/duration_report.h"
 #include "io/glib_pointer.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
@@ -91,11 +92,12 @@
     return result;
 }
 
-cell_settings makeCellSettings(const cell_daemon_settings &settings)
+cell_settings makeCellSettings(const cell_daemon_settings &settings, bool learnsDurations)
 {
     cell_settings result;
     result.maxLease = settings.maxLease;
     result.maxStopTime = settings.maxStopTime;
+    result.learnsDurations = learnsDurations;
     return result;
 }
 
@@ -149,7 +151,7 @@
                  {[this](const ask_advice &request, auto done) { adviceDispatcher.ask(request, std::move(done)); },
                   [this] { return adviceDispatcher.routeCount(); },
                   [this](const std::string &reason) { ownershipLost(reason); }},
-                 makeCellSettings(settings), log, measures)
+                 makeCellSettings(settings, options.learnsDurations), log, measures)
         , ownerLink(
               peers, runner, rows,
               {[this] { return isOwner(); }, [this] { return ownerAddress(); }, [this] { return isOwnerResponsive(); }},
@@ -160,7 +162,7 @@
                   makeCallerLinks(), log, measures)
         , callerServer({}, [this](const std::shared_ptr<http_request> &request) { callers.serve(request); })
         , readinessServer({}, [this](const std::shared_ptr<http_request> &request) { answerReadiness(request); })
-        , metricsServer({}, [this](const std::shared_ptr<http_request> &request) { answerMetrics(request); })
+        , metricsServer({}, [this](const std::shared_ptr<http_request> &request) { answerOperator(request); })
     {
     }
 
@@ -626,6 +628,29 @@
         request->answer({isReady() ? statusOk : statusUnavailable, {}, ""});
     }
 
+    void answerOperator(const std::shared_ptr<http_request> &request)
+    {
+        if (request->path() == "/durations") {
+            answerDurations(request);
+        } else {
+            answerMetrics(request);
+        }
+    }
+
+    /// Answers with what the owner has learned of the durations of a queue's tasks.
+    void answerDurations(const std::shared_ptr<http_request> &request)
+    {
+        const auto *state = runner.state();
+        if (state == nullptr) {
+            request->answer({statusUnavailable, {}, R"({"detail":"this process doesn't own the shard"})"});
+            return;
+        }
+        const auto page = describeDurations(state->durations, request->query("queue"));
+        request->answer({page ? statusOk : statusNotFound,
+                         {{"Content-Type", "application/json"}},
+                         page.value_or(R"({"detail":"nothing has been learned of this queue"})")});
+    }
+
     void answerMetrics(const std::shared_ptr<http_request> &request)
     {
         measures.set("primrosecroft_owns", isOwner() ? 1 : 0);
--- a/src/celld/cell_daemon.h
+++ b/src/celld/cell_daemon.h
@@ -13,6 +13,7 @@
 {
     std::string settingsFile;
     std::uint16_t metricsPort = 0; ///< 0: metrics are not served
+    bool learnsDurations = true; ///< false: tasks are expected to take the callers' estimates
 };
 
 /**
--- a/src/celld/main.cpp
+++ b/src/celld/main.cpp
@@ -17,7 +17,11 @@
                        std::string("Settings file. Default: the file named by ")
                            + primrosecroft::platform::settingsVariable + ".");
     program.add_option("--metrics-port", options.metricsPort, "Port that serves metrics. 0: metrics are not served.");
+    bool isWithoutLearning = false;
+    program.add_flag("--no-learned-durations", isWithoutLearning,
+                     "Expect tasks to take the callers' estimates instead of learning from finished runs.");
     CLI11_PARSE(program, argc, argv);
+    options.learnsDurations = !isWithoutLearning;
     try {
         return primrosecroft::cell_daemon(options).run();
     } catch (const primrosecroft::error &fault) {
--- a/src/ctl/control_commands.h
+++ b/src/ctl/control_commands.h
@@ -33,4 +33,7 @@
 /// Adds the subcommands for workers, upstreams, versions of the configuration and the status.
 void addClusterCommands(CLI::App &app, control_options &options, int &status);
 
+/// Adds the subcommand for what a cell daemon has learned of durations.
+void addEstimateCommands(CLI::App &app, control_options &options, int &status);
+
 } // namespace primrosecroft
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -27,6 +27,7 @@
     addSheetCommands(app, options, status);
     addDemandCommands(app, options, status);
     addClusterCommands(app, options, status);
+    addEstimateCommands(app, options, status);
     // Accepts the options also after the subcommand.
     app.fallthrough();
     for (auto *group : app.get_subcommands({})) {
