Smooth the usual slowness over as many runs as there are workers

In a cell of few workers it lagged 50 runs behind that of its workers, so that a shift of the load looked like slow workers, and forecasts went to twice the time (7,990 ms instead of 4,000 ms; run_times-test fails without this).

--- a/src/libprimrosecroft/cell/run_times.cpp
+++ b/src/libprimrosecroft/cell/run_times.cpp
@@ -21,7 +21,7 @@
 constexpr std::int32_t maxPercentOfResumedRun = 50; ///< a run that resumes later than here tells little of its task
 constexpr int maxSpread = 3; ///< the latest end of a run is taken if it is this many times later than the median
 constexpr int cautionPart = 3; ///< caution adds one part in this many of the way from the median to the late time
-constexpr double usualSlownessWeight = 0.02; ///< weight of the newest run in the smoothed value
+constexpr std::size_t maxSlownessRuns = 50; ///< at most so many runs make the slowness of a usual worker
 
 task_kind kindOf(const job_state &job, const step_spec &spec)
 {
@@ -96,6 +96,14 @@
     return std::nullopt;
 }
 
+/// Smooths the slowness over about as many runs as there are workers. In a smaller cell it would otherwise lag behind
+/// that of its workers, and a shift of the load would look like slow workers.
+void noteSlowness(cell_state &state, const worker_state &worker)
+{
+    const auto runs = std::clamp<std::size_t>(state.workers.size(), 1, maxSlownessRuns);
+    state.usualSlowness += (worker.health.slowness - state.usualSlowness) / static_cast<double>(runs);
+}
+
 /// Tasks of a step take about the same time, so each counts for less the more of them there are.
 double weightOf(const step_spec &spec)
 {
@@ -189,12 +197,12 @@
     if (!state.settings.learnsDurations || !measured) {
         return;
     }
+    noteSlowness(state, worker);
     const auto slowness = worker.health.slowness / state.usualSlowness;
     const auto worked = std::chrono::duration_cast<std::chrono::milliseconds>(measured->worked / slowness);
     learn(state.durations, {kindOf(*view.job, *view.spec), worked, measured->isWhole, weightOf(*view.spec)});
     if (how == run_end::done) {
         add(view.step->times, worked);
-        state.usualSlowness += (worker.health.slowness - state.usualSlowness) * usualSlownessWeight;
     }
     view.step->forecast = refineBy(view.step->times, baseForecast(state, *view.job, *view.spec));
 }
