--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -18,37 +18,6 @@
     << 31U; ///< later terms have none of these; the other half is for stored ones
 constexpr std::size_t maxOpenOccurrences = 64; ///< occurrences of one job that are open at the same time
 
-/// Estimated duration of each step of the job. A step runs in waves if the limit of its workspace doesn't let all its
-/// tasks run at the same time.
-std::vector<std::chrono::milliseconds> stepDurations(const cell_state &state, const accepted_job &job)
-{
-    std::vector<std::chrono::milliseconds> result;
-    std::ranges::transform(job.spec.steps, std::back_inserter(result), [&](const step_spec &spec) {
-        const auto atOnce = std::clamp<std::int64_t>(concurrentTasks(state, job, spec), 1, spec.count);
-        return spec.isService || spec.isGang ? spec.estimate : spec.estimate * ((spec.count + atOnce - 1) / atOnce);
-    });
-    return result;
-}
-
-std::vector<std::chrono::milliseconds> criticalPathsOf(const cell_state &state, const accepted_job &job)
-{
-    return criticalPathsFromSteps(job.spec, stepDurations(state, job));
-}
-
-std::chrono::milliseconds objectiveOf(const cell_state &state, const accepted_job &job)
-{
-    const auto paths = criticalPathsOf(state, job);
-    auto criticalPath = paths.empty() ? 0ms : std::ranges::max(paths);
-    if (job.queue.advice) {
-        const auto call = job.queue.advice->decide + workersPerAdviceCall * job.queue.advice->perWorker;
-        criticalPath +=
-            std::chrono::duration_cast<std::chrono::milliseconds>(call) * static_cast<int>(job.spec.steps.size());
-    }
-    return std::chrono::milliseconds(
-               static_cast<std::int64_t>(static_cast<double>(criticalPath.count()) * job.queue.slowdownFactor))
-        + job.queue.target;
-}
-
 /// The highest attempt number that owners of earlier terms may use without storing it.
 std::uint32_t attemptsBefore(std::int64_t term)
 {
@@ -93,10 +62,8 @@
         return occurrence;
     }
     const auto term = state.takeOver.term;
-    const auto criticalPaths = criticalPathsOf(state, job);
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         auto &step = occurrence.steps.emplace_back();
-        step.criticalPath = criticalPaths[index];
         step.tasks.resize(static_cast<std::size_t>(spec.steps[index].count));
         const step_progress *stored = nullptr;
         if (progress != nullptr) {
@@ -245,7 +212,6 @@
         ? std::max(0ms, state.storeTime - message.job.acceptedAt)
         : 0ms;
     job.arrivedAt = now - age;
-    job.objective = objectiveOf(state, message.job);
     job.isCancelled = message.isCancelled;
     job.hasProgress = !message.progress.empty();
     job.hasStarted = tellsOfStart(message.progress);
@@ -267,6 +233,7 @@
         job.openOccurrences = 1;
         job.nextOccurrence = 1;
     }
+    renewForecasts(state, job);
     const bool isOfEarlierOwner = job.version != 0 && job.version < state.takeOver.token;
     if (isOfEarlierOwner && job.accepted.spec.occurrences == 0) {
         countAwayFromAcceptance(job);
@@ -276,6 +243,7 @@
 void beginDueOccurrences(cell_state &state, job_state &job, instant now)
 {
     const auto &spec = job.accepted.spec;
+    bool hasBegun = false;
     while (!isAborted(job) && job.nextOccurrence < spec.occurrences
            && static_cast<std::size_t>(job.openOccurrences) < maxOpenOccurrences
            && state.timeOfDay >= spec.firstDue + job.nextOccurrence * spec.interval) {
@@ -283,6 +251,10 @@
         countUnseen(state, job, job.nextOccurrence);
         ++job.openOccurrences;
         ++job.nextOccurrence;
+        hasBegun = true;
+    }
+    if (hasBegun) {
+        renewForecasts(state, job);
     }
 }
 
@@ -297,13 +269,7 @@
         if (job.accepted.workspace.empty()) {
             continue;
         }
-        job.objective = objectiveOf(state, job.accepted);
-        const auto paths = criticalPathsOf(state, job.accepted);
-        for (auto &occurrence : std::views::values(job.occurrences)) {
-            for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
-                occurrence.steps[index].criticalPath = paths[index];
-            }
-        }
+        renewForecasts(state, job);
     }
 }
 
--- a/src/libprimrosecroft/jobs/job.cpp
+++ b/src/libprimrosecroft/jobs/job.cpp
@@ -236,11 +236,11 @@
 }
 
 std::vector<std::chrono::milliseconds> criticalPathsFromSteps(const job_spec &spec,
-                                                              const std::vector<std::chrono::milliseconds> &durations)
+                                                              std::span<const std::chrono::milliseconds> times)
 {
     std::vector<std::chrono::milliseconds> result(spec.steps.size());
     for (auto index = spec.steps.size(); index-- > 0;) {
-        result[index] += durations.at(index); // the steps that wait for it come later and have set their maximum
+        result[index] += times[index]; // the steps that wait for it come later and have set their maximum
         for (const auto each : spec.steps[index].after) {
             auto &predecessor = result.at(static_cast<std::size_t>(each));
             predecessor = std::max(predecessor, result[index]);
