Count the crash of a worker once it refuses connections, and try tasks that crash workers late alone

Causes, each seen in traces: a loss that coincided with any other one wasn't counted; the time of a loss began with a start that was sent to the dead worker, so that losses at the same time didn't coincide; a short trial that was passed took back the losses that it doesn't explain; copies went to a second worker; other tasks ran beside a long trial; an owner replaced while the worker was down stored nothing of it.

A refused connection now counts the loss ahead, and the worker's next answer in the same boot takes it back. A wave is at least three others. A task under which two workers were lost later, or three at any time, has no copy, waits up to 3 s for a worker on which nothing runs, pauses 2 to 4 s after each further loss, and is given up after five.

--- a/src/libprimrosecroft/cell/candidates.cpp
+++ b/src/libprimrosecroft/cell/candidates.cpp
@@ -175,7 +175,7 @@
                            candidate_choice choice)
 {
     constexpr double lossWeight = 10; // for each run that a failed trial would take with it
-    const bool isForTrial = choice == candidate_choice::forTrial;
+    const bool isForTrial = choice != candidate_choice::all;
     const auto costFor = [&](const candidate &each) {
         return each.cost
             + (isForTrial ? lossWeight * static_cast<double>(stateOf(usable, each).reservations.size()) : 0);
@@ -183,7 +183,8 @@
     candidate *best = nullptr;
     for (auto &each : candidates) {
         if (each.capacity < 1 || (best != nullptr && costFor(each) >= costFor(*best))
-            || (isForTrial && !usable.at(each.worker).hasSurvivedAll)) {
+            || (isForTrial && !usable.at(each.worker).hasSurvivedAll)
+            || (choice == candidate_choice::isolated && !stateOf(usable, each).reservations.empty())) {
             continue;
         }
         const auto &id = stateOf(usable, each).description.id;
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -61,6 +61,8 @@
     instant lastProgressAt; ///< when percent last changed, or the start was sent or accepted
     std::int64_t load = 0; ///< as in listed_run
     bool isCounted = false; ///< counted ahead among the workers lost under its task, which may crash them
+    /// Count in which the loss of its worker, which refuses connections, is counted ahead; nullptr if it isn't.
+    std::uint32_t lost_workers::*refusalCount = nullptr;
     bool isTrial = false; ///< it also started where no other run could be why its worker is lost
 };
 
@@ -205,6 +207,7 @@
     bool isUnresponsive = false; ///< the last list request failed; no leases are extended until one succeeds
     instant refusedSince; ///< when it first refused a connection since its last list; zero if it hasn't
     instant lastSignAt; ///< when the last list of this boot arrived
+    instant lastAnswerAt; ///< when it last accepted a start in this boot; zero if it hasn't
     instant lastStartAt; ///< a run there began at this time or earlier; zero if none is known
     std::optional<run_id> trial; ///< run that started alone there; also after its lease has expired unseen
     instant nextListAt; ///< no list is requested before this time
--- a/src/libprimrosecroft/cell/detail/candidates.h
+++ b/src/libprimrosecroft/cell/detail/candidates.h
@@ -43,6 +43,7 @@
 {
     all,
     forTrial, ///< only workers that have survived all their runs, rather those with few of them
+    isolated, ///< likewise, only workers on which nothing runs
 };
 
 /// Returns the candidate with the lowest cost that the task does not avoid and on which it does not run, or nullptr.
--- a/src/libprimrosecroft/cell/detail/worker_loss.h
+++ b/src/libprimrosecroft/cell/detail/worker_loss.h
@@ -21,6 +21,9 @@
     silent, ///< its leases have expired unseen, but it may still be up: a suspicion, no proof
 };
 
+/// Returns how long a task waits after so many losses before it starts again.
+std::chrono::milliseconds pauseAfter(const lost_workers &counts);
+
 /// Workers that were lost under the task or, if it is a member of one, under its gang.
 loss_record &lossesOf(const task_view &view);
 
@@ -33,9 +36,19 @@
 bool ensureLossesStored(cell_state &state, const task_ref &ref, const task_view &view, instant now,
                         cell_actions &actions);
 
+/// Called when the worker refuses connections, so that its process has probably ended. Counts its loss ahead, so that a
+/// later owner knows of it.
+void countRefusal(cell_state &state, worker_state &worker, instant now);
+
+/// Called when the worker answers again in the same boot: the loss that its refusal stood for wasn't one.
+void takeBackRefusals(cell_state &state, worker_state &worker);
+
 /// Called when a run has ended or was refused while its worker is up. Takes the run out of the counts.
 void uncountRun(const task_view &view, task_run &run);
 
+/// Returns whether the task's next trial has to be on a worker where nothing else runs.
+bool needsIsolation(const step_state &step, const task_state &task, bool isGang);
+
 /// Returns whether the step is in a trial whose outcome its other suspects wait for: they are likely to behave alike.
 bool isAwaitingTrial(const step_state &step);
 
--- a/src/libprimrosecroft/cell/leases.cpp
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -103,6 +103,7 @@
         // Behind a partition that refuses connections its runs would go on, so they are kept until the leases expire.
         worker.lastListAt = {};
         worker.refusedSince = worker.refusedSince == instant {} ? now : worker.refusedSince;
+        countRefusal(state, worker, now);
         return;
     }
     if (message.result == order_result::bootMismatch && worker.requestedBoot != worker.description.boot) {
@@ -121,6 +122,7 @@
         return; // a late answer from before the worker's last restart
     }
     handleBootChange(state, worker, message.boot, now, actions);
+    takeBackRefusals(state, worker);
     worker.clock = clock_sample {message.clock, now};
     // The new clock sample usually gives a closer bound for the end of the leases.
     if (worker.latestDeadline.count() > 0) {
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -33,6 +33,9 @@
 /// A suspect that has waited this long for a worker on which a trial may begin goes to any other one.
 constexpr auto maxTrialWait = 2s;
 
+/// Likewise for a worker on which nothing else runs.
+constexpr auto maxIsolationWait = 3s;
+
 /// A step with pending tasks. Steps are sorted in the order in which they are served.
 struct queued_step
 {
@@ -167,7 +170,9 @@
 bool mayStart(const waiting_step &waiting, const task_state &task, instant now)
 {
     // A suspect in a trial has no copy, which might crash another worker.
-    const bool isFree = task.runs.empty() || (task.needsCopy && task.runs.size() == 1 && !task.runs.front().isCounted);
+    const bool mayHaveCopy = task.needsCopy && task.runs.size() == 1 && !task.runs.front().isCounted
+        && !needsIsolation(*waiting.step, task, waiting.spec->isGang);
+    const bool isFree = task.runs.empty() || mayHaveCopy;
     return !waiting.job->hasFailed && !task.isDone && isFree && task.notBefore <= now
         && static_cast<std::int32_t>(task.failedAttempts.size()) < waiting.job->accepted.queue.maxFailures;
 }
@@ -194,6 +199,12 @@
     if (isAwaitingTrial(*waiting.step)) {
         return nullptr;
     }
+    if (needsIsolation(*waiting.step, task, false)) {
+        auto *isolated = chooseCandidate(usable, task, candidates, candidate_choice::isolated);
+        if (isolated != nullptr || task.pendingSince + maxIsolationWait > now) {
+            return isolated;
+        }
+    }
     auto *target = chooseCandidate(usable, task, candidates, candidate_choice::forTrial);
     return target != nullptr || mayWaitForTrial(task, now) ? target : chooseCandidate(usable, task, candidates);
 }
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -339,6 +339,7 @@
     }
     switch (message.result) {
     case order_result::done:
+        worker.lastAnswerAt = now;
         if (run->phase != run_phase::running) {
             noteStart(worker, now);
             run->phase = run_phase::running;
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace primrosecroft::detail
 {
@@ -15,16 +16,24 @@
 constexpr std::int32_t fullPercent = 100; ///< progress of a service that is at work, or of work that is done
 constexpr auto longTrialTime = 10'000ms; ///< for tasks under which workers were lost later
 constexpr std::uint32_t laterLossesBeforeLongTrial = 2;
+constexpr std::uint32_t lossesBeforeLongTrial = 3; ///< of any kind
 constexpr std::uint32_t lossesBeforeBlame = 2; ///< with a failed trial among them
 constexpr std::uint32_t maxSoonLosses = 4; ///< whatever else may have been why
+constexpr std::uint32_t maxLosses = 5; ///< likewise, with those lost later
 /// Other workers that are lost together with one under new runs, at least, and as a share of all workers.
-constexpr std::int64_t minWave = 2;
+constexpr std::int64_t minWave = 3;
 constexpr double minWaveShare = 0.02;
+constexpr std::uint32_t lossesBeforePause = 2; ///< each further one keeps the task from starting for longer
+constexpr auto lossPause = 2'000ms;
+constexpr auto maxLossPause = 4'000ms;
+constexpr auto answerDelay = 20ms; ///< a worker's answer may arrive this long after it went down
 constexpr std::size_t maxRecentLosses = 1'000; ///< the latest ones that are remembered
 
 bool needsLongTrial(const loss_record &losses)
 {
-    return losses.counts.later >= laterLossesBeforeLongTrial;
+    const auto &counts = losses.counts;
+    const auto soon = counts.soon - (losses.isNextCounted ? 1 : 0);
+    return counts.later >= laterLossesBeforeLongTrial || soon + counts.later >= lossesBeforeLongTrial;
 }
 
 /// Returns whether the worker has answered long enough after the start of the run there, or has shown it at work.
@@ -54,9 +63,11 @@
 {
     task_view view; ///< of the last of its tasks there
     task_ref ref;
+    std::uint32_t attempt = 0; ///< of its first run there
     bool isSuspect = false;
     bool isTrial = false;
     bool isCounted = false; ///< one of its runs there was counted ahead
+    task_run *refused = nullptr; ///< the one for which the loss is counted ahead because the worker refuses connections
     bool isLong = false; ///< one of them had run for longer than any trial
 };
 
@@ -66,18 +77,19 @@
     std::map<task_ref, lost_unit> units;
     for (const auto &[id, held] : worker.reservations) {
         const auto view = findTask(state, id.task);
-        const auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
+        auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
         if (run == nullptr) {
             continue;
         }
         auto key = id.task;
         key.index = view->spec->isGang ? 0 : key.index;
-        auto &unit = units.try_emplace(key, lost_unit {*view, id.task}).first->second;
+        auto &unit = units.try_emplace(key, lost_unit {*view, id.task, id.attempt}).first->second;
         if (!isSurvived(worker, *run, lossesOf(*view))) {
             unit.isSuspect = true;
             unit.isTrial = unit.isTrial || (run->isTrial && run->phase == run_phase::running);
         }
         unit.isCounted = unit.isCounted || run->isCounted;
+        unit.refused = run->refusalCount != nullptr ? run : unit.refused;
         unit.isLong = unit.isLong || run->runningSince + longTrialTime < now;
     }
     const auto values = std::views::values(units);
@@ -90,6 +102,17 @@
     return !unit.isSuspect && lossesOf(unit.view).counts != lost_workers {};
 }
 
+/// Returns whether one unit had a trial there, and no other one may be why the worker was lost. Beside a long trial any
+/// other may, since each task may crash its worker late.
+bool isTrialOfOne(const std::vector<lost_unit> &units)
+{
+    const auto tried = std::ranges::find_if(units, &lost_unit::isTrial);
+    if (tried == units.end() || std::ranges::count_if(units, &lost_unit::isSuspect) != 1) {
+        return false;
+    }
+    return units.size() == 1 || (!needsLongTrial(lossesOf(tried->view)) && !std::ranges::any_of(units, hadLossBefore));
+}
+
 /// Returns whether a run there may be why the worker was lost, because it had just begun or for what is known of it.
 bool isExplained(const std::vector<lost_unit> &units)
 {
@@ -98,20 +121,26 @@
 
 bool mayCoincide(const loss_time &left, const loss_time &right)
 {
-    return left.from <= right.until && right.from <= left.until;
+    return left.from <= right.until + answerDelay && right.from <= left.until + answerDelay;
 }
 
-/// Bounds of the time at which a worker that is lost, or doesn't answer, went down. What began there last did so
-/// before.
+/// Bounds of the time at which a worker that is lost, or doesn't answer, went down. A start without an answer doesn't
+/// tell that it was up.
 loss_time lossTimeOf(const worker_state &worker, const std::vector<lost_unit> &units, instant now)
 {
     const auto until = worker.refusedSince == instant {} ? now : worker.refusedSince;
-    return {std::min(until, std::max(worker.lastSignAt, worker.lastStartAt)), until, isExplained(units)};
+    return {std::min(until, std::max(worker.lastSignAt, worker.lastAnswerAt)), until, isExplained(units)};
 }
 
-/// Returns whether other workers may have been lost at the same time: one under runs that it had survived, or several
-/// under new ones, but no trials. Then the loss proves little of the runs on this worker.
-bool isPartOfWave(cell_state &state, const worker_state &lost, const loss_time &time, instant now)
+/// What may have been lost at the same time as a worker.
+enum class coincidence
+{
+    none,
+    some, ///< one worker under runs that it had survived, or several under new ones
+    wave, ///< so many that each run had little to do with the loss of its worker
+};
+
+coincidence coincidenceOf(cell_state &state, const worker_state &lost, const loss_time &time, instant now)
 {
     std::int64_t unexplained = 0;
     std::int64_t explained = 0;
@@ -122,12 +151,16 @@
     };
     std::ranges::for_each(state.recentLosses, count);
     for (const auto &other : std::views::values(state.workers)) {
-        if (&other != &lost && other.isUnresponsive && other.lastSignAt != instant {} && !isInTrial(other)) {
+        if (&other != &lost && other.isUnresponsive && other.lastSignAt != instant {}) {
             count(lossTimeOf(other, unitsOn(state, other, now), now));
         }
     }
     const auto share = static_cast<std::int64_t>(minWaveShare * static_cast<double>(state.workers.size()));
-    return unexplained > 0 || explained >= std::max(minWave, share);
+    const auto size = std::max(minWave, share);
+    if (unexplained + explained >= size) {
+        return coincidence::wave;
+    }
+    return unexplained + explained > 0 ? coincidence::some : coincidence::none;
 }
 
 void rememberLoss(cell_state &state, const loss_time &time)
@@ -138,31 +171,88 @@
     }
 }
 
+/// Returns whether so many workers were lost under the task that it starts no more, whatever else may have been why.
+bool mayCrashAnyWorker(const lost_workers &counts)
+{
+    return counts.soon >= maxSoonLosses || counts.soon + counts.later >= maxLosses;
+}
+
 bool isToBlame(const lost_workers &counts)
 {
-    return (counts.alone > 0 && counts.soon + counts.later >= lossesBeforeBlame) || counts.soon >= maxSoonLosses;
+    return (counts.alone > 0 && counts.soon + counts.later >= lossesBeforeBlame) || mayCrashAnyWorker(counts);
 }
 
-/// Counts the loss of a worker. @p countsLater: also for runs that it had survived; @p isAlone: no other run may be
-/// why.
-void countLoss(const lost_unit &unit, bool countsLater, bool isAlone)
+/// What is counted ahead because workers refuse connections that run the task or its gang.
+lost_workers refusalsOf(const task_view &view)
+{
+    lost_workers result;
+    const auto add = [&result](const task_state &task) {
+        for (const auto &run :
+             task.runs | std::views::filter([](const task_run &run) { return run.refusalCount != nullptr; })) {
+            ++(result.*run.refusalCount);
+        }
+    };
+    if (view.spec->isGang) {
+        std::ranges::for_each(view.step->tasks, add);
+    } else {
+        add(*view.task);
+    }
+    return result;
+}
+
+void uncountRefusal(const task_view &view, task_run &run)
+{
+    if (run.refusalCount != nullptr) {
+        --(lossesOf(view).counts.*std::exchange(run.refusalCount, nullptr));
+    }
+}
+
+/// What the loss of a worker tells of a run there.
+enum class loss_evidence
+{
+    ofNone, ///< many others were lost too
+    ofSuspects, ///< it may also be up, or a trial is more likely to be why
+    ofAll,
+    ofTrial, ///< no other run may be why
+};
+
+void countLoss(const lost_unit &unit, loss_evidence evidence)
 {
     auto &losses = lossesOf(unit.view);
     auto &counts = losses.counts;
+    if (unit.refused != nullptr) {
+        uncountRefusal(unit.view, *unit.refused);
+    }
     if (unit.isCounted && losses.isNextCounted) {
         losses.isNextCounted = false;
         --counts.soon;
     }
+    if (evidence == loss_evidence::ofNone && unit.isSuspect && counts == refusalsOf(unit.view)) {
+        return; // nothing else speaks against the run
+    }
     if (unit.isSuspect) {
         ++counts.soon;
-        counts.alone += isAlone ? 1 : 0;
+        counts.alone += evidence == loss_evidence::ofTrial ? 1 : 0;
     } else if (unit.isLong) {
-        counts.later = 0;
-    } else if (countsLater) {
+        counts.later = refusalsOf(unit.view).later;
+    } else if (evidence == loss_evidence::ofAll) {
         ++counts.later;
     }
 }
 
+/// Keeps the task or gang from starting for a while, so that its next trial doesn't fall into the same incident.
+void pauseAfterLosses(const task_view &view, instant now)
+{
+    const auto until = now + pauseAfter(lossesOf(view).counts);
+    if (!view.spec->isGang) {
+        view.task->notBefore = std::max(view.task->notBefore, until);
+        return;
+    }
+    for (auto &member : view.step->tasks) {
+        member.notBefore = std::max(member.notBefore, until);
+    }
+}
+
 /// Credits a trial that was dropped when its leases expired unseen, once the worker turns out to have restarted.
 void recordFailedTrialSince(cell_state &state, const worker_state &worker, instant now, cell_actions &actions)
 {
@@ -184,6 +274,14 @@
 
 } // namespace
 
+std::chrono::milliseconds pauseAfter(const lost_workers &counts)
+{
+    const auto losses = counts.soon + counts.later;
+    return losses <= lossesBeforePause
+        ? 0ms
+        : std::min(maxLossPause, lossPause * static_cast<std::int64_t>(losses - lossesBeforePause));
+}
+
 loss_record &lossesOf(const task_view &view)
 {
     return view.spec->isGang ? view.step->gangLosses : view.task->losses;
@@ -208,7 +306,7 @@
     auto &losses = lossesOf(view);
     const bool isSuspected = isSuspect(state, view.spec->isGang, *view.step, *view.task);
     if (!losses.isNextCounted && (isSuspected || losses.counts != lost_workers {})) {
-        if (isSuspected && losses.counts.soon >= maxSoonLosses) {
+        if (isSuspected && mayCrashAnyWorker(losses.counts)) {
             giveUpTask(state, ref, view, {}, now, actions);
             return false;
         }
@@ -220,9 +318,35 @@
     return counts.soon <= stored.soon && counts.alone <= stored.alone && counts.later <= stored.later;
 }
 
+void countRefusal(cell_state &state, worker_state &worker, instant now)
+{
+    for (const auto &unit : unitsOn(state, worker, now)) {
+        if (unit.refused != nullptr || unit.isCounted || unit.view.task->isDone || isAborted(*unit.view.job)) {
+            continue;
+        }
+        auto *run = findRun(*unit.view.task, worker.description.id, unit.attempt);
+        run->refusalCount = unit.isSuspect ? &lost_workers::soon : &lost_workers::later;
+        ++(lossesOf(unit.view).counts.*run->refusalCount);
+        markUnsaved(state, *unit.view.job);
+    }
+}
+
+void takeBackRefusals(cell_state &state, worker_state &worker)
+{
+    for (const auto &[id, held] : worker.reservations) {
+        const auto view = findTask(state, id.task);
+        auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
+        if (run != nullptr && run->refusalCount != nullptr) {
+            uncountRefusal(*view, *run);
+            markUnsaved(state, *view->job);
+        }
+    }
+}
+
 void uncountRun(const task_view &view, task_run &run)
 {
     auto &losses = lossesOf(view);
+    uncountRefusal(view, run);
     if (!run.isCounted) {
         return;
     }
@@ -234,6 +358,11 @@
     }
 }
 
+bool needsIsolation(const step_state &step, const task_state &task, bool isGang)
+{
+    return needsLongTrial(isGang ? step.gangLosses : task.losses);
+}
+
 bool isAwaitingTrial(const step_state &step)
 {
     return !step.hasPassedTrial && std::ranges::any_of(step.tasks, [](const task_state &task) {
@@ -285,7 +414,10 @@
     view->step->hasPassedTrial = true;
     if (!view->spec->isGang) { // the workers of its other members may not have survived them yet
         auto &losses = view->task->losses;
-        losses.counts = {0, 0, needsLongTrial(losses) ? 0 : losses.counts.later};
+        // It may still crash a worker later, if this trial was a short one.
+        const auto refusals = refusalsOf(*view);
+        const auto unexplained = losses.counts.soon - (losses.isNextCounted ? 1 : 0) - refusals.soon;
+        losses.counts = {refusals.soon, 0, needsLongTrial(losses) ? refusals.later : losses.counts.later + unexplained};
         losses.isNextCounted = false;
         run->isCounted = false;
     }
@@ -306,10 +438,18 @@
     const auto units = unitsOn(state, worker, now);
     const auto time = lossTimeOf(worker, units, now);
     const auto suspects = std::ranges::count_if(units, &lost_unit::isSuspect);
-    const bool isTrial =
-        suspects == 1 && std::ranges::any_of(units, &lost_unit::isTrial) && !std::ranges::any_of(units, hadLossBefore);
-    const bool isWave = isPartOfWave(state, worker, time, now);
-    if (isProven && worker.lastSignAt != instant {} && !isTrial) {
+    const bool isTrial = isTrialOfOne(units);
+    const auto others = coincidenceOf(state, worker, time, now);
+    const bool isWave = others == coincidence::wave;
+    auto evidence = loss_evidence::ofSuspects;
+    if (isProven && isTrial && others == coincidence::none) {
+        evidence = loss_evidence::ofTrial;
+    } else if (isProven && isWave) {
+        evidence = loss_evidence::ofNone;
+    } else if (isProven && !isTrial) {
+        evidence = loss_evidence::ofAll;
+    }
+    if (isProven && worker.lastSignAt != instant {}) {
         rememberLoss(state, time);
     }
     actions.emplace_back(report_worker_loss {
@@ -320,7 +460,8 @@
         if (unit.view.task->isDone || isAborted(*unit.view.job)) {
             continue;
         }
-        countLoss(unit, isProven && !isTrial && !isWave, isProven && isTrial && !isWave);
+        countLoss(unit, evidence);
+        pauseAfterLosses(unit.view, now);
         markUnsaved(state, *unit.view.job);
         const auto &counts = lossesOf(unit.view).counts;
         if (!unit.isSuspect) {
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -21,6 +21,7 @@
     worker.leasesEndBy = {};
     worker.refusedSince = {};
     worker.lastSignAt = {};
+    worker.lastAnswerAt = {};
     worker.lastStartAt = {};
     worker.trial.reset();
     worker.processedEnd = 0;
--- a/tests/unit/worker_loss_test.cpp
+++ b/tests/unit/worker_loss_test.cpp
@@ -255,3 +255,46 @@
     CHECK(cell.startPending().empty());
     CHECK(cell.hasFailed("gang"));
 }
+
+TEST_CASE("a later owner knows of a crash that this one has only seen as a refused connection")
+{
+    crashing_cell cell({"a", "b"});
+    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    const auto starts = cell.startPending();
+    REQUIRE(starts.size() == 1);
+    cell.advanceAndList(500ms);
+    list_answered refused;
+    refused.worker = starts.front().worker;
+    refused.result = order_result::unreachable;
+    step(cell.cell.state, refused, cell.cell.now, cell.cell.actions);
+    const auto &job = cell.cell.state.jobs.at("job");
+    const auto &losses = job.occurrences.at(0).steps[0].tasks[0].losses;
+    CHECK(job.hasUnsavedChanges);
+    CHECK(losses.counts == lost_workers {0, 0, 1});
+    cell.advanceAndList(500ms); // it was up all the time
+    CHECK(losses.counts == lost_workers {});
+}
+
+TEST_CASE("a task under which workers crash late starts only where nothing else runs, and is given up then")
+{
+    crashing_cell cell({"a", "b", "c"});
+    cell.cell.addJob(owned_cell::makeJob("deadly", {makeStep(1)}));
+    for (int crashes = 0; crashes < 2; ++crashes) {
+        const auto starts = cell.startPending();
+        REQUIRE(starts.size() == 1);
+        cell.advanceAndList(500ms);
+        cell.crash(starts.front().worker);
+        cell.advanceAndList(500ms);
+    }
+    cell.cell.addJob(owned_cell::makeJob("others", {makeStep(4)}));
+    worker_id alone;
+    for (const auto &start : cell.startPending()) {
+        alone = start.run.task.job == "deadly" ? start.worker : alone;
+    }
+    REQUIRE_FALSE(alone.empty());
+    CHECK(cell.running[alone].size() == 1);
+    cell.advanceAndList(500ms);
+    cell.crash(alone);
+    CHECK(cell.startPending().empty());
+    CHECK(cell.hasFailed("deadly"));
+}
