--- a/src/libprimrosecroft/durations/duration_row.cpp
+++ b/src/libprimrosecroft/durations/duration_row.cpp
@@ -54,8 +54,9 @@
         if (bins[index] >= duration_sketch::binCount) {
             throw error("decode durations row", "", "a bin is out of range");
         }
-        sketch.bins[bins[index]] = bins[index + 1];
-        sketch.total += bins[index + 1];
+        const auto weight = static_cast<float>(bins[index + 1]);
+        sketch.bins[bins[index]] = weight;
+        sketch.total += weight;
     }
     for (auto &bin : sketch.bins) {
         bin = sketch.total > 0 ? static_cast<float>(bin / sketch.total * held) : 0;
