--- a/src/celld/owner_link.cpp
+++ b/src/celld/owner_link.cpp
@@ -19,6 +19,14 @@
 constexpr auto submissionTimeout = 900ms; ///< for each attempt; repeated only while the owner is responsive
 constexpr auto inboxTimeout = 900ms;
 
+submit_result resultOf(const wire::JobReport &report)
+{
+    const auto outcome = static_cast<store_outcome>(report.outcome);
+    return outcome == store_outcome::refused && report.__isset.retryAfterMs
+        ? submit_result::turnedAway(std::chrono::milliseconds(report.retryAfterMs))
+        : submit_result(outcome);
+}
+
 } // namespace
 
 owner_link::owner_link(peer_hub &peers, cell_runner &runner, primrosecroft::store &rows, owner_view owner,
@@ -126,8 +134,7 @@
     reply(message);
 }
 
-void owner_link::storeHere(const job_id &id, const std::string &row, bool cancelled,
-                           std::function<void(store_outcome)> done)
+void owner_link::storeHere(const job_id &id, const std::string &row, bool cancelled, stored_handler done)
 {
     if (cancelled) {
         m_runner.cancel(id, std::move(done));
@@ -137,7 +144,7 @@
 }
 
 void owner_link::store(const job_id &id, const std::string &row, bool cancelled, std::chrono::milliseconds timeout,
-                       std::function<void(store_outcome)> done)
+                       stored_handler done)
 {
     if (m_owner.isHere()) {
         storeHere(id, row, cancelled, std::move(done));
@@ -158,7 +165,7 @@
                 [this, address, id, row, cancelled, remainingTime = timeout - attemptTimeout,
                  done = std::move(done)](const std::optional<wire::Message> &reply) {
                     if (reply && reply->__isset.jobReport && reply->jobReport.__isset.outcome) {
-                        done(static_cast<store_outcome>(reply->jobReport.outcome));
+                        done(resultOf(reply->jobReport));
                     } else if (remainingTime > 0ms && m_owner.address() == address && m_owner.isResponsive()) {
                         // The owner is responsive, so the store must be slow. The repeated request finds the submission
                         // that is still in progress.
@@ -172,10 +179,13 @@
 void owner_link::handleSubmission(const wire::JobSubmission &submission,
                                   const std::function<void(wire::Message)> &reply)
 {
-    storeHere(submission.id, submission.row, submission.cancelled, [reply](store_outcome outcome) {
+    storeHere(submission.id, submission.row, submission.cancelled, [reply](const submit_result &result) {
         wire::Message message;
         message.jobReport.known = true;
-        message.jobReport.__set_outcome(static_cast<std::int32_t>(outcome));
+        message.jobReport.__set_outcome(static_cast<std::int32_t>(result.outcome));
+        if (result.retryAfter) {
+            message.jobReport.__set_retryAfterMs(result.retryAfter->count());
+        }
         message.__isset.jobReport = true;
         reply(message);
     });
--- a/src/celld/owner_link.h
+++ b/src/celld/owner_link.h
@@ -49,7 +49,7 @@
     /// encoded row, and isn't used for a cancellation. The outcome `refused` means that nothing was done; `lost` means
     /// that it may have been stored or may be stored later.
     void store(const job_id &id, const std::string &row, bool cancelled, std::chrono::milliseconds timeout,
-               std::function<void(store_outcome)> done);
+               stored_handler done);
 
     // --- requests of other processes to the owner
 
@@ -59,7 +59,7 @@
 
 private:
     owner_answer answerFor(const job_id &id) const;
-    void storeHere(const job_id &id, const std::string &row, bool cancelled, std::function<void(store_outcome)> done);
+    void storeHere(const job_id &id, const std::string &row, bool cancelled, stored_handler done);
 
     peer_hub &m_peers;
     cell_runner &m_runner;
--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -28,7 +28,7 @@
 constexpr auto readTimeout = 600ms;
 constexpr auto ownerTimeout = 400ms;
 constexpr auto answerReserve = 300ms; ///< part of a request's deadline that is kept for sending the answer
-constexpr auto retryAfter = 1s; ///< value of the Retry-After header
+constexpr auto defaultRetryAfter = 1s; ///< value of the Retry-After header of a request that wasn't turned away
 constexpr int maxAttemptsPerRequest = 4; ///< by the owner and by this process together
 constexpr std::size_t idLength = 16; ///< hexadecimal digits
 
@@ -50,6 +50,14 @@
     return std::min<std::chrono::milliseconds>(std::chrono::milliseconds(*amount), 60s);
 }
 
+/// Returns whether a conflict shows that the job was accepted before, rather than that the owner decides alone.
+bool showsJob(const std::vector<store_row> &rows)
+{
+    return std::ranges::any_of(rows, [](const store_row &row) {
+        return row.version != row_condition::absent && row.place != acceptanceBarPlace();
+    });
+}
+
 } // namespace
 
 /// A request that is being processed.
@@ -107,7 +115,7 @@
                            [](exchange *each) { return each->shared_from_this(); });
     for (const auto &entry : remaining) {
         entry->retryTimer.stop();
-        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        answerRetryable(entry, statusGatewayTimeout, "unknown");
     }
 }
 
@@ -124,11 +132,11 @@
     const auto *queues = m_links.queues();
     entry->kind = method == "POST" ? "submit" : method == "DELETE" ? "cancel" : "status";
     if (m_isShuttingDown) {
-        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        answerRetryable(entry, statusGatewayTimeout, "unknown");
         return;
     }
     if (queues == nullptr) {
-        answer(entry, statusUnavailable, "", "no-configuration", true);
+        answerRetryable(entry, statusUnavailable, "no-configuration");
         return;
     }
     const auto *route = findQueue(*queues, request->header("Host"), path);
@@ -139,7 +147,7 @@
     entry->queue = route->queue.name;
     entry->id = path.substr(route->prefix.size());
     if (m_links.isIsolated()) {
-        answer(entry, statusGatewayTimeout, "", "isolated", true); // another process may reach the store or the owner
+        answerRetryable(entry, statusGatewayTimeout, "isolated"); // another process may reach the store or the owner
         return;
     }
     if (entry->id.empty() && method == "GET") {
@@ -184,44 +192,49 @@
 void caller_service::commitThroughOwner(const exchange_pointer &entry)
 {
     if (entry->remaining() <= 0ms || ++entry->attempts > maxAttemptsPerRequest) {
-        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        answerRetryable(entry, statusGatewayTimeout, "unknown");
         return;
     }
-    m_links.storeThroughOwner(
-        entry->id, entry->row, false, entry->boundedTimeout(ownerCommitTimeout), [this, entry](store_outcome outcome) {
-            if (outcome == store_outcome::done) {
-                answer(entry, statusOk, "", "accepted");
-            } else if (outcome == store_outcome::conflict) {
-                answer(entry, statusOk, "", "accepted-before");
-            } else if (m_links.isIsolated()) {
-                answer(entry, statusGatewayTimeout, "", "isolated", true);
-            } else if (m_links.isOwnerResponsive() || bootNow() < entry->receivedAt + ownerChangeTimeout) {
-                // The owner is asked again: it stores many jobs in one transaction, while writes of single jobs would
-                // fill a slow store's queue. If there is no owner, a new one is expected soon.
-                --entry->attempts;
-                entry->retryTimer.once(retryDelay, [this, entry] { commitThroughOwner(entry); });
-            } else {
-                commit(entry);
-            }
-        });
+    m_links.storeThroughOwner(entry->id, entry->row, false, entry->boundedTimeout(ownerCommitTimeout),
+                              [this, entry](const submit_result &result) {
+                                  const auto outcome = result.outcome;
+                                  if (outcome == store_outcome::done) {
+                                      answer(entry, statusOk, "", "accepted");
+                                  } else if (outcome == store_outcome::refused && result.retryAfter) {
+                                      answer(entry, statusUnavailable, "", "turned-away", result.retryAfter);
+                                  } else if (outcome == store_outcome::conflict) {
+                                      answer(entry, statusOk, "", "accepted-before");
+                                  } else if (m_links.isIsolated()) {
+                                      answerRetryable(entry, statusGatewayTimeout, "isolated");
+                                  } else if (m_links.isOwnerResponsive()
+                                             || bootNow() < entry->receivedAt + ownerChangeTimeout) {
+                                      // The owner is asked again: it stores many jobs in one transaction, while writes
+                                      // of single jobs would fill a slow store's queue. If there is no owner, a new one
+                                      // is expected soon.
+                                      --entry->attempts;
+                                      entry->retryTimer.once(retryDelay, [this, entry] { commitThroughOwner(entry); });
+                                  } else {
+                                      commit(entry);
+                                  }
+                              });
 }
 
 void caller_service::commit(const exchange_pointer &entry)
 {
     if (entry->remaining() <= 0ms || ++entry->attempts > maxAttemptsPerRequest) {
-        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        answerRetryable(entry, statusGatewayTimeout, "unknown");
         return;
     }
-    m_store.commit(acceptance(entry->id, entry->row), entry->boundedTimeout(commitTimeout),
+    m_store.commit(directAcceptance(entry->id, entry->row), entry->boundedTimeout(commitTimeout),
                    [this, entry](const commit_result &result) {
                        if (result.outcome == store_outcome::done) {
                            m_links.notifyOwner(entry->id, false);
                            answer(entry, statusOk, "", "accepted-here");
-                       } else if (result.outcome == store_outcome::conflict) {
+                       } else if (result.outcome == store_outcome::conflict && showsJob(result.currentRows)) {
                            m_links.notifyOwner(entry->id, false); // an earlier notice may not have been sent
                            answer(entry, statusOk, "", "accepted-before");
                        } else if (m_links.isIsolated()) {
-                           answer(entry, statusGatewayTimeout, "", "isolated", true);
+                           answerRetryable(entry, statusGatewayTimeout, "isolated");
                        } else {
                            entry->retryTimer.once(retryDelay, [this, entry] { commitThroughOwner(entry); });
                        }
@@ -244,7 +257,7 @@
 {
     m_store.read(liveRows(entry->id), entry->boundedTimeout(readTimeout), [this, entry](const range_result &result) {
         if (result.outcome != store_outcome::done) {
-            answer(entry, statusUnavailable, "", "store-unreachable", true);
+            answerRetryable(entry, statusUnavailable, "store-unreachable");
             return;
         }
         std::set<live_row> kinds;
@@ -278,7 +291,7 @@
     m_store.read(rangeOf(place), entry->boundedTimeout(readTimeout),
                  [this, entry, done = std::move(done)](const range_result &result) {
                      if (result.outcome != store_outcome::done) {
-                         answer(entry, statusUnavailable, "", "store-unreachable", true);
+                         answerRetryable(entry, statusUnavailable, "store-unreachable");
                          return;
                      }
                      try {
@@ -286,7 +299,7 @@
                                                   : std::optional(decodeEnded(result.rows.front().value)));
                      } catch (const error &fault) {
                          m_log.write("callers", "row-unreadable", {{"id", entry->id}, {"reason", fault.what()}});
-                         answer(entry, statusUnavailable, "", "row-unreadable", true);
+                         answerRetryable(entry, statusUnavailable, "row-unreadable");
                      }
                  });
 }
@@ -307,11 +320,11 @@
 void caller_service::cancel(const exchange_pointer &entry)
 {
     if (m_links.isIsolated()) {
-        answer(entry, statusGatewayTimeout, "", "isolated", true);
+        answerRetryable(entry, statusGatewayTimeout, "isolated");
         return;
     }
     if (entry->remaining() <= 0ms || ++entry->attempts > maxAttemptsPerRequest) {
-        answer(entry, statusGatewayTimeout, "", "unknown", true);
+        answerRetryable(entry, statusGatewayTimeout, "unknown");
         return;
     }
     m_store.read(liveRows(entry->id), entry->boundedTimeout(readTimeout), [this, entry](const range_result &result) {
@@ -348,7 +361,7 @@
     const auto count = m_links.countWaitingJobs(route.queue.name);
     if (!count) {
         m_log.write("callers", "waiting", {{"queue", entry->queue}, {"outcome", "owner-unreachable"}});
-        answer(entry, statusUnavailable, "", "owner-unreachable", true);
+        answerRetryable(entry, statusUnavailable, "owner-unreachable");
         return;
     }
     m_log.write("callers", "waiting",
@@ -362,7 +375,7 @@
 }
 
 void caller_service::answer(const exchange_pointer &entry, unsigned status, const std::string &body,
-                            const std::string &outcome, bool allowsRetry)
+                            const std::string &outcome, std::optional<std::chrono::milliseconds> retryAfter)
 {
     if (std::exchange(entry->isAnswered, true)) {
         return; // answerAllAsUnknown() has answered it
@@ -381,10 +394,17 @@
     }
     m_measures.count("primrosecroft_requests", "outcome", entry->kind + '-' + outcome);
     http_response result {status, {{"Content-Type", "application/json"}}, body.empty() ? "{}" : body};
-    if (allowsRetry) {
-        result.headers.push_back({"Retry-After", std::to_string(std::chrono::seconds(retryAfter).count())});
+    if (retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*retryAfter);
+        result.headers.push_back({"Retry-After", std::to_string(seconds.count())});
     }
     entry->request->answer(result);
 }
 
+/// Answers a request that the caller may repeat soon, here or at another process.
+void caller_service::answerRetryable(const exchange_pointer &entry, unsigned status, const std::string &outcome)
+{
+    answer(entry, status, "", outcome, defaultRetryAfter);
+}
+
 } // namespace primrosecroft
--- a/src/libprimrosecroft/callers/caller_service.h
+++ b/src/libprimrosecroft/callers/caller_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/submit_result.h"
 #include "callers/waiting_counts.h"
 #include "io/http_server.h"
 #include "io/timer.h"
@@ -45,9 +46,9 @@
 
     /// Requests that the owner stores a job or its cancellation, together with others in one transaction. @p row is
     /// empty for a cancellation. The outcome is conflict if the job was stored before or, for a cancellation, has ended
-    /// before, and refused if the owner has done nothing.
+    /// before, and refused if the owner has done nothing, with a time to come back if it has turned the job away.
     std::function<void(const job_id &id, const std::string &row, bool cancelled, std::chrono::milliseconds timeout,
-                       std::function<void(store_outcome)>)>
+                       stored_handler)>
         storeThroughOwner;
 
     /// Queries the owner for the status of a job.
@@ -99,7 +100,8 @@
     void retryCancel(const exchange_pointer &entry);
     void answerWaiting(const exchange_pointer &entry, const queue_route &route);
     void answer(const exchange_pointer &entry, unsigned status, const std::string &body, const std::string &outcome,
-                bool allowsRetry = false);
+                std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
+    void answerRetryable(const exchange_pointer &entry, unsigned status, const std::string &outcome);
 
     store &m_store;
     caller_codec m_codec;
--- /dev/null
+++ b/src/libprimrosecroft/cell/backlog.cpp
@@ -0,0 +1,133 @@
+#include "cell/backlog.h"
+
+#include "cell/detail/cell_parts.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace primrosecroft
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using detail::serving_rank;
+
+constexpr double milliCoresPerCore = 1'000;
+
+bool isJudged(const job_spec &spec)
+{
+    return spec.occurrences == 0 && std::ranges::none_of(spec.steps, &step_spec::isService);
+}
+
+void addWaitingWork(const cell_state &state, const job_state &job, cell_backlog &backlog, instant now)
+{
+    auto &waiting = backlog.pools[job.accepted.queue.pool].waiting;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+            const auto &step = occurrence.steps[index];
+            const auto &spec = job.accepted.spec.steps[index];
+            const auto tasks = step.isReady ? step.pendingTasks.size() : step.tasks.size();
+            if (tasks > 0 && !spec.isService && !(job.accepted.spec.occurrences > 0 && !step.isReady)) {
+                waiting.push_back({detail::servingRankOf(state, job, step, spec, now),
+                                   detail::coreSecondsOf(spec) * static_cast<double>(tasks),
+                                   step.isReady ? 0ms : occurrence.steps.front().criticalPath - step.criticalPath});
+            }
+        }
+    }
+}
+
+/// Cores that services hold on workers, which do no other work.
+void deductServices(const job_state &job, cell_backlog &backlog)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+            const auto &spec = job.accepted.spec.steps[index];
+            if (!spec.isService || spec.isBestEffort) {
+                continue;
+            }
+            const auto running = std::ranges::count_if(occurrence.steps[index].tasks,
+                                                       [](const task_state &task) { return !task.runs.empty(); });
+            const auto cores = static_cast<double>(running * spec.size.milliCores) / milliCoresPerCore;
+            auto &capacity = backlog.pools[job.accepted.queue.pool].capacity;
+            capacity.offered -= cores;
+            capacity.usable -= cores;
+        }
+    }
+}
+
+} // namespace
+
+cell_backlog backlogOf(const cell_state &state, instant now)
+{
+    cell_backlog result;
+    result.at = now;
+    for (const auto &[id, worker] : state.workers) {
+        const auto cores = static_cast<double>(worker.description.capacity.milliCores) / milliCoresPerCore;
+        if (worker.isListed && !worker.description.isDraining && worker.health.quarantinedUntil <= now) {
+            auto &capacity = result.pools[worker.description.pool].capacity;
+            capacity.offered += cores;
+            capacity.usable += detail::mayStartOn(state, worker, now) ? cores : 0;
+        }
+    }
+    for (const auto &[id, job] : state.jobs) {
+        if (!detail::isAborted(job)) {
+            addWaitingWork(state, job, result, now);
+            deductServices(job, result);
+        }
+    }
+    return result;
+}
+
+std::optional<job_outlook> outlookOf(const cell_state &state, const accepted_job &accepted, instant now)
+{
+    if (!isJudged(accepted.spec) || accepted.spec.steps.empty()) {
+        return std::nullopt;
+    }
+    const auto job = detail::makeJob(state, {accepted, {}, 0, false}, now);
+    const auto &first = job.occurrences.begin()->second.steps.front();
+    job_outlook result;
+    result.pool = accepted.queue.pool;
+    result.request.id = accepted.id;
+    result.request.objective = job.objective;
+    result.request.criticalPath = criticalPathDuration(accepted.spec);
+    result.work.rank = detail::servingRankOf(state, job, first, accepted.spec.steps.front(), now);
+    for (const auto &spec : accepted.spec.steps) {
+        result.work.coreSeconds += detail::coreSecondsOf(spec) * static_cast<double>(spec.count);
+    }
+    return result;
+}
+
+work_ahead workAheadOf(const cell_state &state, const cell_backlog &backlog, const job_outlook &job, instant now)
+{
+    work_ahead result;
+    const auto pool = backlog.pools.find(job.pool);
+    if (pool == backlog.pools.end()) {
+        return result;
+    }
+    const auto inTime = [](serving_rank rank) {
+        rank.isLate = false;
+        return rank;
+    };
+    const auto own = inTime(job.work.rank);
+    double laterSeconds = 0; // of all later work, weighted by its amount
+    for (const auto &each : pool->second.waiting) {
+        if (inTime(each.rank) <= own) {
+            const bool isLater = each.readyIn > 0ms;
+            result.coreSeconds += isLater ? 0 : each.coreSeconds;
+            result.laterCoreSeconds += isLater ? each.coreSeconds : 0;
+            laterSeconds += each.coreSeconds * std::chrono::duration<double>(each.readyIn).count();
+        }
+    }
+    if (result.laterCoreSeconds > 0) {
+        const std::chrono::duration<double> mean(laterSeconds / result.laterCoreSeconds);
+        result.laterIn = std::chrono::duration_cast<std::chrono::milliseconds>(mean);
+    }
+    const auto rates = state.rates.find(job.pool);
+    result.rate = rateFor(rates == state.rates.end() ? pool_rates {} : rates->second, own.priority,
+                          std::max(pool->second.capacity.offered, 0.0), now);
+    return result;
+}
+
+} // namespace primrosecroft
--- /dev/null
+++ b/src/libprimrosecroft/cell/backlog.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "admission/admission.h"
+#include "cell/detail/serving_order.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// The work that waits in a cell, as admission sees it.
+namespace primrosecroft
+{
+
+/// Work of a step that waits, or that will wait once the steps before it have ended.
+struct waiting_work
+{
+    detail::serving_rank rank;
+    double coreSeconds = 0;
+    std::chrono::milliseconds readyIn {0}; ///< estimated time of the steps before it; 0 if it is ready
+};
+
+struct pool_backlog
+{
+    std::vector<waiting_work> waiting; ///< in no order
+    pool_capacity capacity;
+};
+
+/// A cell's backlog at one moment, by the name of the pool.
+struct cell_backlog
+{
+    std::map<std::string, pool_backlog> pools;
+    instant at; ///< zero before the first one
+};
+
+cell_backlog backlogOf(const cell_state &state, instant now);
+
+/// A job that isn't accepted yet, as the cell would serve it.
+struct job_outlook
+{
+    std::string pool;
+    admission_request request; ///< without the time that the caller has waited
+    waiting_work work; ///< of all its steps, at the rank of its first one
+};
+
+/// Returns std::nullopt for a job that is always accepted: one with a service, for which its users wait as long as it
+/// takes, and one with a schedule, whose work comes later.
+std::optional<job_outlook> outlookOf(const cell_state &state, const accepted_job &job, instant now);
+
+/// The work that the cell does before the job's. Work that is late counts although it is served after the job: it was
+/// accepted, and each job that goes before it without being counted would put it off for good.
+work_ahead workAheadOf(const cell_state &state, const cell_backlog &backlog, const job_outlook &job, instant now);
+
+} // namespace primrosecroft
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/cell_messages.h"
+#include "cell/work_rates.h"
 
 #include <deque>
 #include <map>
@@ -259,6 +260,7 @@
     std::set<worker_id> contactedWorkersSent; ///< the workers that this commit stores
     cell_rules rules;
     workspace_policies workspaces; ///< of the configuration in force
+    work_rates rates; ///< by the name of the pool
     std::map<job_id, job_state> jobs;
     std::map<job_id, job_status> finishedJobs; ///< jobs whose end is stored, the latest ones
     std::deque<job_id> finishedJobsOrder; ///< the same jobs, oldest end first
@@ -269,6 +271,7 @@
     std::int32_t costlyAdviceCalls = 0; ///< likewise, of the calls that take long
     std::set<job_id> unsavedJobs; ///< jobs with changes to store
     row_version commitSequence = 0; ///< version of the commit sequence row, as last known
+    row_version acceptanceBar = row_condition::absent; ///< version of the row that bars direct acceptance, if any
     std::uint64_t lastCommit = 0; ///< number of the last commit
     bool isCommitPending = false;
     std::set<job_id> committingJobs; ///< jobs that the pending commit writes
@@ -277,6 +280,7 @@
     std::deque<loss_time> recentLosses; ///< of workers under no trial, the latest ones
     instant nextCommitAt; ///< no commit is made before this time
     instant nextSupervisionAt;
+    instant nextBacklogAt; ///< the backlog isn't measured before this time
 };
 
 cell_state makeCell(const cell_settings &settings, const cell_take_over &takeOver);
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -29,6 +29,12 @@
 
 // --- jobs.cpp
 
+/// Makes the state of a job that has arrived.
+job_state makeJob(const cell_state &state, const job_arrived &message, instant now);
+
+/// Estimated processor time of one task. 0 for a best-effort task, which takes what others leave.
+double coreSecondsOf(const step_spec &spec);
+
 /// Adds a job unless it is known already.
 void addJob(cell_state &state, const job_arrived &message, instant now);
 
@@ -36,7 +42,7 @@
 void cancelJob(cell_state &state, const job_id &id, instant now, cell_actions &actions);
 
 /// Begins the occurrences that are due, also those whose time passed without an owner.
-void beginDueOccurrences(cell_state &state, job_state &job, instant now);
+void beginDueOccurrences(const cell_state &state, job_state &job, instant now);
 
 /// Makes a task pending again after its last run, unless it is done or its job was cancelled or has failed.
 void requeueTask(cell_state &state, const task_ref &ref, const task_view &view, instant now);
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -165,6 +165,18 @@
     }
 }
 
+/// Records the work that the job brings, for the rate at which work of its priority arrives.
+void recordAcceptedJob(cell_state &state, const job_state &job, instant now)
+{
+    double coreSeconds = 0;
+    for (const auto &spec : job.accepted.spec.steps) {
+        coreSeconds += spec.isService ? 0 : coreSecondsOf(spec) * static_cast<double>(spec.count);
+    }
+    if (job.accepted.spec.occurrences == 0) {
+        recordAcceptedWork(state.rates[job.accepted.queue.pool], job.accepted.queue.priority, coreSeconds, now);
+    }
+}
+
 void failJob(cell_state &state, job_state &job, instant now, cell_actions &actions)
 {
     job.hasFailed = true;
@@ -174,6 +186,14 @@
 
 } // namespace
 
+double coreSecondsOf(const step_spec &spec)
+{
+    constexpr double milliCoresPerCore = 1'000;
+    return spec.isBestEffort ? 0
+                             : static_cast<double>(spec.size.milliCores) / milliCoresPerCore
+            * std::chrono::duration<double>(spec.estimate).count();
+}
+
 bool isAborted(const job_state &job)
 {
     return job.isCancelled || job.hasFailed;
@@ -218,7 +238,22 @@
     if (const auto known = state.jobs.find(id); known != state.jobs.end()) {
         return;
     }
-    auto &job = state.jobs[id];
+    auto &job = state.jobs[id] = makeJob(state, message, now);
+    if (job.isCancelled) {
+        markUnsaved(state, job);
+    }
+    const bool isOfEarlierOwner = job.version != 0 && job.version < state.takeOver.token;
+    if (isOfEarlierOwner && job.accepted.spec.occurrences == 0) {
+        countAwayFromAcceptance(job);
+    }
+    if (!isOfEarlierOwner) {
+        recordAcceptedJob(state, job, now);
+    }
+}
+
+job_state makeJob(const cell_state &state, const job_arrived &message, instant now)
+{
+    job_state job;
     job.accepted = message.job;
     job.version = message.version;
     const auto age = state.storeTime.count() > 0 && message.job.acceptedAt.count() > 0
@@ -229,9 +264,6 @@
     job.isCancelled = message.isCancelled;
     job.hasProgress = !message.progress.empty();
     job.hasStarted = tellsOfStart(message.progress);
-    if (job.isCancelled) {
-        markUnsaved(state, job);
-    }
     for (const auto &[number, progress] : message.progress) {
         job.occurrences[number] = makeOccurrence(state, job.accepted.spec, &progress, now);
         job.openOccurrences += progress.isComplete ? 0 : 1;
@@ -244,13 +276,10 @@
         job.openOccurrences = 1;
         job.nextOccurrence = 1;
     }
-    const bool isOfEarlierOwner = job.version != 0 && job.version < state.takeOver.token;
-    if (isOfEarlierOwner && job.accepted.spec.occurrences == 0) {
-        countAwayFromAcceptance(job);
-    }
+    return job;
 }
 
-void beginDueOccurrences(cell_state &state, job_state &job, instant now)
+void beginDueOccurrences(const cell_state &state, job_state &job, instant now)
 {
     const auto &spec = job.accepted.spec;
     while (!isAborted(job) && job.nextOccurrence < spec.occurrences
@@ -324,6 +353,7 @@
             task.isDone = true;
             task.checkpoint.clear();
             ++view.step->doneCount;
+            recordEndedWork(state.rates[view.job->accepted.queue.pool], coreSecondsOf(*view.spec), now);
             std::erase(view.step->pendingTasks, index);
         }
     };
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -1,3 +1,4 @@
+#include "cell/backlog.h"
 #include "cell/detail/advice_requests.h"
 #include "cell/detail/candidates.h"
 #include "cell/detail/cell_parts.h"
@@ -5,6 +6,8 @@
 #include "cell/detail/worker_loss.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 #include <ranges>
 #include <utility>
 
@@ -25,6 +28,8 @@
 /// A suspect that has waited this long for a worker on which a trial may begin goes to any other one.
 constexpr auto maxTrialWait = 2s;
 
+constexpr auto backlogInterval = 200ms; ///< between two measurements of what waits
+
 /// Sends the start of a task to the worker and reserves its capacity there.
 void startTask(cell_state &state, const waiting_step &waiting, std::int32_t index, std::uint32_t attempt,
                worker_state &worker, instant now, cell_actions &actions)
@@ -224,6 +229,21 @@
     waiting.step->pendingTasks = std::move(stillPending);
 }
 
+/// Records after a pass how much work still waits in each pool.
+void recordBacklog(cell_state &state, instant now)
+{
+    if (now < state.nextBacklogAt) {
+        return;
+    }
+    state.nextBacklogAt = now + backlogInterval;
+    for (const auto &[name, pool] : backlogOf(state, now).pools) {
+        const auto work =
+            std::transform_reduce(pool.waiting.begin(), pool.waiting.end(), 0.0, std::plus<>(),
+                                  [](const waiting_work &each) { return each.readyIn > 0ms ? 0 : each.coreSeconds; });
+        recordWaitingWork(state.rates[name], work, pool.capacity, now);
+    }
+}
+
 } // namespace
 
 void placeTasks(cell_state &state, instant now, cell_actions &actions)
@@ -245,6 +265,7 @@
         }
     }
     requestEarlyAdvice(state, usable, now, actions);
+    recordBacklog(state, now);
 }
 
 } // namespace primrosecroft::detail
--- a/src/libprimrosecroft/jobs/job_rows.cpp
+++ b/src/libprimrosecroft/jobs/job_rows.cpp
@@ -191,6 +191,23 @@
         {{jobPlace(id), row_condition::absent}, {endedPlace(id), row_condition::absent}}, {{jobPlace(id), row}}, {}};
 }
 
+row_place acceptanceBarPlace()
+{
+    return {cellTable, shardPartition, "turning-away"};
+}
+
+store_transaction directAcceptance(const job_id &id, const std::string &row)
+{
+    auto result = acceptance(id, row);
+    result.conditions.push_back({acceptanceBarPlace(), row_condition::absent});
+    return result;
+}
+
+store_transaction rejection(const job_id &id)
+{
+    return {{{jobPlace(id), row_condition::absent}, {endedPlace(id), row_condition::absent}}, {}, {}};
+}
+
 row_range liveRows(const job_id &id)
 {
     return {jobTable, shardPartition, id + '.', id + '/'}; // '/' follows '.' in the order of keys
--- a/src/libprimrosecroft/jobs/job_rows.h
+++ b/src/libprimrosecroft/jobs/job_rows.h
@@ -52,6 +52,17 @@
 /// Returns the transaction that accepts a job. It conflicts if the job is live or has ended already.
 store_transaction acceptance(const job_id &id, const std::string &row);
 
+/// Row that exists while the owner turns jobs away. It is written with the transaction that shows that a job isn't
+/// stored, so a direct acceptance that is still on its way to the store has no effect afterwards.
+row_place acceptanceBarPlace();
+
+/// Returns the transaction by which a process other than the owner accepts a job. It also conflicts while the owner
+/// turns jobs away.
+store_transaction directAcceptance(const job_id &id, const std::string &row);
+
+/// Returns the conditions that show that a job is neither live nor has ended.
+store_transaction rejection(const job_id &id);
+
 /// The range of all rows of a live job.
 row_range liveRows(const job_id &id);
 
--- a/src/libprimrosecroft/owner_session/acceptance_batcher.cpp
+++ b/src/libprimrosecroft/owner_session/acceptance_batcher.cpp
@@ -20,9 +20,17 @@
 constexpr auto acceptTimeout = 2'400ms; ///< after this a job isn't sent again; its outcome is reported as lost
 constexpr auto retryDelay = 100ms; ///< after a failed transaction
 
-void answerAll(const std::vector<stored_handler> &handlers, store_outcome outcome)
+/// A direct acceptance that is sent before the bar is written doesn't take effect later than this.
+constexpr auto barTime = 60s;
+
+void answerAll(const std::vector<stored_handler> &handlers, const submit_result &result)
+{
+    std::ranges::for_each(handlers, [&result](const auto &done) { done(result); });
+}
+
+store_transaction barredAcceptances()
 {
-    std::ranges::for_each(handlers, [outcome](const auto &done) { done(outcome); });
+    return {{}, {{acceptanceBarPlace(), "1"}}, {}};
 }
 
 } // namespace
@@ -35,23 +43,46 @@
 
 void acceptance_batcher::add(const job_id &id, const std::string &row, stored_handler done)
 {
-    for (auto *each : {&m_waiting, &m_sending}) {
-        if (const auto found = each->find(id); found != each->end()) {
-            found->second.handlers.push_back(std::move(done));
-            return;
-        }
+    if (join(id, done)) {
+        return;
     }
-    if (!limited_transaction(ownershipSize()).fitsAlone(acceptance(id, row))) {
+    if (!limited_transaction(ownershipSize() + sizeOf(barredAcceptances())).fitsAlone(acceptance(id, row))) {
         done(store_outcome::refused); // the store would never take it
         return;
     }
-    auto &entry = m_waiting[id];
-    entry.row = row;
-    entry.submittedAt = bootNow();
-    entry.handlers.push_back(std::move(done));
+    enqueue(id, {row, std::nullopt, bootNow(), {std::move(done)}});
+}
+
+void acceptance_batcher::turnAway(const job_id &id, std::chrono::milliseconds retryAfter, stored_handler done)
+{
+    if (!join(id, done)) {
+        enqueue(id, {"", retryAfter, bootNow(), {std::move(done)}});
+    }
+}
+
+/// Adds the handler to a submission of the job that is pending. Returns false if there is none.
+bool acceptance_batcher::join(const job_id &id, const stored_handler &done)
+{
+    for (auto *each : {&m_waiting, &m_sending}) {
+        if (const auto found = each->find(id); found != each->end()) {
+            found->second.handlers.push_back(done);
+            return true;
+        }
+    }
+    return false;
+}
+
+void acceptance_batcher::enqueue(const job_id &id, submission entry)
+{
+    m_waiting.emplace(id, std::move(entry));
     sendNext();
 }
 
+bool acceptance_batcher::isPending(const job_id &id) const
+{
+    return m_waiting.contains(id) || m_sending.contains(id);
+}
+
 bool acceptance_batcher::isSending(const job_id &id) const
 {
     return m_sending.contains(id);
@@ -76,15 +107,22 @@
         order.push_back(each);
     }
     std::ranges::sort(order, {}, [](const auto &each) { return each->second.submittedAt; });
-    limited_transaction transaction(ownershipSize());
+    limited_transaction transaction(ownershipSize() + sizeOf(barredAcceptances()));
+    bool isRejecting = false;
     for (const auto &each : order) {
-        const auto part = acceptance(each->first, each->second.row);
-        if (!transaction.add(part)) {
+        const bool isRejection = each->second.retryAfter.has_value();
+        if (!transaction.add(isRejection ? rejection(each->first) : acceptance(each->first, each->second.row))) {
             break;
         }
+        isRejecting = isRejecting || isRejection;
         m_sending.insert(m_waiting.extract(each));
     }
-    return transaction.entries();
+    auto result = transaction.entries();
+    if (isRejecting) {
+        m_lastRejectionAt = bootNow();
+        std::ranges::copy(barredAcceptances().writes, std::back_inserter(result.writes));
+    }
+    return result;
 }
 
 void acceptance_batcher::sendNext()
@@ -92,11 +130,38 @@
     if (!m_sending.empty() || m_waiting.empty() || m_retry.isRunning()) {
         return;
     }
+    liftBarWhenUnused();
     auto transaction = takeOldest();
     m_sentAt = bootNow();
     m_links.commit(std::move(transaction), [this](const commit_result &result) { handleAnswer(result); });
 }
 
+/// Lets processes accept jobs directly again when no job has been turned away for a while. At first that counts from
+/// the first submission to this owner, because an earlier one may have written the bar.
+void acceptance_batcher::liftBarWhenUnused()
+{
+    if (m_lastRejectionAt == instant {}) {
+        m_lastRejectionAt = bootNow();
+    }
+    auto &bar = *m_links.acceptanceBar;
+    if (bar == row_condition::absent || m_isLiftingBar || bootNow() < m_lastRejectionAt + barTime) {
+        return;
+    }
+    m_isLiftingBar = true;
+    m_links.commit({{{acceptanceBarPlace(), bar}}, {}, {acceptanceBarPlace()}},
+                   [this, &bar, lifted = bar](const commit_result &result) {
+                       m_isLiftingBar = false;
+                       if (bar != lifted) {
+                           return; // written again meanwhile
+                       }
+                       if (result.outcome == store_outcome::done) {
+                           bar = row_condition::absent;
+                       } else if (result.outcome == store_outcome::conflict) {
+                           bar = versionOf(result.currentRows, acceptanceBarPlace());
+                       }
+                   });
+}
+
 void acceptance_batcher::handleAnswer(const commit_result &result)
 {
     auto sent = std::exchange(m_sending, {});
@@ -110,8 +175,13 @@
         splitConflict(sent, result.currentRows);
     } else if (result.outcome == store_outcome::done) {
         for (const auto &[id, entry] : sent) {
-            m_links.onAccepted(entry.row, result.version);
-            answerAll(entry.handlers, store_outcome::done);
+            if (entry.retryAfter) {
+                *m_links.acceptanceBar = result.version;
+                answerAll(entry.handlers, submit_result::turnedAway(*entry.retryAfter));
+            } else {
+                m_links.onAccepted(entry.row, result.version);
+                answerAll(entry.handlers, store_outcome::done);
+            }
         }
     } else {
         retryLater(sent);
--- a/src/libprimrosecroft/owner_session/cell_rows_reader.cpp
+++ b/src/libprimrosecroft/owner_session/cell_rows_reader.cpp
@@ -25,6 +25,7 @@
                 return;
             }
             m_context.state.commitSequence = versionOf(result.rows, commitSequencePlace());
+            m_context.state.acceptanceBar = versionOf(result.rows, acceptanceBarPlace());
             applyContactedWorkers(result.rows);
             applyRules(result.rows);
             done(result.version);
--- a/src/libprimrosecroft/owner_session/job_requests.cpp
+++ b/src/libprimrosecroft/owner_session/job_requests.cpp
@@ -11,11 +11,12 @@
 job_requests::job_requests(const runner_context &context, owned_commits &commits,
                            std::function<void(const job_id &id)> readJob)
     : m_context(context)
+    , m_admission(context.log)
     , m_acceptances({[&commits](store_transaction transaction, owned_commits::commit_handler done) {
                          commits.commit(std::move(transaction), std::move(done));
                      },
                      [this](const std::string &row, row_version version) { addAcceptedJob(row, version); },
-                     std::move(readJob)},
+                     std::move(readJob), &context.state.acceptanceBar},
                     context.log)
 {
 }
@@ -26,14 +27,40 @@
         done(store_outcome::conflict);
         return;
     }
+    if (m_acceptances.isPending(id)) {
+        m_acceptances.add(id, row, std::move(done));
+        return;
+    }
+    accepted_job job;
     try {
-        decodeJobOf(id, row);
+        job = decodeJobOf(id, row);
     } catch (const error &fault) {
         m_context.log.write("cell", "row-unreadable", {{"id", id}, {"reason", fault.what()}});
         done(store_outcome::refused);
         return;
     }
-    m_acceptances.add(id, row, std::move(done));
+    const auto now = bootNow();
+    if (const auto retryAfter = m_admission.judge(m_context.state, job, now)) {
+        m_acceptances.turnAway(id, *retryAfter, noted(id, std::move(done)));
+        return;
+    }
+    m_admission.noteAccepting(m_context.state, job, now);
+    const auto firstReceivedAt = m_admission.firstReceivedAt(job);
+    if (firstReceivedAt == job.acceptedAt) {
+        m_acceptances.add(id, row, noted(id, std::move(done)));
+        return;
+    }
+    job.acceptedAt = firstReceivedAt; // a caller that was turned away keeps its place in the order
+    m_acceptances.add(id, encodeJob(job), noted(id, std::move(done)));
+}
+
+/// Tells admission the outcome before @p done.
+stored_handler job_requests::noted(const job_id &id, stored_handler done)
+{
+    return [this, id, done = std::move(done)](const submit_result &result) {
+        m_admission.noteOutcome(m_context.state, id, result, bootNow());
+        done(result);
+    };
 }
 
 bool job_requests::isBeingAccepted(const job_id &id) const
--- a/src/libprimrosecroft/owner_session/job_requests.h
+++ b/src/libprimrosecroft/owner_session/job_requests.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "owner_session/acceptance_batcher.h"
+#include "owner_session/admission_control.h"
 #include "owner_session/owned_commits.h"
 #include "owner_session/runner_context.h"
 
@@ -19,7 +20,8 @@
     /// @p readJob is called with a job that is stored already, but that the core may not have yet.
     job_requests(const runner_context &context, owned_commits &commits, std::function<void(const job_id &id)> readJob);
 
-    /// Accepts a job. The outcome is conflict if the job has been accepted before, and refused if @p row can't be read.
+    /// Accepts a job, or turns it away. The outcome is conflict if the job has been accepted before, and refused if @p
+    /// row can't be read or, with a time to come back, if the job was turned away.
     void submit(const job_id &id, const std::string &row, stored_handler done);
 
     /// Returns whether the job's acceptance is in flight.
@@ -36,9 +38,11 @@
     void close();
 
 private:
+    stored_handler noted(const job_id &id, stored_handler done);
     void addAcceptedJob(const std::string &row, row_version version);
 
     const runner_context &m_context;
+    admission_control m_admission;
     acceptance_batcher m_acceptances;
     std::map<job_id, std::vector<stored_handler>> m_cancellations; ///< called when the job's end is stored
 };
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -1144,6 +1144,11 @@
   this->tasks = val;
 __isset.tasks = true;
 }
+
+void JobReport::__set_retryAfterMs(const int64_t val) {
+  this->retryAfterMs = val;
+__isset.retryAfterMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobReport& obj)
 {
   obj.printTo(out);
@@ -1217,6 +1222,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1263,6 +1276,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.retryAfterMs) {
+    xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->retryAfterMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1274,6 +1292,7 @@
   swap(a.state, b.state);
   swap(a.outcome, b.outcome);
   swap(a.tasks, b.tasks);
+  swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1282,6 +1301,7 @@
   state = other24.state;
   outcome = other24.outcome;
   tasks = other24.tasks;
+  retryAfterMs = other24.retryAfterMs;
   __isset = other24.__isset;
 }
 JobReport& JobReport::operator=(const JobReport& other25) {
@@ -1289,6 +1309,7 @@
   state = other25.state;
   outcome = other25.outcome;
   tasks = other25.tasks;
+  retryAfterMs = other25.retryAfterMs;
   __isset = other25.__isset;
   return *this;
 }
@@ -1299,6 +1320,7 @@
   out << ", " << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
   out << ", " << "outcome="; (__isset.outcome ? (out << to_string(outcome)) : (out << "<null>"));
   out << ", " << "tasks="; (__isset.tasks ? (out << to_string(tasks)) : (out << "<null>"));
+  out << ", " << "retryAfterMs="; (__isset.retryAfterMs ? (out << to_string(retryAfterMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -541,10 +541,11 @@
 std::ostream& operator<<(std::ostream& out, const JobQuery& obj);
 
 typedef struct _JobReport__isset {
-  _JobReport__isset() : state(false), outcome(false), tasks(false) {}
+  _JobReport__isset() : state(false), outcome(false), tasks(false), retryAfterMs(false) {}
   bool state :1;
   bool outcome :1;
   bool tasks :1;
+  bool retryAfterMs :1;
 } _JobReport__isset;
 
 /**
@@ -559,7 +560,8 @@
   JobReport() noexcept
             : known(0),
               state(),
-              outcome(0) {
+              outcome(0),
+              retryAfterMs(0) {
   }
 
   virtual ~JobReport() noexcept;
@@ -567,6 +569,7 @@
   std::string state;
   int32_t outcome;
   std::vector<TaskReport>  tasks;
+  int64_t retryAfterMs;
 
   _JobReport__isset __isset;
 
@@ -578,6 +581,8 @@
 
   void __set_tasks(const std::vector<TaskReport> & val);
 
+  void __set_retryAfterMs(const int64_t val);
+
   bool operator == (const JobReport & rhs) const
   {
     if (!(known == rhs.known))
@@ -594,6 +599,10 @@
       return false;
     else if (__isset.tasks && !(tasks == rhs.tasks))
       return false;
+    if (__isset.retryAfterMs != rhs.__isset.retryAfterMs)
+      return false;
+    else if (__isset.retryAfterMs && !(retryAfterMs == rhs.retryAfterMs))
+      return false;
     return true;
   }
   bool operator != (const JobReport &rhs) const {
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -100,6 +100,9 @@
   // Only set in the reply to a query with withTasks, if the sender is the owner and has loaded the stored state. Empty
   // if the owner doesn't have the job, or the job has begun no occurrence.
   4: optional list<TaskReport> tasks
+  // Only set in the reply to a submission that was turned away (outcome 2), since the job can't be done in time: after
+  // this time the caller may try again. A receiver of an earlier build takes the outcome for any other refusal.
+  5: optional i64 retryAfterMs
 }
 
 /**
