--- a/src/libprimrosecroft/admission/admission.cpp
+++ b/src/libprimrosecroft/admission/admission.cpp
@@ -23,12 +23,16 @@
     for (const unsigned char each : id) {
         hash = (hash ^ each) * 16'777'619U;
     }
+    // Ids that differ in their last characters only have to differ in the upper bits too.
+    hash = (hash ^ (hash >> 16U)) * 2'246'822'507U;
+    hash = (hash ^ (hash >> 13U)) * 3'266'489'909U;
+    hash ^= hash >> 16U;
     constexpr double values = 4'294'967'296.0;
     return hash / values;
 }
 
 /// Time until the work ahead has started. Work that is ready only later counts as far as it is ready by then.
-milliseconds expectedWait(const work_ahead &ahead)
+milliseconds waitForWork(const work_ahead &ahead)
 {
     if (ahead.rate <= 0) {
         return 0ms;
@@ -43,12 +47,23 @@
     return milliseconds(std::llround(wait));
 }
 
+/// Time until running tasks have freed the cores for the work ahead. It is the longer one where short tasks wait for
+/// long ones.
+milliseconds waitForCores(const work_ahead &ahead)
+{
+    if (ahead.freedCores <= 0 || ahead.cores <= ahead.freeCores) {
+        return 0ms;
+    }
+    const auto wait = (ahead.cores - ahead.freeCores) / ahead.freedCores * 1'000;
+    return milliseconds(std::llround(std::min(wait, static_cast<double>(maxWait.count()))));
+}
+
 } // namespace
 
 admission_verdict decideAdmission(const admission_request &request, const work_ahead &ahead)
 {
     admission_verdict result;
-    result.wait = expectedWait(ahead);
+    result.wait = std::max(waitForWork(ahead), waitForCores(ahead));
     // A critical path beyond the limit is no reason to turn a job away from a cell that has room.
     result.mayWait =
         std::max(request.objective, maxObjectives * request.objective - request.criticalPath) - request.waited;
--- a/src/libprimrosecroft/admission/admission.h
+++ b/src/libprimrosecroft/admission/admission.h
@@ -30,6 +30,9 @@
     double laterCoreSeconds = 0; ///< the same of tasks that still wait for the steps before theirs
     std::chrono::milliseconds laterIn {0}; ///< about when those are ready
     double rate = 0; ///< core-seconds of such work that the cell does in a second; 0 if unknown
+    double cores = 0; ///< that the tasks ahead and those of the job's first step need to start
+    double freeCores = 0; ///< that no run holds
+    double freedCores = 0; ///< cores a second that running tasks free for this work; 0 if unknown
 };
 
 struct admission_verdict
--- a/src/libprimrosecroft/cell/backlog.cpp
+++ b/src/libprimrosecroft/cell/backlog.cpp
@@ -31,6 +31,7 @@
             const auto tasks = step.isReady ? step.pendingTasks.size() : step.tasks.size();
             if (tasks > 0 && !spec.isService && !(job.accepted.spec.occurrences > 0 && !step.isReady)) {
                 waiting.push_back({detail::servingRankOf(state, job, step, spec, now),
+                                   detail::coresOf(spec) * static_cast<double>(tasks),
                                    detail::coreSecondsOf(spec) * static_cast<double>(tasks),
                                    step.isReady ? 0ms : occurrence.steps.front().criticalPath - step.criticalPath});
             }
@@ -68,7 +69,10 @@
         if (worker.isListed && !worker.description.isDraining && worker.health.quarantinedUntil <= now) {
             auto &capacity = result.pools[worker.description.pool].capacity;
             capacity.offered += cores;
-            capacity.usable += detail::mayStartOn(state, worker, now) ? cores : 0;
+            if (detail::mayStartOn(state, worker, now)) {
+                capacity.usable += cores;
+                capacity.free += static_cast<double>(detail::freeCapacity(worker).milliCores) / milliCoresPerCore;
+            }
         }
     }
     for (const auto &[id, job] : state.jobs) {
@@ -93,6 +97,7 @@
     result.request.objective = job.objective;
     result.request.criticalPath = criticalPathDuration(accepted.spec);
     result.work.rank = detail::servingRankOf(state, job, first, accepted.spec.steps.front(), now);
+    result.work.cores = detail::coresOf(accepted.spec.steps.front()) * accepted.spec.steps.front().count;
     for (const auto &spec : accepted.spec.steps) {
         result.work.coreSeconds += detail::coreSecondsOf(spec) * static_cast<double>(spec.count);
     }
@@ -115,6 +120,7 @@
     for (const auto &each : pool->second.waiting) {
         if (inTime(each.rank) <= own) {
             const bool isLater = each.readyIn > 0ms;
+            result.cores += isLater ? 0 : each.cores;
             result.coreSeconds += isLater ? 0 : each.coreSeconds;
             result.laterCoreSeconds += isLater ? each.coreSeconds : 0;
             laterSeconds += each.coreSeconds * std::chrono::duration<double>(each.readyIn).count();
@@ -124,9 +130,12 @@
         const std::chrono::duration<double> mean(laterSeconds / result.laterCoreSeconds);
         result.laterIn = std::chrono::duration_cast<std::chrono::milliseconds>(mean);
     }
-    const auto rates = state.rates.find(job.pool);
-    result.rate = rateFor(rates == state.rates.end() ? pool_rates {} : rates->second, own.priority,
-                          std::max(pool->second.capacity.offered, 0.0), now);
+    result.cores += job.work.cores;
+    result.freeCores = pool->second.capacity.free;
+    const auto found = state.rates.find(job.pool);
+    const auto &rates = found == state.rates.end() ? pool_rates {} : found->second;
+    result.rate = rateFor(rates, own.priority, std::max(pool->second.capacity.offered, 0.0), now);
+    result.freedCores = freedCoresFor(rates, own.priority, now);
     return result;
 }
 
--- a/src/libprimrosecroft/cell/backlog.h
+++ b/src/libprimrosecroft/cell/backlog.h
@@ -16,6 +16,7 @@
 struct waiting_work
 {
     detail::serving_rank rank;
+    double cores = 0; ///< of all its tasks
     double coreSeconds = 0;
     std::chrono::milliseconds readyIn {0}; ///< estimated time of the steps before it; 0 if it is ready
 };
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -32,6 +32,9 @@
 /// Makes the state of a job that has arrived.
 job_state makeJob(const cell_state &state, const job_arrived &message, instant now);
 
+/// Cores that are reserved for one task.
+double coresOf(const step_spec &spec);
+
 /// Estimated processor time of one task. 0 for a best-effort task, which takes what others leave.
 double coreSecondsOf(const step_spec &spec);
 
--- a/src/libprimrosecroft/cell/detail/serving_order.h
+++ b/src/libprimrosecroft/cell/detail/serving_order.h
@@ -15,10 +15,10 @@
 struct serving_rank
 {
     bool isOther = true; ///< false for a service with a task that has waited for longer than maxServiceWait
-    bool isFarOverdue = false; ///< so late that its job gains nothing by being served early
+    bool isFarOverdue = false; ///< its job can't end within maxObjectives any more, whatever is done for it
     std::int32_t priority = 0; ///< 0 is served first
     /// The job can't meet its objective any more. Served after those that can, so that a backlog of late jobs doesn't
-    /// make each job late that arrives after it.
+    /// make each job late that arrives after it, until it has to start for the job to end within maxObjectives.
     bool isLate = false;
     /// End of the job's objective, put off for long steps by the policy; the earlier is served first. The objective
     /// begins when the job arrived or, for a job with a schedule, when the step became ready.
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -168,12 +168,14 @@
 /// Records the work that the job brings, for the rate at which work of its priority arrives.
 void recordAcceptedJob(cell_state &state, const job_state &job, instant now)
 {
+    double cores = 0;
     double coreSeconds = 0;
     for (const auto &spec : job.accepted.spec.steps) {
+        cores += spec.isService ? 0 : coresOf(spec) * static_cast<double>(spec.count);
         coreSeconds += spec.isService ? 0 : coreSecondsOf(spec) * static_cast<double>(spec.count);
     }
     if (job.accepted.spec.occurrences == 0) {
-        recordAcceptedWork(state.rates[job.accepted.queue.pool], job.accepted.queue.priority, coreSeconds, now);
+        recordAcceptedWork(state.rates[job.accepted.queue.pool], job.accepted.queue.priority, cores, coreSeconds, now);
     }
 }
 
@@ -186,12 +188,15 @@
 
 } // namespace
 
-double coreSecondsOf(const step_spec &spec)
+double coresOf(const step_spec &spec)
 {
     constexpr double milliCoresPerCore = 1'000;
-    return spec.isBestEffort ? 0
-                             : static_cast<double>(spec.size.milliCores) / milliCoresPerCore
-            * std::chrono::duration<double>(spec.estimate).count();
+    return spec.isBestEffort ? 0 : static_cast<double>(spec.size.milliCores) / milliCoresPerCore;
+}
+
+double coreSecondsOf(const step_spec &spec)
+{
+    return coresOf(spec) * std::chrono::duration<double>(spec.estimate).count();
 }
 
 bool isAborted(const job_state &job)
@@ -353,7 +358,8 @@
             task.isDone = true;
             task.checkpoint.clear();
             ++view.step->doneCount;
-            recordEndedWork(state.rates[view.job->accepted.queue.pool], coreSecondsOf(*view.spec), now);
+            recordEndedWork(state.rates[view.job->accepted.queue.pool], coresOf(*view.spec), coreSecondsOf(*view.spec),
+                            now);
             std::erase(view.step->pendingTasks, index);
         }
     };
--- a/src/libprimrosecroft/cell/serving_order.cpp
+++ b/src/libprimrosecroft/cell/serving_order.cpp
@@ -1,5 +1,7 @@
 #include "cell/detail/serving_order.h"
 
+#include "admission/admission.h"
+
 #include <algorithm>
 #include <ranges>
 
@@ -13,8 +15,9 @@
 
 constexpr auto maxOrderingEstimate = 120s; ///< a longer estimate moves a step no further back in the queue
 
-/// A step later than this many times the objective goes behind all others, whatever its priority. Services never do.
-constexpr double farOverdueFactor = 3;
+/// A step that has to start within this part of its objective for its job to end within maxObjectives goes before
+/// others again, so that jobs that are late don't wait for as long as others arrive.
+constexpr double lastCallPart = 1;
 
 /// A service's task that has waited this long goes before all other work: its users have no service meanwhile, and in a
 /// backlog of more urgent queues it would wait as long as that lasts.
@@ -55,9 +58,13 @@
     result.isOther = !isServiceOverdue(step, spec, now);
     result.priority = job.accepted.queue.priority;
     result.due = begin + objective + std::chrono::duration_cast<duration>(orderingDelay);
-    result.isLate = !spec.isService && now + step.criticalPath > begin + objective;
-    result.isFarOverdue =
-        !spec.isService && now > begin + std::chrono::duration_cast<duration>(objective * farOverdueFactor);
+    if (spec.isService) {
+        return result;
+    }
+    const auto latestStart = begin + std::max(objective, maxObjectives * objective - duration(step.criticalPath));
+    const auto lastCall = latestStart - std::chrono::duration_cast<duration>(objective * lastCallPart);
+    result.isFarOverdue = now > latestStart;
+    result.isLate = now + step.criticalPath > begin + objective && (result.isFarOverdue || now < lastCall);
     return result;
 }
 
--- a/src/libprimrosecroft/cell/work_rates.cpp
+++ b/src/libprimrosecroft/cell/work_rates.cpp
@@ -14,6 +14,7 @@
 
 constexpr milliseconds endMemory = 5s; ///< longer than most tasks take, so that a rate is none of a single wave of ends
 constexpr milliseconds arrivalMemory = 10s; ///< a burst that is shorter doesn't count in full
+constexpr milliseconds freedMemory = 2s; ///< short, since it changes with the kind of tasks that run
 constexpr auto saturationTime = 1s;
 constexpr double minMeasuredSeconds = 1.5; ///< of saturation, below which the capacity counts
 constexpr double minEfficiency = 0.25; ///< of the capacity; a lower rate is taken for a disruption that will end
@@ -34,6 +35,17 @@
     return std::clamp(valueAt(rates.endedWork, endMemory, now) / measured / capacity, minEfficiency, maxEfficiency);
 }
 
+/// What is left of a rate after what arrives of earlier priorities.
+double afterUrgent(double rate, const std::map<std::int32_t, decaying_sum> &accepted, std::int32_t priority,
+                   instant now)
+{
+    double urgent = 0;
+    for (const auto &[each, amount] : accepted) {
+        urgent += each < priority ? valueAt(amount, arrivalMemory, now) / seconds(arrivalMemory) : 0;
+    }
+    return rate - std::min(urgent, maxUrgentShare * rate);
+}
+
 } // namespace
 
 double valueAt(const decaying_sum &sum, milliseconds memory, instant now)
@@ -47,13 +59,15 @@
     sum.at = now;
 }
 
-void recordAcceptedWork(pool_rates &rates, std::int32_t priority, double coreSeconds, instant now)
+void recordAcceptedWork(pool_rates &rates, std::int32_t priority, double cores, double coreSeconds, instant now)
 {
+    add(rates.acceptedCores[priority], cores, arrivalMemory, now);
     add(rates.acceptedWork[priority], coreSeconds, arrivalMemory, now);
 }
 
-void recordEndedWork(pool_rates &rates, double coreSeconds, instant now)
+void recordEndedWork(pool_rates &rates, double cores, double coreSeconds, instant now)
 {
+    add(rates.freedCores, cores, freedMemory, now);
     if (rates.isSaturated) {
         add(rates.endedWork, coreSeconds, endMemory, now);
     }
@@ -73,11 +87,13 @@
 double rateFor(const pool_rates &rates, std::int32_t priority, double capacity, instant now)
 {
     const auto whole = capacity * efficiency(rates, capacity, now);
-    double urgent = 0;
-    for (const auto &[each, accepted] : rates.acceptedWork) {
-        urgent += each < priority ? valueAt(accepted, arrivalMemory, now) / seconds(arrivalMemory) : 0;
-    }
-    return whole - std::min(urgent, maxUrgentShare * whole);
+    return afterUrgent(whole, rates.acceptedWork, priority, now);
+}
+
+double freedCoresFor(const pool_rates &rates, std::int32_t priority, instant now)
+{
+    const auto freed = valueAt(rates.freedCores, freedMemory, now) / seconds(freedMemory);
+    return afterUrgent(freed, rates.acceptedCores, priority, now);
 }
 
 } // namespace primrosecroft
--- a/tests/unit/caller_service_test.cpp
+++ b/tests/unit/caller_service_test.cpp
@@ -4,6 +4,7 @@
 #include "fake_store.h"
 #include "loopback.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 /// Tests of callers' requests with an owner that can't be reached and a store in memory.
@@ -36,9 +37,9 @@
         links.storeTime = [] { return 1'000ms; };
         links.notifyOwner = [](const job_id &, bool) { };
         links.storeThroughOwner = [this](const job_id &, const std::string &, bool, std::chrono::milliseconds timeout,
-                                         const std::function<void(store_outcome)> &done) {
+                                         const stored_handler &done) {
             ownerTimeout = timeout;
-            done(store_outcome::refused);
+            done(ownerResult);
         };
         links.askOwner = [](const job_id &, std::chrono::milliseconds, const std::function<void(owner_answer)> &done) {
             done({});
@@ -57,9 +58,18 @@
         return request;
     }
 
+    std::shared_ptr<fake_request> submit(const std::string &deadline = {})
+    {
+        auto request = std::make_shared<fake_request>("POST", "/q/" + job,
+                                                      http_headers {{"Host", "jobs.example"}, {"Deadline", deadline}});
+        service.serve(request);
+        return request;
+    }
+
     fake_store rows;
     queue_table queues = makeQueues();
     std::chrono::milliseconds ownerTimeout {0};
+    submit_result ownerResult = store_outcome::refused;
     decision_log log {0, -1};
     metrics measures;
     caller_service service {rows,
@@ -102,3 +112,27 @@
         CHECK(process.ownerTimeout > 2'500ms); // the default
     }
 }
+
+TEST_CASE("a job that the owner turns away is answered at once with the time to come back")
+{
+    caller_process process;
+    process.ownerResult = submit_result::turnedAway(2'300ms);
+    const auto request = process.submit();
+    REQUIRE(request->response.has_value());
+    CHECK(request->response->status == statusUnavailable);
+    CHECK(std::ranges::any_of(request->response->headers, [](const auto &header) {
+        const auto &[name, value] = header;
+        return name == "Retry-After" && value == "3";
+    }));
+    CHECK(process.rows.commits == 0);
+}
+
+TEST_CASE("a job that can't be stored while the owner turns jobs away isn't taken for accepted")
+{
+    caller_process process;
+    process.rows.rows.put(acceptanceBarPlace(), "1");
+    const auto request = process.submit("1900");
+    CHECK(runUntil([&request] { return request->response.has_value(); }));
+    CHECK(request->response->status == statusGatewayTimeout); // the owner didn't answer, so nobody knows
+    CHECK_FALSE(process.rows.rows.rows().contains(jobPlace(job)));
+}
