--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -2,10 +2,12 @@
 
 #include "cell/detail/cell_parts.h"
 #include "cell/detail/worker_loss.h"
+#include "core/contains.h"
 #include "core/overloaded.h"
 
 #include <algorithm>
 #include <ranges>
+#include <tuple>
 
 namespace primrosecroft
 {
@@ -18,6 +20,23 @@
 
 constexpr auto inDoubtMargin = 100ms; ///< covers rounding in clocks and deadlines
 
+/// What tasks that wait need of a worker: its pool, its label, cores, memory and accelerators.
+using waiting_size = std::tuple<std::string, std::string, std::int64_t, std::int64_t, std::int64_t>;
+
+waiting_size sizeOf(const job_state &job, const step_state &step, const occurrence_state &occurrence)
+{
+    const auto &spec = job.accepted.spec.steps[static_cast<std::size_t>(&step - occurrence.steps.data())];
+    return {job.accepted.queue.pool, spec.label, spec.isBestEffort ? 0 : spec.size.milliCores, spec.size.memoryMib,
+            spec.size.accelerators};
+}
+
+bool mayTake(const worker_state &worker, const resources &available, const waiting_size &size)
+{
+    const auto &[pool, label, milliCores, memoryMib, accelerators] = size;
+    return worker.description.pool == pool && (label.empty() || contains(worker.description.labels, label))
+        && primrosecroft::fits({milliCores, memoryMib, accelerators}, available);
+}
+
 } // namespace
 
 cell_state makeCell(const cell_settings &settings, const cell_take_over &takeOver)
@@ -133,6 +152,7 @@
     result.jobs = state.jobs.size();
     result.workers = state.workers.size();
     result.unreconciled = state.unreconciledWorkers.size();
+    std::set<waiting_size> waiting;
     for (const auto &[id, job] : state.jobs) {
         for (const auto &[number, occurrence] : job.occurrences) {
             for (const auto &each : occurrence.steps) {
@@ -140,6 +160,7 @@
                 if (each.isReady && !each.pendingTasks.empty() && !occurrence.isComplete) {
                     ++result.waitingSteps;
                     result.waitingTasks += each.pendingTasks.size();
+                    waiting.insert(sizeOf(job, each, occurrence));
                 }
             }
         }
@@ -149,6 +170,12 @@
         if (mayStartOn(state, worker, now)) {
             ++result.usable;
             result.offeredCores += worker.description.capacity.milliCores;
+            const auto available = freeCapacity(worker);
+            result.freeCores += available.milliCores;
+            result.largestFree = std::max(result.largestFree, available.milliCores);
+            const bool isUseful = std::ranges::any_of(
+                waiting, [&](const waiting_size &each) { return mayTake(worker, available, each); });
+            result.strandedCores += waiting.empty() || isUseful ? 0 : available.milliCores;
         }
     }
     return result;
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -320,6 +320,10 @@
     std::size_t unreconciled = 0; ///< workers that may still run tasks of an earlier owner
     std::int64_t usedCores = 0; ///< reserved for runs on all workers, in thousandths of a core
     std::int64_t offeredCores = 0; ///< capacity of the usable workers, in thousandths of a core
+    std::int64_t freeCores = 0; ///< of these, those that no run holds
+    std::int64_t largestFree = 0; ///< the most of them on one worker, which is the largest task that fits
+    /// Free cores of workers on which no waiting task fits, while tasks wait; without regard to advice.
+    std::int64_t strandedCores = 0;
 };
 
 cell_summary summarize(const cell_state &state, instant now);
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -168,14 +168,12 @@
 /// Records the work that the job brings, for the rate at which work of its priority arrives.
 void recordAcceptedJob(cell_state &state, const job_state &job, instant now)
 {
-    double cores = 0;
     double coreSeconds = 0;
     for (const auto &spec : job.accepted.spec.steps) {
-        cores += spec.isService ? 0 : coresOf(spec) * static_cast<double>(spec.count);
         coreSeconds += spec.isService ? 0 : coreSecondsOf(spec) * static_cast<double>(spec.count);
     }
     if (job.accepted.spec.occurrences == 0) {
-        recordAcceptedWork(state.rates[job.accepted.queue.pool], job.accepted.queue.priority, cores, coreSeconds, now);
+        recordAcceptedWork(state.rates[job.accepted.queue.pool], job.accepted.queue.priority, coreSeconds, now);
     }
 }
 
@@ -358,8 +356,8 @@
             task.isDone = true;
             task.checkpoint.clear();
             ++view.step->doneCount;
-            recordEndedWork(state.rates[view.job->accepted.queue.pool], coresOf(*view.spec), coreSecondsOf(*view.spec),
-                            now);
+            recordEndedWork(state.rates[view.job->accepted.queue.pool], view.job->accepted.queue.priority,
+                            coresOf(*view.spec), coreSecondsOf(*view.spec), now);
             std::erase(view.step->pendingTasks, index);
         }
     };
--- a/src/libprimrosecroft/cell/work_rates.cpp
+++ b/src/libprimrosecroft/cell/work_rates.cpp
@@ -14,7 +14,6 @@
 
 constexpr milliseconds endMemory = 5s; ///< longer than most tasks take, so that a rate is none of a single wave of ends
 constexpr milliseconds arrivalMemory = 10s; ///< a burst that is shorter doesn't count in full
-constexpr milliseconds freedMemory = 2s; ///< short, since it changes with the kind of tasks that run
 constexpr auto saturationTime = 1s;
 constexpr double minMeasuredSeconds = 1.5; ///< of saturation, below which the capacity counts
 constexpr double minEfficiency = 0.25; ///< of the capacity; a lower rate is taken for a disruption that will end
@@ -59,15 +58,14 @@
     sum.at = now;
 }
 
-void recordAcceptedWork(pool_rates &rates, std::int32_t priority, double cores, double coreSeconds, instant now)
+void recordAcceptedWork(pool_rates &rates, std::int32_t priority, double coreSeconds, instant now)
 {
-    add(rates.acceptedCores[priority], cores, arrivalMemory, now);
     add(rates.acceptedWork[priority], coreSeconds, arrivalMemory, now);
 }
 
-void recordEndedWork(pool_rates &rates, double cores, double coreSeconds, instant now)
+void recordEndedWork(pool_rates &rates, std::int32_t priority, double cores, double coreSeconds, instant now)
 {
-    add(rates.freedCores, cores, freedMemory, now);
+    add(rates.freedCores[priority], cores, endMemory, now);
     if (rates.isSaturated) {
         add(rates.endedWork, coreSeconds, endMemory, now);
     }
@@ -75,6 +73,7 @@
 
 void recordWaitingWork(pool_rates &rates, double coreSeconds, const pool_capacity &capacity, instant now)
 {
+    rates.since = rates.since == instant {} ? now : rates.since;
     if (rates.isSaturated) {
         add(rates.saturatedSeconds, seconds(now - rates.checkedAt), endMemory, now);
     }
@@ -92,8 +91,14 @@
 
 double freedCoresFor(const pool_rates &rates, std::int32_t priority, instant now)
 {
-    const auto freed = valueAt(rates.freedCores, freedMemory, now) / seconds(freedMemory);
-    return afterUrgent(freed, rates.acceptedCores, priority, now);
+    if (rates.since == instant {} || now < rates.since + endMemory) {
+        return 0;
+    }
+    double result = 0;
+    for (const auto &[each, freed] : rates.freedCores) {
+        result += each < priority ? 0 : valueAt(freed, endMemory, now) / seconds(endMemory);
+    }
+    return result;
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/work_rates.h
+++ b/src/libprimrosecroft/cell/work_rates.h
@@ -26,18 +26,18 @@
 struct pool_rates
 {
     decaying_sum endedWork; ///< while the pool was saturated
-    decaying_sum freedCores; ///< by runs that ended
+    instant since; ///< start of the measurements; zero before
+    std::map<std::int32_t, decaying_sum> freedCores; ///< by tasks that ended, by the priority of the queue
     decaying_sum saturatedSeconds; ///< the time that this took
     bool isSaturated = false; ///< more work waited after the last pass than the pool does in saturationTime
     instant checkedAt; ///< time of the last pass
     std::map<std::int32_t, decaying_sum> acceptedWork; ///< by the priority of the queue
-    std::map<std::int32_t, decaying_sum> acceptedCores; ///< the cores of all its tasks, likewise
 };
 
 using work_rates = std::map<std::string, pool_rates>;
 
-void recordAcceptedWork(pool_rates &rates, std::int32_t priority, double cores, double coreSeconds, instant now);
-void recordEndedWork(pool_rates &rates, double cores, double coreSeconds, instant now);
+void recordAcceptedWork(pool_rates &rates, std::int32_t priority, double coreSeconds, instant now);
+void recordEndedWork(pool_rates &rates, std::int32_t priority, double cores, double coreSeconds, instant now);
 
 /// Cores of a pool, without those that services hold.
 struct pool_capacity
@@ -54,7 +54,8 @@
 /// lately while it was saturated, or its capacity if it wasn't, less what arrives of earlier priorities.
 double rateFor(const pool_rates &rates, std::int32_t priority, double capacity, instant now);
 
-/// Cores a second that runs free for tasks of this priority or a later one, after those that earlier priorities take.
+/// Cores a second that tasks of this priority or a later one free by their ends; those of earlier ones go to tasks of
+/// theirs. 0 if it isn't known yet.
 double freedCoresFor(const pool_rates &rates, std::int32_t priority, instant now);
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/owner_session/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -118,6 +118,9 @@
                  {"unresolved", std::to_string(summary.unreconciled)},
                  {"used", std::to_string(summary.usedCores)},
                  {"offered", std::to_string(summary.offeredCores)},
+                 {"free", std::to_string(summary.freeCores)},
+                 {"largest_free", std::to_string(summary.largestFree)},
+                 {"stranded", std::to_string(summary.strandedCores)},
                  {"confirmed_ms", millisecondsText(now - state.confirmedAt)}});
 }
 
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -258,10 +258,10 @@
     CHECK(rateFor(rates, 0, 100, now) == Approx(100));
     for (int round = 0; round < 100; ++round, now += 100ms) {
         recordWaitingWork(rates, 1'000, {100, 100, 0}, now);
-        recordEndedWork(rates, 3, 6, now); // 60 a second
+        recordEndedWork(rates, 0, 3, 6, now); // 60 a second
     }
     CHECK(rateFor(rates, 0, 100, now) == Approx(60).epsilon(0.1));
-    recordAcceptedWork(rates, 0, 100, 200, now); // 20 a second over ten seconds
+    recordAcceptedWork(rates, 0, 200, now); // 20 a second over ten seconds
     CHECK(rateFor(rates, 0, 100, now) == Approx(60).epsilon(0.1));
     CHECK(rateFor(rates, 1, 100, now) == Approx(40).epsilon(0.1));
 }
@@ -407,3 +407,19 @@
     CHECK(result->outcome == store_outcome::lost);
     CHECK_FALSE(result->retryAfter);
 }
+
+TEST_CASE("the summary tells the largest task that fits and the free cores that no waiting task can use")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("small", "r", {8'000, 1'000, 0}));
+    cell.addWorker(owned_cell::makeWorker("large", "r", {32'000, 1'000, 0}));
+    CHECK(summarize(cell.state, cell.now).largestFree == 32'000);
+    CHECK(summarize(cell.state, cell.now).strandedCores == 0); // nothing waits
+    cell.addJob(owned_cell::makeJob("a", {makeStep(4, 18'000, 1s)}));
+    cell.runSchedulingPass(); // one of the four starts
+    const auto summary = summarize(cell.state, cell.now);
+    CHECK(summary.waitingTasks == 3);
+    CHECK(summary.freeCores == 22'000);
+    CHECK(summary.largestFree == 14'000);
+    CHECK(summary.strandedCores == 22'000);
+}
