--- a/src/libprimrosecroft/cell/serving_order.cpp
+++ b/src/libprimrosecroft/cell/serving_order.cpp
@@ -17,7 +17,7 @@
 
 /// A step that has to start within this part of its objective for its job to end within maxObjectives goes before
 /// others again, so that jobs that are late don't wait for as long as others arrive.
-constexpr double lastCallPart = 1;
+constexpr double lastCallPart = 0.5;
 
 /// A service's task that has waited this long goes before all other work: its users have no service meanwhile, and in a
 /// backlog of more urgent queues it would wait as long as that lasts.
