--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -177,9 +177,9 @@
     const bool needsKey = keys != nullptr && (route == nullptr || !route->isPublic);
     if (needsKey && !m_links.isConfigurationCurrent()) {
         if (m_links.isIsolated()) {
-            answer(entry, statusGatewayTimeout, "", "isolated", true);
+            answerRetryable(entry, statusGatewayTimeout, "isolated");
         } else {
-            answer(entry, statusUnavailable, "", "configuration-stale", true);
+            answerRetryable(entry, statusUnavailable, "configuration-stale");
         }
         return false;
     }
