--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -29,7 +29,7 @@
 
 // --- jobs.cpp
 
-/// Makes the state of a job that has arrived.
+/// Makes the state of a job that has arrived, without the occurrences of its schedule that are due.
 job_state makeJob(const cell_state &state, const job_arrived &message, instant now);
 
 /// Cores that are reserved for one task.
@@ -41,11 +41,14 @@
 /// Adds a job unless it is known already.
 void addJob(cell_state &state, const job_arrived &message, instant now);
 
+/// Takes over the workspaces of a configuration that has come into force. Their limits count in the jobs' objectives.
+void updateWorkspaces(cell_state &state, const workspace_policies &workspaces);
+
 /// Cancels a job and stops its runs. Does nothing if the job is unknown or over.
 void cancelJob(cell_state &state, const job_id &id, instant now, cell_actions &actions);
 
 /// Begins the occurrences that are due, also those whose time passed without an owner.
-void beginDueOccurrences(const cell_state &state, job_state &job, instant now);
+void beginDueOccurrences(cell_state &state, job_state &job, instant now);
 
 /// Makes a task pending again after its last run, unless it is done or its job was cancelled or has failed.
 void requeueTask(cell_state &state, const task_ref &ref, const task_view &view, instant now);
@@ -116,7 +119,7 @@
 // --- runs.cpp
 
 /// Reserves capacity for a run whose start is about to be sent, or that was found on the worker.
-void reserve(worker_state &worker, const run_id &run, const step_spec &spec);
+void reserve(cell_state &state, worker_state &worker, const run_id &run, const task_view &view);
 
 resources freeCapacity(const worker_state &worker);
 
