--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/cell_messages.h"
+#include "cell/work_rates.h"
 #include "durations/step_times.h"
 #include "workspaces/workspace_usage.h"
 
@@ -270,6 +271,7 @@
     std::set<worker_id> contactedWorkersSent; ///< the workers that this commit stores
     cell_rules rules;
     workspace_policies workspaces; ///< of the configuration in force
+    work_rates rates; ///< by the name of the pool
     bool areWorkspacesKnown = false; ///< a configuration has told them; until then no task of a workspace starts
     workspace_usage usage;
     std::map<workspace_name, instant> nextLimitReports; ///< no report of a reached limit is made before this time
@@ -286,6 +288,7 @@
     std::int32_t costlyAdviceCalls = 0; ///< likewise, of the calls that take long
     std::set<job_id> unsavedJobs; ///< jobs with changes to store
     row_version commitSequence = 0; ///< version of the commit sequence row, as last known
+    row_version acceptanceBar = row_condition::absent; ///< version of the row that bars direct acceptance, if any
     std::uint64_t lastCommit = 0; ///< number of the last commit
     bool isCommitPending = false;
     std::set<job_id> committingJobs; ///< jobs that the pending commit writes
@@ -294,6 +297,7 @@
     std::deque<loss_time> recentLosses; ///< of workers under no trial, the latest ones
     instant nextCommitAt; ///< no commit is made before this time
     instant nextSupervisionAt;
+    instant nextBacklogAt; ///< the backlog isn't measured before this time
 };
 
 cell_state makeCell(const cell_settings &settings, const cell_take_over &takeOver);
@@ -335,6 +339,10 @@
     std::size_t unreconciled = 0; ///< workers that may still run tasks of an earlier owner
     std::int64_t usedCores = 0; ///< reserved for runs on all workers, in thousandths of a core
     std::int64_t offeredCores = 0; ///< capacity of the usable workers, in thousandths of a core
+    std::int64_t freeCores = 0; ///< of these, those that no run holds
+    std::int64_t largestFree = 0; ///< the most of them on one worker, which is the largest task that fits
+    /// Free cores of workers on which no waiting task fits, while tasks wait; without regard to advice.
+    std::int64_t strandedCores = 0;
 };
 
 cell_summary summarize(const cell_state &state, instant now);
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -1,3 +1,4 @@
+#include "cell/backlog.h"
 #include "cell/detail/advice_requests.h"
 #include "cell/detail/candidates.h"
 #include "cell/detail/cell_parts.h"
@@ -6,6 +7,8 @@
 #include "cell/detail/workspace_limits.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 #include <ranges>
 #include <utility>
 
@@ -29,6 +32,8 @@
 /// Likewise for a worker on which nothing else runs.
 constexpr auto maxIsolationWait = 3s;
 
+constexpr auto backlogInterval = 200ms; ///< between two measurements of what waits
+
 task_view viewOf(const waiting_step &waiting, task_state &task)
 {
     return {waiting.job, waiting.occurrence, waiting.step, waiting.spec, &task};
@@ -238,6 +243,21 @@
     waiting.step->pendingTasks = std::move(stillPending);
 }
 
+/// Records after a pass how much work still waits in each pool.
+void recordBacklog(cell_state &state, instant now)
+{
+    if (now < state.nextBacklogAt) {
+        return;
+    }
+    state.nextBacklogAt = now + backlogInterval;
+    for (const auto &[name, pool] : backlogOf(state, now).pools) {
+        const auto work =
+            std::transform_reduce(pool.waiting.begin(), pool.waiting.end(), 0.0, std::plus<>(),
+                                  [](const waiting_work &each) { return each.readyIn > 0ms ? 0 : each.coreSeconds; });
+        recordWaitingWork(state.rates[name], work, pool.capacity, now);
+    }
+}
+
 } // namespace
 
 void placeTasks(cell_state &state, instant now, cell_actions &actions)
@@ -267,6 +287,7 @@
         }
     }
     requestEarlyAdvice(state, usable, now, actions);
+    recordBacklog(state, now);
 }
 
 } // namespace primrosecroft::detail
--- a/src/libprimrosecroft/owner_session/cell_rows_reader.cpp
+++ b/src/libprimrosecroft/owner_session/cell_rows_reader.cpp
@@ -26,6 +26,7 @@
                 return;
             }
             m_context.state.commitSequence = versionOf(result.rows, commitSequencePlace());
+            m_context.state.acceptanceBar = versionOf(result.rows, acceptanceBarPlace());
             applyDurations(result.rows);
             applyContactedWorkers(result.rows);
             applyRules(result.rows);
--- a/tests/unit/caller_service_test.cpp
+++ b/tests/unit/caller_service_test.cpp
@@ -49,8 +49,7 @@
         links.storeTime = [] { return 1'000ms; };
         links.notifyOwner = [](const job_id &, bool) { };
         links.storeThroughOwner = [this](const job_id &, const std::string &row, bool,
-                                         std::chrono::milliseconds timeout,
-                                         const std::function<void(store_outcome)> &done) {
+                                         std::chrono::milliseconds timeout, const stored_handler &done) {
             ownerTimeout = timeout;
             storedRows.push_back(row);
             done(ownerOutcome);
@@ -72,6 +71,14 @@
         return request;
     }
 
+    std::shared_ptr<fake_request> submit(const std::string &deadline = {})
+    {
+        auto request = std::make_shared<fake_request>("POST", "/q/" + job,
+                                                      http_headers {{"Host", "jobs.example"}, {"Deadline", deadline}});
+        service.serve(request);
+        return request;
+    }
+
     /// The answer to a call with the header of the key, or without it if @p key is unset.
     unsigned statusOf(const std::string &method, const std::string &path, const std::optional<std::string> &key)
     {
@@ -101,7 +108,7 @@
     bool isCurrent = true;
     bool isIsolated = false;
     int decodedBodies = 0;
-    store_outcome ownerOutcome = store_outcome::refused;
+    submit_result ownerOutcome = store_outcome::refused;
     std::vector<std::string> storedRows; ///< sent to the owner; empty for cancellations
     std::shared_ptr<fake_request> last;
     queue_table queues = makeQueues();
@@ -258,3 +265,27 @@
     CHECK(text.find(R"(primrosecroft_workspace_requests{workspace="other"})") != std::string::npos);
     CHECK(text.find(R"(workspace="w199")") == std::string::npos);
 }
+
+TEST_CASE("a job that the owner turns away is answered at once with the time to come back")
+{
+    caller_process process;
+    process.ownerOutcome = submit_result::turnedAway(2'300ms);
+    const auto request = process.submit();
+    REQUIRE(request->response.has_value());
+    CHECK(request->response->status == statusUnavailable);
+    CHECK(std::ranges::any_of(request->response->headers, [](const auto &header) {
+        const auto &[name, value] = header;
+        return name == "Retry-After" && value == "3";
+    }));
+    CHECK(process.rows.commits == 0);
+}
+
+TEST_CASE("a job that can't be stored while the owner turns jobs away isn't taken for accepted")
+{
+    caller_process process;
+    process.rows.rows.put(acceptanceBarPlace(), "1");
+    const auto request = process.submit("1900");
+    CHECK(runUntil([&request] { return request->response.has_value(); }));
+    CHECK(request->response->status == statusGatewayTimeout); // the owner didn't answer, so nobody knows
+    CHECK_FALSE(process.rows.rows.rows().contains(jobPlace(job)));
+}
