Compare critical paths in waves with those of a job without a limit, and mend what the linter finds

workspace_usage failed after the merge with learned durations, whose critical paths count cautious times in place of the estimate. The check is as strict: three times the path of the same job without a limit, and the same once the limit is gone.

--- a/src/libprimrosecroft/owner_session/job_reader.cpp
+++ b/src/libprimrosecroft/owner_session/job_reader.cpp
@@ -3,6 +3,7 @@
 #include "owner_session/store_timing.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace primrosecroft
@@ -44,7 +45,7 @@
 {
     auto loaded = m_loadedJobs.take();
     // In the order in which they were sent, by which the rates of workspaces are counted.
-    std::ranges::stable_sort(loaded.jobs, {}, [](const job_arrived &job) { return job.job.acceptedAt; });
+    std::ranges::sort(loaded.jobs, {}, [](const job_arrived &job) { return std::tie(job.job.acceptedAt, job.job.id); });
     std::ranges::for_each(loaded.jobs, [this](const job_arrived &job) { m_context.apply(job); });
     setAside(loaded.unreadable);
 }
--- a/tests/bench/durations_bench.cpp
+++ b/tests/bench/durations_bench.cpp
@@ -30,6 +30,7 @@
 std::vector<ended_run> drawRuns()
 {
     std::vector<ended_run> result;
+    result.reserve(static_cast<std::size_t>(queues) * imagesPerQueue);
     for (int number = 0; number < queues * imagesPerQueue; ++number) {
         result.push_back(runOf(number));
     }
--- a/tests/unit/workspace_usage_test.cpp
+++ b/tests/unit/workspace_usage_test.cpp
@@ -237,10 +237,15 @@
 {
     auto cell = makeLimitedCell({2'000, 0, 0});
     cell.addJob(makeJob("wide", "a", {makeStep(5, 1'000)}));
+    cell.addJob(makeJob("free", "", {makeStep(5, 1'000)}));
+    const auto pathOf = [&](const job_id &id) {
+        return cell.state.jobs.at(id).occurrences.at(0).steps.front().criticalPath;
+    };
     CHECK(cell.state.jobs.at("wide").objective == 3 * 800ms * 2 + 500ms);
+    CHECK(pathOf("wide") == 3 * pathOf("free"));
     configure(cell, policiesWith({}));
     CHECK(cell.state.jobs.at("wide").objective == 800ms * 2 + 500ms);
-    CHECK(cell.state.jobs.at("wide").occurrences.at(0).steps.front().criticalPath == 800ms);
+    CHECK(pathOf("wide") == pathOf("free"));
 }
 
 TEST_CASE("a step that waits for its limit asks for no advice, and one near it only for what may start")
