Charge a worker that has left as one of the largest, not as all that waits

Cause: four workers had left without a word before, and the new owner doesn't know what they run until their leases have ended. As they weren't listed any more their capacity counted as unknown, so every workspace was charged with all of its tasks that no worker had shown.

Ruled out: dropping workers that the platform no longer lists from the unreconciled ones, since a cut one runs on.

--- a/src/libprimrosecroft/cell/workspace_limits.cpp
+++ b/src/libprimrosecroft/cell/workspace_limits.cpp
@@ -59,6 +59,16 @@
     return result;
 }
 
+/// The largest capacity of the workers of any pool.
+resources largestOfAll(const std::map<std::string, resources> &largest)
+{
+    resources result;
+    for (const auto &each : std::views::values(largest)) {
+        result = highestOf(result, each);
+    }
+    return result;
+}
+
 /// Most that runs which no list has shown may hold on the worker.
 resources unshownCapacity(const worker_state &worker, const std::map<std::string, resources> &largest)
 {
@@ -141,11 +151,13 @@
     }
     for (const auto &id : state.unreconciledWorkers) {
         const auto worker = state.workers.find(id);
-        if (worker == state.workers.end()) {
-            usage.untoldCapacity.reset(); // it isn't listed yet, so its capacity is unknown
+        if (worker == state.workers.end() && largest.empty()) {
+            usage.untoldCapacity.reset(); // nothing tells how large it is
             return;
         }
-        if (worker->second.unknownRuns.empty()) {
+        if (worker == state.workers.end()) {
+            *usage.untoldCapacity += largestOfAll(largest); // it has left, or isn't listed yet
+        } else if (worker->second.unknownRuns.empty()) {
             *usage.untoldCapacity += unshownCapacity(worker->second, largest);
         }
     }
--- a/tests/unit/workspace_usage_test.cpp
+++ b/tests/unit/workspace_usage_test.cpp
@@ -233,6 +233,20 @@
     CHECK(cell.runSchedulingPass().size() == 1);
 }
 
+TEST_CASE("a worker that has left without a word is charged as one of the largest, not as all that waits")
+{
+    owned_cell cell;
+    configure(cell, policiesWith({20'000, 0, 0}));
+    cell.state.unreconciledWorkers = {"gone"};
+    cell.state.inDoubtUntil = cell.now + 10s;
+    step(cell.state, job_arrived {makeJob("old", "a", {makeStep(100, 1'000)}), {}, ownToken - 1, false}, cell.now,
+         cell.actions);
+    cell.addWorker(owned_cell::makeWorker("w1", "r", {8'000, 16'000, 0}));
+    cell.addWorker(owned_cell::makeWorker("w2", "r", {8'000, 16'000, 0}));
+    cell.addJob(makeJob("new", "a", {makeStep(16, 1'000)}));
+    CHECK(cell.runSchedulingPass().size() == 12);
+}
+
 TEST_CASE("the objective of a job that is wider than its limit counts its waves, also after a change of the limit")
 {
     auto cell = makeLimitedCell({2'000, 0, 0});
