Leave out of the work ahead what no worker can take and what waits for its own limit

Cause: the backlog counted every waiting task. Such tasks take no room, so nothing waits for them. And a job that no worker can take now was judged, though the design says it isn't turned away.

--- a/src/libprimrosecroft/cell/backlog.cpp
+++ b/src/libprimrosecroft/cell/backlog.cpp
@@ -1,6 +1,8 @@
 #include "cell/backlog.h"
 
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/workspace_limits.h"
+#include "core/contains.h"
 
 #include <algorithm>
 #include <ranges>
@@ -21,6 +23,25 @@
     return spec.occurrences == 0 && std::ranges::none_of(spec.steps, &step_spec::isService);
 }
 
+/// Returns whether a worker of the pool is large enough for a task of the step. If none is, the step takes nothing that
+/// other work could have.
+bool fitsAnyWorker(const cell_state &state, const std::string &pool, const step_spec &spec)
+{
+    return std::ranges::any_of(std::views::values(state.workers), [&](const worker_state &worker) {
+        const auto &description = worker.description;
+        return description.pool == pool && worker.isListed && fits(spec.size, description.capacity)
+            && (spec.label.empty() || contains(description.labels, spec.label));
+    });
+}
+
+/// Tasks of the step that others may have to wait for. What waits for its own workspace's limit keeps nobody waiting.
+std::int64_t waitingTasks(const cell_state &state, const job_state &job, const step_state &step, const step_spec &spec)
+{
+    return step.isReady
+        ? std::min<std::int64_t>(std::ssize(step.pendingTasks), detail::startableTasks(state, job, spec))
+        : std::ssize(step.tasks);
+}
+
 void addWaitingWork(const cell_state &state, const job_state &job, cell_backlog &backlog, instant now)
 {
     auto &waiting = backlog.pools[job.accepted.queue.pool].waiting;
@@ -28,8 +49,9 @@
         for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
             const auto &step = occurrence.steps[index];
             const auto &spec = job.accepted.spec.steps[index];
-            const auto tasks = step.isReady ? step.pendingTasks.size() : step.tasks.size();
-            if (tasks > 0 && !spec.isService && !(job.accepted.spec.occurrences > 0 && !step.isReady)) {
+            const auto tasks = waitingTasks(state, job, step, spec);
+            if (tasks > 0 && !spec.isService && !(job.accepted.spec.occurrences > 0 && !step.isReady)
+                && fitsAnyWorker(state, job.accepted.queue.pool, spec)) {
                 waiting.push_back({detail::servingRankOf(state, job, step, spec, now),
                                    detail::coresOf(spec) * static_cast<double>(tasks),
                                    detail::coreSecondsOf(spec) * static_cast<double>(tasks),
@@ -86,7 +108,9 @@
 
 std::optional<job_outlook> outlookOf(const cell_state &state, const accepted_job &accepted, instant now)
 {
-    if (!isJudged(accepted.spec) || accepted.spec.steps.empty()) {
+    const bool canRun = std::ranges::all_of(
+        accepted.spec.steps, [&](const step_spec &spec) { return fitsAnyWorker(state, accepted.queue.pool, spec); });
+    if (!isJudged(accepted.spec) || accepted.spec.steps.empty() || !canRun) {
         return std::nullopt;
     }
     const auto job = detail::makeJob(state, {accepted, {}, 0, false}, now);
--- a/src/libprimrosecroft/cell/backlog.h
+++ b/src/libprimrosecroft/cell/backlog.h
@@ -45,7 +45,7 @@
 };
 
 /// Returns std::nullopt for a job that is always accepted: one with a service, for which its users wait as long as it
-/// takes, and one with a schedule, whose work comes later.
+/// takes, one with a schedule, whose work comes later, and one that no worker is large enough for now.
 std::optional<job_outlook> outlookOf(const cell_state &state, const accepted_job &job, instant now);
 
 /// The work that the cell does before the job's. Work that is late counts although it is served after the job: it was
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -1,5 +1,6 @@
 #include "admission/admission.h"
 #include "admission/turned_away.h"
+#include "cell/backlog.h"
 #include "cell/work_rates.h"
 #include "core/clock.h"
 #include "fake_store.h"
@@ -423,3 +424,20 @@
     CHECK(summary.largestFree == 14'000);
     CHECK(summary.strandedCores == 22'000);
 }
+
+TEST_CASE("what no worker can take, or only waits for its workspace's limit, is no work ahead of others")
+{
+    owned_cell cell;
+    cell.addWorker(owned_cell::makeWorker("w", "r", {milliCoresPerWorker, 64'000, 0}));
+    step(cell.state, workspaces_updated {{{"a", {100, {1'000, 0, 0}}}}}, cell.now, cell.actions);
+    const auto tooLarge = owned_cell::makeJob("large", {makeStep(100, 10 * milliCoresPerWorker, 60s)});
+    auto limited = owned_cell::makeJob("limited", {makeStep(100, 1'000, 60s)});
+    limited.workspace = "a";
+    cell.addJob(tooLarge);
+    cell.addJob(limited);
+    cell.runSchedulingPass();
+    CHECK_FALSE(outlookOf(cell.state, tooLarge, cell.now).has_value()); // it isn't turned away either
+    const auto next = outlookOf(cell.state, owned_cell::makeJob("next", {makeStep(1, 1'000, 1s)}), cell.now);
+    REQUIRE(next.has_value());
+    CHECK(workAheadOf(cell.state, backlogOf(cell.state, cell.now), *next, cell.now).coreSeconds == 0);
+}
