--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -26,6 +26,7 @@
     std::int64_t checkpointMs = 1'000;
     std::int64_t restoreMs = 100;
     std::int64_t startUpMs = 300; // of a task that lasts
+    std::int64_t gangTimeoutMs = 3'000;
 };
 
 class recorder
@@ -362,10 +363,11 @@
 using run_log = std::map<std::string, std::vector<run_record>>; // by task
 
 // How the tasks of a job behave, from its `spec`: `work=A,B` gives the work of each step in milliseconds, `saves` that
-// they write checkpoints, `lasts` that they run until they are stopped.
+// they write checkpoints, `lasts` that they run until they are stopped, `gang=N` that they are a gang of N.
 struct behaviour
 {
     std::int64_t workMs = 0;
+    std::size_t gang = 0; // number of members; 0 if it is none
     bool saves = false;
     bool lasts = false;
 };
@@ -386,10 +388,24 @@
         }
     }
     result.saves = spec.find("saves") != std::string::npos;
+    if (const auto gang = spec.find("gang="); gang != std::string::npos) {
+        result.gang = std::stoul(spec.substr(gang + 5));
+    }
     result.lasts = spec.find("lasts") != std::string::npos;
     return result;
 }
 
+// The members of a gang's attempt that run, on all executors.
+struct gang_state
+{
+    std::set<std::string> members;
+    std::int64_t completeSince = -1; // when all of them were there; -1 before
+    bool isBroken = false; // a member has ended before the work was done
+    bool isDone = false;
+};
+
+using gang_table = std::map<std::pair<std::string, std::int64_t>, gang_state>;
+
 class executor
 {
 public:
@@ -445,12 +461,28 @@
         return true;
     }
 
+    // A cut between it and all daemons begins. What runs there goes on, and it still reaches the store.
+    void cut()
+    {
+        m_isCut = true;
+    }
+
+    // The cut ends. What was sent during it is lost; new calls arrive.
+    void heal()
+    {
+        m_isCut = false;
+        m_held.clear();
+    }
+
+    gang_table *gangs = nullptr;
+
     // Its process ends at once, and all that ran there.
     void crash()
     {
         m_loop.endServer(std::exchange(m_server, -1));
         ++m_life;
         for (auto &[task, active] : m_active) {
+            leaveGang(task, active, "crash");
             finishRecord(task, active.attempt, "crash");
         }
         m_active.clear();
@@ -555,6 +587,7 @@
     {
         const auto active = m_active.at(task);
         m_active.erase(task);
+        leaveGang(task, active, how);
         auto &barred = m_barred[task];
         barred = std::max(barred, active.attempt);
         m_ends.push_back({++m_lastEnd, task, active.attempt, how, saved});
@@ -576,6 +609,10 @@
                 if (now >= active.stopsAt) {
                     over.emplace_back(task, "stopped", savedOf(active, true));
                 }
+            } else if (active.how.gang > 0) {
+                if (const auto how = endOfMember(task, active); !how.empty()) {
+                    over.emplace_back(task, how, "");
+                }
             } else if (!active.how.lasts && workOf(active) >= active.how.workMs) {
                 over.emplace_back(task, "done", "");
             }
@@ -609,8 +646,47 @@
         m_loop.answer(request, 409, json {{"clockMs", clock()}, {"reason", reason}}.dump());
     }
 
+    gang_state &gangOf(const std::string &task, std::int64_t attempt)
+    {
+        return (*gangs)[{task.substr(0, task.rfind('.')), attempt}];
+    }
+
+    void leaveGang(const std::string &task, const active_run &active, const std::string &how)
+    {
+        if (active.how.gang > 0) {
+            auto &gang = gangOf(task, active.attempt);
+            gang.members.erase(task);
+            gang.isBroken = gang.isBroken || (how != "done" && !gang.isDone);
+        }
+    }
+
+    // How a member of a gang ends now; empty if it goes on.
+    std::string endOfMember(const std::string &task, const active_run &active)
+    {
+        auto &gang = gangOf(task, active.attempt);
+        const auto now = net::nowMs();
+        if (gang.isDone) {
+            return "done";
+        }
+        if (gang.isBroken) {
+            return "broken";
+        }
+        if (gang.members.size() >= active.how.gang && gang.completeSince < 0) {
+            gang.completeSince = now;
+        }
+        if (gang.completeSince < 0) {
+            return now >= active.beganAt + m_limits.gangTimeoutMs ? "alone" : "";
+        }
+        gang.isDone = now >= gang.completeSince + active.how.workMs;
+        return gang.isDone ? "done" : "";
+    }
+
     void serve(const net::request &request)
     {
+        if (m_isCut) {
+            m_held.push_back(request);
+            return;
+        }
         const auto &content = request.content;
         const auto expected = content.headers.find("expected-instance");
         if (expected != content.headers.end() && expected->second != m_id) {
@@ -656,7 +732,7 @@
         if (life != m_life) {
             return;
         }
-        if (m_ends.empty() && net::nowMs() < until) {
+        if (m_isCut || (m_ends.empty() && net::nowMs() < until)) {
             m_loop.after(5, [this, request, until, life] { list(request, until, life); });
             return;
         }
@@ -709,6 +785,9 @@
             active.beganAt += m_limits.restoreMs;
         }
         m_active[task] = active;
+        if (active.how.gang > 0) {
+            gangOf(task, attempt).members.insert(task);
+        }
         m_log[task].push_back({m_id, attempt, m_record.time(), -1, "", false, active.checkpoint});
         if (recordsRuns) {
             m_record.line("run " + task + " attempt " + std::to_string(attempt) + " on " + m_id + " starts"
@@ -757,6 +836,8 @@
     std::map<std::string, active_run> m_active;
     std::map<std::string, std::int64_t> m_barred;
     std::deque<end_record> m_ends;
+    bool m_isCut = false;
+    std::vector<net::request> m_held; // calls that the cut holds up
 
 public:
     bool recordsRuns = true;
--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -108,6 +108,7 @@
             executors.push_back(std::make_unique<executor>(
                 events, store, record, runs, limits, id,
                 m_network + ".2." + std::to_string(i + 1) + ":8080", shape));
+            executors.back()->gangs = &gangs;
             if (!executors.back()->boot()) {
                 return false;
             }
@@ -317,6 +318,7 @@
     recorder record;
     table_store store;
     run_log runs;
+    gang_table gangs;
     std::vector<std::unique_ptr<executor>> executors;
     std::vector<daemon_process> daemons;
     std::vector<std::shared_ptr<consumer_job>> jobs;
@@ -577,58 +579,90 @@
     });
 }
 
-// Single executors go down under a long task, one after the other.
-void playCrashes(cell &own)
+// A few executors are cut off for a while and run on, while gangs come.
+void playCuts(cell &own)
 {
-    constexpr std::int64_t downMs = 4'000;
-    const auto job = own.submit(
-        json {{"spec", "work=24000 saves"},
-              {"phases", {json {{"count", 1}, {"cpu", 4'000}, {"memMb", 4'000}, {"estimateMs", 24'000}, {"checkpointing", true}}}}});
-    auto crash = std::make_shared<std::function<void(int)>>();
-    *crash = [&own, job, crash](int left) {
-        const auto found = own.runs.find(job->id + ".0.0.0");
-        const bool isRunning = found != own.runs.end() && found->second.back().endedAt < 0;
-        if (left == 0 || (found != own.runs.end() && found->second.back().how == "done")) {
-            return;
-        }
-        if (!isRunning || own.record.time() < found->second.back().startedAt + 3'000) {
-            own.events.after(50, [crash, left] { (*crash)(left); });
+    constexpr std::int64_t trafficMs = 62'000;
+    constexpr std::int64_t cutMs = 5'500;
+    constexpr int width = 40;
+    const auto begun = own.record.time();
+    for (const auto &each : own.executors) {
+        each->recordsRuns = false;
+    }
+    auto send = std::make_shared<std::function<void()>>();
+    *send = [&own, begun, send] {
+        if (own.record.time() > begun + trafficMs) {
             return;
         }
-        auto &chosen = *own.executorOf(found->second.back().executor);
-        own.record.line("executor " + chosen.id() + " goes down");
-        chosen.crash();
-        own.events.after(downMs, [&own, &chosen] {
-            own.record.line("executor " + chosen.id() + " is back");
-            chosen.boot();
-        });
-        own.events.after(downMs, [crash, left] { (*crash)(left - 1); });
+        auto gang = step(width, 2'000, 1'000, 8'000);
+        gang["gang"] = true;
+        gang["antiAffinity"] = 1;
+        own.submit(json {{"spec", "work=8000 gang=" + std::to_string(width)}, {"phases", {gang}}});
+        own.events.after(2'500, *send);
     };
-    if (own.hasTrouble) {
-        (*crash)(3);
-    }
-    auto watch = std::make_shared<std::function<void()>>();
-    *watch = [&own, job, watch] {
-        own.ask(job, [&own, job, watch] {
-            std::size_t failedEnds = 0;
-            for (const auto &each : own.runs[job->id + ".0.0.0"]) {
-                failedEnds += each.how == "failed" ? 1 : 0;
-            }
-            if (job->state == "failed") {
-                own.finish(broken,
-                           "LOST: the job is shown as failed; " + std::to_string(failedEnds)
-                               + " of its runs have ended failed, "
-                               + std::to_string(own.runs[job->id + ".0.0.0"].size()) + " runs in all");
-            } else if (job->state == "complete") {
-                own.finish(held, "the job is complete");
-            } else if (own.record.time() > 100'000) {
-                own.finish(held, "the job is " + job->state);
-            } else {
-                own.events.after(500, *watch);
+    (*send)();
+    auto cut = std::make_shared<std::function<void()>>();
+    *cut = [&own] {
+        std::set<std::size_t> chosen;
+        while (chosen.size() < own.executors.size() * 17 / 100) {
+            chosen.insert(static_cast<std::size_t>(own.random() % own.executors.size()));
+        }
+        for (const auto each : chosen) {
+            own.record.line("executor " + own.executors[each]->id() + " is cut off");
+            own.executors[each]->cut();
+        }
+        own.events.after(cutMs, [&own, chosen] {
+            own.record.line("the cut heals");
+            for (const auto each : chosen) {
+                own.executors[each]->heal();
             }
         });
     };
-    own.events.after(2'000, *watch);
+    // 0.1 to 0.5 s after a gang has come, at another moment each time.
+    for (std::int64_t at = 10'000; own.hasTrouble && at < trafficMs - 8'000; at += 12'500) {
+        own.events.after(at + 100 + static_cast<std::int64_t>(own.random() % 400), *cut);
+    }
+    own.events.after(trafficMs + 25'000, [&own] {
+        const auto left = std::make_shared<std::size_t>(own.jobs.size());
+        for (const auto &each : own.jobs) {
+            own.ask(each, [&own, left] {
+                if (--*left > 0) {
+                    return;
+                }
+                std::map<std::string, std::size_t> states;
+                std::size_t lost = 0;
+                std::string example;
+                for (const auto &job : own.jobs) {
+                    if (!job->isAccepted) {
+                        continue;
+                    }
+                    ++states[job->state];
+                    std::map<std::string, int> ends;
+                    for (int task = 0; task < width; ++task) {
+                        for (const auto &run : own.runs[job->id + ".0.0." + std::to_string(task)]) {
+                            ++ends[run.how];
+                        }
+                    }
+                    if (job->state == "failed" && ends["failed"] == 0) {
+                        ++lost;
+                        example = "job " + job->id + " is shown as failed; its runs have ended";
+                        for (const auto &[how, count] : ends) {
+                            example += count > 0 ? " " + how + " (" + std::to_string(count) + ")" : "";
+                        }
+                    }
+                }
+                std::string counts;
+                for (const auto &[state, count] : states) {
+                    counts += (counts.empty() ? "" : ", ") + std::to_string(count) + " " + state;
+                }
+                if (lost > 0) {
+                    own.finish(broken, "LOST, " + std::to_string(lost) + " jobs: " + example + "; jobs: " + counts);
+                } else {
+                    own.finish(held, "no job is shown as failed; jobs: " + counts);
+                }
+            });
+        }
+    });
 }
 
 // One executor goes down and up by turns while its time of day jumps ahead and back again, in a busy cell.
@@ -808,8 +842,8 @@
     signal(SIGPIPE, SIG_IGN);
     const std::map<std::string, void (*)(cell &)> cases {{"restarts", playRestarts},
                                                          {"occurrences", playOccurrences},
-                                                         {"crashes", playCrashes},
                                                          {"rows", playRows},
+                                                         {"cuts", playCuts},
                                                          {"clocks", playClocks}};
     const auto chosen = cases.find(argv[1]);
     if (chosen == cases.end()) {
@@ -817,7 +851,7 @@
         return couldNotRun;
     }
     cell own(argv[2], {argv + 3, argv + argc});
-    if (!own.start(3, 8)) {
+    if (!own.start(3, chosen->first == "cuts" ? 48 : 8)) {
         own.record.line("could not run: no free addresses");
         return couldNotRun;
     }
