--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -79,8 +79,8 @@
     // Returns false if no free addresses were found.
     bool start(std::size_t daemonCount, std::size_t executorCount)
     {
-        char folder[] = "/tmp/review-XXXXXX";
-        if (mkdtemp(folder) == nullptr) {
+        auto folder = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+        if (mkdtemp(folder.data()) == nullptr) {
             return false;
         }
         m_folder = folder;
@@ -232,9 +232,10 @@
     int run()
     {
         events.run();
-        if (m_result == couldNotRun || std::getenv("KEEP_LOGS") != nullptr) {
+        // The folder in which the daemons' logs shall be kept, if any.
+        if (const auto *folder = std::getenv("KEEP_LOGS"); folder != nullptr) {
             for (const auto &each : daemons) {
-                std::filesystem::copy_file(each.logFile, "/tmp/" + each.name + ".log",
+                std::filesystem::copy_file(each.logFile, std::string(folder) + "/" + each.name + ".log",
                                            std::filesystem::copy_options::overwrite_existing);
             }
         }
