Log on what evidence an owner gives a run up, and each second run that it sees

A second run that a list shows was stopped without a word.

run-given-up has a budget of its own and tells the evidence; second-run names both runs; a refused start tells why. Metric primrosecroft_second_runs. No decision changes.

--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -279,12 +279,36 @@
     std::chrono::milliseconds waited {0}; ///< since the task became pending; 0 for a run found on a worker
 };
 
+/// What the owner knew of a run that it takes for over although its worker has listed no end.
+struct run_evidence
+{
+    worker_boot boot = 0; ///< of the worker, in which the run was last known or expected to be
+    bool isShown = false; ///< a list has shown the run
+    bool isConfirmed = false; ///< the worker has answered the start, or listed the run
+    std::chrono::milliseconds sentAgo {0}; ///< since its start was sent, or it was found on the worker
+    std::optional<std::chrono::milliseconds> heardAgo; ///< since the worker's last list in that boot; unset for none
+};
+
 /// A run is over, or its start was refused.
 struct report_ended
 {
     run_id run;
     worker_id worker;
     std::string how; ///< reason as written into the log and the metrics
+    std::optional<run_evidence> evidence; ///< unset if the worker has told the end
+};
+
+/// A worker lists a run, or the successful end of one, of a task that runs elsewhere or has ended, though its step
+/// allows no copies.
+struct report_second_run
+{
+    run_id run;
+    worker_id worker;
+    worker_boot boot = 0;
+    bool hasEnded = false; ///< the worker has listed the end, not the run
+    bool isTaskDone = false;
+    std::optional<run_id> other; ///< that runs as far as this owner knows
+    worker_id otherWorker; ///< empty if there is no such run
 };
 
 /// The job's end is stored, so it may be reported to callers.
@@ -360,7 +384,7 @@
 };
 
 using cell_action = std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed, report_ended,
-                                 report_job_end, report_worker_change, report_worker_loss, report_suspect,
-                                 report_given_up, report_job_size, report_limit_reached, report_fenced>;
+                                 report_second_run, report_job_end, report_worker_change, report_worker_loss,
+                                 report_suspect, report_given_up, report_job_size, report_limit_reached, report_fenced>;
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/run_reports.h"
 #include "cell/detail/worker_loss.h"
 #include "cell/detail/workspace_limits.h"
 
@@ -110,7 +111,8 @@
         return;
     }
     static constexpr std::array endNames {"done", "failed", "stopped", "lapsed", "broken", "alone"};
-    actions.emplace_back(report_ended {end.run, worker.description.id, endNames.at(static_cast<std::size_t>(end.how))});
+    actions.emplace_back(
+        report_ended {end.run, worker.description.id, endNames.at(static_cast<std::size_t>(end.how)), {}});
     if (!end.checkpoint.empty() && !view->task->isDone && view->task->checkpoint != end.checkpoint) {
         view->task->checkpoint = end.checkpoint;
         markUnsaved(state, *view->job);
@@ -125,6 +127,7 @@
             view->task->notBefore = now + crashPause;
         }
     } else if (end.how == run_end::done) {
+        reportSecondRun(worker, end.run, *view, run_listing::ended, actions);
         if (const auto *run = findRun(*view->task, worker.description.id, end.run.attempt)) {
             recordSuccessOn(state, worker, *view, *run, now);
         }
@@ -181,6 +184,7 @@
     }
     const bool isOver = view->task->isDone || view->job->isCancelled || view->job->hasFailed;
     const bool isWanted = !isOver && (view->task->runs.empty() || view->spec->allowsCopies);
+    reportSecondRun(worker, listed.run, *view, run_listing::running, actions);
     reserve(state, worker, listed.run, *view);
     countAsSeen(state, *view);
     task_run run;
@@ -282,7 +286,7 @@
         const auto view = findTask(state, id.task);
         auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
         const bool isLost = run != nullptr && recordDeferredLoss(state, worker, id, *view, *run, now, actions);
-        actions.emplace_back(report_ended {id, worker.description.id, isLost ? "lost with its worker" : "not there"});
+        reportUnlistedEnd(state, worker, id, isLost ? "lost with its worker" : "not there", now, actions);
         dropRun(state, worker, id, past, now, actions, isLost ? run_loss::withWorker : run_loss::none);
         if (isLost && worker.reservations.empty()) {
             worker.lastStartAt = {}; // nothing has begun in this boot
@@ -361,7 +365,7 @@
         if (which == dropped_runs::ofEarlierBoots && mayBeOver(state, worker, run)) {
             continue; // it may also go on
         }
-        actions.emplace_back(report_ended {run, worker.description.id, reason});
+        reportUnlistedEnd(state, worker, run, reason, now, actions);
         dropRun(state, worker, run, past_run::mayHaveRun, now, actions, run_loss::withWorker);
         const auto view = findTask(state, run.task);
         if (view && view->spec->isService && view->task->runs.empty()) {
@@ -458,7 +462,7 @@
     case order_result::notSent:
         break;
     }
-    actions.emplace_back(report_ended {message.run, message.worker, "start refused"});
+    reportRefusedStart(message, actions);
     dropRun(state, worker, message.run, past_run::neverRan, now, actions);
     if (view->spec->isGang) {
         // The gang cannot become complete without this member.
--- a/src/libprimrosecroft/owner_session/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -23,6 +23,11 @@
         + std::to_string(value.accelerators);
 }
 
+std::string flag(bool value)
+{
+    return value ? "1" : "0";
+}
+
 std::string percentText(double share)
 {
     return std::to_string(std::lround(share * 100));
@@ -52,6 +57,10 @@
     if (report.how == "done") {
         return; // the log line of the job covers it
     }
+    if (report.evidence) {
+        writeGivenUp(report, *report.evidence);
+        return;
+    }
     m_log.write("cell", "ended",
                 {{"task", toString(report.run.task)},
                  {"attempt", std::to_string(report.run.attempt)},
@@ -59,6 +68,35 @@
                  {"how", report.how}});
 }
 
+/// A line of its own kind, so that a burst of other ends takes none of its budget.
+void cell_log::writeGivenUp(const report_ended &report, const run_evidence &evidence)
+{
+    m_log.write("cell", "run-given-up",
+                {{"task", toString(report.run.task)},
+                 {"attempt", std::to_string(report.run.attempt)},
+                 {"worker", report.worker},
+                 {"how", report.how},
+                 {"boot", std::to_string(evidence.boot)},
+                 {"shown", flag(evidence.isShown)},
+                 {"confirmed", flag(evidence.isConfirmed)},
+                 {"sent_ms", std::to_string(evidence.sentAgo.count())},
+                 {"heard_ms", evidence.heardAgo ? std::to_string(evidence.heardAgo->count()) : "none"}});
+}
+
+void cell_log::write(const report_second_run &report)
+{
+    m_measures.count("primrosecroft_second_runs", "how", report.hasEnded ? "ended" : "listed");
+    m_log.write("cell", "second-run",
+                {{"task", toString(report.run.task)},
+                 {"attempt", std::to_string(report.run.attempt)},
+                 {"worker", report.worker},
+                 {"boot", std::to_string(report.boot)},
+                 {"ended", flag(report.hasEnded)},
+                 {"task_done", flag(report.isTaskDone)},
+                 {"other_attempt", report.other ? std::to_string(report.other->attempt) : "none"},
+                 {"other_worker", report.other ? report.otherWorker : "none"}});
+}
+
 void cell_log::write(const report_job_end &report)
 {
     m_measures.count("primrosecroft_jobs_ended", "status", toString(report.status));
--- a/src/libprimrosecroft/owner_session/cell_log.h
+++ b/src/libprimrosecroft/owner_session/cell_log.h
@@ -15,6 +15,7 @@
 
     void write(const report_placed &report);
     void write(const report_ended &report);
+    void write(const report_second_run &report);
     void write(const report_job_end &report);
     void write(const report_worker_change &report);
     void write(const report_worker_loss &report);
@@ -30,6 +31,8 @@
     void writeServing(const cell_state &state, duration took);
 
 private:
+    void writeGivenUp(const report_ended &report, const run_evidence &evidence);
+
     decision_log &m_log;
     metrics &m_measures;
 };
