Take the serving of store, workers and advice out of the deployment's stand-in

A soak of real daemons needs the same platform in real time, with other faults. store_server, worker_server and advice_server serve the emulators over HTTP; the faults stay with their users.

executor_emulator: bounds of the deployment, gangs over several workers (their user tells whether all are present), ends that wait too long for their gang, ends that are forgotten as soon as they arise (one reading of "ends up to lastSeen are forgotten"), and whether the lease expired between an end and its acknowledgement. store_emulator: reads and feeds find their first row instead of passing over all rows.

--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -1,5 +1,5 @@
+#include "advice_server.h"
 #include "configuration/sheet.h"
-#include "core/base64.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/read_file.h"
@@ -7,7 +7,8 @@
 #include "io/http_server.h"
 #include "io/timer.h"
 #include "platform/wire.h"
-#include "store_emulator.h"
+#include "store_server.h"
+#include "worker_server.h"
 
 #include <CLI/CLI.hpp>
 #include <glib.h>
@@ -36,38 +37,12 @@
 constexpr std::uint16_t workerPort = 7500;
 constexpr auto tickInterval = 10ms;
 constexpr auto announcementInterval = 500ms;
-constexpr auto adviceDelay = 20ms;
-constexpr auto ticketValidity = 2'500ms;
 constexpr const char *taskPool = "tasks";
 constexpr const char *bookingPool = "bookings";
 
 http_response makeAnswer(unsigned status, const json &body)
 {
-    return {status, {{"Content-Type", "application/json"}}, body.dump()};
-}
-
-row_place placeFrom(const json &row)
-{
-    return {row.at("table").get<std::string>(), row.at("part").get<std::string>(), row.at("key").get<std::string>()};
-}
-
-json toJson(const store_row &row)
-{
-    json result {
-        {"table", row.place.table}, {"part", row.place.partition}, {"key", row.place.key}, {"ver", row.version}};
-    if (row.isRemoved) {
-        result["deleted"] = true;
-    } else if (row.version != 0) {
-        result["value"] = toBase64(row.value);
-    }
-    return result;
-}
-
-json toJson(const std::vector<store_row> &rows)
-{
-    auto result = json::array();
-    std::ranges::for_each(rows, [&result](const store_row &row) { result.push_back(toJson(row)); });
-    return result;
+    return standins::jsonAnswer(status, body.dump());
 }
 
 /**
@@ -90,14 +65,6 @@
     return behaviour;
 }
 
-/// A request whose answer waits until there is something to report or until it is due.
-struct waiting_call
-{
-    std::shared_ptr<http_request> request;
-    instant until;
-    std::function<std::optional<http_response>(bool isDue)> answer; ///< returns std::nullopt until it may be sent
-};
-
 struct deployment
 {
     explicit deployment(std::string prefix)
@@ -163,7 +130,7 @@
                 serveStore(request);
             }
         });
-        listenOn(networkPrefix + ".0.2", advicePort, [this](const auto &request) { serveAdvice(request); });
+        listenOn(networkPrefix + ".0.2", advicePort, [this](const auto &request) { adviceServer.serve(request); });
         listenOn(networkPrefix + ".0.1", controlPort, [this](const auto &request) { serveControl(request); });
         for (std::size_t i = 0; i < workers.size(); ++i) {
             const auto address = parseSocketAddress(workers[i].description().address);
@@ -193,14 +160,7 @@
             worker.advance(elapsed);
         }
         countDuplicateRuns();
-        auto due = std::exchange(waitingCalls, {});
-        for (auto &call : due) {
-            if (const auto answer = call.answer(now >= call.until)) {
-                call.request->answer(*answer);
-            } else {
-                waitingCalls.push_back(std::move(call));
-            }
-        }
+        calls.serve(now);
     }
 
     /// Counts, at each tick, the tasks that run more than once at the same time.
@@ -248,7 +208,8 @@
         auto advised = route;
         advised["name"] = "advised";
         advised["pathPrefix"] = "/advised/";
-        advised["advice"] = {{"decideMs", 20.0}, {"periodMs", 0.3}, {"validMs", ticketValidity.count()}};
+        advised["advice"] = {
+            {"decideMs", 20.0}, {"periodMs", 0.3}, {"validMs", standins::advice_server::ticketValidity.count()}};
         json configuration {{"version", version}, {"routes", {route, advised}}, {"services", json::array()}};
         if (!keys.empty()) {
             configuration["tenants"] = workspaceList(keys);
@@ -281,242 +242,45 @@
             return;
         }
         if (storeMode == "freeze") {
-            unanswered.push_back(request);
-            return;
-        }
-        try {
-            if (request->path() == "/rows-tx") {
-                serveTransaction(request);
-            } else if (request->path() == "/rows-get") {
-                serveRange(request);
-            } else if (request->path() == "/rows-feed") {
-                serveFeed(request);
-            } else if (request->path().starts_with("/blob-")) {
-                serveObject(request);
-            } else {
-                request->answer({statusNotFound, {}, ""});
-            }
-        } catch (const std::exception &fault) {
-            std::cerr << "store: bad request " << request->path() << ": " << fault.what() << '\n';
-            request->answer({statusBadRequest, {}, ""});
-        }
-    }
-
-    void serveTransaction(const std::shared_ptr<http_request> &request)
-    {
-        const auto body = json::parse(request->body());
-        store_transaction transaction;
-        for (const auto &row : body.at("expected")) {
-            transaction.conditions.push_back({placeFrom(row), row.at("ver").get<row_version>()});
-        }
-        for (const auto &row : body.at("setKeys")) {
-            transaction.writes.push_back({placeFrom(row), fromBase64(row.at("value").get<std::string>())});
-        }
-        for (const auto &row : body.at("remove")) {
-            transaction.removals.push_back(placeFrom(row));
-        }
-        const auto result = store.commit(transaction);
-        if (result.outcome == store_outcome::refused) {
-            request->answer({statusBadRequest, {}, ""}); // larger than the platform allows
+            storeServer.keepUnanswered(request);
             return;
         }
-        if (storeMode == "lose") {
-            request->abort();
-            return;
+        standins::store_call_options options;
+        if (request->path() == "/rows-get" && request->query("table") == delayedTable) {
+            options.delay = readDelay;
         }
-        if (answersToLose > 0) {
+        if (request->path() == "/rows-tx" && storeMode == "lose") {
+            options.fate = standins::answer_fate::reset;
+        } else if (request->path() == "/rows-tx" && answersToLose > 0) {
             --answersToLose;
-            unanswered.push_back(request);
-            return;
+            options.fate = standins::answer_fate::lost;
         }
-        const bool isDone = result.outcome == store_outcome::done;
-        request->answer(
-            makeAnswer(isDone ? statusOk : 412,
-                       {{"ver", result.version}, {"nowMs", store.now.count()}, {"rows", toJson(result.currentRows)}}));
-    }
-
-    void serveObject(const std::shared_ptr<http_request> &request)
-    {
-        const auto path = request->path();
-        const auto name = path.substr(path.rfind('/') + 1);
-        const auto found = objects.find(name);
-        if (path.starts_with("/blob-put/")) {
-            request->answer({found == objects.end() ? statusOk : 412, {}, "{}"});
-            objects.try_emplace(name, request->body());
-        } else if (path.starts_with("/blob-get/") && found != objects.end()) {
-            request->answer({statusOk, {}, found->second});
-        } else {
-            request->answer({statusNotFound, {}, ""});
-        }
-    }
-
-    void serveRange(const std::shared_ptr<http_request> &request)
-    {
-        row_range range {request->query("table"), request->query("part"), request->query("from"),
-                         request->query("target")};
-        if (const auto limit = request->query("limit"); !limit.empty()) {
-            range.limit = std::stoi(limit);
-        }
-        const auto result = store.read(range);
-        const auto answer = makeAnswer(statusOk,
-                                       {{"rows", toJson(result.rows)},
-                                        {"hasMore", result.hasMore},
-                                        {"ver", result.version},
-                                        {"nowMs", store.now.count()}});
-        if (range.table != delayedTable) {
-            request->answer(answer);
-            return;
-        }
-        waitingCalls.push_back({request, bootNow() + readDelay,
-                                [answer](bool isDue) { return isDue ? std::optional(answer) : std::nullopt; }});
-    }
-
-    void serveFeed(const std::shared_ptr<http_request> &request)
-    {
-        const auto table = request->query("table");
-        const auto after = std::stoll(request->query("after"));
-        const auto wait = std::chrono::milliseconds(std::stoll("0" + request->query("waitMs")));
-        const auto answer = [this, table, after](bool isDue) -> std::optional<http_response> {
-            const auto result = store.follow(table, after);
-            if (result.isHistoryTruncated) {
-                return http_response {410, {}, ""};
-            }
-            if (result.rows.empty() && !isDue) {
-                return std::nullopt;
-            }
-            return makeAnswer(statusOk, {{"rows", toJson(result.rows)}, {"ver", result.version}});
-        };
-        waitingCalls.push_back({request, bootNow() + wait, answer});
+        storeServer.serve(request, options);
     }
 
     // --- workers
 
     void serveWorker(std::size_t index, const std::shared_ptr<http_request> &request)
     {
-        auto &worker = workers.at(index);
-        if (request->header("Expected-Instance") != worker.description().id) {
-            request->answer({421, {}, ""});
-            return;
-        }
-        try {
-            const auto body = json::parse(request->body());
-            const auto token = body.at("fencingToken").get<row_version>();
-            if (request->path() == "/hold") {
-                serveList(worker, request, body, token);
-                return;
-            }
-            const auto task = platform::decodeTask(body.at("task").get<std::string>());
-            const run_id run {task.value(), body.at("attempt").get<std::uint32_t>()};
-            if (request->path() == "/run-start") {
-                serveStart(worker, request, body, run, token);
-            } else if (request->path() == "/run-stop") {
-                answerOrder(worker, request, worker.stop(run, token));
-            } else {
-                answerOrder(worker, request, order_result::done); // other orders, such as /pace, have no effect
-            }
-        } catch (const std::exception &fault) {
-            std::cerr << "worker: bad order: " << fault.what() << '\n';
-            request->answer({statusBadRequest, {}, ""});
-        }
-    }
-
-    void serveStart(executor_emulator &worker, const std::shared_ptr<http_request> &request, const json &body,
-                    const run_id &run, row_version token)
-    {
+        standins::worker_server_hooks hooks;
+        hooks.behaviourOf = [](const run_id &, const std::string &payload) { return behaviourOf(payload); };
         // The tests give jobs of the advised queue ids that start with "ad". Only their starts need a ticket.
-        if (run.task.job.starts_with("ad") && !tickets.contains(body.value("ticket", ""))) {
-            answerOrder(worker, request, order_result::noTicket);
-            return;
-        }
-        send_start order;
-        order.boot = worker.description().boot;
-        order.run = run;
-        order.deadline = worker_time(body.at("deadlineMs").get<std::int64_t>());
-        const auto payload = body.at("spec").get<std::string>();
-        const auto result = worker.start(order, token, behaviourOf(payload));
-        payloads[run.task.job] = payload;
-        starts += result == order_result::done ? 1 : 0;
-        if (startAnswersToLose > 0) {
-            --startAnswersToLose;
-            unanswered.push_back(request);
-            return;
-        }
-        answerOrder(worker, request, result);
-    }
-
-    void serveList(executor_emulator &worker, const std::shared_ptr<http_request> &request, const json &body,
-                   row_version token)
-    {
-        std::optional<worker_time> deadline;
-        if (body.contains("deadlineMs")) {
-            deadline = worker_time(body.at("deadlineMs").get<std::int64_t>());
-        }
-        const auto acknowledgedEnd = body.at("lastSeen").get<std::int64_t>();
-        const auto wait = std::chrono::milliseconds(body.value("waitMs", std::int64_t {0}));
-        const auto answer = [&worker, deadline, acknowledgedEnd, token](bool isDue) -> std::optional<http_response> {
-            const auto result = worker.list(deadline, acknowledgedEnd, token);
-            if (result.result == order_result::fenced) {
-                return makeAnswer(statusConflict, {{"clockMs", result.clock.count()}, {"reason", "fence"}});
-            }
-            if (result.ended.empty() && !isDue) {
-                return std::nullopt;
-            }
-            return makeAnswer(statusOk, listBody(worker, result));
+        hooks.acceptsTicket = [this](const run_id &run, const std::string &ticket) {
+            return !run.task.job.starts_with("ad") || adviceServer.hasIssued(ticket);
         };
-        waitingCalls.push_back({request, bootNow() + wait, answer});
-    }
-
-    static json listBody(const executor_emulator &worker, const list_answered &result)
-    {
-        static constexpr std::array names {"done", "failed", "stopped", "lapsed", "broken", "alone"};
-        json body {{"clockMs", result.clock.count()},
-                   {"born", worker.description().boot},
-                   {"running", json::array()},
-                   {"finished", json::array()}};
-        for (const auto &run : result.running) {
-            body["running"].push_back(
-                {platform::encodeTask(run.run.task), run.run.attempt, run.checkpoint, run.percent, run.load});
-        }
-        for (const auto &end : result.ended) {
-            body["finished"].push_back({end.number, platform::encodeTask(end.run.task), end.run.attempt,
-                                        names.at(static_cast<std::size_t>(end.how)), end.checkpoint});
-        }
-        return body;
-    }
-
-    static void answerOrder(const executor_emulator &worker, const std::shared_ptr<http_request> &request,
-                            order_result result)
-    {
-        static const std::map<order_result, std::string> reasons {{order_result::fenced, "fence"},
-                                                                  {order_result::alreadyEnded, "old"},
-                                                                  {order_result::deadlinePassed, "late"},
-                                                                  {order_result::noTicket, "ticket"}};
-        const auto found = reasons.find(result);
-        json body {{"clockMs", worker.clock().count()}};
-        if (found != reasons.end()) {
-            body["reason"] = found->second;
-        }
-        request->answer(makeAnswer(result == order_result::done ? statusOk : statusConflict, body));
-    }
-
-    // --- advice
-
-    void serveAdvice(const std::shared_ptr<http_request> &request)
-    {
-        const auto body = json::parse(request->body());
-        auto allowed = json::array();
-        for (const auto &worker : body.at("workers")) {
-            const auto name = worker.get<std::string>();
-            if (std::hash<std::string> {}(name) % 3 != 0) { // allows about two thirds of the workers
-                const auto ticket = "t" + std::to_string(++lastTicket);
-                tickets.insert(ticket);
-                allowed.push_back({name, ticket});
+        hooks.started = [this](const run_id &run, row_version, bool isNew, const std::string &payload) {
+            payloads[run.task.job] = payload;
+            starts += isNew ? 1 : 0;
+        };
+        hooks.answer = [this](const std::shared_ptr<http_request> &order, const http_response &answer) {
+            if (order->path() == "/run-start" && startAnswersToLose > 0) {
+                --startAnswersToLose;
+                storeServer.keepUnanswered(order);
+                return;
             }
-        }
-        ++adviceCalls;
-        const auto answer = makeAnswer(statusOk, {{"allowed", allowed}, {"validMs", ticketValidity.count()}});
-        waitingCalls.push_back({request, bootNow() + adviceDelay,
-                                [answer](bool isDue) { return isDue ? std::optional(answer) : std::nullopt; }});
+            order->answer(answer);
+        };
+        standins::serveOrder(workers.at(index), request, calls, hooks);
     }
 
     // --- control
@@ -552,9 +316,11 @@
         for (const auto &worker : workers) {
             running += worker.running().size();
         }
-        request->answer(makeAnswer(
-            statusOk,
-            {{"doubles", duplicateRuns}, {"starts", starts}, {"running", running}, {"adviceCalls", adviceCalls}}));
+        request->answer(makeAnswer(statusOk,
+                                   {{"doubles", duplicateRuns},
+                                    {"starts", starts},
+                                    {"running", running},
+                                    {"adviceCalls", adviceServer.calls()}}));
     }
 
     /// Lists the runs of all workers. The name of a task of a demand starts with the key of the demand.
@@ -574,17 +340,16 @@
     }
 
     std::string networkPrefix;
-    store_emulator store;
+    standins::waiting_calls calls;
+    standins::store_server storeServer {calls};
+    standins::advice_server adviceServer {calls};
+    store_emulator &store = storeServer.store;
     /// "good", "out" (answers 503), "freeze" (never answers) or "lose" (commits, then closes the connection).
     std::string storeMode = "good";
-    std::map<std::string, std::string> objects;
     std::map<std::string, json> executors; ///< announced entries of the executors of bookings, by VM
     std::map<job_id, std::string> payloads; ///< of the jobs whose tasks have started
     std::deque<executor_emulator> workers;
     std::vector<std::unique_ptr<http_server>> servers;
-    std::vector<waiting_call> waitingCalls;
-    std::vector<std::shared_ptr<http_request>> unanswered; ///< requests that are kept open and never answered
-    std::set<std::string> tickets;
     timer tickTimer;
     timer announcementTimer;
     instant lastTickAt = bootNow();
@@ -594,10 +359,8 @@
     std::chrono::milliseconds readDelay {0};
     int answersToLose = 0; ///< transactions that the store commits and doesn't answer
     int startAnswersToLose = 0; ///< start orders that workers carry out and don't answer
-    int lastTicket = 0;
     int duplicateRuns = 0;
     int starts = 0;
-    int adviceCalls = 0;
     std::int64_t announcements = 0;
 };
 
--- a/tests/standins/executor_emulator.cpp
+++ b/tests/standins/executor_emulator.cpp
@@ -2,23 +2,17 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace primrosecroft
 {
 
-namespace
-{
-
 using namespace std::chrono_literals;
 
-constexpr worker_time maxLease = 6'000ms;
-constexpr auto stopDuration = 200ms; ///< for which a run keeps its resources after an order to stop
-
-} // namespace
-
-executor_emulator::executor_emulator(worker_description description, double clockRate)
+executor_emulator::executor_emulator(worker_description description, double clockRate, const executor_bounds &bounds)
     : m_description(std::move(description))
     , m_clockRate(clockRate)
+    , m_bounds(bounds)
 {
 }
 
@@ -41,6 +35,7 @@
 {
     m_clock += elapsed * m_clockRate;
     if (clock() >= m_leaseEnd) {
+        m_lapses += std::exchange(m_isLeased, false) ? 1 : 0;
         for (const auto &run : running()) {
             end(run, run_end::lapsed);
         }
@@ -56,6 +51,10 @@
             continue;
         }
         if (!isGangComplete(run, state)) {
+            state.waited += elapsed;
+            if (isGangPresent && state.waited >= m_bounds.gangTimeout) {
+                ended.emplace_back(run, run_end::gangIncomplete);
+            }
             continue;
         }
         state.worked += elapsed;
@@ -74,12 +73,17 @@
 
 bool executor_emulator::isGangComplete(const run_id &run, const active_run &state) const
 {
-    // Only members on this worker are counted, so a gang has to run on one worker.
+    if (state.behaviour.gang == 0) {
+        return true;
+    }
+    if (isGangPresent) {
+        return isGangPresent(run);
+    }
     const auto present = std::ranges::count_if(m_runs, [&](const auto &each) {
         return each.first.task.job == run.task.job && each.first.task.step == run.task.step
             && each.first.attempt == run.attempt;
     });
-    return state.behaviour.gang == 0 || static_cast<std::uint32_t>(present) >= state.behaviour.gang;
+    return static_cast<std::uint32_t>(present) >= state.behaviour.gang;
 }
 
 void executor_emulator::reboot(worker_boot boot)
@@ -87,11 +91,13 @@
     m_description.boot = boot;
     m_clock = {};
     m_leaseEnd = {};
+    m_isLeased = false;
     m_token = 0;
     m_runs.clear();
     m_endedAttempts.clear();
     m_listedEnds.clear();
     m_lastEnd = 0;
+    m_highestAcknowledged = 0;
 }
 
 bool executor_emulator::acceptToken(row_version token)
@@ -106,7 +112,8 @@
 void executor_emulator::extendLease(const std::optional<worker_time> &deadline)
 {
     if (deadline) {
-        m_leaseEnd = std::max(m_leaseEnd, std::min(*deadline, clock() + maxLease));
+        m_leaseEnd = std::max(m_leaseEnd, std::min(*deadline, clock() + m_bounds.maxLease));
+        m_isLeased = m_isLeased || m_leaseEnd > clock();
     }
 }
 
@@ -126,7 +133,7 @@
     if (order.deadline <= clock()) {
         return order_result::deadlinePassed;
     }
-    m_runs[order.run] = {behaviour, 0ms, order.checkpoint, std::nullopt};
+    m_runs[order.run] = {behaviour, 0ms, 0ms, order.checkpoint, std::nullopt};
     return order_result::done;
 }
 
@@ -138,7 +145,7 @@
     auto &endedAttempt = m_endedAttempts[run.task];
     endedAttempt = std::max(endedAttempt, run.attempt);
     if (const auto found = m_runs.find(run); found != m_runs.end() && !found->second.stopRemaining) {
-        found->second.stopRemaining = stopDuration;
+        found->second.stopRemaining = m_bounds.stopDuration;
     }
     return order_result::done;
 }
@@ -155,11 +162,8 @@
         return answer;
     }
     extendLease(deadline);
-    std::erase_if(m_listedEnds, [acknowledgedEnd](const listed_end &each) { return each.number <= acknowledgedEnd; });
-    for (auto &each : m_ends) {
-        each.isAcknowledged =
-            each.isAcknowledged || (each.boot == m_description.boot && each.end.number <= acknowledgedEnd);
-    }
+    m_highestAcknowledged = std::max(m_highestAcknowledged, acknowledgedEnd);
+    acknowledge(acknowledgedEnd);
     answer.result = order_result::done;
     for (const auto &[run, state] : m_runs) {
         if (state.stopRemaining) {
@@ -171,6 +175,18 @@
     return answer;
 }
 
+/// Forgets the ends up to @p number.
+void executor_emulator::acknowledge(std::int64_t number)
+{
+    std::erase_if(m_listedEnds, [number](const listed_end &each) { return each.number <= number; });
+    for (auto &each : m_ends) {
+        if (!each.isAcknowledged && each.boot == m_description.boot && each.end.number <= number) {
+            each.isAcknowledged = true;
+            each.hasLapsedSince = each.lapses != m_lapses;
+        }
+    }
+}
+
 std::int32_t executor_emulator::percentOf(const active_run &run)
 {
     const auto whole = run.behaviour.isService ? run.behaviour.startUp : run.behaviour.work;
@@ -188,7 +204,10 @@
     auto &endedAttempt = m_endedAttempts[run.task];
     endedAttempt = std::max(endedAttempt, run.attempt);
     m_listedEnds.push_back(ended);
-    m_ends.push_back({ended, m_description.boot, false});
+    m_ends.push_back({ended, m_description.boot, false, m_lapses, false});
+    if (m_bounds.forgetsUpToHighest) {
+        acknowledge(m_highestAcknowledged);
+    }
 }
 
 std::set<run_id> executor_emulator::running() const
--- a/tests/standins/store_emulator.cpp
+++ b/tests/standins/store_emulator.cpp
@@ -87,11 +87,12 @@
     result.outcome = store_outcome::done;
     result.version = m_version;
     result.storeTime = now;
-    for (const auto &[place, row] : m_rows) {
+    const auto first = m_rows.lower_bound({range.table, range.partition, range.from});
+    for (const auto &[place, row] : std::ranges::subrange(first, m_rows.end())) {
         const bool isInRange = place.table == range.table && place.partition == range.partition
-            && place.key >= range.from && (range.before.empty() || place.key < range.before);
+            && (range.before.empty() || place.key < range.before);
         if (!isInRange) {
-            continue;
+            break;
         }
         if (static_cast<int>(result.rows.size()) >= range.limit) {
             result.hasMore = true;
@@ -111,8 +112,9 @@
         result.isHistoryTruncated = true;
         return result;
     }
-    std::ranges::copy_if(m_history, std::back_inserter(result.rows),
-                         [&](const store_row &row) { return row.place.table == table && row.version > after; });
+    const auto first = std::ranges::upper_bound(m_history, after, {}, &store_row::version);
+    std::ranges::copy_if(std::ranges::subrange(first, m_history.end()), std::back_inserter(result.rows),
+                         [&](const store_row &row) { return row.place.table == table; });
     return result;
 }
 
