Let the clocks of the deployment's stand-in lose no part of a millisecond

Each tick dropped what was left over of a millisecond. With ticks of some 10 ms that can be up to a tenth of the time (reckoned from the code, not measured), where the clocks of the platform's workers are slow by 2 % at most: leases could last longer than owners may assume.

--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -154,7 +154,7 @@
     {
         const auto now = bootNow();
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - lastTickAt);
-        lastTickAt = now;
+        lastTickAt += elapsed;
         store.now += elapsed;
         for (auto &worker : workers) {
             worker.advance(elapsed);
