Answer each caller by its deadline, whatever step of its request is under way

What callers saw: while the store was out, a job sent to the process that owns the shard was answered after 4.5 to 5.2 s, though the caller waits for 3 s: a request that ended without an answer.

Cause: a request passes its timeout to the owner, and other processes keep it when they ask. At the owner's own process the job goes to the cell directly, which answers when the store does, or gives up after tries of its own; the timeout was dropped.

The deadline is now the request's own: a timer of its exchange answers 504, unknown, which is true, and what comes later is ignored. So it holds for each step that may take long, also for cancellations. Test: caller_service, a new case; before: no answer within 2 s of a deadline of 0.7 s.

--- a/src/libprimrosecroft/callers/caller_service.cpp
+++ b/src/libprimrosecroft/callers/caller_service.cpp
@@ -73,6 +73,7 @@
     instant deadline; ///< without answerReserve
     int attempts = 0;
     timer retryTimer;
+    timer deadlineTimer;
     bool isAnswered = false;
     std::shared_ptr<std::set<exchange *>> inFlightSet;
 
@@ -163,6 +164,7 @@
     } else if (method == "GET") {
         status(entry);
     } else if (method == "DELETE") {
+        answerByDeadline(entry);
         cancelThroughOwner(entry);
     } else {
         answer(entry, statusMethodNotAllowed, "", "no-such-method");
@@ -215,9 +217,21 @@
     job.workspace = entry->workspace;
     job.acceptedAt = m_links.storeTime();
     entry->row = encodeJob(job);
+    answerByDeadline(entry);
     commitThroughOwner(entry);
 }
 
+/// Answers the request as unknown at its deadline, if nothing else has answered it by then: a step that is under way
+/// may take longer, as at the owner's own process while the store is out.
+void caller_service::answerByDeadline(const exchange_pointer &entry)
+{
+    entry->deadlineTimer.once(std::max(entry->remaining(), 0ms), [this, weakEntry = std::weak_ptr(entry)] {
+        if (const auto late = weakEntry.lock()) {
+            answerRetryable(late, statusGatewayTimeout, "unknown");
+        }
+    });
+}
+
 /// Has the owner store the job, because the owner stores many jobs in one transaction. If the owner can't be reached,
 /// this process stores the job itself.
 void caller_service::commitThroughOwner(const exchange_pointer &entry)
@@ -411,6 +425,7 @@
     if (std::exchange(entry->isAnswered, true)) {
         return; // answerAllAsUnknown() has answered it
     }
+    entry->deadlineTimer.stop();
     m_inFlight->erase(entry.get());
     const auto took = std::chrono::duration_cast<std::chrono::microseconds>(bootNow() - entry->receivedAt);
     m_measures.observe("primrosecroft_request_seconds", "kind", entry->kind, took);
--- a/src/libprimrosecroft/callers/caller_service.h
+++ b/src/libprimrosecroft/callers/caller_service.h
@@ -101,6 +101,7 @@
 
     bool admit(const exchange_pointer &entry, const queue_route *route);
     void submit(const exchange_pointer &entry, const queue_route &route);
+    void answerByDeadline(const exchange_pointer &entry);
     void commitThroughOwner(const exchange_pointer &entry);
     void commit(const exchange_pointer &entry);
     void status(const exchange_pointer &entry);
--- a/tests/unit/caller_service_test.cpp
+++ b/tests/unit/caller_service_test.cpp
@@ -52,6 +52,10 @@
                                          std::chrono::milliseconds timeout, const stored_handler &done) {
             ownerTimeout = timeout;
             storedRows.push_back(row);
+            if (isOwnerSilent) {
+                unanswered.push_back(done);
+                return;
+            }
             done(ownerOutcome);
         };
         links.askOwner = [](const job_id &, std::chrono::milliseconds, const std::function<void(owner_answer)> &done) {
@@ -109,6 +113,8 @@
     bool isIsolated = false;
     int decodedBodies = 0;
     submit_result ownerOutcome = store_outcome::refused;
+    bool isOwnerSilent = false; ///< keeps submissions and cancellations without an outcome
+    std::vector<stored_handler> unanswered;
     std::vector<std::string> storedRows; ///< sent to the owner; empty for cancellations
     std::shared_ptr<fake_request> last;
     queue_table queues = makeQueues();
@@ -289,3 +295,23 @@
     CHECK(request->response->status == statusGatewayTimeout); // the owner didn't answer, so nobody knows
     CHECK_FALSE(process.rows.rows.rows().contains(jobPlace(job)));
 }
+
+// Guards against LOST: while the store was out, callers at the owner's own process got no answer within their deadline.
+TEST_CASE("a caller is answered by its deadline, however long the owner takes for an outcome")
+{
+    caller_process process;
+    process.isOwnerSilent = true;
+    const auto begin = bootNow();
+    const auto submitted = process.submit("700");
+    const auto cancelled = process.cancel("700");
+    REQUIRE(runUntil([&] { return (submitted->response && cancelled->response) || bootNow() > begin + 2s; }));
+    REQUIRE(submitted->response);
+    CHECK(submitted->response->status == 504);
+    CHECK(!headerValue(submitted->response->headers, "Retry-After").empty());
+    REQUIRE(cancelled->response);
+    CHECK(cancelled->response->status == 504);
+    CHECK(bootNow() < begin + 700ms);
+    CHECK(process.service.inFlight() == 0);
+    process.unanswered.front()(store_outcome::done); // too late for the caller, who has been told that it is unknown
+    CHECK(submitted->response->status == 504);
+}
