Tell an end's number only to the boot that it is of

Cause: a list request carries the number up to which the worker may forget its ends, and each boot numbers them from 1. An idle worker is asked each 0.9 s, and a request may be held up on its way, so a worker that restarts under its id gets the number of its earlier boot.

Mend: a TCP connection reaches only the process that has accepted it. The core is as it was.

Ruled out: a rule in the core that tells the number only within 250 ms of a list and until a list confirms it.

Limit: a worker that closes each connection after its answer would never be told a number.

--- a/src/libprimrosecroft/io/http.h
+++ b/src/libprimrosecroft/io/http.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,11 +36,16 @@
 
 using http_headers = std::vector<http_header>;
 
+/// What is known of the peer of a connection, for as long as that is open. It reaches one process only: the one that
+/// has accepted it.
+using connection_mark = std::shared_ptr<std::string>;
+
 struct http_response
 {
     unsigned status = 0;
     http_headers headers;
     std::string body;
+    connection_mark mark = nullptr; ///< of the connection over which the client got it; nullptr at a server
 };
 
 /// Returns the first value of the header @p name, compared case-insensitively; empty if there is none.
--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -88,6 +88,7 @@
     tcp_socket socket;
     http_parser parser {};
     response_stream *stream = nullptr; ///< exchange that uses the connection; nullptr if it is idle
+    connection_mark mark = std::make_shared<std::string>();
 };
 
 /// Connections to one host, and the exchanges that wait for one.
@@ -97,6 +98,15 @@
     std::deque<std::weak_ptr<response_stream>> waiting; ///< in order of their start
 };
 
+/// Returns an idle connection with the mark, or with any if @p mark is empty; nullptr if there is none.
+client_connection *findIdle(const host_pool &pool, const std::string &mark)
+{
+    const auto idle = std::ranges::find_if(pool.connections, [&mark](const auto &each) {
+        return each->stream == nullptr && (mark.empty() || *each->mark == mark);
+    });
+    return idle == pool.connections.end() ? nullptr : idle->get();
+}
+
 struct connection_pools : std::enable_shared_from_this<connection_pools>
 {
     unsigned connectionsPerHost = 8;
@@ -123,6 +133,7 @@
         , m_method(request.method)
         , m_step(request.method + ' ' + request.url)
         , m_needsFreshConnection(request.needsFreshConnection)
+        , m_requiredMark(request.requiredMark)
         , m_timeout(request.timeout)
         , m_maxTransferTime(request.maxTransferTime)
         , m_target(parseTarget(request.url))
@@ -163,13 +174,15 @@
     {
         auto &pool = m_pools->hosts[m_target->host()];
         if (!m_needsFreshConnection) {
-            const auto idle =
-                std::ranges::find_if(pool.connections, [](const auto &each) { return each->stream == nullptr; });
-            if (idle != pool.connections.end()) {
-                use(**idle);
+            if (auto *idle = findIdle(pool, m_requiredMark)) {
+                use(*idle);
                 return;
             }
         }
+        if (!m_requiredMark.empty()) {
+            failLater("no idle connection has the required mark");
+            return;
+        }
         if (pool.connections.size() >= m_pools->connectionsPerHost && !m_needsFreshConnection) {
             pool.waiting.push_back(weak_from_this());
             return;
@@ -200,6 +213,11 @@
         return !m_isFinished && m_connection == nullptr;
     }
 
+    connection_mark mark() const
+    {
+        return m_mark;
+    }
+
 private:
     void startTimeout(std::chrono::milliseconds timeout)
     {
@@ -262,6 +280,7 @@
     void use(client_connection &connection)
     {
         m_connection = &connection;
+        m_mark = connection.mark;
         connection.stream = this;
         http_parser_init(&connection.parser, HTTP_RESPONSE);
         connection.parser.data = this;
@@ -492,6 +511,8 @@
     std::string m_method;
     std::string m_step; ///< method and URL, named in errors
     bool m_needsFreshConnection;
+    std::string m_requiredMark;
+    connection_mark m_mark; ///< of the connection that it has used; nullptr before
     std::chrono::milliseconds m_timeout;
     std::chrono::milliseconds m_maxTransferTime; ///< 0: m_timeout limits the whole exchange
     instant m_startedAt;
@@ -558,6 +579,13 @@
     }
 }
 
+bool http_client::hasIdleConnection(const std::string &url, const std::string &mark) const
+{
+    const auto target = parseTarget(url);
+    const auto pool = target ? m_parts->pools->hosts.find(target->host()) : m_parts->pools->hosts.end();
+    return pool != m_parts->pools->hosts.end() && findIdle(pool->second, mark) != nullptr;
+}
+
 std::shared_ptr<http_stream> http_client::stream(const http_call &request, http_stream::handlers handlers)
 {
     auto result = std::make_shared<response_stream>(request, std::move(handlers), m_parts->pools);
@@ -570,7 +598,7 @@
     struct collected_response
     {
         http_response answer;
-        std::weak_ptr<http_stream> source;
+        std::weak_ptr<response_stream> source;
     };
     const auto state = std::make_shared<collected_response>();
     const auto readMore = [state] {
@@ -592,7 +620,12 @@
         }
         readMore();
     };
-    handlers.ended = [state, done] { done(std::move(state->answer)); };
+    handlers.ended = [state, done] {
+        if (const auto source = state->source.lock()) {
+            state->answer.mark = source->mark();
+        }
+        done(std::move(state->answer));
+    };
     handlers.failed = [done](http_failure failure) { done(std::move(failure)); };
     auto source = std::make_shared<response_stream>(request, std::move(handlers), m_parts->pools);
     source->setByteCounts(m_callBytes);
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -29,6 +29,9 @@
     /// If not 0, each piece of the response starts the timeout anew, and this limits the time for the whole response. A
     /// large response over a full link then arrives late, instead of being given up and requested again for ever.
     std::chrono::milliseconds maxTransferTime {0};
+
+    /// If not empty, only an idle connection with this mark is used. Without one the call fails, and nothing is sent.
+    std::string requiredMark {};
 };
 
 /// Reason why no complete response arrived.
@@ -91,6 +94,9 @@
     /// Sends a request and collects the response. Calls @p done exactly once, unless the client is destroyed first.
     void call(const http_call &request, const std::function<void(http_outcome)> &done);
 
+    /// Returns whether a call of @p url that requires @p mark would find a connection now.
+    bool hasIdleConnection(const std::string &url, const std::string &mark) const;
+
     /// Returns the traffic of call(), that is, of calls to the platform and workers. Streamed requests aren't counted.
     const http_byte_counts &callBytes() const;
 
--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -264,7 +264,8 @@
     checkSchedules(drainsPerSchedule);
 }
 
-// Guards against a run being started elsewhere that an order to an earlier boot has begun in a worker's present one.
+// Guards against a run being started elsewhere that an order to an earlier boot has begun in a worker's present one,
+// and against ends that the present boot forgets unseen because an earlier boot's had their numbers.
 TEST_CASE("no task runs twice while workers restart within half a second", "[restarts]")
 {
     checkRestarts();
@@ -360,6 +361,7 @@
     CHECK(firstViolation(disabled_rule::acknowledgeAfterCommit, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::maxUnavailable, maxSeeds, drainsPerSchedule) != 0);
     CHECK(firstRestartViolation(disabled_rule::unshownRunsMayGoOn, maxSeeds) != 0);
+    CHECK(firstRestartViolation(disabled_rule::endsOfOneBoot, maxSeeds) != 0);
     CHECK(firstOccurrenceViolation(disabled_rule::shownOccurrencesBegin, maxSeeds) != 0);
     CHECK_FALSE(runCrashSchedule(1, crash_cause::tasks, {}, disabled_rule::lossCounts).violation.empty());
 }
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -891,14 +891,17 @@
                 order.deadline = worker->executor.clock() + 6'000ms;
             }
         }
-        sendOrder<list_answered>(index, order.worker, lostAnswer,
-                                 [this, order, token, sentAt = now](emulated_worker &worker) {
-                                     auto answer = worker.executor.list(order.deadline, order.acknowledgedEnd, token);
-                                     answer.sentAt = sentAt;
-                                     recordAcknowledgedEnds(worker);
-                                     shownAtWork.merge(worker.executor.atWork());
-                                     return answer;
-                                 });
+        sendOrder<list_answered>(
+            index, order.worker, lostAnswer, [this, order, token, sentAt = now](emulated_worker &worker) {
+                // A connection on which one boot has answered reaches no other one.
+                const bool isOtherBoot = worker.executor.description().boot != order.boot
+                    && settings.mutation != disabled_rule::endsOfOneBoot;
+                auto answer = worker.executor.list(order.deadline, isOtherBoot ? 0 : order.acknowledgedEnd, token);
+                answer.sentAt = sentAt;
+                recordAcknowledgedEnds(worker);
+                shownAtWork.merge(worker.executor.atWork());
+                return answer;
+            });
     }
 
     // --- checks of what happens on the workers
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -40,6 +40,7 @@
     maxUnavailable, ///< disabled: services have no limit of tasks that may be unavailable
     lossCounts, ///< disabled: owners forget at once under which tasks workers were lost
     unshownRunsMayGoOn, ///< disabled: a worker that has restarted counts as running nothing that was sent to it
+    endsOfOneBoot, ///< disabled: workers are told which ends they may forget whatever boot may have begun since
     shownOccurrencesBegin, ///< disabled: an owner overlooks runs and ends in occurrences that it hasn't begun
     limitChecked, ///< disabled: owners know no limits of workspaces
     limitCountsStops, ///< disabled: runs that are being stopped don't count for their workspace
--- a/tests/standins/executor_emulator.cpp
+++ b/tests/standins/executor_emulator.cpp
@@ -92,6 +92,7 @@
     m_endedAttempts.clear();
     m_listedEnds.clear();
     m_lastEnd = 0;
+    m_lastForgotten = 0;
 }
 
 bool executor_emulator::acceptToken(row_version token)
@@ -155,10 +156,11 @@
         return answer;
     }
     extendLease(deadline);
-    std::erase_if(m_listedEnds, [acknowledgedEnd](const listed_end &each) { return each.number <= acknowledgedEnd; });
+    m_lastForgotten = std::max(m_lastForgotten, acknowledgedEnd);
+    std::erase_if(m_listedEnds, [this](const listed_end &each) { return each.number <= m_lastForgotten; });
     for (auto &each : m_ends) {
         each.isAcknowledged =
-            each.isAcknowledged || (each.boot == m_description.boot && each.end.number <= acknowledgedEnd);
+            each.isAcknowledged || (each.boot == m_description.boot && each.end.number <= m_lastForgotten);
     }
     answer.result = order_result::done;
     for (const auto &[run, state] : m_runs) {
--- a/tests/standins/executor_emulator.h
+++ b/tests/standins/executor_emulator.h
@@ -47,8 +47,9 @@
     /// Stops a run if it is active, and refuses later starts of this attempt and earlier ones of its task.
     order_result stop(const run_id &run, row_version token);
 
-    /// Lists the runs, except those that are being stopped, and the ends after @p acknowledgedEnd. Forgets the ends up
-    /// to it. Extends the lease of the worker, unless @p deadline is std::nullopt.
+    /// Lists the runs, except those that are being stopped, and the ends that aren't forgotten. Those up to the highest
+    /// @p acknowledgedEnd of this boot are, also the ones that come after that order. Extends the lease of the worker,
+    /// unless @p deadline is std::nullopt.
     list_answered list(const std::optional<worker_time> &deadline, std::int64_t acknowledgedEnd, row_version token);
 
     worker_time clock() const;
@@ -105,6 +106,7 @@
     std::vector<listed_end> m_listedEnds;
     std::vector<run_end_record> m_ends;
     std::int64_t m_lastEnd = 0;
+    std::int64_t m_lastForgotten = 0; ///< ends up to this number are forgotten, whenever they come
 };
 
 } // namespace primrosecroft
