Let a relay carry no orders of an owner before the latest one

Cause: the postmortem of worker restarts names this hole: an order doesn't name the boot, and the fence of a new boot is empty. But a relay knows better than the worker: it has carried orders of a later owner.

Mend: a relay keeps the highest token of the batches that it got, and answers the orders of an earlier one as fenced. No new message is needed.

Not covered: a former owner's direct orders, and a relay that the later owner hasn't used yet.

--- a/src/libprimrosecroft/relays/order_relay.cpp
+++ b/src/libprimrosecroft/relays/order_relay.cpp
@@ -37,8 +37,14 @@
 {
     const destination target {{batch.replyAddress, static_cast<std::uint16_t>(batch.replyPort)}, owner.incarnation};
     const std::chrono::milliseconds timeout(batch.timeoutMs);
+    m_latestToken = std::max(m_latestToken, batch.token);
+    const bool isOfFormerOwner = batch.token < m_latestToken;
     const auto carry = [&](const auto &order, const auto &send) {
         const auto number = order.target.number;
+        if (isOfFormerOwner) {
+            addResult(target, number, order_result::fenced);
+            return;
+        }
         if (!admit()) {
             addResult(target, number, order_result::notSent);
             return;
--- a/src/libprimrosecroft/relays/order_relay.h
+++ b/src/libprimrosecroft/relays/order_relay.h
@@ -41,7 +41,8 @@
     order_relay(const order_relay &) = delete;
     order_relay &operator=(const order_relay &) = delete;
 
-    /// Sends the orders of a batch. Orders beyond the limit of pending ones are returned as not sent. Throws error if a
+    /// Sends the orders of a batch. Orders beyond the limit of pending ones are returned as not sent, and those of an
+    /// owner before the latest one as fenced: a worker that has restarted since would obey them. Throws error if a
     /// start names a payload that the batch doesn't have.
     void handle(const wire::OrderBatch &batch, const wire::Sender &owner);
 
@@ -66,6 +67,7 @@
     void readPayload(const job_id &job);
 
     worker_gateway &m_workers;
+    row_version m_latestToken = 0; ///< the highest of the batches so far
     store &m_rows;
     peer_hub &m_peers;
     decision_log &m_log;
--- a/tests/unit/relayed_workers_test.cpp
+++ b/tests/unit/relayed_workers_test.cpp
@@ -96,7 +96,7 @@
                 [](const process_id &) { return relayAddress; }};
     }
 
-    void start(const std::string &job, std::int32_t index)
+    void start(const std::string &job, std::int32_t index, row_version orderToken = token)
     {
         send_start order;
         order.worker = "worker";
@@ -105,7 +105,7 @@
         order.payload = "payload of " + job;
         order.deadline = 5s;
         order.ticket = "ticket";
-        owner.start(order, token, 600ms, [this](const start_answered &answer) { started.push_back(answer); });
+        owner.start(order, orderToken, 600ms, [this](const start_answered &answer) { started.push_back(answer); });
     }
 
     bool runUntilStarted(std::size_t count)
@@ -257,6 +257,27 @@
     CHECK_FALSE(cell.owner.isSuspected("relay", lastContactAt + 100ms)); // a message after the order: slow, not gone
 }
 
+// Guards against TWICE: a worker that has restarted since the take-over has seen no token, so it obeys a former owner.
+TEST_CASE("a relay that has carried orders of a later owner carries none of an earlier one")
+{
+    owner_and_relay cell;
+    cell.start("a", 0, token + 1);
+    REQUIRE(cell.runUntilStarted(1));
+    cell.start("a", 1, token);
+    REQUIRE(cell.runUntilStarted(2));
+    CHECK(cell.started.back().result == order_result::fenced);
+    CHECK(cell.workers.starts.size() == 1);
+    std::optional<list_answered> answer;
+    cell.owner.list({"worker", "10.0.0.1:1", 3, 5s, 8, 700ms, 1'400ms}, token, 1'400ms,
+                    [&](const list_answered &each) { answer = each; });
+    REQUIRE(loopback::runUntil([&] { return answer.has_value(); }));
+    CHECK(answer->result == order_result::fenced);
+    CHECK(cell.workers.lists.empty());
+    cell.start("a", 2, token + 1);
+    REQUIRE(cell.runUntilStarted(3));
+    CHECK(cell.started.back().result == order_result::done);
+}
+
 TEST_CASE("a batch whose start names a payload that it doesn't have is refused, and starts nothing")
 {
     owner_and_relay cell;
