--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -83,6 +83,14 @@
     std::set<std::uint32_t> failed; ///< attempts whose failed ends an owner has acknowledged
 };
 
+/// The bounds of workers that forget ends as early as the users' pages let them.
+executor_bounds forgetfulWorkers()
+{
+    executor_bounds result;
+    result.forgetsUpToHighest = true;
+    return result;
+}
+
 } // namespace
 
 struct cell_emulation::parts
@@ -163,8 +171,14 @@
         worker.pool = "pool";
         worker.labels = {"a", "rack" + std::to_string(index / 2)};
         worker.capacity = {8'000, 16'000, 0};
-        workers.push_back(
-            {executor_emulator(worker, index % 2 == 0 ? 1.0 : 0.98), {}, false, {}, false, false, worker, {}});
+        workers.push_back({executor_emulator(worker, index % 2 == 0 ? 1.0 : 0.98, forgetfulWorkers()),
+                           {},
+                           false,
+                           {},
+                           false,
+                           false,
+                           worker,
+                           {}});
         return index;
     }
 
@@ -891,14 +905,17 @@
                 order.deadline = worker->executor.clock() + 6'000ms;
             }
         }
-        sendOrder<list_answered>(index, order.worker, lostAnswer,
-                                 [this, order, token, sentAt = now](emulated_worker &worker) {
-                                     auto answer = worker.executor.list(order.deadline, order.acknowledgedEnd, token);
-                                     answer.sentAt = sentAt;
-                                     recordAcknowledgedEnds(worker);
-                                     shownAtWork.merge(worker.executor.atWork());
-                                     return answer;
-                                 });
+        sendOrder<list_answered>(
+            index, order.worker, lostAnswer, [this, order, token, sentAt = now](emulated_worker &worker) {
+                // A connection on which one boot has answered reaches no other one.
+                const bool isOtherBoot = worker.executor.description().boot != order.boot
+                    && settings.mutation != disabled_rule::endsOfOneBoot;
+                auto answer = worker.executor.list(order.deadline, isOtherBoot ? 0 : order.acknowledgedEnd, token);
+                answer.sentAt = sentAt;
+                recordAcknowledgedEnds(worker);
+                shownAtWork.merge(worker.executor.atWork());
+                return answer;
+            });
     }
 
     // --- checks of what happens on the workers
--- a/tests/standins/executor_emulator.h
+++ b/tests/standins/executor_emulator.h
@@ -60,8 +60,9 @@
     /// Stops a run if it is active, and refuses later starts of this attempt and earlier ones of its task.
     order_result stop(const run_id &run, row_version token);
 
-    /// Lists the runs, except those that are being stopped, and the ends after @p acknowledgedEnd. Forgets the ends up
-    /// to it. Extends the lease of the worker, unless @p deadline is std::nullopt.
+    /// Lists the runs, except those that are being stopped, and the ends that aren't forgotten. Forgets the ends up to
+    /// @p acknowledgedEnd; see executor_bounds for those that come later. Extends the lease of the worker, unless
+    /// @p deadline is std::nullopt.
     list_answered list(const std::optional<worker_time> &deadline, std::int64_t acknowledgedEnd, row_version token);
 
     /// Ends a run that is active, for instance because another member of its gang has ended.
