Tell a worker's boots apart by the order of evidence, not by its time of day

Cause: a boot is the worker's time of day at its start. A lower one than the known was taken for a late word of an earlier boot, in the list and in the entry, for good: the runs of the boot before counted as going on, as the answers still counted as answers and leases were extended. A loss was likewise counted once for all lower boots.

Now: lists are requested one at a time, so a list that was requested after the known boot had shown itself tells a later one if it tells another, whichever is higher; any other is asked for again. An entry in the store may lag behind a list. It counts at once, as before, only if it is higher, the known boot's own entry came before, and no boot of the worker was lower than one before it. Otherwise it is kept in doubt: no run is given up by it, no task starts there, no lease is extended, and a list is requested at once, which takes the entry over or shows that its boot is over.

A mutation that trusts each entry is found.

Not covered: an entry written late by a boot that this owner never knew and that was ahead, after the present boot's own entry, while no boot was seen to go back.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -229,10 +229,23 @@
     double slowness = 1; ///< smoothed ratio of the time that work takes there to its forecast; above 1 is slower
 };
 
+/// A worker's entry in the platform's list that tells of another boot than the known one. It may be of a later boot, or
+/// of an earlier one and late.
+struct doubted_entry
+{
+    worker_description description;
+    instant since; ///< a list that was requested then or later tells which
+};
+
 struct worker_state
 {
     worker_description description;
-    worker_boot lostBoot = 0; ///< the latest boot whose loss is counted
+    instant bootKnownAt; ///< when the present boot became known; zero for the first one
+    /// The highest boot so far. The time of day of a worker may go back, so that a later boot is lower.
+    worker_boot highestBoot = 0;
+    std::optional<doubted_entry> doubtedEntry;
+    worker_boot earlierBoot = 0; ///< the last boot that a list has shown to be over, whose entry may lag
+    worker_boot lostBoot = 0; ///< the last boot whose loss is counted
     bool isListed = false; ///< the platform lists the worker, in its present boot
     instant drainEndsAt; ///< when the draining worker is removed at the earliest; zero if unknown or not draining
     std::optional<clock_sample> clock; ///< from the last list; std::nullopt before the first one of this boot
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -99,6 +99,14 @@
 /// Handles a restart of the worker: the runs of its previous boot are gone.
 void handleBootChange(cell_state &state, worker_state &worker, worker_boot boot, instant now, cell_actions &actions);
 
+/// Called after the answer to a list request of @p sentAt has told the present boot, or that another worker answers at
+/// the known address. An entry that was in doubt is taken over if it is of that boot, and is of an earlier one if it
+/// came before the request.
+void settleDoubtedEntry(cell_state &state, worker_state &worker, instant sentAt, instant now, cell_actions &actions);
+
+/// Returns whether the platform lists the worker, if only in a boot that is in doubt.
+bool isInPlatformsList(const worker_state &worker);
+
 /// Returns whether the worker may take new tasks now.
 bool mayStartOn(const cell_state &state, const worker_state &worker, instant now);
 
--- a/src/libprimrosecroft/cell/leases.cpp
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -123,22 +123,35 @@
         countRefusal(state, worker, now);
         return;
     }
+    if (message.result == order_result::bootMismatch && worker.doubtedEntry
+        && worker.requestedBoot == worker.doubtedEntry->description.boot) {
+        worker.doubtedEntry.reset(); // another worker answers at the address that it gives
+        worker.nextListAt = now;
+        return;
+    }
     if (message.result == order_result::bootMismatch && worker.requestedBoot != worker.description.boot) {
         worker.nextListAt = now; // it says nothing of the boot that is known by now
         return;
     }
     if (message.result == order_result::bootMismatch) {
         handleBootChange(state, worker, otherWorkersBoot, now, actions);
+        settleDoubtedEntry(state, worker, {}, now, actions);
         worker.nextListAt = now;
         return;
     }
     if (message.result != order_result::done) {
         return;
     }
-    if (message.boot < worker.description.boot) {
-        return; // a late answer from before the worker's last restart
+    if (message.boot != worker.description.boot) {
+        if (message.sentAt < worker.bootKnownAt) {
+            worker.nextListAt = now; // it may come from before the worker's last restart
+            return;
+        }
+        // Lists are requested one at a time, so this boot is later than the one that was known by then.
+        worker.earlierBoot = worker.description.boot;
+        handleBootChange(state, worker, message.boot, now, actions);
     }
-    handleBootChange(state, worker, message.boot, now, actions);
+    settleDoubtedEntry(state, worker, message.sentAt, now, actions);
     takeBackRefusals(state, worker);
     takeBackSuspectedLosses(state, worker);
     worker.clock = clock_sample {message.clock, now};
@@ -168,16 +181,17 @@
             continue;
         }
         const bool isBusy = !worker.reservations.empty() || !worker.unknownRuns.empty();
-        if (worker.clock && !isBusy && worker.lastListAt != instant {} && worker.processedEnd == worker.acknowledgedEnd
-            && now < worker.lastListAt + idleListInterval) {
+        const bool isBootInDoubt = worker.doubtedEntry.has_value();
+        if (!isBootInDoubt && worker.clock && !isBusy && worker.lastListAt != instant {}
+            && worker.processedEnd == worker.acknowledgedEnd && now < worker.lastListAt + idleListInterval) {
             continue;
         }
-        if (!worker.isListed && now < worker.lastListAt + unlistedListInterval) {
+        if (!isInPlatformsList(worker) && now < worker.lastListAt + unlistedListInterval) {
             continue;
         }
         // An order without an answer may have been carried out, so each further one would postpone the moment by which
         // the leases of an unresponsive worker have surely expired.
-        const auto deadline = worker.isUnresponsive ? std::nullopt : leaseDeadline(state, worker);
+        const auto deadline = worker.isUnresponsive || isBootInDoubt ? std::nullopt : leaseDeadline(state, worker);
         if (deadline) {
             recordDeadline(worker, *deadline, now);
         }
@@ -192,9 +206,10 @@
         // A worker that doesn't answer may have restarted, and number other ends like those that it may forget.
         const auto acknowledgedEnd = worker.isUnresponsive ? 0 : worker.acknowledgedEnd;
         worker.isListPending = true;
-        worker.requestedBoot = worker.description.boot;
+        const auto &receiver = isBootInDoubt ? worker.doubtedEntry->description : worker.description;
+        worker.requestedBoot = receiver.boot;
         actions.emplace_back(
-            send_list {id, worker.description.address, worker.description.boot, deadline, acknowledgedEnd, wait,
+            send_list {id, receiver.address, receiver.boot, deadline, acknowledgedEnd, wait,
                        wait + (isReconciliationPending(state, worker, now) ? firstListTimeout : listTimeout)});
     }
 }
@@ -207,12 +222,13 @@
         const bool areOver = haveLeasesExpired(state, worker, now);
         if (areOver && !worker.reservations.empty()) {
             actions.emplace_back(report_worker_change {id, "leases expired"});
-            recordWorkerLoss(state, worker, worker.isListed ? worker_loss::silent : worker_loss::unlisted, now,
-                             actions);
+            recordWorkerLoss(state, worker, isInPlatformsList(worker) ? worker_loss::silent : worker_loss::unlisted,
+                             now, actions);
             dropRuns(state, worker, dropped_runs::all, now, actions, "lapsed unseen");
         }
         const bool hadNoLease = worker.leasesEndBy == instant {} && !state.unreconciledWorkers.contains(id);
-        if (!worker.isListed && worker.reservations.empty() && (areOver || hadNoLease) && !worker.isListPending) {
+        if (!isInPlatformsList(worker) && worker.reservations.empty() && (areOver || hadNoLease)
+            && !worker.isListPending) {
             removable.push_back(id);
         }
     }
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -513,7 +513,8 @@
 
 void recordWorkerLoss(cell_state &state, worker_state &worker, worker_loss how, instant now, cell_actions &actions)
 {
-    if (worker.description.isDraining || worker.description.boot <= worker.lostBoot) {
+    const auto boot = worker.description.boot;
+    if (worker.description.isDraining || boot == otherWorkersBoot || boot == worker.lostBoot) {
         return; // it was to leave, or its loss is counted and its next boot isn't known yet
     }
     if (how == worker_loss::restarted) { // otherwise it may come back in the same boot, and be lost again
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -1,6 +1,8 @@
 #include "cell/detail/cell_parts.h"
 #include "cell/detail/worker_loss.h"
 
+#include <algorithm>
+
 /// The state of workers as the platform lists them, and which of them may take tasks.
 namespace primrosecroft::detail
 {
@@ -32,6 +34,30 @@
     worker.acknowledgedEnd = 0;
 }
 
+/// Returns whether the entry, which tells of another boot than the known one, surely tells of a later one.
+bool isSurelyLater(const worker_state &worker, const worker_description &entry)
+{
+    if (worker.description.boot == otherWorkersBoot) {
+        return true;
+    }
+    // The known boot's own entry came before, and the worker's time of day hasn't gone back as far as is known.
+    const bool hasGoneBack = worker.description.boot < worker.highestBoot;
+    return worker.isListed && !hasGoneBack && entry.boot > worker.description.boot;
+}
+
+/// Keeps the entry until a list tells whether its boot is the present one.
+void doubtEntry(worker_state &worker, const worker_description &entry, instant now)
+{
+    if (entry.boot == worker.earlierBoot) {
+        return; // the platform's list lags behind the worker's own answer
+    }
+    if (!worker.doubtedEntry || worker.doubtedEntry->description.boot != entry.boot) {
+        worker.doubtedEntry = doubted_entry {entry, now};
+        worker.nextListAt = now;
+    }
+    worker.doubtedEntry->description = entry;
+}
+
 } // namespace
 
 const std::string &rackOf(const worker_description &worker)
@@ -52,14 +78,36 @@
     resetBootState(state, worker, now);
     worker.health = {};
     worker.description.boot = boot;
+    worker.bootKnownAt = now;
+    worker.highestBoot = std::max(worker.highestBoot, boot);
     worker.isListed = false; // its kind and capacity may have changed; its next entry in the platform's list has them
 }
 
+void settleDoubtedEntry(cell_state &state, worker_state &worker, instant sentAt, instant now, cell_actions &actions)
+{
+    if (!worker.doubtedEntry) {
+        return;
+    }
+    const auto entry = *worker.doubtedEntry;
+    if (entry.description.boot == worker.description.boot || worker.description.boot == otherWorkersBoot) {
+        updateWorker(state, entry.description, now, actions);
+    } else if (sentAt >= entry.since) {
+        worker.earlierBoot = entry.description.boot;
+        worker.doubtedEntry.reset();
+    }
+}
+
+bool isInPlatformsList(const worker_state &worker)
+{
+    return worker.isListed || worker.doubtedEntry;
+}
+
 bool mayStartOn(const cell_state &state, const worker_state &worker, instant now)
 {
-    return worker.isListed && worker.isReconciled && worker.formerStopsEndAt <= now && !worker.description.isDraining
-        && worker.clock && worker.unknownRuns.empty() && !isInTrial(worker) && worker.lastListAt + contactTimeout > now
-        && worker.health.quarantinedUntil <= now && !state.rules.drained.contains(worker.description.id)
+    return worker.isListed && !worker.doubtedEntry && worker.isReconciled && worker.formerStopsEndAt <= now
+        && !worker.description.isDraining && worker.clock && worker.unknownRuns.empty() && !isInTrial(worker)
+        && worker.lastListAt + contactTimeout > now && worker.health.quarantinedUntil <= now
+        && !state.rules.drained.contains(worker.description.id)
         && state.contactedWorkers.contains(worker.description.id);
 }
 
@@ -69,13 +117,17 @@
     const bool isNew = worker.description.id.empty();
     if (isNew) {
         worker.description = description;
+        worker.highestBoot = description.boot;
         worker.nextListAt = now;
         actions.emplace_back(report_worker_change {description.id, "listed"});
     }
-    if (!isNew && description.boot != worker.description.boot) {
-        if (description.boot < worker.description.boot) {
-            return; // the platform's list lags behind the worker's own answer
-        }
+    const bool isOfOtherBoot = description.boot != worker.description.boot;
+    if (isOfOtherBoot && !isSurelyLater(worker, description)) {
+        doubtEntry(worker, description, now);
+        return;
+    }
+    worker.doubtedEntry.reset();
+    if (isOfOtherBoot) {
         handleBootChange(state, worker, description.boot, now, actions);
         worker.nextListAt = now;
     }
@@ -95,8 +147,9 @@
 void unlistWorker(cell_state &state, const worker_id &id, cell_actions &actions)
 {
     const auto found = state.workers.find(id);
-    if (found != state.workers.end() && found->second.isListed) {
+    if (found != state.workers.end() && isInPlatformsList(found->second)) {
         found->second.isListed = false;
+        found->second.doubtedEntry.reset();
         actions.emplace_back(report_worker_change {id, "no longer listed"});
     }
 }
--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -75,13 +75,14 @@
 }
 
 /// Runs a schedule with many jobs and short restarts. Returns the violation that the checks detected, if any.
-std::string runRestarts(std::uint64_t seed, disabled_rule mutation)
+std::string runRestarts(std::uint64_t seed, disabled_rule mutation, bool clocksGoBack = false)
 {
     emulation_settings settings;
     settings.seed = seed;
     settings.mutation = mutation;
     settings.jobs = 20;
     settings.restarts = 60;
+    settings.clocksGoBack = clocksGoBack;
     settings.totalTime = 120'000ms;
     cell_emulation emulation(settings);
     emulation.onTrace = tracer();
@@ -114,10 +115,11 @@
 }
 
 /// Returns the first seed up to @p maxSeed whose schedule of restarts shows that the rule is missing, or 0.
-std::uint64_t firstRestartViolation(disabled_rule mutation, std::uint64_t maxSeed)
+std::uint64_t firstRestartViolation(disabled_rule mutation, std::uint64_t maxSeed, bool clocksGoBack = false)
 {
     const auto seeds = std::views::iota(std::uint64_t {1}, maxSeed + 1);
-    const auto found = std::ranges::find_if(seeds, [&](auto seed) { return !runRestarts(seed, mutation).empty(); });
+    const auto found =
+        std::ranges::find_if(seeds, [&](auto seed) { return !runRestarts(seed, mutation, clocksGoBack).empty(); });
     return found == seeds.end() ? 0 : *found;
 }
 
@@ -130,12 +132,12 @@
 }
 
 /// Runs schedules with short restarts of workers, of the seeds that the environment names.
-void checkRestarts()
+void checkRestarts(bool clocksGoBack = false)
 {
     const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
     const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 400);
     for (auto seed = first; seed < first + count; ++seed) {
-        const auto violation = runRestarts(seed, disabled_rule::none);
+        const auto violation = runRestarts(seed, disabled_rule::none, clocksGoBack);
         INFO("seed " << seed << ": " << violation);
         CHECK(violation.empty());
     }
@@ -270,6 +272,12 @@
     checkRestarts();
 }
 
+// Guards against a worker that is ignored for good because its boot is lower than an earlier one.
+TEST_CASE("no task runs twice or is lost while workers restart and their times of day go back", "[restart_clocks]")
+{
+    checkRestarts(true);
+}
+
 // Guards against ends that are acknowledged although the owner hasn't begun the occurrence that they belong to.
 TEST_CASE("no task of overlapping occurrences runs twice while owners change", "[occurrences]")
 {
@@ -360,6 +368,7 @@
     CHECK(firstViolation(disabled_rule::acknowledgeAfterCommit, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::maxUnavailable, maxSeeds, drainsPerSchedule) != 0);
     CHECK(firstRestartViolation(disabled_rule::unshownRunsMayGoOn, maxSeeds) != 0);
+    CHECK(firstRestartViolation(disabled_rule::entriesDoubted, maxSeeds, true) != 0);
     CHECK(firstOccurrenceViolation(disabled_rule::shownOccurrencesBegin, maxSeeds) != 0);
     CHECK_FALSE(runCrashSchedule(1, crash_cause::tasks, {}, disabled_rule::lossCounts).violation.empty());
 }
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -28,6 +28,8 @@
 constexpr auto orderDelay = 2ms; ///< one way between a process and a worker
 constexpr auto storeDelay = 8ms; ///< one way between a process and the store
 constexpr auto announcementInterval = 800ms; ///< between two announcements of a worker in the platform's list
+constexpr auto maxAnnouncementLagMs = 600; ///< of a new boot, if entries lag
+constexpr auto maxClockJumpMs = 2'400; ///< of a worker's time of day, ahead or back again
 constexpr auto minCrashTimeMs = 1'000; ///< a worker that a task has crashed is down for
 constexpr auto maxCrashTimeMs = 5'000;
 constexpr auto minLateDelayMs = 2'000; ///< of an order whose answer is lost and which the worker carries out late
@@ -48,6 +50,7 @@
     bool keepsKind = false; ///< its next boot is no smaller or larger type
     worker_description announced; ///< as in the platform's list, which lags behind the worker
     instant nextAnnouncement;
+    std::set<worker_boot> earlierBoots {}; ///< and the present one, if the time of day may go back
     bool isGone = false; ///< it is down for good, and the platform no longer lists it
 };
 
@@ -91,6 +94,7 @@
         : settings(emulationSettings)
         , emulation(outer)
         , random(emulationSettings.seed)
+        , clockRandom(emulationSettings.seed + 4'000'037)
         , advice({.seed = emulationSettings.seed})
         , liveness(settlingTime(emulationSettings))
     {
@@ -173,11 +177,12 @@
         if (worker.isDown) {
             if (!worker.isGone && now >= worker.downUntil) {
                 worker.isDown = false;
-                worker.executor.reboot(worker.executor.description().boot + 1);
+                worker.executor.reboot(nextBoot(worker));
                 if (!std::exchange(worker.keepsKind, false)) {
                     worker.executor.description().capacity.milliCores = chance(0.5) ? 8'000 : 4'000;
                 }
-                worker.nextAnnouncement = now;
+                worker.nextAnnouncement =
+                    now + std::chrono::milliseconds(settings.clocksGoBack ? drawClock(maxAnnouncementLagMs) : 0);
             }
             return;
         }
@@ -196,6 +201,24 @@
         }
     }
 
+    std::int64_t drawClock(std::int64_t max)
+    {
+        return std::uniform_int_distribution<std::int64_t>(0, max)(clockRandom);
+    }
+
+    /// Returns the next boot of the worker, which is its time of day if that may go back. No two boots are the same.
+    worker_boot nextBoot(emulated_worker &worker)
+    {
+        if (!settings.clocksGoBack) {
+            return worker.executor.description().boot + 1;
+        }
+        auto boot = (timeOfDayAtStart + elapsed()).count() + drawClock(maxClockJumpMs);
+        while (!worker.earlierBoots.insert(boot).second) {
+            ++boot;
+        }
+        return boot;
+    }
+
     void recordLosses(const emulated_worker &worker)
     {
         for (const auto &run : worker.executor.running()) {
@@ -699,6 +722,7 @@
         for (const auto &worker : workers) {
             if (process.cell && !worker.isDown) {
                 markRunsShownIfMutated(*process.cell);
+                trustEntryIfMutated(*process.cell, worker.announced);
                 step(*process.cell, worker_listed {worker.announced}, now, actions);
             }
             if (process.cell && worker.isGone) {
@@ -772,6 +796,15 @@
         std::erase_if(answer.ended, isUnknown);
     }
 
+    void trustEntryIfMutated(cell_state &cell, const worker_description &entry)
+    {
+        const auto known = cell.workers.find(entry.id);
+        if (settings.mutation == disabled_rule::entriesDoubted && known != cell.workers.end()
+            && known->second.description.boot != entry.boot) {
+            detail::handleBootChange(cell, known->second, entry.boot, now, actions);
+        }
+    }
+
     void markRunsShownIfMutated(cell_state &cell) const
     {
         if (settings.mutation != disabled_rule::unshownRunsMayGoOn) {
@@ -1414,6 +1447,7 @@
     emulation_settings settings;
     cell_emulation &emulation;
     std::mt19937_64 random;
+    std::mt19937_64 clockRandom; ///< for times of day, so that the faults of a seed stay the same
     advice_emulator advice;
     liveness_check liveness;
     crash_check crashes;
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -40,6 +40,8 @@
     maxUnavailable, ///< disabled: services have no limit of tasks that may be unavailable
     lossCounts, ///< disabled: owners forget at once under which tasks workers were lost
     unshownRunsMayGoOn, ///< disabled: a worker that has restarted counts as running nothing that was sent to it
+    entriesDoubted, ///< disabled: an entry in the platform's list that tells of another boot always tells of a later
+                    ///< one
     shownOccurrencesBegin, ///< disabled: an owner overlooks runs and ends in occurrences that it hasn't begun
     limitChecked, ///< disabled: owners know no limits of workspaces
     limitCountsStops, ///< disabled: runs that are being stopped don't count for their workspace
@@ -56,6 +58,7 @@
     std::size_t services = 0; ///< jobs besides these, each with a service that may miss few of its tasks
     std::size_t drains = 0; ///< times that a worker drains and then restarts
     std::size_t restarts = 0; ///< times that a worker restarts within half a second
+    bool clocksGoBack = false; ///< times of day of workers jump, so that later boots may be lower; entries lag
     std::size_t timedJobs = 0; ///< jobs besides these, of many small occurrences that overlap
     double faultScale = 1; ///< scales the number of faults and the share of lost messages; 0 for no faults
     std::chrono::milliseconds faultPeriod {20'000}; ///< from the start; jobs are submitted and faults begin in it
--- a/tests/unit/worker_restart_test.cpp
+++ b/tests/unit/worker_restart_test.cpp
@@ -1,3 +1,4 @@
+#include "cell/detail/cell_parts.h"
 #include "owned_cell.h"
 
 #include <algorithm>
@@ -37,11 +38,11 @@
              cell.actions);
     }
 
-    /// The worker's entry in the platform's list tells of its second boot.
-    void listNextBoot()
+    /// The worker's entry in the platform's list tells of its second boot, or of another one.
+    void listNextBoot(worker_boot boot = 2)
     {
         auto worker = owned_cell::makeWorker(start.worker, "r", wholeWorker);
-        worker.boot = 2;
+        worker.boot = boot;
         step(cell.state, worker_listed {worker}, cell.now, cell.actions);
     }
 
@@ -196,3 +197,101 @@
     REQUIRE(list != lists.end());
     CHECK(list->acknowledgedEnd == 0);
 }
+
+namespace
+{
+
+constexpr worker_boot bootBefore = -1'400; ///< of a worker whose time of day has gone back since its first boot
+
+} // namespace
+
+// Guards against LOST: a worker whose boot is lower than the one before is ignored for good, with what ran there.
+TEST_CASE("what ran on a worker starts elsewhere when the worker restarts with its time of day gone back")
+{
+    restarting_cell cell;
+    cell.answerStart(order_result::done);
+    cell.cell.answerList(cell.start.worker, {{cell.start.run, "", 10, 0}});
+    SECTION("its list tells first")
+    {
+        cell.cell.advance(50ms);
+        cell.cell.answerList(cell.start.worker, {}, {}, bootBefore);
+        CHECK(cell.task().runs.empty());
+        cell.listNextBoot(bootBefore);
+    }
+    SECTION("its entry tells first")
+    {
+        cell.listNextBoot(bootBefore);
+        CHECK(cell.task().runs.size() == 1);
+        cell.cell.advance(50ms);
+        cell.cell.answerList(cell.start.worker, {}, {}, bootBefore);
+        CHECK(cell.task().runs.empty());
+    }
+    CHECK(cell.cell.state.workers.at(cell.start.worker).isListed);
+    CHECK(cell.task().losses.counts.proven == 1);
+    CHECK(cell.advance(300ms).size() == 1);
+}
+
+// Guards against TWICE: the entry of an earlier boot comes late, and that boot is the higher one.
+TEST_CASE("a late entry of an earlier boot doesn't end the runs of the present one, which is lower")
+{
+    restarting_cell cell;
+    cell.cell.advance(50ms);
+    cell.cell.answerList(cell.start.worker, {}, {}, bootBefore);
+    cell.answerStart(order_result::done);
+    cell.cell.advance(50ms);
+    cell.cell.answerList(cell.start.worker, {{cell.start.run, "", 10, 0}}, {}, bootBefore);
+    const bool hasOwnEntry = GENERATE(false, true);
+    if (hasOwnEntry) {
+        cell.listNextBoot(bootBefore);
+    }
+    const auto lateBoot = GENERATE(worker_boot {1}, worker_boot {2}); // known to the owner before, and not
+    cell.listNextBoot(lateBoot);
+    CHECK(cell.advance(300ms).empty());
+    cell.cell.answerList(cell.start.worker, {{cell.start.run, "", 20, 0}}, {}, bootBefore);
+    cell.listNextBoot(lateBoot);
+    CHECK(cell.advance(300ms).empty());
+    REQUIRE(cell.task().runs.size() == 1);
+    CHECK(cell.task().runs.front().isShown);
+    CHECK(cell.task().losses.counts == lost_workers {});
+}
+
+TEST_CASE("an entry of another boot asks for a list at once, and no task starts there until it has come")
+{
+    restarting_cell cell;
+    cell.answerStart(order_result::done);
+    cell.cell.answerList(cell.start.worker, {}, {{1, cell.start.run, run_end::done, ""}});
+    cell.advance(200ms);
+    cell.cell.answerList(cell.start.worker, {});
+    cell.listNextBoot(bootBefore);
+    cell.cell.runSchedulingPass();
+    const auto lists = cell.sent<send_list>();
+    const auto list = std::ranges::find(lists, cell.start.worker, &send_list::worker);
+    REQUIRE(list != lists.end());
+    CHECK(list->wait == 0ms);
+    CHECK_FALSE(list->deadline);
+    CHECK_FALSE(detail::mayStartOn(cell.cell.state, cell.cell.state.workers.at(cell.start.worker), cell.cell.now));
+    cell.cell.answerList(cell.start.worker, {}); // the entry was a late one
+    CHECK(detail::mayStartOn(cell.cell.state, cell.cell.state.workers.at(cell.start.worker), cell.cell.now));
+}
+
+// Guards against TWICE: a paused owner finds the entry of a new boot and the answer of the earlier one at once.
+TEST_CASE("the answer of an earlier boot that is handled after the entry of the next one tells nothing")
+{
+    restarting_cell cell;
+    cell.answerStart(order_result::done);
+    cell.cell.answerList(cell.start.worker, {{cell.start.run, "", 10, 0}});
+    cell.cell.advance(100ms);
+    const auto requestedAt = cell.cell.now;
+    cell.cell.advance(2s);
+    cell.listNextBoot();
+    CHECK(cell.task().runs.empty());
+    list_answered answer;
+    answer.worker = cell.start.worker;
+    answer.result = order_result::done;
+    answer.sentAt = requestedAt;
+    answer.boot = 1;
+    answer.running = {{cell.start.run, "", 20, 0}};
+    step(cell.cell.state, answer, cell.cell.now, cell.cell.actions);
+    CHECK(cell.task().runs.empty());
+    CHECK(cell.cell.state.workers.at(cell.start.worker).description.boot == 2);
+}
