Let silence at a doubted entry's address say nothing of the known boot

What could follow, found in review of, not seen in a run: the store's entry of a worker is late and gives an old address. While its boot is in doubt lists go there; when nobody answers, the failure was counted against the known, healthy boot, whose leases then weren't extended and lapsed. The doubt now ends with such a failure if the address is another one, and the next list goes to the known boot; a living writer writes its entry again with its next heartbeat. Beside it: the entry of a boot that a higher one has replaced is known to be over, and asks for no list.

Tests: worker_restart, two new cases, of which the first failed with isUnresponsive, refusedSince, a counted loss and no list at all, the second with a doubted entry.

--- a/src/libprimrosecroft/cell/leases.cpp
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -68,6 +68,15 @@
     return end != instant {} && end <= now && !(strayLeaseEnd(state, worker) > now && hasUnshownRuns(state, worker));
 }
 
+/// Returns whether a list failed that was requested at the address of a boot in doubt. That says nothing of the known
+/// boot, unless both are at the same address.
+bool isSilenceOfDoubtedBoot(const worker_state &worker, order_result result)
+{
+    const bool hasFailed = result == order_result::unreachable || result == order_result::lost;
+    return hasFailed && worker.doubtedEntry && worker.requestedBoot == worker.doubtedEntry->description.boot
+        && worker.doubtedEntry->description.address != worker.description.address;
+}
+
 /// Returns whether jobs of an earlier owner may wait for the worker's first list under this owner.
 bool isReconciliationPending(const cell_state &state, const worker_state &worker, instant now)
 {
@@ -108,6 +117,11 @@
     }
     auto &worker = found->second;
     worker.isListPending = false;
+    if (isSilenceOfDoubtedBoot(worker, message.result)) {
+        worker.doubtedEntry.reset(); // the next list goes to the known boot; the entry's writer writes it again
+        worker.nextListAt = now;
+        return;
+    }
     worker.isUnresponsive = message.result != order_result::done;
     worker.nextListAt = now
         + (message.result == order_result::lost && isReconciliationPending(state, worker, now) ? firstListRetryDelay
@@ -148,7 +162,6 @@
             return;
         }
         // Lists are requested one at a time, so this boot is later than the one that was known by then.
-        worker.earlierBoot = worker.description.boot;
         handleBootChange(state, worker, message.boot, now, actions);
     }
     settleDoubtedEntry(state, worker, message.sentAt, now, actions);
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -77,6 +77,9 @@
     dropRuns(state, worker, dropped_runs::ofEarlierBoots, now, actions, "lost with its worker");
     resetBootState(state, worker, now);
     worker.health = {};
+    if (boot != otherWorkersBoot) {
+        worker.earlierBoot = worker.description.boot;
+    }
     worker.description.boot = boot;
     worker.bootKnownAt = now;
     worker.highestBoot = std::max(worker.highestBoot, boot);
--- a/tests/unit/worker_restart_test.cpp
+++ b/tests/unit/worker_restart_test.cpp
@@ -39,10 +39,11 @@
     }
 
     /// The worker's entry in the platform's list tells of its second boot, or of another one.
-    void listNextBoot(worker_boot boot = 2)
+    void listNextBoot(worker_boot boot = 2, const std::string &address = {})
     {
         auto worker = owned_cell::makeWorker(start.worker, "r", wholeWorker);
         worker.boot = boot;
+        worker.address = address.empty() ? worker.address : address;
         step(cell.state, worker_listed {worker}, cell.now, cell.actions);
     }
 
@@ -297,3 +298,37 @@
     CHECK(cell.task().runs.empty());
     CHECK(cell.cell.state.workers.at(cell.start.worker).description.boot == 2);
 }
+
+// Guards against LOST: a late entry gives an old address, at which nobody answers, and the healthy worker's leases
+// lapse.
+TEST_CASE("silence at the address of an entry in doubt says nothing of the known boot")
+{
+    restarting_cell cell;
+    cell.answerStart(order_result::done);
+    cell.cell.answerList(cell.start.worker, {{cell.start.run, "", 10, 0}});
+    cell.listNextBoot(bootBefore, "10.9.9.9:80");
+    cell.cell.runSchedulingPass();
+    list_answered silent;
+    silent.worker = cell.start.worker;
+    silent.result = GENERATE(order_result::lost, order_result::unreachable);
+    silent.sentAt = cell.cell.now;
+    step(cell.cell.state, silent, cell.cell.now, cell.cell.actions);
+    const auto &worker = cell.cell.state.workers.at(cell.start.worker);
+    CHECK_FALSE(worker.isUnresponsive);
+    CHECK(worker.refusedSince == instant {});
+    CHECK(cell.task().losses.counts == lost_workers {});
+    cell.cell.runSchedulingPass();
+    const auto lists = cell.sent<send_list>();
+    const auto list = std::ranges::find(lists, cell.start.worker, &send_list::worker);
+    REQUIRE(list != lists.end());
+    CHECK(list->address == worker.description.address);
+    CHECK(list->deadline);
+}
+
+TEST_CASE("a late entry of the boot that a higher entry has replaced is not in doubt")
+{
+    restarting_cell cell;
+    cell.listNextBoot(2);
+    cell.listNextBoot(1);
+    CHECK_FALSE(cell.cell.state.workers.at(cell.start.worker).doubtedEntry);
+}
