--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -42,6 +42,7 @@
     unshownRunsMayGoOn, ///< disabled: a worker that has restarted counts as running nothing that was sent to it
     entriesDoubted, ///< disabled: an entry in the platform's list that tells of another boot always tells of a later
                     ///< one
+    endsOfOneBoot, ///< disabled: workers are told which ends they may forget whatever boot may have begun since
     shownOccurrencesBegin, ///< disabled: an owner overlooks runs and ends in occurrences that it hasn't begun
     limitChecked, ///< disabled: owners know no limits of workspaces
     limitCountsStops, ///< disabled: runs that are being stopped don't count for their workspace
