Name no end that a worker may forget while its boot is in doubt

Cause: a list that asks which of two boots is the present one names the boot of the entry in doubt, but told the number of the ends of the known one. The client of the workers sends the number only over a connection on which the named boot has answered; a relay may have one, from a list for an earlier owner or one whose answer came too late. That boot would then forget ends of its own that no owner has seen.

Test: worker_restart, "an entry of another boot asks for a list at once ..."; before: CHECK( list->acknowledgedEnd == 0 ) with expansion 1 == 0.

--- a/src/libprimrosecroft/cell/leases.cpp
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -203,8 +203,9 @@
         });
         const auto maxWait = isInTrial(worker) ? timeToTrialEnd(worker, now) : std::chrono::milliseconds(listWait);
         const auto wait = deadline && isBusy && !needsImmediateAnswer ? std::min(maxWait, listWait) : 0ms;
-        // A worker that doesn't answer may have restarted, and number other ends like those that it may forget.
-        const auto acknowledgedEnd = worker.isUnresponsive ? 0 : worker.acknowledgedEnd;
+        // A worker that doesn't answer may have restarted, and number other ends like those that it may forget. An
+        // entry in doubt tells of such a boot.
+        const auto acknowledgedEnd = worker.isUnresponsive || isBootInDoubt ? 0 : worker.acknowledgedEnd;
         worker.isListPending = true;
         const auto &receiver = isBootInDoubt ? worker.doubtedEntry->description : worker.description;
         worker.requestedBoot = receiver.boot;
--- a/tests/unit/worker_restart_test.cpp
+++ b/tests/unit/worker_restart_test.cpp
@@ -269,6 +269,8 @@
     REQUIRE(list != lists.end());
     CHECK(list->wait == 0ms);
     CHECK_FALSE(list->deadline);
+    REQUIRE(cell.cell.state.workers.at(cell.start.worker).acknowledgedEnd == 1);
+    CHECK(list->acknowledgedEnd == 0); // the number would be another boot's
     CHECK_FALSE(detail::mayStartOn(cell.cell.state, cell.cell.state.workers.at(cell.start.worker), cell.cell.now));
     cell.cell.answerList(cell.start.worker, {}); // the entry was a late one
     CHECK(detail::mayStartOn(cell.cell.state, cell.cell.state.workers.at(cell.start.worker), cell.cell.now));
