--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -369,8 +369,8 @@
     CHECK(firstViolation(disabled_rule::acknowledgeAfterCommit, maxSeeds) != 0);
     CHECK(firstViolation(disabled_rule::maxUnavailable, maxSeeds, drainsPerSchedule) != 0);
     CHECK(firstRestartViolation(disabled_rule::unshownRunsMayGoOn, maxSeeds) != 0);
-    CHECK(firstRestartViolation(disabled_rule::entriesDoubted, maxSeeds, true) != 0);
     CHECK(firstRestartViolation(disabled_rule::endsOfOneBoot, maxSeeds) != 0);
+    CHECK(firstRestartViolation(disabled_rule::entriesDoubted, maxSeeds, true) != 0);
     CHECK(firstOccurrenceViolation(disabled_rule::shownOccurrencesBegin, maxSeeds) != 0);
     CHECK_FALSE(runCrashSchedule(1, crash_cause::tasks, {}, disabled_rule::lossCounts).violation.empty());
 }
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -86,6 +86,14 @@
     std::set<std::uint32_t> failed; ///< attempts whose failed ends an owner has acknowledged
 };
 
+/// The bounds of workers that forget ends as early as the users' pages let them.
+executor_bounds forgetfulWorkers()
+{
+    executor_bounds result;
+    result.forgetsUpToHighest = true;
+    return result;
+}
+
 } // namespace
 
 struct cell_emulation::parts
@@ -167,8 +175,14 @@
         worker.pool = "pool";
         worker.labels = {"a", "rack" + std::to_string(index / 2)};
         worker.capacity = {8'000, 16'000, 0};
-        workers.push_back(
-            {executor_emulator(worker, index % 2 == 0 ? 1.0 : 0.98), {}, false, {}, false, false, worker, {}});
+        workers.push_back({executor_emulator(worker, index % 2 == 0 ? 1.0 : 0.98, forgetfulWorkers()),
+                           {},
+                           false,
+                           {},
+                           false,
+                           false,
+                           worker,
+                           {}});
         return index;
     }
 
