Soak: judge cancels after acceptance only, and a caller's time limit by the store's state

Two findings of the judge were its own. And the users' rules count neither a time limit that was reached nor what happens while the store is disturbed: silence until the time limit beside a disturbed store is marked instead of broken. A connection that breaks off without an answer is broken as before.

--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -3,6 +3,7 @@
 #include "daemons.h"
 #include "judge.h"
 #include "seeded.h"
+#include "store_doors.h"
 
 #include <deque>
 #include <map>
@@ -19,6 +20,7 @@
     {
         const soak_site &site;
         daemons &processes;
+        const store_doors &doors;
         standins::waiting_calls &calls;
         instant start; ///< of the soak
     };
@@ -54,6 +56,7 @@
 
     void submitDue(job_kind kind, double rate, instant &next);
     void submit(job_kind kind);
+    void cancel(const job_id &id);
     void call(const attempt &what);
     void answered(const attempt &what, int daemon, instant sentAt, const http_outcome &outcome);
     void judgeFailure(const attempt &what, int daemon, instant sentAt, const http_failure &failure);
@@ -61,6 +64,8 @@
     void accepted(const attempt &what, job_record &job);
     void retry(attempt what);
     void askStates();
+    /// Tells whether neither the process nor the store, for it, has been disturbed since shortly before the call.
+    bool isCalmCall(int daemon, instant sentAt) const;
     int chooseDaemon();
     milliseconds now() const;
 
--- a/tests/soak/store_doors.cpp
+++ b/tests/soak/store_doors.cpp
@@ -112,15 +112,23 @@
         }
     } else if (what.kind == fault_kind::stopStore) {
         m_allDoors = {until, what.manner};
+        m_disturbedUntil = std::max(m_disturbedUntil, until);
     } else if (what.kind == fault_kind::slowStore) {
         m_slowUntil = until;
+        m_disturbedUntil = std::max(m_disturbedUntil, until);
     } else if (what.kind == fault_kind::loseStoreAnswers) {
         m_losesUntil = until;
+        m_disturbedUntil = std::max(m_disturbedUntil, until);
     } else if (what.kind == fault_kind::dropStoreHistory) {
         m_server.store.dropHistory();
     }
 }
 
+bool store_doors::servedCalmly(int daemon, instant since) const
+{
+    return m_disturbedUntil < since && m_doors.at(static_cast<std::size_t>(daemon)).until < since;
+}
+
 int store_doors::owner() const
 {
     return m_owners.empty() ? -1 : static_cast<int>(m_owners.rbegin()->second);
--- a/tests/soak/store_doors.h
+++ b/tests/soak/store_doors.h
@@ -27,6 +27,9 @@
     /// Begins a fault of the store. @p daemons are those that it turns away.
     void begin(const fault &what, const std::vector<int> &daemons);
 
+    /// Tells whether the store has served this daemon without a disturbance since then.
+    bool servedCalmly(int daemon, instant since) const;
+
     /// Returns the number of the daemon that took over last; -1 if none has.
     int owner() const;
 
@@ -53,6 +56,7 @@
     closed_door m_allDoors;
     instant m_slowUntil;
     instant m_losesUntil;
+    instant m_disturbedUntil; ///< for all daemons
     std::map<row_version, std::size_t> m_owners;
 };
 
