--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -104,6 +104,23 @@
     faults.insert(faults.end(), repeated.begin(), repeated.end());
 }
 
+/// After some restarts the workers carry out orders without an answer, so that their entries tell of the restart first.
+void addSilentRestarts(seeded &random, std::vector<fault> &faults)
+{
+    std::vector<fault> silent;
+    for (const auto &each : faults) {
+        if (each.kind != fault_kind::restartWorkers || !random.chance(0.3)) {
+            continue;
+        }
+        auto next = each;
+        next.kind = fault_kind::loseOrderAnswers;
+        next.at += each.duration;
+        next.duration = random.time(200ms, 1'500ms);
+        silent.push_back(next);
+    }
+    faults.insert(faults.end(), silent.begin(), silent.end());
+}
+
 /// Returns when what the fault entails is over.
 milliseconds endOf(const fault &each)
 {
@@ -136,7 +153,8 @@
         }
     }
     repeatRestarts(random, plan.faults, end);
-    std::ranges::stable_sort(plan.faults, {}, &fault::at);
+    addSilentRestarts(random, plan.faults);
+    std::ranges::sort(plan.faults, {}, &fault::at);
     for (const auto &each : plan.faults) {
         plan.calmAt = std::max(plan.calmAt, endOf(each));
     }
