--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -9,10 +9,12 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <glib.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <numeric>
+#include <optional>
 
 /**
  * Runs cell daemons as processes against emulated workers and an emulated store, under faults that its seed draws, and
