--- a/tests/unit/run_reports_test.cpp
+++ b/tests/unit/run_reports_test.cpp
@@ -1,6 +1,4 @@
-#include "owned_cell.h"
-
-#include <catch2/catch.hpp>
+#include "started_task_cell.h"
 
 /// What an owner reports of runs whose end it concludes, and of second runs of a task, so that the log alone tells why
 /// a task was started again.
@@ -10,37 +8,14 @@
 namespace
 {
 
-constexpr resources wholeWorker {8'000, 16'000, 0};
-
-/// A cell of two equal workers, with a task that one of them has started and not listed.
-struct reporting_cell
+/// A worker has started the task and not listed it.
+struct reporting_cell : started_task_cell
 {
     reporting_cell()
     {
-        cell.addWorker(owned_cell::makeWorker("a", "r", wholeWorker));
-        cell.addWorker(owned_cell::makeWorker("b", "r", wholeWorker));
-        step_spec spec;
-        spec.count = 1;
-        spec.size = {1'000, 1'000, 0};
-        spec.estimate = 800ms;
-        cell.addJob(owned_cell::makeJob("job", {spec}));
-        const auto starts = cell.runSchedulingPass();
-        REQUIRE(starts.size() == 1);
-        start = starts.front();
         answerStart(order_result::done);
     }
 
-    void answerStart(order_result result)
-    {
-        step(cell.state, start_answered {start.worker, start.boot, start.run, result, cell.now}, cell.now,
-             cell.actions);
-    }
-
-    worker_id other() const
-    {
-        return start.worker == "a" ? "b" : "a";
-    }
-
     /// Returns the last report of this type, or nullptr.
     template<typename report>
     const report *last() const
@@ -53,9 +28,6 @@
         }
         return result;
     }
-
-    owned_cell cell;
-    send_start start;
 };
 
 } // namespace
--- a/tests/unit/worker_restart_test.cpp
+++ b/tests/unit/worker_restart_test.cpp
@@ -1,8 +1,7 @@
 #include "cell/detail/cell_parts.h"
-#include "owned_cell.h"
+#include "started_task_cell.h"
 
 #include <algorithm>
-#include <catch2/catch.hpp>
 #include <iterator>
 
 /// What becomes of the runs on a worker that restarts under its id. Orders name the worker and not its boot, so what
@@ -13,31 +12,8 @@
 namespace
 {
 
-constexpr resources wholeWorker {8'000, 16'000, 0};
-
-/// A cell of two equal workers, with a task whose start was sent to one of them, which list nothing by themselves.
-struct restarting_cell
+struct restarting_cell : started_task_cell
 {
-    restarting_cell()
-    {
-        cell.addWorker(owned_cell::makeWorker("a", "r", wholeWorker));
-        cell.addWorker(owned_cell::makeWorker("b", "r", wholeWorker));
-        step_spec spec;
-        spec.count = 1;
-        spec.size = {1'000, 1'000, 0};
-        spec.estimate = 800ms;
-        cell.addJob(owned_cell::makeJob("job", {spec}));
-        const auto starts = cell.runSchedulingPass();
-        REQUIRE(starts.size() == 1);
-        start = starts.front();
-    }
-
-    void answerStart(order_result result)
-    {
-        step(cell.state, start_answered {start.worker, start.boot, start.run, result, cell.now}, cell.now,
-             cell.actions);
-    }
-
     /// The worker's entry in the platform's list tells of its second boot, or of another one.
     void listNextBoot(worker_boot boot = 2, const std::string &address = {})
     {
@@ -58,7 +34,7 @@
         std::vector<send_start> result;
         for (auto left = time; left > 0ms; left -= 50ms) {
             cell.advance(std::min<std::chrono::milliseconds>(left, 50ms));
-            cell.answerList(start.worker == "a" ? "b" : "a", {});
+            cell.answerList(other(), {});
             std::ranges::copy(cell.runSchedulingPass(), std::back_inserter(result));
             cell.confirmCommit();
         }
@@ -81,9 +57,6 @@
     {
         return cell.state.jobs.at("job").occurrences.at(0).steps[0].tasks[0];
     }
-
-    owned_cell cell;
-    send_start start;
 };
 
 } // namespace
