Let the stand-in and the soak write a worker's entry by one function, and say of earlierBoot what holds

Behaviour is the same; the soak's workers never drain, so their state stays ready. The comment on earlierBoot still said that only a list shows a boot to be over; since a higher entry does too.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -244,7 +244,7 @@
     /// The highest boot so far. The time of day of a worker may go back, so that a later boot is lower.
     worker_boot highestBoot = 0;
     std::optional<doubted_entry> doubtedEntry;
-    worker_boot earlierBoot = 0; ///< the last boot that a list has shown to be over, whose entry may lag
+    worker_boot earlierBoot = 0; ///< the last boot that is known to be over, whose entry may lag
     worker_boot lostBoot = 0; ///< the last boot whose loss is counted
     bool isListed = false; ///< the platform lists the worker, in its present boot
     instant drainEndsAt; ///< when the draining worker is removed at the earliest; zero if unknown or not draining
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -342,18 +342,8 @@
             continue;
         }
         worker.nextEntryAt = bootNow() + heartbeat;
-        const json entry {{"service", description.pool},
-                          {"address", description.address},
-                          {"zone", description.failureDomain},
-                          {"state", "ready"},
-                          {"born", description.boot},
-                          {"capacity",
-                           {{"cpu", description.capacity.milliCores},
-                            {"memMb", description.capacity.memoryMib},
-                            {"gpu", description.capacity.accelerators}}},
-                          {"labels", description.labels},
-                          {"seq", ++worker.sequence}};
-        m_parts.store.store.put({platform::workerTable, "", description.id}, entry.dump());
+        m_parts.store.store.put({platform::workerTable, "", description.id},
+                                standins::workerEntry(description, ++worker.sequence));
     }
 }
 
--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -180,18 +180,7 @@
     {
         for (const auto &worker : workers) {
             const auto &description = worker.description();
-            const json entry {{"service", description.pool},
-                              {"address", description.address},
-                              {"zone", description.failureDomain},
-                              {"state", description.isDraining ? "draining" : "ready"},
-                              {"born", description.boot},
-                              {"capacity",
-                               {{"cpu", description.capacity.milliCores},
-                                {"memMb", description.capacity.memoryMib},
-                                {"gpu", description.capacity.accelerators}}},
-                              {"labels", description.labels},
-                              {"seq", ++announcements}};
-            store.put({platform::workerTable, "", description.id}, entry.dump());
+            store.put({platform::workerTable, "", description.id}, standins::workerEntry(description, ++announcements));
         }
         for (const auto &[id, entry] : executors) {
             store.put({platform::workerTable, "", id}, entry.dump());
--- a/tests/standins/worker_server.cpp
+++ b/tests/standins/worker_server.cpp
@@ -152,4 +152,20 @@
     }
 }
 
+std::string workerEntry(const worker_description &worker, std::int64_t sequence)
+{
+    const json entry {{"service", worker.pool},
+                      {"address", worker.address},
+                      {"zone", worker.failureDomain},
+                      {"state", worker.isDraining ? "draining" : "ready"},
+                      {"born", worker.boot},
+                      {"capacity",
+                       {{"cpu", worker.capacity.milliCores},
+                        {"memMb", worker.capacity.memoryMib},
+                        {"gpu", worker.capacity.accelerators}}},
+                      {"labels", worker.labels},
+                      {"seq", sequence}};
+    return entry.dump();
+}
+
 } // namespace primrosecroft::standins
--- a/tests/standins/worker_server.h
+++ b/tests/standins/worker_server.h
@@ -4,6 +4,7 @@
 #include "io/http_server.h"
 #include "waiting_calls.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,4 +32,7 @@
 void serveOrder(executor_emulator &worker, const std::shared_ptr<http_request> &request, waiting_calls &calls,
                 const worker_server_hooks &hooks);
 
+/// Returns the value of the entry by which a worker announces itself in the store. @p sequence counts its entries.
+std::string workerEntry(const worker_description &worker, std::int64_t sequence);
+
 } // namespace primrosecroft::standins
