Turn no job away while workers have room for it, nor by the usual time of its tasks

The forecast of the wait counts cores, also those of gangs that can't start; accelerators run out first.

A job whose first tasks have room now, beside those that wait, are served before and may start, is accepted.

Objective and critical path of a refusal are those of the longest tasks of a kind (nine of ten are shorter): lateness is judged by how long the tasks really take. Until now the path was the caller's estimate and the objective a forecast.

--- a/src/libprimrosecroft/cell/backlog.cpp
+++ b/src/libprimrosecroft/cell/backlog.cpp
@@ -5,6 +5,7 @@
 #include "core/contains.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 namespace primrosecroft
@@ -16,6 +17,7 @@
 using namespace std::chrono_literals;
 using detail::serving_rank;
 
+constexpr double leastShare = 0.05; ///< of the workers that advice is taken to allow
 constexpr double milliCoresPerCore = 1'000;
 
 bool isJudged(const job_spec &spec)
@@ -42,9 +44,56 @@
         : std::ssize(step.tasks);
 }
 
+/// Number of tasks of this size that have room in @p offered, up to @p most.
+std::int64_t fittingTasks(const resources &offered, const resources &size, std::int64_t most)
+{
+    const auto limit = [&most](std::int64_t amount, std::int64_t needed) {
+        if (needed > 0) {
+            most = std::min(most, std::max<std::int64_t>(amount, 0) / needed);
+        }
+    };
+    limit(offered.milliCores, size.milliCores);
+    limit(offered.memoryMib, size.memoryMib);
+    limit(offered.accelerators, size.accelerators);
+    return most;
+}
+
+/// Takes room for up to @p most tasks of this size from the workers, and returns for how many there is.
+std::int64_t takeRoom(std::vector<resources> &room, const resources &size, std::int64_t most)
+{
+    std::int64_t result = 0;
+    for (auto each = room.begin(); each != room.end() && result < most; ++each) {
+        const auto fitting = fittingTasks(*each, size, most - result);
+        each->milliCores -= fitting * size.milliCores;
+        each->memoryMib -= fitting * size.memoryMib;
+        each->accelerators -= fitting * size.accelerators;
+        result += fitting;
+    }
+    return result;
+}
+
+/// Takes the room of the tasks that may start now, on workers that advice is expected to allow: all of a gang or none.
+void takeRoomFor(std::vector<resources> &room, const waiting_tasks &tasks)
+{
+    const auto needed = static_cast<std::int64_t>(std::ceil(static_cast<double>(tasks.count) / tasks.allowedShare));
+    auto left = room;
+    const auto fitting = takeRoom(left, tasks.size, needed);
+    if (!tasks.isGang || fitting == needed) {
+        takeRoom(room, tasks.size, static_cast<std::int64_t>(static_cast<double>(fitting) * tasks.allowedShare));
+    }
+}
+
+/// Share of the workers that advice is expected to allow for a step of the queue.
+double allowedShareOf(const cell_state &state, const queue_policy &queue)
+{
+    const auto found = state.advice.find(queue.name);
+    return queue.advice && found != state.advice.end() ? std::max(leastShare, found->second.allowedShare) : 1;
+}
+
 void addWaitingWork(const cell_state &state, const job_state &job, cell_backlog &backlog, instant now)
 {
     auto &waiting = backlog.pools[job.accepted.queue.pool].waiting;
+    const auto allowedShare = allowedShareOf(state, job.accepted.queue);
     for (const auto &[number, occurrence] : job.occurrences) {
         for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
             const auto &step = occurrence.steps[index];
@@ -55,7 +104,8 @@
                 waiting.push_back({detail::servingRankOf(state, job, step, spec, now),
                                    detail::coresOf(spec) * static_cast<double>(tasks),
                                    detail::coreSecondsOf(spec) * static_cast<double>(tasks),
-                                   step.isReady ? 0ms : occurrence.steps.front().criticalPath - step.criticalPath});
+                                   step.isReady ? 0ms : occurrence.steps.front().criticalPath - step.criticalPath,
+                                   {spec.size, tasks, spec.isGang, allowedShare}});
             }
         }
     }
@@ -93,7 +143,11 @@
             capacity.offered += cores;
             if (detail::mayStartOn(state, worker, now)) {
                 capacity.usable += cores;
-                capacity.free += static_cast<double>(detail::freeCapacity(worker).milliCores) / milliCoresPerCore;
+                const auto free = detail::freeCapacity(worker);
+                capacity.free += static_cast<double>(free.milliCores) / milliCoresPerCore;
+                if (free.milliCores > 0) {
+                    result.pools[worker.description.pool].room.push_back(free);
+                }
             }
         }
     }
@@ -118,8 +172,11 @@
     job_outlook result;
     result.pool = accepted.queue.pool;
     result.request.id = accepted.id;
-    result.request.objective = job.objective;
-    result.request.criticalPath = criticalPathDuration(accepted.spec);
+    const auto longest = detail::longestTimes(state, job);
+    result.request.objective = longest.objective;
+    result.request.criticalPath = longest.criticalPath;
+    const auto &firstStep = accepted.spec.steps.front();
+    result.work.tasks = {firstStep.size, firstStep.count, firstStep.isGang, allowedShareOf(state, accepted.queue)};
     result.work.rank = detail::servingRankOf(state, job, first, accepted.spec.steps.front(), now);
     result.work.cores = detail::coresOf(accepted.spec.steps.front()) * accepted.spec.steps.front().count;
     for (const auto &spec : accepted.spec.steps) {
@@ -128,6 +185,24 @@
     return result;
 }
 
+bool hasRoomNow(const cell_backlog &backlog, const job_outlook &job)
+{
+    const auto pool = backlog.pools.find(job.pool);
+    if (pool == backlog.pools.end()) {
+        return false;
+    }
+    std::vector<const waiting_work *> before;
+    for (const auto &each : pool->second.waiting) {
+        if (each.rank <= job.work.rank && each.readyIn == 0ms) {
+            before.push_back(&each);
+        }
+    }
+    std::ranges::sort(before, [](const auto *left, const auto *right) { return left->rank < right->rank; });
+    auto room = pool->second.room;
+    std::ranges::for_each(before, [&room](const waiting_work *each) { takeRoomFor(room, each->tasks); });
+    return takeRoom(room, job.work.tasks.size, job.work.tasks.count) == job.work.tasks.count;
+}
+
 work_ahead workAheadOf(const cell_state &state, const cell_backlog &backlog, const job_outlook &job, instant now)
 {
     work_ahead result;
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -198,6 +198,17 @@
 /// Renews the forecast of each step of the job, and with them its critical paths and its objective.
 void renewForecasts(const cell_state &state, job_state &job);
 
+/// Times of a job if its tasks are among the longest of their kind.
+struct longest_times
+{
+    std::chrono::milliseconds objective {0};
+    std::chrono::milliseconds criticalPath {0};
+};
+
+/// Times by which a job may be turned away. Callers judge lateness by how long the tasks really take, so a job with
+/// long ones has more time than its objective tells, which is the usual one.
+longest_times longestTimes(const cell_state &state, const job_state &job);
+
 /// Renews the forecasts of all jobs of which a step waits, once in a while.
 void renewForecastsIfDue(cell_state &state, instant now);
 
--- a/src/libprimrosecroft/cell/run_times.cpp
+++ b/src/libprimrosecroft/cell/run_times.cpp
@@ -193,6 +193,18 @@
     job.objective = objectiveOf(job.accepted, paths.empty() ? 0ms : std::ranges::max(paths));
 }
 
+longest_times longestTimes(const cell_state &state, const job_state &job)
+{
+    const auto &spec = job.accepted.spec;
+    step_durations late;
+    std::ranges::transform(spec.steps, std::back_inserter(late), [&](const step_spec &step) {
+        return timeInWaves(state, job.accepted, step, baseForecast(state, job, step).late);
+    });
+    const auto paths = criticalPathsFromSteps(spec, late);
+    const auto criticalPath = paths.empty() ? 0ms : std::ranges::max(paths);
+    return {objectiveOf(job.accepted, criticalPath), criticalPath};
+}
+
 void renewForecastsIfDue(cell_state &state, instant now)
 {
     if (!state.settings.learnsDurations || now < state.nextForecastAt) {
--- a/src/libprimrosecroft/owner_session/admission_control.cpp
+++ b/src/libprimrosecroft/owner_session/admission_control.cpp
@@ -66,7 +66,7 @@
     }
     const auto ahead = workAheadOf(state, m_backlog, *outlook, now);
     const auto verdict = decideAdmission(outlook->request, ahead);
-    if (verdict.isAccepted) {
+    if (verdict.isAccepted || hasRoomNow(m_backlog, *outlook)) {
         return std::nullopt;
     }
     const auto age = std::chrono::duration_cast<milliseconds>(now - m_backlog.at);
