Let steps that can start ask for advice first, and claim the room that they ask about

A waiting gang renewed its tickets each 2 s and asked about workers with too little room for all its members; as it comes before wide jobs of a later priority, those got no call. And all steps asked about the workers with the most room, which only the first got.

Now a gang asks if its members may have room; a pending call claims the room that it is expected to use; known workers are asked about again when they have room; what can't start asks ahead over a quarter of the daemons, after those that can.

--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -1,5 +1,6 @@
 #include "cell/detail/advice_requests.h"
 
+#include "cell/detail/advice_claims.h"
 #include "cell/detail/workspace_limits.h"
 #include "core/contains.h"
 
@@ -24,6 +25,9 @@
 /// answer in vain costs the step a whole call.
 constexpr double maxRefusalChance = 0.05;
 constexpr std::int64_t costShareOfFurtherWorkers = 10; ///< they add at most one part in this many to a call's duration
+constexpr double leastRoom = 0.25; ///< a worker with less than this part of a task's room to expect isn't asked about
+constexpr double leastAllowedShare = 0.05; ///< of workers, that is expected even if fewer were allowed lately
+constexpr double gangAheadFactor = 3; ///< allowed workers to know ahead for each member: all need room at the same time
 constexpr auto adviceRetryDelay = 200ms; ///< pause after a call without an answer
 constexpr double allowedShareWeight = 0.1; ///< weight of the newest answer in the smoothed share of allowed workers
 
@@ -35,6 +39,7 @@
 /// service's queues, however large the cell is.
 constexpr std::int32_t routesForEachCheapOne = 4;
 constexpr std::int32_t minRoutesForCheapCalls = 2;
+constexpr std::int32_t aheadRouteShare = 4; ///< calls for steps that can't start use up to one in so many routes
 constexpr std::int32_t cheapCallsPerRoute = 2; ///< limit of pending cheap calls for each advice route
 
 /// Early calls are made this long, plus their duration, before the estimated end of the step's predecessors.
@@ -60,6 +65,12 @@
     return pendingCalls(state, policy) < maxPendingCalls;
 }
 
+/// Returns whether a call may be made for a step that can't start yet. Calls for those that can take the other routes.
+bool mayCallAhead(const cell_state &state, const advice_policy &policy)
+{
+    return isCostly(policy) && state.costlyAdviceCalls < state.adviceRoutes / aheadRouteShare;
+}
+
 bool isWaitingForAnswer(const step_advice &advice, instant now)
 {
     return advice.isRequestPending || now < advice.retryAt;
@@ -87,15 +98,12 @@
 /// A worker to ask about.
 struct advice_option
 {
-    int order = 0; ///< 0 and 1: free capacity, 2 and 3: none; even: known to be allowed; more by lastResort: asked last
-    std::int32_t capacity = 0;
+    bool isLast = false; ///< it didn't answer its last list request, or no pending task goes there by choice
+    bool isKnown = false; ///< it is known to be allowed
+    double room = 0; ///< tasks that it may take, less what other steps are expected to use
     usable_workers::position worker = 0;
 };
 
-/// Added to the order of workers that didn't answer their last list request, or to which no pending task goes while it
-/// has another choice.
-constexpr int lastResort = 4;
-
 /// Returns whether a task of the step has room on the worker while nothing else runs there.
 bool fitsOnEmpty(const worker_description &worker, const step_spec &spec)
 {
@@ -106,7 +114,8 @@
 /// Orders heaps of options, of which the best is on top.
 bool isWorse(const advice_option &left, const advice_option &right)
 {
-    return std::tie(right.order, left.capacity, right.worker) < std::tie(left.order, right.capacity, left.worker);
+    return std::tie(right.isLast, left.isKnown, left.room, right.worker)
+        < std::tie(left.isLast, right.isKnown, right.room, left.worker);
 }
 
 /// Capacity of the usable workers for a step.
@@ -160,67 +169,178 @@
     return static_cast<std::size_t>(std::clamp<std::int64_t>(affordable, 0, maxWorkersPerAdviceCall));
 }
 
-/// Workers to ask the advice service about, best first: those with free capacity before those without, and within
-/// both groups those known to be allowed before those not asked about yet. Those too small for a task are left out.
-/// Workers that didn't answer their last list request come last, and so do those that all pending tasks avoid or on
-/// which they run. Returns no worker if those with tickets have capacity for @p needed tasks.
-std::vector<worker_id> chooseWorkersToAsk(cell_state &state, usable_workers &usable, const waiting_step &waiting,
-                                          std::int32_t needed, bool mayAskWithoutCapacity, instant now)
+/// The workers that a step may ask about, and what those give that it needn't ask about.
+struct advice_choice
 {
-    auto &eligible = usable.groupOf(waiting);
-    if (!mayAskWithoutCapacity && !usable.mayFit(eligible, *waiting.spec)) {
-        return {};
+    std::vector<advice_option> options;
+    double covered = 0; ///< number of tasks
+};
+
+/// Number of tasks that the workers asked about are expected to take, or one of them.
+class expected_room
+{
+public:
+    explicit expected_room(double allowedShare)
+        : m_allowedShare(std::max(leastAllowedShare, allowedShare))
+    {
+    }
+
+    double chanceOf(const advice_option &option) const
+    {
+        return option.isKnown ? 1 : m_allowedShare;
     }
+
+    double of(const std::vector<advice_option> &options) const
+    {
+        double result = 0;
+        for (const auto &each : options) {
+            result += each.room * chanceOf(each);
+        }
+        return result;
+    }
+
+private:
+    double m_allowedShare;
+};
+
+expected_room expectedRoomFor(const cell_state &state, const waiting_step &waiting)
+{
+    const auto found = state.advice.find(waiting.job->accepted.queue.name);
+    return expected_room(found == state.advice.end() ? advice_stats {}.allowedShare : found->second.allowedShare);
+}
+
+/// Workers with room now, less what other steps are expected to use. Those with valid tickets cover tasks.
+advice_choice workersWithRoom(const usable_workers &usable, const usable_workers::group &eligible,
+                              const waiting_step &waiting, instant now)
+{
     const auto knowledge = knowledgeOf(usable, eligible, waiting.step->advice, now);
     const step_capacity capacity(usable, waiting);
-    std::vector<advice_option> options;
-    double covered = 0; // number of tasks that workers with tickets, and those chosen here, can take
-    for (const auto worker : eligible.workers) {
-        const auto known = knowledge[worker];
-        if (known == worker_knowledge::refused) {
+    const auto priority = waiting.job->accepted.queue.priority;
+    advice_choice result;
+    for (const auto position : eligible.workers) {
+        const auto known = knowledge[position];
+        const auto available = known == worker_knowledge::refused ? 0 : capacity.of(position);
+        if (available == 0) {
             continue;
         }
-        const auto available = capacity.of(worker);
-        const bool isChoice = mayTakeAny(waiting, usable.at(worker).worker->description.id);
+        const auto &worker = *usable.at(position).worker;
+        const bool isChoice = mayTakeAny(waiting, worker.description.id);
         if (known == worker_knowledge::valid) {
-            covered += isChoice ? available : 0;
+            result.covered += isChoice ? available : 0;
             continue;
         }
-        const bool isLast = !isChoice || usable.at(worker).worker->isUnresponsive;
-        const int order = (known == worker_knowledge::renewable ? 0 : 1) + (isLast ? lastResort : 0);
-        if (available > 0) {
-            options.push_back({order, available, worker});
-        } else if (mayAskWithoutCapacity && fitsOnEmpty(usable.at(worker).worker->description, *waiting.spec)) {
-            options.push_back({order + 2, 1, worker});
+        const auto room = available * unclaimedShare(worker, priority);
+        if (room >= leastRoom) {
+            result.options.push_back(
+                {!isChoice || worker.isUnresponsive, known == worker_knowledge::renewable, room, position});
         }
     }
-    std::vector<worker_id> result;
-    if (covered >= needed) {
-        return result;
+    return result;
+}
+
+/// Unknown workers that are large enough, whatever runs there. Those known to be allowed cover tasks: their tickets are
+/// only renewed once they have room.
+advice_choice workersLargeEnough(const usable_workers &usable, const usable_workers::group &eligible,
+                                 const waiting_step &waiting, instant now)
+{
+    const auto knowledge = knowledgeOf(usable, eligible, waiting.step->advice, now);
+    advice_choice result;
+    for (const auto position : eligible.workers) {
+        const auto &worker = *usable.at(position).worker;
+        const auto known = knowledge[position];
+        if (known == worker_knowledge::refused || !fitsOnEmpty(worker.description, *waiting.spec)) {
+            continue;
+        }
+        if (known != worker_knowledge::unknown) {
+            ++result.covered;
+        } else if (!worker.isUnresponsive) {
+            result.options.push_back({false, false, 1, position});
+        }
     }
-    const auto share = std::max(0.05, state.advice[waiting.job->accepted.queue.name].allowedShare);
-    const auto &policy = *waiting.job->accepted.queue.advice;
-    const double wanted = needed * (isCostly(policy) ? costlyCapacityFactor : cheapCapacityFactor);
-    const auto maxForChance = maxWorkersForChance(policy);
-    double refusalChance = covered > 0 ? 0 : 1; // of all workers with free capacity
+    return result;
+}
+
+/// Takes the best options until @p wanted tasks are covered, and further ones while all of these may be refused.
+std::vector<advice_option> bestOptions(advice_choice choice, const expected_room &expected, double wanted,
+                                       std::size_t maxForChance)
+{
+    auto &[options, covered] = choice;
+    double refusalChance = covered > 0 ? 0 : 1; // of all
+    std::vector<advice_option> result;
     std::ranges::make_heap(options, isWorse);
     while (!options.empty() && result.size() < maxWorkersPerAdviceCall) {
-        const bool isForChance = covered >= wanted;
-        if (isForChance
-            && (options.front().order > 1 || refusalChance <= maxRefusalChance || result.size() >= maxForChance)) {
+        if (covered >= wanted && (refusalChance <= maxRefusalChance || result.size() >= maxForChance)) {
             break;
         }
         std::ranges::pop_heap(options, isWorse);
-        const auto &best = options.back();
-        const double chance = best.order % 2 == 0 ? 1 : share;
-        covered += best.capacity * chance;
-        refusalChance *= best.order > 1 ? 1 : 1 - chance;
-        result.push_back(usable.at(best.worker).worker->description.id);
+        const auto chance = expected.chanceOf(options.back());
+        covered += options.back().room * chance;
+        refusalChance *= 1 - chance;
+        result.push_back(options.back());
         options.pop_back();
     }
     return result;
 }
 
+/// Workers to ask about so that @p needed tasks start now. None if tickets cover them, or if a gang can't start: if as
+/// many workers are allowed as usually, or, with @p isHopeful, even if all are.
+std::vector<advice_option> workersForStart(const cell_state &state, usable_workers &usable, const waiting_step &waiting,
+                                           std::int32_t needed, bool isHopeful, instant now)
+{
+    auto &eligible = usable.groupOf(waiting);
+    if (!usable.mayFit(eligible, *waiting.spec)) {
+        return {};
+    }
+    auto choice = workersWithRoom(usable, eligible, waiting, now);
+    const auto &policy = *waiting.job->accepted.queue.advice;
+    const auto expected = expectedRoomFor(state, waiting);
+    const auto possible = choice.covered + (isHopeful ? expected_room(1) : expected).of(choice.options);
+    if (choice.covered >= needed || (waiting.spec->isGang && possible < needed)) {
+        return {};
+    }
+    const double factor = isCostly(policy) ? costlyCapacityFactor : cheapCapacityFactor;
+    return bestOptions(std::move(choice), expected, needed * factor, maxWorkersForChance(policy));
+}
+
+/// Workers to ask about ahead, so that it is known which are allowed when they get room.
+std::vector<advice_option> workersAhead(const cell_state &state, usable_workers &usable, const waiting_step &waiting,
+                                        std::int32_t needed, instant now)
+{
+    auto choice = workersLargeEnough(usable, usable.groupOf(waiting), waiting, now);
+    const auto wanted = needed * (waiting.spec->isGang ? gangAheadFactor : costlyCapacityFactor);
+    if (choice.covered >= wanted) {
+        return {};
+    }
+    return bestOptions(std::move(choice), expectedRoomFor(state, waiting), wanted, 0);
+}
+
+/// Workers to ask the advice service about, best first: those that may take tasks before those that are asked last,
+/// those known to be allowed before those not asked about yet.
+std::vector<advice_option> chooseWorkersToAsk(const cell_state &state, usable_workers &usable,
+                                              const waiting_step &waiting, std::int32_t needed, advice_purpose purpose,
+                                              instant now)
+{
+    const bool isAhead = purpose == advice_purpose::ahead;
+    const bool isHopeful = isAhead || !isCostly(*waiting.job->accepted.queue.advice);
+    auto result = workersForStart(state, usable, waiting, needed, isHopeful, now);
+    return result.empty() && isAhead ? workersAhead(state, usable, waiting, needed, now) : result;
+}
+
+/// Claims the room that the step is expected to use on the workers that it asks about.
+void claimRoom(cell_state &state, const usable_workers &usable, const waiting_step &waiting, std::int32_t needed,
+               const std::vector<advice_option> &asked)
+{
+    const auto expected = expectedRoomFor(state, waiting);
+    const auto used = std::min(1.0, needed / std::max(1.0, expected.of(asked)));
+    const auto priority = waiting.job->accepted.queue.priority;
+    std::map<worker_id, double> shares;
+    for (const auto &each : asked) {
+        const auto &worker = *usable.at(each.worker).worker;
+        shares[worker.description.id] = used * expected.chanceOf(each) * unclaimedShare(worker, priority);
+    }
+    claim(state, waiting.ref(), priority, std::move(shares));
+}
+
 /// Number of tasks for which the step needs workers: those that wait, as far as the limit of its workspace lets them
 /// run.
 std::int32_t neededTasks(const cell_state &state, const waiting_step &waiting)
@@ -248,7 +368,7 @@
 
 } // namespace
 
-void requestAdvice(cell_state &state, usable_workers &usable, const waiting_step &waiting, bool mayAskWithoutCapacity,
+void requestAdvice(cell_state &state, usable_workers &usable, const waiting_step &waiting, advice_purpose purpose,
                    instant now, cell_actions &actions)
 {
     auto &advice = waiting.step->advice;
@@ -260,13 +380,19 @@
     if (needed == 0) {
         return; // the limit of its workspace lets none start
     }
-    const auto workers =
-        chooseWorkersToAsk(state, usable, waiting, needed, isCostly(policy) && mayAskWithoutCapacity, now);
-    if (workers.empty()) {
+    if (purpose == advice_purpose::ahead && !mayCallAhead(state, policy)) {
+        return;
+    }
+    const auto asked = chooseWorkersToAsk(state, usable, waiting, needed, purpose, now);
+    if (asked.empty()) {
         return;
     }
+    claimRoom(state, usable, waiting, needed, asked);
     ++pendingCalls(state, policy);
     advice.isRequestPending = true;
+    std::vector<worker_id> workers;
+    std::ranges::transform(asked, std::back_inserter(workers),
+                           [&](const advice_option &each) { return usable.at(each.worker).worker->description.id; });
     const auto cost = policy.decide + policy.perWorker * static_cast<std::int64_t>(workers.size());
     actions.emplace_back(ask_advice {waiting.ref(), workers, cost, isCostly(policy)});
 }
@@ -285,7 +411,8 @@
                 const bool isCandidate = !each.isReady && each.advice.workers.empty() && mayCall(state, policy)
                     && !isWaitingForAnswer(each.advice, now);
                 if (isCandidate && isReadySoon(occurrence, job.accepted.spec.steps[index], now, soon)) {
-                    requestAdvice(state, usable, waitingStepOf(job, number, occurrence, index), false, now, actions);
+                    requestAdvice(state, usable, waitingStepOf(job, number, occurrence, index), advice_purpose::start,
+                                  now, actions);
                 }
             }
         }
@@ -294,6 +421,7 @@
 
 void handleAdviceAnswer(cell_state &state, const advice_answered &message, instant now)
 {
+    releaseClaims(state, message.step);
     --(message.isCostly ? state.costlyAdviceCalls : state.cheapAdviceCalls);
     const auto view = findTask(state, {message.step.job, message.step.occurrence, message.step.step, 0});
     if (!view) {
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -278,6 +278,8 @@
     /// missing from the lists; zero while they are listed.
     std::map<run_id, instant> unknownRuns;
     worker_health health;
+    /// Shares of its free capacity that pending calls for advice are expected to use, by the priority of their queues.
+    std::map<std::int32_t, double> adviceClaims;
     bool isReconciled = false; ///< the worker has sent a list under this owner's fencing token
     /// By then the runs have ended that an earlier owner had stopped, and which no list shows. Zero if there are none.
     instant formerStopsEndAt;
@@ -296,6 +298,13 @@
     double allowedShare = 0.5; ///< smoothed share of allowed workers among those asked about
 };
 
+/// Shares of workers' free capacity that the pending call of a step is expected to use.
+struct advice_claim
+{
+    std::int32_t priority = 0; ///< of the step's queue
+    std::map<worker_id, double> shares;
+};
+
 struct cell_state
 {
     cell_settings settings;
@@ -327,6 +336,7 @@
     std::deque<job_id> finishedJobsOrder; ///< the same jobs, oldest end first
     std::set<job_id> jobsToRemove; ///< jobs whose end is stored, kept until all their runs are over
     std::map<queue_name, advice_stats> advice;
+    std::map<step_ref, advice_claim> adviceClaims; ///< of the pending calls for advice
     duration_model durations; ///< learned from the runs that have ended, also under earlier owners
     double usualSlowness = 1; ///< smoothed slowness of the workers on which tasks ended; that of a usual worker
     instant nextForecastAt; ///< forecasts of waiting steps are not renewed before this time
--- a/src/libprimrosecroft/cell/detail/advice_requests.h
+++ b/src/libprimrosecroft/cell/detail/advice_requests.h
@@ -7,9 +7,15 @@
 namespace primrosecroft::detail
 {
 
-/// Requests tickets for the step's pending tasks if it has too few. @p mayAskWithoutCapacity allows costly calls to
-/// name workers without free capacity.
-void requestAdvice(cell_state &state, usable_workers &usable, const waiting_step &waiting, bool mayAskWithoutCapacity,
+/// Why a step asks for advice.
+enum class advice_purpose : std::uint8_t
+{
+    start, ///< workers have room for its tasks now
+    ahead, ///< to know which workers are allowed when they get room
+};
+
+/// Requests tickets for the step's pending tasks if it has too few.
+void requestAdvice(cell_state &state, usable_workers &usable, const waiting_step &waiting, advice_purpose purpose,
                    instant now, cell_actions &actions);
 
 /// Requests tickets for steps whose predecessors are about to end, so that their tasks can start without delay.
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -23,8 +23,8 @@
 
 constexpr auto maxConfirmationAge = 2'500ms; ///< no task starts if the last confirmation of ownership is older
 
-/// Only this many steps of a pass, the first ones that need advice, may ask about workers without free capacity.
-constexpr std::size_t maxStepsAskingWithoutCapacity = 10;
+/// Only this many steps of a pass, the first ones that need advice, may ask ahead.
+constexpr std::size_t maxStepsAskingAhead = 10;
 
 /// A suspect that has waited this long for a worker on which a trial may begin goes to any other one.
 constexpr auto maxTrialWait = 2s;
@@ -267,7 +267,7 @@
     }
     usable_workers usable(state, now);
     updateUnseenBounds(state);
-    std::size_t stepsNeedingAdvice = 0;
+    std::vector<waiting_step> ahead; // they ask once all that can start have asked
     for (const auto &queued : queuedSteps(state, now)) {
         const auto &waiting = queued.waiting;
         if (waiting.job->hasFailed) {
@@ -282,8 +282,15 @@
         if (startableTasks(state, *waiting.job, *waiting.spec) == 0) {
             reportLimit(state, waiting, now, actions);
         } else if (waiting.job->accepted.queue.advice) {
-            requestAdvice(state, usable, waiting, stepsNeedingAdvice < maxStepsAskingWithoutCapacity, now, actions);
-            ++stepsNeedingAdvice;
+            requestAdvice(state, usable, waiting, advice_purpose::start, now, actions);
+            if (ahead.size() < maxStepsAskingAhead) {
+                ahead.push_back(waiting);
+            }
+        }
+    }
+    for (const auto &waiting : ahead) {
+        if (!waiting.job->hasFailed) {
+            requestAdvice(state, usable, waiting, advice_purpose::ahead, now, actions);
         }
     }
     requestEarlyAdvice(state, usable, now, actions);
