--- a/src/libprimrosecroft/admission/admission.h
+++ b/src/libprimrosecroft/admission/admission.h
@@ -18,8 +18,8 @@
 struct admission_request
 {
     job_id id;
-    std::chrono::milliseconds objective {0}; ///< as in job_state
-    std::chrono::milliseconds criticalPath {0}; ///< time that the job takes if none of its tasks has to wait
+    std::chrono::milliseconds objective {0}; ///< time within which it should end if its tasks are among the longest
+    std::chrono::milliseconds criticalPath {0}; ///< time that it then takes if none of its tasks has to wait
     std::chrono::milliseconds waited {0}; ///< since the first attempt of its caller, if that was turned away
 };
 
--- a/src/libprimrosecroft/cell/advice_claims.cpp
+++ b/src/libprimrosecroft/cell/advice_claims.cpp
@@ -1,6 +1,7 @@
 #include "cell/detail/advice_claims.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace primrosecroft::detail
 {
@@ -8,8 +9,9 @@
 namespace
 {
 
-constexpr double leastClaim = 1e-6; ///< less is left of claims that have ended by rounding
+constexpr double leastClaim = 1e-6; ///< a smaller sum is the rounding error of claims that have ended
 
+/// Adds to the claims on the worker, if it is still there. A negative @p share ends a claim.
 void add(cell_state &state, const worker_id &id, std::int32_t priority, double share)
 {
     const auto worker = state.workers.find(id);
--- a/src/libprimrosecroft/cell/advice_requests.cpp
+++ b/src/libprimrosecroft/cell/advice_requests.cpp
@@ -65,7 +65,7 @@
     return pendingCalls(state, policy) < maxPendingCalls;
 }
 
-/// Returns whether a call may be made for a step that can't start yet. Calls for those that can take the other routes.
+/// Returns whether a call may be made ahead. The other routes are left to calls of steps that can start.
 bool mayCallAhead(const cell_state &state, const advice_policy &policy)
 {
     return isCostly(policy) && state.costlyAdviceCalls < std::max(1, state.adviceRoutes / aheadRouteShare);
@@ -169,17 +169,19 @@
     return static_cast<std::size_t>(std::clamp<std::int64_t>(affordable, 0, maxWorkersPerAdviceCall));
 }
 
-/// The workers that a step may ask about, and what those give that it needn't ask about.
+/// The workers that a step may ask about.
 struct advice_choice
 {
     std::vector<advice_option> options;
-    double covered = 0; ///< number of tasks
+    double covered = 0; ///< tasks of the step for which it needn't ask about any
 };
 
-/// Number of tasks that the workers asked about are expected to take, or one of them.
+/// Tells how many tasks workers are expected to take once they have been asked about: those not known yet are allowed
+/// with a certain chance.
 class expected_room
 {
 public:
+    /// @p allowedShare is the chance.
     explicit expected_room(double allowedShare)
         : m_allowedShare(std::max(leastAllowedShare, allowedShare))
     {
@@ -260,7 +262,8 @@
     return result;
 }
 
-/// Takes the best options until @p wanted tasks are covered, and further ones while all of these may be refused.
+/// Takes the best options until @p wanted tasks are expected to be covered, and then up to @p maxForChance in all while
+/// it isn't unlikely that all of them are refused.
 std::vector<advice_option> bestOptions(advice_choice choice, const expected_room &expected, double wanted,
                                        std::size_t maxForChance)
 {
--- a/src/libprimrosecroft/cell/backlog.cpp
+++ b/src/libprimrosecroft/cell/backlog.cpp
@@ -177,8 +177,8 @@
     result.request.criticalPath = longest.criticalPath;
     const auto &firstStep = accepted.spec.steps.front();
     result.work.tasks = {firstStep.size, firstStep.count, firstStep.isGang, allowedShareOf(state, accepted.queue)};
-    result.work.rank = detail::servingRankOf(state, job, first, accepted.spec.steps.front(), now);
-    result.work.cores = detail::coresOf(accepted.spec.steps.front()) * accepted.spec.steps.front().count;
+    result.work.rank = detail::servingRankOf(state, job, first, firstStep, now);
+    result.work.cores = detail::coresOf(firstStep) * firstStep.count;
     for (const auto &spec : accepted.spec.steps) {
         result.work.coreSeconds += detail::coreSecondsOf(spec) * static_cast<double>(spec.count);
     }
--- a/src/libprimrosecroft/cell/detail/advice_claims.h
+++ b/src/libprimrosecroft/cell/detail/advice_claims.h
@@ -2,7 +2,7 @@
 
 #include "cell/cell.h"
 
-#include <utility>
+#include <map>
 
 /**
  * What pending calls for advice are expected to use of the workers' free capacity. While a call is under way, other
@@ -14,7 +14,8 @@
 /// Share of the worker's free capacity that no pending call of this priority, or of an earlier one, is expected to use.
 double unclaimedShare(const worker_state &worker, std::int32_t priority);
 
-/// Records that the step's call is expected to use these shares of the workers' free capacity.
+/// Records that the step's call is expected to use these shares of the workers' free capacity. Replaces its earlier
+/// ones.
 void claim(cell_state &state, const step_ref &step, std::int32_t priority, std::map<worker_id, double> shares);
 
 /// Called at the end of the step's call.
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -311,6 +311,34 @@
                    << "), too late " << with["wide"].tooLate << " (" << without["wide"].tooLate << ")");
 }
 
+TEST_CASE("a job whose first tasks have room isn't turned away for gangs that can't start")
+{
+    owned_cell cell;
+    for (const auto *id : {"a", "b"}) {
+        cell.addWorker(owned_cell::makeWorker(id, "r", {milliCoresPerWorker, 64'000, 4}));
+    }
+    const auto makeAccelerated = [](std::int32_t count, std::int64_t accelerators, milliseconds estimate) {
+        auto result = makeStep(count, 1'000, estimate);
+        result.size.accelerators = accelerators;
+        return result;
+    };
+    cell.addJob(owned_cell::makeJob("holder", {makeAccelerated(1, 1, 60s)}));
+    REQUIRE(cell.runSchedulingPass().size() == 1);
+    auto gang = makeAccelerated(2, 4, 3'600s); // both workers whole
+    gang.isGang = true;
+    for (int number = 0; number < 20; ++number) {
+        cell.addJob(owned_cell::makeJob("gang" + std::to_string(number), {gang}));
+    }
+    CHECK(cell.runSchedulingPass().empty());
+    decision_log log {0, -1};
+    admission_control admission(log);
+    const auto fitting = owned_cell::makeJob("fitting", {makeAccelerated(7, 1, 1s)}, 1);
+    CHECK(admission.judge(cell.state, owned_cell::makeJob("large", {makeAccelerated(8, 1, 1s)}, 1), cell.now));
+    CHECK_FALSE(admission.judge(cell.state, fitting, cell.now));
+    admission.noteAccepting(cell.state, fitting, cell.now); // it takes the room
+    CHECK(admission.judge(cell.state, owned_cell::makeJob("next", {makeAccelerated(1, 1, 1s)}, 1), cell.now));
+}
+
 TEST_CASE("services and jobs with a schedule are never turned away")
 {
     owned_cell cell;
