Log orders that get no answer, and on which list a start is doubted

Now whoever sends an order to a worker logs how far it came (no free connection, connecting, sent), the owner logs starts without answer and the list by which it doubts them, and run-given-up tells the age of the confirmed stop. No decision changes.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -21,6 +21,7 @@
 #include "observability/metrics.h"
 #include "owner_link.h"
 #include "owner_session/cell_runner.h"
+#include "owner_session/observed_workers.h"
 #include "platform/store_client.h"
 #include "platform/wire.h"
 #include "platform/worker_client.h"
@@ -137,7 +138,8 @@
         , adviceHttp(adviceConnections)
         , storeClient(storeHttp, settings.store)
         , rows(storeClient)
-        , workers(workerHttp)
+        , workerClient(workerHttp)
+        , workers(workerClient, log, measures)
         , advice(adviceHttp, settings.advice)
         , peers(makeSender(settings.process, "celld", settings.failureDomain, incarnation),
                 [this](const wire::Message &message, const auto &reply) { handleMessage(message, reply); })
@@ -827,7 +829,8 @@
     http_client adviceHttp;
     platform::store_client storeClient;
     monitored_store rows;
-    platform::worker_client workers;
+    platform::worker_client workerClient;
+    observed_workers workers;
     platform::advice_client advice;
     peer_hub peers;
     queue_follower queues;
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -135,6 +135,7 @@
     run_id run;
     order_result result = order_result::lost;
     instant sentAt;
+    std::string silence {}; ///< for the log: how far an order without an answer has come; empty if it isn't known
 };
 
 /// Answer to send_stop.
@@ -145,6 +146,7 @@
     run_id run;
     order_result result = order_result::lost;
     instant sentAt;
+    std::string silence {}; ///< as in start_answered
 };
 
 /// Answer to send_list.
@@ -287,6 +289,25 @@
     bool isConfirmed = false; ///< the worker has answered the start, or listed the run
     std::chrono::milliseconds sentAgo {0}; ///< since its start was sent, or it was found on the worker
     std::optional<std::chrono::milliseconds> heardAgo; ///< since the worker's last list in that boot; unset for none
+    std::optional<std::chrono::milliseconds> stoppedAgo; ///< since the worker confirmed its stop; unset if it hasn't
+};
+
+/// The start of a run got no answer, so the run may exist or not.
+struct report_unanswered_start
+{
+    run_id run;
+    worker_id worker;
+    std::chrono::milliseconds sentAgo {0};
+};
+
+/// A list that was requested after a start without an answer doesn't show the run, so it is stopped: a start that is
+/// held up is then refused.
+struct report_doubted_run
+{
+    run_id run;
+    worker_id worker;
+    std::chrono::milliseconds sentAgo {0}; ///< since the start was sent
+    std::chrono::milliseconds listSentAgo {0}; ///< since the list was requested
 };
 
 /// A run is over, or its start was refused.
@@ -383,8 +404,9 @@
     worker_id worker;
 };
 
-using cell_action = std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed, report_ended,
-                                 report_second_run, report_job_end, report_worker_change, report_worker_loss,
-                                 report_suspect, report_given_up, report_job_size, report_limit_reached, report_fenced>;
+using cell_action = std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed,
+                                 report_unanswered_start, report_doubted_run, report_ended, report_second_run,
+                                 report_job_end, report_worker_change, report_worker_loss, report_suspect,
+                                 report_given_up, report_job_size, report_limit_reached, report_fenced>;
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/detail/run_reports.h
+++ b/src/libprimrosecroft/cell/detail/run_reports.h
@@ -15,6 +15,13 @@
     ended,
 };
 
+void reportUnansweredStart(const worker_state &worker, const run_id &id, const task_run &run, instant now,
+                           cell_actions &actions);
+
+/// Reports that a list requested at @p listSentAt doesn't show a run whose start got no answer.
+void reportDoubtedRun(const worker_state &worker, const run_id &id, const task_run &run, instant listSentAt,
+                      instant now, cell_actions &actions);
+
 /// Reports that the worker refused to start the run, and why.
 void reportRefusedStart(const start_answered &answer, cell_actions &actions);
 
--- a/src/libprimrosecroft/cell/run_reports.cpp
+++ b/src/libprimrosecroft/cell/run_reports.cpp
@@ -10,19 +10,24 @@
 namespace
 {
 
+std::chrono::milliseconds age(instant since, instant now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+}
+
 /// What is known of a run that is given up although its worker has listed no end.
 run_evidence evidenceOf(const worker_state &worker, const task_run &run, instant now)
 {
-    const auto age = [now](instant since) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
-    };
     run_evidence result;
     result.boot = run.boot;
     result.isShown = run.isShown;
     result.isConfirmed = run.phase == run_phase::running;
-    result.sentAgo = age(run.sentAt);
+    result.sentAgo = age(run.sentAt, now);
     if (worker.lastSignAt != instant {}) {
-        result.heardAgo = age(worker.lastSignAt);
+        result.heardAgo = age(worker.lastSignAt, now);
+    }
+    if (run.stopConfirmedAt != instant {}) {
+        result.stoppedAgo = age(run.stopConfirmedAt, now);
     }
     return result;
 }
@@ -38,6 +43,18 @@
 
 } // namespace
 
+void reportUnansweredStart(const worker_state &worker, const run_id &id, const task_run &run, instant now,
+                           cell_actions &actions)
+{
+    actions.emplace_back(report_unanswered_start {id, worker.description.id, age(run.sentAt, now)});
+}
+
+void reportDoubtedRun(const worker_state &worker, const run_id &id, const task_run &run, instant listSentAt,
+                      instant now, cell_actions &actions)
+{
+    actions.emplace_back(report_doubted_run {id, worker.description.id, age(run.sentAt, now), age(listSentAt, now)});
+}
+
 void reportRefusedStart(const start_answered &answer, cell_actions &actions)
 {
     actions.emplace_back(report_ended {answer.run, answer.worker, refusalText(answer.result), {}});
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -278,6 +278,9 @@
         if (isComplete && (wasRunning || isSurelyStopped)) {
             endedRuns.emplace(id, wasRunning || run->mayBeOver ? past_run::mayHaveRun : past_run::neverRan);
         } else if (run->phase == run_phase::unconfirmed && run->sentAt < message.sentAt) {
+            if (!run->isStopWanted) {
+                reportDoubtedRun(worker, id, *run, message.sentAt, now, actions);
+            }
             run->isStopWanted = true; // a delayed start is then refused, so that the task can run elsewhere
             sendStopIfDue(state, id.task, *run, now, actions);
         }
@@ -438,6 +441,7 @@
         return;
     case order_result::lost:
         if (run->phase == run_phase::starting) {
+            reportUnansweredStart(worker, message.run, *run, now, actions);
             run->phase = run_phase::unconfirmed;
             worker.nextListAt = std::min(worker.nextListAt, now);
         }
--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -5,6 +5,7 @@
 #include "io/timer.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <deque>
@@ -274,6 +275,7 @@
             connection.stream->onFault(fault);
         };
         connection.socket.start(std::move(callbacks));
+        m_isNewConnection = true;
         use(connection);
     }
 
@@ -484,14 +486,26 @@
         if (m_isFinished) {
             return;
         }
-        m_isSent = m_connection != nullptr && m_connection->socket.hasSent();
+        const auto reached = stage();
+        const bool isSent = reached == http_stage::sentOnNewConnection || reached == http_stage::sentOnKeptConnection;
         const auto self = end();
         if (!m_pools->isClosing) {
             release(false);
-            m_handlers.failed({error("call", m_step, reason), m_isSent, m_hasTimedOut, m_isConnectionRefused});
+            m_handlers.failed({error("call", m_step, reason), isSent, m_hasTimedOut, m_isConnectionRefused, reached});
         }
     }
 
+    http_stage stage() const
+    {
+        if (m_connection == nullptr) {
+            return http_stage::waiting;
+        }
+        if (!m_isNewConnection) {
+            return http_stage::sentOnKeptConnection;
+        }
+        return m_connection->socket.hasSent() ? http_stage::sentOnNewConnection : http_stage::connecting;
+    }
+
     std::shared_ptr<response_stream> end()
     {
         m_isFinished = true;
@@ -532,7 +546,7 @@
     bool m_keepAlive = false;
     bool m_isHeadDelivered = false;
     bool m_isReadRequested = false;
-    bool m_isSent = false;
+    bool m_isNewConnection = false; ///< the connection was opened for this exchange
     bool m_hasTimedOut = false;
     bool m_isConnectionRefused = false;
     bool m_isFinished = false; ///< the exchange has ended: its last callback is running or has run
@@ -553,6 +567,13 @@
 
 } // namespace
 
+std::string toString(http_stage stage)
+{
+    static constexpr std::array names {"waiting-for-connection", "connecting", "sent-on-new-connection",
+                                       "sent-on-kept-connection"};
+    return names.at(static_cast<std::size_t>(stage));
+}
+
 struct http_client::parts
 {
     std::shared_ptr<connection_pools> pools = std::make_shared<connection_pools>();
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -34,6 +34,17 @@
     std::string requiredMark {};
 };
 
+/// How far an exchange had come when it failed.
+enum class http_stage
+{
+    waiting, ///< no connection was free
+    connecting,
+    sentOnNewConnection, ///< the request, or a part of it
+    sentOnKeptConnection,
+};
+
+std::string toString(http_stage stage);
+
 /// Reason why no complete response arrived.
 struct http_failure
 {
@@ -41,6 +52,7 @@
     bool isSent = false; ///< a part of the request may have reached the peer
     bool hasTimedOut = false;
     bool isConnectionRefused = false; ///< no process listens at the address
+    http_stage stage = http_stage::waiting;
 };
 
 using http_outcome = std::variant<http_response, http_failure>;
--- a/src/libprimrosecroft/owner_session/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -28,6 +28,11 @@
     return value ? "1" : "0";
 }
 
+std::string ageText(const std::optional<std::chrono::milliseconds> &age)
+{
+    return age ? std::to_string(age->count()) : "none";
+}
+
 std::string percentText(double share)
 {
     return std::to_string(std::lround(share * 100));
@@ -51,6 +56,27 @@
                  {"waited_ms", std::to_string(report.waited.count())}});
 }
 
+void cell_log::write(const report_unanswered_start &report)
+{
+    m_measures.count("primrosecroft_starts_without_answer", "outcome", "unanswered");
+    m_log.write("cell", "start-unanswered",
+                {{"task", toString(report.run.task)},
+                 {"attempt", std::to_string(report.run.attempt)},
+                 {"worker", report.worker},
+                 {"sent_ms", std::to_string(report.sentAgo.count())}});
+}
+
+void cell_log::write(const report_doubted_run &report)
+{
+    m_measures.count("primrosecroft_starts_without_answer", "outcome", "not-listed");
+    m_log.write("cell", "run-doubted",
+                {{"task", toString(report.run.task)},
+                 {"attempt", std::to_string(report.run.attempt)},
+                 {"worker", report.worker},
+                 {"sent_ms", std::to_string(report.sentAgo.count())},
+                 {"list_sent_ms", std::to_string(report.listSentAgo.count())}});
+}
+
 void cell_log::write(const report_ended &report)
 {
     m_measures.count("primrosecroft_runs_ended", "how", report.how);
@@ -80,7 +106,8 @@
                  {"shown", flag(evidence.isShown)},
                  {"confirmed", flag(evidence.isConfirmed)},
                  {"sent_ms", std::to_string(evidence.sentAgo.count())},
-                 {"heard_ms", evidence.heardAgo ? std::to_string(evidence.heardAgo->count()) : "none"}});
+                 {"heard_ms", ageText(evidence.heardAgo)},
+                 {"stopped_ms", ageText(evidence.stoppedAgo)}});
 }
 
 void cell_log::write(const report_second_run &report)
--- a/src/libprimrosecroft/owner_session/cell_log.h
+++ b/src/libprimrosecroft/owner_session/cell_log.h
@@ -14,6 +14,8 @@
     cell_log(decision_log &log, metrics &measures);
 
     void write(const report_placed &report);
+    void write(const report_unanswered_start &report);
+    void write(const report_doubted_run &report);
     void write(const report_ended &report);
     void write(const report_second_run &report);
     void write(const report_job_end &report);
