Stop a gang as a whole once one of its members can't be expected to run

Cause: only a refused start stopped the whole gang. A start without answer, a member lost with its worker, and a gang of which an earlier owner had started a part left the rest waiting. Class: a rule about a whole that is kept at one of several events instead of by the state. Now supervision looks at the gang's state each 100 ms, whatever the event was: if a member has no run that is wanted, or none that has begun 1.5 s after its start, and no progress shows that the gang works, all members are stopped. It waits 200 ms first, in which workers list members that they end themselves, and it stops nothing while workers of an earlier owner may run what is missing.

Ruled out as sufficient: a longer timeout of orders (the order never leaves; the stop would come later still).

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -155,6 +155,7 @@
     std::chrono::milliseconds criticalPath {0};
     std::set<std::uint32_t> failedGangs; ///< attempts of the gang that failed
     std::uint32_t gangAttempt = 0; ///< last attempt, which all members of the gang share
+    instant incompleteSince; ///< a member of the gang isn't expected to run since then, while others are; zero if none
     std::uint32_t attemptLimit = 0; ///< attempts up to this number may start; a later owner's are higher
     std::uint32_t reservedAttempts = 0; ///< a higher limit that is stored, or is about to be; 0 for none
     loss_record gangLosses; ///< of the whole gang
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -310,6 +310,12 @@
     std::chrono::milliseconds listSentAgo {0}; ///< since the list was requested
 };
 
+/// A gang is stopped because one of its members doesn't run.
+struct report_gang_stopped
+{
+    run_id missing;
+};
+
 /// A run is over, or its start was refused.
 struct report_ended
 {
@@ -405,8 +411,8 @@
 };
 
 using cell_action = std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed,
-                                 report_unanswered_start, report_doubted_run, report_ended, report_second_run,
-                                 report_job_end, report_worker_change, report_worker_loss, report_suspect,
-                                 report_given_up, report_job_size, report_limit_reached, report_fenced>;
+                                 report_unanswered_start, report_doubted_run, report_gang_stopped, report_ended,
+                                 report_second_run, report_job_end, report_worker_change, report_worker_loss,
+                                 report_suspect, report_given_up, report_job_size, report_limit_reached, report_fenced>;
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/detail/cell_parts.h
+++ b/src/libprimrosecroft/cell/detail/cell_parts.h
@@ -243,7 +243,8 @@
 /// limit, and so does any that a new owner has not seen at work yet.
 bool mayMiss(const cell_state &state, const task_view &view, instant now);
 
-/// Requests copies of late runs, and stops stalled runs and runs that have to move off draining workers.
+/// Requests copies of late runs, and stops stalled runs, runs that have to move off draining workers, and gangs that
+/// lack members.
 void superviseRuns(cell_state &state, instant now, cell_actions &actions);
 
 } // namespace primrosecroft::detail
--- a/src/libprimrosecroft/cell/detail/serving_order.h
+++ b/src/libprimrosecroft/cell/detail/serving_order.h
@@ -28,6 +28,10 @@
     friend auto operator<=>(const serving_rank &, const serving_rank &) = default;
 };
 
+/// Returns whether tasks of the job may still run under the leases of an earlier owner. Jobs that were accepted under
+/// this ownership are never in doubt.
+bool isJobInDoubt(const cell_state &state, const job_state &job, instant now);
+
 serving_rank servingRankOf(const cell_state &state, const job_state &job, const step_state &step, const step_spec &spec,
                            instant now);
 
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/gangs.h"
 #include "cell/detail/run_reports.h"
 #include "cell/detail/worker_loss.h"
 #include "cell/detail/workspace_limits.h"
@@ -469,12 +470,7 @@
     reportRefusedStart(message, actions);
     dropRun(state, worker, message.run, past_run::neverRan, now, actions);
     if (view->spec->isGang) {
-        // The gang cannot become complete without this member.
-        for (std::size_t index = 0; index < view->step->tasks.size(); ++index) {
-            auto ref = message.run.task;
-            ref.index = static_cast<std::int32_t>(index);
-            stopRuns(state, ref, view->step->tasks[index], now, actions);
-        }
+        stopGang(state, message.run.task, *view->step, now, actions);
     }
 }
 
--- a/src/libprimrosecroft/cell/serving_order.cpp
+++ b/src/libprimrosecroft/cell/serving_order.cpp
@@ -31,14 +31,6 @@
     return job.version > state.confirmedVersion;
 }
 
-/// Returns whether tasks of the job may still run under the leases of an earlier owner. Jobs that were accepted under
-/// this ownership are never in doubt.
-bool isJobInDoubt(const cell_state &state, const job_state &job, instant now)
-{
-    return !state.unreconciledWorkers.empty() && now < state.inDoubtUntil && job.version < state.takeOver.token
-        && job.version != 0;
-}
-
 /// Returns whether a task of the service has waited for longer than maxServiceWait.
 bool isServiceOverdue(const step_state &step, const step_spec &spec, instant now)
 {
@@ -49,6 +41,12 @@
 
 } // namespace
 
+bool isJobInDoubt(const cell_state &state, const job_state &job, instant now)
+{
+    return !state.unreconciledWorkers.empty() && now < state.inDoubtUntil && job.version < state.takeOver.token
+        && job.version != 0;
+}
+
 serving_rank servingRankOf(const cell_state &state, const job_state &job, const step_state &step, const step_spec &spec,
                            instant now)
 {
--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/gangs.h"
 #include "core/contains.h"
 
 #include <algorithm>
@@ -136,6 +137,7 @@
         return;
     }
     state.nextSupervisionAt = now + supervisionInterval;
+    stopIncompleteGangs(state, now, actions);
     for (auto &[id, worker] : state.workers) {
         for (const auto &[runId, held] : worker.reservations) {
             const auto view = findTask(state, runId.task);
--- a/src/libprimrosecroft/owner_session/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -77,6 +77,13 @@
                  {"list_sent_ms", std::to_string(report.listSentAgo.count())}});
 }
 
+void cell_log::write(const report_gang_stopped &report)
+{
+    m_measures.count("primrosecroft_gangs_stopped", "reason", "incomplete");
+    m_log.write("cell", "gang-stopped",
+                {{"missing", toString(report.missing.task)}, {"attempt", std::to_string(report.missing.attempt)}});
+}
+
 void cell_log::write(const report_ended &report)
 {
     m_measures.count("primrosecroft_runs_ended", "how", report.how);
--- a/src/libprimrosecroft/owner_session/cell_log.h
+++ b/src/libprimrosecroft/owner_session/cell_log.h
@@ -16,6 +16,7 @@
     void write(const report_placed &report);
     void write(const report_unanswered_start &report);
     void write(const report_doubted_run &report);
+    void write(const report_gang_stopped &report);
     void write(const report_ended &report);
     void write(const report_second_run &report);
     void write(const report_job_end &report);
