Make a connection once more that doesn't come up within 200 ms

Now a call whose connection isn't up after 200 ms, or a third of its timeout, gives it up and opens another one. Nothing has been sent by then, so nothing can be carried out twice. A connection that is up while the main loop is late stays.

Ruled out: a longer timeout of orders (all orders without answer would be found out later); fewer connections (a list request that waits holds one, so starts would queue behind it).

--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -22,6 +22,13 @@
 namespace
 {
 
+/// A connection that takes longer to come up is made once more: its first packet may have been dropped, and the kernel
+/// sends that again only after a second. A few round trips between regions.
+constexpr std::chrono::milliseconds maxConnectTime {200};
+
+/// So that the second connection has most of a short timeout.
+constexpr int connectTimeDivisor = 3;
+
 constexpr std::size_t maxResponseBytes = std::size_t {16} * 1024 * 1024; ///< limit on the body of a response to call()
 
 /// Address, port and path of a URL.
@@ -189,6 +196,7 @@
             return;
         }
         open(pool);
+        openAgainIfLate();
     }
 
     void readMore() override
@@ -279,6 +287,18 @@
         use(connection);
     }
 
+    /// Makes the connection once more if it isn't up in time. Nothing has been sent by then.
+    void openAgainIfLate()
+    {
+        m_reconnect.once(std::min(maxConnectTime, m_timeout / connectTimeDivisor), [this] {
+            if (m_connection == nullptr || m_connection->socket.isConnected()) {
+                return;
+            }
+            m_pools->remove(m_target->host(), std::exchange(m_connection, nullptr));
+            open(m_pools->hosts[m_target->host()]);
+        });
+    }
+
     void use(client_connection &connection)
     {
         m_connection = &connection;
@@ -510,6 +530,7 @@
     {
         m_isFinished = true;
         m_deadline.stop();
+        m_reconnect.stop();
         cancelDelivery();
         if (m_bytes) {
             m_bytes->sent += m_request.size();
@@ -534,6 +555,7 @@
     std::string m_request; ///< head and body
     client_connection *m_connection = nullptr; ///< nullptr before one is used and after it has been released
     timer m_deadline;
+    timer m_reconnect;
     std::shared_ptr<response_stream> m_self; ///< keeps the exchange in memory until its last callback has run
     unsigned m_deliverySource = 0; ///< id of the GLib source of deliverLater(); 0 for none
     unsigned m_status = 0;
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -93,7 +93,8 @@
 };
 
 /**
- * HTTP client for workers, upstreams and the platform. It neither follows redirects nor repeats a request on its own.
+ * HTTP client for workers, upstreams and the platform. It neither follows redirects nor repeats a request on its own. A
+ * connection that doesn't come up is tried once more, before anything has been sent.
  */
 class http_client
 {
--- a/src/libprimrosecroft/io/tcp_socket.cpp
+++ b/src/libprimrosecroft/io/tcp_socket.cpp
@@ -86,6 +86,13 @@
     return m_queued.size() - m_written;
 }
 
+bool tcp_socket::isConnected() const
+{
+    sockaddr_in peer {};
+    socklen_t size = sizeof peer;
+    return !isClosed() && getpeername(m_descriptor, reinterpret_cast<sockaddr *>(&peer), &size) == 0;
+}
+
 bool tcp_socket::hasSent() const
 {
     return m_hasSent;
--- a/src/libprimrosecroft/io/tcp_socket.h
+++ b/src/libprimrosecroft/io/tcp_socket.h
@@ -45,6 +45,9 @@
     /// Returns the number of bytes that the kernel hasn't taken yet.
     std::size_t queuedBytes() const;
 
+    /// Returns true once the connection has come up, also before the main loop has noticed that.
+    bool isConnected() const;
+
     /// Returns true once the kernel has taken a byte, so that the peer may have received it.
     bool hasSent() const;
 
--- a/tests/unit/loopback.cpp
+++ b/tests/unit/loopback.cpp
@@ -203,6 +203,43 @@
     return m_parts->port;
 }
 
+choked_peer::choked_peer()
+    : m_listener(newSocket())
+    , m_port(bindFreePort(m_listener))
+{
+    listen(m_listener, 0); // room for one pending connection
+    m_pending = connectTo(m_port);
+}
+
+choked_peer::~choked_peer()
+{
+    shutdown(m_listener, SHUT_RDWR);
+    if (m_serving.joinable()) {
+        m_serving.join();
+    }
+    ::close(m_listener);
+}
+
+std::uint16_t choked_peer::port() const
+{
+    return m_port;
+}
+
+void choked_peer::serveNext(const std::string &response)
+{
+    ::close(accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC));
+    m_serving = std::thread([this, response] {
+        const auto accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (accepted < 0) {
+            return;
+        }
+        raw_connection connection(accepted);
+        connection.readRequest();
+        connection.write(response);
+        connection.readAll();
+    });
+}
+
 std::unique_ptr<raw_connection> connectTo(std::uint16_t port)
 {
     const auto socket = newSocket();
--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -6,6 +6,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 
 /**
  * HTTP peers for tests that control each byte, so that a test can break off at any point. They run blocking calls in
@@ -65,6 +66,28 @@
     std::unique_ptr<parts> m_parts;
 };
 
+/// Listens on a free port with a full queue of pending connections, like a peer under a burst: the opening packets of
+/// further ones are dropped, and their kernel sends them again after a second.
+class choked_peer
+{
+public:
+    choked_peer();
+    ~choked_peer();
+    choked_peer(const choked_peer &) = delete;
+    choked_peer &operator=(const choked_peer &) = delete;
+
+    std::uint16_t port() const;
+
+    /// Makes room in the queue, and answers the first request of the next connection with @p response.
+    void serveNext(const std::string &response);
+
+private:
+    int m_listener = -1;
+    std::uint16_t m_port = 0;
+    std::unique_ptr<raw_connection> m_pending; ///< fills the queue
+    std::thread m_serving;
+};
+
 /// Connects to a port of this host.
 std::unique_ptr<raw_connection> connectTo(std::uint16_t port);
 
