Tell an owner at once that a start for which no connection came up hasn't been sent

What callers saw: tasks whose start met a worker that took no connection waited some 2 s for the list, the stop and its second, or on a worker that was cut off until its leases had expired; a gang with such a member waited as long.

Cause: a connection that timed out counted as an order without answer, which may have been carried out. Nothing can have been: the call ended before a byte was sent. Such starts and stops now count as 'unreachable', like a refused connection; list requests don't, since a refused one is evidence of the worker's end and silence isn't.

Before: worker_client-test gets 'lost' for a peer whose queue of connections is full. After: 'unreachable', and still 'lost' for a peer that reads the order and says nothing.

--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -122,7 +122,7 @@
     unhealthy, ///< the worker refuses work as unhealthy; nothing was done
     bootMismatch, ///< the worker has restarted since the boot that the order names
     invalid, ///< refused as malformed
-    unreachable, ///< connection refused: nothing was done; the worker may have ended or be partitioned off
+    unreachable, ///< no connection, so nothing was done; a list's was refused: the worker may have ended or be cut off
     lost, ///< no answer: the order may have been carried out, or may be carried out later
     notSent, ///< nothing was done: a relay had to turn the order away before it reached the worker
 };
--- a/src/libprimrosecroft/cell/run_reports.cpp
+++ b/src/libprimrosecroft/cell/run_reports.cpp
@@ -36,7 +36,7 @@
 std::string refusalText(order_result result)
 {
     static constexpr std::array reasons {"",          "fenced",    "old attempt",  "too late",  "no room",
-                                         "no ticket", "unhealthy", "another boot", "malformed", "nobody listens",
+                                         "no ticket", "unhealthy", "another boot", "malformed", "no connection",
                                          "",          "not sent"};
     return std::string("start refused: ") + reasons.at(static_cast<std::size_t>(result));
 }
--- a/src/libprimrosecroft/owner_session/observed_workers.cpp
+++ b/src/libprimrosecroft/owner_session/observed_workers.cpp
@@ -19,7 +19,7 @@
 std::function<void(answer)> observed_workers::observe(const char *kind, std::function<void(answer)> done)
 {
     return [this, kind, done = std::move(done)](const answer &result) {
-        if (result.result == order_result::lost) {
+        if (result.result == order_result::lost || result.result == order_result::unreachable) {
             const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - result.sentAt);
             m_measures.count("primrosecroft_orders_unanswered", "kind", kind);
             m_log.write("workers", "unanswered",
--- a/tests/unit/gang_test.cpp
+++ b/tests/unit/gang_test.cpp
@@ -37,6 +37,7 @@
     lostBeforeWorker, ///< the worker never gets it, and the owner gets no answer
     heldUp, ///< the worker gets no order and lists nothing either
     refused,
+    unreachable, ///< no connection to the worker came up
     lostWithWorker, ///< it begins, and then its worker restarts
     begins,
 };
@@ -72,6 +73,9 @@
         case member_fate::refused:
             answer(last, order_result::noCapacity);
             break;
+        case member_fate::unreachable:
+            answer(last, order_result::unreachable);
+            break;
         case member_fate::lostBeforeWorker:
         case member_fate::heldUp:
             break;
@@ -220,11 +224,13 @@
     }
 }
 
-TEST_CASE("a gang is stopped at once if a worker refuses one of its members")
+TEST_CASE("a gang is stopped at once if a worker refuses one of its members, or can't be reached")
 {
-    two_member_gang gang(member_fate::refused);
-    gang.start();
-    CHECK(gang.isFirstStopped());
+    for (const auto fate : {member_fate::refused, member_fate::unreachable}) {
+        two_member_gang gang(fate);
+        gang.start();
+        CHECK(gang.isFirstStopped());
+    }
 }
 
 TEST_CASE("the members of a gang aren't left waiting for one that is lost with its worker")
--- a/tests/unit/worker_client_test.cpp
+++ b/tests/unit/worker_client_test.cpp
@@ -73,8 +73,32 @@
     platform::worker_client client {http};
 };
 
+/// Sends a start to the port and returns its result.
+order_result startAt(std::uint16_t port)
+{
+    http_client http;
+    platform::worker_client client {http};
+    send_start order;
+    order.worker = "w";
+    order.address = "127.0.0.1:" + std::to_string(port);
+    order.run = {{"63153fa08da81d76", 0, 0, 0}, 1};
+    std::optional<order_result> result;
+    client.start(order, 1, 300ms, [&result](const start_answered &answer) { result = answer.result; });
+    loopback::runUntil([&result] { return result.has_value(); });
+    return result.value_or(order_result::invalid);
+}
+
 } // namespace
 
+TEST_CASE("a start for which no connection came up is known to have done nothing, one without answer isn't")
+{
+    const loopback::choked_peer choked;
+    CHECK(startAt(choked.port()) == order_result::unreachable);
+    CHECK(startAt(loopback::closedPort()) == order_result::unreachable);
+    const loopback::scripted_peer silent([](loopback::raw_connection &connection, int) { connection.readAll(); });
+    CHECK(startAt(silent.port()) == order_result::lost);
+}
+
 TEST_CASE("a worker is told which ends it may forget over a connection on which it has listed its runs")
 {
     restarted_worker worker;
