Schedules of gangs over several workers, some of whose starts reach no worker

Now gang_check lets members wait for each other over all workers, ends them together and judges the wait; gang_schedule draws gangs, starts that reach no worker (one in twenty) and owners that hand over, without any other trouble.

--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -1,5 +1,6 @@
 #include "cell_emulation.h"
 #include "crash_schedule.h"
+#include "gang_schedule.h"
 #include "limit_schedule.h"
 #include "liveness_schedule.h"
 
@@ -355,6 +356,31 @@
     CHECK(firstLimitViolation(disabled_rule::limitCountsUnseen, maxSeeds) != 0);
 }
 
+/// Returns the first seed up to @p maxSeed whose schedule of gangs shows that the rule is missing, or 0.
+std::uint64_t firstGangViolation(disabled_rule mutation, std::uint64_t maxSeed)
+{
+    const auto seeds = std::views::iota(std::uint64_t {1}, maxSeed + 1);
+    const auto found =
+        std::ranges::find_if(seeds, [&](auto seed) { return !runGangSchedule(seed, {}, mutation).empty(); });
+    return found == seeds.end() ? 0 : *found;
+}
+
+TEST_CASE("GANG: no member of a gang is left waiting until its worker ends it", "[gangs]")
+{
+    const auto first = numberFrom("PRIMROSECROFT_SEED", 1);
+    const auto count = numberFrom("PRIMROSECROFT_SCHEDULES", 100);
+    for (auto seed = first; seed < first + count; ++seed) {
+        const auto violation = runGangSchedule(seed, tracer());
+        INFO("seed " << seed << ": " << violation);
+        CHECK(violation.empty());
+    }
+}
+
+TEST_CASE("the checks detect that an owner doesn't stop incomplete gangs", "[mutations][gang_mutations]")
+{
+    CHECK(firstGangViolation(disabled_rule::incompleteGangsStop, 20) != 0);
+}
+
 TEST_CASE("the checks detect the absence of each safety rule", "[mutations]")
 {
     constexpr std::uint64_t maxSeeds = 2'000;
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -4,6 +4,7 @@
 #include "cell/detail/cell_parts.h"
 #include "core/overloaded.h"
 #include "crash_check.h"
+#include "gang_check.h"
 #include "jobs/job_rows.h"
 #include "leadership/handover.h"
 #include "limit_check.h"
@@ -143,9 +144,7 @@
             }
             now = next;
             store.now += tickInterval;
-            for (auto &worker : workers) {
-                advance(worker);
-            }
+            advanceWorkers();
             for (std::size_t i = 0; i < processes.size(); ++i) {
                 tick(i);
             }
@@ -183,9 +182,37 @@
                            false,
                            worker,
                            {}});
+        if (settings.checksGangs) {
+            workers.back().executor.isGangPresent = [this](const run_id &run) { return gangs.isPresent(run); };
+        }
         return index;
     }
 
+    /// Advances all workers, of which a gang's members wait for each other.
+    void advanceWorkers()
+    {
+        if (!settings.checksGangs) {
+            std::ranges::for_each(workers, [this](auto &worker) { advance(worker); });
+            return;
+        }
+        gangs.countMembers(runningExecutors());
+        std::ranges::for_each(workers, [this](auto &worker) { advance(worker); });
+        if (const auto found = gangs.endMembers(runningExecutors()); violation.empty()) {
+            violation = found;
+        }
+    }
+
+    std::vector<executor_emulator *> runningExecutors()
+    {
+        std::vector<executor_emulator *> result;
+        for (auto &worker : workers) {
+            if (!worker.isDown) {
+                result.push_back(&worker.executor);
+            }
+        }
+        return result;
+    }
+
     void advance(emulated_worker &worker)
     {
         if (worker.isDown) {
@@ -726,6 +753,15 @@
         }
     }
 
+    static void overlookIncompleteGangs(cell_state &cell)
+    {
+        for (auto &job : std::views::values(cell.jobs)) {
+            for (auto &occurrence : std::views::values(job.occurrences)) {
+                std::ranges::for_each(occurrence.steps, [](auto &step) { step.incompleteSince = {}; });
+            }
+        }
+    }
+
     /// Hands the announced workers to the cell, and renews the ownership when that is due.
     void announceWorkersAndRenew(std::size_t index)
     {
@@ -733,6 +769,9 @@
         if (settings.mutation == disabled_rule::lossCounts && process.cell) {
             forgetLosses(*process.cell);
         }
+        if (settings.mutation == disabled_rule::incompleteGangsStop && process.cell) {
+            overlookIncompleteGangs(*process.cell);
+        }
         for (const auto &worker : workers) {
             if (process.cell && !worker.isDown) {
                 markRunsShownIfMutated(*process.cell);
@@ -901,6 +940,11 @@
         if (settings.mutation == disabled_rule::stopBeforeRestart) {
             lostAnswer.result = order_result::noCapacity;
         }
+        if (settings.startsWithoutConnection > 0 && chance(settings.startsWithoutConnection)) {
+            const auto session = processes[index].session;
+            at(now + 600ms, [this, index, session, lostAnswer] { deliver(index, session, lostAnswer); });
+            return;
+        }
         sendOrder<start_answered>(
             index, order.worker, lostAnswer, [this, order, token, sentAt = now](emulated_worker &worker) {
                 start_answered answer {order.worker, order.boot, order.run, order_result::lost, sentAt};
@@ -990,7 +1034,8 @@
         if (emulation.behaviour) {
             return emulation.behaviour(run, step);
         }
-        return {step.estimate, false, step.isService, 0, step.isService ? step.estimate : 0ms, {}};
+        const auto gang = settings.checksGangs && step.isGang ? static_cast<std::uint32_t>(step.count) : 0;
+        return {step.estimate, false, step.isService, gang, step.isService ? step.estimate : 0ms, {}};
     }
 
     order_result stopRun(emulated_worker &worker, const run_id &run, row_version token)
@@ -1430,6 +1475,7 @@
     void submit(accepted_job job)
     {
         jobs[job.id] = job;
+        gangs.addJob(job);
         if (settings.mutation == disabled_rule::maxUnavailable) {
             job.spec.steps.front().maxUnavailable = {};
         }
@@ -1491,6 +1537,7 @@
     std::vector<cell_action> actions;
     std::int64_t lastIncarnation = 0;
     instant storeDownUntil;
+    gang_check gangs;
     std::string violation;
 };
 
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -47,6 +47,7 @@
     limitChecked, ///< disabled: owners know no limits of workspaces
     limitCountsStops, ///< disabled: runs that are being stopped don't count for their workspace
     limitCountsUnconfirmed, ///< disabled: starts without an answer don't count for their workspace
+    incompleteGangsStop, ///< disabled: the members of a gang wait for one that doesn't start
     limitCountsUnseen, ///< disabled: what may run since an earlier owner doesn't count for its workspace
 };
 
@@ -69,6 +70,8 @@
     disabled_rule mutation = disabled_rule::none;
     bool allowsCopies = false; ///< the tasks of the jobs that run() submits may run in several copies
     duration_model durations; ///< that each owner begins with
+    double startsWithoutConnection = 0; ///< share of the starts that reach no worker and get no answer, at any time
+    bool checksGangs = false; ///< gangs run on several workers; also checks that no member waits for others for long
     bool checksLiveness = false; ///< also checks that no task waits for long that could run
 };
 
