Don't stop an at-most-once gang for the silence of a worker

If the worker was only silent, that job would have gone on. Such a gang now waits for the worker's list, which tells.

Before: the new case of gang-test fails (two stops, the job has failed).

--- a/src/libprimrosecroft/cell/gangs.cpp
+++ b/src/libprimrosecroft/cell/gangs.cpp
@@ -42,25 +42,26 @@
     });
 }
 
-/// Returns whether a run of the attempt has begun, or may still begin in time.
-bool isExpected(const task_state &task, std::uint32_t attempt, bool isGangAtWork, instant now)
+/// Returns whether a run of the attempt has begun, or may still begin. If @p mayWait is false, it may only in time.
+bool isExpected(const task_state &task, std::uint32_t attempt, bool mayWait, instant now)
 {
     return std::ranges::any_of(task.runs, [&](const task_run &run) {
-        const bool hasBegun = run.phase == run_phase::running || isGangAtWork;
-        return run.attempt == attempt && !run.isStopWanted && (hasBegun || run.sentAt + maxStartTime > now);
+        const bool isInTime = mayWait || run.phase == run_phase::running || run.sentAt + maxStartTime > now;
+        return run.attempt == attempt && !run.isStopWanted && isInTime;
     });
 }
 
 /// Returns the index of a member that isn't expected to run while others are; std::nullopt if there is none.
-std::optional<std::int32_t> findMissingMember(const step_state &step, instant now)
+std::optional<std::int32_t> findMissingMember(const step_state &step, const step_spec &spec, instant now)
 {
     const auto attempt = attemptOf(step);
     if (attempt == 0 || step.doneCount > 0) {
         return std::nullopt;
     }
-    const bool isGangAtWork = isAtWork(step, attempt);
+    // A silent worker may have begun its member, and the stop of an at-most-once gang fails its job.
+    const bool mayWait = spec.isAtMostOnce || isAtWork(step, attempt);
     const auto missing = std::ranges::find_if_not(
-        step.tasks, [&](const task_state &task) { return isExpected(task, attempt, isGangAtWork, now); });
+        step.tasks, [&](const task_state &task) { return isExpected(task, attempt, mayWait, now); });
     if (missing == step.tasks.end()) {
         return std::nullopt;
     }
@@ -68,9 +69,10 @@
 }
 
 /// @p ref names the gang's step; its index isn't read.
-void stopIfIncomplete(cell_state &state, task_ref ref, step_state &step, instant now, cell_actions &actions)
+void stopIfIncomplete(cell_state &state, task_ref ref, step_state &step, const step_spec &spec, instant now,
+                      cell_actions &actions)
 {
-    const auto missing = findMissingMember(step, now);
+    const auto missing = findMissingMember(step, spec, now);
     if (!missing) {
         step.incompleteSince = {};
         return;
@@ -113,7 +115,7 @@
             for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
                 if (specs[index].isGang) {
                     stopIfIncomplete(state, {id, number, static_cast<std::int32_t>(index), 0}, occurrence.steps[index],
-                                     now, actions);
+                                     specs[index], now, actions);
                 }
             }
         }
--- a/tests/unit/gang_test.cpp
+++ b/tests/unit/gang_test.cpp
@@ -21,13 +21,14 @@
 constexpr auto startTimeout = 600ms;
 constexpr auto passInterval = 50ms;
 
-accepted_job makeGangJob()
+accepted_job makeGangJob(bool isAtMostOnce = false)
 {
     step_spec gang;
     gang.count = 2;
     gang.size = wholeWorker;
     gang.estimate = 1s;
     gang.isGang = true;
+    gang.isAtMostOnce = isAtMostOnce;
     return owned_cell::makeJob("gang", {gang});
 }
 
@@ -57,10 +58,15 @@
     }
 
     /// Places the gang and answers its starts.
-    void start()
+    void start(bool isAtMostOnce = false)
     {
-        cell.addJob(makeGangJob());
-        const auto starts = cell.runSchedulingPass();
+        cell.addJob(makeGangJob(isAtMostOnce));
+        auto starts = cell.runSchedulingPass();
+        if (isAtMostOnce) {
+            cell.confirmCommit(); // its start is stored before it is sent
+            cell.advance(passInterval);
+            starts = cell.runSchedulingPass();
+        }
         REQUIRE(starts.size() == 2);
         first = starts.front();
         last = starts.back();
@@ -272,6 +278,19 @@
     CHECK(gang.stops.empty());
 }
 
+TEST_CASE("an at-most-once gang isn't stopped for the silence of a worker that may have begun its member")
+{
+    two_member_gang gang(member_fate::heldUp);
+    gang.start(true);
+    gang.runUntil([] { return false; }, 2s);
+    CHECK(gang.stops.empty());
+    gang.fate = member_fate::begins; // the worker is heard again
+    gang.running[gang.last.worker].push_back({gang.last.run, "", 0, 0});
+    gang.runUntil([] { return false; }, 2s);
+    CHECK(gang.stops.empty());
+    CHECK_FALSE(gang.cell.state.jobs.at("gang").hasFailed);
+}
+
 TEST_CASE("the owner stops no members that their workers are about to list as broken")
 {
     two_member_gang gang(member_fate::begins);
