Tests: let the four kinds of drawn schedules share their events, and how they are played

draw, drawTime, the loop over the events and the search for jobs without an end stood three and four times.

--- a/tests/standins/crash_schedule.cpp
+++ b/tests/standins/crash_schedule.cpp
@@ -1,8 +1,8 @@
 #include "crash_schedule.h"
 
+#include "drawn_schedule.h"
+
 #include <algorithm>
-#include <random>
-#include <set>
 #include <utility>
 
 namespace primrosecroft
@@ -24,11 +24,10 @@
 constexpr double cutShare = 0.5; ///< of the workers, in each wave
 constexpr auto cutTime = 6'200ms; ///< longer than leases, so that tasks are started again just before the next wave
 
-struct crash_schedule
+struct crash_schedule : drawn_schedule
 {
     crash_schedule(std::uint64_t seed, disabled_rule mutation)
-        : random(seed + 5'000'011) // other numbers than those of the emulation
-        , emulation(settingsOf(seed, mutation))
+        : drawn_schedule(seed + 5'000'011, settingsOf(seed, mutation))
     {
         emulation.behaviour = [this](const run_id &run, const step_spec &step) { return behaviourOf(run, step); };
     }
@@ -45,16 +44,6 @@
         return settings;
     }
 
-    std::int64_t draw(std::int64_t min, std::int64_t max)
-    {
-        return std::uniform_int_distribution<std::int64_t>(min, max)(random);
-    }
-
-    std::chrono::milliseconds drawTime(std::chrono::milliseconds min, std::chrono::milliseconds max)
-    {
-        return std::chrono::milliseconds(draw(min.count(), max.count()));
-    }
-
     task_behaviour behaviourOf(const run_id &run, const step_spec &step) const
     {
         task_behaviour result {step.estimate, false, step.isService, 0, step.isService ? step.estimate : 0ms, {}};
@@ -85,12 +74,6 @@
         return job;
     }
 
-    void submitAt(std::chrono::milliseconds time, const accepted_job &job)
-    {
-        jobs.insert(job.id);
-        events.emplace(time, [this, job] { emulation.submit(job); });
-    }
-
     void drawWork()
     {
         for (int i = 0; i < 40; ++i) {
@@ -116,7 +99,8 @@
             for (std::size_t worker = 0; worker < workerCount; ++worker) {
                 if (std::bernoulli_distribution(crashedShare)(random)) {
                     const auto span = drawTime(1'000ms, 4'000ms);
-                    events.emplace(time, [this, worker, span] { emulation.crashWorker(worker, span); });
+                    at(time, "crash worker " + std::to_string(worker),
+                       [this, worker, span] { emulation.crashWorker(worker, span); });
                 }
             }
         }
@@ -129,7 +113,7 @@
             const auto time = workBegins + i * cutTime + drawTime(0ms, 200ms);
             for (std::size_t worker = 0; worker < workerCount; ++worker) {
                 if (std::bernoulli_distribution(cutShare)(random)) {
-                    events.emplace(time, [this, worker] { emulation.disconnectWorker(worker, cutTime); });
+                    disconnectWorkerAt(time, worker, cutTime);
                 }
             }
         }
@@ -141,13 +125,12 @@
         for (std::int64_t i = 0; i < count; ++i) {
             const auto span = drawTime(300ms, 4'000ms);
             const bool isKill = draw(0, 1) == 0;
-            events.emplace(drawTime(workBegins, workEnds), [this, span, isKill] {
-                if (isKill) {
-                    emulation.killOwner(span);
-                } else {
-                    emulation.handOver();
-                }
-            });
+            const auto time = drawTime(workBegins, workEnds);
+            if (isKill) {
+                killOwnerAt(time, span);
+            } else {
+                handOverAt(time);
+            }
         }
     }
 
@@ -157,8 +140,7 @@
         for (std::int64_t i = 0; i < count; ++i) {
             const auto worker = static_cast<std::size_t>(draw(0, workerCount - 1));
             const auto span = drawTime(500ms, 9'000ms);
-            events.emplace(drawTime(workBegins, workEnds),
-                           [this, worker, span] { emulation.disconnectWorker(worker, span); });
+            disconnectWorkerAt(drawTime(workBegins, workEnds), worker, span);
         }
     }
 
@@ -188,20 +170,9 @@
         return found == jobs.end() ? job_id {} : *found;
     }
 
-    crash_outcome run(const std::function<void(const std::string &line)> &onTrace)
+    crash_outcome run(const trace_handler &onTrace)
     {
-        if (onTrace) {
-            emulation.onTrace = [&](const std::string &line) {
-                onTrace(std::to_string(emulation.elapsed().count()) + " " + line);
-            };
-        }
-        for (const auto &[time, event] : events) {
-            if (emulation.elapsed() < time) {
-                emulation.runFor(time - emulation.elapsed());
-            }
-            event();
-        }
-        emulation.runFor(totalTime - emulation.elapsed());
+        play(totalTime, onTrace);
         crash_outcome outcome;
         outcome.violation = emulation.violation().empty() ? findWrongEnd() : emulation.violation();
         outcome.innocent = findInnocent();
@@ -211,11 +182,7 @@
         return outcome;
     }
 
-    std::mt19937_64 random;
-    cell_emulation emulation;
-    std::set<job_id> jobs;
     std::map<task_ref, std::chrono::milliseconds> crashTimes; ///< of the tasks that crash workers, from their start
-    std::multimap<std::chrono::milliseconds, std::function<void()>> events;
 };
 
 } // namespace
--- a/tests/standins/gang_schedule.cpp
+++ b/tests/standins/gang_schedule.cpp
@@ -1,8 +1,6 @@
 #include "gang_schedule.h"
 
-#include <algorithm>
-#include <random>
-#include <set>
+#include "drawn_schedule.h"
 
 namespace primrosecroft
 {
@@ -20,11 +18,10 @@
 constexpr double startsWithoutConnection = 0.05;
 constexpr std::int64_t maxHandOvers = 3;
 
-struct gang_schedule
+struct gang_schedule : drawn_schedule
 {
     gang_schedule(std::uint64_t seed, disabled_rule mutation)
-        : random(seed + 11'000'003) // other numbers than those of the emulation
-        , emulation(settingsOf(seed, mutation))
+        : drawn_schedule(seed + 11'000'003, settingsOf(seed, mutation))
     {
     }
 
@@ -40,16 +37,6 @@
         return settings;
     }
 
-    std::int64_t draw(std::int64_t min, std::int64_t max)
-    {
-        return std::uniform_int_distribution<std::int64_t>(min, max)(random);
-    }
-
-    std::chrono::milliseconds drawTime(std::chrono::milliseconds min, std::chrono::milliseconds max)
-    {
-        return std::chrono::milliseconds(draw(min.count(), max.count()));
-    }
-
     void drawWork()
     {
         for (std::int64_t i = 0; i < jobCount; ++i) {
@@ -62,8 +49,7 @@
             job.id = "job" + std::to_string(i);
             job.queue = {"queue", "pool", 0, 3, 2, 500ms, std::nullopt};
             job.spec.steps = {gang};
-            jobs.insert(job.id);
-            events.emplace(drawTime(workBegins, workEnds), [this, job] { emulation.submit(job); });
+            submitAt(drawTime(workBegins, workEnds), job);
         }
     }
 
@@ -71,35 +57,15 @@
     {
         const auto count = draw(0, maxHandOvers);
         for (std::int64_t i = 0; i < count; ++i) {
-            events.emplace(drawTime(workBegins, workEnds), [this] { emulation.handOver(); });
+            handOverAt(drawTime(workBegins, workEnds));
         }
     }
 
-    std::string run(const std::function<void(const std::string &line)> &onTrace)
+    std::string run(const trace_handler &onTrace)
     {
-        if (onTrace) {
-            emulation.onTrace = [&](const std::string &line) {
-                onTrace(std::to_string(emulation.elapsed().count()) + " " + line);
-            };
-        }
-        for (const auto &[time, event] : events) {
-            if (emulation.elapsed() < time) {
-                emulation.runFor(time - emulation.elapsed());
-            }
-            event();
-        }
-        emulation.runFor(totalTime - emulation.elapsed());
-        if (!emulation.violation().empty()) {
-            return emulation.violation();
-        }
-        const auto open = std::ranges::find_if(jobs, [this](const job_id &id) { return !emulation.storedEnd(id); });
-        return open == jobs.end() ? std::string() : "not ended: " + *open + "; " + emulation.explain(*open);
+        play(totalTime, onTrace);
+        return emulation.violation().empty() ? findOpenJob() : emulation.violation();
     }
-
-    std::mt19937_64 random;
-    cell_emulation emulation;
-    std::set<job_id> jobs;
-    std::multimap<std::chrono::milliseconds, std::function<void()>> events;
 };
 
 } // namespace
--- a/tests/standins/limit_schedule.cpp
+++ b/tests/standins/limit_schedule.cpp
@@ -1,8 +1,8 @@
 #include "limit_schedule.h"
 
+#include "drawn_schedule.h"
+
 #include <algorithm>
-#include <random>
-#include <set>
 #include <vector>
 
 namespace primrosecroft
@@ -20,11 +20,10 @@
 constexpr std::int64_t jobCount = 40;
 constexpr std::int64_t cutCount = 20;
 
-struct limit_schedule
+struct limit_schedule : drawn_schedule
 {
     limit_schedule(std::uint64_t seed, disabled_rule mutation)
-        : random(seed + 9'000'011) // other numbers than those of the emulation
-        , emulation(settingsOf(seed, mutation))
+        : drawn_schedule(seed + 9'000'011, settingsOf(seed, mutation))
     {
     }
 
@@ -40,16 +39,6 @@
         return settings;
     }
 
-    std::int64_t draw(std::int64_t min, std::int64_t max)
-    {
-        return std::uniform_int_distribution<std::int64_t>(min, max)(random);
-    }
-
-    std::chrono::milliseconds drawTime(std::chrono::milliseconds min, std::chrono::milliseconds max)
-    {
-        return std::chrono::milliseconds(draw(min.count(), max.count()));
-    }
-
     /// Each limit lets every single task and gang of drawJob() run.
     workspace_policies drawPolicies()
     {
@@ -92,10 +81,9 @@
         for (std::int64_t i = 0; i < jobCount; ++i) {
             const auto job = drawJob("job" + std::to_string(i));
             const auto time = drawTime(workBegins, workEnds);
-            jobs.insert(job.id);
-            events.emplace(time, [this, job] { emulation.submit(job); });
+            submitAt(time, job);
             if (draw(0, 2) == 0) {
-                events.emplace(time + drawTime(100ms, 6'000ms), [this, id = job.id] { emulation.cancel(id); });
+                at(time + drawTime(100ms, 6'000ms), "cancel " + job.id, [this, id = job.id] { emulation.cancel(id); });
             }
         }
     }
@@ -104,8 +92,8 @@
     {
         const auto count = draw(1, 4);
         for (std::int64_t i = 0; i < count; ++i) {
-            events.emplace(drawTime(workBegins, workEnds),
-                           [this, policies = drawPolicies()] { emulation.configure(policies); });
+            const auto time = drawTime(workBegins, workEnds);
+            at(time, "configure", [this, policies = drawPolicies()] { emulation.configure(policies); });
         }
     }
 
@@ -117,19 +105,16 @@
             const auto time = drawTime(workBegins, workEnds);
             const auto span = drawTime(300ms, 4'000ms);
             const bool isKill = draw(0, 1) == 0;
-            events.emplace(time, [this, span, isKill] {
-                if (isKill) {
-                    emulation.killOwner(span);
-                } else {
-                    emulation.handOver();
-                }
-            });
+            if (isKill) {
+                killOwnerAt(time, span);
+            } else {
+                handOverAt(time);
+            }
             const auto cut = draw(0, workerCount / 2);
             for (std::int64_t each = 0; each < cut; ++each) {
                 const auto worker = static_cast<std::size_t>(draw(0, workerCount - 1));
-                events.emplace(
-                    std::max(workBegins, time - drawTime(0ms, 1'000ms)),
-                    [this, worker, cutFor = drawTime(500ms, 9'000ms)] { emulation.disconnectWorker(worker, cutFor); });
+                const auto cutAt = std::max(workBegins, time - drawTime(0ms, 1'000ms));
+                disconnectWorkerAt(cutAt, worker, drawTime(500ms, 9'000ms));
             }
         }
     }
@@ -139,39 +124,17 @@
     {
         for (std::int64_t i = 0; i < cutCount; ++i) {
             const auto worker = static_cast<std::size_t>(draw(0, workerCount - 1));
-            events.emplace(drawTime(workBegins, workEnds), [this, worker, span = drawTime(1'000ms, 4'000ms)] {
-                emulation.disconnectWorker(worker, span);
-            });
+            const auto time = drawTime(workBegins, workEnds);
+            disconnectWorkerAt(time, worker, drawTime(1'000ms, 4'000ms));
         }
     }
 
-    std::string run(const std::function<void(const std::string &line)> &onTrace)
+    std::string run(const trace_handler &onTrace)
     {
-        if (onTrace) {
-            emulation.onTrace = [&](const std::string &line) {
-                onTrace(std::to_string(emulation.elapsed().count()) + " " + line);
-            };
-        }
         emulation.configure(drawPolicies());
-        for (const auto &[time, event] : events) {
-            if (emulation.elapsed() < time) {
-                emulation.runFor(time - emulation.elapsed());
-            }
-            event();
-        }
-        emulation.runFor(totalTime - emulation.elapsed());
-        if (!emulation.violation().empty()) {
-            return emulation.violation();
-        }
-        const auto open = std::ranges::find_if(jobs, [this](const job_id &id) { return !emulation.storedEnd(id); });
-        return open == jobs.end() ? std::string()
-                                  : "not ended long after the last fault: " + *open + "; " + emulation.explain(*open);
+        play(totalTime, onTrace);
+        return emulation.violation().empty() ? findOpenJob() : emulation.violation();
     }
-
-    std::mt19937_64 random;
-    cell_emulation emulation;
-    std::set<job_id> jobs;
-    std::multimap<std::chrono::milliseconds, std::function<void()>> events;
 };
 
 } // namespace
--- a/tests/standins/liveness_schedule.cpp
+++ b/tests/standins/liveness_schedule.cpp
@@ -1,11 +1,9 @@
 #include "liveness_schedule.h"
 
-#include "cell_emulation.h"
+#include "drawn_schedule.h"
 
 #include <algorithm>
 #include <functional>
-#include <map>
-#include <random>
 #include <utility>
 
 namespace primrosecroft
@@ -30,12 +28,11 @@
 constexpr auto backlogTarget = 20'000ms;
 constexpr std::int64_t lossesInTen = 8; ///< of ten runs of a service, so many end by themselves
 
-struct schedule
+struct liveness_schedule : drawn_schedule
 {
-    explicit schedule(std::uint64_t scheduleSeed)
-        : seed(scheduleSeed)
-        , random(scheduleSeed + 3'000'017) // other numbers than those of the emulation
-        , emulation(settingsOf(scheduleSeed))
+    explicit liveness_schedule(std::uint64_t scheduleSeed)
+        : drawn_schedule(scheduleSeed + 3'000'017, settingsOf(scheduleSeed))
+        , seed(scheduleSeed)
     {
         emulation.behaviour = [this](const run_id &run, const step_spec &step) { return behaviourOf(run, step); };
     }
@@ -52,21 +49,6 @@
         return settings;
     }
 
-    std::int64_t draw(std::int64_t min, std::int64_t max)
-    {
-        return std::uniform_int_distribution<std::int64_t>(min, max)(random);
-    }
-
-    std::chrono::milliseconds drawTime(std::chrono::milliseconds min, std::chrono::milliseconds max)
-    {
-        return std::chrono::milliseconds(draw(min.count(), max.count()));
-    }
-
-    void at(std::chrono::milliseconds time, const std::string &what, std::function<void()> action)
-    {
-        events.emplace(time, std::pair(what, std::move(action)));
-    }
-
     /// Some runs of services end by themselves, late enough not to count as a loop of crashes.
     task_behaviour behaviourOf(const run_id &run, const step_spec &step) const
     {
@@ -103,11 +85,6 @@
             advice_policy {std::chrono::milliseconds(draw(120, 300)), 1'000us, drawTime(1'500ms, 3'000ms)};
     }
 
-    void submitAt(std::chrono::milliseconds time, const accepted_job &job)
-    {
-        at(time, "submit " + job.id, [this, job] { emulation.submit(job); });
-    }
-
     // --- work
 
     void drawServices()
@@ -192,10 +169,10 @@
     /// the workers free at each moment.
     void drawBacklog(const std::string &name, std::chrono::milliseconds begin)
     {
-        const auto jobs = draw(250, 400);
+        const auto jobCount = draw(250, 400);
         auto step = urgentStep(backlogCores, 100ms);
         step.count = backlogTasksPerJob;
-        for (std::int64_t i = 0; i < jobs; ++i) {
+        for (std::int64_t i = 0; i < jobCount; ++i) {
             auto job = jobOf(name + "-" + std::to_string(i), 0, step);
             job.queue.target = backlogTarget;
             submitAt(begin, job);
@@ -253,10 +230,9 @@
         const auto count = draw(2, 5);
         for (std::int64_t i = 0; i < count && time < faultsEnd; ++i) {
             if (draw(0, 1) == 0) {
-                at(time, "hand over", [this] { emulation.handOver(); });
+                handOverAt(time);
             } else {
-                const auto span = drawTime(300ms, 4'000ms);
-                at(time, "kill owner", [this, span] { emulation.killOwner(span); });
+                killOwnerAt(time, drawTime(300ms, 4'000ms));
             }
             time += drawTime(500ms, 5'000ms);
         }
@@ -269,38 +245,19 @@
         for (std::int64_t i = 0; i < count; ++i) {
             const auto worker = static_cast<std::size_t>(draw(6, static_cast<std::int64_t>(initialWorkers) - 1));
             const auto span = drawTime(500ms, 9'000ms);
-            at(drawTime(faultsBegin, 16'000ms), "disconnect worker " + std::to_string(worker),
-               [this, worker, span] { emulation.disconnectWorker(worker, span); });
+            disconnectWorkerAt(drawTime(faultsBegin, 16'000ms), worker, span);
         }
     }
 
     // --- run
 
-    std::string run(const std::function<void(const std::string &line)> &onTrace)
+    std::string run(const trace_handler &onTrace)
     {
-        const auto trace = [&](const std::string &line) {
-            if (onTrace) {
-                onTrace(std::to_string(emulation.elapsed().count()) + " " + line);
-            }
-        };
-        if (onTrace) {
-            emulation.onTrace = trace;
-        }
-        for (const auto &[time, event] : events) {
-            if (emulation.elapsed() < time) {
-                emulation.runFor(time - emulation.elapsed());
-            }
-            trace(event.first);
-            event.second();
-        }
-        emulation.runFor(totalTime - emulation.elapsed());
+        play(totalTime, onTrace);
         return emulation.violation();
     }
 
     std::uint64_t seed;
-    std::mt19937_64 random;
-    cell_emulation emulation;
-    std::multimap<std::chrono::milliseconds, std::pair<std::string, std::function<void()>>> events;
 };
 
 } // namespace
@@ -308,7 +265,7 @@
 std::string runLivenessSchedule(std::uint64_t seed, worker_replacement replacement,
                                 const std::function<void(const std::string &line)> &onTrace)
 {
-    schedule drawn(seed);
+    liveness_schedule drawn(seed);
     drawn.drawWork();
     drawn.drawReplacements(replacement);
     drawn.drawOwnerChanges();
