A call whose response has arrived counts as sent, also if it ends before it is read

A call ends at its timeout; if its response is complete by then and waits to be handed on, its connection is released already, and the call counted as not sent. Since the owner takes a start that wasn't sent for one that wasn't carried out, so a task could have run twice: an answer that comes within an iteration of the main loop before the timeout is enough, which takes a busy relay. The store's client decides likewise whether a transaction may have been made.

Before: the new case of http_client-test fails (isSent is false). After: 5 of 5 pass, worker_client and booking too.

--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -517,13 +517,14 @@
 
     http_stage stage() const
     {
-        if (m_connection == nullptr) {
+        const bool hasAnswer = m_isHeadComplete; // then the connection may be released already
+        if (m_connection == nullptr && !hasAnswer) {
             return http_stage::waiting;
         }
         if (!m_isNewConnection) {
             return http_stage::sentOnKeptConnection;
         }
-        return m_connection->socket.hasSent() ? http_stage::sentOnNewConnection : http_stage::connecting;
+        return hasAnswer || m_connection->socket.hasSent() ? http_stage::sentOnNewConnection : http_stage::connecting;
     }
 
     std::shared_ptr<response_stream> end()
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -76,6 +76,27 @@
     }
 }
 
+TEST_CASE("a call whose response has arrived has been sent, also if it isn't read before the timeout")
+{
+    loopback::scripted_peer peer([](loopback::raw_connection &connection, int) {
+        connection.readRequest();
+        connection.write(emptyResponse);
+        connection.readAll();
+    });
+    http_client http;
+    http_call call;
+    call.url = "http://127.0.0.1:" + std::to_string(peer.port()) + "/";
+    call.timeout = 200ms;
+    std::optional<http_failure> failure;
+    http_stream::handlers handlers;
+    handlers.headReceived = [](unsigned, const http_headers &) { };
+    handlers.failed = [&failure](const http_failure &reason) { failure = reason; };
+    const auto unread = http.stream(call, handlers);
+    loopback::runUntil([&failure] { return failure.has_value(); });
+    REQUIRE(failure.has_value());
+    CHECK(failure->isSent);
+}
+
 TEST_CASE("a slow answer on a connection that is up isn't asked for again")
 {
     std::atomic<int> connections = 0;
