Never make a connection anew on which a request has been sent

A connection that has sent its request and was reset since isn't connected either; if the main loop is late, the timer is handled before the reset, and the request went out a second time: a booking that mustn't be repeated could have run twice, or a start met two boots. Now only a connection that has sent nothing is made anew.

Before: http_client-test, 'a request isn't sent again if its connection is reset while the main loop is late', fails three times of three (2 requests). After: 6 of 6 cases pass, three times.

--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -287,11 +287,12 @@
         use(connection);
     }
 
-    /// Makes the connection once more if it isn't up in time. Nothing has been sent by then.
+    /// Makes the connection once more if it isn't up in time.
     void openAgainIfLate()
     {
         m_reconnect.once(std::min(maxConnectTime, m_timeout / connectTimeDivisor), [this] {
-            if (m_connection == nullptr || m_connection->socket.isConnected()) {
+            // A connection that was up and has been reset isn't connected either, but has sent something.
+            if (stage() != http_stage::connecting || m_connection->socket.isConnected()) {
                 return;
             }
             m_pools->remove(m_target->host(), std::exchange(m_connection, nullptr));
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr auto timeout = 600ms; ///< shorter than the second after which a kernel sends an opening packet again
+constexpr std::size_t bytesBeyondSocketBuffers = 16'000'000;
 constexpr const char *emptyResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 /// Calls @p port and runs the main loop until the outcome is there.
@@ -97,6 +98,30 @@
     CHECK(failure->isSent);
 }
 
+TEST_CASE("a request isn't sent again if its connection is reset while the main loop is late")
+{
+    std::atomic<int> requests = 0;
+    loopback::scripted_peer peer([&requests](loopback::raw_connection &connection, int) {
+        requests += connection.readRequest().empty() ? 0 : 1;
+        connection.reset();
+    });
+    http_client http;
+    http_call call;
+    call.url = "http://127.0.0.1:" + std::to_string(peer.port()) + "/";
+    call.method = "POST";
+    call.body =
+        std::string(bytesBeyondSocketBuffers, 'x'); // so that the main loop has to wait for room to send the rest
+    call.timeout = timeout;
+    std::optional<http_outcome> result;
+    http.call(call, [&result](const http_outcome &outcome) { result = outcome; });
+    loopback::runUntil([&requests] { return requests > 0; });
+    std::this_thread::sleep_for(timeout / 2);
+    loopback::runUntil([&result] { return result.has_value(); });
+    REQUIRE(std::holds_alternative<http_failure>(*result));
+    CHECK(std::get<http_failure>(*result).isSent);
+    CHECK(requests == 1);
+}
+
 TEST_CASE("a slow answer on a connection that is up isn't asked for again")
 {
     std::atomic<int> connections = 0;
--- a/tests/unit/loopback.cpp
+++ b/tests/unit/loopback.cpp
@@ -85,6 +85,13 @@
     }
 }
 
+void raw_connection::reset()
+{
+    const linger none {1, 0};
+    setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    close();
+}
+
 void raw_connection::write(const std::string &bytes) const
 {
     std::size_t sent = 0;
--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -40,6 +40,9 @@
 
     void close();
 
+    /// Closes the connection with a reset.
+    void reset();
+
 private:
     bool fill();
 
