Log why a job has failed, the boot of a worker's change, and how a suspected loss was settled

The log could not tell the hypotheses of the postmortem apart: no line said why a job failed, whether a worker came back in the same boot, nor whether a loss that was only suspected was taken back or proven.

- `cell job` has `reason=`: attempts, crashes or lost-run.
- `cell worker` has `boot=`.
- `cell loss-settled task= attempt= worker= outcome=taken-back|proven`, with the counts after it, and primrosecroft_worker_losses_settled.

No decision changes. Two cases of run_reports.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -194,6 +194,7 @@
     bool isBeyondRate = false; ///< its workspace has sent more jobs than its rate allows; they go behind all others
     bool isCancelled = false;
     bool hasFailed = false;
+    job_failure failure = job_failure::none; ///< why it has failed under this owner
     bool isOutcomeUnknown = false; ///< an at-most-once task was lost, so it may have done its work or not
     bool hasUnsavedChanges = false; ///< its stored rows are out of date
     /// For each worker, an end no later than its first one that isn't in the job's stored rows. Workers whose ends are
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -338,12 +338,22 @@
     worker_id otherWorker; ///< empty if there is no such run
 };
 
+/// Why a job has failed.
+enum class job_failure
+{
+    none, ///< it hasn't
+    attempts, ///< a task or gang of it failed as often as its queue allows
+    crashes, ///< a task of it crashes the workers that start it
+    lostRun, ///< the run of an at-most-once task was lost
+};
+
 /// The job's end is stored, so it may be reported to callers.
 struct report_job_end
 {
     job_id id;
     queue_name queue;
     job_status status = job_status::complete;
+    job_failure failure = job_failure::none;
     std::chrono::milliseconds took {0}; ///< since the job's acceptance
     std::chrono::milliseconds objective {0}; ///< time within which the job should complete, from its acceptance
 };
@@ -353,6 +363,7 @@
 {
     worker_id worker;
     std::string change;
+    worker_boot boot = 0; ///< the known one before the change
 };
 
 /// A worker was lost with the runs on it.
@@ -375,6 +386,15 @@
     lost_workers counts;
 };
 
+/// It is known what became of a worker whose leases had expired unseen under this run.
+struct report_loss_settled
+{
+    run_id run;
+    worker_id worker;
+    bool isProven = false; ///< the worker has ended; otherwise it has answered in the same boot
+    lost_workers counts;
+};
+
 /// The job of this task fails, because the task crashes the workers that start it.
 struct report_given_up
 {
@@ -410,9 +430,10 @@
     worker_id worker;
 };
 
-using cell_action = std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed,
-                                 report_unanswered_start, report_doubted_run, report_gang_stopped, report_ended,
-                                 report_second_run, report_job_end, report_worker_change, report_worker_loss,
-                                 report_suspect, report_given_up, report_job_size, report_limit_reached, report_fenced>;
+using cell_action =
+    std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed, report_unanswered_start,
+                 report_doubted_run, report_gang_stopped, report_ended, report_second_run, report_job_end,
+                 report_worker_change, report_worker_loss, report_suspect, report_loss_settled, report_given_up,
+                 report_job_size, report_limit_reached, report_fenced>;
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/detail/worker_loss.h
+++ b/src/libprimrosecroft/cell/detail/worker_loss.h
@@ -44,7 +44,7 @@
 void takeBackRefusals(cell_state &state, worker_state &worker);
 
 /// Called when the worker answers again in the same boot after its leases had expired unseen: it wasn't lost.
-void takeBackSuspectedLosses(cell_state &state, worker_state &worker);
+void takeBackSuspectedLosses(cell_state &state, worker_state &worker, cell_actions &actions);
 
 /// Called when a run has ended or was refused while its worker is up. Takes the run out of the counts.
 void uncountRun(const task_view &view, task_run &run);
--- a/src/libprimrosecroft/cell/health.cpp
+++ b/src/libprimrosecroft/cell/health.cpp
@@ -43,7 +43,7 @@
     const auto pause = std::clamp<std::chrono::milliseconds>(worker.health.pause * 2, minQuarantine, maxQuarantine);
     if (quarantine(state, worker, pause, now)) {
         worker.health.pause = pause;
-        actions.emplace_back(report_worker_change {worker.description.id, "quarantined"});
+        actions.emplace_back(report_worker_change {worker.description.id, "quarantined", worker.description.boot});
     }
 }
 
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -191,9 +191,10 @@
     }
 }
 
-void failJob(cell_state &state, job_state &job, instant now, cell_actions &actions)
+void failJob(cell_state &state, job_state &job, job_failure failure, instant now, cell_actions &actions)
 {
     job.hasFailed = true;
+    job.failure = failure;
     markUnsaved(state, job);
     stopAllRuns(state, job, now, actions);
 }
@@ -377,7 +378,7 @@
 {
     if (!view.task->isDone && !isAborted(*view.job)) {
         view.job->isOutcomeUnknown = true;
-        failJob(state, *view.job, now, actions);
+        failJob(state, *view.job, job_failure::lostRun, now, actions);
     }
 }
 
@@ -389,7 +390,7 @@
     }
     const auto &losses = view.spec->isGang ? view.step->gangLosses : view.task->losses;
     actions.emplace_back(report_given_up {ref, view.job->accepted.queue.name, worker, losses.counts});
-    failJob(state, *view.job, now, actions);
+    failJob(state, *view.job, job_failure::crashes, now, actions);
 }
 
 bool ensureAttemptReserved(cell_state &state, job_state &job, step_state &step, std::uint32_t attempt)
@@ -454,7 +455,7 @@
     markUnsaved(state, *view.job);
     const auto maxFailures = view.spec->isAtMostOnce ? 1 : view.job->accepted.queue.maxFailures;
     if (static_cast<std::int32_t>(failed.size()) >= maxFailures) {
-        failJob(state, *view.job, now, actions);
+        failJob(state, *view.job, job_failure::attempts, now, actions);
     }
 }
 
--- a/src/libprimrosecroft/cell/leases.cpp
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -166,7 +166,7 @@
     }
     settleDoubtedEntry(state, worker, message.sentAt, now, actions);
     takeBackRefusals(state, worker);
-    takeBackSuspectedLosses(state, worker);
+    takeBackSuspectedLosses(state, worker, actions);
     worker.clock = clock_sample {message.clock, now};
     // The new clock sample usually gives a closer bound for the end of the leases.
     if (worker.latestDeadline.count() > 0) {
@@ -234,7 +234,7 @@
     for (auto &[id, worker] : state.workers) {
         const bool areOver = haveLeasesExpired(state, worker, now);
         if (areOver && !worker.reservations.empty()) {
-            actions.emplace_back(report_worker_change {id, "leases expired"});
+            actions.emplace_back(report_worker_change {id, "leases expired", worker.description.boot});
             recordWorkerLoss(state, worker, isInPlatformsList(worker) ? worker_loss::silent : worker_loss::unlisted,
                              now, actions);
             dropRuns(state, worker, dropped_runs::all, now, actions, "lapsed unseen");
@@ -246,8 +246,8 @@
         }
     }
     for (const auto &id : removable) {
+        actions.emplace_back(report_worker_change {id, "forgotten", state.workers.at(id).description.boot});
         state.workers.erase(id);
-        actions.emplace_back(report_worker_change {id, "forgotten"});
     }
     if (now >= state.inDoubtUntil) {
         state.unreconciledWorkers.clear();
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -284,7 +284,7 @@
         }
         if (const auto end = endStatusOf(job); end && !job.hasUnsavedChanges) {
             actions.emplace_back(report_job_end {
-                id, job.accepted.queue.name, *end,
+                id, job.accepted.queue.name, *end, job.failure,
                 std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt), job.objective});
             state.finishedJobs[id] = *end;
             state.finishedJobsOrder.push_back(id);
--- a/src/libprimrosecroft/cell/supervision.cpp
+++ b/src/libprimrosecroft/cell/supervision.cpp
@@ -85,7 +85,7 @@
         return; // what stalls there now began before the quarantine
     }
     if (++worker.health.stalls >= stallsBeforeQuarantine && quarantine(state, worker, stallQuarantine, now)) {
-        actions.emplace_back(report_worker_change {run.worker, "quarantined: runs stalled"});
+        actions.emplace_back(report_worker_change {run.worker, "quarantined: runs stalled", worker.description.boot});
     }
 }
 
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -299,7 +299,7 @@
 }
 
 /// Counts a loss that was only suspected, now that the worker turns out to have restarted.
-void proveSuspectedLosses(cell_state &state, worker_state &worker)
+void proveSuspectedLosses(cell_state &state, worker_state &worker, cell_actions &actions)
 {
     for (const auto &id : std::exchange(worker.suspectedLosses, {})) {
         const auto view = findTask(state, id.task);
@@ -310,6 +310,7 @@
         if (const auto counted = losses.byAttempt.find(id.attempt); counted != losses.byAttempt.end()) {
             proveLoss(losses, counted->second);
             markUnsaved(state, *view->job);
+            actions.emplace_back(report_loss_settled {id, worker.description.id, true, losses.counts});
         }
     }
 }
@@ -408,7 +409,7 @@
     }
 }
 
-void takeBackSuspectedLosses(cell_state &state, worker_state &worker)
+void takeBackSuspectedLosses(cell_state &state, worker_state &worker, cell_actions &actions)
 {
     for (const auto &id : std::exchange(worker.suspectedLosses, {})) {
         const auto view = findTask(state, id.task);
@@ -426,6 +427,7 @@
         losses.counts.proven -= counted->second.isProven ? std::min(losses.counts.proven, 1U) : 0;
         losses.byAttempt.erase(counted);
         markUnsaved(state, *view->job);
+        actions.emplace_back(report_loss_settled {id, worker.description.id, false, losses.counts});
     }
 }
 
@@ -522,7 +524,7 @@
     }
     const bool isProven = how != worker_loss::silent;
     if (how == worker_loss::restarted) {
-        proveSuspectedLosses(state, worker);
+        proveSuspectedLosses(state, worker, actions);
     }
     if (isProven) {
         recordFailedTrialSince(state, worker, now, actions);
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -71,7 +71,7 @@
     if (worker.description.boot == boot) {
         return;
     }
-    actions.emplace_back(report_worker_change {worker.description.id, "restarted"});
+    actions.emplace_back(report_worker_change {worker.description.id, "restarted", worker.description.boot});
     markRunsOfNextBoot(state, worker, boot);
     recordWorkerLoss(state, worker, worker_loss::restarted, now, actions);
     dropRuns(state, worker, dropped_runs::ofEarlierBoots, now, actions, "lost with its worker");
@@ -122,7 +122,7 @@
         worker.description = description;
         worker.highestBoot = description.boot;
         worker.nextListAt = now;
-        actions.emplace_back(report_worker_change {description.id, "listed"});
+        actions.emplace_back(report_worker_change {description.id, "listed", description.boot});
     }
     const bool isOfOtherBoot = description.boot != worker.description.boot;
     if (isOfOtherBoot && !isSurelyLater(worker, description)) {
@@ -135,7 +135,7 @@
         worker.nextListAt = now;
     }
     if (description.isDraining && !worker.description.isDraining) {
-        actions.emplace_back(report_worker_change {description.id, "draining"});
+        actions.emplace_back(report_worker_change {description.id, "draining", description.boot});
     }
     if (description.isDraining && worker.drainEndsAt == instant {} && description.remaining) {
         worker.drainEndsAt = now + *description.remaining;
@@ -153,7 +153,7 @@
     if (found != state.workers.end() && isInPlatformsList(found->second)) {
         found->second.isListed = false;
         found->second.doubtedEntry.reset();
-        actions.emplace_back(report_worker_change {id, "no longer listed"});
+        actions.emplace_back(report_worker_change {id, "no longer listed", found->second.description.boot});
     }
 }
 
--- a/src/libprimrosecroft/owner_session/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -33,6 +33,21 @@
     return age ? std::to_string(age->count()) : "none";
 }
 
+std::string reasonText(job_failure failure)
+{
+    switch (failure) {
+    case job_failure::none:
+        return "none";
+    case job_failure::attempts:
+        return "attempts";
+    case job_failure::crashes:
+        return "crashes";
+    case job_failure::lostRun:
+        return "lost-run";
+    }
+    return "";
+}
+
 std::string percentText(double share)
 {
     return std::to_string(std::lround(share * 100));
@@ -139,13 +154,15 @@
                 {{"id", report.id},
                  {"queue", report.queue},
                  {"status", toString(report.status)},
+                 {"reason", reasonText(report.failure)},
                  {"took_ms", std::to_string(report.took.count())},
                  {"objective_ms", std::to_string(report.objective.count())}});
 }
 
 void cell_log::write(const report_worker_change &report)
 {
-    m_log.write("cell", "worker", {{"worker", report.worker}, {"change", report.change}});
+    m_log.write("cell", "worker",
+                {{"worker", report.worker}, {"change", report.change}, {"boot", std::to_string(report.boot)}});
 }
 
 void cell_log::write(const report_worker_loss &report)
@@ -172,6 +189,21 @@
                  {"proven", std::to_string(report.counts.proven)}});
 }
 
+void cell_log::write(const report_loss_settled &report)
+{
+    const auto *outcome = report.isProven ? "proven" : "taken-back";
+    m_measures.count("primrosecroft_worker_losses_settled", "outcome", outcome);
+    m_log.write("cell", "loss-settled",
+                {{"task", toString(report.run.task)},
+                 {"attempt", std::to_string(report.run.attempt)},
+                 {"worker", report.worker},
+                 {"outcome", outcome},
+                 {"soon", std::to_string(report.counts.soon)},
+                 {"alone", std::to_string(report.counts.alone)},
+                 {"later", std::to_string(report.counts.later)},
+                 {"proven", std::to_string(report.counts.proven)}});
+}
+
 void cell_log::write(const report_given_up &report)
 {
     m_measures.count("primrosecroft_tasks_given_up", "queue", report.queue);
--- a/tests/unit/run_reports_test.cpp
+++ b/tests/unit/run_reports_test.cpp
@@ -96,3 +96,40 @@
     REQUIRE(report != nullptr);
     CHECK(report->how == "start refused: old attempt");
 }
+
+TEST_CASE("the report of a failed job tells that a task had too many failed attempts")
+{
+    reporting_cell cell;
+    std::int64_t number = 0;
+    const auto maxFailures = cell.cell.state.jobs.at("job").accepted.queue.maxFailures;
+    while (number < maxFailures) {
+        cell.cell.answerList(cell.start.worker, {}, {{++number, cell.start.run, run_end::failed, ""}});
+        for (int pass = 0; pass < 3 && number < maxFailures; ++pass) {
+            cell.cell.advance(1s);
+            const auto starts = cell.cell.runSchedulingPass();
+            cell.start = starts.empty() ? cell.start : starts.front();
+            cell.cell.confirmCommit();
+        }
+    }
+    cell.cell.advance(100ms);
+    cell.cell.runSchedulingPass();
+    cell.cell.confirmCommit();
+    const auto *report = cell.last<report_job_end>();
+    REQUIRE(report != nullptr);
+    CHECK(report->status == job_status::failed);
+    CHECK(report->failure == job_failure::attempts);
+}
+
+TEST_CASE("a worker that was silent beyond its leases and answers in the same boot has its loss reported as taken back")
+{
+    reporting_cell cell;
+    cell.cell.advance(20s);
+    cell.cell.runSchedulingPass();
+    cell.cell.confirmCommit();
+    cell.cell.answerList(cell.start.worker, {});
+    const auto *report = cell.last<report_loss_settled>();
+    REQUIRE(report != nullptr);
+    CHECK(report->run == cell.start.run);
+    CHECK_FALSE(report->isProven);
+    CHECK(report->counts == lost_workers {});
+}
