Reproduce jobs that fail because their workers are cut off from the cell and the store

The fixture of worker_loss is now crashing_cell.h; its cases are as they were. Emulated workers have addresses of their own.

--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -337,6 +337,18 @@
     checkCrashes(crash_cause::none);
 }
 
+// Guards against workers that are cut off also from the platform's store being counted as crashed.
+TEST_CASE("no job fails because its workers are cut off from the cell and the store", "[cuts_from_store]")
+{
+    checkCrashes(crash_cause::cutsFromStore);
+}
+
+TEST_CASE("no task crashes worker after worker while these are away for longer than leases and entries last",
+          "[crashes_for_long]")
+{
+    checkCrashes(crash_cause::tasksForLong);
+}
+
 TEST_CASE("no task crashes worker after worker while workers also crash by themselves", "[crashes_of_both]")
 {
     checkCrashes(crash_cause::tasksAndWorkers);
--- a/tests/standins/cell_emulation.cpp
+++ b/tests/standins/cell_emulation.cpp
@@ -31,8 +31,7 @@
 constexpr auto announcementInterval = 800ms; ///< between two announcements of a worker in the platform's list
 constexpr auto maxAnnouncementLagMs = 600; ///< of a new boot, if entries lag
 constexpr auto maxClockJumpMs = 2'400; ///< of a worker's time of day, ahead or back again
-constexpr auto minCrashTimeMs = 1'000; ///< a worker that a task has crashed is down for
-constexpr auto maxCrashTimeMs = 5'000;
+constexpr auto entryLifetime = 4'500ms; ///< of an entry that isn't renewed, if entries expire
 constexpr auto minLateDelayMs = 2'000; ///< of an order whose answer is lost and which the worker carries out late
 constexpr auto maxLateDelayMs = 12'000;
 constexpr auto jobScanInterval = 2s; ///< between two scans of an owner for stored jobs that it doesn't know
@@ -51,6 +50,7 @@
     bool keepsKind = false; ///< its next boot is no smaller or larger type
     worker_description announced; ///< as in the platform's list, which lags behind the worker
     instant nextAnnouncement;
+    instant announcedAt {}; ///< when its entry was last renewed
     std::set<worker_boot> earlierBoots {}; ///< and the present one, if the time of day may go back
     bool isGone = false; ///< it is down for good, and the platform no longer lists it
 };
@@ -233,11 +233,14 @@
                                   + " attempt " + std::to_string(run->attempt));
             }
             crashes.recordCrash(run->task);
-            crash(worker, std::chrono::milliseconds(pick(minCrashTimeMs, maxCrashTimeMs)));
+            crash(worker,
+                  std::chrono::milliseconds(pick(settings.minCrashTime.count(), settings.maxCrashTime.count())));
             return;
         }
-        if (now >= worker.nextAnnouncement) {
+        const bool reachesStore = !settings.entriesExpire || now >= worker.disconnectedUntil;
+        if (now >= worker.nextAnnouncement && reachesStore) {
             worker.nextAnnouncement = now + announcementInterval;
+            worker.announcedAt = now;
             worker.announced = worker.executor.description();
         }
     }
@@ -773,12 +776,13 @@
             overlookIncompleteGangs(*process.cell);
         }
         for (const auto &worker : workers) {
-            if (process.cell && !worker.isDown) {
+            const bool hasExpired = settings.entriesExpire && worker.announcedAt + entryLifetime < now;
+            if (process.cell && !worker.isDown && !hasExpired) {
                 markRunsShownIfMutated(*process.cell);
                 trustEntryIfMutated(*process.cell, worker.announced);
                 step(*process.cell, worker_listed {worker.announced}, now, actions);
             }
-            if (process.cell && worker.isGone) {
+            if (process.cell && (worker.isGone || hasExpired)) {
                 step(*process.cell, worker_unlisted {worker.announced.id}, now, actions);
             }
         }
@@ -876,33 +880,37 @@
     {
         const auto token = effectiveToken(processes[index].token);
         for (const auto &action : std::exchange(actions, {})) {
-            std::visit(overloaded {
-                           [&](const send_start &order) { sendStart(index, order, token); },
-                           [&](const send_stop &order) {
-                               sendOrder<stop_answered>(
-                                   index, order.worker, {order.worker, order.boot, order.run, order_result::lost, now},
-                                   [this, order, token, sentAt = now](emulated_worker &worker) {
-                                       return stop_answered {order.worker, order.boot, order.run,
-                                                             stopRun(worker, order.run, token), sentAt};
-                                   });
-                           },
-                           [&](const send_list &order) { sendList(index, order, token); },
-                           [&](const ask_advice &request) { askAdvice(index, request); },
-                           [&](const commit_rows &rows) {
-                               ownedCommit(index, rows.transaction, [this, index, rows](const commit_result &result) {
-                                   const auto sequence = result.outcome == store_outcome::done
-                                       ? result.version
-                                       : versionOf(result.currentRows, commitSequencePlace());
-                                   stepCell(index, commit_answered {rows.number, result.outcome, sequence});
-                               });
-                           },
-                           [&](const report_fenced &) { stepLeadership(index, ownership_lost {}); },
-                           [&](const report_worker_loss &report) { trace(report); },
-                           [&](const report_suspect &report) { trace("suspect", report.task, report.counts); },
-                           [&](const report_given_up &report) { trace("given up", report.task, report.counts); },
-                           [](const auto &) {},
-                       },
-                       action);
+            std::visit(
+                overloaded {
+                    [&](const send_start &order) { sendStart(index, order, token); },
+                    [&](const send_stop &order) {
+                        sendOrder<stop_answered>(index, order.worker,
+                                                 {order.worker, order.boot, order.run, order_result::lost, now},
+                                                 [this, order, token, sentAt = now](emulated_worker &worker) {
+                                                     return stop_answered {order.worker, order.boot, order.run,
+                                                                           stopRun(worker, order.run, token), sentAt};
+                                                 });
+                    },
+                    [&](const send_list &order) { sendList(index, order, token); },
+                    [&](const ask_advice &request) { askAdvice(index, request); },
+                    [&](const commit_rows &rows) {
+                        ownedCommit(index, rows.transaction, [this, index, rows](const commit_result &result) {
+                            const auto sequence = result.outcome == store_outcome::done
+                                ? result.version
+                                : versionOf(result.currentRows, commitSequencePlace());
+                            stepCell(index, commit_answered {rows.number, result.outcome, sequence});
+                        });
+                    },
+                    [&](const report_fenced &) { stepLeadership(index, ownership_lost {}); },
+                    [&](const report_worker_loss &report) { trace(report); },
+                    [&](const report_suspect &report) { trace("suspect", report.task, report.counts); },
+                    [&](const report_loss_settled &report) {
+                        trace(report.isProven ? "loss proven" : "loss taken back", report.run.task, report.counts);
+                    },
+                    [&](const report_given_up &report) { trace("given up", report.task, report.counts); },
+                    [](const auto &) {},
+                },
+                action);
             if (!processes[index].cell) {
                 actions.clear();
                 return;
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -70,6 +70,10 @@
     disabled_rule mutation = disabled_rule::none;
     bool allowsCopies = false; ///< the tasks of the jobs that run() submits may run in several copies
     duration_model durations; ///< that each owner begins with
+    /// The platform drops the entry of a worker that hasn't renewed it for a while. A worker that is cut off can't.
+    bool entriesExpire = false;
+    std::chrono::milliseconds minCrashTime {1'000}; ///< a worker that a task has crashed is down for
+    std::chrono::milliseconds maxCrashTime {5'000};
     double startsWithoutConnection = 0; ///< share of the starts that reach no worker and get no answer, at any time
     bool checksGangs = false; ///< gangs run on several workers; also checks that no member waits for others for long
     bool checksLiveness = false; ///< also checks that no task waits for long that could run
--- a/tests/standins/crash_schedule.cpp
+++ b/tests/standins/crash_schedule.cpp
@@ -22,22 +22,35 @@
 constexpr int lossesThatAllowGivingUp = 2; ///< workers that have crashed under a task, by the users' pages
 constexpr int cutWaves = 10;
 constexpr double cutShare = 0.5; ///< of the workers, in each wave
+constexpr std::size_t fewWorkers = 4; ///< so that cuts of single ones meet the same tasks again and again
+constexpr int singleCuts = 14;
+constexpr auto singleCutInterval = 4'000ms;
+constexpr auto minSingleCut = 7'500ms; ///< longer than leases and entries last
+constexpr auto maxSingleCut = 9'500ms;
+constexpr auto totalTimeOfCuts = 160'000ms;
+constexpr auto minLongCrash = 7'000ms;
+constexpr auto maxLongCrash = 10'000ms;
 constexpr auto cutTime = 6'200ms; ///< longer than leases, so that tasks are started again just before the next wave
 
 struct crash_schedule : drawn_schedule
 {
-    crash_schedule(std::uint64_t seed, disabled_rule mutation)
-        : drawn_schedule(seed + 5'000'011, settingsOf(seed, mutation))
+    crash_schedule(std::uint64_t seed, crash_cause cause, disabled_rule mutation)
+        : drawn_schedule(seed + 5'000'011, settingsOf(seed, cause, mutation))
     {
         emulation.behaviour = [this](const run_id &run, const step_spec &step) { return behaviourOf(run, step); };
     }
 
-    static emulation_settings settingsOf(std::uint64_t seed, disabled_rule mutation)
+    static emulation_settings settingsOf(std::uint64_t seed, crash_cause cause, disabled_rule mutation)
     {
         emulation_settings settings;
         settings.mutation = mutation;
         settings.seed = seed;
-        settings.workers = workerCount;
+        settings.workers = cause == crash_cause::cutsFromStore ? fewWorkers : workerCount;
+        settings.entriesExpire = cause == crash_cause::cutsFromStore || cause == crash_cause::tasksForLong;
+        if (cause == crash_cause::tasksForLong) {
+            settings.minCrashTime = minLongCrash;
+            settings.maxCrashTime = maxLongCrash;
+        }
         settings.faultPeriod = workEnds;
         settings.faultScale = 0.5;
         settings.maxLoadTime = 1'500ms;
@@ -119,6 +132,28 @@
         }
     }
 
+    /// Draws jobs whose tasks work for longer than a cut lasts.
+    void drawLongWork()
+    {
+        for (int i = 0; i < 4; ++i) {
+            auto job = drawJob("job" + std::to_string(i));
+            job.spec.steps.resize(1);
+            job.spec.steps.front().estimate = drawTime(10'000ms, 20'000ms);
+            job.spec.steps.front().allowsCopies = false;
+            submitAt(drawTime(workBegins, workBegins + 2'000ms), job);
+        }
+    }
+
+    /// Draws cuts of one worker after the other, which begin while some earlier ones last.
+    void drawSingleCuts()
+    {
+        for (int i = 0; i < singleCuts; ++i) {
+            const auto worker = static_cast<std::size_t>(draw(0, fewWorkers - 1));
+            const auto time = workBegins + (i + 1) * singleCutInterval + drawTime(0ms, 500ms);
+            disconnectWorkerAt(time, worker, drawTime(minSingleCut, maxSingleCut));
+        }
+    }
+
     void drawOwnerChanges()
     {
         const auto count = draw(0, 2);
@@ -170,9 +205,9 @@
         return found == jobs.end() ? job_id {} : *found;
     }
 
-    crash_outcome run(const trace_handler &onTrace)
+    crash_outcome run(std::chrono::milliseconds time, const trace_handler &onTrace)
     {
-        play(totalTime, onTrace);
+        play(time, onTrace);
         crash_outcome outcome;
         outcome.violation = emulation.violation().empty() ? findWrongEnd() : emulation.violation();
         outcome.innocent = findInnocent();
@@ -190,9 +225,16 @@
 crash_outcome runCrashSchedule(std::uint64_t seed, crash_cause cause,
                                const std::function<void(const std::string &line)> &onTrace, disabled_rule mutation)
 {
-    crash_schedule drawn(seed, mutation);
+    crash_schedule drawn(seed, cause, mutation);
+    const bool hasDeadlyTasks = cause == crash_cause::tasks || cause == crash_cause::lateTasks
+        || cause == crash_cause::tasksForLong || cause == crash_cause::tasksAndWorkers;
+    if (cause == crash_cause::cutsFromStore) {
+        drawn.drawLongWork();
+        drawn.drawSingleCuts();
+        return drawn.run(totalTimeOfCuts, onTrace);
+    }
     drawn.drawWork();
-    if (cause != crash_cause::workers && cause != crash_cause::none) {
+    if (hasDeadlyTasks) {
         drawn.drawDeadlyTasks(cause == crash_cause::lateTasks);
     }
     if (cause == crash_cause::none) {
@@ -203,7 +245,7 @@
     }
     drawn.drawOwnerChanges();
     drawn.drawDisconnections();
-    return drawn.run(onTrace);
+    return drawn.run(totalTime, onTrace);
 }
 
 } // namespace primrosecroft
--- a/tests/standins/crash_schedule.h
+++ b/tests/standins/crash_schedule.h
@@ -16,8 +16,10 @@
 enum class crash_cause
 {
     none, ///< no worker crashes by a task or in a wave; workers are cut off again and again
+    cutsFromStore, ///< likewise, one after the other, also from the store, so that their entries expire
     tasks, ///< each time by the same tasks, just after their start
     lateTasks, ///< likewise, in the middle of their work
+    tasksForLong, ///< just after their start, and the workers are away for longer than their leases and entries last
     workers, ///< many workers at once, under whatever runs there
     tasksAndWorkers, ///< by tasks just after their start, and by themselves
 };
--- a/tests/standins/deployment_standin.cpp
+++ b/tests/standins/deployment_standin.cpp
@@ -37,6 +37,7 @@
 constexpr std::uint16_t workerPort = 7500;
 constexpr auto tickInterval = 10ms;
 constexpr auto announcementInterval = 500ms;
+constexpr auto entryLifetime = 4'500ms; ///< a worker's entry goes when it hasn't been renewed for this long
 constexpr const char *taskPool = "tasks";
 constexpr const char *bookingPool = "bookings";
 
@@ -65,6 +66,13 @@
     return behaviour;
 }
 
+/// A worker that runs on while neither the daemons nor the store reach it.
+struct cut_off
+{
+    instant from;
+    instant until;
+};
+
 struct deployment
 {
     explicit deployment(std::string prefix)
@@ -178,9 +186,14 @@
 
     void announce()
     {
-        for (const auto &worker : workers) {
-            const auto &description = worker.description();
-            store.put({platform::workerTable, "", description.id}, standins::workerEntry(description, ++announcements));
+        for (std::size_t i = 0; i < workers.size(); ++i) {
+            const auto &description = workers[i].description();
+            const row_place place {platform::workerTable, "", description.id};
+            if (!isCut(i)) {
+                store.put(place, standins::workerEntry(description, ++announcements));
+            } else if (cuts.at(i).from + entryLifetime <= bootNow()) {
+                store.remove(place);
+            }
         }
         for (const auto &[id, entry] : executors) {
             store.put({platform::workerTable, "", id}, entry.dump());
@@ -249,8 +262,19 @@
 
     // --- workers
 
+    /// Returns whether the worker is cut off from the daemons and the store.
+    bool isCut(std::size_t worker) const
+    {
+        const auto found = cuts.find(worker);
+        return found != cuts.end() && found->second.until > bootNow();
+    }
+
     void serveWorker(std::size_t index, const std::shared_ptr<http_request> &request)
     {
+        if (isCut(index)) {
+            storeServer.keepUnanswered(request);
+            return;
+        }
         standins::worker_server_hooks hooks;
         hooks.behaviourOf = [](const run_id &, const std::string &payload) { return behaviourOf(payload); };
         // The tests give jobs of the advised queue ids that start with "ad". Only their starts need a ticket.
@@ -261,7 +285,11 @@
             payloads[run.task.job] = payload;
             starts += isNew ? 1 : 0;
         };
-        hooks.answer = [this](const std::shared_ptr<http_request> &order, const http_response &answer) {
+        hooks.answer = [this, index](const std::shared_ptr<http_request> &order, const http_response &answer) {
+            if (isCut(index)) {
+                storeServer.keepUnanswered(order);
+                return;
+            }
             if (order->path() == "/run-start" && startAnswersToLose > 0) {
                 --startAnswersToLose;
                 storeServer.keepUnanswered(order);
@@ -298,6 +326,9 @@
             putConfiguration(static_cast<int>(number("version")), request->query("keys"));
         } else if (request->path() == "/other-store") {
             refusesOtherPort = request->query("mode") == "out";
+        } else if (request->path() == "/cut") {
+            cuts[static_cast<std::size_t>(number("worker"))] = {bootNow(),
+                                                                bootNow() + std::chrono::milliseconds(number("ms"))};
         } else if (request->path() == "/reboot") {
             workers.at(static_cast<std::size_t>(number("worker"))).reboot(timeOfDay().count());
         }
@@ -338,6 +369,7 @@
     std::map<std::string, json> executors; ///< announced entries of the executors of bookings, by VM
     std::map<job_id, std::string> payloads; ///< of the jobs whose tasks have started
     std::deque<executor_emulator> workers;
+    std::map<std::size_t, cut_off> cuts; ///< the last one of each worker that was cut off
     std::vector<std::unique_ptr<http_server>> servers;
     timer tickTimer;
     timer announcementTimer;
--- a/tests/standins/owned_cell.cpp
+++ b/tests/standins/owned_cell.cpp
@@ -28,7 +28,7 @@
     worker_description worker;
     worker.id = id;
     worker.boot = 1;
-    worker.address = "10.0.0.1:80";
+    worker.address = id + ".workers.example:80";
     worker.pool = "pool";
     worker.failureDomain = "a";
     worker.labels = {"plain", rack};
--- a/tests/unit/worker_loss_test.cpp
+++ b/tests/unit/worker_loss_test.cpp
@@ -1,4 +1,4 @@
-#include "owned_cell.h"
+#include "crashing_cell.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -8,111 +8,10 @@
 using namespace primrosecroft;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-constexpr resources wholeWorker {8'000, 16'000, 0};
-constexpr worker_boot firstBoot = 1;
-
-step_spec makeStep(std::int32_t count)
-{
-    step_spec step;
-    step.count = count;
-    step.size = {1'000, 1'000, 0};
-    step.estimate = 800ms;
-    return step;
-}
-
-/// A cell with a worker for each id, whose workers list all that was started on them.
-struct crashing_cell
-{
-    explicit crashing_cell(std::initializer_list<const char *> workers)
-    {
-        for (const auto *id : workers) {
-            cell.addWorker(owned_cell::makeWorker(id, "r", wholeWorker));
-            boots[id] = firstBoot;
-        }
-    }
-
-    /// Runs passes and stores what they commit, and lets the workers accept the starts. Returns these.
-    std::vector<send_start> startPending()
-    {
-        std::vector<send_start> result;
-        for (int pass = 0; pass < 3; ++pass) {
-            for (const auto &start : cell.runSchedulingPass()) {
-                step(cell.state, start_answered {start.worker, start.boot, start.run, order_result::done, cell.now},
-                     cell.now, cell.actions);
-                running[start.worker].push_back({start.run, "", 10, 0});
-                result.push_back(start);
-            }
-            cell.confirmCommit();
-            cell.advance(50ms);
-        }
-        return result;
-    }
-
-    /// Lets time pass and has each worker list its runs.
-    void advanceAndList(std::chrono::milliseconds time)
-    {
-        cell.advance(time);
-        for (const auto &[id, boot] : boots) {
-            cell.answerList(id, running[id], {}, boot);
-        }
-    }
-
-    /// The worker loses all its runs, and the platform lists its next boot.
-    void crash(const worker_id &id)
-    {
-        auto worker = owned_cell::makeWorker(id, "r", wholeWorker);
-        running[id].clear();
-        worker.boot = ++boots[id];
-        step(cell.state, worker_listed {worker}, cell.now, cell.actions);
-        cell.answerList(id, {}, {}, worker.boot);
-    }
-
-    /// The workers don't answer until all leases on them have expired.
-    void silence()
-    {
-        cell.advance(10s);
-        cell.runSchedulingPass();
-        cell.confirmCommit();
-    }
-
-    /// The workers refuse connections.
-    void refuse(std::initializer_list<worker_id> workers)
-    {
-        for (const auto &id : workers) {
-            list_answered refused;
-            refused.worker = id;
-            refused.result = order_result::unreachable;
-            step(cell.state, refused, cell.now, cell.actions);
-        }
-    }
-
-    const loss_record &losses(const job_id &id) const
-    {
-        const auto &state = cell.state.jobs.at(id).occurrences.at(0).steps[0];
-        return cell.state.jobs.at(id).accepted.spec.steps[0].isGang ? state.gangLosses : state.tasks[0].losses;
-    }
-
-    bool hasFailed(const job_id &id) const
-    {
-        const auto found = cell.state.jobs.find(id);
-        return found == cell.state.jobs.end() ? cell.state.finishedJobs.at(id) == job_status::failed
-                                              : found->second.hasFailed;
-    }
-
-    owned_cell cell;
-    std::map<worker_id, worker_boot> boots;
-    std::map<worker_id, std::vector<listed_run>> running;
-};
-
-} // namespace
-
 TEST_CASE("a task under which two workers have crashed is not started on a third one")
 {
     crashing_cell cell({"a", "b", "c", "d"});
-    cell.cell.addJob(owned_cell::makeJob("deadly", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("deadly", {crashing_cell::makeStep(1)}));
     for (int crashes = 0; crashes < 2; ++crashes) {
         const auto starts = cell.startPending();
         REQUIRE(starts.size() == 1);
@@ -127,7 +26,7 @@
     crashing_cell cell({"a"});
     cell.cell.advance(1s);
     cell.cell.runSchedulingPass(); // requests a list of boot 1
-    auto worker = owned_cell::makeWorker("a", "r", wholeWorker);
+    auto worker = owned_cell::makeWorker("a", "r", crashing_cell::wholeWorker);
     worker.boot = 2;
     step(cell.cell.state, worker_listed {worker}, cell.cell.now, cell.cell.actions);
     list_answered mismatch;
@@ -140,8 +39,8 @@
 TEST_CASE("what runs beside a task that crashes its worker is started apart from it, and done")
 {
     crashing_cell cell({"a", "b", "c", "d"});
-    cell.cell.addJob(owned_cell::makeJob("deadly", {makeStep(1)}));
-    cell.cell.addJob(owned_cell::makeJob("innocent", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("deadly", {crashing_cell::makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("innocent", {crashing_cell::makeStep(1)}));
     const auto first = cell.startPending();
     REQUIRE(first.size() == 2);
     REQUIRE(first.front().worker == first.back().worker); // packed
@@ -159,11 +58,11 @@
 TEST_CASE("no other task starts on a worker before it has survived a suspect there")
 {
     crashing_cell cell({"a"});
-    cell.cell.addJob(owned_cell::makeJob("suspect", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("suspect", {crashing_cell::makeStep(1)}));
     cell.startPending();
     cell.crash("a");
     REQUIRE(cell.startPending().size() == 1);
-    cell.cell.addJob(owned_cell::makeJob("other", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("other", {crashing_cell::makeStep(1)}));
     CHECK(cell.startPending().empty());
     cell.advanceAndList(500ms);
     CHECK(cell.startPending().size() == 1);
@@ -172,7 +71,7 @@
 TEST_CASE("a task that its second worker survives is no suspect any more")
 {
     crashing_cell cell({"a", "b"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     for (int crashes = 0; crashes < 6; ++crashes) {
         const auto starts = cell.startPending();
         REQUIRE(starts.size() == 1);
@@ -186,7 +85,7 @@
 TEST_CASE("a suspect doesn't start before it is stored that a worker was lost under it")
 {
     crashing_cell cell({"a", "b"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     const auto starts = cell.startPending();
     cell.crash(starts.front().worker);
     CHECK(cell.cell.runSchedulingPass().empty()); // commits it
@@ -201,7 +100,7 @@
     crashing_cell cell({"a", "b"});
     job_progress progress;
     progress.open[0].steps[0].tasks[0].lost = {3, 0, 0, 2}; // two crashes, and a start of which no owner knows the end
-    const auto job = owned_cell::makeJob("job", {makeStep(1)});
+    const auto job = owned_cell::makeJob("job", {crashing_cell::makeStep(1)});
     step(cell.cell.state, job_arrived {job, progress, 11, false}, cell.cell.now, cell.cell.actions);
     const auto starts = cell.startPending();
     REQUIRE(starts.size() == 1);
@@ -213,7 +112,7 @@
 TEST_CASE("no job fails because many workers crash at once, again and again")
 {
     crashing_cell cell({"a", "b", "c", "d", "e", "f"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     for (int waves = 0; waves < 3; ++waves) {
         const auto starts = cell.startPending();
         REQUIRE(starts.size() == 1);
@@ -230,9 +129,9 @@
 TEST_CASE("a worker that leaves after a notice takes no task into suspicion")
 {
     crashing_cell cell({"a", "b"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     const auto starts = cell.startPending();
-    auto leaving = owned_cell::makeWorker(starts.front().worker, "r", wholeWorker);
+    auto leaving = owned_cell::makeWorker(starts.front().worker, "r", crashing_cell::wholeWorker);
     leaving.isDraining = true;
     step(cell.cell.state, worker_listed {leaving}, cell.cell.now, cell.cell.actions);
     cell.crash(starts.front().worker);
@@ -242,7 +141,7 @@
 TEST_CASE("the crash of a worker counts that was silent for longer than its leases before, in the same boot")
 {
     crashing_cell cell({"a"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     REQUIRE(cell.startPending().size() == 1);
     cell.cell.advance(20s); // the leases expire
     cell.cell.runSchedulingPass();
@@ -262,7 +161,7 @@
     crashing_cell cell({"a"});
     job_progress progress;
     progress.open[0].steps[0].tasks[0].lost = {1, 0, 0};
-    const auto job = owned_cell::makeJob("job", {makeStep(1)});
+    const auto job = owned_cell::makeJob("job", {crashing_cell::makeStep(1)});
     step(cell.cell.state, job_arrived {job, progress, 11, false}, cell.cell.now, cell.cell.actions);
     CHECK(waitingJobs(cell.cell.state)["queue"] == 1);
 }
@@ -270,7 +169,7 @@
 TEST_CASE("a gang under which workers crash is given up as a whole")
 {
     crashing_cell cell({"a", "b", "c", "d"});
-    auto gang = makeStep(3);
+    auto gang = crashing_cell::makeStep(3);
     gang.isGang = true;
     cell.cell.addJob(owned_cell::makeJob("gang", {gang}));
     for (int crashes = 0; crashes < 2; ++crashes) {
@@ -285,7 +184,7 @@
 TEST_CASE("a later owner knows of a crash that this one has only seen as a refused connection")
 {
     crashing_cell cell({"a", "b"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     const auto starts = cell.startPending();
     REQUIRE(starts.size() == 1);
     cell.advanceAndList(500ms);
@@ -304,7 +203,7 @@
 TEST_CASE("a task under which workers crash late starts only where nothing else runs, and is given up then")
 {
     crashing_cell cell({"a", "b", "c"});
-    cell.cell.addJob(owned_cell::makeJob("deadly", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("deadly", {crashing_cell::makeStep(1)}));
     for (int crashes = 0; crashes < 2; ++crashes) {
         const auto starts = cell.startPending();
         REQUIRE(starts.size() == 1);
@@ -312,7 +211,7 @@
         cell.crash(starts.front().worker);
         cell.advanceAndList(500ms);
     }
-    cell.cell.addJob(owned_cell::makeJob("others", {makeStep(4)}));
+    cell.cell.addJob(owned_cell::makeJob("others", {crashing_cell::makeStep(4)}));
     worker_id alone;
     for (const auto &start : cell.startPending()) {
         alone = start.run.task.job == "deadly" ? start.worker : alone;
@@ -329,7 +228,7 @@
 TEST_CASE("a gang whose workers fall silent all at once counts one loss, and isn't given up for it")
 {
     crashing_cell cell({"a", "b", "c", "d", "e", "f"});
-    auto gang = makeStep(6);
+    auto gang = crashing_cell::makeStep(6);
     gang.isGang = true;
     gang.maxPerWorker = 1;
     cell.cell.addJob(owned_cell::makeJob("gang", {gang}));
@@ -346,7 +245,7 @@
 TEST_CASE("a job whose workers fall silent again and again without a crash isn't given up")
 {
     crashing_cell cell({"a", "b"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     for (int cuts = 0; cuts < 6; ++cuts) {
         REQUIRE(cell.startPending().size() == 1);
         cell.silence();
@@ -360,7 +259,7 @@
 TEST_CASE("a job isn't given up while its workers are silent, however many there are")
 {
     crashing_cell cell({"a", "b", "c", "d", "e", "f"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     std::size_t starts = 0;
     for (int cuts = 0; cuts < 12; ++cuts) {
         for (const auto &start : cell.startPending()) {
@@ -378,7 +277,7 @@
 TEST_CASE("a worker that was silent beyond its leases counts as crashed once it answers in another boot")
 {
     crashing_cell cell({"a"});
-    cell.cell.addJob(owned_cell::makeJob("job", {makeStep(1)}));
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     REQUIRE(cell.startPending().size() == 1);
     cell.silence();
     CHECK(cell.losses("job").counts == lost_workers {1, 0, 0, 0});
@@ -390,7 +289,7 @@
 TEST_CASE("the refusals of several workers of a gang count once, and prove nothing to a next owner")
 {
     crashing_cell cell({"a", "b", "c", "d", "e"});
-    auto gang = makeStep(5);
+    auto gang = crashing_cell::makeStep(5);
     gang.isGang = true;
     gang.maxPerWorker = 1;
     cell.cell.addJob(owned_cell::makeJob("gang", {gang}));
@@ -416,7 +315,7 @@
 TEST_CASE("workers that left the platform's list while they were silent weren't lost if they answer in the same boot")
 {
     crashing_cell cell({"a", "b", "c", "d", "e", "f"});
-    auto step = makeStep(6);
+    auto step = crashing_cell::makeStep(6);
     step.maxPerWorker = 1;
     cell.cell.addJob(owned_cell::makeJob("job", {step}));
     for (int cuts = 0; cuts < 5; ++cuts) {
@@ -433,7 +332,8 @@
         cell.silence();
         cell.running.clear();
         for (const auto &id : std::views::keys(cell.boots)) {
-            primrosecroft::step(cell.cell.state, worker_listed {owned_cell::makeWorker(id, "r", wholeWorker)},
+            primrosecroft::step(cell.cell.state,
+                                worker_listed {owned_cell::makeWorker(id, "r", crashing_cell::wholeWorker)},
                                 cell.cell.now, cell.cell.actions);
         }
         cell.advanceAndList(100ms);
