Count a worker as crashed only when another boot, or another worker at its address, answers

Cause: a worker whose leases had expired and that the platform no longer listed counted as surely ended. One that is cut off from the daemons and from the store gives both signs and runs on. The count was to be taken back at its next answer, but what was to be taken back hung on the worker's state, which is forgotten at the very moment when both signs are there, and no later owner knew of it. Two such counts in a trial, or four without one, gave the job up.

Now silence and a missing entry only make suspects. What a worker's next answer may tell of its runs is an unsettled loss, which is kept with the task, stored with its counts and restored by the next owner, whatever becomes of the worker's entry. It is taken back when the worker answers in the same boot, and proven when it answers in another one or another worker answers at its address. A loss later in a run counts once it is proven, as before. A failed trial counts once it is proven, unless other workers were lost at the same time.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -104,6 +104,7 @@
     /// The next start, or the one under way, is counted ahead among the workers lost soon: so a later owner knows of it
     /// even if this one doesn't see how it ends.
     bool isNextCounted = false;
+    std::vector<unsettled_loss> unsettled {}; ///< silent workers, of which the counts may tell too much or too little
 };
 
 struct task_state
@@ -264,10 +265,7 @@
     instant lastSignAt; ///< when the last list of this boot arrived
     instant lastAnswerAt; ///< when it last accepted a start in this boot; zero if it hasn't
     instant lastStartAt; ///< a run there began at this time or earlier; zero if none is known
-    /// Runs that were dropped when their leases had expired unseen, and under which the worker counts as lost. Its next
-    /// answer tells whether it was.
-    std::vector<run_id> suspectedLosses;
-    std::optional<run_id> trial; ///< run that started alone there; also after its lease has expired unseen
+    std::optional<run_id> trial; ///< run that started alone there
     instant nextListAt; ///< no list is requested before this time
     std::int64_t processedEnd = 0; ///< number of the last end that was processed; 0 for none in this boot
     std::int64_t acknowledgedEnd = 0; ///< ends up to this number are stored, so the worker may forget them
@@ -287,6 +285,14 @@
     instant formerStopsEndAt;
 };
 
+/// A worker that hasn't answered since its leases expired under its runs.
+struct silent_worker
+{
+    std::string address;
+    instant since; ///< when the last of its losses became known here
+    std::set<task_ref> tasks; ///< those, or their gangs, of which a loss of the worker isn't settled
+};
+
 /// Bounds of the time at which a worker was lost.
 struct loss_time
 {
@@ -353,6 +359,9 @@
     std::set<job_id> committingJobs; ///< jobs that the pending commit writes
     job_id lastJobWritten; ///< the last one of the last commit; the next commit begins with the one after it
     std::map<worker_id, covered_ends> committingEnds; ///< processed ends that are stored once the commit is done
+    /// Also workers that the platform no longer lists and that are forgotten otherwise. Their next answer, or that of
+    /// another worker at their address, tells whether they have ended.
+    std::map<worker_id, silent_worker> silentWorkers;
     std::deque<loss_time> recentLosses; ///< of workers under no trial, the latest ones
     instant nextCommitAt; ///< no commit is made before this time
     instant nextSupervisionAt;
--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -14,9 +14,6 @@
 namespace primrosecroft
 {
 
-/// Identifies one boot of a worker: the time at which it started, in milliseconds since 1970.
-using worker_boot = std::int64_t;
-
 /// Time on a worker's own clock, which starts again with each boot and may run up to 2 % slow.
 using worker_time = std::chrono::milliseconds;
 
--- a/src/libprimrosecroft/cell/detail/worker_loss.h
+++ b/src/libprimrosecroft/cell/detail/worker_loss.h
@@ -9,6 +9,9 @@
  * hasn't survived are suspects: they start again only in a trial, on a worker that has survived all its other runs and
  * gets no further start until it has survived this one. A task whose trial ends with its worker was alone, so it is to
  * blame. A task that loses workers later in its runs has a longer trial after some of them.
+ *
+ * Only a next boot, or another worker at the address, proves that a worker has ended. Silence and a missing entry make
+ * suspects: a worker that is cut off from the cell and the platform's store gives both signs, and runs on.
  */
 namespace primrosecroft::detail
 {
@@ -17,8 +20,8 @@
 enum class worker_loss
 {
     restarted, ///< it answers in another boot, or another one answers at its address
-    unlisted, ///< its leases have expired unseen, and the platform no longer lists it
-    silent, ///< its leases have expired unseen, but it may still be up: a suspicion, no proof
+    unlisted, ///< its leases have expired unseen, and the platform no longer lists it: it may be cut off from both
+    silent, ///< its leases have expired unseen
 };
 
 /// Returns how long a task waits after so many losses before it starts again.
@@ -27,6 +30,12 @@
 /// Workers that were lost under the task or, if it is a member of one, under its gang.
 loss_record &lossesOf(const task_view &view);
 
+/// Records that a worker whose loss was only suspected has surely ended.
+void proveLoss(loss_record &losses, counted_loss &counted);
+
+/// Returns whether the task starts no more. However many workers fell silent under it, some must surely have ended.
+bool isToBlame(const lost_workers &counts);
+
 /// Returns whether the task, or a member of its gang, may be why a worker was lost or doesn't answer.
 bool isSuspect(const cell_state &state, bool isGang, const step_state &step, const task_state &task);
 
@@ -43,9 +52,6 @@
 /// Called when the worker answers again in the same boot: the loss that its refusal stood for wasn't one.
 void takeBackRefusals(cell_state &state, worker_state &worker);
 
-/// Called when the worker answers again in the same boot after its leases had expired unseen: it wasn't lost.
-void takeBackSuspectedLosses(cell_state &state, worker_state &worker, cell_actions &actions);
-
 /// Called when a run has ended or was refused while its worker is up. Takes the run out of the counts.
 void uncountRun(const task_view &view, task_run &run);
 
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/unsettled_losses.h"
 #include "cell/detail/workspace_limits.h"
 
 #include <algorithm>
@@ -69,7 +70,7 @@
         if (stored != nullptr) {
             step.failedGangs = stored->failedGangs;
             step.reservedAttempts = stored->attemptLimit;
-            step.gangLosses = {stored->gangLost, stored->gangLost};
+            step.gangLosses = restoredLosses(stored->gangLost, stored->gangUnsettled);
         }
         const auto base = std::max(attemptsBefore(term), step.reservedAttempts);
         step.attemptLimit = std::max(attemptsBefore(term + 1), base);
@@ -85,7 +86,7 @@
                     task.checkpoint = found->second.checkpoint;
                     task.mayHaveBegun = found->second.mayHaveBegun;
                     task.wasBegunBefore = found->second.mayHaveBegun;
-                    task.losses = {found->second.lost, found->second.lost};
+                    task.losses = restoredLosses(found->second.lost, found->second.unsettled);
                 }
             }
             if (task.isDone) {
@@ -261,6 +262,7 @@
     for (const auto &number : std::views::keys(job.occurrences)) {
         countUnseen(state, job, number);
     }
+    awaitUnsettledLosses(state, job, now);
     if (job.accepted.spec.occurrences > 0) {
         countUnseenOthers(state, job);
         beginDueOccurrences(state, job, now);
--- a/src/libprimrosecroft/cell/leases.cpp
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/unsettled_losses.h"
 #include "cell/detail/worker_loss.h"
 
 #include <algorithm>
@@ -166,7 +167,7 @@
     }
     settleDoubtedEntry(state, worker, message.sentAt, now, actions);
     takeBackRefusals(state, worker);
-    takeBackSuspectedLosses(state, worker, actions);
+    settleLosses(state, worker, now, actions);
     worker.clock = clock_sample {message.clock, now};
     // The new clock sample usually gives a closer bound for the end of the leases.
     if (worker.latestDeadline.count() > 0) {
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -40,9 +40,11 @@
             progress.failedGangs = step.failedGangs;
             progress.attemptLimit = step.reservedAttempts;
             progress.gangLost = step.gangLosses.counts;
+            progress.gangUnsettled = step.gangLosses.unsettled;
             for (std::size_t taskIndex = 0; taskIndex < step.tasks.size(); ++taskIndex) {
                 const auto &task = step.tasks[taskIndex];
-                task_progress own {task.failedAttempts, task.checkpoint, task.mayHaveBegun, task.losses.counts};
+                task_progress own {task.failedAttempts, task.checkpoint, task.mayHaveBegun, task.losses.counts,
+                                   task.losses.unsettled};
                 if (detail == progress_detail::withoutCheckpoints) {
                     own.checkpoint.clear();
                 }
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -363,7 +363,6 @@
               const char *reason)
 {
     const auto reservations = worker.reservations;
-    const auto trial = worker.trial;
     const auto lastSign = lastSignOf(state, worker, now);
     for (const auto &[run, held] : reservations) {
         if (which == dropped_runs::ofEarlierBoots && mayBeOver(state, worker, run)) {
@@ -378,7 +377,6 @@
         }
     }
     worker.unknownRuns.clear();
-    worker.trial = trial; // if the worker turns out to have restarted, the trial has failed
 }
 
 void sendStopIfDue(cell_state &state, const task_ref &ref, task_run &run, instant now, cell_actions &actions)
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -1,5 +1,7 @@
 #include "cell/detail/worker_loss.h"
 
+#include "cell/detail/unsettled_losses.h"
+
 #include <algorithm>
 #include <ranges>
 #include <utility>
@@ -172,12 +174,6 @@
     return counts.soon >= maxSoonLosses || counts.soon + counts.later >= maxLosses || counts.proven >= maxProven;
 }
 
-/// Returns whether the task starts no more. However many workers fell silent under it, some must surely have ended.
-bool isToBlame(const lost_workers &counts)
-{
-    return counts.proven >= provenBeforeBlame && (counts.alone > 0 || mayCrashAnyWorker(counts));
-}
-
 /// What is counted ahead because workers refuse connections that run the task or its gang.
 lost_workers refusalsOf(const task_view &view)
 {
@@ -210,13 +206,7 @@
     losses.counts.later = refusalsOf(view).later;
     losses.counts.proven = std::min(losses.counts.proven, losses.counts.soon + losses.counts.later);
     std::erase_if(losses.byAttempt, [](const auto &each) { return each.second.count != &lost_workers::soon; });
-}
-
-/// The worker of a loss that was only suspected has surely ended.
-void proveLoss(loss_record &losses, counted_loss &counted)
-{
-    losses.counts.proven += counted.isProven ? 0 : 1;
-    counted.isProven = true;
+    dropLaterLosses(losses);
 }
 
 void countLoss(const lost_unit &unit, loss_evidence evidence, bool isProven)
@@ -298,40 +288,34 @@
     }
 }
 
-/// Counts a loss that was only suspected, now that the worker turns out to have restarted.
-void proveSuspectedLosses(cell_state &state, worker_state &worker, cell_actions &actions)
+/// Keeps what the worker's next answer may tell of the unit's runs there.
+void keepUnsettled(cell_state &state, const worker_state &worker, const lost_unit &unit, loss_evidence evidenceIfEnded,
+                   instant now)
 {
-    for (const auto &id : std::exchange(worker.suspectedLosses, {})) {
-        const auto view = findTask(state, id.task);
-        if (!view || view->task->isDone) {
-            continue;
-        }
-        auto &losses = lossesOf(*view);
-        if (const auto counted = losses.byAttempt.find(id.attempt); counted != losses.byAttempt.end()) {
-            proveLoss(losses, counted->second);
-            markUnsaved(state, *view->job);
-            actions.emplace_back(report_loss_settled {id, worker.description.id, true, losses.counts});
-        }
+    unsettled_loss loss;
+    loss.attempt = unit.attempt;
+    loss.worker = worker.description.id;
+    loss.boot = worker.description.boot;
+    loss.address = worker.description.address;
+    const bool isCounted = lossesOf(unit.view).byAttempt.contains(unit.attempt);
+    loss.counted = isCounted ? loss_count::soon : loss_count::none;
+    loss.isTrial = isCounted && evidenceIfEnded == loss_evidence::ofTrial;
+    loss.countsLater = !unit.isSuspect && !unit.isLong && evidenceIfEnded == loss_evidence::ofAll;
+    if (isCounted || loss.countsLater) {
+        keepUnsettledLoss(state, unit.ref, unit.view, loss, now);
     }
 }
 
-/// Credits a trial that was dropped when its leases expired unseen, once the worker turns out to have restarted.
-void recordFailedTrialSince(cell_state &state, const worker_state &worker, instant now, cell_actions &actions)
+/// What the loss of a worker tells if it has surely ended.
+loss_evidence provenEvidence(bool isTrial, coincidence others)
 {
-    if (!worker.trial || worker.reservations.contains(*worker.trial)) {
-        return;
+    if (isTrial && others == coincidence::none) {
+        return loss_evidence::ofTrial;
     }
-    const auto view = findTask(state, worker.trial->task);
-    if (!view || view->task->isDone) {
-        return;
-    }
-    auto &counts = lossesOf(*view).counts;
-    ++counts.alone;
-    markUnsaved(state, *view->job);
-    actions.emplace_back(report_suspect {worker.trial->task, worker.description.id, counts});
-    if (isToBlame(counts)) {
-        giveUpTask(state, worker.trial->task, *view, worker.description.id, now, actions);
+    if (others == coincidence::wave) {
+        return loss_evidence::ofNone;
     }
+    return isTrial ? loss_evidence::ofSuspects : loss_evidence::ofAll;
 }
 
 } // namespace
@@ -349,6 +333,17 @@
     return view.spec->isGang ? view.step->gangLosses : view.task->losses;
 }
 
+void proveLoss(loss_record &losses, counted_loss &counted)
+{
+    losses.counts.proven += counted.isProven ? 0 : 1;
+    counted.isProven = true;
+}
+
+bool isToBlame(const lost_workers &counts)
+{
+    return counts.proven >= provenBeforeBlame && (counts.alone > 0 || mayCrashAnyWorker(counts));
+}
+
 bool isSuspect(const cell_state &state, bool isGang, const step_state &step, const task_state &task)
 {
     const auto &losses = isGang ? step.gangLosses : task.losses;
@@ -409,28 +404,6 @@
     }
 }
 
-void takeBackSuspectedLosses(cell_state &state, worker_state &worker, cell_actions &actions)
-{
-    for (const auto &id : std::exchange(worker.suspectedLosses, {})) {
-        const auto view = findTask(state, id.task);
-        if (!view) {
-            continue;
-        }
-        auto &losses = lossesOf(*view);
-        const auto counted = losses.byAttempt.find(id.attempt);
-        if (counted == losses.byAttempt.end()) {
-            continue;
-        }
-        if (counted->second.count != nullptr) {
-            --(losses.counts.*counted->second.count);
-        }
-        losses.counts.proven -= counted->second.isProven ? std::min(losses.counts.proven, 1U) : 0;
-        losses.byAttempt.erase(counted);
-        markUnsaved(state, *view->job);
-        actions.emplace_back(report_loss_settled {id, worker.description.id, false, losses.counts});
-    }
-}
-
 void uncountRun(const task_view &view, task_run &run)
 {
     auto &losses = lossesOf(view);
@@ -506,6 +479,11 @@
         const auto refusals = refusalsOf(*view);
         const auto unexplained = losses.counts.soon - (losses.isNextCounted ? 1 : 0) - refusals.soon;
         const auto later = needsLongTrial(losses) ? refusals.later : losses.counts.later + unexplained;
+        if (needsLongTrial(losses)) {
+            losses.unsettled.clear();
+        } else {
+            recountAsLater(losses);
+        }
         losses.counts = {refusals.soon, 0, later, std::min(losses.counts.proven, later)};
         losses.byAttempt.clear();
         losses.isNextCounted = false;
@@ -522,12 +500,9 @@
     if (how == worker_loss::restarted) { // otherwise it may come back in the same boot, and be lost again
         worker.lostBoot = worker.description.boot;
     }
-    const bool isProven = how != worker_loss::silent;
-    if (how == worker_loss::restarted) {
-        proveSuspectedLosses(state, worker, actions);
-    }
+    const bool isProven = how == worker_loss::restarted;
     if (isProven) {
-        recordFailedTrialSince(state, worker, now, actions);
+        proveLosses(state, worker.description.id, now, actions);
     }
     const auto units = unitsOn(state, worker, now);
     const auto time = lossTimeOf(worker, now);
@@ -535,15 +510,9 @@
     const bool isTrial = isTrialOfOne(units);
     const auto others = coincidenceOf(state, worker, time, now);
     const bool isWave = others == coincidence::wave;
-    auto evidence = loss_evidence::ofSuspects;
-    if (isProven && isTrial && others == coincidence::none) {
-        evidence = loss_evidence::ofTrial;
-    } else if (isProven && isWave) {
-        evidence = loss_evidence::ofNone;
-    } else if (isProven && !isTrial) {
-        evidence = loss_evidence::ofAll;
-    }
-    if (isProven && worker.lastSignAt != instant {}) {
+    const auto evidenceIfEnded = provenEvidence(isTrial, others);
+    const auto evidence = isProven ? evidenceIfEnded : loss_evidence::ofSuspects;
+    if (how != worker_loss::silent && worker.lastSignAt != instant {}) {
         rememberLoss(state, time);
     }
     actions.emplace_back(report_worker_loss {
@@ -551,16 +520,16 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now - std::max(time.from, state.takeOver.takenAt)),
         static_cast<std::size_t>(suspects), units.size() - static_cast<std::size_t>(suspects), isTrial, isWave});
     for (const auto &unit : units) {
-        const bool mayGoOn = how == worker_loss::restarted
-            && std::ranges::all_of(unit.runs, [](const task_run *run) { return run->mayBeOver; });
+        const bool mayGoOn =
+            isProven && std::ranges::all_of(unit.runs, [](const task_run *run) { return run->mayBeOver; });
         if (mayGoOn) {
             deferLoss(unit, evidence);
             continue;
         }
         const bool isCountedAlready = lossesOf(unit.view).byAttempt.contains(unit.attempt);
         chargeLoss(state, worker.description.id, unit, evidence, isProven, now, actions);
-        if (how != worker_loss::restarted && !isCountedAlready) {
-            worker.suspectedLosses.push_back({unit.ref, unit.attempt});
+        if (!isProven && !isCountedAlready) {
+            keepUnsettled(state, worker, unit, evidenceIfEnded, now);
         }
     }
 }
--- a/src/libprimrosecroft/core/types.h
+++ b/src/libprimrosecroft/core/types.h
@@ -18,6 +18,10 @@
 using duration = std::chrono::steady_clock::duration;
 
 using worker_id = std::string;
+
+/// Identifies one boot of a worker: the time at which it started, in milliseconds since 1970.
+using worker_boot = std::int64_t;
+
 using failure_domain_id = std::string;
 using process_id = std::string;
 using upstream_id = std::string;
--- a/src/libprimrosecroft/jobs/job_rows.cpp
+++ b/src/libprimrosecroft/jobs/job_rows.cpp
@@ -59,9 +59,43 @@
     }
 }
 
-json toRow(const lost_workers &lost)
+json toRow(const unsettled_loss &loss)
 {
-    return json::array({lost.soon, lost.alone, lost.later, lost.proven});
+    return json::array({loss.attempt, loss.worker, loss.boot, loss.address, static_cast<int>(loss.counted),
+                        loss.isTrial, loss.countsLater});
+}
+
+unsettled_loss unsettledLossFrom(const json &row)
+{
+    unsettled_loss loss;
+    loss.attempt = rowValue<std::uint32_t>(row.at(0));
+    loss.worker = rowValue<worker_id>(row.at(1));
+    loss.boot = rowValue<worker_boot>(row.at(2));
+    loss.address = rowValue<std::string>(row.at(3));
+    loss.counted = static_cast<loss_count>(rowNumber<int>(row.at(4), 0, static_cast<int>(loss_count::later)));
+    loss.isTrial = rowValue<bool>(row.at(5));
+    loss.countsLater = rowValue<bool>(row.at(6));
+    return loss;
+}
+
+json toRow(const lost_workers &lost, const std::vector<unsettled_loss> &unsettled)
+{
+    auto row = json::array({lost.soon, lost.alone, lost.later, lost.proven});
+    if (!unsettled.empty()) {
+        auto &losses = row.emplace_back(json::array()); // earlier versions read the first four elements only
+        std::ranges::transform(unsettled, std::back_inserter(losses),
+                               [](const unsettled_loss &loss) { return toRow(loss); });
+    }
+    return row;
+}
+
+std::vector<unsettled_loss> unsettledLossesFrom(const json &row)
+{
+    std::vector<unsettled_loss> losses;
+    if (row.size() > 4) {
+        std::ranges::transform(row.at(4), std::back_inserter(losses), unsettledLossFrom);
+    }
+    return losses;
 }
 
 lost_workers lostWorkersFrom(const json &row)
@@ -84,16 +118,17 @@
     if (step.attemptLimit != 0) {
         row["l"] = step.attemptLimit;
     }
-    if (step.gangLost != lost_workers {}) {
-        row["w"] = toRow(step.gangLost);
+    if (step.gangLost != lost_workers {} || !step.gangUnsettled.empty()) {
+        row["w"] = toRow(step.gangLost, step.gangUnsettled);
     }
     for (const auto &[index, task] : step.tasks) {
         auto &own = row["t"].emplace_back(json::array({index, task.failedAttempts, task.checkpoint}));
-        if (task.mayHaveBegun || task.lost != lost_workers {}) {
+        const bool hasLosses = task.lost != lost_workers {} || !task.unsettled.empty();
+        if (task.mayHaveBegun || hasLosses) {
             own.push_back(task.mayHaveBegun);
         }
-        if (task.lost != lost_workers {}) {
-            own.push_back(toRow(task.lost));
+        if (hasLosses) {
+            own.push_back(toRow(task.lost, task.unsettled));
         }
     }
     return row;
@@ -113,6 +148,7 @@
     }
     if (const auto found = row.find("w"); found != row.end()) {
         step.gangLost = lostWorkersFrom(*found);
+        step.gangUnsettled = unsettledLossesFrom(*found);
     }
     if (const auto found = row.find("t"); found != row.end()) {
         for (const auto &task : *found) {
@@ -121,7 +157,8 @@
             const auto index = rowNumber<std::int32_t>(task.at(0), 0, maxTasksPerStep - 1);
             step.tasks[index] = {rowValue<std::set<std::uint32_t>>(task.at(1)), rowValue<std::string>(task.at(2)),
                                  task.size() > 3 && rowValue<bool>(task.at(3)),
-                                 task.size() > 4 ? lostWorkersFrom(task.at(4)) : lost_workers {}};
+                                 task.size() > 4 ? lostWorkersFrom(task.at(4)) : lost_workers {},
+                                 task.size() > 4 ? unsettledLossesFrom(task.at(4)) : std::vector<unsettled_loss> {}};
         }
     }
     return step;
--- a/src/libprimrosecroft/jobs/job_rows.h
+++ b/src/libprimrosecroft/jobs/job_rows.h
@@ -100,6 +100,29 @@
     friend bool operator==(const lost_workers &, const lost_workers &) = default;
 };
 
+/// Among which of the lost workers a loss is counted.
+enum class loss_count
+{
+    none,
+    soon,
+    later,
+};
+
+/// A worker that fell silent under a run until its leases had expired, and hasn't answered since. Whether it has ended
+/// isn't known.
+struct unsettled_loss
+{
+    std::uint32_t attempt = 0;
+    worker_id worker;
+    worker_boot boot = 0; ///< in which the run was
+    std::string address; ///< another worker that answers there tells that this one has ended
+    loss_count counted = loss_count::none; ///< taken back if it answers in the same boot
+    bool isTrial = false; ///< no other run there could be why; counts if the worker has ended
+    bool countsLater = false; ///< it isn't counted, and counts among the workers lost later if it has ended
+
+    friend bool operator==(const unsettled_loss &, const unsettled_loss &) = default;
+};
+
 /// Stored state of a task that has failed attempts, a checkpoint, lost workers or, if it is at-most-once, a recorded
 /// start.
 struct task_progress
@@ -108,6 +131,7 @@
     std::string checkpoint; ///< the latest one; empty if there is none
     bool mayHaveBegun = false; ///< stored for an at-most-once task before its only start is sent
     lost_workers lost; ///< of a task that is in no gang
+    std::vector<unsettled_loss> unsettled {}; ///< likewise; earlier versions don't store it
 
     friend bool operator==(const task_progress &, const task_progress &) = default;
 };
@@ -120,6 +144,7 @@
     std::set<std::uint32_t> failedGangs; ///< numbers of the failed attempts of the whole gang
     std::uint32_t attemptLimit = 0; ///< the highest number that an attempt may have; 0 if the owner's term gives it
     lost_workers gangLost; ///< of the whole gang
+    std::vector<unsettled_loss> gangUnsettled {}; ///< likewise
 
     friend bool operator==(const step_progress &, const step_progress &) = default;
 };
--- a/tests/unit/cut_workers_test.cpp
+++ b/tests/unit/cut_workers_test.cpp
@@ -60,7 +60,7 @@
 
 TEST_CASE("a worker that was forgotten while silent counts as crashed once it is listed in another boot")
 {
-    crashing_cell cell({"a", "b"});
+    crashing_cell cell({"a"});
     cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     cell.startPending();
     const auto worker = cell.workerOf("job");
@@ -73,7 +73,7 @@
 
 TEST_CASE("a worker that was forgotten while silent counts as crashed once another one answers at its address")
 {
-    crashing_cell cell({"a", "b"});
+    crashing_cell cell({"a"});
     cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
     cell.startPending();
     const auto worker = cell.workerOf("job");
@@ -86,6 +86,56 @@
     CHECK(cell.losses("job").counts.proven == 1);
 }
 
+TEST_CASE("a worker that was forgotten while silent counts as crashed under a run that it had survived before")
+{
+    crashing_cell cell({"a"});
+    cell.cell.addJob(owned_cell::makeJob("job", {crashing_cell::makeStep(1)}));
+    cell.startPending();
+    cell.advanceAndList(500ms);
+    cell.cutOff("a");
+    REQUIRE(cell.losses("job").counts == lost_workers {});
+    ++cell.boots["a"];
+    cell.comeBack("a");
+    CHECK(cell.losses("job").counts == lost_workers {0, 0, 1, 1});
+}
+
+// Guards against a next owner that keeps what silence has counted, or overlooks the crash that it stood for.
+TEST_CASE("a next owner settles the losses that an earlier one had to leave open")
+{
+    job_progress progress;
+    auto &task = progress.open[0].steps[0].tasks[0];
+    task.lost = {1, 0, 0, 0};
+    task.unsettled = {{7, "a", crashing_cell::firstBoot, owned_cell::makeWorker("a", "r", {}).address, loss_count::soon,
+                       true, false}};
+    progress = decodeProgress(encodeProgress(progress));
+    const auto job = owned_cell::makeJob("job", {crashing_cell::makeStep(1)});
+    crashing_cell cell({"b"});
+    step(cell.cell.state, job_arrived {job, progress, 11, false}, cell.cell.now, cell.cell.actions);
+    SECTION("the worker answers in the same boot")
+    {
+        cell.boots["a"] = crashing_cell::firstBoot;
+        cell.comeBack("a");
+        CHECK(cell.losses("job").counts == lost_workers {});
+    }
+    SECTION("the worker answers in another boot")
+    {
+        cell.boots["a"] = crashing_cell::firstBoot + 1;
+        cell.comeBack("a");
+        CHECK(cell.losses("job").counts == lost_workers {1, 1, 0, 1});
+    }
+    CHECK(cell.losses("job").unsettled.empty());
+}
+
+TEST_CASE("rows hold the unsettled losses of tasks and gangs, and are read without them")
+{
+    job_progress progress;
+    auto &step = progress.open[0].steps[0];
+    step.gangUnsettled = {{3, "a", 5, "a:80", loss_count::later, false, false}};
+    step.tasks[1].unsettled = {{4, "b", 6, "b:80", loss_count::none, false, true}};
+    step.tasks[2].lost = {1, 0, 0, 0};
+    CHECK(decodeProgress(encodeProgress(progress)) == progress);
+}
+
 TEST_CASE("a task whose workers crash and are away for longer than their leases starts no more than five times")
 {
     crashing_cell cell({"a", "b", "c", "d", "e", "f"});
