--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/unsettled_losses.h"
 #include "cell/detail/workspace_limits.h"
 
 #include <algorithm>
@@ -69,7 +70,7 @@
         if (stored != nullptr) {
             step.failedGangs = stored->failedGangs;
             step.reservedAttempts = stored->attemptLimit;
-            step.gangLosses = {stored->gangLost, stored->gangLost};
+            step.gangLosses = restoredLosses(stored->gangLost, stored->gangUnsettled);
         }
         const auto base = std::max(attemptsBefore(term), step.reservedAttempts);
         step.attemptLimit = std::max(attemptsBefore(term + 1), base);
@@ -85,7 +86,7 @@
                     task.checkpoint = found->second.checkpoint;
                     task.mayHaveBegun = found->second.mayHaveBegun;
                     task.wasBegunBefore = found->second.mayHaveBegun;
-                    task.losses = {found->second.lost, found->second.lost};
+                    task.losses = restoredLosses(found->second.lost, found->second.unsettled);
                 }
             }
             if (task.isDone) {
@@ -191,9 +192,10 @@
     }
 }
 
-void failJob(cell_state &state, job_state &job, instant now, cell_actions &actions)
+void failJob(cell_state &state, job_state &job, job_failure failure, instant now, cell_actions &actions)
 {
     job.hasFailed = true;
+    job.failure = failure;
     markUnsaved(state, job);
     stopAllRuns(state, job, now, actions);
 }
@@ -260,6 +262,7 @@
     for (const auto &number : std::views::keys(job.occurrences)) {
         countUnseen(state, job, number);
     }
+    awaitUnsettledLosses(state, job, now);
     if (job.accepted.spec.occurrences > 0) {
         countUnseenOthers(state, job);
         beginDueOccurrences(state, job, now);
@@ -377,7 +380,7 @@
 {
     if (!view.task->isDone && !isAborted(*view.job)) {
         view.job->isOutcomeUnknown = true;
-        failJob(state, *view.job, now, actions);
+        failJob(state, *view.job, job_failure::lostRun, now, actions);
     }
 }
 
@@ -389,7 +392,7 @@
     }
     const auto &losses = view.spec->isGang ? view.step->gangLosses : view.task->losses;
     actions.emplace_back(report_given_up {ref, view.job->accepted.queue.name, worker, losses.counts});
-    failJob(state, *view.job, now, actions);
+    failJob(state, *view.job, job_failure::crashes, now, actions);
 }
 
 bool ensureAttemptReserved(cell_state &state, job_state &job, step_state &step, std::uint32_t attempt)
@@ -454,7 +457,7 @@
     markUnsaved(state, *view.job);
     const auto maxFailures = view.spec->isAtMostOnce ? 1 : view.job->accepted.queue.maxFailures;
     if (static_cast<std::int32_t>(failed.size()) >= maxFailures) {
-        failJob(state, *view.job, now, actions);
+        failJob(state, *view.job, job_failure::attempts, now, actions);
     }
 }
 
