Tests: one function for the actions of a type, and one for the stops among them

stopsIn() stood in supervision_test.cpp and in gang_test.cpp. The loop behind it, which collects the actions of one type, stood three times more: as commitsIn() in cell_test.cpp (which has no stopsIn()), as actionsOf() in workspace_usage_test.cpp and as sent() in worker_restart_test.cpp. Both functions are now beside owned_cell.

--- a/tests/standins/owned_cell.cpp
+++ b/tests/standins/owned_cell.cpp
@@ -1,6 +1,7 @@
 #include "owned_cell.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace primrosecroft
@@ -106,4 +107,11 @@
     step(state, message, now, actions);
 }
 
+std::vector<run_id> stopsIn(const std::vector<cell_action> &actions)
+{
+    std::vector<run_id> result;
+    std::ranges::transform(actionsOf<send_stop>(actions), std::back_inserter(result), &send_stop::run);
+    return result;
+}
+
 } // namespace primrosecroft
--- a/tests/standins/owned_cell.h
+++ b/tests/standins/owned_cell.h
@@ -3,6 +3,7 @@
 #include "cell/cell.h"
 
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace primrosecroft
@@ -45,4 +46,20 @@
     std::optional<std::uint64_t> m_pendingCommit;
 };
 
+/// Returns the actions of one type, in order.
+template<typename action>
+std::vector<action> actionsOf(const std::vector<cell_action> &actions)
+{
+    std::vector<action> result;
+    for (const auto &each : actions) {
+        if (const auto *found = std::get_if<action>(&each)) {
+            result.push_back(*found);
+        }
+    }
+    return result;
+}
+
+/// Returns the runs that the actions stop, in order.
+std::vector<run_id> stopsIn(const std::vector<cell_action> &actions);
+
 } // namespace primrosecroft
--- a/tests/unit/cell_test.cpp
+++ b/tests/unit/cell_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
 #include <map>
 
 /// The cell's core in virtual time. Each case is one scenario.
@@ -70,11 +71,7 @@
 std::vector<store_transaction> commitsIn(const std::vector<cell_action> &actions)
 {
     std::vector<store_transaction> result;
-    for (const auto &action : actions) {
-        if (const auto *rows = std::get_if<commit_rows>(&action)) {
-            result.push_back(rows->transaction);
-        }
-    }
+    std::ranges::transform(actionsOf<commit_rows>(actions), std::back_inserter(result), &commit_rows::transaction);
     return result;
 }
 
--- a/tests/unit/gang_test.cpp
+++ b/tests/unit/gang_test.cpp
@@ -191,17 +191,6 @@
     return cell;
 }
 
-std::vector<run_id> stopsIn(const std::vector<cell_action> &actions)
-{
-    std::vector<run_id> result;
-    for (const auto &action : actions) {
-        if (const auto *stop = std::get_if<send_stop>(&action)) {
-            result.push_back(stop->run);
-        }
-    }
-    return result;
-}
-
 /// Runs passes for a second, while the worker a lists the member, and returns all stops.
 std::vector<run_id> stopsWithinASecond(owned_cell &cell, const run_id &member)
 {
--- a/tests/unit/supervision_test.cpp
+++ b/tests/unit/supervision_test.cpp
@@ -47,17 +47,6 @@
     }
 }
 
-std::vector<run_id> stopsIn(const std::vector<cell_action> &actions)
-{
-    std::vector<run_id> result;
-    for (const auto &action : actions) {
-        if (const auto *stop = std::get_if<send_stop>(&action)) {
-            result.push_back(stop->run);
-        }
-    }
-    return result;
-}
-
 /// Advances the time so that supervision is due, runs a pass and returns the runs that it stops.
 std::vector<run_id> stopsOfNextPass(owned_cell &cell)
 {
--- a/tests/unit/worker_restart_test.cpp
+++ b/tests/unit/worker_restart_test.cpp
@@ -41,18 +41,6 @@
         return result;
     }
 
-    template<typename action>
-    std::vector<action> sent() const
-    {
-        std::vector<action> result;
-        for (const auto &each : cell.actions) {
-            if (const auto *found = std::get_if<action>(&each)) {
-                result.push_back(*found);
-            }
-        }
-        return result;
-    }
-
     const task_state &task()
     {
         return cell.state.jobs.at("job").occurrences.at(0).steps[0].tasks[0];
@@ -166,7 +154,7 @@
     step(cell.cell.state, lost, cell.cell.now, cell.cell.actions);
     cell.cell.advance(1s);
     cell.cell.runSchedulingPass();
-    const auto lists = cell.sent<send_list>();
+    const auto lists = actionsOf<send_list>(cell.cell.actions);
     const auto list = std::ranges::find(lists, cell.start.worker, &send_list::worker);
     REQUIRE(list != lists.end());
     CHECK(list->acknowledgedEnd == 0);
@@ -238,7 +226,7 @@
     cell.cell.answerList(cell.start.worker, {});
     cell.listNextBoot(bootBefore);
     cell.cell.runSchedulingPass();
-    const auto lists = cell.sent<send_list>();
+    const auto lists = actionsOf<send_list>(cell.cell.actions);
     const auto list = std::ranges::find(lists, cell.start.worker, &send_list::worker);
     REQUIRE(list != lists.end());
     CHECK(list->wait == 0ms);
@@ -291,7 +279,7 @@
     CHECK(worker.refusedSince == instant {});
     CHECK(cell.task().losses.counts == lost_workers {});
     cell.cell.runSchedulingPass();
-    const auto lists = cell.sent<send_list>();
+    const auto lists = actionsOf<send_list>(cell.cell.actions);
     const auto list = std::ranges::find(lists, cell.start.worker, &send_list::worker);
     REQUIRE(list != lists.end());
     CHECK(list->address == worker.description.address);
--- a/tests/unit/workspace_usage_test.cpp
+++ b/tests/unit/workspace_usage_test.cpp
@@ -60,18 +60,6 @@
     }
 }
 
-template<typename action>
-std::vector<action> actionsOf(const owned_cell &cell)
-{
-    std::vector<action> result;
-    for (const auto &each : cell.actions) {
-        if (const auto *found = std::get_if<action>(&each)) {
-            result.push_back(*found);
-        }
-    }
-    return result;
-}
-
 } // namespace
 
 TEST_CASE("a limit of 0 is none, and what needs nothing of a kind passes no limit of it")
@@ -132,7 +120,7 @@
     const auto starts = cell.runSchedulingPass();
     CHECK(std::ranges::count(starts, "wide", [](const auto &each) { return each.run.task.job; }) == 3);
     CHECK(std::ranges::count(starts, "other", [](const auto &each) { return each.run.task.job; }) == 8);
-    const auto reports = actionsOf<report_limit_reached>(cell);
+    const auto reports = actionsOf<report_limit_reached>(cell.actions);
     REQUIRE(reports.size() == 1);
     CHECK(reports.front().waitingTasks == 5);
     CHECK(reports.front().running.milliCores == 3'000);
@@ -140,7 +128,7 @@
           != std::string::npos);
     CHECK(summarize(cell.state, cell.now).stepsOverLimit == 1);
     CHECK(cell.runSchedulingPass().empty());
-    CHECK(actionsOf<report_limit_reached>(cell).empty());
+    CHECK(actionsOf<report_limit_reached>(cell.actions).empty());
 }
 
 TEST_CASE("starts without an answer and runs that are being stopped count, also when their job's end is stored")
@@ -269,12 +257,12 @@
     job.queue.advice = advice_policy {10ms, 1ms, 2'000ms};
     cell.addJob(job);
     cell.runSchedulingPass();
-    const auto requests = actionsOf<ask_advice>(cell);
+    const auto requests = actionsOf<ask_advice>(cell.actions);
     REQUIRE(requests.size() == 1);
     advice_answered answer {requests.front().step, {"w1", "w2"}, true, {{"w1", "t"}}, 2'000ms, false, cell.now};
     step(cell.state, answer, cell.now, cell.actions);
     CHECK(cell.runSchedulingPass().size() == 2);
     cell.advance(1'700ms); // its ticket is about to expire
     CHECK(cell.runSchedulingPass().empty());
-    CHECK(actionsOf<ask_advice>(cell).empty());
+    CHECK(actionsOf<ask_advice>(cell.actions).empty());
 }
