Schedules' tests: one search for the first seed that shows a missing rule

firstRestartViolation(), firstOccurrenceViolation() and firstGangViolation() were the same search with a schedule of their own; so were firstViolation() and firstLimitViolation(), as loops. firstViolation() takes the schedule now.

--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -90,17 +90,50 @@
     return emulation.run();
 }
 
-/// Returns the first seed up to @p maxSeed with which the checks detect that the rule is missing, or 0 if there is
-/// none.
-std::uint64_t firstViolation(disabled_rule mutation, std::uint64_t maxSeed, std::size_t drains = 0,
-                             const std::vector<vm_capacity> &capacities = {})
-{
-    for (std::uint64_t seed = 1; seed <= maxSeed; ++seed) {
-        if (!runSeed(seed, mutation, drains, capacities).empty()) {
-            return seed;
-        }
-    }
-    return 0;
+/// Schedules of one kind: runs that of a seed without a rule. Returns the violation that the checks detected, if any.
+using mutated_schedule = std::function<std::string(std::uint64_t seed, disabled_rule mutation)>;
+
+std::string runFaults(std::uint64_t seed, disabled_rule mutation)
+{
+    return runSeed(seed, mutation);
+}
+
+std::string runDrains(std::uint64_t seed, disabled_rule mutation)
+{
+    return runSeed(seed, mutation, drainsPerSchedule);
+}
+
+std::string runHandovers(std::uint64_t seed, disabled_rule mutation)
+{
+    return runSeed(seed, mutation, 0, unlikeCapacities);
+}
+
+std::string runPlainRestarts(std::uint64_t seed, disabled_rule mutation)
+{
+    return runRestarts(seed, mutation);
+}
+
+std::string runRestartsAndClockJumps(std::uint64_t seed, disabled_rule mutation)
+{
+    return runRestarts(seed, mutation, true);
+}
+
+std::string runLimits(std::uint64_t seed, disabled_rule mutation)
+{
+    return runLimitSchedule(seed, {}, mutation);
+}
+
+std::string runGangs(std::uint64_t seed, disabled_rule mutation)
+{
+    return runGangSchedule(seed, {}, mutation);
+}
+
+/// Returns the first seed up to @p maxSeed whose schedule shows that the rule is missing, or 0 if there is none.
+std::uint64_t firstViolation(const mutated_schedule &schedule, disabled_rule mutation, std::uint64_t maxSeed)
+{
+    const auto seeds = std::views::iota(std::uint64_t {1}, maxSeed + 1);
+    const auto found = std::ranges::find_if(seeds, [&](auto seed) { return !schedule(seed, mutation).empty(); });
+    return found == seeds.end() ? 0 : *found;
 }
 
 /// Runs the schedules of the seeds that the environment names.
@@ -115,23 +148,6 @@
     }
 }
 
-/// Returns the first seed up to @p maxSeed whose schedule of restarts shows that the rule is missing, or 0.
-std::uint64_t firstRestartViolation(disabled_rule mutation, std::uint64_t maxSeed, bool clocksGoBack = false)
-{
-    const auto seeds = std::views::iota(std::uint64_t {1}, maxSeed + 1);
-    const auto found =
-        std::ranges::find_if(seeds, [&](auto seed) { return !runRestarts(seed, mutation, clocksGoBack).empty(); });
-    return found == seeds.end() ? 0 : *found;
-}
-
-/// Likewise, of a schedule of timed jobs.
-std::uint64_t firstOccurrenceViolation(disabled_rule mutation, std::uint64_t maxSeed)
-{
-    const auto seeds = std::views::iota(std::uint64_t {1}, maxSeed + 1);
-    const auto found = std::ranges::find_if(seeds, [&](auto seed) { return !runOccurrences(seed, mutation).empty(); });
-    return found == seeds.end() ? 0 : *found;
-}
-
 /// Runs schedules with short restarts of workers, of the seeds that the environment names.
 void checkRestarts(bool clocksGoBack = false)
 {
@@ -244,17 +260,6 @@
     }
 }
 
-/// Returns the first seed up to @p maxSeed whose schedule of limits shows that the rule is missing, or 0.
-std::uint64_t firstLimitViolation(disabled_rule mutation, std::uint64_t maxSeed)
-{
-    for (std::uint64_t seed = 1; seed <= maxSeed; ++seed) {
-        if (!runLimitSchedule(seed, {}, mutation).empty()) {
-            return seed;
-        }
-    }
-    return 0;
-}
-
 } // namespace
 
 TEST_CASE("no schedule breaks a guarantee", "[schedules]")
@@ -350,19 +355,10 @@
 TEST_CASE("the checks detect the absence of each rule of limits", "[mutations][limit_mutations]")
 {
     constexpr std::uint64_t maxSeeds = 300;
-    CHECK(firstLimitViolation(disabled_rule::limitChecked, maxSeeds) != 0);
-    CHECK(firstLimitViolation(disabled_rule::limitCountsStops, maxSeeds) != 0);
-    CHECK(firstLimitViolation(disabled_rule::limitCountsUnconfirmed, maxSeeds) != 0);
-    CHECK(firstLimitViolation(disabled_rule::limitCountsUnseen, maxSeeds) != 0);
-}
-
-/// Returns the first seed up to @p maxSeed whose schedule of gangs shows that the rule is missing, or 0.
-std::uint64_t firstGangViolation(disabled_rule mutation, std::uint64_t maxSeed)
-{
-    const auto seeds = std::views::iota(std::uint64_t {1}, maxSeed + 1);
-    const auto found =
-        std::ranges::find_if(seeds, [&](auto seed) { return !runGangSchedule(seed, {}, mutation).empty(); });
-    return found == seeds.end() ? 0 : *found;
+    CHECK(firstViolation(runLimits, disabled_rule::limitChecked, maxSeeds) != 0);
+    CHECK(firstViolation(runLimits, disabled_rule::limitCountsStops, maxSeeds) != 0);
+    CHECK(firstViolation(runLimits, disabled_rule::limitCountsUnconfirmed, maxSeeds) != 0);
+    CHECK(firstViolation(runLimits, disabled_rule::limitCountsUnseen, maxSeeds) != 0);
 }
 
 TEST_CASE("GANG: no member of a gang is left waiting until its worker ends it", "[gangs]")
@@ -378,31 +374,31 @@
 
 TEST_CASE("the checks detect that an owner doesn't stop incomplete gangs", "[mutations][gang_mutations]")
 {
-    CHECK(firstGangViolation(disabled_rule::incompleteGangsStop, 20) != 0);
+    CHECK(firstViolation(runGangs, disabled_rule::incompleteGangsStop, 20) != 0);
 }
 
 TEST_CASE("the checks detect the absence of each safety rule", "[mutations]")
 {
     constexpr std::uint64_t maxSeeds = 2'000;
-    CHECK(firstViolation(disabled_rule::leaseFromConfirmation, maxSeeds) != 0);
-    CHECK(firstViolation(disabled_rule::inDoubtAfterTakeOver, maxSeeds) != 0);
-    CHECK(firstViolation(disabled_rule::fencing, maxSeeds) != 0);
-    CHECK(firstViolation(disabled_rule::stopBeforeRestart, maxSeeds) != 0);
-    CHECK(firstViolation(disabled_rule::commitSequence, maxSeeds) != 0);
-    CHECK(firstViolation(disabled_rule::ownershipCondition, maxSeeds) != 0);
-    CHECK(firstViolation(disabled_rule::countsOnlyWhenLoaded, maxSeeds) != 0);
-    CHECK(firstViolation(disabled_rule::startConfirmed, maxSeeds, 0, unlikeCapacities) != 0);
-    CHECK(firstViolation(disabled_rule::acknowledgeAfterCommit, maxSeeds) != 0);
-    CHECK(firstViolation(disabled_rule::maxUnavailable, maxSeeds, drainsPerSchedule) != 0);
-    CHECK(firstRestartViolation(disabled_rule::unshownRunsMayGoOn, maxSeeds) != 0);
-    CHECK(firstRestartViolation(disabled_rule::endsOfOneBoot, maxSeeds) != 0);
-    CHECK(firstRestartViolation(disabled_rule::entriesDoubted, maxSeeds, true) != 0);
-    CHECK(firstOccurrenceViolation(disabled_rule::shownOccurrencesBegin, maxSeeds) != 0);
+    CHECK(firstViolation(runFaults, disabled_rule::leaseFromConfirmation, maxSeeds) != 0);
+    CHECK(firstViolation(runFaults, disabled_rule::inDoubtAfterTakeOver, maxSeeds) != 0);
+    CHECK(firstViolation(runFaults, disabled_rule::fencing, maxSeeds) != 0);
+    CHECK(firstViolation(runFaults, disabled_rule::stopBeforeRestart, maxSeeds) != 0);
+    CHECK(firstViolation(runFaults, disabled_rule::commitSequence, maxSeeds) != 0);
+    CHECK(firstViolation(runFaults, disabled_rule::ownershipCondition, maxSeeds) != 0);
+    CHECK(firstViolation(runFaults, disabled_rule::countsOnlyWhenLoaded, maxSeeds) != 0);
+    CHECK(firstViolation(runHandovers, disabled_rule::startConfirmed, maxSeeds) != 0);
+    CHECK(firstViolation(runFaults, disabled_rule::acknowledgeAfterCommit, maxSeeds) != 0);
+    CHECK(firstViolation(runDrains, disabled_rule::maxUnavailable, maxSeeds) != 0);
+    CHECK(firstViolation(runPlainRestarts, disabled_rule::unshownRunsMayGoOn, maxSeeds) != 0);
+    CHECK(firstViolation(runPlainRestarts, disabled_rule::endsOfOneBoot, maxSeeds) != 0);
+    CHECK(firstViolation(runRestartsAndClockJumps, disabled_rule::entriesDoubted, maxSeeds) != 0);
+    CHECK(firstViolation(runOccurrences, disabled_rule::shownOccurrencesBegin, maxSeeds) != 0);
     CHECK_FALSE(runCrashSchedule(1, crash_cause::tasks, {}, disabled_rule::lossCounts).violation.empty());
 }
 
 TEST_CASE("the checks detect that an owner doesn't wait for what an earlier one has stopped", "[mutation_former_stops]")
 {
     constexpr std::uint64_t maxSeeds = 2'000;
-    CHECK(firstViolation(disabled_rule::waitForFormerStops, maxSeeds, 0, unlikeCapacities) != 0);
+    CHECK(firstViolation(runHandovers, disabled_rule::waitForFormerStops, maxSeeds) != 0);
 }
