advice_requests_test: one loop over the calls and one answer to them

callsOf() and lastAdviceRequest() each had the loop that actionsOf() beside owned_cell has now, and allowAll() built the answer that answerCall() builds for a number of the workers.

--- a/tests/unit/advice_requests_test.cpp
+++ b/tests/unit/advice_requests_test.cpp
@@ -38,16 +38,10 @@
 
 std::vector<ask_advice> callsOf(const owned_cell &cell)
 {
-    std::vector<ask_advice> result;
-    for (const auto &action : cell.actions) {
-        if (const auto *call = std::get_if<ask_advice>(&action)) {
-            result.push_back(*call);
-        }
-    }
-    return result;
+    return actionsOf<ask_advice>(cell.actions);
 }
 
-/// Answers the call: @p allowed of the workers that it names may run the step.
+/// Answers the call: @p allowed of the workers that it names may run the step, with tickets that are valid for 2 s.
 void answerCall(owned_cell &cell, const ask_advice &call, std::size_t allowed)
 {
     advice_answered answer;
@@ -63,24 +57,17 @@
     step(cell.state, answer, cell.now, cell.actions);
 }
 
-/// Returns the request for advice of the last pass, if it made one.
+/// Returns the first request for advice of the last pass, if it made one.
 std::optional<ask_advice> lastAdviceRequest(const owned_cell &cell)
 {
-    for (const auto &action : cell.actions) {
-        if (const auto *request = std::get_if<ask_advice>(&action)) {
-            return *request;
-        }
-    }
-    return std::nullopt;
+    const auto calls = callsOf(cell);
+    return calls.empty() ? std::nullopt : std::optional(calls.front());
 }
 
-/// Answers that each worker of the request may run the step, with tickets that are valid for 2 s.
+/// Answers that each worker of the request may run the step.
 void allowAll(owned_cell &cell, const ask_advice &request)
 {
-    advice_answered answer {request.step, request.workers, true, {}, 2s, request.isCostly, cell.now};
-    std::ranges::transform(request.workers, std::back_inserter(answer.allowed),
-                           [](const worker_id &id) { return worker_ticket {id, "ticket"}; });
-    step(cell.state, answer, cell.now, cell.actions);
+    answerCall(cell, request, request.workers.size());
 }
 
 } // namespace
