Soak workers that are cut off from daemons and store, and say how a failed job's runs have ended

- cutWorkersOff cuts one or two workers from all daemons and the store, most of them for 7 to 10 s.
An entry now goes three heartbeats after it was last written, whatever the reason of the silence.
- Callers ask for the states of jobs that last, too.
- The judge asked for three runs that failed already.
It keeps that, also under two crashes, which users allow: nothing needed the exception so far.
Its finding tells how the runs of the most tried task have ended.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -265,7 +265,7 @@
 {
     std::vector<job_id> open;
     for (const auto &[id, job] : m_jobs) {
-        if (job.acceptedAt && !hasEnded(job) && !lasts(job) && *job.acceptedAt + askInterval < now()) {
+        if (job.acceptedAt && !hasEnded(job) && *job.acceptedAt + askInterval < now()) {
             open.push_back(id);
         }
     }
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -16,6 +16,9 @@
 
 constexpr auto restartTime = 2'000ms; ///< until a daemon that is started again takes part
 constexpr auto latestLateOrder = 4'000ms;
+constexpr std::uint64_t cutsOffStream = 4; ///< of random numbers, beside those of the other parts of a soak
+constexpr int mostSingleCuts = 3;
+constexpr auto seriesTime = 45'000ms; ///< of cuts that follow a task, some four runs of it
 
 struct kind_weight
 {
@@ -121,6 +124,37 @@
     faults.insert(faults.end(), silent.begin(), silent.end());
 }
 
+/// Draws a cut of one or two workers from the daemons and the store. Most cuts outlast the leases and the entries.
+fault drawCutOff(seeded &random, const soak_site &site, milliseconds at)
+{
+    fault result;
+    result.at = at;
+    result.kind = fault_kind::cutWorkersOff;
+    result.duration = random.chance(0.8) ? random.time(7'000ms, 10'000ms) : random.time(1'000ms, 7'000ms);
+    result.targets = {random.number(0, site.workers - 1)};
+    if (random.chance(0.3)) {
+        result.targets.push_back(random.number(0, site.workers - 1));
+    }
+    return result;
+}
+
+/// Adds cuts of any workers and, to most plans, a series that hits the workers of one task that lasts soon after it has
+/// started there. They have random numbers of their own, so that the other faults of a seed stay as they were.
+void addCutsOff(seeded random, const soak_site &site, std::vector<fault> &faults)
+{
+    for (int count = random.number(0, mostSingleCuts); count > 0; --count) {
+        faults.push_back(drawCutOff(random, site, site.warmUp + random.time(0ms, site.faultTime)));
+    }
+    if (!random.chance(0.6)) {
+        return;
+    }
+    for (auto at = site.warmUp; at < site.warmUp + seriesTime; at += random.time(1'000ms, 3'000ms)) {
+        auto next = drawCutOff(random, site, at);
+        next.followsTask = true;
+        faults.push_back(next);
+    }
+}
+
 /// Returns when what the fault entails is over.
 milliseconds endOf(const fault &each)
 {
@@ -154,6 +188,7 @@
     }
     repeatRestarts(random, plan.faults, end);
     addSilentRestarts(random, plan.faults);
+    addCutsOff(seeded(seed + cutsOffStream), site, plan.faults);
     std::ranges::sort(plan.faults, {}, &fault::at);
     for (const auto &each : plan.faults) {
         plan.calmAt = std::max(plan.calmAt, endOf(each));
@@ -163,10 +198,10 @@
 
 std::string toString(fault_kind kind)
 {
-    static constexpr std::array names {"pause daemons",  "kill daemons", "terminate daemons", "restart workers",
-                                       "freeze workers", "cut workers",  "delay orders",      "lose order answers",
-                                       "turn away",      "stop store",   "slow store",        "lose store answers",
-                                       "drop history"};
+    static constexpr std::array names {"pause daemons",      "kill daemons", "terminate daemons", "restart workers",
+                                       "freeze workers",     "cut workers",  "cut workers off",   "delay orders",
+                                       "lose order answers", "turn away",    "stop store",        "slow store",
+                                       "lose store answers", "drop history"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -20,6 +20,7 @@
     restartWorkers, ///< they are down for the duration and come back under the same id
     freezeWorkers, ///< their requests wait until the end; their runs and clocks go on
     cutWorkers, ///< from one side or from all; they run on
+    cutWorkersOff, ///< from all sides and from the store, so that their entries expire; they run on
     delayOrders, ///< of half of the requests: carried out seconds later and never answered
     loseOrderAnswers,
     turnDaemonsAway, ///< the store serves the others
@@ -45,6 +46,7 @@
     fault_kind kind = fault_kind::pauseDaemons;
     std::vector<int> targets; ///< numbers of daemons or workers, from 0
     bool hitsOwner = false; ///< in place of the first target: the daemon that owns when the fault begins
+    bool followsTask = false; ///< in place of the first target: the worker of the task it follows; none if that waits
     fault_manner manner = fault_manner::silent;
     std::optional<int> side; ///< of the workers that are cut; unset for all
     std::chrono::milliseconds entryDelay {0}; ///< from a worker's restart until its entry tells it
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -21,6 +21,7 @@
 constexpr int addressesPerBlock = 250;
 constexpr auto heartbeat = 1'500ms;
 constexpr auto longestTransit = 15ms; ///< of an order, and of its answer
+constexpr auto longestWait = 20'000ms; ///< of a task that is followed, after which it counts as ended
 constexpr auto lateFrom = 500ms; ///< an order that is carried out so much after its arrival counts as late
 
 std::string addressOf(const std::string &network, int worker)
@@ -47,6 +48,11 @@
     return result;
 }
 
+fleet::member::member(executor_emulator emulator)
+    : executor(std::move(emulator))
+{
+}
+
 fleet::fleet(parts environment, std::uint64_t seed)
     : m_parts(std::move(environment))
     , m_random(seed + 1)
@@ -63,22 +69,7 @@
         worker.labels = {"k", "r" + std::to_string(i / m_parts.site.workersPerRack)};
         worker.capacity = m_parts.site.workerCapacity;
         const auto rate = 0.98 + 0.001 * m_random.number(0, 20);
-        m_members.push_back({executor_emulator(worker, rate, m_parts.bounds),
-                             {},
-                             {},
-                             {},
-                             {},
-                             false,
-                             {},
-                             {},
-                             {},
-                             false,
-                             0ms,
-                             {},
-                             {},
-                             0,
-                             0,
-                             {}});
+        m_members.emplace_back(executor_emulator(worker, rate, m_parts.bounds));
         auto &added = m_members.back();
         added.executor.isGangPresent = [this](const run_id &run) { return isGangPresent(run); };
         added.servers.resize(sides);
@@ -222,7 +213,9 @@
     record.startedAt = now();
     record.startNumber = ++m_number;
     const auto body = json::parse(order.request->body());
-    const auto gang = behaviourOf(run, body.at("spec").get<std::string>()).gang;
+    const auto behaviour = behaviourOf(run, body.at("spec").get<std::string>());
+    const auto gang = behaviour.gang;
+    record.lasts = behaviour.isService;
     record.isGang = gang > 0;
     if (record.isGang) {
         m_gangSizes[gangOf(run)] = static_cast<int>(gang);
@@ -330,20 +323,25 @@
 
 // --- entries
 
+bool fleet::isAnnouncing(const member &worker) const
+{
+    return !worker.isDown && worker.cutFromStoreUntil <= bootNow() && worker.entryFrom <= bootNow();
+}
+
 void fleet::announce()
 {
     for (auto &worker : m_members) {
         const auto &description = worker.executor.description();
-        if (worker.isDown && worker.nextEntryAt + 2 * heartbeat <= bootNow()) {
+        if (isAnnouncing(worker) && worker.nextEntryAt <= bootNow()) {
+            worker.nextEntryAt = bootNow() + heartbeat;
+            worker.entryExpiresAt = bootNow() + 3 * heartbeat;
+            worker.isListed = true;
+            m_parts.store.store.put({platform::workerTable, "", description.id},
+                                    standins::workerEntry(description, ++worker.sequence));
+        } else if (worker.isListed && worker.entryExpiresAt <= bootNow()) {
+            worker.isListed = false;
             m_parts.store.store.remove({platform::workerTable, "", description.id});
-            continue;
         }
-        if (worker.isDown || worker.entryFrom > bootNow() || worker.nextEntryAt > bootNow()) {
-            continue;
-        }
-        worker.nextEntryAt = bootNow() + heartbeat;
-        m_parts.store.store.put({platform::workerTable, "", description.id},
-                                standins::workerEntry(description, ++worker.sequence));
     }
 }
 
@@ -389,11 +387,30 @@
     }
 }
 
-void fleet::begin(const fault &what)
+void fleet::cut(int worker, const fault &what, instant until)
+{
+    auto &hit = at(worker);
+    for (int side = 0; side < m_parts.site.workerSides; ++side) {
+        if (what.side.value_or(side) != side) {
+            continue;
+        }
+        const auto index = static_cast<std::size_t>(side);
+        hit.cutUntil[index] = std::max(hit.cutUntil[index], until);
+        hit.cutManner[index] = what.manner;
+        if (what.manner == fault_manner::busy) {
+            hit.servers[index].reset(); // refuses connections
+        }
+    }
+    for (const auto &run : hit.executor.running()) {
+        m_runs[m_open.at({worker, run})].isBesideCut = true;
+    }
+}
+
+void fleet::begin(const fault &what, const std::vector<int> &targets)
 {
     advance();
     const auto until = bootNow() + what.duration;
-    for (const auto target : what.targets) {
+    for (const auto target : targets) {
         auto &worker = at(target);
         if (what.kind == fault_kind::restartWorkers) {
             takeDown(target, what);
@@ -405,24 +422,55 @@
             worker.losesUntil = std::max(worker.losesUntil, until);
             worker.losesAll = what.side.has_value();
         } else if (what.kind == fault_kind::cutWorkers) {
-            for (int side = 0; side < m_parts.site.workerSides; ++side) {
-                if (what.side.value_or(side) != side) {
-                    continue;
-                }
-                const auto index = static_cast<std::size_t>(side);
-                worker.cutUntil[index] = std::max(worker.cutUntil[index], until);
-                worker.cutManner[index] = what.manner;
-                if (what.manner == fault_manner::busy) {
-                    worker.servers[index].reset(); // refuses connections
-                }
-            }
-            for (const auto &run : worker.executor.running()) {
-                m_runs[m_open.at({target, run})].isBesideCut = true;
-            }
+            cut(target, what, until);
+        } else if (what.kind == fault_kind::cutWorkersOff) {
+            cut(target, what, until);
+            worker.cutFromStoreUntil = std::max(worker.cutFromStoreUntil, until);
         }
     }
 }
 
+const run_record *fleet::lastRunOf(const task_ref &task) const
+{
+    const auto found =
+        std::ranges::find(m_runs.rbegin(), m_runs.rend(), task, [](const run_record &each) { return each.run.task; });
+    return found == m_runs.rend() ? nullptr : &*found;
+}
+
+/// Returns the latest start of a task that lasts and still runs where it can be reached.
+const run_record *fleet::latestLastingRun() const
+{
+    const auto found = std::find_if(m_runs.rbegin(), m_runs.rend(), [this](const run_record &each) {
+        return each.lasts && each.endNumber == 0 && !isCutOff(each.worker);
+    });
+    return found == m_runs.rend() ? nullptr : &*found;
+}
+
+bool fleet::isCutOff(int worker) const
+{
+    return m_members[static_cast<std::size_t>(worker)].cutFromStoreUntil > bootNow();
+}
+
+bool fleet::isFollowed() const
+{
+    const auto *last = m_followed ? lastRunOf(*m_followed) : nullptr;
+    if (last == nullptr || last->endNumber == 0) {
+        return last != nullptr;
+    }
+    return last->how != run_end::stopped && now() < last->endedAt + longestWait;
+}
+
+std::optional<int> fleet::followTask()
+{
+    const auto *run = isFollowed() ? lastRunOf(*m_followed) : latestLastingRun();
+    if (run == nullptr) {
+        return std::nullopt;
+    }
+    m_followed = run->run.task;
+    const bool isReached = run->endNumber == 0 && !isCutOff(run->worker);
+    return isReached ? std::optional(run->worker) : std::nullopt;
+}
+
 const std::vector<run_record> &fleet::runs() const
 {
     return m_runs;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -41,11 +42,15 @@
     /// Carries time forward to the present, ends runs that are due, and brings up workers that were down.
     void advance();
 
-    /// Writes the entries that are due into the store.
+    /// Writes the entries that are due into the store, and removes those that have expired.
     void announce();
 
-    /// Begins a fault of workers.
-    void begin(const fault &what);
+    /// Begins a fault that hits these workers.
+    void begin(const fault &what, const std::vector<int> &targets);
+
+    /// Returns the worker of the task that a series of cuts follows. It is one that lasts, chosen when the series
+    /// begins and again when it has ended. Returns std::nullopt while it waits to start again.
+    std::optional<int> followTask();
 
     const std::vector<run_record> &runs() const;
     std::vector<worker_boot> boots() const;
@@ -53,6 +58,8 @@
 private:
     struct member
     {
+        explicit member(executor_emulator emulator);
+
         executor_emulator executor;
         std::vector<std::unique_ptr<http_server>> servers; ///< one a side; empty pointers while it refuses connections
         std::vector<instant> cutUntil; ///< of each side
@@ -66,6 +73,9 @@
         milliseconds entryDelay {0};
         instant entryFrom; ///< from then on its entry is written
         instant nextEntryAt;
+        instant entryExpiresAt;
+        bool isListed = false; ///< its entry is in the store
+        instant cutFromStoreUntil;
         std::int64_t sequence = 0;
         std::size_t endsSeen = 0;
         std::vector<std::pair<std::size_t, std::size_t>> unnoted; ///< ends of this boot, and their records
@@ -87,6 +97,12 @@
     void carryOut(const delivery &order, bool isLate);
     standins::worker_server_hooks hooksFor(const delivery &order, bool isLate);
     void recordStart(const delivery &order, const run_id &run, row_version token, bool isLate);
+    const run_record *lastRunOf(const task_ref &task) const;
+    const run_record *latestLastingRun() const;
+    bool isCutOff(int worker) const;
+    bool isFollowed() const;
+    bool isAnnouncing(const member &worker) const;
+    void cut(int worker, const fault &what, instant until);
     void takeDown(int worker, const fault &what);
     void bringUp(int worker);
     void collectEnds(int worker);
@@ -104,6 +120,7 @@
     std::map<std::pair<int, run_id>, std::size_t> m_open; ///< records of the runs that haven't ended
     std::map<run_id, int> m_present; ///< of each gang with an attempt, named by index -1: members on workers
     std::map<run_id, int> m_gangSizes;
+    std::optional<task_ref> m_followed; ///< by cuts
     std::set<task_ref> m_failed; ///< tasks of which a run has failed
     std::int64_t m_number = 0;
     instant m_advancedTo;
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -91,6 +91,15 @@
         + std::to_string(task.index);
 }
 
+std::string nameOfEnd(const run_record &run)
+{
+    static constexpr std::array names {"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    if (run.endNumber == 0) {
+        return "runs on";
+    }
+    return run.how ? names.at(static_cast<std::size_t>(*run.how)) : "restart";
+}
+
 /// Says what became of the last run of a task.
 std::string lastRun(const task_ref &task, const runs_of_tasks &runs)
 {
@@ -112,6 +121,24 @@
     });
 }
 
+/// Says how the runs of a job's most tried task have ended. Those of the same task that a restart has ended are
+/// crashes.
+std::string endsOfMostTried(const job_record &job, const runs_of_tasks &runs)
+{
+    auto ofJob = runs | std::views::filter([&](const auto &each) { return each.first.job == job.id; });
+    const auto found = std::ranges::max_element(ofJob, {}, [](const auto &each) { return each.second.size(); });
+    if (found == ofJob.end()) {
+        return "none of its tasks has run";
+    }
+    std::map<std::string, int> ends;
+    std::ranges::for_each(found->second, [&ends](const run_record *run) { ++ends[nameOfEnd(*run)]; });
+    auto result = "runs of " + nameOf(found->first) + ':';
+    for (const auto &[name, count] : ends) {
+        result += ' ' + name + ' ' + std::to_string(count);
+    }
+    return result;
+}
+
 void judgeJob(const judged_soak &soak, const job_record &job, const std::set<task_ref> &done, const runs_of_tasks &runs,
               std::vector<finding> &findings)
 {
@@ -125,7 +152,8 @@
         return;
     }
     if ((job.state == "failed" && !hasCauseToFail(job, soak.runs)) || job.state == "cancelled") {
-        findings.push_back({"LOST", about + ", is shown as " + job.state + " without cause", false});
+        findings.push_back(
+            {"LOST", about + ", is shown as " + job.state + " without cause, " + endsOfMostTried(job, runs), false});
     }
     if (!soak.isOver) {
         return;
@@ -148,7 +176,6 @@
 
 std::string describe(const run_record &run)
 {
-    static constexpr std::array names {"done", "failed", "stopped", "lapsed", "broken", "alone"};
     std::ostringstream text;
     text << nameOf(run.run.task) << " run " << run.run.attempt << " on i-" << run.worker << " boot " << run.boot
          << " side " << run.side << " from " << run.sender << " token " << run.token << " late " << run.isLate
@@ -160,8 +187,8 @@
         text << " runs on";
         return text.str();
     }
-    text << " end " << run.endedAt.count() << " #" << run.endNumber << ' '
-         << (run.how ? names.at(static_cast<std::size_t>(*run.how)) : "restart") << " number " << run.endOnWorker;
+    text << " end " << run.endedAt.count() << " #" << run.endNumber << ' ' << nameOfEnd(run) << " number "
+         << run.endOnWorker;
     if (run.notedAt) {
         text << " noted " << run.notedAt->count();
     }
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -24,6 +24,7 @@
     row_version token = 0; ///< of its start
     std::string sender; ///< daemon that owned with that token
     bool isGang = false;
+    bool lasts = false; ///< its task
     bool isLate = false; ///< the worker carried its start out late
     bool isBesideCut = false; ///< the worker was cut off while it ran
     milliseconds startedAt {0};
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -136,13 +136,20 @@
         if (what.hitsOwner && doors.owner() >= 0 && std::ranges::find(targets, doors.owner()) == targets.end()) {
             targets.front() = doors.owner();
         }
+        if (what.followsTask) {
+            const auto followed = workers.followTask();
+            if (!followed) {
+                return;
+            }
+            targets.front() = *followed;
+        }
         log(what, targets);
         if (what.kind == fault_kind::pauseDaemons || what.kind == fault_kind::killDaemons
             || what.kind == fault_kind::terminateDaemons) {
             processes.begin(what, targets);
             return;
         }
-        workers.begin(what);
+        workers.begin(what, targets);
         doors.begin(what, targets);
     }
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -82,6 +82,33 @@
     CHECK(hasOverlap);
 }
 
+TEST_CASE("workers are cut off one or two at a time, for longer than leases and entries last, again and again")
+{
+    const auto site = siteNamed("kjaer-plan");
+    int plansWithout = 0;
+    int plansWithSeries = 0;
+    bool hasOverlap = false;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        const auto plan = planFaults(seed, site);
+        const auto isCutOff = [](const fault &each) { return each.kind == fault_kind::cutWorkersOff; };
+        const auto outlasts = [&](const fault &each) { return isCutOff(each) && each.duration >= 7'000ms; };
+        plansWithout += std::ranges::none_of(plan.faults, isCutOff) ? 1 : 0;
+        const auto isInSeries = [&](const fault &each) { return outlasts(each) && each.followsTask; };
+        plansWithSeries += std::ranges::count_if(plan.faults, isInSeries) >= 4 ? 1 : 0;
+        for (const auto &each : plan.faults | std::views::filter(isCutOff)) {
+            CHECK((each.targets.size() == 1 || each.targets.size() == 2));
+            CHECK(each.duration <= 10'000ms);
+            CHECK_FALSE(each.side);
+            hasOverlap = hasOverlap || std::ranges::any_of(plan.faults, [&](const fault &other) {
+                             return !isCutOff(other) && other.at < each.at && each.at < other.at + other.duration;
+                         });
+        }
+    }
+    CHECK(plansWithout > 0);
+    CHECK(plansWithSeries >= 20);
+    CHECK(hasOverlap);
+}
+
 TEST_CASE("two runs of a task at the same time are found, one after the other are not")
 {
     CHECK(findSecondRuns({runOn(1, 1, 1, 4), runOn(2, 2, 3, 6)}).size() == 1);
@@ -140,6 +167,39 @@
     CHECK(findUnfinishedJobs(soakWith(job, {run})).size() == 1);
 }
 
+TEST_CASE("a job may be shown as failed if a task of it has failed three times, and for no other ends")
+{
+    auto job = acceptedJob();
+    job.state = "failed";
+    const auto isFoundAfter = [&job](const std::vector<std::optional<run_end>> &ends) {
+        std::vector<run_record> runs;
+        for (const auto &how : ends) {
+            const auto number = static_cast<std::int64_t>(runs.size());
+            runs.push_back(runOn(static_cast<int>(number), static_cast<std::uint32_t>(number + 1), 2 * number + 1,
+                                 2 * number + 2));
+            runs.back().how = how;
+        }
+        return !findUnfinishedJobs(soakWith(job, runs)).empty();
+    };
+    const std::optional<run_end> crash;
+    CHECK_FALSE(isFoundAfter({run_end::failed, run_end::lapsed, run_end::failed, run_end::failed}));
+    CHECK(isFoundAfter({run_end::failed, run_end::failed, run_end::lapsed, run_end::lapsed}));
+    CHECK(isFoundAfter({run_end::lapsed, run_end::lapsed, run_end::lapsed, run_end::lapsed}));
+    CHECK(isFoundAfter({run_end::lapsed, crash, run_end::lapsed}));
+}
+
+TEST_CASE("what is found about a job that is shown as failed tells how its most tried task has ended")
+{
+    auto job = acceptedJob();
+    job.state = "failed";
+    std::vector<run_record> runs {runOn(1, 1, 1, 2), runOn(2, 2, 3, 4), runOn(3, 3, 5, 6)};
+    runs[0].how = run_end::lapsed;
+    runs[1].how = run_end::lapsed;
+    const auto findings = findUnfinishedJobs(soakWith(job, runs));
+    REQUIRE(findings.size() == 1);
+    CHECK(findings.front().text.ends_with("runs of 0c00000000000000.0.0.3: lapsed 2 restart 1"));
+}
+
 TEST_CASE("a service whose task doesn't run, and a run of a cancelled job, are found")
 {
     auto job = acceptedJob();
