--- a/tests/demo/cell.sh
+++ b/tests/demo/cell.sh
@@ -54,13 +54,14 @@
 }
 
 # cellSettings ID DOMAIN REGION ADDRESS: writes a cell daemon's settings file and prints its path. Daemons whose ids are in
-# OTHER_STORE, separated by spaces, use the store's other port.
+# OTHER_STORE, separated by spaces, use the store's other port. LIMITS, if set, holds the VM's limits as JSON.
 cellSettings() {
     local storePort=7701
     case " ${OTHER_STORE:-} " in *" $1 "*) storePort=7704 ;; esac
     cat >"$CELL/$1-celld.json" <<JSON
 {"nodeName": "$1", "zone": "$2", "region": "$3", "ip": "$4",
  "bindAddrs": {"frontend": "$4:8100", "ready": "$4:8101"}, "internalPorts": [8102, 8110],
+ "limits": ${LIMITS:-{\}},
  "platform": {"address": "127.$NET.0.1:$storePort"}, "advice": "127.$NET.0.2:7702",
  "bounds": {"holdMaxMs": 6000, "configApplyMs": 2500, "graceS": 6, "status_s": 120}}
 JSON
