Refuse heads over a limit, and keep the others compactly

A client could send a head of small fields without end: each field of 6 bytes took 64 as a pair of strings, and nothing limited their number but the parser's own 80 KiB. 200 such connections took a daemon from 10 MB to 134 of 64.

A head is refused with 431 from maxHeaderBytes of the configuration (16 KiB if it names none) plus 8 KiB for the request line on; empty lines before it count. What follows is discarded for 0.5 s, so that the caller can read the answer. The fields stay in the one text they arrived in.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -602,6 +602,7 @@
 
     void applyConfiguration(const queue_table &table)
     {
+        callerServer.setMaxHeadSize(static_cast<std::size_t>(table.maxHeadBytes));
         callerServer.setMaxBodySize(table.maxRequestBytes);
         runner.setWorkspaces(policiesOf(table));
         keys = table.workspaces ? std::optional<key_index>(*table.workspaces) : std::nullopt;
--- a/src/libprimrosecroft/io/http.h
+++ b/src/libprimrosecroft/io/http.h
@@ -24,6 +24,7 @@
 inline constexpr unsigned statusContentTooLarge = 413;
 inline constexpr unsigned statusUnprocessable = 422;
 inline constexpr unsigned statusPreconditionRequired = 428;
+inline constexpr unsigned statusHeadTooLarge = 431;
 inline constexpr unsigned firstServerErrorStatus = 500;
 inline constexpr unsigned statusUnavailable = 503;
 inline constexpr unsigned statusGatewayTimeout = 504;
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -1,6 +1,7 @@
 #include "io/http_server.h"
 
 #include "core/error.h"
+#include "io/request_parser.h"
 #include "io/tcp_socket.h"
 #include "io/timer.h"
 
@@ -22,6 +23,9 @@
 constexpr std::size_t maxPipelinedBytes = std::size_t {256} * 1024; ///< limit on buffered bytes of further requests
 constexpr std::size_t maxQueryBytes = 8'192; ///< a longer query is treated as empty
 constexpr auto idleTimeout = std::chrono::seconds(60); ///< a connection without a request is closed afterwards
+constexpr auto lingerTimeout = std::chrono::milliseconds(500); ///< see refuseHead()
+constexpr std::string_view headTooLong =
+    R"({"outcome":"refused","step":"read request","detail":"the head is too long"})";
 constexpr std::string_view bodyTooLong =
     R"({"outcome":"refused","step":"read request","detail":"the body is too long"})";
 
@@ -45,17 +49,6 @@
     return result;
 }
 
-/// A parsed request.
-struct parsed_request
-{
-    std::string method;
-    std::string target;
-    http_headers headers;
-    std::string body;
-    bool keepAlive = false;
-    bool isHttp10 = false;
-};
-
 class server_connection;
 
 /// State that a server shares with its open connections.
@@ -68,6 +61,14 @@
     bool isStopping = false;
 };
 
+/// What a request means for the form of its response.
+struct exchange_traits
+{
+    bool isHead = false; ///< the method is HEAD, so the response has no body
+    bool keepAlive = false;
+    bool isHttp10 = false;
+};
+
 /// One connection of a caller: reads a request, waits for its response, then continues with the next request.
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
@@ -76,8 +77,6 @@
         : m_socket(descriptor)
         , m_state(std::move(state))
     {
-        http_parser_init(&m_parser, HTTP_REQUEST);
-        m_parser.data = this;
     }
 
     void start()
@@ -96,15 +95,10 @@
         return m_socket.isClosed();
     }
 
-    const parsed_request &request() const
-    {
-        return m_request;
-    }
-
     /// Writes a complete response and continues with the next request.
     void answer(const http_response &answer)
     {
-        const bool isBodyless = m_request.method == "HEAD" || !allowsBody(answer.status);
+        const bool isBodyless = m_exchange.isHead || !allowsBody(answer.status);
         std::string text =
             encodeHead(answer.status, answer.headers, allowsBody(answer.status) ? answer.body.size() : 0, false);
         if (!isBodyless) {
@@ -117,10 +111,10 @@
     void beginStream(unsigned status, const http_headers &headers)
     {
         const auto length = headerValue(headers, "Content-Length");
-        m_streamsBody = m_request.method != "HEAD" && allowsBody(status);
-        m_isChunked = m_streamsBody && length.empty() && !m_request.isHttp10;
-        if (m_streamsBody && length.empty() && m_request.isHttp10) {
-            m_request.keepAlive = false; // HTTP/1.0 marks the end of such a body by closing the connection
+        m_streamsBody = !m_exchange.isHead && allowsBody(status);
+        m_isChunked = m_streamsBody && length.empty() && !m_exchange.isHttp10;
+        if (m_streamsBody && length.empty() && m_exchange.isHttp10) {
+            m_exchange.keepAlive = false; // HTTP/1.0 marks the end of such a body by closing the connection
         }
         m_socket.write(encodeHead(status, headers, std::nullopt, m_isChunked));
     }
@@ -163,7 +157,7 @@
                            bool chunked)
     {
         if (m_state->isStopping) {
-            m_request.keepAlive = false;
+            m_exchange.keepAlive = false;
         }
         const auto *reason = http_status_str(static_cast<http_status>(status));
         std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + reason + "\r\n";
@@ -179,130 +173,49 @@
         if (chunked) {
             text += "Transfer-Encoding: chunked\r\n";
         }
-        if (!m_request.keepAlive) {
+        if (!m_exchange.keepAlive) {
             text += "Connection: close\r\n";
-        } else if (m_request.isHttp10) {
+        } else if (m_exchange.isHttp10) {
             text += "Connection: keep-alive\r\n";
         }
         return text + "\r\n";
     }
 
-    static server_connection &of(http_parser *parser)
-    {
-        return *static_cast<server_connection *>(parser->data);
-    }
-
-    static const http_parser_settings &parserSettings()
-    {
-        static const http_parser_settings settings = [] {
-            http_parser_settings result;
-            http_parser_settings_init(&result);
-            result.on_message_begin = [](http_parser *parser) {
-                of(parser).onBegin();
-                return 0;
-            };
-            result.on_url = [](http_parser *parser, const char *at, size_t length) {
-                of(parser).m_request.target.append(at, length);
-                return 0;
-            };
-            result.on_header_field = [](http_parser *parser, const char *at, size_t length) {
-                of(parser).onHeaderField({at, length});
-                return 0;
-            };
-            result.on_header_value = [](http_parser *parser, const char *at, size_t length) {
-                of(parser).onHeaderValue({at, length});
-                return 0;
-            };
-            result.on_headers_complete = [](http_parser *parser) {
-                of(parser).onHead();
-                return 0;
-            };
-            result.on_body = [](http_parser *parser, const char *at, size_t length) {
-                of(parser).onBody({at, length});
-                return 0;
-            };
-            result.on_message_complete = [](http_parser *parser) {
-                of(parser).m_isComplete = true;
-                http_parser_pause(parser, 1);
-                return 0;
-            };
-            return result;
-        }();
-        return settings;
-    }
-
-    void onBegin()
-    {
-        m_request = {};
-        m_isHeadComplete = false;
-        m_isInField = false;
-        m_isBodyTooLong = false;
-        m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
-    }
-
-    void onHeaderField(std::string_view text)
-    {
-        if (m_isHeadComplete) {
-            return; // a trailer
-        }
-        if (!m_isInField) {
-            m_request.headers.emplace_back();
-        }
-        m_isInField = true;
-        m_request.headers.back().name.append(text);
-    }
-
-    void onHeaderValue(std::string_view text)
+    void onHead()
     {
-        if (m_isHeadComplete || m_request.headers.empty()) {
-            return;
-        }
-        m_isInField = false;
-        m_request.headers.back().value.append(text);
+        const auto &request = m_parser.request();
+        m_exchange = {request.method == "HEAD", request.keepAlive, request.isHttp10};
     }
 
-    void onHead()
+    /// Answers before the request has arrived completely; the connection closes afterwards.
+    void refuse(unsigned status, std::string_view problem)
     {
-        m_isHeadComplete = true;
-        m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
-        m_request.isHttp10 = m_parser.http_major == 1 && m_parser.http_minor == 0;
-        m_request.keepAlive = http_should_keep_alive(&m_parser) != 0;
-        const auto limit = static_cast<std::uint64_t>(m_state->limits.maxBodySize);
-        const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
-        if (hasLength && m_parser.content_length > limit) {
-            refuseBody();
-        } else if (g_ascii_strcasecmp(headerValue(m_request.headers, "Expect").c_str(), "100-continue") == 0) {
-            m_socket.write("HTTP/1.1 100 Continue\r\n\r\n");
-        }
+        m_exchange.keepAlive = false;
+        const http_headers headers {{"Content-Type", "application/problem+json"}};
+        m_socket.write(encodeHead(status, headers, problem.size(), false) + std::string(problem));
     }
 
-    void onBody(std::string_view piece)
+    /// What follows is discarded for a while, because closing at once could reset the connection before the caller has
+    /// read the answer.
+    void refuseHead()
     {
-        if (m_isBodyTooLong) {
-            return;
-        }
-        m_request.body.append(piece);
-        if (m_request.body.size() > static_cast<std::size_t>(m_state->limits.maxBodySize)) {
-            refuseBody();
-        }
+        refuse(statusHeadTooLarge, headTooLong);
+        m_isDiscarding = true;
+        m_deadline.once(lingerTimeout, [this] { finish(); });
     }
 
-    /// Answers before the body has arrived. The rest of it is discarded until it is complete or the time for the
-    /// request is over, because closing at once could reset the connection before the caller has read the answer.
+    /// The rest of the body is discarded until it is complete or the time for the request is over, for the same reason.
     void refuseBody()
     {
-        m_isBodyTooLong = true;
-        m_request.body.clear();
-        m_request.keepAlive = false;
-        const http_headers headers {{"Content-Type", "application/problem+json"}};
-        m_socket.write(encodeHead(statusContentTooLarge, headers, bodyTooLong.size(), false)
-                       + std::string(bodyTooLong));
+        refuse(statusContentTooLarge, bodyTooLong);
+        m_parser.discardBody();
+        m_isRefused = true;
     }
 
     void onBytes(std::string_view bytes)
     {
         const auto self = shared_from_this();
-        if (m_isClosing) {
+        if (m_isClosing || m_isDiscarding) {
             return;
         }
         m_input.append(bytes);
@@ -316,33 +229,57 @@
     /// Parses the input until a request is complete or more bytes are needed.
     void parse()
     {
-        while (!m_isServing && !isDisconnected() && !m_input.empty()) {
-            const auto used = http_parser_execute(&m_parser, &parserSettings(), m_input.data(), m_input.size());
-            m_input.erase(0, used);
-            if (!m_isComplete) {
-                if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
-                    rejectMalformed();
-                }
-                return;
-            }
-            m_isComplete = false;
-            http_parser_pause(&m_parser, 0);
-            if (m_isBodyTooLong) {
-                closeWhenDrained();
-                return;
-            }
-            serve();
+        while (!m_isServing && !m_isClosing && !m_isDiscarding && !isDisconnected() && !m_input.empty()) {
+            parseStep();
         }
         if (m_hasEnded && !m_isServing && !isDisconnected()) {
             closeWhenDrained();
         }
     }
 
+    void parseStep()
+    {
+        const bool hadBegun = m_parser.hasBegun();
+        const auto [step, used] = m_parser.parse(m_input, limits());
+        m_input.erase(0, used);
+        if (!hadBegun && m_parser.hasBegun()) {
+            m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
+        }
+        switch (step) {
+        case parse_step::incomplete:
+            break;
+        case parse_step::headComplete:
+            onHead();
+            if (g_ascii_strcasecmp(m_parser.request().headers.value("Expect").c_str(), "100-continue") == 0) {
+                m_socket.write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            break;
+        case parse_step::complete:
+            m_isRefused ? closeWhenDrained() : serve();
+            break;
+        case parse_step::malformed:
+            rejectMalformed();
+            break;
+        case parse_step::headTooLong:
+            refuseHead();
+            break;
+        case parse_step::bodyTooLong:
+            onHead();
+            refuseBody();
+            break;
+        }
+    }
+
+    request_limits limits() const
+    {
+        return {m_state->limits.maxHeadSize, static_cast<std::size_t>(m_state->limits.maxBodySize)};
+    }
+
     void serve();
 
     void rejectMalformed()
     {
-        if (!m_isHeadComplete) {
+        if (!m_parser.isHeadComplete()) {
             m_socket.write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
         }
         closeWhenDrained();
@@ -354,7 +291,7 @@
         m_isServing = false;
         m_isChunked = false;
         --m_state->inFlight;
-        if (!m_request.keepAlive) {
+        if (!m_exchange.keepAlive) {
             closeWhenDrained();
             return;
         }
@@ -412,15 +349,13 @@
 
     tcp_socket m_socket;
     std::shared_ptr<server_state> m_state;
-    http_parser m_parser {};
+    request_parser m_parser;
     timer m_deadline; ///< limits the time for a request, between requests, and for sending the rest before closing
-    parsed_request m_request;
+    exchange_traits m_exchange;
     std::string m_input; ///< received bytes that haven't been parsed
     std::function<void()> m_onWritten; ///< called once the kernel has taken the last piece; empty if none is pending
-    bool m_isInField = false; ///< the parser is within the name of a header
-    bool m_isHeadComplete = false;
-    bool m_isBodyTooLong = false;
-    bool m_isComplete = false; ///< the parser has reached the end of a request
+    bool m_isRefused = false; ///< the current request has been answered before it was complete
+    bool m_isDiscarding = false; ///< received bytes are discarded until the connection closes
     bool m_isServing = false; ///< a request has been passed on and its response isn't complete
     bool m_hasEnded = false; ///< the caller has closed its side
     bool m_isClosing = false; ///< the connection closes once the kernel has taken all bytes
@@ -432,9 +367,9 @@
 class server_request : public http_request
 {
 public:
-    explicit server_request(std::shared_ptr<server_connection> connection)
+    server_request(std::shared_ptr<server_connection> connection, parsed_request request)
         : m_connection(std::move(connection))
-        , m_request(m_connection->request())
+        , m_request(std::move(request))
     {
     }
 
@@ -476,12 +411,12 @@
 
     http_headers headers() const override
     {
-        return m_request.headers;
+        return m_request.headers.list();
     }
 
     std::string header(const std::string &name) const override
     {
-        return headerValue(m_request.headers, name);
+        return m_request.headers.value(name);
     }
 
     std::string body() const override
@@ -545,7 +480,7 @@
     m_deadline.stop();
     ++m_state->inFlight;
     const auto handler = m_state->handler;
-    handler(std::make_shared<server_request>(shared_from_this()));
+    handler(std::make_shared<server_request>(shared_from_this(), m_parser.takeRequest()));
 }
 
 } // namespace
@@ -600,6 +535,11 @@
     return m_parts->listener < 0 ? 0 : boundPort(m_parts->listener);
 }
 
+void http_server::setMaxHeadSize(std::size_t size)
+{
+    m_parts->state->limits.maxHeadSize = size;
+}
+
 void http_server::setMaxBodySize(std::int64_t size)
 {
     m_parts->state->limits.maxBodySize = size;
--- a/src/libprimrosecroft/io/http_server.h
+++ b/src/libprimrosecroft/io/http_server.h
@@ -60,6 +60,7 @@
 
 struct http_server_limits
 {
+    std::size_t maxHeadSize = std::size_t {24} * 1024; ///< bytes of request line, fields and empty lines before them
     std::int64_t maxBodySize = std::int64_t {1024} * 1024; ///< bytes; a longer body is refused at once
     std::chrono::milliseconds requestTimeout {10'000}; ///< for a request to arrive completely
     std::size_t maxConnections = 2'000; ///< further connections are closed at once
@@ -80,6 +81,9 @@
     /// Returns the port it listens on; 0 if it doesn't listen.
     std::uint16_t port() const;
 
+    /// Sets the limit on the heads of requests that haven't arrived yet, in bytes.
+    void setMaxHeadSize(std::size_t size);
+
     /// Sets the limit on the bodies of requests whose head hasn't arrived yet, in bytes.
     void setMaxBodySize(std::int64_t size);
 
--- a/src/libprimrosecroft/queues/queue_table.h
+++ b/src/libprimrosecroft/queues/queue_table.h
@@ -29,6 +29,7 @@
     std::vector<queue_route> routes;
     /// Unset if the deployment has no workspaces, so that callers need no keys.
     std::optional<std::vector<workspace>> workspaces;
+    std::int64_t maxHeadBytes = std::int64_t {24} * 1024; ///< limit on the head of a caller's request
     std::int64_t maxRequestBytes = std::int64_t {256} * 1024; ///< limit on the body of a caller's request
 };
 
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -242,6 +242,18 @@
     CHECK(decodeJob(encodeJob(job)).spec == job.spec);
 }
 
+TEST_CASE("a limit of the heads of requests leaves room for the request line; an odd one counts as missing")
+{
+    const auto limitOf = [](const std::string &limits) {
+        return platform::decodeQueueTable(R"({"version":1,"routes":[],"limits":)" + limits + "}").maxHeadBytes;
+    };
+    CHECK(limitOf(R"({"maxHeaderBytes":1000})") == 1'000 + 8'192);
+    CHECK(limitOf(R"({"maxHeaderBytes":9223372036854775807})") == 65'536 + 8'192);
+    for (const auto *limits : {"{}", R"({"maxHeaderBytes":0})", R"({"maxHeaderBytes":-1})"}) {
+        CHECK(limitOf(limits) == queue_table {}.maxHeadBytes);
+    }
+}
+
 TEST_CASE("a limit of request bodies that isn't positive counts as missing")
 {
     const auto limitOf = [](const std::string &limits) {
