Bound the memory that callers' large requests hold together

Each connection could hold a body of the legal 256 KiB, up to twice that with the capacity of its string, a copy of it in the handler, and the last one for as long as it stayed open. 200 connections took a daemon from 10 MB to 101 of 64 (bodies without their last byte), 102 (in chunks) and 118 (complete ones).

A request of more than 16 KiB takes its memory from a budget of the server: an eighth of memoryMb of the settings, from 2 to 32 MiB. It gives it back when its handler lets go of it, also if the connection has closed before. Without room it is refused at once with 503 and Retry-After, before anything runs, and its rest is discarded. Small requests need none of the budget, so they are served beside large ones. Buffers give their memory back when they are empty, and callers that leave before their response can't add requests beyond the limit of connections.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -103,6 +103,18 @@
     return result;
 }
 
+/// Memory and descriptors of the process also serve its own work, so callers' requests get a part of them.
+http_server_limits makeCallerLimits(const process_limits &process)
+{
+    constexpr std::size_t memoryPart = 8; ///< a request may be several times as large while it is decoded and stored
+    constexpr std::size_t minHeldBytes = std::size_t {2} * 1024 * 1024; ///< for a few requests of the longest kind
+    http_server_limits result;
+    if (process.memory) {
+        result.maxHeldBytes = std::clamp(*process.memory / memoryPart, minHeldBytes, result.maxHeldBytes);
+    }
+    return result;
+}
+
 std::int64_t millisecondsSince(instant since)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - since).count();
@@ -163,7 +175,8 @@
                   {platform::decodeJobBody, platform::encodeStatus, platform::encodeWaiting, platform::deadlineHeader,
                    platform::keyHeader},
                   makeCallerLinks(), log, measures)
-        , callerServer({}, [this](const std::shared_ptr<http_request> &request) { callers.serve(request); })
+        , callerServer(makeCallerLimits(settings.limits),
+                       [this](const std::shared_ptr<http_request> &request) { callers.serve(request); })
         , readinessServer({}, [this](const std::shared_ptr<http_request> &request) { answerReadiness(request); })
         , metricsServer({}, [this](const std::shared_ptr<http_request> &request) { answerOperator(request); })
     {
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -1,6 +1,7 @@
 #include "io/http_server.h"
 
 #include "core/error.h"
+#include "io/request_budget.h"
 #include "io/request_parser.h"
 #include "io/tcp_socket.h"
 #include "io/timer.h"
@@ -23,7 +24,7 @@
 constexpr std::size_t maxPipelinedBytes = std::size_t {256} * 1024; ///< limit on buffered bytes of further requests
 constexpr std::size_t maxQueryBytes = 8'192; ///< a longer query is treated as empty
 constexpr auto idleTimeout = std::chrono::seconds(60); ///< a connection without a request is closed afterwards
-constexpr auto lingerTimeout = std::chrono::milliseconds(500); ///< see refuseHead()
+constexpr auto lingerTimeout = std::chrono::milliseconds(500); ///< see server_connection::refuse()
 constexpr std::string_view headTooLong =
     R"({"outcome":"refused","step":"read request","detail":"the head is too long"})";
 constexpr std::string_view bodyTooLong =
@@ -49,6 +50,9 @@
     return result;
 }
 
+constexpr std::string_view tooMuchAtOnce =
+    R"({"outcome":"refused","step":"read request","detail":"other requests use the memory for requests"})";
+
 class server_connection;
 
 /// State that a server shares with its open connections.
@@ -57,7 +61,9 @@
     http_server_limits limits;
     http_handler handler;
     std::map<server_connection *, std::shared_ptr<server_connection>> connections;
+    std::shared_ptr<request_budget> budget = std::make_shared<request_budget>();
     std::size_t inFlight = 0;
+    std::size_t held = 0; ///< requests that handlers hold, also those whose connection has closed
     bool isStopping = false;
 };
 
@@ -76,6 +82,7 @@
     server_connection(int descriptor, std::shared_ptr<server_state> state)
         : m_socket(descriptor)
         , m_state(std::move(state))
+        , m_share(m_state->budget)
     {
     }
 
@@ -90,6 +97,11 @@
         m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
     }
 
+    const std::shared_ptr<server_state> &state() const
+    {
+        return m_state;
+    }
+
     bool isDisconnected() const
     {
         return m_socket.isClosed();
@@ -187,31 +199,28 @@
         m_exchange = {request.method == "HEAD", request.keepAlive, request.isHttp10};
     }
 
-    /// Answers before the request has arrived completely; the connection closes afterwards.
+    /// Answers a request that isn't passed on. Closing at once could reset the connection before the caller has read
+    /// the answer, so what follows is discarded before: up to the end of the request or the time for it if its body is
+    /// arriving, else for a while.
     void refuse(unsigned status, std::string_view problem)
     {
         m_exchange.keepAlive = false;
-        const http_headers headers {{"Content-Type", "application/problem+json"}};
+        http_headers headers {{"Content-Type", "application/problem+json"}};
+        if (status == statusUnavailable) {
+            headers.push_back({"Retry-After", "1"});
+        }
         m_socket.write(encodeHead(status, headers, problem.size(), false) + std::string(problem));
-    }
-
-    /// What follows is discarded for a while, because closing at once could reset the connection before the caller has
-    /// read the answer.
-    void refuseHead()
-    {
-        refuse(statusHeadTooLarge, headTooLong);
+        m_share.release();
+        if (m_parser.isHeadComplete()) {
+            m_parser.discardRequest();
+            m_isRefused = true;
+            return;
+        }
+        m_parser.takeRequest();
         m_isDiscarding = true;
         m_deadline.once(lingerTimeout, [this] { finish(); });
     }
 
-    /// The rest of the body is discarded until it is complete or the time for the request is over, for the same reason.
-    void refuseBody()
-    {
-        refuse(statusContentTooLarge, bodyTooLong);
-        m_parser.discardBody();
-        m_isRefused = true;
-    }
-
     void onBytes(std::string_view bytes)
     {
         const auto self = shared_from_this();
@@ -232,6 +241,9 @@
         while (!m_isServing && !m_isClosing && !m_isDiscarding && !isDisconnected() && !m_input.empty()) {
             parseStep();
         }
+        if (m_input.empty()) {
+            m_input = {}; // keeps no memory for the next bytes
+        }
         if (m_hasEnded && !m_isServing && !isDisconnected()) {
             closeWhenDrained();
         }
@@ -245,6 +257,15 @@
         if (!hadBegun && m_parser.hasBegun()) {
             m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
         }
+        if (!m_isRefused && !m_share.tryHold(m_parser.heldBytes())) {
+            refuse(statusUnavailable, tooMuchAtOnce);
+            return;
+        }
+        take(step);
+    }
+
+    void take(parse_step step)
+    {
         switch (step) {
         case parse_step::incomplete:
             break;
@@ -261,11 +282,11 @@
             rejectMalformed();
             break;
         case parse_step::headTooLong:
-            refuseHead();
+            refuse(statusHeadTooLarge, headTooLong);
             break;
         case parse_step::bodyTooLong:
             onHead();
-            refuseBody();
+            refuse(statusContentTooLarge, bodyTooLong);
             break;
         }
     }
@@ -350,6 +371,7 @@
     tcp_socket m_socket;
     std::shared_ptr<server_state> m_state;
     request_parser m_parser;
+    budget_share m_share; ///< of the request that is arriving
     timer m_deadline; ///< limits the time for a request, between requests, and for sending the rest before closing
     exchange_traits m_exchange;
     std::string m_input; ///< received bytes that haven't been parsed
@@ -367,12 +389,22 @@
 class server_request : public http_request
 {
 public:
-    server_request(std::shared_ptr<server_connection> connection, parsed_request request)
+    server_request(std::shared_ptr<server_connection> connection, parsed_request request, budget_share share)
         : m_connection(std::move(connection))
         , m_request(std::move(request))
+        , m_share(std::move(share))
+    {
+        ++m_connection->state()->held;
+    }
+
+    ~server_request() override
     {
+        --m_connection->state()->held;
     }
 
+    server_request(const server_request &) = delete;
+    server_request &operator=(const server_request &) = delete;
+
     std::string method() const override
     {
         return m_request.method;
@@ -470,17 +502,22 @@
 private:
     std::shared_ptr<server_connection> m_connection;
     parsed_request m_request;
+    budget_share m_share;
     bool m_isAnswered = false;
     bool m_hasEnded = false;
 };
 
 void server_connection::serve()
 {
+    if (m_state->held >= m_state->limits.maxConnections) {
+        refuse(statusUnavailable, tooMuchAtOnce);
+        return;
+    }
     m_isServing = true;
     m_deadline.stop();
     ++m_state->inFlight;
     const auto handler = m_state->handler;
-    handler(std::make_shared<server_request>(shared_from_this(), m_parser.takeRequest()));
+    handler(std::make_shared<server_request>(shared_from_this(), m_parser.takeRequest(), std::move(m_share)));
 }
 
 } // namespace
@@ -511,6 +548,7 @@
     : m_parts(std::make_unique<parts>())
 {
     m_parts->state->limits = limits;
+    m_parts->state->budget->capacity = limits.maxHeldBytes;
     m_parts->state->handler = std::move(handler);
 }
 
--- a/src/libprimrosecroft/io/request_parser.cpp
+++ b/src/libprimrosecroft/io/request_parser.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr std::size_t exactBodySize = std::size_t {16} * 1024; ///< see request_parser::onBody()
+
 request_parser &of(http_parser *parser)
 {
     return *static_cast<request_parser *>(parser->data);
@@ -103,20 +105,24 @@
     m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
     m_request.isHttp10 = m_parser.http_major == 1 && m_parser.http_minor == 0;
     m_request.keepAlive = http_should_keep_alive(&m_parser) != 0;
-    const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
-    const bool isTooLong = hasLength && m_parser.content_length > m_limits.maxBodySize;
-    m_reached = isTooLong ? parse_step::bodyTooLong : parse_step::headComplete;
+    m_bodyLength = (m_parser.flags & F_CONTENTLENGTH) != 0 ? m_parser.content_length : 0;
+    m_reached = m_bodyLength > m_limits.maxBodySize ? parse_step::bodyTooLong : parse_step::headComplete;
     http_parser_pause(&m_parser, 1);
 }
 
+/// Once the body isn't small any more, it gets the memory for its whole length, in place of doubling its capacity. It
+/// isn't given on the word of the head alone.
 void request_parser::onBody(std::string_view piece)
 {
     if (m_isDiscarding) {
         return;
     }
+    if (m_request.body.size() + piece.size() > exactBodySize) {
+        m_request.body.reserve(m_bodyLength);
+    }
     m_request.body.append(piece);
     if (m_request.body.size() > m_limits.maxBodySize) {
-        discardBody();
+        discardRequest();
         m_reached = parse_step::bodyTooLong;
         http_parser_pause(&m_parser, 1);
     }
@@ -128,10 +134,10 @@
     http_parser_pause(&m_parser, 1);
 }
 
-void request_parser::discardBody()
+void request_parser::discardRequest()
 {
     m_isDiscarding = true;
-    m_request.body = {};
+    m_request = {};
 }
 
 bool request_parser::hasBegun() const
@@ -144,6 +150,11 @@
     return m_isHeadComplete;
 }
 
+std::size_t request_parser::heldBytes() const
+{
+    return m_request.target.capacity() + m_request.headers.heldBytes() + m_request.body.capacity();
+}
+
 const parsed_request &request_parser::request() const
 {
     return m_request;
--- a/src/libprimrosecroft/io/request_parser.h
+++ b/src/libprimrosecroft/io/request_parser.h
@@ -58,13 +58,17 @@
     /// Parses @p bytes up to the next step.
     result parse(std::string_view bytes, const request_limits &limits);
 
-    /// Frees the body and keeps no further bytes of it. The parser continues up to the end of the request.
-    void discardBody();
+    /// Frees the current request, whose head is complete, and keeps no further bytes of it. The parser continues up to
+    /// its end.
+    void discardRequest();
 
     /// Returns true if a byte of the next request has arrived, be it an empty line before it.
     bool hasBegun() const;
     bool isHeadComplete() const;
 
+    /// Returns the memory that the request holds as far as it has arrived, in bytes.
+    std::size_t heldBytes() const;
+
     /// Returns the request as far as it has arrived.
     const parsed_request &request() const;
 
@@ -82,6 +86,7 @@
     parsed_request m_request;
     request_limits m_limits;
     std::size_t m_headBytes = 0; ///< of the current head so far
+    std::size_t m_bodyLength = 0; ///< that the head has told; 0 for none
     parse_step m_reached = parse_step::incomplete; ///< in the current call
     bool m_isHeadComplete = false;
     bool m_isDiscarding = false;
--- a/src/libprimrosecroft/io/tcp_socket.cpp
+++ b/src/libprimrosecroft/io/tcp_socket.cpp
@@ -103,10 +103,6 @@
     if (isClosed()) {
         return;
     }
-    if (isDrained()) {
-        m_queued.clear();
-        m_written = 0;
-    }
     m_queued.append(bytes);
     flush();
     updateWatch();
@@ -124,6 +120,8 @@
         m_written += static_cast<std::size_t>(count);
         m_hasSent = true;
     }
+    m_queued = {}; // keeps no memory for the next bytes
+    m_written = 0;
 }
 
 void tcp_socket::setReading(bool wanted)
--- a/src/libprimrosecroft/settings/cell_daemon_settings.h
+++ b/src/libprimrosecroft/settings/cell_daemon_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/process_limits.h"
 #include "core/types.h"
 #include "core/vm_capacity.h"
 #include "io/peer_hub.h"
@@ -40,6 +41,7 @@
     std::chrono::milliseconds terminationGrace {0}; ///< between SIGTERM and SIGKILL to this daemon
     std::size_t maxRowBytes = 0; ///< the longest value of a row that the store takes
     vm_capacity capacity; ///< of the VM that this daemon runs on
+    process_limits limits; ///< of this process on that VM
 };
 
 } // namespace primrosecroft
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -52,6 +52,19 @@
     http_server server;
 };
 
+/// A POST of a body of @p size bytes, without the last @p missing ones.
+std::string post(const std::string &path, std::size_t size, std::size_t missing = 0)
+{
+    return "POST " + path + " HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n"
+        + std::string(size - missing, 'x');
+}
+
+void runFor(std::chrono::milliseconds duration)
+{
+    const auto end = std::chrono::steady_clock::now() + duration;
+    runUntil([end] { return std::chrono::steady_clock::now() > end; });
+}
+
 } // namespace
 
 TEST_CASE("a head over the limit is refused, also one of empty lines or of many fields", "[heads]")
@@ -65,3 +78,48 @@
     CHECK(answer.starts_with("HTTP/1.1 431"));
     CHECK(daemon.ask("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE("large requests beyond the memory for them are refused, small ones are served", "[bodies]")
+{
+    constexpr std::size_t large = 60'000;
+    const plain_server daemon({.maxHeldBytes = 100'000});
+    const auto first = connectTo(daemon.server.port());
+    first->write(post("/a", large, 1));
+    runFor(200ms);
+    const auto refused = daemon.ask(post("/a", large));
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(refused.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(daemon.served == 0);
+    CHECK(daemon.ask(post("/a", 10'000)).starts_with("HTTP/1.1 200"));
+    first->write("x");
+    REQUIRE(runUntil([&daemon] { return daemon.served == 2; }));
+    CHECK(daemon.ask(post("/a", large)).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a request counts for as long as its handler has it, also after its connection has closed", "[bodies]")
+{
+    plain_server daemon({.maxHeldBytes = 100'000});
+    const auto first = connectTo(daemon.server.port());
+    first->write(post("/slow", 60'000));
+    REQUIRE(runUntil([&daemon] { return daemon.kept.size() == 1; }));
+    first->reset();
+    REQUIRE(runUntil([&daemon] { return daemon.kept.front()->isDisconnected(); }));
+    CHECK(daemon.ask(post("/a", 60'000)).starts_with("HTTP/1.1 503"));
+    daemon.kept.clear();
+    CHECK(daemon.ask(post("/a", 60'000)).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("callers that leave before their response can't make the server hold requests without end", "[bodies]")
+{
+    plain_server daemon({.maxConnections = 2});
+    for (std::size_t i = 1; i <= 2; ++i) {
+        const auto caller = connectTo(daemon.server.port());
+        caller->write(post("/slow", 10));
+        REQUIRE(runUntil([&] { return daemon.kept.size() == i; }));
+        caller->reset();
+        REQUIRE(runUntil([&] { return daemon.kept.back()->isDisconnected(); }));
+    }
+    CHECK(daemon.ask(post("/a", 10)).starts_with("HTTP/1.1 503"));
+    daemon.kept.clear();
+    CHECK(daemon.ask(post("/a", 10)).starts_with("HTTP/1.1 200"));
+}
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -242,6 +242,22 @@
     CHECK(decodeJob(encodeJob(job)).spec == job.spec);
 }
 
+TEST_CASE("the settings' limits tell the memory and descriptors of the process; what is missing or odd is unknown")
+{
+    const auto limitsOf = [](const std::string &limits) {
+        auto text = settingsText;
+        text.insert(1, R"("limits": )" + limits + ",");
+        return platform::decodeSettings(text, "f.json").limits;
+    };
+    CHECK(limitsOf(R"({"memoryMb": 260, "maxFds": 4100})") == process_limits {260 * 1024 * 1024, 4'100});
+    CHECK(platform::decodeSettings(settingsText, "f.json").limits == process_limits {});
+    for (const auto *limits : {"{}", "null", "7", R"({"memoryMb": "260", "maxFds": null})",
+                               R"({"memoryMb": 0, "maxFds": -1})", R"({"memoryMb": 1e300, "maxFds": 1e300})"}) {
+        CAPTURE(limits);
+        CHECK(limitsOf(limits) == process_limits {});
+    }
+}
+
 TEST_CASE("a limit of the heads of requests leaves room for the request line; an odd one counts as missing")
 {
     const auto limitOf = [](const std::string &limits) {
