Parse no further request before the caller has taken the last response

A client that sends requests and reads nothing had them all served: their responses were queued without a bound, in the unit test 20,000 of 10 kB. 200 such connections also kept a daemon so busy that no job was accepted in 20 s: each response was followed by the next request from within the same call, and the rest of up to 256 KiB of requests was copied to the front each time.

The next request is parsed once the kernel has taken the last response, in turns of 16 requests a connection, and no more is read than 16 KiB until that is parsed.

--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -21,7 +21,8 @@
 namespace
 {
 
-constexpr std::size_t maxPipelinedBytes = std::size_t {256} * 1024; ///< limit on buffered bytes of further requests
+constexpr std::size_t readSize = std::size_t {16} * 1024; ///< bytes read at once; no more are read until they're parsed
+constexpr std::size_t requestsPerTurn = 16; ///< of one connection, before others have their turn
 constexpr std::size_t maxQueryBytes = 8'192; ///< a longer query is treated as empty
 constexpr auto idleTimeout = std::chrono::seconds(60); ///< a connection without a request is closed afterwards
 constexpr auto lingerTimeout = std::chrono::milliseconds(500); ///< see server_connection::refuse()
@@ -93,6 +94,7 @@
         callbacks.ended = [this] { onEnd(); };
         callbacks.failed = [this](int) { finish(); };
         callbacks.drained = [this] { onDrained(); };
+        m_socket.setReadSize(readSize);
         m_socket.start(std::move(callbacks));
         m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
     }
@@ -228,23 +230,51 @@
             return;
         }
         m_input.append(bytes);
-        if (m_isServing) {
-            m_socket.setReading(m_input.size() < maxPipelinedBytes);
-            return;
-        }
         parse();
     }
 
-    /// Parses the input until a request is complete or more bytes are needed.
+    /// True if the next request may be parsed: none is served, and the caller has taken all responses, so that a caller
+    /// that doesn't read gets no further ones.
+    bool mayParse() const
+    {
+        return !m_isServing && !m_isClosing && !m_isDiscarding && !isDisconnected() && m_socket.isDrained()
+            && m_parsed < m_input.size();
+    }
+
+    /// Parses the input as far as it may. A handler that answers at once gets here again, from within parseStep(): the
+    /// outer call goes on then, because calls within calls would exhaust the stack.
     void parse()
     {
-        while (!m_isServing && !m_isClosing && !m_isDiscarding && !isDisconnected() && !m_input.empty()) {
+        if (std::exchange(m_isParsing, true)) {
+            return;
+        }
+        const auto self = shared_from_this();
+        m_servedInTurn = 0;
+        while (mayParse() && m_servedInTurn < requestsPerTurn) {
             parseStep();
         }
+        m_isParsing = false;
+        dropParsed();
+        if (!isDisconnected()) {
+            continueReading();
+        }
+    }
+
+    void dropParsed()
+    {
+        m_input.erase(0, m_isClosing || m_isDiscarding ? m_input.size() : m_parsed);
+        m_parsed = 0;
         if (m_input.empty()) {
             m_input = {}; // keeps no memory for the next bytes
         }
-        if (m_hasEnded && !m_isServing && !isDisconnected()) {
+    }
+
+    void continueReading()
+    {
+        m_socket.setReading(m_input.empty());
+        if (mayParse()) {
+            m_nextTurn.once(std::chrono::milliseconds(0), [this] { parse(); });
+        } else if (m_hasEnded && m_input.empty() && !m_isServing && !m_isClosing) {
             closeWhenDrained();
         }
     }
@@ -252,8 +282,8 @@
     void parseStep()
     {
         const bool hadBegun = m_parser.hasBegun();
-        const auto [step, used] = m_parser.parse(m_input, limits());
-        m_input.erase(0, used);
+        const auto [step, used] = m_parser.parse(std::string_view(m_input).substr(m_parsed), limits());
+        m_parsed += used;
         if (!hadBegun && m_parser.hasBegun()) {
             m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
         }
@@ -276,6 +306,7 @@
             }
             break;
         case parse_step::complete:
+            ++m_servedInTurn;
             m_isRefused ? closeWhenDrained() : serve();
             break;
         case parse_step::malformed:
@@ -316,10 +347,13 @@
             closeWhenDrained();
             return;
         }
-        m_deadline.once(idleTimeout, [this] { finish(); });
-        if (!m_hasEnded) {
-            m_socket.setReading(true);
-        }
+        waitForRequest();
+    }
+
+    /// Continues with the next request, unless the caller has yet to take the last response.
+    void waitForRequest()
+    {
+        m_deadline.once(m_socket.isDrained() ? idleTimeout : m_state->limits.requestTimeout, [this] { finish(); });
         parse();
     }
 
@@ -337,7 +371,7 @@
     {
         const auto self = shared_from_this();
         m_hasEnded = true;
-        if (!m_isServing) {
+        if (!m_isServing && m_input.empty()) {
             closeWhenDrained();
         }
     }
@@ -351,6 +385,10 @@
         }
         if (const auto written = std::exchange(m_onWritten, nullptr)) {
             written();
+        } else if (!m_isServing && !m_isRefused && !m_isDiscarding && !m_parser.hasBegun()) {
+            waitForRequest();
+        } else {
+            parse();
         }
     }
 
@@ -374,7 +412,11 @@
     budget_share m_share; ///< of the request that is arriving
     timer m_deadline; ///< limits the time for a request, between requests, and for sending the rest before closing
     exchange_traits m_exchange;
-    std::string m_input; ///< received bytes that haven't been parsed
+    std::string m_input; ///< received bytes that haven't been parsed, behind the first m_parsed ones
+    std::size_t m_parsed = 0;
+    std::size_t m_servedInTurn = 0; ///< requests
+    timer m_nextTurn; ///< continues to parse after other connections have had their turn
+    bool m_isParsing = false;
     std::function<void()> m_onWritten; ///< called once the kernel has taken the last piece; empty if none is pending
     bool m_isRefused = false; ///< the current request has been answered before it was complete
     bool m_isDiscarding = false; ///< received bytes are discarded until the connection closes
--- a/src/libprimrosecroft/io/tcp_socket.cpp
+++ b/src/libprimrosecroft/io/tcp_socket.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -53,6 +54,7 @@
 
 tcp_socket::tcp_socket(int descriptor)
     : m_descriptor(descriptor)
+    , m_readSize(readBufferSize)
 {
     if (descriptor >= 0) {
         setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -130,6 +132,11 @@
     updateWatch();
 }
 
+void tcp_socket::setReadSize(std::size_t size)
+{
+    m_readSize = std::min(size, readBufferSize);
+}
+
 void tcp_socket::updateWatch()
 {
     if (isClosed()) {
@@ -185,7 +192,7 @@
         return;
     }
     std::array<char, readBufferSize> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): read into
-    const auto count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    const auto count = recv(m_descriptor, buffer.data(), m_readSize, 0);
     if (count > 0) {
         const auto bytesReceived = m_handlers.bytesReceived; // a copy, since the call may destroy the socket
         bytesReceived(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
--- a/src/libprimrosecroft/io/tcp_socket.h
+++ b/src/libprimrosecroft/io/tcp_socket.h
@@ -38,6 +38,9 @@
     /// Enables or disables reading. While it is disabled, flow control slows the peer down.
     void setReading(bool wanted);
 
+    /// Limits the bytes that `bytesReceived` gets at once.
+    void setReadSize(std::size_t size);
+
     /// Returns true if the kernel has taken all bytes written so far.
     bool isDrained() const;
     bool isClosed() const;
@@ -69,6 +72,7 @@
     int m_descriptor;
     unsigned m_source = 0; ///< id of the GLib source that watches the descriptor; 0 for none
     unsigned m_watched = 0; ///< conditions that it watches, as GIOCondition flags
+    std::size_t m_readSize; ///< bytes that are read at most at once
     bool m_isReading = true;
     bool m_hasEnded = false;
     bool m_hasSent = false;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -17,6 +17,8 @@
 
 using request_pointer = std::shared_ptr<http_request>;
 
+const std::string shortRequest = "GET /a HTTP/1.1\r\n\r\n";
+
 std::string repeat(const std::string &text, std::size_t count)
 {
     std::string result;
@@ -26,6 +28,15 @@
     return result;
 }
 
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t result = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++result;
+    }
+    return result;
+}
+
 /// A server that answers each request at once, but for those to `/slow`, which it keeps.
 struct plain_server
 {
@@ -52,6 +63,30 @@
     http_server server;
 };
 
+/// Writes in a thread of its own, until all is written or the connection is closed.
+class background_writer
+{
+public:
+    background_writer(raw_connection &connection, std::string bytes)
+        : m_connection(connection)
+        , m_thread([&connection, text = std::move(bytes)] { connection.write(text); })
+    {
+    }
+
+    ~background_writer()
+    {
+        m_connection.reset();
+        m_thread.join();
+    }
+
+    background_writer(const background_writer &) = delete;
+    background_writer &operator=(const background_writer &) = delete;
+
+private:
+    raw_connection &m_connection;
+    std::thread m_thread;
+};
+
 /// A POST of a body of @p size bytes, without the last @p missing ones.
 std::string post(const std::string &path, std::size_t size, std::size_t missing = 0)
 {
@@ -123,3 +158,31 @@
     daemon.kept.clear();
     CHECK(daemon.ask(post("/a", 10)).starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE("requests that arrive while one is served are answered in turn, however many they are", "[pipelined]")
+{
+    constexpr std::size_t count = 14'000; // each answered within the call for the one before, they'd exhaust the stack
+    plain_server daemon;
+    const auto caller = connectTo(daemon.server.port());
+    auto answer = std::async(std::launch::async, [&caller] {
+        caller->write("GET /slow HTTP/1.1\r\n\r\n" + repeat("GET /a HTTP/1.1\n\n", count)
+                      + "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+        return caller->readAll();
+    });
+    REQUIRE(runUntil([&daemon] { return daemon.kept.size() == 1; }));
+    runFor(500ms);
+    daemon.kept.front()->answer({statusOk, {}, "slow"});
+    CHECK(countOf(await(std::move(answer)), "HTTP/1.1 200 OK") == count + 2);
+}
+
+TEST_CASE("a client that doesn't take its responses gets no further ones", "[unread]")
+{
+    constexpr std::size_t answerSize = 10'000;
+    plain_server daemon({}, answerSize);
+    const auto caller = connectTo(daemon.server.port());
+    const background_writer writing(*caller, repeat(shortRequest, 20'000));
+    runFor(1'000ms);
+    // What the sockets' buffers of both sides hold at most, far below the 200 MB of all responses.
+    constexpr std::size_t bufferedAnswers = std::size_t {16} * 1024 * 1024 / answerSize;
+    CHECK(daemon.served < bufferedAnswers);
+}
