Let a new connection take the place of one that is idle

Clients that sent one request and stayed idle kept their connections for 60 s, and at the limit of 2,000 each new one was closed at once. With fewer descriptors than that the daemon took all of them, and its main loop then spun on pending connections: with 300 idle clients and 256 descriptors no job was accepted in 20 s.

The limit is half of maxFds of the settings, at most 2,000. If a new connection finds no descriptor, one makes room too, or accepting pauses for 100 ms.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -108,7 +108,13 @@
 {
     constexpr std::size_t memoryPart = 8; ///< a request may be several times as large while it is decoded and stored
     constexpr std::size_t minHeldBytes = std::size_t {2} * 1024 * 1024; ///< for a few requests of the longest kind
+    constexpr std::size_t descriptorPart = 2; ///< the others are for workers, store, advice and other daemons
+    constexpr std::size_t minConnections = 16;
     http_server_limits result;
+    if (process.descriptors) {
+        result.maxConnections =
+            std::clamp(*process.descriptors / descriptorPart, minConnections, result.maxConnections);
+    }
     if (process.memory) {
         result.maxHeldBytes = std::clamp(*process.memory / memoryPart, minHeldBytes, result.maxHeldBytes);
     }
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -1,6 +1,7 @@
 #include "io/http_server.h"
 
 #include "core/error.h"
+#include "io/eviction_order.h"
 #include "io/request_budget.h"
 #include "io/request_parser.h"
 #include "io/tcp_socket.h"
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <glib-unix.h>
 #include <http_parser.h>
 #include <map>
@@ -22,6 +24,8 @@
 {
 
 constexpr std::size_t readSize = std::size_t {16} * 1024; ///< bytes read at once; no more are read until they're parsed
+constexpr std::size_t acceptsPerTurn = 16; ///< so that the requests of new connections are read between others
+constexpr auto acceptPause = std::chrono::milliseconds(100); ///< if a new connection finds no descriptor
 constexpr std::size_t requestsPerTurn = 16; ///< of one connection, before others have their turn
 constexpr std::size_t maxQueryBytes = 8'192; ///< a longer query is treated as empty
 constexpr auto idleTimeout = std::chrono::seconds(60); ///< a connection without a request is closed afterwards
@@ -61,7 +65,9 @@
 {
     http_server_limits limits;
     http_handler handler;
-    std::map<server_connection *, std::shared_ptr<server_connection>> connections;
+    std::map<connection_id, std::shared_ptr<server_connection>> connections;
+    connection_id lastConnection = 0;
+    eviction_order evictions;
     std::shared_ptr<request_budget> budget = std::make_shared<request_budget>();
     std::size_t inFlight = 0;
     std::size_t held = 0; ///< requests that handlers hold, also those whose connection has closed
@@ -80,8 +86,9 @@
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
 public:
-    server_connection(int descriptor, std::shared_ptr<server_state> state)
-        : m_socket(descriptor)
+    server_connection(connection_id id, int descriptor, std::shared_ptr<server_state> state)
+        : m_id(id)
+        , m_socket(descriptor)
         , m_state(std::move(state))
         , m_share(m_state->budget)
     {
@@ -96,9 +103,16 @@
         callbacks.drained = [this] { onDrained(); };
         m_socket.setReadSize(readSize);
         m_socket.start(std::move(callbacks));
+        m_state->evictions.enter(m_id, connection_phase::unfinished);
         m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
     }
 
+    /// Closes the connection, so that its descriptor is free for another one.
+    void makeRoom()
+    {
+        finish();
+    }
+
     const std::shared_ptr<server_state> &state() const
     {
         return m_state;
@@ -285,6 +299,7 @@
         const auto [step, used] = m_parser.parse(std::string_view(m_input).substr(m_parsed), limits());
         m_parsed += used;
         if (!hadBegun && m_parser.hasBegun()) {
+            m_state->evictions.enter(m_id, connection_phase::unfinished);
             m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
         }
         if (!m_isRefused && !m_share.tryHold(m_parser.heldBytes())) {
@@ -341,6 +356,7 @@
     {
         const auto self = shared_from_this();
         m_isServing = false;
+        m_state->evictions.enter(m_id, connection_phase::unfinished);
         m_isChunked = false;
         --m_state->inFlight;
         if (!m_exchange.keepAlive) {
@@ -353,7 +369,9 @@
     /// Continues with the next request, unless the caller has yet to take the last response.
     void waitForRequest()
     {
-        m_deadline.once(m_socket.isDrained() ? idleTimeout : m_state->limits.requestTimeout, [this] { finish(); });
+        const bool isIdle = m_socket.isDrained();
+        m_state->evictions.enter(m_id, isIdle ? connection_phase::idle : connection_phase::unfinished);
+        m_deadline.once(isIdle ? idleTimeout : m_state->limits.requestTimeout, [this] { finish(); });
         parse();
     }
 
@@ -400,12 +418,14 @@
         if (std::exchange(m_isServing, false)) {
             --m_state->inFlight;
         }
-        m_state->connections.erase(this);
+        m_state->evictions.remove(m_id);
+        m_state->connections.erase(m_id);
         if (const auto written = std::exchange(m_onWritten, nullptr)) {
             written();
         }
     }
 
+    connection_id m_id;
     tcp_socket m_socket;
     std::shared_ptr<server_state> m_state;
     request_parser m_parser;
@@ -556,6 +576,7 @@
         return;
     }
     m_isServing = true;
+    m_state->evictions.enter(m_id, connection_phase::serving);
     m_deadline.stop();
     ++m_state->inFlight;
     const auto handler = m_state->handler;
@@ -570,20 +591,72 @@
     int listener = -1;
     unsigned source = 0;
 
-    static gboolean onConnection(gint listener, GIOCondition /*condition*/, gpointer self)
+    timer resumption; ///< of accepting
+
+    void startAccepting()
     {
-        const auto &state = static_cast<parts *>(self)->state;
-        for (int descriptor = acceptConnection(listener); descriptor >= 0; descriptor = acceptConnection(listener)) {
-            if (state->connections.size() >= state->limits.maxConnections) {
-                ::close(descriptor);
-                continue;
-            }
-            const auto connection = std::make_shared<server_connection>(descriptor, state);
-            state->connections[connection.get()] = connection;
-            connection->start();
+        source = g_unix_fd_add(listener, G_IO_IN, &parts::onConnection, this);
+    }
+
+    void stopAccepting()
+    {
+        if (source != 0) {
+            g_source_remove(std::exchange(source, 0));
+        }
+    }
+
+    static gboolean onConnection(gint /*listener*/, GIOCondition /*condition*/, gpointer self)
+    {
+        auto &owner = *static_cast<parts *>(self);
+        std::size_t accepted = 0;
+        while (accepted < acceptsPerTurn && owner.acceptNext()) {
+            ++accepted;
+        }
+        // Without a free descriptor the system says so even if no connection is pending; but one is at first.
+        if (accepted == 0 && (errno == EMFILE || errno == ENFILE)) {
+            owner.findDescriptor();
         }
         return G_SOURCE_CONTINUE;
     }
+
+    /// Returns false, and leaves the system's error number, if no connection could be accepted.
+    bool acceptNext()
+    {
+        const int descriptor = acceptConnection(listener);
+        if (descriptor < 0) {
+            return false;
+        }
+        if (state->connections.size() >= state->limits.maxConnections && !makeRoom()) {
+            ::close(descriptor);
+            return true;
+        }
+        const auto id = ++state->lastConnection;
+        const auto connection = std::make_shared<server_connection>(id, descriptor, state);
+        state->connections[id] = connection;
+        connection->start();
+        return true;
+    }
+
+    /// Frees a descriptor for the next connection. Without one it stays pending, and the main loop would call for it
+    /// again and again, so accepting pauses.
+    void findDescriptor()
+    {
+        if (!makeRoom()) {
+            stopAccepting();
+            resumption.once(acceptPause, [this] { startAccepting(); });
+        }
+    }
+
+    bool makeRoom()
+    {
+        const auto chosen = state->evictions.first();
+        if (!chosen) {
+            return false;
+        }
+        const auto connection = state->connections.at(*chosen);
+        connection->makeRoom();
+        return true;
+    }
 };
 
 http_server::http_server(const http_server_limits &limits, http_handler handler)
@@ -607,7 +680,7 @@
 void http_server::listen(const std::string &address, std::uint16_t port)
 {
     m_parts->listener = beginListen(address, port);
-    m_parts->source = g_unix_fd_add(m_parts->listener, G_IO_IN, &parts::onConnection, m_parts.get());
+    m_parts->startAccepting();
 }
 
 std::uint16_t http_server::port() const
@@ -633,8 +706,9 @@
 void http_server::stopListening()
 {
     m_parts->state->isStopping = true;
-    if (m_parts->source != 0) {
-        g_source_remove(std::exchange(m_parts->source, 0));
+    m_parts->stopAccepting();
+    m_parts->resumption.stop();
+    if (m_parts->listener >= 0) {
         ::close(std::exchange(m_parts->listener, -1));
     }
 }
--- a/src/libprimrosecroft/io/http_server.h
+++ b/src/libprimrosecroft/io/http_server.h
@@ -64,8 +64,7 @@
     std::int64_t maxBodySize = std::int64_t {1024} * 1024; ///< bytes; a longer body is refused at once
     std::size_t maxHeldBytes = std::size_t {32} * 1024 * 1024; ///< by large requests together; see request_budget
     std::chrono::milliseconds requestTimeout {10'000}; ///< for a request to arrive completely
-    std::size_t maxConnections =
-        2'000; ///< further connections are closed at once; also the limit on unanswered requests
+    std::size_t maxConnections = 2'000; ///< see eviction_order; also the limit on requests that handlers hold
 };
 
 /// HTTP server that passes each complete request to one handler.
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <ranges>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 /// The HTTP server against clients that don't behave.
@@ -87,6 +89,31 @@
     std::thread m_thread;
 };
 
+/// Lets this process open only so many further descriptors.
+class descriptor_limit
+{
+public:
+    explicit descriptor_limit(rlim_t further)
+    {
+        const int next = dup(STDIN_FILENO);
+        ::close(next);
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        const rlimit lowered {static_cast<rlim_t>(next) + further, m_before.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+
+    ~descriptor_limit()
+    {
+        setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+
+    descriptor_limit(const descriptor_limit &) = delete;
+    descriptor_limit &operator=(const descriptor_limit &) = delete;
+
+private:
+    rlimit m_before {};
+};
+
 /// A POST of a body of @p size bytes, without the last @p missing ones.
 std::string post(const std::string &path, std::size_t size, std::size_t missing = 0)
 {
@@ -186,3 +213,53 @@
     constexpr std::size_t bufferedAnswers = std::size_t {16} * 1024 * 1024 / answerSize;
     CHECK(daemon.served < bufferedAnswers);
 }
+
+TEST_CASE("at the limit of connections the one that has been idle longest makes room", "[idle]")
+{
+    plain_server daemon({.maxConnections = 2});
+    const auto first = connectTo(daemon.server.port());
+    first->write(shortRequest);
+    REQUIRE(runUntil([&daemon] { return daemon.served == 1; }));
+    const auto second = connectTo(daemon.server.port());
+    second->write("GET /slow HTTP/1.1\r\n\r\n");
+    REQUIRE(runUntil([&daemon] { return daemon.served == 2; }));
+    CHECK(daemon.ask("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
+    CHECK_FALSE(daemon.kept.front()->isDisconnected());
+}
+
+TEST_CASE("a connection whose request is served never makes room", "[idle]")
+{
+    plain_server daemon({.maxConnections = 1});
+    const auto first = connectTo(daemon.server.port());
+    first->write("GET /slow HTTP/1.1\r\n\r\n");
+    REQUIRE(runUntil([&daemon] { return daemon.kept.size() == 1; }));
+    CHECK(daemon.ask(shortRequest).find("HTTP/1.1") == std::string::npos);
+    daemon.kept.front()->answer({statusOk, {}, "slow"});
+    CHECK_FALSE(daemon.kept.front()->isDisconnected());
+}
+
+TEST_CASE("without an idle connection the one that has been unfinished longest makes room", "[idle]")
+{
+    plain_server daemon({.maxConnections = 2});
+    const auto oldest = connectTo(daemon.server.port());
+    oldest->write(post("/a", 10, 1));
+    runFor(100ms);
+    const auto second = connectTo(daemon.server.port());
+    second->write(post("/a", 10, 1));
+    runFor(100ms);
+    CHECK(daemon.ask("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
+    second->write("x");
+    CHECK(runUntil([&daemon] { return daemon.served == 2; }));
+    CHECK(await(std::async(std::launch::async, [&oldest] { return oldest->readAll(); })).find("200")
+          == std::string::npos);
+}
+
+TEST_CASE("without a descriptor for a new connection an idle one makes room", "[idle]")
+{
+    plain_server daemon;
+    const auto idle = connectTo(daemon.server.port());
+    idle->write(shortRequest);
+    REQUIRE(runUntil([&daemon] { return daemon.served == 1; }));
+    const descriptor_limit limit(1); // for the new connection's own side
+    CHECK(daemon.ask("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
