--- a/src/libprimrosecroft/io/request_parser.cpp
+++ b/src/libprimrosecroft/io/request_parser.cpp
@@ -110,15 +110,16 @@
     http_parser_pause(&m_parser, 1);
 }
 
-/// Once the body isn't small any more, it gets the memory for its whole length, in place of doubling its capacity. It
-/// isn't given on the word of the head alone.
+/// Once the body isn't small any more, it gets the memory for its whole length, or for the longest one if the head
+/// tells none. Doubling its capacity would leave blocks of each size behind, which bodies that grow can't use again.
+/// The word of the head alone gets no memory.
 void request_parser::onBody(std::string_view piece)
 {
     if (m_isDiscarding) {
         return;
     }
     if (m_request.body.size() + piece.size() > exactBodySize) {
-        m_request.body.reserve(m_bodyLength);
+        m_request.body.reserve(m_bodyLength > 0 ? m_bodyLength : m_limits.maxBodySize);
     }
     m_request.body.append(piece);
     if (m_request.body.size() > m_limits.maxBodySize) {
