Count what callers are refused, and limit the readiness and metrics servers

An operator couldn't see that clients were turned away by the server of callers, as they never reach a handler. Each refusal and each connection closed for one now is a line `callers refused reason=`, with the usual limit of its rate, and counts in primrosecroft_connections_refused{reason}.

The readiness and metrics servers had the limits of the callers' one: 2,000 connections and 1 MiB a body each. They take 32 connections and 4 KiB a body.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -183,11 +183,19 @@
                   makeCallerLinks(), log, measures)
         , callerServer(makeCallerLimits(settings.limits),
                        [this](const std::shared_ptr<http_request> &request) { callers.serve(request); })
-        , readinessServer({}, [this](const std::shared_ptr<http_request> &request) { answerReadiness(request); })
-        , metricsServer({}, [this](const std::shared_ptr<http_request> &request) { answerOperator(request); })
+        , readinessServer(fewClientsLimits(),
+                          [this](const std::shared_ptr<http_request> &request) { answerReadiness(request); })
+        , metricsServer(fewClientsLimits(),
+                        [this](const std::shared_ptr<http_request> &request) { answerOperator(request); })
     {
     }
 
+    void reportRefusal(server_refusal reason)
+    {
+        measures.count("primrosecroft_connections_refused", "reason", toString(reason));
+        log.write("callers", "refused", {{"reason", toString(reason)}});
+    }
+
     caller_links makeCallerLinks()
     {
         caller_links links;
@@ -808,6 +816,7 @@
     int run()
     {
         peers.listen(settings.peers);
+        callerServer.onRefusal([this](server_refusal reason) { reportRefusal(reason); });
         callerServer.listen(settings.callers.address, settings.callers.port);
         readinessServer.listen(settings.readiness.address, settings.readiness.port);
         if (metricsPort != 0) {
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -24,7 +24,7 @@
 {
 
 constexpr std::size_t readSize = std::size_t {16} * 1024; ///< bytes read at once; no more are read until they're parsed
-constexpr std::size_t acceptsPerTurn = 16; ///< so that the requests of new connections are read between others
+constexpr std::size_t acceptsPerTurn = 64; ///< so that the requests of new connections are read between others
 constexpr auto acceptPause = std::chrono::milliseconds(100); ///< if a new connection finds no descriptor
 constexpr std::size_t requestsPerTurn = 16; ///< of one connection, before others have their turn
 constexpr std::size_t maxQueryBytes = 8'192; ///< a longer query is treated as empty
@@ -65,6 +65,7 @@
 {
     http_server_limits limits;
     http_handler handler;
+    std::function<void(server_refusal reason)> report = [](server_refusal) { };
     std::map<connection_id, std::shared_ptr<server_connection>> connections;
     connection_id lastConnection = 0;
     eviction_order evictions;
@@ -104,12 +105,13 @@
         m_socket.setReadSize(readSize);
         m_socket.start(std::move(callbacks));
         m_state->evictions.enter(m_id, connection_phase::unfinished);
-        m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
+        awaitRequest();
     }
 
     /// Closes the connection, so that its descriptor is free for another one.
     void makeRoom()
     {
+        m_state->report(server_refusal::madeRoom);
         finish();
     }
 
@@ -218,8 +220,9 @@
     /// Answers a request that isn't passed on. Closing at once could reset the connection before the caller has read
     /// the answer, so what follows is discarded before: up to the end of the request or the time for it if its body is
     /// arriving, else for a while.
-    void refuse(unsigned status, std::string_view problem)
+    void refuse(server_refusal reason, unsigned status, std::string_view problem)
     {
+        m_state->report(reason);
         m_exchange.keepAlive = false;
         http_headers headers {{"Content-Type", "application/problem+json"}};
         if (status == statusUnavailable) {
@@ -300,10 +303,10 @@
         m_parsed += used;
         if (!hadBegun && m_parser.hasBegun()) {
             m_state->evictions.enter(m_id, connection_phase::unfinished);
-            m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
+            awaitRequest();
         }
         if (!m_isRefused && !m_share.tryHold(m_parser.heldBytes())) {
-            refuse(statusUnavailable, tooMuchAtOnce);
+            refuse(server_refusal::noMemory, statusUnavailable, tooMuchAtOnce);
             return;
         }
         take(step);
@@ -328,11 +331,11 @@
             rejectMalformed();
             break;
         case parse_step::headTooLong:
-            refuse(statusHeadTooLarge, headTooLong);
+            refuse(server_refusal::headTooLong, statusHeadTooLarge, headTooLong);
             break;
         case parse_step::bodyTooLong:
             onHead();
-            refuse(statusContentTooLarge, bodyTooLong);
+            refuse(server_refusal::bodyTooLong, statusContentTooLarge, bodyTooLong);
             break;
         }
     }
@@ -371,7 +374,11 @@
     {
         const bool isIdle = m_socket.isDrained();
         m_state->evictions.enter(m_id, isIdle ? connection_phase::idle : connection_phase::unfinished);
-        m_deadline.once(isIdle ? idleTimeout : m_state->limits.requestTimeout, [this] { finish(); });
+        if (isIdle) {
+            m_deadline.once(idleTimeout, [this] { finish(); });
+        } else {
+            awaitResponseTaken();
+        }
         parse();
     }
 
@@ -382,7 +389,25 @@
             finish();
             return;
         }
-        m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
+        awaitResponseTaken();
+    }
+
+    /// Limits the time for a request to arrive.
+    void awaitRequest()
+    {
+        m_deadline.once(m_state->limits.requestTimeout, [this] { giveUp(server_refusal::requestTimeout); });
+    }
+
+    /// Limits the time for the caller to take the rest of a response.
+    void awaitResponseTaken()
+    {
+        m_deadline.once(m_state->limits.requestTimeout, [this] { giveUp(server_refusal::responseTimeout); });
+    }
+
+    void giveUp(server_refusal reason)
+    {
+        m_state->report(reason);
+        finish();
     }
 
     void onEnd()
@@ -572,7 +597,7 @@
 void server_connection::serve()
 {
     if (m_state->held >= m_state->limits.maxConnections) {
-        refuse(statusUnavailable, tooMuchAtOnce);
+        refuse(server_refusal::noMemory, statusUnavailable, tooMuchAtOnce);
         return;
     }
     m_isServing = true;
@@ -627,6 +652,7 @@
             return false;
         }
         if (state->connections.size() >= state->limits.maxConnections && !makeRoom()) {
+            state->report(server_refusal::noRoom);
             ::close(descriptor);
             return true;
         }
@@ -659,6 +685,36 @@
     }
 };
 
+std::string toString(server_refusal reason)
+{
+    switch (reason) {
+    case server_refusal::headTooLong:
+        return "head-too-long";
+    case server_refusal::bodyTooLong:
+        return "body-too-long";
+    case server_refusal::noMemory:
+        return "no-memory";
+    case server_refusal::madeRoom:
+        return "made-room";
+    case server_refusal::noRoom:
+        return "no-room";
+    case server_refusal::requestTimeout:
+        return "request-timeout";
+    case server_refusal::responseTimeout:
+        return "response-timeout";
+    }
+    return "unknown";
+}
+
+http_server_limits fewClientsLimits()
+{
+    http_server_limits result;
+    result.maxBodySize = std::int64_t {4} * 1024;
+    result.maxHeldBytes = std::size_t {256} * 1024;
+    result.maxConnections = 32;
+    return result;
+}
+
 http_server::http_server(const http_server_limits &limits, http_handler handler)
     : m_parts(std::make_unique<parts>())
 {
@@ -671,6 +727,7 @@
 {
     stopListening();
     m_parts->state->handler = [](const std::shared_ptr<http_request> &) { };
+    m_parts->state->report = [](server_refusal) { };
     const auto connections = std::exchange(m_parts->state->connections, {});
     for (const auto &[key, connection] : connections) {
         connection->abort();
@@ -688,6 +745,11 @@
     return m_parts->listener < 0 ? 0 : boundPort(m_parts->listener);
 }
 
+void http_server::onRefusal(std::function<void(server_refusal reason)> report)
+{
+    m_parts->state->report = std::move(report);
+}
+
 void http_server::setMaxHeadSize(std::size_t size)
 {
     m_parts->state->limits.maxHeadSize = size;
--- a/src/libprimrosecroft/io/http_server.h
+++ b/src/libprimrosecroft/io/http_server.h
@@ -67,6 +67,24 @@
     std::size_t maxConnections = 2'000; ///< see eviction_order; also the limit on requests that handlers hold
 };
 
+/// Why a server has refused a request or closed a connection that its caller didn't expect to be closed.
+enum class server_refusal
+{
+    headTooLong,
+    bodyTooLong,
+    noMemory, ///< other requests use the memory for requests
+    madeRoom, ///< for a new connection
+    noRoom, ///< for this one
+    requestTimeout, ///< the request hasn't arrived completely in time
+    responseTimeout, ///< the caller hasn't taken the response in time
+};
+
+/// Returns the name for logs and metrics, such as `head-too-long`.
+std::string toString(server_refusal reason);
+
+/// Limits of a server for a few known clients with requests without a body.
+http_server_limits fewClientsLimits();
+
 /// HTTP server that passes each complete request to one handler.
 class http_server
 {
@@ -82,6 +100,9 @@
     /// Returns the port it listens on; 0 if it doesn't listen.
     std::uint16_t port() const;
 
+    /// Calls @p report at each refusal from now on.
+    void onRefusal(std::function<void(server_refusal reason)> report);
+
     /// Sets the limit on the heads of requests that haven't arrived yet, in bytes.
     void setMaxHeadSize(std::size_t size);
 
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -52,6 +52,7 @@
             request->answer({statusOk, {}, std::string(answerSize, 'x')});
         })
     {
+        server.onRefusal([this](server_refusal reason) { refusals.push_back(reason); });
         server.listen("127.0.0.1", 0);
     }
 
@@ -62,6 +63,7 @@
 
     std::size_t served = 0;
     std::vector<request_pointer> kept;
+    std::vector<server_refusal> refusals;
     http_server server;
 };
 
@@ -138,6 +140,7 @@
                       opening + "a: " + std::string(50'000, 'b'), "GET /" + std::string(50'000, 'a'));
     const auto answer = daemon.ask(head);
     CHECK(answer.starts_with("HTTP/1.1 431"));
+    CHECK(daemon.refusals == std::vector {server_refusal::headTooLong});
     CHECK(daemon.ask("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
 }
 
@@ -151,6 +154,7 @@
     const auto refused = daemon.ask(post("/a", large));
     CHECK(refused.starts_with("HTTP/1.1 503"));
     CHECK(refused.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(daemon.refusals == std::vector {server_refusal::noMemory});
     CHECK(daemon.served == 0);
     CHECK(daemon.ask(post("/a", 10'000)).starts_with("HTTP/1.1 200"));
     first->write("x");
@@ -225,6 +229,7 @@
     REQUIRE(runUntil([&daemon] { return daemon.served == 2; }));
     CHECK(daemon.ask("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
     CHECK_FALSE(daemon.kept.front()->isDisconnected());
+    CHECK(daemon.refusals == std::vector {server_refusal::madeRoom});
 }
 
 TEST_CASE("a connection whose request is served never makes room", "[idle]")
@@ -234,6 +239,7 @@
     first->write("GET /slow HTTP/1.1\r\n\r\n");
     REQUIRE(runUntil([&daemon] { return daemon.kept.size() == 1; }));
     CHECK(daemon.ask(shortRequest).find("HTTP/1.1") == std::string::npos);
+    CHECK(daemon.refusals == std::vector {server_refusal::noRoom});
     daemon.kept.front()->answer({statusOk, {}, "slow"});
     CHECK_FALSE(daemon.kept.front()->isDisconnected());
 }
