--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -103,6 +103,24 @@
     return result;
 }
 
+/// Memory and descriptors of the process also serve its own work, so callers' requests get a part of them.
+http_server_limits makeCallerLimits(const process_limits &process)
+{
+    constexpr std::size_t memoryPart = 8; ///< a request may be several times as large while it is decoded and stored
+    constexpr std::size_t minHeldBytes = std::size_t {2} * 1024 * 1024; ///< for a few requests of the longest kind
+    constexpr std::size_t descriptorPart = 2; ///< the others are for workers, store, advice and other daemons
+    constexpr std::size_t minConnections = 16;
+    http_server_limits result;
+    if (process.descriptors) {
+        result.maxConnections =
+            std::clamp(*process.descriptors / descriptorPart, minConnections, result.maxConnections);
+    }
+    if (process.memory) {
+        result.maxHeldBytes = std::clamp(*process.memory / memoryPart, minHeldBytes, result.maxHeldBytes);
+    }
+    return result;
+}
+
 std::int64_t millisecondsSince(instant since)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - since).count();
@@ -163,10 +181,19 @@
                   {platform::decodeJobBody, platform::encodeStatus, platform::encodeWaiting, platform::deadlineHeader,
                    platform::keyHeader},
                   makeCallerLinks(), log, measures)
-        , callerServer({}, [this](const std::shared_ptr<http_request> &request) { callers.serve(request); })
-        , readinessServer({}, [this](const std::shared_ptr<http_request> &request) { answerReadiness(request); })
-        , metricsServer({}, [this](const std::shared_ptr<http_request> &request) { answerOperator(request); })
+        , callerServer(makeCallerLimits(settings.limits),
+                       [this](const std::shared_ptr<http_request> &request) { callers.serve(request); })
+        , readinessServer(fewClientsLimits(),
+                          [this](const std::shared_ptr<http_request> &request) { answerReadiness(request); })
+        , metricsServer(fewClientsLimits(),
+                        [this](const std::shared_ptr<http_request> &request) { answerOperator(request); })
+    {
+    }
+
+    void reportRefusal(server_refusal reason)
     {
+        measures.count("primrosecroft_connections_refused", "reason", toString(reason));
+        log.write("callers", "refused", {{"reason", toString(reason)}});
     }
 
     caller_links makeCallerLinks()
@@ -602,6 +629,7 @@
 
     void applyConfiguration(const queue_table &table)
     {
+        callerServer.setMaxHeadSize(static_cast<std::size_t>(table.maxHeadBytes));
         callerServer.setMaxBodySize(table.maxRequestBytes);
         runner.setWorkspaces(policiesOf(table));
         keys = table.workspaces ? std::optional<key_index>(*table.workspaces) : std::nullopt;
@@ -788,6 +816,7 @@
     int run()
     {
         peers.listen(settings.peers);
+        callerServer.onRefusal([this](server_refusal reason) { reportRefusal(reason); });
         callerServer.listen(settings.callers.address, settings.callers.port);
         readinessServer.listen(settings.readiness.address, settings.readiness.port);
         if (metricsPort != 0) {
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -1,11 +1,15 @@
 #include "io/http_server.h"
 
 #include "core/error.h"
+#include "io/eviction_order.h"
+#include "io/request_budget.h"
+#include "io/request_parser.h"
 #include "io/tcp_socket.h"
 #include "io/timer.h"
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <glib-unix.h>
 #include <http_parser.h>
 #include <map>
@@ -19,9 +23,15 @@
 namespace
 {
 
-constexpr std::size_t maxPipelinedBytes = std::size_t {256} * 1024; ///< limit on buffered bytes of further requests
+constexpr std::size_t readSize = std::size_t {16} * 1024; ///< bytes read at once; no more are read until they're parsed
+constexpr std::size_t acceptsPerTurn = 64; ///< so that the requests of new connections are read between others
+constexpr auto acceptPause = std::chrono::milliseconds(100); ///< if a new connection finds no descriptor
+constexpr std::size_t requestsPerTurn = 16; ///< of one connection, before others have their turn
 constexpr std::size_t maxQueryBytes = 8'192; ///< a longer query is treated as empty
 constexpr auto idleTimeout = std::chrono::seconds(60); ///< a connection without a request is closed afterwards
+constexpr auto lingerTimeout = std::chrono::milliseconds(500); ///< see server_connection::refuse()
+constexpr std::string_view headTooLong =
+    R"({"outcome":"refused","step":"read request","detail":"the head is too long"})";
 constexpr std::string_view bodyTooLong =
     R"({"outcome":"refused","step":"read request","detail":"the body is too long"})";
 
@@ -45,16 +55,8 @@
     return result;
 }
 
-/// A parsed request.
-struct parsed_request
-{
-    std::string method;
-    std::string target;
-    http_headers headers;
-    std::string body;
-    bool keepAlive = false;
-    bool isHttp10 = false;
-};
+constexpr std::string_view tooMuchAtOnce =
+    R"({"outcome":"refused","step":"read request","detail":"other requests use the memory for requests"})";
 
 class server_connection;
 
@@ -63,21 +65,34 @@
 {
     http_server_limits limits;
     http_handler handler;
-    std::map<server_connection *, std::shared_ptr<server_connection>> connections;
+    std::function<void(server_refusal reason)> report = [](server_refusal) { };
+    std::map<connection_id, std::shared_ptr<server_connection>> connections;
+    connection_id lastConnection = 0;
+    eviction_order evictions;
+    std::shared_ptr<request_budget> budget = std::make_shared<request_budget>();
     std::size_t inFlight = 0;
+    std::size_t held = 0; ///< requests that handlers hold, also those whose connection has closed
     bool isStopping = false;
 };
 
+/// What a request means for the form of its response.
+struct exchange_traits
+{
+    bool isHead = false; ///< the method is HEAD, so the response has no body
+    bool keepAlive = false;
+    bool isHttp10 = false;
+};
+
 /// One connection of a caller: reads a request, waits for its response, then continues with the next request.
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
 public:
-    server_connection(int descriptor, std::shared_ptr<server_state> state)
-        : m_socket(descriptor)
+    server_connection(connection_id id, int descriptor, std::shared_ptr<server_state> state)
+        : m_id(id)
+        , m_socket(descriptor)
         , m_state(std::move(state))
+        , m_share(m_state->budget)
     {
-        http_parser_init(&m_parser, HTTP_REQUEST);
-        m_parser.data = this;
     }
 
     void start()
@@ -87,24 +102,33 @@
         callbacks.ended = [this] { onEnd(); };
         callbacks.failed = [this](int) { finish(); };
         callbacks.drained = [this] { onDrained(); };
+        m_socket.setReadSize(readSize);
         m_socket.start(std::move(callbacks));
-        m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
+        m_state->evictions.enter(m_id, connection_phase::unfinished);
+        awaitRequest();
     }
 
-    bool isDisconnected() const
+    /// Closes the connection, so that its descriptor is free for another one.
+    void makeRoom()
     {
-        return m_socket.isClosed();
+        m_state->report(server_refusal::madeRoom);
+        finish();
+    }
+
+    const std::shared_ptr<server_state> &state() const
+    {
+        return m_state;
     }
 
-    const parsed_request &request() const
+    bool isDisconnected() const
     {
-        return m_request;
+        return m_socket.isClosed();
     }
 
     /// Writes a complete response and continues with the next request.
     void answer(const http_response &answer)
     {
-        const bool isBodyless = m_request.method == "HEAD" || !allowsBody(answer.status);
+        const bool isBodyless = m_exchange.isHead || !allowsBody(answer.status);
         std::string text =
             encodeHead(answer.status, answer.headers, allowsBody(answer.status) ? answer.body.size() : 0, false);
         if (!isBodyless) {
@@ -117,10 +141,10 @@
     void beginStream(unsigned status, const http_headers &headers)
     {
         const auto length = headerValue(headers, "Content-Length");
-        m_streamsBody = m_request.method != "HEAD" && allowsBody(status);
-        m_isChunked = m_streamsBody && length.empty() && !m_request.isHttp10;
-        if (m_streamsBody && length.empty() && m_request.isHttp10) {
-            m_request.keepAlive = false; // HTTP/1.0 marks the end of such a body by closing the connection
+        m_streamsBody = !m_exchange.isHead && allowsBody(status);
+        m_isChunked = m_streamsBody && length.empty() && !m_exchange.isHttp10;
+        if (m_streamsBody && length.empty() && m_exchange.isHttp10) {
+            m_exchange.keepAlive = false; // HTTP/1.0 marks the end of such a body by closing the connection
         }
         m_socket.write(encodeHead(status, headers, std::nullopt, m_isChunked));
     }
@@ -163,7 +187,7 @@
                            bool chunked)
     {
         if (m_state->isStopping) {
-            m_request.keepAlive = false;
+            m_exchange.keepAlive = false;
         }
         const auto *reason = http_status_str(static_cast<http_status>(status));
         std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + reason + "\r\n";
@@ -179,170 +203,153 @@
         if (chunked) {
             text += "Transfer-Encoding: chunked\r\n";
         }
-        if (!m_request.keepAlive) {
+        if (!m_exchange.keepAlive) {
             text += "Connection: close\r\n";
-        } else if (m_request.isHttp10) {
+        } else if (m_exchange.isHttp10) {
             text += "Connection: keep-alive\r\n";
         }
         return text + "\r\n";
     }
 
-    static server_connection &of(http_parser *parser)
-    {
-        return *static_cast<server_connection *>(parser->data);
-    }
-
-    static const http_parser_settings &parserSettings()
-    {
-        static const http_parser_settings settings = [] {
-            http_parser_settings result;
-            http_parser_settings_init(&result);
-            result.on_message_begin = [](http_parser *parser) {
-                of(parser).onBegin();
-                return 0;
-            };
-            result.on_url = [](http_parser *parser, const char *at, size_t length) {
-                of(parser).m_request.target.append(at, length);
-                return 0;
-            };
-            result.on_header_field = [](http_parser *parser, const char *at, size_t length) {
-                of(parser).onHeaderField({at, length});
-                return 0;
-            };
-            result.on_header_value = [](http_parser *parser, const char *at, size_t length) {
-                of(parser).onHeaderValue({at, length});
-                return 0;
-            };
-            result.on_headers_complete = [](http_parser *parser) {
-                of(parser).onHead();
-                return 0;
-            };
-            result.on_body = [](http_parser *parser, const char *at, size_t length) {
-                of(parser).onBody({at, length});
-                return 0;
-            };
-            result.on_message_complete = [](http_parser *parser) {
-                of(parser).m_isComplete = true;
-                http_parser_pause(parser, 1);
-                return 0;
-            };
-            return result;
-        }();
-        return settings;
-    }
-
-    void onBegin()
+    void onHead()
     {
-        m_request = {};
-        m_isHeadComplete = false;
-        m_isInField = false;
-        m_isBodyTooLong = false;
-        m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
+        const auto &request = m_parser.request();
+        m_exchange = {request.method == "HEAD", request.keepAlive, request.isHttp10};
     }
 
-    void onHeaderField(std::string_view text)
+    /// Answers a request that isn't passed on. Closing at once could reset the connection before the caller has read
+    /// the answer, so what follows is discarded before: up to the end of the request or the time for it if its body is
+    /// arriving, else for a while.
+    void refuse(server_refusal reason, unsigned status, std::string_view problem)
     {
-        if (m_isHeadComplete) {
-            return; // a trailer
+        m_state->report(reason);
+        m_exchange.keepAlive = false;
+        http_headers headers {{"Content-Type", "application/problem+json"}};
+        if (status == statusUnavailable) {
+            headers.push_back({"Retry-After", "1"});
         }
-        if (!m_isInField) {
-            m_request.headers.emplace_back();
+        m_socket.write(encodeHead(status, headers, problem.size(), false) + std::string(problem));
+        m_share.release();
+        if (m_parser.isHeadComplete()) {
+            m_parser.discardRequest();
+            m_isRefused = true;
+            return;
         }
-        m_isInField = true;
-        m_request.headers.back().name.append(text);
+        m_parser.takeRequest();
+        m_isDiscarding = true;
+        m_deadline.once(lingerTimeout, [this] { finish(); });
     }
 
-    void onHeaderValue(std::string_view text)
+    void onBytes(std::string_view bytes)
     {
-        if (m_isHeadComplete || m_request.headers.empty()) {
+        const auto self = shared_from_this();
+        if (m_isClosing || m_isDiscarding) {
             return;
         }
-        m_isInField = false;
-        m_request.headers.back().value.append(text);
+        m_input.append(bytes);
+        parse();
     }
 
-    void onHead()
+    /// True if the next request may be parsed: none is served, and the caller has taken all responses, so that a caller
+    /// that doesn't read gets no further ones.
+    bool mayParse() const
     {
-        m_isHeadComplete = true;
-        m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
-        m_request.isHttp10 = m_parser.http_major == 1 && m_parser.http_minor == 0;
-        m_request.keepAlive = http_should_keep_alive(&m_parser) != 0;
-        const auto limit = static_cast<std::uint64_t>(m_state->limits.maxBodySize);
-        const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
-        if (hasLength && m_parser.content_length > limit) {
-            refuseBody();
-        } else if (g_ascii_strcasecmp(headerValue(m_request.headers, "Expect").c_str(), "100-continue") == 0) {
-            m_socket.write("HTTP/1.1 100 Continue\r\n\r\n");
-        }
+        return !m_isServing && !m_isClosing && !m_isDiscarding && !isDisconnected() && m_socket.isDrained()
+            && m_parsed < m_input.size();
     }
 
-    void onBody(std::string_view piece)
+    /// Parses the input as far as it may. A handler that answers at once gets here again, from within parseStep(): the
+    /// outer call goes on then, because calls within calls would exhaust the stack.
+    void parse()
     {
-        if (m_isBodyTooLong) {
+        if (std::exchange(m_isParsing, true)) {
             return;
         }
-        m_request.body.append(piece);
-        if (m_request.body.size() > static_cast<std::size_t>(m_state->limits.maxBodySize)) {
-            refuseBody();
+        const auto self = shared_from_this();
+        m_servedInTurn = 0;
+        while (mayParse() && m_servedInTurn < requestsPerTurn) {
+            parseStep();
+        }
+        m_isParsing = false;
+        dropParsed();
+        if (!isDisconnected()) {
+            continueReading();
         }
     }
 
-    /// Answers before the body has arrived. The rest of it is discarded until it is complete or the time for the
-    /// request is over, because closing at once could reset the connection before the caller has read the answer.
-    void refuseBody()
+    void dropParsed()
     {
-        m_isBodyTooLong = true;
-        m_request.body.clear();
-        m_request.keepAlive = false;
-        const http_headers headers {{"Content-Type", "application/problem+json"}};
-        m_socket.write(encodeHead(statusContentTooLarge, headers, bodyTooLong.size(), false)
-                       + std::string(bodyTooLong));
+        m_input.erase(0, m_isClosing || m_isDiscarding ? m_input.size() : m_parsed);
+        m_parsed = 0;
+        if (m_input.empty()) {
+            m_input = {}; // keeps no memory for the next bytes
+        }
     }
 
-    void onBytes(std::string_view bytes)
+    void continueReading()
     {
-        const auto self = shared_from_this();
-        if (m_isClosing) {
-            return;
+        m_socket.setReading(m_input.empty());
+        if (mayParse()) {
+            m_nextTurn.once(std::chrono::milliseconds(0), [this] { parse(); });
+        } else if (m_hasEnded && m_input.empty() && !m_isServing && !m_isClosing) {
+            closeWhenDrained();
         }
-        m_input.append(bytes);
-        if (m_isServing) {
-            m_socket.setReading(m_input.size() < maxPipelinedBytes);
+    }
+
+    void parseStep()
+    {
+        const bool hadBegun = m_parser.hasBegun();
+        const auto [step, used] = m_parser.parse(std::string_view(m_input).substr(m_parsed), limits());
+        m_parsed += used;
+        if (!hadBegun && m_parser.hasBegun()) {
+            m_state->evictions.enter(m_id, connection_phase::unfinished);
+            awaitRequest();
+        }
+        if (!m_isRefused && !m_share.tryHold(m_parser.heldBytes())) {
+            refuse(server_refusal::noMemory, statusUnavailable, tooMuchAtOnce);
             return;
         }
-        parse();
+        take(step);
     }
 
-    /// Parses the input until a request is complete or more bytes are needed.
-    void parse()
+    void take(parse_step step)
     {
-        while (!m_isServing && !isDisconnected() && !m_input.empty()) {
-            const auto used = http_parser_execute(&m_parser, &parserSettings(), m_input.data(), m_input.size());
-            m_input.erase(0, used);
-            if (!m_isComplete) {
-                if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
-                    rejectMalformed();
-                }
-                return;
-            }
-            m_isComplete = false;
-            http_parser_pause(&m_parser, 0);
-            if (m_isBodyTooLong) {
-                closeWhenDrained();
-                return;
+        switch (step) {
+        case parse_step::incomplete:
+            break;
+        case parse_step::headComplete:
+            onHead();
+            if (g_ascii_strcasecmp(m_parser.request().headers.value("Expect").c_str(), "100-continue") == 0) {
+                m_socket.write("HTTP/1.1 100 Continue\r\n\r\n");
             }
-            serve();
-        }
-        if (m_hasEnded && !m_isServing && !isDisconnected()) {
-            closeWhenDrained();
+            break;
+        case parse_step::complete:
+            ++m_servedInTurn;
+            m_isRefused ? closeWhenDrained() : serve();
+            break;
+        case parse_step::malformed:
+            rejectMalformed();
+            break;
+        case parse_step::headTooLong:
+            refuse(server_refusal::headTooLong, statusHeadTooLarge, headTooLong);
+            break;
+        case parse_step::bodyTooLong:
+            onHead();
+            refuse(server_refusal::bodyTooLong, statusContentTooLarge, bodyTooLong);
+            break;
         }
     }
 
+    request_limits limits() const
+    {
+        return {m_state->limits.maxHeadSize, static_cast<std::size_t>(m_state->limits.maxBodySize)};
+    }
+
     void serve();
 
     void rejectMalformed()
     {
-        if (!m_isHeadComplete) {
+        if (!m_parser.isHeadComplete()) {
             m_socket.write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
         }
         closeWhenDrained();
@@ -352,15 +359,25 @@
     {
         const auto self = shared_from_this();
         m_isServing = false;
+        m_state->evictions.enter(m_id, connection_phase::unfinished);
         m_isChunked = false;
         --m_state->inFlight;
-        if (!m_request.keepAlive) {
+        if (!m_exchange.keepAlive) {
             closeWhenDrained();
             return;
         }
-        m_deadline.once(idleTimeout, [this] { finish(); });
-        if (!m_hasEnded) {
-            m_socket.setReading(true);
+        waitForRequest();
+    }
+
+    /// Continues with the next request, unless the caller has yet to take the last response.
+    void waitForRequest()
+    {
+        const bool isIdle = m_socket.isDrained();
+        m_state->evictions.enter(m_id, isIdle ? connection_phase::idle : connection_phase::unfinished);
+        if (isIdle) {
+            m_deadline.once(idleTimeout, [this] { finish(); });
+        } else {
+            awaitResponseTaken();
         }
         parse();
     }
@@ -372,14 +389,32 @@
             finish();
             return;
         }
-        m_deadline.once(m_state->limits.requestTimeout, [this] { finish(); });
+        awaitResponseTaken();
+    }
+
+    /// Limits the time for a request to arrive.
+    void awaitRequest()
+    {
+        m_deadline.once(m_state->limits.requestTimeout, [this] { giveUp(server_refusal::requestTimeout); });
+    }
+
+    /// Limits the time for the caller to take the rest of a response.
+    void awaitResponseTaken()
+    {
+        m_deadline.once(m_state->limits.requestTimeout, [this] { giveUp(server_refusal::responseTimeout); });
+    }
+
+    void giveUp(server_refusal reason)
+    {
+        m_state->report(reason);
+        finish();
     }
 
     void onEnd()
     {
         const auto self = shared_from_this();
         m_hasEnded = true;
-        if (!m_isServing) {
+        if (!m_isServing && m_input.empty()) {
             closeWhenDrained();
         }
     }
@@ -393,6 +428,10 @@
         }
         if (const auto written = std::exchange(m_onWritten, nullptr)) {
             written();
+        } else if (!m_isServing && !m_isRefused && !m_isDiscarding && !m_parser.hasBegun()) {
+            waitForRequest();
+        } else {
+            parse();
         }
     }
 
@@ -404,23 +443,28 @@
         if (std::exchange(m_isServing, false)) {
             --m_state->inFlight;
         }
-        m_state->connections.erase(this);
+        m_state->evictions.remove(m_id);
+        m_state->connections.erase(m_id);
         if (const auto written = std::exchange(m_onWritten, nullptr)) {
             written();
         }
     }
 
+    connection_id m_id;
     tcp_socket m_socket;
     std::shared_ptr<server_state> m_state;
-    http_parser m_parser {};
+    request_parser m_parser;
+    budget_share m_share; ///< of the request that is arriving
     timer m_deadline; ///< limits the time for a request, between requests, and for sending the rest before closing
-    parsed_request m_request;
-    std::string m_input; ///< received bytes that haven't been parsed
+    exchange_traits m_exchange;
+    std::string m_input; ///< received bytes that haven't been parsed, behind the first m_parsed ones
+    std::size_t m_parsed = 0;
+    std::size_t m_servedInTurn = 0; ///< requests
+    timer m_nextTurn; ///< continues to parse after other connections have had their turn
+    bool m_isParsing = false;
     std::function<void()> m_onWritten; ///< called once the kernel has taken the last piece; empty if none is pending
-    bool m_isInField = false; ///< the parser is within the name of a header
-    bool m_isHeadComplete = false;
-    bool m_isBodyTooLong = false;
-    bool m_isComplete = false; ///< the parser has reached the end of a request
+    bool m_isRefused = false; ///< the current request has been answered before it was complete
+    bool m_isDiscarding = false; ///< received bytes are discarded until the connection closes
     bool m_isServing = false; ///< a request has been passed on and its response isn't complete
     bool m_hasEnded = false; ///< the caller has closed its side
     bool m_isClosing = false; ///< the connection closes once the kernel has taken all bytes
@@ -432,12 +476,22 @@
 class server_request : public http_request
 {
 public:
-    explicit server_request(std::shared_ptr<server_connection> connection)
+    server_request(std::shared_ptr<server_connection> connection, parsed_request request, budget_share share)
         : m_connection(std::move(connection))
-        , m_request(m_connection->request())
+        , m_request(std::move(request))
+        , m_share(std::move(share))
     {
+        ++m_connection->state()->held;
     }
 
+    ~server_request() override
+    {
+        --m_connection->state()->held;
+    }
+
+    server_request(const server_request &) = delete;
+    server_request &operator=(const server_request &) = delete;
+
     std::string method() const override
     {
         return m_request.method;
@@ -476,12 +530,12 @@
 
     http_headers headers() const override
     {
-        return m_request.headers;
+        return m_request.headers.list();
     }
 
     std::string header(const std::string &name) const override
     {
-        return headerValue(m_request.headers, name);
+        return m_request.headers.value(name);
     }
 
     std::string body() const override
@@ -535,17 +589,23 @@
 private:
     std::shared_ptr<server_connection> m_connection;
     parsed_request m_request;
+    budget_share m_share;
     bool m_isAnswered = false;
     bool m_hasEnded = false;
 };
 
 void server_connection::serve()
 {
+    if (m_state->held >= m_state->limits.maxConnections) {
+        refuse(server_refusal::noMemory, statusUnavailable, tooMuchAtOnce);
+        return;
+    }
     m_isServing = true;
+    m_state->evictions.enter(m_id, connection_phase::serving);
     m_deadline.stop();
     ++m_state->inFlight;
     const auto handler = m_state->handler;
-    handler(std::make_shared<server_request>(shared_from_this()));
+    handler(std::make_shared<server_request>(shared_from_this(), m_parser.takeRequest(), std::move(m_share)));
 }
 
 } // namespace
@@ -556,26 +616,110 @@
     int listener = -1;
     unsigned source = 0;
 
-    static gboolean onConnection(gint listener, GIOCondition /*condition*/, gpointer self)
+    timer resumption; ///< of accepting
+
+    void startAccepting()
     {
-        const auto &state = static_cast<parts *>(self)->state;
-        for (int descriptor = acceptConnection(listener); descriptor >= 0; descriptor = acceptConnection(listener)) {
-            if (state->connections.size() >= state->limits.maxConnections) {
-                ::close(descriptor);
-                continue;
-            }
-            const auto connection = std::make_shared<server_connection>(descriptor, state);
-            state->connections[connection.get()] = connection;
-            connection->start();
+        source = g_unix_fd_add(listener, G_IO_IN, &parts::onConnection, this);
+    }
+
+    void stopAccepting()
+    {
+        if (source != 0) {
+            g_source_remove(std::exchange(source, 0));
+        }
+    }
+
+    static gboolean onConnection(gint /*listener*/, GIOCondition /*condition*/, gpointer self)
+    {
+        auto &owner = *static_cast<parts *>(self);
+        std::size_t accepted = 0;
+        while (accepted < acceptsPerTurn && owner.acceptNext()) {
+            ++accepted;
+        }
+        // Without a free descriptor the system says so even if no connection is pending; but one is at first.
+        if (accepted == 0 && (errno == EMFILE || errno == ENFILE)) {
+            owner.findDescriptor();
         }
         return G_SOURCE_CONTINUE;
     }
+
+    /// Returns false, and leaves the system's error number, if no connection could be accepted.
+    bool acceptNext()
+    {
+        const int descriptor = acceptConnection(listener);
+        if (descriptor < 0) {
+            return false;
+        }
+        if (state->connections.size() >= state->limits.maxConnections && !makeRoom()) {
+            state->report(server_refusal::noRoom);
+            ::close(descriptor);
+            return true;
+        }
+        const auto id = ++state->lastConnection;
+        const auto connection = std::make_shared<server_connection>(id, descriptor, state);
+        state->connections[id] = connection;
+        connection->start();
+        return true;
+    }
+
+    /// Frees a descriptor for the next connection. Without one it stays pending, and the main loop would call for it
+    /// again and again, so accepting pauses.
+    void findDescriptor()
+    {
+        if (!makeRoom()) {
+            stopAccepting();
+            resumption.once(acceptPause, [this] { startAccepting(); });
+        }
+    }
+
+    bool makeRoom()
+    {
+        const auto chosen = state->evictions.first();
+        if (!chosen) {
+            return false;
+        }
+        const auto connection = state->connections.at(*chosen);
+        connection->makeRoom();
+        return true;
+    }
 };
 
+std::string toString(server_refusal reason)
+{
+    switch (reason) {
+    case server_refusal::headTooLong:
+        return "head-too-long";
+    case server_refusal::bodyTooLong:
+        return "body-too-long";
+    case server_refusal::noMemory:
+        return "no-memory";
+    case server_refusal::madeRoom:
+        return "made-room";
+    case server_refusal::noRoom:
+        return "no-room";
+    case server_refusal::requestTimeout:
+        return "request-timeout";
+    case server_refusal::responseTimeout:
+        return "response-timeout";
+    }
+    return "unknown";
+}
+
+http_server_limits fewClientsLimits()
+{
+    http_server_limits result;
+    result.maxBodySize = std::int64_t {4} * 1024;
+    result.maxHeldBytes = std::size_t {256} * 1024;
+    result.maxConnections = 32;
+    return result;
+}
+
 http_server::http_server(const http_server_limits &limits, http_handler handler)
     : m_parts(std::make_unique<parts>())
 {
     m_parts->state->limits = limits;
+    m_parts->state->budget->capacity = limits.maxHeldBytes;
     m_parts->state->handler = std::move(handler);
 }
 
@@ -583,6 +727,7 @@
 {
     stopListening();
     m_parts->state->handler = [](const std::shared_ptr<http_request> &) { };
+    m_parts->state->report = [](server_refusal) { };
     const auto connections = std::exchange(m_parts->state->connections, {});
     for (const auto &[key, connection] : connections) {
         connection->abort();
@@ -592,7 +737,7 @@
 void http_server::listen(const std::string &address, std::uint16_t port)
 {
     m_parts->listener = beginListen(address, port);
-    m_parts->source = g_unix_fd_add(m_parts->listener, G_IO_IN, &parts::onConnection, m_parts.get());
+    m_parts->startAccepting();
 }
 
 std::uint16_t http_server::port() const
@@ -600,6 +745,16 @@
     return m_parts->listener < 0 ? 0 : boundPort(m_parts->listener);
 }
 
+void http_server::onRefusal(std::function<void(server_refusal reason)> report)
+{
+    m_parts->state->report = std::move(report);
+}
+
+void http_server::setMaxHeadSize(std::size_t size)
+{
+    m_parts->state->limits.maxHeadSize = size;
+}
+
 void http_server::setMaxBodySize(std::int64_t size)
 {
     m_parts->state->limits.maxBodySize = size;
@@ -613,8 +768,9 @@
 void http_server::stopListening()
 {
     m_parts->state->isStopping = true;
-    if (m_parts->source != 0) {
-        g_source_remove(std::exchange(m_parts->source, 0));
+    m_parts->stopAccepting();
+    m_parts->resumption.stop();
+    if (m_parts->listener >= 0) {
         ::close(std::exchange(m_parts->listener, -1));
     }
 }
