Leave a new connection pending while all others are served or new

With 2,500 idle clients that connect again as soon as they are closed, the connections at the limit were at times all in service, and a new one was closed at once; or it was the oldest unfinished one a moment after it had been accepted, and made room before its request was read.

An unfinished connection makes room only after 1 s. If none does, new ones stay pending, and the daemon looks again after 20 ms.

--- a/src/libprimrosecroft/io/eviction_order.cpp
+++ b/src/libprimrosecroft/io/eviction_order.cpp
@@ -3,10 +3,17 @@
 namespace primrosecroft
 {
 
-void eviction_order::enter(connection_id connection, connection_phase phase)
+namespace
+{
+
+constexpr auto newTime = std::chrono::seconds(1); ///< an unfinished connection counts as new for this long
+
+} // namespace
+
+void eviction_order::enter(connection_id connection, connection_phase phase, time_point now)
 {
     remove(connection);
-    const standing entered {phase, ++m_lastNumber};
+    const standing entered {phase, now};
     m_standings[connection] = entered;
     m_order.emplace(entered, connection);
 }
@@ -21,12 +28,15 @@
     m_standings.erase(found);
 }
 
-std::optional<connection_id> eviction_order::first() const
+std::optional<connection_id> eviction_order::first(time_point now) const
 {
-    if (m_order.empty() || m_order.begin()->first.first == connection_phase::serving) {
+    if (m_order.empty()) {
         return std::nullopt;
     }
-    return m_order.begin()->second;
+    const auto &[entered, connection] = *m_order.begin();
+    const auto &[phase, since] = entered;
+    const bool isNew = phase == connection_phase::unfinished && since + newTime > now;
+    return isNew || phase == connection_phase::serving ? std::nullopt : std::optional(connection);
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/io/eviction_order.h
+++ b/src/libprimrosecroft/io/eviction_order.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,19 +23,20 @@
 class eviction_order
 {
 public:
-    /// Notes that a connection enters a phase now.
-    void enter(connection_id connection, connection_phase phase);
+    using time_point = std::chrono::steady_clock::time_point;
+
+    /// Notes that a connection enters a phase.
+    void enter(connection_id connection, connection_phase phase, time_point now);
 
     void remove(connection_id connection);
 
     /// Returns the connection that has been idle longest; without an idle one, the one that has been unfinished
-    /// longest.
-    std::optional<connection_id> first() const;
+    /// longest, unless that is new, so that a caller has time to send its request.
+    std::optional<connection_id> first(time_point now) const;
 
 private:
-    using standing = std::pair<connection_phase, std::uint64_t>; ///< the number increases with each entry
+    using standing = std::pair<connection_phase, time_point>; ///< the phase and since when
 
-    std::uint64_t m_lastNumber = 0;
     std::map<connection_id, standing> m_standings;
     std::set<std::pair<standing, connection_id>> m_order;
 };
--- a/src/libprimrosecroft/io/http_server.cpp
+++ b/src/libprimrosecroft/io/http_server.cpp
@@ -25,7 +25,7 @@
 
 constexpr std::size_t readSize = std::size_t {16} * 1024; ///< bytes read at once; no more are read until they're parsed
 constexpr std::size_t acceptsPerTurn = 64; ///< so that the requests of new connections are read between others
-constexpr auto acceptPause = std::chrono::milliseconds(100); ///< if a new connection finds no descriptor
+constexpr auto acceptPause = std::chrono::milliseconds(20); ///< if there is no room for a new connection
 constexpr std::size_t requestsPerTurn = 16; ///< of one connection, before others have their turn
 constexpr std::size_t maxQueryBytes = 8'192; ///< a longer query is treated as empty
 constexpr auto idleTimeout = std::chrono::seconds(60); ///< a connection without a request is closed afterwards
@@ -104,7 +104,7 @@
         callbacks.drained = [this] { onDrained(); };
         m_socket.setReadSize(readSize);
         m_socket.start(std::move(callbacks));
-        m_state->evictions.enter(m_id, connection_phase::unfinished);
+        m_state->evictions.enter(m_id, connection_phase::unfinished, std::chrono::steady_clock::now());
         awaitRequest();
     }
 
@@ -302,7 +302,7 @@
         const auto [step, used] = m_parser.parse(std::string_view(m_input).substr(m_parsed), limits());
         m_parsed += used;
         if (!hadBegun && m_parser.hasBegun()) {
-            m_state->evictions.enter(m_id, connection_phase::unfinished);
+            m_state->evictions.enter(m_id, connection_phase::unfinished, std::chrono::steady_clock::now());
             awaitRequest();
         }
         if (!m_isRefused && !m_share.tryHold(m_parser.heldBytes())) {
@@ -359,7 +359,7 @@
     {
         const auto self = shared_from_this();
         m_isServing = false;
-        m_state->evictions.enter(m_id, connection_phase::unfinished);
+        m_state->evictions.enter(m_id, connection_phase::unfinished, std::chrono::steady_clock::now());
         m_isChunked = false;
         --m_state->inFlight;
         if (!m_exchange.keepAlive) {
@@ -373,7 +373,8 @@
     void waitForRequest()
     {
         const bool isIdle = m_socket.isDrained();
-        m_state->evictions.enter(m_id, isIdle ? connection_phase::idle : connection_phase::unfinished);
+        m_state->evictions.enter(m_id, isIdle ? connection_phase::idle : connection_phase::unfinished,
+                                 std::chrono::steady_clock::now());
         if (isIdle) {
             m_deadline.once(idleTimeout, [this] { finish(); });
         } else {
@@ -601,7 +602,7 @@
         return;
     }
     m_isServing = true;
-    m_state->evictions.enter(m_id, connection_phase::serving);
+    m_state->evictions.enter(m_id, connection_phase::serving, std::chrono::steady_clock::now());
     m_deadline.stop();
     ++m_state->inFlight;
     const auto handler = m_state->handler;
@@ -633,17 +634,30 @@
     static gboolean onConnection(gint /*listener*/, GIOCondition /*condition*/, gpointer self)
     {
         auto &owner = *static_cast<parts *>(self);
-        std::size_t accepted = 0;
-        while (accepted < acceptsPerTurn && owner.acceptNext()) {
-            ++accepted;
-        }
-        // Without a free descriptor the system says so even if no connection is pending; but one is at first.
-        if (accepted == 0 && (errno == EMFILE || errno == ENFILE)) {
-            owner.findDescriptor();
+        for (std::size_t i = 0; i < acceptsPerTurn && owner.isConnectionPending(); ++i) {
+            if (!owner.findRoom()) {
+                owner.pauseAccepting();
+                break;
+            }
+            if (!owner.acceptNext()) {
+                const bool lacksDescriptor = errno == EMFILE || errno == ENFILE;
+                if (lacksDescriptor && !owner.makeRoom()) {
+                    owner.pauseAccepting();
+                }
+                break;
+            }
         }
         return G_SOURCE_CONTINUE;
     }
 
+    /// Asked first, because no connection has to make room for none, and accept() without a free descriptor doesn't
+    /// tell.
+    bool isConnectionPending() const
+    {
+        GPollFD watched {listener, G_IO_IN, 0};
+        return g_poll(&watched, 1, 0) > 0;
+    }
+
     /// Returns false, and leaves the system's error number, if no connection could be accepted.
     bool acceptNext()
     {
@@ -651,11 +665,6 @@
         if (descriptor < 0) {
             return false;
         }
-        if (state->connections.size() >= state->limits.maxConnections && !makeRoom()) {
-            state->report(server_refusal::noRoom);
-            ::close(descriptor);
-            return true;
-        }
         const auto id = ++state->lastConnection;
         const auto connection = std::make_shared<server_connection>(id, descriptor, state);
         state->connections[id] = connection;
@@ -663,19 +672,23 @@
         return true;
     }
 
-    /// Frees a descriptor for the next connection. Without one it stays pending, and the main loop would call for it
-    /// again and again, so accepting pauses.
-    void findDescriptor()
+    /// Leaves new connections pending for a while. The main loop would call for them again and again.
+    void pauseAccepting()
     {
-        if (!makeRoom()) {
-            stopAccepting();
-            resumption.once(acceptPause, [this] { startAccepting(); });
-        }
+        stopAccepting();
+        resumption.once(acceptPause, [this] { startAccepting(); });
+    }
+
+    /// Returns true if one more connection may be open, which at the limit takes the place of another one.
+    bool findRoom()
+    {
+        return state->connections.size() < state->limits.maxConnections || makeRoom();
     }
 
+    /// Closes the connection that is to make room. Returns false if all connections are served.
     bool makeRoom()
     {
-        const auto chosen = state->evictions.first();
+        const auto chosen = state->evictions.first(std::chrono::steady_clock::now());
         if (!chosen) {
             return false;
         }
@@ -696,8 +709,6 @@
         return "no-memory";
     case server_refusal::madeRoom:
         return "made-room";
-    case server_refusal::noRoom:
-        return "no-room";
     case server_refusal::requestTimeout:
         return "request-timeout";
     case server_refusal::responseTimeout:
--- a/src/libprimrosecroft/io/http_server.h
+++ b/src/libprimrosecroft/io/http_server.h
@@ -74,7 +74,6 @@
     bodyTooLong,
     noMemory, ///< other requests use the memory for requests
     madeRoom, ///< for a new connection
-    noRoom, ///< for this one
     requestTimeout, ///< the request hasn't arrived completely in time
     responseTimeout, ///< the caller hasn't taken the response in time
 };
