Follow the linter in the server's new parts

Four findings of clang-tidy in the new files: a copied member of a move, a width, and two values used after a move by the look of it. Nothing else changes.

--- a/src/libprimrosecroft/io/request_budget.cpp
+++ b/src/libprimrosecroft/io/request_budget.cpp
@@ -23,9 +23,9 @@
 }
 
 budget_share::budget_share(budget_share &&other) noexcept
-    : m_budget(other.m_budget)
-    , m_taken(std::exchange(other.m_taken, 0))
+    : m_taken(std::exchange(other.m_taken, 0))
 {
+    m_budget = other.m_budget; // which the other one keeps for its next request
 }
 
 bool budget_share::tryHold(std::size_t heldBytes)
--- a/tests/crowds/crowd_client.cpp
+++ b/tests/crowds/crowd_client.cpp
@@ -110,7 +110,7 @@
 
 void crowd_client::receive()
 {
-    std::array<char, 16 * 1024> buffer {};
+    std::array<char, std::size_t {16} * 1024> buffer {};
     const auto count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
     if (count > 0) {
         m_tally.receivedBytes += static_cast<std::size_t>(count);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -203,7 +203,8 @@
     REQUIRE(runUntil([&daemon] { return daemon.kept.size() == 1; }));
     runFor(500ms);
     daemon.kept.front()->answer({statusOk, {}, "slow"});
-    CHECK(countOf(await(std::move(answer)), "HTTP/1.1 200 OK") == count + 2);
+    const auto received = await(std::move(answer));
+    CHECK(countOf(received, "HTTP/1.1 200 OK") == count + 2);
 }
 
 TEST_CASE("a client that doesn't take its responses gets no further ones", "[unread]")
@@ -246,7 +247,8 @@
     CHECK_FALSE(daemon.kept.front()->isDisconnected());
     daemon.kept.front()->answer({statusOk, {}, "slow"});
     daemon.kept.clear();
-    CHECK(await(std::move(answer)).starts_with("HTTP/1.1 200"));
+    const auto received = await(std::move(answer));
+    CHECK(received.starts_with("HTTP/1.1 200"));
     CHECK(await(std::async(std::launch::async, [&first] { return first->readAll(); })).ends_with("slow"));
 }
 
