Settle a loss by the boot at an address, and keep one for each worker of a gang

A stale entry of another id at the address of a silent worker was answered by that worker itself, in the boot of its run, and its end counted as proven: now the boot decides, whichever id answers. Of a gang that lost several workers in one attempt only the first was kept, so a crash of another one was forgotten when the first had only been cut off: now each is kept, the attempt still counts once, and is taken back only when all have answered.

Rows that are too large go without unsettled losses, and the latest four of a task are kept, so that their size stays bounded.

--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -47,6 +47,7 @@
                                    task.losses.unsettled};
                 if (detail == progress_detail::withoutCheckpoints) {
                     own.checkpoint.clear();
+                    own.unsettled.clear();
                 }
                 if (own != task_progress {}) {
                     progress.tasks[static_cast<std::int32_t>(taskIndex)] = std::move(own);
--- a/src/libprimrosecroft/cell/unsettled_losses.cpp
+++ b/src/libprimrosecroft/cell/unsettled_losses.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-constexpr std::size_t maxSilentWorkers = 1'000; ///< the latest ones that are remembered
-constexpr std::size_t maxUnsettledLosses = 8; ///< the latest ones of a task or gang; limits the size of its row
+constexpr std::size_t maxSilentWorkers = 10'000; ///< the latest ones that are remembered
+constexpr std::size_t maxUnsettledLosses = 4; ///< the latest ones of a task or gang; limits the size of its row
 
 /// Lets the worker's next answer settle its losses under the task.
 void awaitAnswer(cell_state &state, const task_ref &ref, const unsettled_loss &loss, instant now)
@@ -38,8 +38,23 @@
     proveLoss(losses, counted);
 }
 
+/// Another worker of a gang may also have been lost in this attempt, which then stays counted for that one.
+bool staysCounted(loss_record &losses, const unsettled_loss &loss)
+{
+    const auto other = std::ranges::find(losses.unsettled, loss.attempt, &unsettled_loss::attempt);
+    if (loss.counted != loss_count::none && other != losses.unsettled.end()) {
+        other->counted = loss.counted;
+        return true;
+    }
+    const auto known = losses.byAttempt.find(loss.attempt);
+    return known != losses.byAttempt.end() && known->second.isProven;
+}
+
 void takeBackUnsettledLoss(loss_record &losses, const unsettled_loss &loss)
 {
+    if (loss.counted == loss_count::none || staysCounted(losses, loss)) {
+        return;
+    }
     auto &counts = losses.counts;
     counts.soon -= loss.counted == loss_count::soon && counts.soon > 0 ? 1 : 0;
     counts.later -= loss.counted == loss_count::later && counts.later > 0 ? 1 : 0;
@@ -74,6 +89,7 @@
         }
         actions.emplace_back(report_loss_settled {{ref, loss.attempt}, worker, isProven, losses.counts});
     }
+    shortenPause(*view, now);
     if (isSuspectProven && isToBlame(losses.counts)) {
         giveUpTask(state, ref, *view, worker, now, actions);
     }
@@ -165,7 +181,7 @@
         }
     }
     for (const auto &id : ended) {
-        proveLosses(state, id, now, actions);
+        settleLossesOf(state, id, own.boot, now, actions); // a stale entry of another id may be of this very boot
     }
 }
 
