Hold a task back whose lost workers are neither proven nor taken back

The old logic counted both at once.

A worker that is silent and unlisted counts again among those lost later under a run that it had survived, unproven and taken back if it answers in the same boot; so trials and pauses are as they were. From three losses on that are neither proven nor taken back a task waits 10 s for its next start, twice as long for each further one, and no longer than that once one is settled. No job is given up for such losses.

--- a/src/libprimrosecroft/cell/detail/worker_loss.h
+++ b/src/libprimrosecroft/cell/detail/worker_loss.h
@@ -24,8 +24,11 @@
     silent, ///< its leases have expired unseen
 };
 
-/// Returns how long a task waits after so many losses before it starts again.
-std::chrono::milliseconds pauseAfter(const lost_workers &counts);
+/// Returns how long a task waits after such losses before it starts again.
+std::chrono::milliseconds pauseAfter(const loss_record &losses);
+
+/// Lets the task or gang start sooner, now that some of its losses are settled.
+void shortenPause(const task_view &view, instant now);
 
 /// Workers that were lost under the task or, if it is a member of one, under its gang.
 loss_record &lossesOf(const task_view &view);
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -29,6 +29,11 @@
 constexpr std::uint32_t lossesBeforePause = 2; ///< each further one keeps the task from starting for longer
 constexpr auto lossPause = 2'000ms;
 constexpr auto maxLossPause = 4'000ms;
+/// So many workers of which it isn't known whether they have ended keep a task from starting until one of them answers.
+/// A crashed worker is back after some seconds; one that isn't may be gone for good, so the task starts in the end.
+constexpr std::uint32_t unprovenBeforeHold = 3;
+constexpr auto unprovenHold = 10'000ms; ///< twice as long after each further one
+constexpr std::uint32_t maxHoldDoublings = 3;
 constexpr auto answerDelay = 20ms; ///< a worker's answer may arrive this long after it went down
 constexpr std::size_t maxRecentLosses = 1'000; ///< the latest ones that are remembered
 
@@ -250,7 +255,7 @@
 /// Keeps the task or gang from starting for a while, so that its next trial doesn't fall into the same incident.
 void pauseAfterLosses(const task_view &view, instant now)
 {
-    const auto until = now + pauseAfter(lossesOf(view).counts);
+    const auto until = now + pauseAfter(lossesOf(view));
     if (!view.spec->isGang) {
         view.task->notBefore = std::max(view.task->notBefore, until);
         return;
@@ -289,20 +294,26 @@
 }
 
 /// Keeps what the worker's next answer may tell of the unit's runs there.
+/// @p isOfOther tells that the attempt is counted for another worker of its gang.
 void keepUnsettled(cell_state &state, const worker_state &worker, const lost_unit &unit, loss_evidence evidenceIfEnded,
-                   instant now)
+                   bool isOfOther, instant now)
 {
     unsettled_loss loss;
     loss.attempt = unit.attempt;
     loss.worker = worker.description.id;
     loss.boot = worker.description.boot;
     loss.address = worker.description.address;
-    const bool isCounted = lossesOf(unit.view).byAttempt.contains(unit.attempt);
-    loss.counted = isCounted ? loss_count::soon : loss_count::none;
-    loss.isTrial = isCounted && evidenceIfEnded == loss_evidence::ofTrial;
-    loss.countsLater = !unit.isSuspect && !unit.isLong && evidenceIfEnded == loss_evidence::ofAll;
-    if (isCounted || loss.countsLater) {
+    const auto &byAttempt = lossesOf(unit.view).byAttempt;
+    const auto known = byAttempt.find(unit.attempt);
+    if (known != byAttempt.end() && !isOfOther) {
+        loss.counted = known->second.count == &lost_workers::later ? loss_count::later : loss_count::soon;
+    }
+    loss.isTrial = loss.counted == loss_count::soon && evidenceIfEnded == loss_evidence::ofTrial;
+    loss.countsLater =
+        known == byAttempt.end() && !unit.isSuspect && !unit.isLong && evidenceIfEnded == loss_evidence::ofAll;
+    if (known != byAttempt.end() || loss.countsLater) {
         keepUnsettledLoss(state, unit.ref, unit.view, loss, now);
+        pauseAfterLosses(unit.view, now);
     }
 }
 
@@ -320,12 +331,28 @@
 
 } // namespace
 
-std::chrono::milliseconds pauseAfter(const lost_workers &counts)
+std::chrono::milliseconds pauseAfter(const loss_record &losses)
 {
-    const auto losses = counts.soon + counts.later;
-    return losses <= lossesBeforePause
+    const auto lost = losses.counts.soon + losses.counts.later - (losses.isNextCounted ? 1 : 0);
+    const auto unproven = lost - std::min(lost, losses.counts.proven);
+    if (unproven >= unprovenBeforeHold) {
+        return unprovenHold * (1 << std::min(unproven - unprovenBeforeHold, maxHoldDoublings));
+    }
+    return lost <= lossesBeforePause
         ? 0ms
-        : std::min(maxLossPause, lossPause * static_cast<std::int64_t>(losses - lossesBeforePause));
+        : std::min(maxLossPause, lossPause * static_cast<std::int64_t>(lost - lossesBeforePause));
+}
+
+void shortenPause(const task_view &view, instant now)
+{
+    const auto until = now + pauseAfter(lossesOf(view));
+    if (!view.spec->isGang) {
+        view.task->notBefore = std::min(view.task->notBefore, until);
+        return;
+    }
+    for (auto &member : view.step->tasks) {
+        member.notBefore = std::min(member.notBefore, until);
+    }
 }
 
 loss_record &lossesOf(const task_view &view)
@@ -511,7 +538,9 @@
     const auto others = coincidenceOf(state, worker, time, now);
     const bool isWave = others == coincidence::wave;
     const auto evidenceIfEnded = provenEvidence(isTrial, others);
-    const auto evidence = isProven ? evidenceIfEnded : loss_evidence::ofSuspects;
+    // A missing entry makes any run there suspect, as if the worker had ended. It proves nothing.
+    const bool isLikely = how == worker_loss::unlisted && evidenceIfEnded == loss_evidence::ofAll;
+    const auto evidence = isProven || isLikely ? evidenceIfEnded : loss_evidence::ofSuspects;
     if (how != worker_loss::silent && worker.lastSignAt != instant {}) {
         rememberLoss(state, time);
     }
@@ -528,8 +557,8 @@
         }
         const bool isCountedAlready = lossesOf(unit.view).byAttempt.contains(unit.attempt);
         chargeLoss(state, worker.description.id, unit, evidence, isProven, now, actions);
-        if (!isProven && !isCountedAlready) {
-            keepUnsettled(state, worker, unit, evidenceIfEnded, now);
+        if (!isProven) {
+            keepUnsettled(state, worker, unit, evidenceIfEnded, isCountedAlready, now);
         }
     }
 }
--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -354,6 +354,17 @@
     checkCrashes(crash_cause::tasksForLong);
 }
 
+TEST_CASE("no task crashes worker after worker while these are away for three times as long", "[crashes_for_longer]")
+{
+    checkCrashes(crash_cause::tasksForLonger);
+}
+
+TEST_CASE("no task crashes worker after worker in the middle of its work while these are away for long",
+          "[crashes_late_for_long]")
+{
+    checkCrashes(crash_cause::lateTasksForLong);
+}
+
 TEST_CASE("no task crashes worker after worker while workers also crash by themselves", "[crashes_of_both]")
 {
     checkCrashes(crash_cause::tasksAndWorkers);
--- a/tests/standins/crash_schedule.cpp
+++ b/tests/standins/crash_schedule.cpp
@@ -30,8 +30,18 @@
 constexpr auto totalTimeOfCuts = 160'000ms;
 constexpr auto minLongCrash = 7'000ms;
 constexpr auto maxLongCrash = 10'000ms;
+constexpr auto minLongerCrash = 20'000ms;
+constexpr auto maxLongerCrash = 23'000ms;
+constexpr auto totalTimeForLonger = 160'000ms;
 constexpr auto cutTime = 6'200ms; ///< longer than leases, so that tasks are started again just before the next wave
 
+/// Returns whether workers that a task crashes stay away for longer than their leases and entries last.
+bool isForLong(crash_cause cause)
+{
+    return cause == crash_cause::tasksForLong || cause == crash_cause::tasksForLonger
+        || cause == crash_cause::lateTasksForLong;
+}
+
 struct crash_schedule : drawn_schedule
 {
     crash_schedule(std::uint64_t seed, crash_cause cause, disabled_rule mutation)
@@ -46,11 +56,15 @@
         settings.mutation = mutation;
         settings.seed = seed;
         settings.workers = cause == crash_cause::cutsFromStore ? fewWorkers : workerCount;
-        settings.entriesExpire = cause == crash_cause::cutsFromStore || cause == crash_cause::tasksForLong;
-        if (cause == crash_cause::tasksForLong) {
+        settings.entriesExpire = cause == crash_cause::cutsFromStore || isForLong(cause);
+        if (isForLong(cause)) {
             settings.minCrashTime = minLongCrash;
             settings.maxCrashTime = maxLongCrash;
         }
+        if (cause == crash_cause::tasksForLonger) {
+            settings.minCrashTime = minLongerCrash;
+            settings.maxCrashTime = maxLongerCrash;
+        }
         settings.faultPeriod = workEnds;
         settings.faultScale = 0.5;
         settings.maxLoadTime = 1'500ms;
@@ -226,8 +240,9 @@
                                const std::function<void(const std::string &line)> &onTrace, disabled_rule mutation)
 {
     crash_schedule drawn(seed, cause, mutation);
-    const bool hasDeadlyTasks = cause == crash_cause::tasks || cause == crash_cause::lateTasks
-        || cause == crash_cause::tasksForLong || cause == crash_cause::tasksAndWorkers;
+    const bool areLate = cause == crash_cause::lateTasks || cause == crash_cause::lateTasksForLong;
+    const bool hasDeadlyTasks =
+        areLate || isForLong(cause) || cause == crash_cause::tasks || cause == crash_cause::tasksAndWorkers;
     if (cause == crash_cause::cutsFromStore) {
         drawn.drawLongWork();
         drawn.drawSingleCuts();
@@ -235,7 +250,7 @@
     }
     drawn.drawWork();
     if (hasDeadlyTasks) {
-        drawn.drawDeadlyTasks(cause == crash_cause::lateTasks);
+        drawn.drawDeadlyTasks(areLate);
     }
     if (cause == crash_cause::none) {
         drawn.drawCutWaves();
@@ -245,7 +260,7 @@
     }
     drawn.drawOwnerChanges();
     drawn.drawDisconnections();
-    return drawn.run(totalTime, onTrace);
+    return drawn.run(cause == crash_cause::tasksForLonger ? totalTimeForLonger : totalTime, onTrace);
 }
 
 } // namespace primrosecroft
--- a/tests/standins/crash_schedule.h
+++ b/tests/standins/crash_schedule.h
@@ -20,6 +20,8 @@
     tasks, ///< each time by the same tasks, just after their start
     lateTasks, ///< likewise, in the middle of their work
     tasksForLong, ///< just after their start, and the workers are away for longer than their leases and entries last
+    tasksForLonger, ///< likewise, for three times as long
+    lateTasksForLong, ///< likewise as long as tasksForLong, in the middle of their work
     workers, ///< many workers at once, under whatever runs there
     tasksAndWorkers, ///< by tasks just after their start, and by themselves
 };
