--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+CPU_SHARE=0.12
 . "$(dirname "$0")/../standin-2/cell.sh"
-play crashes-fail 2
+play relayed-late 2
--- a/review/standin-2/review_platform.cpp
+++ b/review/standin-2/review_platform.cpp
@@ -145,8 +145,8 @@
     // --- faults
 
     /// Ends the executor's process: all that runs there is gone, and its port refuses connections. It starts again
-    /// under its id after @p downFor, or never.
-    void crash(std::size_t index, std::optional<milliseconds> downFor)
+    /// under its id after @p downFor, or never. If not @p registersAtOnce, it writes its entry at its next heartbeat.
+    void crash(std::size_t index, std::optional<milliseconds> downFor, bool registersAtOnce = true)
     {
         auto &target = *executors.at(index);
         note("DISRUPTION executor " + idOf(index) + " crashes with "
@@ -160,7 +160,9 @@
             target.emulator.reboot(timeOfDay().count());
             target.isGone = false;
             listenAt(index);
-            writeEntry(target);
+            if (registersAtOnce) {
+                writeEntry(target);
+            }
             note("executor " + idOf(index) + " is back");
         }
     }
@@ -184,6 +186,12 @@
         logEnds();
     }
 
+    void signal(std::size_t index, int number, const std::string &what)
+    {
+        note("DISRUPTION " + what + " the daemon at " + daemons.at(index).ip);
+        ::kill(daemons.at(index).process, number);
+    }
+
     /// SIGKILL to the daemon that owns the shard.
     void killOwner()
     {
@@ -441,6 +449,7 @@
     std::string network;
     std::vector<cell_process> daemons;
     std::vector<std::unique_ptr<executor>> executors;
+    std::optional<std::pair<std::size_t, run_id>> lastStop; ///< the latest stop order that an executor has obeyed
 
 private:
     static json route(const std::string &name, int priority, int attempts, double stretch, int target)
@@ -496,6 +505,7 @@
         };
         hooks.stopped = [this, index](const run_id &run, row_version) {
             note("stop of " + textOf(run) + " on " + idOf(index));
+            lastStop = {index, run};
         };
         hooks.answer = [](const std::shared_ptr<http_request> &order, const http_response &answer) {
             order->answer(answer);
