--- a/review/standin-2/review_platform.cpp
+++ b/review/standin-2/review_platform.cpp
@@ -107,6 +107,10 @@
             description.labels = {label, "r1-" + std::to_string(1 + (number - 1) / 8)};
             description.capacity = size;
             executors.push_back(std::make_unique<executor>(executor {executor_emulator(description, 1.0), {}, false, {}, {}}));
+            executors.back()->emulator.isGangPresent = [this](const run_id &run) {
+                const auto size = m_gangSizes.find(run.task.job);
+                return size != m_gangSizes.end() && membersOf(run.task.job, run.attempt).size() >= size->second;
+            };
         }
     }
 
@@ -492,14 +496,20 @@
             task_behaviour behaviour;
             behaviour.startUp = 300ms;
             behaviour.isService = spec.find("lasts") != std::string::npos;
+            if (const auto at = spec.find("gang="); at != std::string::npos) {
+                behaviour.gang = static_cast<std::uint32_t>(std::stoi(spec.substr(at + 5)));
+            }
             if (const auto at = spec.find("work="); at != std::string::npos) {
                 behaviour.work = milliseconds(std::stoi(spec.substr(at + 5)));
             }
             return behaviour;
         };
-        hooks.started = [this, index](const run_id &run, row_version, bool isNew, const std::string &) {
+        hooks.started = [this, index](const run_id &run, row_version, bool isNew, const std::string &spec) {
             if (isNew) {
                 m_started.insert(run.task.job);
+                if (const auto at = spec.find("gang="); at != std::string::npos) {
+                    m_gangSizes[run.task.job] = std::stoul(spec.substr(at + 5));
+                }
                 note("start of " + textOf(run) + " on " + idOf(index));
             }
         };
@@ -523,6 +533,8 @@
             if (!each->isGone) {
                 each->emulator.advance(elapsed);
             }
+        }
+        for (const auto &each : executors) {
             if (each->removedAt != instant {} && each->removedAt <= now && !each->isGone) {
                 note("executor " + each->emulator.description().id + " has left");
                 each->isGone = true;
@@ -538,9 +550,40 @@
             }
         }
         logEnds();
+        endBrokenGangs();
+        logEnds();
         m_calls.serve(now);
     }
 
+    /// The present members of the gang in an attempt.
+    std::vector<std::pair<std::size_t, run_id>> membersOf(const std::string &job, std::uint32_t attempt) const
+    {
+        auto result = runsOf(job);
+        std::erase_if(result, [attempt](const auto &each) { return each.second.attempt != attempt; });
+        return result;
+    }
+
+    /// Once all members of a gang have been present, the others end `broken` when one is gone.
+    void endBrokenGangs()
+    {
+        for (const auto &[job, size] : m_gangSizes) {
+            std::set<std::uint32_t> attempts;
+            for (const auto &each : runsOf(job)) {
+                attempts.insert(each.second.attempt);
+            }
+            for (const auto attempt : attempts) {
+                const auto members = membersOf(job, attempt);
+                if (members.size() >= size) {
+                    m_completeGangs.insert({job, attempt});
+                } else if (m_completeGangs.contains({job, attempt}) && !m_doneGangs.contains({job, attempt})) {
+                    for (const auto &[at, run] : members) {
+                        executors[at]->emulator.end(run, run_end::gangBroken);
+                    }
+                }
+            }
+        }
+    }
+
     void logEnds()
     {
         static constexpr std::array names {"done", "failed", "stopped", "lapsed", "broken", "alone"};
@@ -550,6 +593,9 @@
                 const auto &end = ends[next].end;
                 note("end of " + textOf(end.run) + " on " + idOf(i) + ": " + names.at(static_cast<std::size_t>(end.how)));
                 m_failedEnds[end.run.task.job] += end.how == run_end::failed ? 1 : 0;
+                if (end.how == run_end::done) {
+                    m_doneGangs.insert({end.run.task.job, end.run.attempt});
+                }
             }
         }
     }
@@ -591,6 +637,9 @@
     std::map<std::size_t, std::size_t> m_endsSeen;
     std::map<std::string, int> m_failedEnds;
     std::set<std::string> m_started; ///< jobs
+    std::map<std::string, std::size_t> m_gangSizes; ///< by job
+    std::set<std::pair<std::string, std::uint32_t>> m_completeGangs; ///< job and attempt of which all members were present
+    std::set<std::pair<std::string, std::uint32_t>> m_doneGangs; ///< job and attempt
     std::int64_t m_entries = 0;
     std::size_t m_nextDaemon = 0;
 };
