--- a/review/standin-2/review_platform.cpp
+++ b/review/standin-2/review_platform.cpp
@@ -453,7 +453,7 @@
     std::string network;
     std::vector<cell_process> daemons;
     std::vector<std::unique_ptr<executor>> executors;
-    std::optional<std::pair<std::size_t, run_id>> lastStop; ///< the latest stop order that an executor has obeyed
+    std::map<std::string, std::size_t> lastStopAt; ///< the executor of the latest stop order that was obeyed, by job
 
 private:
     static json route(const std::string &name, int priority, int attempts, double stretch, int target)
@@ -515,7 +515,7 @@
         };
         hooks.stopped = [this, index](const run_id &run, row_version) {
             note("stop of " + textOf(run) + " on " + idOf(index));
-            lastStop = {index, run};
+            lastStopAt[run.task.job] = index;
         };
         hooks.answer = [](const std::shared_ptr<http_request> &order, const http_response &answer) {
             order->answer(answer);
