Review: the stand-in is built in target, as all that is built

A build folder in review/ holds files that name paths of the machine, though git ignores them. The scripts look for the stand-in there; nothing else of them changes.

--- a/review/standin-2/cell.sh
+++ b/review/standin-2/cell.sh
@@ -14,7 +14,7 @@
         *) net=127.$((216 + RANDOM % 30)) ;;
     esac
     cd "$root" || exit 2
-    [ -x review/build-2-out/review-platform ] || { echo "run review/build-2.sh first" >&2; exit 2; }
+    [ -x target/review-2/review-platform ] || { echo "run review/build-2.sh first" >&2; exit 2; }
     : >"$here/record.txt"
     # shellcheck disable=SC2064
     trap 'for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done; sleep 0.3; for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$work"' EXIT
@@ -32,7 +32,7 @@
         pids+=($!)
         arguments+=("$net.1.$number=$!")
     done
-    timeout 115 review/build-2-out/review-platform "$net" "$here/record.txt" "$scenario" "${TROUBLE:-1}" "${arguments[@]}"
+    timeout 115 target/review-2/review-platform "$net" "$here/record.txt" "$scenario" "${TROUBLE:-1}" "${arguments[@]}"
     status=$?
     [ "${KEEP_LOGS:-}" = "" ] || cp "$work"/*.log "$KEEP_LOGS"/
     case $status in 0|1) exit "$status" ;; *) exit 2 ;; esac
