Log the trials of tasks that may crash their workers

The log told when a worker was lost under a task, but not that a later start was a trial, that a next owner had taken a run for one, or that a trial had ended, so that a task which waits for a trial left no line. Each of the three is now a line and counts in primrosecroft_trials.

--- a/src/libprimrosecroft/cell/cell_messages.h
+++ b/src/libprimrosecroft/cell/cell_messages.h
@@ -383,6 +383,23 @@
     lost_workers counts;
 };
 
+enum class trial_event
+{
+    begun, ///< a suspect has started where no other run could be why its worker is lost
+    adopted, ///< a run that was found on its worker is one of a suspect
+    survived, ///< the worker has answered long enough after the start
+};
+
+/// A trial of a task that may crash its workers. While it lasts, its worker takes no other start, and no other suspect
+/// of its step starts.
+struct report_trial
+{
+    run_id run;
+    worker_id worker;
+    trial_event event = trial_event::begun;
+    lost_workers counts; ///< after the event
+};
+
 /// It is known what became of a worker whose leases had expired unseen under this run.
 struct report_loss_settled
 {
@@ -430,7 +447,7 @@
 using cell_action =
     std::variant<send_start, send_stop, send_list, ask_advice, commit_rows, report_placed, report_unanswered_start,
                  report_doubted_run, report_gang_stopped, report_ended, report_second_run, report_job_end,
-                 report_worker_change, report_worker_loss, report_suspect, report_loss_settled, report_given_up,
-                 report_job_size, report_limit_reached, report_fenced>;
+                 report_worker_change, report_worker_loss, report_suspect, report_trial, report_loss_settled,
+                 report_given_up, report_job_size, report_limit_reached, report_fenced>;
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/cell/detail/worker_loss.h
+++ b/src/libprimrosecroft/cell/detail/worker_loss.h
@@ -74,10 +74,10 @@
 std::chrono::milliseconds timeToTrialEnd(const worker_state &worker, instant now);
 
 /// Makes a run a trial that was found on the worker, if its task is a suspect.
-void adoptTrial(worker_state &worker, const run_id &id, const task_view &view, task_run &run);
+void adoptTrial(worker_state &worker, const run_id &id, const task_view &view, task_run &run, cell_actions &actions);
 
 /// Called after an answer of the worker. Ends its trial if it has survived it: the task is no suspect any more.
-void endSurvivedTrial(cell_state &state, worker_state &worker);
+void endSurvivedTrial(cell_state &state, worker_state &worker, cell_actions &actions);
 
 /// Counts the loss of a worker for the tasks that ran there, before their runs are dropped. Fails the jobs of those
 /// that are to blame.
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -70,14 +70,16 @@
 }
 
 /// Makes the latest run of the task a trial, which keeps other starts away from its worker.
-void beginTrial(usable_workers &usable, const waiting_step &waiting, std::int32_t index)
+void beginTrial(usable_workers &usable, const waiting_step &waiting, std::int32_t index, cell_actions &actions)
 {
-    auto &run = waiting.step->tasks[static_cast<std::size_t>(index)].runs.back();
+    auto &task = waiting.step->tasks[static_cast<std::size_t>(index)];
+    auto &run = task.runs.back();
     run.isTrial = true;
     const auto position = *usable.find(run.worker);
-    usable.at(position).worker->trial =
-        run_id {{waiting.job->accepted.id, waiting.occurrenceNumber, waiting.index, index}, run.attempt};
+    const run_id id {{waiting.job->accepted.id, waiting.occurrenceNumber, waiting.index, index}, run.attempt};
+    usable.at(position).worker->trial = id;
     usable.refresh(position);
+    actions.emplace_back(report_trial {id, run.worker, trial_event::begun, lossesOf(viewOf(waiting, task)).counts});
 }
 
 bool mayStart(const waiting_step &waiting, const task_state &task, instant now)
@@ -193,7 +195,7 @@
         updateAfterStart(policy, usable, waiting, options, *target);
     }
     for (std::size_t index = 0; isTrial && index < step.tasks.size(); ++index) {
-        beginTrial(usable, waiting, static_cast<std::int32_t>(index));
+        beginTrial(usable, waiting, static_cast<std::int32_t>(index), actions);
     }
     step.pendingTasks.clear();
 }
@@ -236,7 +238,7 @@
         startTask(state, waiting, index, task.lastAttempt + 1, *usable.at(target->worker).worker, now, actions);
         --startable;
         if (isTrial) {
-            beginTrial(usable, waiting, index);
+            beginTrial(usable, waiting, index, actions);
         }
         updateAfterStart(policy, usable, waiting, options, *target);
     }
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -205,7 +205,7 @@
     view->step->gangAttempt = std::max(view->step->gangAttempt, run.attempt);
     view->task->runs.push_back(run);
     noteStart(worker, now);
-    adoptTrial(worker, listed.run, *view, view->task->runs.back());
+    adoptTrial(worker, listed.run, *view, view->task->runs.back(), actions);
     view->job->hasStarted = true;
     std::erase(view->step->pendingTasks, listed.run.task.index);
     actions.emplace_back(report_placed {listed.run, worker.description.id, 0ms});
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -476,7 +476,7 @@
     return std::max(0ms, std::chrono::ceil<std::chrono::milliseconds>(worker.lastStartAt + trialTime - now));
 }
 
-void adoptTrial(worker_state &worker, const run_id &id, const task_view &view, task_run &run)
+void adoptTrial(worker_state &worker, const run_id &id, const task_view &view, task_run &run, cell_actions &actions)
 {
     auto &losses = lossesOf(view);
     if (losses.counts.soon == 0) {
@@ -486,9 +486,10 @@
     run.isCounted = true;
     run.isTrial = true;
     worker.trial = id;
+    actions.emplace_back(report_trial {id, worker.description.id, trial_event::adopted, losses.counts});
 }
 
-void endSurvivedTrial(cell_state &state, worker_state &worker)
+void endSurvivedTrial(cell_state &state, worker_state &worker, cell_actions &actions)
 {
     if (!isInTrial(worker)) {
         return;
@@ -498,7 +499,7 @@
     if (run == nullptr || !isSurvived(worker, *run, lossesOf(*view))) {
         return;
     }
-    worker.trial.reset();
+    const auto id = *std::exchange(worker.trial, std::nullopt);
     view->step->hasPassedTrial = true;
     if (!view->spec->isGang) { // the workers of its other members may not have survived them yet
         auto &losses = view->task->losses;
@@ -516,6 +517,7 @@
         losses.isNextCounted = false;
         run->isCounted = false;
     }
+    actions.emplace_back(report_trial {id, worker.description.id, trial_event::survived, lossesOf(*view).counts});
 }
 
 void recordWorkerLoss(cell_state &state, worker_state &worker, worker_loss how, instant now, cell_actions &actions)
--- a/src/libprimrosecroft/owner_session/cell_log.cpp
+++ b/src/libprimrosecroft/owner_session/cell_log.cpp
@@ -2,6 +2,7 @@
 
 #include "durations/duration_report.h"
 
+#include <array>
 #include <cmath>
 #include <string>
 
@@ -189,6 +190,22 @@
                  {"proven", std::to_string(report.counts.proven)}});
 }
 
+void cell_log::write(const report_trial &report)
+{
+    static constexpr std::array events {"begun", "adopted", "survived"};
+    const auto *event = events.at(static_cast<std::size_t>(report.event));
+    m_measures.count("primrosecroft_trials", "event", event);
+    m_log.write("cell", "trial",
+                {{"task", toString(report.run.task)},
+                 {"attempt", std::to_string(report.run.attempt)},
+                 {"worker", report.worker},
+                 {"event", event},
+                 {"soon", std::to_string(report.counts.soon)},
+                 {"alone", std::to_string(report.counts.alone)},
+                 {"later", std::to_string(report.counts.later)},
+                 {"proven", std::to_string(report.counts.proven)}});
+}
+
 void cell_log::write(const report_loss_settled &report)
 {
     const auto *outcome = report.isProven ? "proven" : "taken-back";
--- a/src/libprimrosecroft/owner_session/cell_log.h
+++ b/src/libprimrosecroft/owner_session/cell_log.h
@@ -23,6 +23,7 @@
     void write(const report_worker_change &report);
     void write(const report_worker_loss &report);
     void write(const report_suspect &report);
+    void write(const report_trial &report);
     void write(const report_loss_settled &report);
     void write(const report_given_up &report);
     void write(const report_job_size &report);
