End each trial that a next owner takes over, and store what a trial settles

What callers saw: three jobs of two lasting tasks each. Their executor crashes just after it has begun them, the owner is stopped 6 s later, and a task of each job fails another 10 s on: those of two jobs were never started again, beside nearly empty executors.

The end of a survived trial changed the counts in memory and left the job as saved, so the next owner read soon=2 for runs that the former one had seen survive. And it took each such run for a trial, while a worker remembered one run on trial: of several on a worker only the last could end, and the other suspects of a step wait for its trial.

The invariant is that a trial ends: once its worker has answered long enough, for each run on trial there, and for the next owner too. A worker now holds a set of runs on trial, the run's own mark goes with the trial's end, and the end marks the job as unsaved. The same for gangs of which a worker runs several members, for tasks that don't last, and for a start that was counted ahead though it was no trial: its end by itself wasn't stored either.

Tests in worker_loss, all failing on the logic before: each trial that a next owner takes over ends (lasting and not: 0 of 3 tasks restarted), a next owner finds stored what a survived trial has settled, and that a counted start has ended by itself. A fourth, of gangs, held before.

--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -84,7 +84,8 @@
     bool isCounted = false; ///< counted ahead among the workers lost under its task, which may crash them
     /// Count in which the loss of its worker, which refuses connections, is counted ahead; nullptr if it isn't.
     std::uint32_t lost_workers::*refusalCount = nullptr;
-    bool isTrial = false; ///< it also started where no other run could be why its worker is lost
+    /// Its worker hasn't survived it yet, and it also started where no other run could be why its worker is lost.
+    bool isTrial = false;
 };
 
 /// A lost worker under a task or a gang, while this owner remembers for which attempt it is counted.
@@ -265,7 +266,8 @@
     instant lastSignAt; ///< when the last list of this boot arrived
     instant lastAnswerAt; ///< when it last accepted a start in this boot; zero if it hasn't
     instant lastStartAt; ///< a run there began at this time or earlier; zero if none is known
-    std::optional<run_id> trial; ///< run that started alone there
+    /// Runs on trial there. Two or more are members of a gang, or were found there at a take-over.
+    std::set<run_id> trials;
     instant nextListAt; ///< no list is requested before this time
     std::int64_t processedEnd = 0; ///< number of the last end that was processed; 0 for none in this boot
     std::int64_t acknowledgedEnd = 0; ///< ends up to this number are stored, so the worker may forget them
--- a/src/libprimrosecroft/cell/detail/worker_loss.h
+++ b/src/libprimrosecroft/cell/detail/worker_loss.h
@@ -55,8 +55,9 @@
 /// Called when the worker answers again in the same boot: the loss that its refusal stood for wasn't one.
 void takeBackRefusals(cell_state &state, worker_state &worker);
 
-/// Called when a run has ended or was refused while its worker is up. Takes the run out of the counts.
-void uncountRun(const task_view &view, task_run &run);
+/// Called when a run has ended or was refused while its worker is up. Takes the run out of the counts,
+/// also for a later owner.
+void uncountRun(cell_state &state, const task_view &view, task_run &run);
 
 /// Returns whether the task's next trial has to be on a worker where nothing else runs.
 bool needsIsolation(const step_state &step, const task_state &task, bool isGang);
@@ -76,8 +77,9 @@
 /// Makes a run a trial that was found on the worker, if its task is a suspect.
 void adoptTrial(worker_state &worker, const run_id &id, const task_view &view, task_run &run, cell_actions &actions);
 
-/// Called after an answer of the worker. Ends its trial if it has survived it: the task is no suspect any more.
-void endSurvivedTrial(cell_state &state, worker_state &worker, cell_actions &actions);
+/// Called after an answer of the worker. Ends the trials there that it has survived: their tasks are no suspects any
+/// more, also for a later owner.
+void endSurvivedTrials(cell_state &state, worker_state &worker, cell_actions &actions);
 
 /// Counts the loss of a worker for the tasks that ran there, before their runs are dropped. Fails the jobs of those
 /// that are to blame.
--- a/src/libprimrosecroft/cell/leases.cpp
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -185,7 +185,7 @@
         }
     }
     handleListedRuns(state, worker, message, now, actions);
-    endSurvivedTrial(state, worker, actions);
+    endSurvivedTrials(state, worker, actions);
 }
 
 void requestLists(cell_state &state, instant now, cell_actions &actions)
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -77,7 +77,7 @@
     run.isTrial = true;
     const auto position = *usable.find(run.worker);
     const run_id id {{waiting.job->accepted.id, waiting.occurrenceNumber, waiting.index, index}, run.attempt};
-    usable.at(position).worker->trial = id;
+    usable.at(position).worker->trials.insert(id);
     usable.refresh(position);
     actions.emplace_back(report_trial {id, run.worker, trial_event::begun, lossesOf(viewOf(waiting, task)).counts});
 }
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -42,9 +42,7 @@
         removeRun(state.usage, held.workspace, countedSize(held));
         worker.reservations.erase(found);
     }
-    if (worker.trial == run) {
-        worker.trial.reset();
-    }
+    worker.trials.erase(run);
 }
 
 void removeRun(task_state &task, const worker_id &worker, std::uint32_t attempt)
@@ -84,7 +82,7 @@
     if (const auto view = findTask(state, run.task)) {
         auto *known = findRun(*view->task, worker.description.id, run.attempt);
         if (known != nullptr && loss == run_loss::none) {
-            uncountRun(*view, *known);
+            uncountRun(state, *view, *known);
         } else if (known != nullptr) {
             learnFrom(state, worker, *view, *known, run_end::lapsed, now);
         }
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -214,6 +214,25 @@
     dropLaterLosses(losses);
 }
 
+/// A worker has survived the task, so it is no suspect any more. It may still crash one later if the trial was a short
+/// one.
+void settleBySurvival(const task_view &view, task_run &run)
+{
+    auto &losses = view.task->losses;
+    const auto refusals = refusalsOf(view);
+    const auto unexplained = losses.counts.soon - (losses.isNextCounted ? 1 : 0) - refusals.soon;
+    const auto later = needsLongTrial(losses) ? refusals.later : losses.counts.later + unexplained;
+    if (needsLongTrial(losses)) {
+        losses.unsettled.clear();
+    } else {
+        recountAsLater(losses);
+    }
+    losses.counts = {refusals.soon, 0, later, std::min(losses.counts.proven, later)};
+    losses.byAttempt.clear();
+    losses.isNextCounted = false;
+    run.isCounted = false;
+}
+
 void countLoss(const lost_unit &unit, loss_evidence evidence, bool isProven)
 {
     auto &losses = lossesOf(unit.view);
@@ -431,13 +450,17 @@
     }
 }
 
-void uncountRun(const task_view &view, task_run &run)
+void uncountRun(cell_state &state, const task_view &view, task_run &run)
 {
-    auto &losses = lossesOf(view);
+    if (run.refusalCount == nullptr && !run.isCounted) {
+        return;
+    }
+    markUnsaved(state, *view.job);
     uncountRefusal(view, run);
     if (!run.isCounted) {
         return;
     }
+    auto &losses = lossesOf(view);
     losses.counts.soon -= losses.isNextCounted ? 1 : 0;
     losses.isNextCounted = false;
     run.isCounted = false;
@@ -465,7 +488,7 @@
 
 bool isInTrial(const worker_state &worker)
 {
-    return worker.trial && worker.reservations.contains(*worker.trial);
+    return !worker.trials.empty();
 }
 
 std::chrono::milliseconds timeToTrialEnd(const worker_state &worker, instant now)
@@ -485,39 +508,27 @@
     losses.isNextCounted = true;
     run.isCounted = true;
     run.isTrial = true;
-    worker.trial = id;
+    worker.trials.insert(id);
     actions.emplace_back(report_trial {id, worker.description.id, trial_event::adopted, losses.counts});
 }
 
-void endSurvivedTrial(cell_state &state, worker_state &worker, cell_actions &actions)
+void endSurvivedTrials(cell_state &state, worker_state &worker, cell_actions &actions)
 {
-    if (!isInTrial(worker)) {
-        return;
-    }
-    const auto view = findTask(state, worker.trial->task);
-    auto *run = view ? findRun(*view->task, worker.description.id, worker.trial->attempt) : nullptr;
-    if (run == nullptr || !isSurvived(worker, *run, lossesOf(*view))) {
-        return;
-    }
-    const auto id = *std::exchange(worker.trial, std::nullopt);
-    view->step->hasPassedTrial = true;
-    if (!view->spec->isGang) { // the workers of its other members may not have survived them yet
-        auto &losses = view->task->losses;
-        // It may still crash a worker later, if this trial was a short one.
-        const auto refusals = refusalsOf(*view);
-        const auto unexplained = losses.counts.soon - (losses.isNextCounted ? 1 : 0) - refusals.soon;
-        const auto later = needsLongTrial(losses) ? refusals.later : losses.counts.later + unexplained;
-        if (needsLongTrial(losses)) {
-            losses.unsettled.clear();
-        } else {
-            recountAsLater(losses);
+    for (const auto &id : std::set(worker.trials)) {
+        const auto view = findTask(state, id.task);
+        auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
+        if (run == nullptr || !isSurvived(worker, *run, lossesOf(*view))) {
+            continue;
         }
-        losses.counts = {refusals.soon, 0, later, std::min(losses.counts.proven, later)};
-        losses.byAttempt.clear();
-        losses.isNextCounted = false;
-        run->isCounted = false;
+        worker.trials.erase(id);
+        run->isTrial = false;
+        view->step->hasPassedTrial = true;
+        if (!view->spec->isGang) { // the workers of its other members may not have survived them yet
+            settleBySurvival(*view, *run);
+            markUnsaved(state, *view->job);
+        }
+        actions.emplace_back(report_trial {id, worker.description.id, trial_event::survived, lossesOf(*view).counts});
     }
-    actions.emplace_back(report_trial {id, worker.description.id, trial_event::survived, lossesOf(*view).counts});
 }
 
 void recordWorkerLoss(cell_state &state, worker_state &worker, worker_loss how, instant now, cell_actions &actions)
--- a/src/libprimrosecroft/cell/workers.cpp
+++ b/src/libprimrosecroft/cell/workers.cpp
@@ -27,9 +27,6 @@
     worker.lastSignAt = {};
     worker.lastAnswerAt = {};
     worker.lastStartAt = worker.reservations.empty() ? instant {} : now;
-    if (!isInTrial(worker)) {
-        worker.trial.reset();
-    }
     worker.processedEnd = 0;
     worker.acknowledgedEnd = 0;
 }
--- a/tests/unit/worker_loss_test.cpp
+++ b/tests/unit/worker_loss_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <ranges>
+#include <utility>
 
 /// Tasks that may be why their workers crash: how they are told apart from those beside them, and given up.
 using namespace primrosecroft;
@@ -341,3 +342,112 @@
     }
     CHECK_FALSE(cell.hasFailed("job"));
 }
+
+namespace
+{
+
+/// A step of @p count small tasks that last.
+step_spec makeService(std::int32_t count)
+{
+    auto step = crashing_cell::makeStep(count);
+    step.isService = true;
+    return step;
+}
+
+/// Adds a job to a new owner, whose rows say that a worker was lost soon after the start of each of its @p count tasks,
+/// and that the next start of each is under way.
+void addSuspects(crashing_cell &cell, const job_id &id, const step_spec &spec)
+{
+    job_progress progress;
+    for (std::int32_t index = 0; index < spec.count; ++index) {
+        progress.open[0].steps[0].tasks[index].lost = {2, 0, 0, 1};
+    }
+    step(cell.cell.state, job_arrived {owned_cell::makeJob(id, {spec}), progress, 11, false}, cell.cell.now,
+         cell.cell.actions);
+}
+
+listed_run listedRun(const job_id &job, std::int32_t index, std::int32_t percent)
+{
+    return {{{job, 0, 0, index}, 2}, "", percent, 0};
+}
+
+/// The runs of a worker end at this moment through their own fault, numbered from 1.
+std::vector<listed_end> failuresOf(const std::vector<listed_run> &runs)
+{
+    std::vector<listed_end> result;
+    for (const auto &each : runs) {
+        result.push_back({std::ssize(result) + 1, each.run, run_end::failed, ""});
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against LOST: tasks that last waited for ever for a trial that a next owner had taken over and forgotten.
+TEST_CASE("each trial that a next owner takes over ends, also where one worker runs several")
+{
+    const bool isService = GENERATE(true, false);
+    crashing_cell cell({"a", "b"});
+    for (const auto *id : {"one", "two", "three"}) {
+        addSuspects(cell, id, isService ? makeService(2) : crashing_cell::makeStep(2));
+        for (std::int32_t index = 0; index < 2; ++index) {
+            cell.running["a"].push_back(listedRun(id, index, isService ? 100 : 10));
+        }
+    }
+    cell.advanceAndList(50ms);
+    cell.advanceAndList(500ms);
+    cell.cell.runSchedulingPass();
+    cell.cell.confirmCommit();
+    CHECK(cell.losses("one").stored.soon == 0);
+    auto &running = cell.running["a"];
+    const std::vector<listed_run> failed {running[0], running[2], running[4]};
+    std::erase_if(running, [](const listed_run &each) { return each.run.task.index == 0; });
+    cell.cell.answerList("a", running, failuresOf(failed));
+    cell.advanceAndList(1s);
+    CHECK(cell.startPending().size() == 3);
+}
+
+// Guards against LOST: a next owner read a loss that a trial had settled, and took all runs of the job for suspects.
+TEST_CASE("a next owner finds stored what a survived trial has settled")
+{
+    crashing_cell cell({"a", "b"});
+    cell.cell.addJob(owned_cell::makeJob("job", {makeService(1)}));
+    cell.crash(cell.startPending().front().worker);
+    REQUIRE(cell.startPending().size() == 1);
+    REQUIRE(cell.losses("job").stored.soon == 2);
+    cell.advanceAndList(500ms);
+    cell.cell.runSchedulingPass();
+    cell.cell.confirmCommit();
+    CHECK(cell.losses("job").stored == lost_workers {0, 0, 1, 1});
+}
+
+// Guards against the same for a start that was counted ahead though it was no trial.
+TEST_CASE("a next owner finds stored that a counted start has ended by itself")
+{
+    crashing_cell cell({"a", "b"});
+    cell.cell.addJob(owned_cell::makeJob("job", {makeService(1)}));
+    cell.crash(cell.startPending().front().worker);
+    const auto starts = cell.startPending();
+    REQUIRE(starts.size() == 1);
+    const auto worker = starts.front().worker;
+    cell.cell.answerList(worker, {}, failuresOf(std::exchange(cell.running[worker], {})), cell.boots[worker]);
+    cell.cell.runSchedulingPass();
+    cell.cell.confirmCommit();
+    CHECK(cell.losses("job").stored == lost_workers {1, 0, 0, 1});
+}
+
+// Guards against a worker that takes no start for ever, or the next start too early, beside a gang on trial.
+TEST_CASE("a worker on which a gang is on trial takes other starts once it has survived all its members there")
+{
+    crashing_cell cell({"a"});
+    auto gang = crashing_cell::makeStep(2);
+    gang.isGang = true;
+    cell.cell.addJob(owned_cell::makeJob("gang", {gang}));
+    cell.startPending();
+    cell.crash("a");
+    REQUIRE(cell.startPending().size() == 2);
+    cell.cell.addJob(owned_cell::makeJob("other", {crashing_cell::makeStep(1)}));
+    CHECK(cell.startPending().empty());
+    cell.advanceAndList(500ms);
+    CHECK(cell.startPending().size() == 1);
+}
