Don't send a request after its timeout, however late the main loop is

A process that stands still while a request waits for a connection, or for one to come up, may get to send it when it wakes: the event of the connection can come before the timer of the timeout. Its caller, or the owner behind it, counts the call as lost by then and has the worker refuse it, which a worker that has restarted since doesn't know.

Now a socket discards bytes of which the kernel has taken none by a limit, and the HTTP client sets the timeout as that limit for each request. What remains is a stop between the check and the system call right after it.

Test in http_client: a call that waits behind another one while the main loop is late by twice its timeout. Before, its peer got both requests.

--- a/src/libprimrosecroft/io/http_client.cpp
+++ b/src/libprimrosecroft/io/http_client.cpp
@@ -308,6 +308,9 @@
         http_parser_init(&connection.parser, HTTP_RESPONSE);
         connection.parser.data = this;
         connection.socket.setReading(true);
+        // A process that stood still may get here, or see the connection come up, after the timeout and before its
+        // timer.
+        connection.socket.setSendLimit(m_startedAt + m_timeout);
         connection.socket.write(m_request);
     }
 
--- a/src/libprimrosecroft/io/http_client.h
+++ b/src/libprimrosecroft/io/http_client.h
@@ -20,7 +20,8 @@
     http_headers headers;
     std::string body;
     std::string contentType = "application/json";
-    std::chrono::milliseconds timeout {2'000}; ///< for the whole response to arrive, unless maxTransferTime is set
+    /// For the whole response to arrive, unless maxTransferTime is set. The request isn't sent after that time.
+    std::chrono::milliseconds timeout {2'000};
 
     /// Uses a new connection for this request only, even if the host has connectionsPerHost already. The peer may close
     /// a reused connection just as the request is sent, and then it is unknown whether the request was carried out.
--- a/src/libprimrosecroft/io/tcp_socket.cpp
+++ b/src/libprimrosecroft/io/tcp_socket.cpp
@@ -1,5 +1,6 @@
 #include "io/tcp_socket.h"
 
+#include "core/clock.h"
 #include "core/error.h"
 
 #include <algorithm>
@@ -110,8 +111,17 @@
     updateWatch();
 }
 
+void tcp_socket::setSendLimit(instant limit)
+{
+    m_sendLimit = limit;
+}
+
 void tcp_socket::flush()
 {
+    if (m_sendLimit && m_written == 0 && bootNow() >= *m_sendLimit) {
+        m_queued = {};
+        return;
+    }
     while (!isDrained()) {
         const auto count = send(m_descriptor, m_queued.data() + m_written, m_queued.size() - m_written, MSG_NOSIGNAL);
         if (count < 0) {
--- a/src/libprimrosecroft/io/tcp_socket.h
+++ b/src/libprimrosecroft/io/tcp_socket.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "core/types.h"
+
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,6 +38,9 @@
     /// Queues bytes and never blocks. A failure is reported by `failed`, from the main loop.
     void write(std::string_view bytes);
 
+    /// Bytes that are queued now or later are discarded if the kernel has taken none of them by @p limit.
+    void setSendLimit(instant limit);
+
     /// Enables or disables reading. While it is disabled, flow control slows the peer down.
     void setReading(bool wanted);
 
@@ -76,6 +82,7 @@
     bool m_isReading = true;
     bool m_hasEnded = false;
     bool m_hasSent = false;
+    std::optional<instant> m_sendLimit;
     int m_sendFault = 0; ///< error number of a send that failed; 0 for none
     std::size_t m_written = 0; ///< bytes of m_queued that the kernel has taken
     std::string m_queued;
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -136,3 +136,32 @@
     CHECK(std::holds_alternative<http_response>(callAndWait(http, peer.port())));
     CHECK(connections == 1);
 }
+
+// Guards against TWICE: an order that a process sends after it stood still, though its time is up.
+TEST_CASE("a call that has waited for a connection isn't sent after its timeout, also if the main loop is late")
+{
+    std::atomic<int> requests = 0;
+    loopback::scripted_peer peer([&requests](loopback::raw_connection &connection, int) {
+        while (!connection.readRequest().empty()) {
+            ++requests;
+            std::this_thread::sleep_for(timeout / 2);
+            connection.write(emptyResponse);
+        }
+    });
+    http_client http(1);
+    http_call call;
+    call.url = "http://127.0.0.1:" + std::to_string(peer.port()) + "/";
+    call.timeout = 10 * timeout;
+    std::optional<http_outcome> first;
+    std::optional<http_outcome> second;
+    http.call(call, [&first](const http_outcome &outcome) { first = outcome; });
+    call.timeout = timeout / 2;
+    http.call(call, [&second](const http_outcome &outcome) { second = outcome; });
+    loopback::runUntil([&requests] { return requests == 1; });
+    std::this_thread::sleep_for(timeout);
+    loopback::runUntil([&] { return first && second; });
+    CHECK(std::holds_alternative<http_response>(*first));
+    REQUIRE(std::holds_alternative<http_failure>(*second));
+    std::this_thread::sleep_for(timeout / 10); // for a request that is on its way
+    CHECK(requests == 1);
+}
