Relays send no order whose time is up, nor one of a former owner they know of

What callers saw: a task ran on two executors for about a second. Its start lay in the socket of a relay that stood still for 4 s; the owner counted it as lost after 850 ms, had the idle executor refuse it, and started the task elsewhere. The executor restarted, which ends the refusal, and the relay woke and sent the start.

Cause: the owner takes a confirmed stop for the end of a start whose call is over. That holds for a connection to the worker, which ends with the worker's process, but not for a relay, which sent whatever it found in a message, however old. The invariant is that a call that is over sends nothing any more, on any way to the worker.

A relay can't compare the owner's clock with its own, so the owner tells it the time of a batch on the relay's clock: each presence message says how long its sender has run, so the owner knows for how long a relay has run at the least, and writes that into the batch with the relay's run (two optional fields; without them, from an earlier build, a batch counts as made on arrival). The relay gives each order what is left of its timeout, also after a read of its payload, and returns it as not sent if nothing is left or another run of the process was meant. That covers freezes of the relay, delays on the link, starts, stops and lists, and so the leases that lists extend. A relay also refuses the orders of a former owner as soon as it knows of the later one, not only once that one has used it. New line: relays too-late.

Tests in relayed_workers: a relay that stood still for 700 ms carried the start before; likewise a late payload, another run of the process, and a later owner that the relay knows from elsewhere.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -165,7 +165,7 @@
                  [this](const ask_source &question, auto done) { configurationLink.ask(question, std::move(done)); })
         , configurationLink(peers, queues, settings.peers)
         , leadership(makeLeadership(makeLeadershipSettings(settings, incarnation), bootNow()))
-        , relay(workers, rows, peers, log, measures)
+        , relay({incarnation, startedAt}, workers, rows, peers, log, measures)
         , relayedWorkers(workers, peers, settings.peers, incarnation, settings.capacity, makeRelayLinks(), log,
                          measures)
         , runner(rows, relayedWorkers, {platform::workerTable, platform::decodeWorker},
@@ -226,6 +226,10 @@
         };
         links.plan = [this](const relay_plan &before) { return currentRelayPlan(before); };
         links.addressOf = [this](const process_id &process) { return knownPeers.at(process).address; };
+        links.clockOf = [this](const process_id &process) {
+            const auto known = relayClocks.find(process);
+            return known == relayClocks.end() ? relay_clock {} : known->second;
+        };
         return links;
     }
 
@@ -292,6 +296,7 @@
                            [this](const end_ownership &ended) { endOwnership(ended); },
                            [this](const write_resignation &resignation) { resign(resignation); },
                            [this](const report_owner &report) {
+                               relay.noteOwner(report.version);
                                log.writeAlways("cell", "owner",
                                                {{"process", report.row.process},
                                                 {"token", std::to_string(report.version)},
@@ -483,7 +488,10 @@
 
     void handlePresence(const wire::Message &message, const std::function<void(wire::Message)> &reply)
     {
-        knownPeers[message.sender.process] = decodePresence(message, bootNow());
+        const auto now = bootNow();
+        knownPeers[message.sender.process] = decodePresence(message, now);
+        noteUptime(relayClocks[message.sender.process], message.sender.incarnation,
+                   std::chrono::milliseconds(message.presence.upMs), now);
         configurationLink.notePresence(message);
         wire::Message answer;
         answer.ownerReport.owns = isOwner();
@@ -850,6 +858,7 @@
     std::string settingsFile;
     std::uint16_t metricsPort;
     std::int64_t incarnation;
+    instant startedAt = bootNow();
     loop_pointer loop {g_main_loop_new(nullptr, FALSE)};
     decision_log log;
     metrics measures;
@@ -881,7 +890,6 @@
     timer adviceTimer;
     timer ownershipLostTimer;
     timer leaveTimer;
-    instant startedAt = bootNow();
     tick_lateness lateness;
     /// When the last completed call for the owner's row was sent. A new ownership counts as confirmed from then on.
     instant ownershipConfirmedAt;
@@ -890,6 +898,7 @@
     std::optional<peer_address> formerOwner; ///< at the latest take-over; std::nullopt if no owner was known
     process_id lastSuccessor; ///< the daemon last asked to take over; empty if this ownership has asked none
     std::map<process_id, successor_candidate> knownPeers; ///< from the last presence message of each
+    std::map<process_id, relay_clock> relayClocks; ///< from the presence messages of each
     std::optional<waiting_counts> waitingCounts; ///< the latest that an owner has reported
     bool isLeaving = false;
 };
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.cpp
@@ -3513,6 +3513,16 @@
 void OrderBatch::__set_lists(const std::vector<ListOrder> & val) {
   this->lists = val;
 }
+
+void OrderBatch::__set_receiverIncarnation(const int64_t val) {
+  this->receiverIncarnation = val;
+__isset.receiverIncarnation = true;
+}
+
+void OrderBatch::__set_madeAtUpMs(const int64_t val) {
+  this->madeAtUpMs = val;
+__isset.madeAtUpMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const OrderBatch& obj)
 {
   obj.printTo(out);
@@ -3661,6 +3671,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->receiverIncarnation);
+          this->__isset.receiverIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->madeAtUpMs);
+          this->__isset.madeAtUpMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3758,6 +3784,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.receiverIncarnation) {
+    xfer += oprot->writeFieldBegin("receiverIncarnation", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->receiverIncarnation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.madeAtUpMs) {
+    xfer += oprot->writeFieldBegin("madeAtUpMs", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->madeAtUpMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3773,6 +3809,9 @@
   swap(a.starts, b.starts);
   swap(a.stops, b.stops);
   swap(a.lists, b.lists);
+  swap(a.receiverIncarnation, b.receiverIncarnation);
+  swap(a.madeAtUpMs, b.madeAtUpMs);
+  swap(a.__isset, b.__isset);
 }
 
 OrderBatch::OrderBatch(const OrderBatch& other94) {
@@ -3784,6 +3823,9 @@
   starts = other94.starts;
   stops = other94.stops;
   lists = other94.lists;
+  receiverIncarnation = other94.receiverIncarnation;
+  madeAtUpMs = other94.madeAtUpMs;
+  __isset = other94.__isset;
 }
 OrderBatch& OrderBatch::operator=(const OrderBatch& other95) {
   token = other95.token;
@@ -3794,6 +3836,9 @@
   starts = other95.starts;
   stops = other95.stops;
   lists = other95.lists;
+  receiverIncarnation = other95.receiverIncarnation;
+  madeAtUpMs = other95.madeAtUpMs;
+  __isset = other95.__isset;
   return *this;
 }
 void OrderBatch::printTo(std::ostream& out) const {
@@ -3807,6 +3852,8 @@
   out << ", " << "starts=" << to_string(starts);
   out << ", " << "stops=" << to_string(stops);
   out << ", " << "lists=" << to_string(lists);
+  out << ", " << "receiverIncarnation="; (__isset.receiverIncarnation ? (out << to_string(receiverIncarnation)) : (out << "<null>"));
+  out << ", " << "madeAtUpMs="; (__isset.madeAtUpMs ? (out << to_string(madeAtUpMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
+++ b/src/libprimrosecroft/protocol/gen-cpp/primrosecroft_types.h
@@ -1426,6 +1426,11 @@
 
 std::ostream& operator<<(std::ostream& out, const ListOrder& obj);
 
+typedef struct _OrderBatch__isset {
+  _OrderBatch__isset() : receiverIncarnation(false), madeAtUpMs(false) {}
+  bool receiverIncarnation :1;
+  bool madeAtUpMs :1;
+} _OrderBatch__isset;
 
 /**
  * Sent by the owner to a relay, which sends each order to its worker. The results come in OrderResults messages. A
@@ -1440,7 +1445,9 @@
              : token(0),
                replyAddress(),
                replyPort(0),
-               timeoutMs(0) {
+               timeoutMs(0),
+               receiverIncarnation(0),
+               madeAtUpMs(0) {
   }
 
   virtual ~OrderBatch() noexcept;
@@ -1452,6 +1459,10 @@
   std::vector<StartOrder>  starts;
   std::vector<StopOrder>  stops;
   std::vector<ListOrder>  lists;
+  int64_t receiverIncarnation;
+  int64_t madeAtUpMs;
+
+  _OrderBatch__isset __isset;
 
   void __set_token(const int64_t val);
 
@@ -1469,6 +1480,10 @@
 
   void __set_lists(const std::vector<ListOrder> & val);
 
+  void __set_receiverIncarnation(const int64_t val);
+
+  void __set_madeAtUpMs(const int64_t val);
+
   bool operator == (const OrderBatch & rhs) const
   {
     if (!(token == rhs.token))
@@ -1487,6 +1502,14 @@
       return false;
     if (!(lists == rhs.lists))
       return false;
+    if (__isset.receiverIncarnation != rhs.__isset.receiverIncarnation)
+      return false;
+    else if (__isset.receiverIncarnation && !(receiverIncarnation == rhs.receiverIncarnation))
+      return false;
+    if (__isset.madeAtUpMs != rhs.__isset.madeAtUpMs)
+      return false;
+    else if (__isset.madeAtUpMs && !(madeAtUpMs == rhs.madeAtUpMs))
+      return false;
     return true;
   }
   bool operator != (const OrderBatch &rhs) const {
--- a/src/libprimrosecroft/relays/order_relay.cpp
+++ b/src/libprimrosecroft/relays/order_relay.cpp
@@ -1,5 +1,6 @@
 #include "relays/order_relay.h"
 
+#include "core/clock.h"
 #include "core/error.h"
 #include "jobs/job_rows.h"
 #include "primrosecroft_types.h"
@@ -20,10 +21,18 @@
 constexpr auto payloadReadTimeout = 300ms;
 constexpr std::size_t maxPendingOrders = 4'000;
 
+/// What is left of an order's time; 0 if none is.
+std::chrono::milliseconds remaining(instant madeAt, std::chrono::milliseconds timeout)
+{
+    return std::max(0ms, std::chrono::floor<std::chrono::milliseconds>(madeAt + timeout - bootNow()));
+}
+
 } // namespace
 
-order_relay::order_relay(worker_gateway &workers, store &rows, peer_hub &peers, decision_log &log, metrics &measures)
-    : m_workers(workers)
+order_relay::order_relay(const process_run &self, worker_gateway &workers, store &rows, peer_hub &peers,
+                         decision_log &log, metrics &measures)
+    : m_self(self)
+    , m_workers(workers)
     , m_rows(rows)
     , m_peers(peers)
     , m_log(log)
@@ -35,17 +44,22 @@
 
 void order_relay::handle(const wire::OrderBatch &batch, const wire::Sender &owner)
 {
+    keepPayloads(batch);
     const destination target {{batch.replyAddress, static_cast<std::uint16_t>(batch.replyPort)}, owner.incarnation};
     const std::chrono::milliseconds timeout(batch.timeoutMs);
-    m_latestToken = std::max(m_latestToken, batch.token);
+    const auto made = madeAt(batch);
+    std::size_t late = 0;
+    noteOwner(batch.token);
     const bool isOfFormerOwner = batch.token < m_latestToken;
-    const auto carry = [&](const auto &order, const auto &send) {
+    const auto carry = [&](const auto &order, std::chrono::milliseconds orderTimeout, const auto &send) {
         const auto number = order.target.number;
         if (isOfFormerOwner) {
             addResult(target, number, order_result::fenced);
             return;
         }
-        if (!admit()) {
+        const bool isLate = !made || remaining(*made, orderTimeout) == 0ms;
+        late += isLate ? 1 : 0;
+        if (isLate || !admit()) {
             addResult(target, number, order_result::notSent);
             return;
         }
@@ -59,45 +73,84 @@
         });
     };
     for (const auto &each : batch.stops) {
-        carry(each, [&](const auto &order, auto done) {
-            m_workers.stop(order_frames::decode(order), batch.token, timeout, std::move(done));
+        carry(each, timeout, [&](const auto &order, auto done) {
+            m_workers.stop(order_frames::decode(order), batch.token, remaining(*made, timeout), std::move(done));
         });
     }
     for (const auto &each : batch.lists) {
-        carry(each, [&](const auto &order, auto done) {
-            const auto list = order_frames::decode(order);
-            m_workers.list(list, batch.token, list.timeout, std::move(done));
+        const auto list = order_frames::decode(each);
+        carry(each, list.timeout, [&](const auto & /*order*/, auto done) {
+            m_workers.list(list, batch.token, remaining(*made, list.timeout), std::move(done));
         });
     }
     for (const auto &each : batch.starts) {
-        carry(each, [&](const auto &order, auto done) {
-            findPayload(order, batch,
-                        [this, start = order_frames::decode(order), token = batch.token, timeout,
+        carry(each, timeout, [&](const auto &order, auto done) {
+            findPayload(order.run.job,
+                        [this, start = order_frames::decode(order), token = batch.token, made, timeout,
                          done = std::move(done)](const std::optional<std::string> &payload) mutable {
-                            if (!payload) {
+                            const auto left = remaining(*made, timeout);
+                            if (left == 0ms) {
+                                reportLate(1, made);
+                            }
+                            if (!payload || left == 0ms) {
                                 done(start_answered {start.worker, start.boot, start.run, order_result::notSent, {}});
                                 return;
                             }
                             start.payload = *payload;
-                            m_workers.start(start, token, timeout, std::move(done));
+                            m_workers.start(start, token, left, std::move(done));
                         });
         });
     }
+    if (late > 0) {
+        reportLate(late, made);
+    }
     m_measures.count("primrosecroft_relayed_orders", "kind", "batch");
 }
 
-/// Calls @p done with the payload of the order's job: the one that came with the batch or is kept from an earlier
-/// start, else the one in the job's row. Calls it with std::nullopt if there is no such row, or the store doesn't
-/// answer.
-void order_relay::findPayload(const wire::StartOrder &order, const wire::OrderBatch &batch, payload_handler done)
+void order_relay::noteOwner(row_version token)
+{
+    m_latestToken = std::max(m_latestToken, token);
+}
+
+std::optional<instant> order_relay::madeAt(const wire::OrderBatch &batch) const
+{
+    if (!batch.__isset.receiverIncarnation || !batch.__isset.madeAtUpMs) {
+        return bootNow();
+    }
+    if (batch.receiverIncarnation != m_self.incarnation) {
+        return std::nullopt;
+    }
+    return m_self.startedAt + std::chrono::milliseconds(batch.madeAtUpMs);
+}
+
+void order_relay::reportLate(std::size_t orders, const std::optional<instant> &madeAt)
+{
+    const auto age = madeAt ? std::chrono::duration_cast<std::chrono::milliseconds>(bootNow() - *madeAt) : 0ms;
+    m_measures.count("primrosecroft_relayed_orders", "kind", "late");
+    m_log.write("relays", "too-late",
+                {{"orders", std::to_string(orders)},
+                 {"age_ms", std::to_string(age.count())},
+                 {"other_run", madeAt ? "0" : "1"}});
+}
+
+/// Throws error if a start names a payload that the batch doesn't have.
+void order_relay::keepPayloads(const wire::OrderBatch &batch)
 {
-    const auto &job = order.run.job;
-    if (order.__isset.payload) {
+    for (const auto &order : batch.starts) {
+        if (!order.__isset.payload) {
+            continue;
+        }
         if (order.payload < 0 || order.payload >= std::ssize(batch.payloads)) {
             throw error("relay a start", "", "the batch has no payload " + std::to_string(order.payload));
         }
-        m_payloads.keep(job, batch.payloads[static_cast<std::size_t>(order.payload)]);
+        m_payloads.keep(order.run.job, batch.payloads[static_cast<std::size_t>(order.payload)]);
     }
+}
+
+/// Calls @p done with the payload of the job: the one that came with a batch, else the one in the job's row. Calls it
+/// with std::nullopt if there is no such row, or the store doesn't answer.
+void order_relay::findPayload(const job_id &job, payload_handler done)
+{
     if (const auto kept = m_payloads.find(job)) {
         done(kept);
         return;
--- a/src/libprimrosecroft/relays/relayed_workers.cpp
+++ b/src/libprimrosecroft/relays/relayed_workers.cpp
@@ -163,6 +163,11 @@
         batch->replyAddress = m_self.address;
         batch->replyPort = m_self.port;
         batch->timeoutMs = timeout.count();
+        // The orders of the batch are made from now on.
+        if (const auto clock = m_links.clockOf(relay); clock.incarnation != 0) {
+            batch->__set_receiverIncarnation(clock.incarnation);
+            batch->__set_madeAtUpMs(leastUptime(clock, bootNow()).count());
+        }
     }
     if (!m_sendTimer.isRunning()) {
         m_sendTimer.once(0ms, [this] { sendBatches(); });
--- a/src/libprimrosecroft/relays/relayed_workers.h
+++ b/src/libprimrosecroft/relays/relayed_workers.h
@@ -5,6 +5,7 @@
 #include "observability/decision_log.h"
 #include "observability/metrics.h"
 #include "owner_session/worker_gateway.h"
+#include "relays/relay_clock.h"
 #include "relays/relay_plan.h"
 
 #include <cstdint>
@@ -32,6 +33,8 @@
     /// The plan for the present workers and processes, after the plan @p before.
     std::function<relay_plan(const relay_plan &before)> plan;
     std::function<peer_address(const process_id &relay)> addressOf;
+    /// Returns a clock without a run if nothing is known of the relay's.
+    std::function<relay_clock(const process_id &relay)> clockOf;
 };
 
 /**
--- a/tests/unit/relayed_workers_test.cpp
+++ b/tests/unit/relayed_workers_test.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <thread>
 #include <vector>
 
 /// Orders between an owner and its relays, over real connections.
@@ -80,7 +81,7 @@
 
     void startRelay()
     {
-        relay.emplace(workers, rows,
+        relay.emplace(relayRun, workers, rows,
                       relayHub.emplace(senderOf("relay"),
                                        [this](const wire::Message &message, const auto &) {
                                            relay->handle(message.orderBatch, message.sender);
@@ -93,7 +94,7 @@
     {
         return {[](const worker_id &) { return "dyce"; },
                 [this](const relay_plan &) { return hasRelay ? relay_plan {{{"dyce", {"relay"}}}} : relay_plan {}; },
-                [](const process_id &) { return relayAddress; }};
+                [](const process_id &) { return relayAddress; }, [this](const process_id &) { return relayClock; }};
     }
 
     void start(const std::string &job, std::int32_t index, row_version orderToken = token)
@@ -114,6 +115,8 @@
     }
 
     bool hasRelay = true;
+    process_run relayRun {incarnation, bootNow() - 1min};
+    relay_clock relayClock {incarnation, relayRun.startedAt, bootNow()}; ///< as the owner knows it
     decision_log log;
     metrics measures;
     fake_store rows; ///< as the relay reads it
@@ -200,7 +203,7 @@
     cell.start("a", 0);
     REQUIRE(cell.runUntilStarted(1));
     cell.relay.reset();
-    cell.relay.emplace(cell.workers, cell.rows, *cell.relayHub, cell.log, cell.measures);
+    cell.relay.emplace(cell.relayRun, cell.workers, cell.rows, *cell.relayHub, cell.log, cell.measures);
     cell.start("a", 1);
     REQUIRE(cell.runUntilStarted(2));
     CHECK(cell.started.back().result == order_result::notSent);
@@ -278,6 +281,17 @@
     CHECK(cell.started.back().result == order_result::done);
 }
 
+// Guards against the same through a relay that the later owner hasn't used.
+TEST_CASE("a relay that knows of a later owner carries no orders of an earlier one")
+{
+    owner_and_relay cell;
+    cell.relay->noteOwner(token + 1);
+    cell.start("a", 0, token);
+    REQUIRE(cell.runUntilStarted(1));
+    CHECK(cell.started.back().result == order_result::fenced);
+    CHECK(cell.workers.starts.empty());
+}
+
 TEST_CASE("a batch whose start names a payload that it doesn't have is refused, and starts nothing")
 {
     owner_and_relay cell;
@@ -311,3 +325,61 @@
     CHECK(cell.started.front().run.task.job == "b");
     CHECK(cell.started.size() == 1);
 }
+
+// Guards against TWICE: a relay that woke sent a start that its worker had been told to refuse before it restarted.
+TEST_CASE("a relay that stood still sends no order whose time is up")
+{
+    owner_and_relay cell;
+    cell.start("a", 0);
+    REQUIRE(loopback::runUntil([&cell] { return cell.ownerHub.messagesSent() == 1; }));
+    std::this_thread::sleep_for(700ms);
+    REQUIRE(cell.runUntilStarted(1));
+    CHECK(cell.started.front().result == order_result::notSent);
+    CHECK(cell.workers.starts.empty());
+    cell.start("a", 0);
+    REQUIRE(cell.runUntilStarted(2));
+    CHECK(cell.started.back().result == order_result::done);
+}
+
+TEST_CASE("a relay whose read of a payload takes too long doesn't send the start")
+{
+    owner_and_relay cell(narrowLink);
+    accepted_job job;
+    job.id = "a";
+    job.spec.steps.emplace_back();
+    cell.rows.rows.commit({{}, {{jobPlace("a"), encodeJob(job)}}, {}});
+    cell.rows.delaysAnswers = true;
+    cell.start("a", 0);
+    REQUIRE(loopback::runUntil([&cell] { return cell.rows.reads == 1; }));
+    std::this_thread::sleep_for(700ms);
+    cell.rows.release();
+    REQUIRE(cell.runUntilStarted(1));
+    CHECK(cell.started.front().result != order_result::done);
+    CHECK(cell.workers.starts.empty());
+}
+
+TEST_CASE("a relay sends no orders that were meant for an earlier run of its process")
+{
+    owner_and_relay cell;
+    cell.relayClock.incarnation = incarnation + 1;
+    cell.start("a", 0);
+    REQUIRE(cell.runUntilStarted(1));
+    CHECK(cell.started.front().result == order_result::notSent);
+    CHECK(cell.workers.starts.empty());
+}
+
+TEST_CASE("an owner takes a relay for no older than the quickest of its latest messages shows")
+{
+    const instant start {1h};
+    relay_clock clock;
+    noteUptime(clock, 7, 10s, start + 10s + 80ms);
+    CHECK(leastUptime(clock, start + 11s) == 920ms + 10s);
+    noteUptime(clock, 7, 11s, start + 11s + 5ms);
+    noteUptime(clock, 7, 12s, start + 12s + 300ms);
+    CHECK(leastUptime(clock, start + 13s) == 995ms + 12s);
+    noteUptime(clock, 7, 17s, start + 17s + 40ms); // clocks of two machines drift apart
+    CHECK(leastUptime(clock, start + 18s) == 960ms + 17s);
+    noteUptime(clock, 8, 1s, start + 18s);
+    CHECK(clock.incarnation == 8);
+    CHECK(leastUptime(clock, start + 19s) == 2s);
+}
