Start a task where it has failed if no other worker has room for 2 s

What callers saw: a lasting task failed 0.7 s after its start and was never started again, beside its own executor with all its cores free, because the only other one was full.

Cause, as the reviewer thought: a task avoids the workers on which it failed soon or stalled. The set was lifted only when it had come to hold all eligible workers, so one that is full for ever counted as a way out.

The invariant is that a preference among workers has an end in time. A task that has waited for 2 s, and has no run, goes to a worker that it avoids if no other has room; it still prefers the others then, and may be on trial as anywhere else. This holds for tasks that last and not, and for runs that failed or stalled, with advice too, which names the allowed workers only. Gangs avoid none. A copy of a run never goes to an avoided worker. 2 s keep a batch task from using its attempts up on one bad worker while others are busy, and leave a margin to the 3 s of the rule.

--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -211,6 +211,9 @@
                 return isSuspect(state, job.accepted.spec.steps[index].isGang, each,
                                  each.tasks[static_cast<std::size_t>(task)]);
             });
+            const auto avoiding = std::ranges::count_if(each.pendingTasks, [&](std::int32_t task) {
+                return !each.tasks[static_cast<std::size_t>(task)].avoidedWorkers.empty();
+            });
             const auto allowed = std::ranges::count_if(each.advice.workers,
                                                        [](const auto &advised) { return advised.second.isAllowed; });
             return "occurrence " + std::to_string(number) + " step " + std::to_string(index) + ": "
@@ -219,6 +222,7 @@
                 + (job.accepted.queue.advice ? std::to_string(allowed) + " known to be allowed" : "all allowed")
                 + (suspects > 0 ? ", " + std::to_string(suspects) + " may crash their workers and start only alone"
                                 : "")
+                + (avoiding > 0 ? ", " + std::to_string(avoiding) + " avoid workers on which they failed" : "")
                 + explainLimit(state, job, job.accepted.spec.steps[index])
                 + (each.advice.isRequestPending ? ", a request for advice is pending" : "")
                 + (now < state.inDoubtUntil && (!state.unreconciledWorkers.empty() || state.areContactedWorkersUnknown)
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -120,7 +120,7 @@
     std::vector<task_run> runs; ///< more than one only if the step allows copies
     loss_record losses; ///< of a task that is in no gang
     bool needsCopy = false; ///< its run is late or its worker unresponsive, so a copy may start
-    std::set<worker_id> avoidedWorkers; ///< workers on which the task failed or stalled
+    std::set<worker_id> avoidedWorkers; ///< on which it failed or stalled; it rather goes to others, for a while
     instant pendingSince; ///< when the task last became pending, under this owner
     /// When a service's task last became pending. If that was under an earlier owner, the earliest time at which it may
     /// have been, since rows don't hold it.
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -32,6 +32,10 @@
 /// Likewise for a worker on which nothing else runs.
 constexpr auto maxIsolationWait = 3s;
 
+/// A task that has waited this long for another worker goes to one that it avoids. Others are rather busy than gone,
+/// and a job's last task has to run again within 3 s.
+constexpr auto maxAvoidance = 2s;
+
 constexpr auto backlogInterval = 200ms; ///< between two measurements of what waits
 
 task_view viewOf(const waiting_step &waiting, task_state &task)
@@ -119,6 +123,21 @@
     return target != nullptr || mayWaitForTrial(task, now) ? target : chooseCandidate(usable, task, candidates);
 }
 
+/// Likewise for a task that has waited for long enough: also on a worker that it avoids, if no other one has room.
+candidate *chooseAnyTarget(const cell_state &state, const usable_workers &usable, const waiting_step &waiting,
+                           task_state &task, std::vector<candidate> &candidates, instant now)
+{
+    auto *target = chooseTarget(state, usable, waiting, task, candidates, now);
+    const bool mayAvoid = task.avoidedWorkers.empty() || !task.runs.empty() || task.pendingSince + maxAvoidance > now;
+    if (target != nullptr || mayAvoid) {
+        return target;
+    }
+    const auto avoided = std::exchange(task.avoidedWorkers, {});
+    target = chooseTarget(state, usable, waiting, task, candidates, now);
+    task.avoidedWorkers = avoided;
+    return target;
+}
+
 /// Returns whether the task may start under the rule for at-most-once tasks, which does not concern other tasks. The
 /// start has to be stored first, which this function schedules. If an earlier owner has stored it, the task may have
 /// run already, so this function fails the job.
@@ -225,7 +244,7 @@
             && ensureAttemptReserved(state, *waiting.job, *waiting.step, task.lastAttempt + 1)
             && ensureStartStored(state, waiting, task, now, actions)) {
             clearAvoidedWorkersIfAll(usable, options.allowed, task);
-            target = chooseTarget(state, usable, waiting, task, options.candidates, now);
+            target = chooseAnyTarget(state, usable, waiting, task, options.candidates, now);
             // A worker that the task avoids, on which it runs or can have no trial may have room for the next one.
             isFull = target == nullptr && task.avoidedWorkers.empty() && task.runs.empty()
                 && !isSuspect(state, false, *waiting.step, task);
