Give orders through relays 900 ms, so that a full link doesn't stop all of them

A relay gave each order what was left of its own time, 600 ms for a start.

The owner takes an unanswered start for barred no sooner than a second after a stop is confirmed, which comes after the call's end. So a start may be sent for less than a second after it was made: 900 ms, or the order's own time if that is longer. And the owner keeps the presence message that came quickest, however old, less a thousandth of its age for the drift of clocks, so that a link that fills for long makes no order look older than it is.

--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -16,7 +16,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto maxStopTime = 1'000ms; ///< for a run to stop; the platform's own bounds are 200 and 400 ms
+/// For a run to stop; the platform's own bounds are 200 and 400 ms. Also longer than a start is sent after it was made.
+constexpr auto maxStopTime = 1'000ms;
 constexpr auto stopRetryDelay = 300ms;
 constexpr auto unhealthyPause = 1'000ms; ///< a worker that refused work as unhealthy gets no tasks for this long
 constexpr auto crashLoopTime = 1'500ms; ///< a service task that ends sooner is restarted after crashPause
--- a/src/libprimrosecroft/owner_session/worker_gateway.h
+++ b/src/libprimrosecroft/owner_session/worker_gateway.h
@@ -8,8 +8,9 @@
 {
 
 /// Sends orders to workers. @p done is called exactly once for each call, with order_result::lost if the worker doesn't
-/// answer within @p timeout. After that time the order isn't sent any more, however long a process on its way stood
-/// still: only then does a stop that the worker confirms later bar a start. @p token is the owner's fencing token.
+/// answer within @p timeout. No order is sent later than that, or than a second after the call, however long a
+/// process on its way stood still: only then does a stop that the worker confirms bar a start. @p token is the owner's
+/// fencing token.
 class worker_gateway
 {
 public:
--- a/src/libprimrosecroft/protocol/primrosecroft.thrift
+++ b/src/libprimrosecroft/protocol/primrosecroft.thrift
@@ -249,7 +249,7 @@
   7: required list<StopOrder> stops
   8: required list<ListOrder> lists
   // The run of the receiver that the orders are for, and the time after that run's start at which they were made, or
-  // later. The owner works it out from the receiver's Presence messages. The receiver sends no order whose time is up.
+  // later. The owner works it out from the receiver's Presence messages. The receiver sends no order that is too old.
   // Missing from an earlier build; the orders then count as made when they arrive.
   9: optional i64 receiverIncarnation
   10: optional i64 madeAtUpMs
--- a/src/libprimrosecroft/relays/order_relay.cpp
+++ b/src/libprimrosecroft/relays/order_relay.cpp
@@ -21,10 +21,16 @@
 constexpr auto payloadReadTimeout = 300ms;
 constexpr std::size_t maxPendingOrders = 4'000;
 
-/// What is left of an order's time; 0 if none is.
+/// An order may be sent until then, also if its own time is shorter. Before the owner takes an unanswered start for
+/// barred, its worker has a second to carry a stop out.
+constexpr auto minOrderTime = 900ms;
+
+/// How long the order may still be sent; 0 if it may not.
 std::chrono::milliseconds remaining(instant madeAt, std::chrono::milliseconds timeout)
 {
-    return std::max(0ms, std::chrono::floor<std::chrono::milliseconds>(madeAt + timeout - bootNow()));
+    return std::max(
+        0ms,
+        std::chrono::floor<std::chrono::milliseconds>(madeAt + std::max<duration>(timeout, minOrderTime) - bootNow()));
 }
 
 } // namespace
@@ -74,13 +80,14 @@
     };
     for (const auto &each : batch.stops) {
         carry(each, timeout, [&](const auto &order, auto done) {
-            m_workers.stop(order_frames::decode(order), batch.token, remaining(*made, timeout), std::move(done));
+            m_workers.stop(order_frames::decode(order), batch.token, std::min(timeout, remaining(*made, timeout)),
+                           std::move(done));
         });
     }
     for (const auto &each : batch.lists) {
         const auto list = order_frames::decode(each);
         carry(each, list.timeout, [&](const auto & /*order*/, auto done) {
-            m_workers.list(list, batch.token, remaining(*made, list.timeout), std::move(done));
+            m_workers.list(list, batch.token, std::min(list.timeout, remaining(*made, list.timeout)), std::move(done));
         });
     }
     for (const auto &each : batch.starts) {
@@ -97,7 +104,7 @@
                                 return;
                             }
                             start.payload = *payload;
-                            m_workers.start(start, token, left, std::move(done));
+                            m_workers.start(start, token, std::min(timeout, left), std::move(done));
                         });
         });
     }
--- a/src/libprimrosecroft/relays/order_relay.h
+++ b/src/libprimrosecroft/relays/order_relay.h
@@ -29,9 +29,9 @@
 
 /**
  * Carries orders of the owner to workers and returns their results, several in one message. It decides nothing: each
- * order is sent once, under the owner's fencing token and with the deadlines that the owner has set. It is sent within
- * the order's time or not at all: after that the owner counts it as lost and may have had the worker refuse it, which a
- * worker that has restarted since doesn't know.
+ * order is sent once, under the owner's fencing token and with the deadlines that the owner has set. It is sent soon
+ * after it was made or not at all: the owner counts it as lost in the end and may have had the worker refuse it, which
+ * a worker that has restarted since doesn't know.
  */
 class order_relay
 {
--- a/src/libprimrosecroft/relays/relay_clock.cpp
+++ b/src/libprimrosecroft/relays/relay_clock.cpp
@@ -6,26 +6,22 @@
 namespace
 {
 
-using namespace std::chrono_literals;
-
-/// The earliest start that messages of this time tell counts: their delays differ. Over a longer time the clocks of two
-/// machines may drift apart by more than the owner's patience with a relay.
-constexpr auto maxAge = 5s;
+/// Clocks of two machines drift apart by less than this share.
+constexpr std::int64_t driftDivisor = 1'000;
 
 } // namespace
 
 void noteUptime(relay_clock &clock, std::int64_t incarnation, std::chrono::milliseconds uptime, instant now)
 {
-    const auto startedBy = now - uptime;
-    const bool isCurrent = clock.incarnation == incarnation && clock.learnedAt + maxAge > now;
-    if (!isCurrent || startedBy <= clock.startedBy) {
-        clock = {incarnation, startedBy, now};
+    if (clock.incarnation != incarnation || uptime >= leastUptime(clock, now)) {
+        clock = {incarnation, uptime, now};
     }
 }
 
 std::chrono::milliseconds leastUptime(const relay_clock &clock, instant now)
 {
-    return std::chrono::floor<std::chrono::milliseconds>(now - clock.startedBy);
+    const auto since = now - clock.learnedAt;
+    return std::chrono::floor<std::chrono::milliseconds>(clock.uptime + since - since / driftDivisor);
 }
 
 } // namespace primrosecroft
--- a/src/libprimrosecroft/relays/relay_clock.h
+++ b/src/libprimrosecroft/relays/relay_clock.h
@@ -20,16 +20,16 @@
     instant startedAt;
 };
 
-/// What the owner knows of the start of a relay's run.
+/// What the owner knows of a relay's run.
 struct relay_clock
 {
     std::int64_t incarnation = 0; ///< of the run; 0 if none is known
-    instant startedBy; ///< the run started at this moment or earlier, on the owner's clock
+    std::chrono::milliseconds uptime {0}; ///< at learnedAt the run had lasted for so long, or longer
     instant learnedAt;
 };
 
 /// Takes in that the run @p incarnation of the relay, of which a message arrived at @p now, had lasted for @p uptime or
-/// longer by then.
+/// longer by then. Messages that were on their way for longer than others tell less, so they are ignored.
 void noteUptime(relay_clock &clock, std::int64_t incarnation, std::chrono::milliseconds uptime, instant now);
 
 /// Returns for how long the relay's run has lasted at @p now at the least.
