Check of forecasts: a task that runs at the end may end, and none may wait

A trace with the room of all workers at each start shows that the case is allowed: tasks take up to ten times their estimates, job9's first two steps take 43 and 47 s, and from 25 s, when all its tasks wait, to 72 s, when the next one starts, each worker has 5,600 to 7,900 of its 8,000 thousandths in use by running tasks. Its last task starts at 175.8 s and is at work at 200 s, with nothing waiting. On the logic before, with other draws, the last one starts at 171.0 s and ends just in time. So the bound was that of the sum of this work, not of any guarantee.

In its place: at 200 s no task of any job may wait, and 55 s later, ten times the longest estimate and a start, all jobs must have ended.

--- a/tests/schedules/cell_schedules_test.cpp
+++ b/tests/schedules/cell_schedules_test.cpp
@@ -191,6 +191,7 @@
         settings.seed = seed;
         settings.maxLoadTime = 2'500ms;
         settings.totalTime = 200'000ms; // the longest jobs take ten times as long as in other schedules
+        settings.longestRun = 55'000ms; // ten times the longest estimate, and a start
         settings.allowsCopies = allowsCopies;
         for (int run = 0; run < 100; ++run) {
             const std::chrono::milliseconds estimate(100 + run * 49);
--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -65,6 +65,8 @@
     double faultScale = 1; ///< scales the number of faults and the share of lost messages; 0 for no faults
     std::chrono::milliseconds faultPeriod {20'000}; ///< from the start; jobs are submitted and faults begin in it
     std::chrono::milliseconds totalTime {60'000}; ///< of run(); jobs must have ended by then
+    /// If not 0, run() goes on for this time, in which tasks that run at totalTime may end. None may wait by then.
+    std::chrono::milliseconds longestRun {0};
     std::chrono::milliseconds maxLoadTime {0}; ///< a new owner loads for up to this long in the fault period
     std::vector<vm_capacity> capacities; ///< of the processes; if empty, no process hands over
     disabled_rule mutation = disabled_rule::none;
