Split the trials of suspects from worker_loss.cpp, and walk a gang's pauses once

What a trial is, and when it ends, now stands in trials.cpp; the pauses after losses, which two functions set by the same walk over a gang, in one.

--- a/src/libprimrosecroft/cell/detail/worker_loss.h
+++ b/src/libprimrosecroft/cell/detail/worker_loss.h
@@ -24,15 +24,15 @@
     silent, ///< its leases have expired unseen
 };
 
-/// Returns how long a task waits after such losses before it starts again.
-std::chrono::milliseconds pauseAfter(const loss_record &losses);
-
 /// Lets the task or gang start sooner, now that some of its losses are settled.
 void shortenPause(const task_view &view, instant now);
 
 /// Workers that were lost under the task or, if it is a member of one, under its gang.
 loss_record &lossesOf(const task_view &view);
 
+/// What is counted ahead because workers refuse connections that run the task or its gang.
+lost_workers refusalsOf(const task_view &view);
+
 /// Records that a worker whose loss was only suspected has surely ended.
 void proveLoss(loss_record &losses, counted_loss &counted);
 
@@ -62,25 +62,6 @@
 /// Returns whether the task's next trial has to be on a worker where nothing else runs.
 bool needsIsolation(const step_state &step, const task_state &task, bool isGang);
 
-/// Returns whether the step is in a trial whose outcome its other suspects wait for: they are likely to behave alike.
-bool isAwaitingTrial(const step_state &step);
-
-/// Returns whether the worker has survived all its runs, so that a trial may begin there.
-bool hasSurvivedAll(const worker_state &worker);
-
-/// Returns whether a trial runs on the worker, which then takes no other start.
-bool isInTrial(const worker_state &worker);
-
-/// Time until the worker's answer tells whether it has survived the trial there. Zero if that is now, or none runs.
-std::chrono::milliseconds timeToTrialEnd(const worker_state &worker, instant now);
-
-/// Makes a run a trial that was found on the worker, if its task is a suspect.
-void adoptTrial(worker_state &worker, const run_id &id, const task_view &view, task_run &run, cell_actions &actions);
-
-/// Called after an answer of the worker. Ends the trials there that it has survived: their tasks are no suspects any
-/// more, also for a later owner.
-void endSurvivedTrials(cell_state &state, worker_state &worker, cell_actions &actions);
-
 /// Counts the loss of a worker for the tasks that ran there, before their runs are dropped. Fails the jobs of those
 /// that are to blame.
 /// Of runs that may go on in a worker's next boot the loss isn't counted before it is known that they don't.
--- a/src/libprimrosecroft/cell/leases.cpp
+++ b/src/libprimrosecroft/cell/leases.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/trials.h"
 #include "cell/detail/unsettled_losses.h"
 #include "cell/detail/worker_loss.h"
 
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -3,6 +3,7 @@
 #include "cell/detail/candidates.h"
 #include "cell/detail/cell_parts.h"
 #include "cell/detail/serving_order.h"
+#include "cell/detail/trials.h"
 #include "cell/detail/worker_loss.h"
 #include "cell/detail/workspace_limits.h"
 
--- a/src/libprimrosecroft/cell/runs.cpp
+++ b/src/libprimrosecroft/cell/runs.cpp
@@ -1,6 +1,7 @@
 #include "cell/detail/cell_parts.h"
 #include "cell/detail/gangs.h"
 #include "cell/detail/run_reports.h"
+#include "cell/detail/trials.h"
 #include "cell/detail/worker_loss.h"
 #include "cell/detail/workspace_limits.h"
 
--- a/src/libprimrosecroft/cell/usable_workers.cpp
+++ b/src/libprimrosecroft/cell/usable_workers.cpp
@@ -1,7 +1,7 @@
 #include "cell/detail/usable_workers.h"
 
 #include "cell/detail/cell_parts.h"
-#include "cell/detail/worker_loss.h"
+#include "cell/detail/trials.h"
 
 #include <algorithm>
 #include <ranges>
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -1,5 +1,6 @@
 #include "cell/detail/worker_loss.h"
 
+#include "cell/detail/trials.h"
 #include "cell/detail/unsettled_losses.h"
 
 #include <algorithm>
@@ -14,11 +15,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto trialTime = 150ms; ///< a worker that answers this long after a start has survived it
-constexpr std::int32_t fullPercent = 100; ///< progress of a service that is at work, or of work that is done
-constexpr auto longTrialTime = 10'000ms; ///< for tasks under which workers were lost later
-constexpr std::uint32_t laterLossesBeforeLongTrial = 2;
-constexpr std::uint32_t lossesBeforeLongTrial = 3; ///< of any kind
 constexpr std::uint32_t provenBeforeBlame = 2; ///< silence proves nothing, and one crash may have any other reason
 constexpr std::uint32_t maxSoonLosses = 4; ///< whatever else may have been why
 constexpr std::uint32_t maxLosses = 5; ///< likewise, with those lost later
@@ -37,22 +33,6 @@
 constexpr auto answerDelay = 20ms; ///< a worker's answer may arrive this long after it went down
 constexpr std::size_t maxRecentLosses = 1'000; ///< the latest ones that are remembered
 
-bool needsLongTrial(const loss_record &losses)
-{
-    const auto &counts = losses.counts;
-    const auto soon = counts.soon - (losses.isNextCounted ? 1 : 0);
-    return counts.later >= laterLossesBeforeLongTrial || soon + counts.later >= lossesBeforeLongTrial;
-}
-
-/// Returns whether the worker has answered long enough after the start of the run there, or has shown it at work.
-bool isSurvived(const worker_state &worker, const task_run &run, const loss_record &losses)
-{
-    const bool isLong = run.isTrial && needsLongTrial(losses);
-    const bool isAtWork = !isLong && run.percent >= fullPercent;
-    return run.phase == run_phase::running
-        && (isAtWork || worker.lastSignAt >= run.runningSince + (isLong ? longTrialTime : trialTime));
-}
-
 std::string toString(worker_loss how)
 {
     switch (how) {
@@ -100,7 +80,7 @@
         }
         unit.isCounted = unit.isCounted || run->isCounted;
         unit.refused = run->refusalCount != nullptr ? run : unit.refused;
-        unit.isLong = unit.isLong || run->runningSince + longTrialTime < now;
+        unit.isLong = unit.isLong || hasOutlastedTrials(*run, now);
     }
     const auto values = std::views::values(units);
     return {values.begin(), values.end()};
@@ -179,24 +159,6 @@
     return counts.soon >= maxSoonLosses || counts.soon + counts.later >= maxLosses || counts.proven >= maxProven;
 }
 
-/// What is counted ahead because workers refuse connections that run the task or its gang.
-lost_workers refusalsOf(const task_view &view)
-{
-    lost_workers result;
-    const auto add = [&result](const task_state &task) {
-        for (const auto &run :
-             task.runs | std::views::filter([](const task_run &run) { return run.refusalCount != nullptr; })) {
-            ++(result.*run.refusalCount);
-        }
-    };
-    if (view.spec->isGang) {
-        std::ranges::for_each(view.step->tasks, add);
-    } else {
-        add(*view.task);
-    }
-    return result;
-}
-
 void uncountRefusal(const task_view &view, task_run &run)
 {
     if (run.refusalCount != nullptr) {
@@ -214,25 +176,6 @@
     dropLaterLosses(losses);
 }
 
-/// A worker has survived the task, so it is no suspect any more. It may still crash one later if the trial was a short
-/// one.
-void settleBySurvival(const task_view &view, task_run &run)
-{
-    auto &losses = view.task->losses;
-    const auto refusals = refusalsOf(view);
-    const auto unexplained = losses.counts.soon - (losses.isNextCounted ? 1 : 0) - refusals.soon;
-    const auto later = needsLongTrial(losses) ? refusals.later : losses.counts.later + unexplained;
-    if (needsLongTrial(losses)) {
-        losses.unsettled.clear();
-    } else {
-        recountAsLater(losses);
-    }
-    losses.counts = {refusals.soon, 0, later, std::min(losses.counts.proven, later)};
-    losses.byAttempt.clear();
-    losses.isNextCounted = false;
-    run.isCounted = false;
-}
-
 void countLoss(const lost_unit &unit, loss_evidence evidence, bool isProven)
 {
     auto &losses = lossesOf(unit.view);
@@ -271,19 +214,40 @@
     losses.byAttempt[unit.attempt] = counted;
 }
 
-/// Keeps the task or gang from starting for a while, so that its next trial doesn't fall into the same incident.
-void pauseAfterLosses(const task_view &view, instant now)
+/// How long a task or gang waits after such losses before it starts again.
+std::chrono::milliseconds pauseAfter(const loss_record &losses)
+{
+    const auto lost = losses.counts.soon + losses.counts.later - (losses.isNextCounted ? 1 : 0);
+    const auto unproven = lost - std::min(lost, losses.counts.proven);
+    if (unproven >= unprovenBeforeHold) {
+        return unprovenHold * (1 << std::min(unproven - unprovenBeforeHold, maxHoldDoublings));
+    }
+    return lost <= lossesBeforePause
+        ? 0ms
+        : std::min(maxLossPause, lossPause * static_cast<std::int64_t>(lost - lossesBeforePause));
+}
+
+/// Sets from when on the task, or each member of its gang, may start, to the later or earlier of that and the end of
+/// the pause after its losses, as @p choose tells.
+template<typename choice>
+void adjustPause(const task_view &view, instant now, choice choose)
 {
     const auto until = now + pauseAfter(lossesOf(view));
     if (!view.spec->isGang) {
-        view.task->notBefore = std::max(view.task->notBefore, until);
+        view.task->notBefore = choose(view.task->notBefore, until);
         return;
     }
     for (auto &member : view.step->tasks) {
-        member.notBefore = std::max(member.notBefore, until);
+        member.notBefore = choose(member.notBefore, until);
     }
 }
 
+/// Keeps the task or gang from starting for a while, so that its next trial doesn't fall into the same incident.
+void pauseAfterLosses(const task_view &view, instant now)
+{
+    adjustPause(view, now, [](instant present, instant until) { return std::max(present, until); });
+}
+
 /// Counts the loss of a worker for a task or gang there. Fails its job if it is to blame, which takes a proven loss.
 void chargeLoss(cell_state &state, const worker_id &worker, const lost_unit &unit, loss_evidence evidence,
                 bool isProven, instant now, cell_actions &actions)
@@ -350,28 +314,26 @@
 
 } // namespace
 
-std::chrono::milliseconds pauseAfter(const loss_record &losses)
+void shortenPause(const task_view &view, instant now)
 {
-    const auto lost = losses.counts.soon + losses.counts.later - (losses.isNextCounted ? 1 : 0);
-    const auto unproven = lost - std::min(lost, losses.counts.proven);
-    if (unproven >= unprovenBeforeHold) {
-        return unprovenHold * (1 << std::min(unproven - unprovenBeforeHold, maxHoldDoublings));
-    }
-    return lost <= lossesBeforePause
-        ? 0ms
-        : std::min(maxLossPause, lossPause * static_cast<std::int64_t>(lost - lossesBeforePause));
+    adjustPause(view, now, [](instant present, instant until) { return std::min(present, until); });
 }
 
-void shortenPause(const task_view &view, instant now)
+lost_workers refusalsOf(const task_view &view)
 {
-    const auto until = now + pauseAfter(lossesOf(view));
-    if (!view.spec->isGang) {
-        view.task->notBefore = std::min(view.task->notBefore, until);
-        return;
-    }
-    for (auto &member : view.step->tasks) {
-        member.notBefore = std::min(member.notBefore, until);
+    lost_workers result;
+    const auto add = [&result](const task_state &task) {
+        for (const auto &run :
+             task.runs | std::views::filter([](const task_run &run) { return run.refusalCount != nullptr; })) {
+            ++(result.*run.refusalCount);
+        }
+    };
+    if (view.spec->isGang) {
+        std::ranges::for_each(view.step->tasks, add);
+    } else {
+        add(*view.task);
     }
+    return result;
 }
 
 loss_record &lossesOf(const task_view &view)
@@ -474,63 +436,6 @@
     return needsLongTrial(isGang ? step.gangLosses : task.losses);
 }
 
-bool isAwaitingTrial(const step_state &step)
-{
-    return !step.hasPassedTrial && std::ranges::any_of(step.tasks, [](const task_state &task) {
-        return std::ranges::any_of(task.runs, &task_run::isTrial);
-    });
-}
-
-bool hasSurvivedAll(const worker_state &worker)
-{
-    return worker.lastSignAt >= worker.lastStartAt + trialTime;
-}
-
-bool isInTrial(const worker_state &worker)
-{
-    return !worker.trials.empty();
-}
-
-std::chrono::milliseconds timeToTrialEnd(const worker_state &worker, instant now)
-{
-    if (!isInTrial(worker)) {
-        return 0ms;
-    }
-    return std::max(0ms, std::chrono::ceil<std::chrono::milliseconds>(worker.lastStartAt + trialTime - now));
-}
-
-void adoptTrial(worker_state &worker, const run_id &id, const task_view &view, task_run &run, cell_actions &actions)
-{
-    auto &losses = lossesOf(view);
-    if (losses.counts.soon == 0) {
-        return;
-    }
-    losses.isNextCounted = true;
-    run.isCounted = true;
-    run.isTrial = true;
-    worker.trials.insert(id);
-    actions.emplace_back(report_trial {id, worker.description.id, trial_event::adopted, losses.counts});
-}
-
-void endSurvivedTrials(cell_state &state, worker_state &worker, cell_actions &actions)
-{
-    for (const auto &id : std::set(worker.trials)) {
-        const auto view = findTask(state, id.task);
-        auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
-        if (run == nullptr || !isSurvived(worker, *run, lossesOf(*view))) {
-            continue;
-        }
-        worker.trials.erase(id);
-        run->isTrial = false;
-        view->step->hasPassedTrial = true;
-        if (!view->spec->isGang) { // the workers of its other members may not have survived them yet
-            settleBySurvival(*view, *run);
-            markUnsaved(state, *view->job);
-        }
-        actions.emplace_back(report_trial {id, worker.description.id, trial_event::survived, lossesOf(*view).counts});
-    }
-}
-
 void recordWorkerLoss(cell_state &state, worker_state &worker, worker_loss how, instant now, cell_actions &actions)
 {
     const auto boot = worker.description.boot;
