--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -33,8 +33,8 @@
 /// Likewise for a worker on which nothing else runs.
 constexpr auto maxIsolationWait = 3s;
 
-/// A task that has waited this long for another worker goes to one that it avoids. Others are rather busy than gone,
-/// and a job's last task has to run again within 3 s.
+/// A task goes to a worker that it avoids once it has waited this long for another one to get room. Sooner, it might
+/// use up its attempts on a bad worker; a job of which nothing runs has to go on within 3 s.
 constexpr auto maxAvoidance = 2s;
 
 constexpr auto backlogInterval = 200ms; ///< between two measurements of what waits
@@ -124,13 +124,15 @@
     return target != nullptr || mayWaitForTrial(task, now) ? target : chooseCandidate(usable, task, candidates);
 }
 
-/// Likewise for a task that has waited for long enough: also on a worker that it avoids, if no other one has room.
+/// Chooses a worker as chooseTarget() does; for a task that has waited for long enough also one that it avoids, if no
+/// other has room.
 candidate *chooseAnyTarget(const cell_state &state, const usable_workers &usable, const waiting_step &waiting,
                            task_state &task, std::vector<candidate> &candidates, instant now)
 {
     auto *target = chooseTarget(state, usable, waiting, task, candidates, now);
-    const bool mayAvoid = task.avoidedWorkers.empty() || !task.runs.empty() || task.pendingSince + maxAvoidance > now;
-    if (target != nullptr || mayAvoid) {
+    const bool avoidsFurther =
+        task.avoidedWorkers.empty() || !task.runs.empty() || task.pendingSince + maxAvoidance > now;
+    if (target != nullptr || avoidsFurther) {
         return target;
     }
     const auto avoided = std::exchange(task.avoidedWorkers, {});
--- a/src/libprimrosecroft/relays/order_relay.h
+++ b/src/libprimrosecroft/relays/order_relay.h
@@ -44,7 +44,7 @@
     order_relay(const order_relay &) = delete;
     order_relay &operator=(const order_relay &) = delete;
 
-    /// Sends the orders of a batch. Orders whose time is up, that are for another run of this process or beyond the
+    /// Sends the orders of a batch. Orders that are too old, for another run of this process or beyond the
     /// limit of pending ones are returned as not sent, and those of an owner before the latest one as fenced: a worker
     /// that has restarted since would obey them. Throws error if a start names a payload that the batch doesn't have.
     void handle(const wire::OrderBatch &batch, const wire::Sender &owner);
--- a/src/libprimrosecroft/relays/relay_clock.h
+++ b/src/libprimrosecroft/relays/relay_clock.h
@@ -7,8 +7,8 @@
 /**
  * The time of an order on its relay's clock. Clocks of two machines have nothing in common, so a relay counts the time
  * since its own start, which it tells the owner again and again. The owner derives from it when an order was made, in
- * the relay's time, and the relay when the time of the order is up. So an order that has waited on the way, or in a
- * process that stood still, isn't sent once the owner counts it as lost.
+ * the relay's time, and the relay how old the order is. So an order that has waited for too long on its way, or in a
+ * process that stood still, isn't sent.
  */
 namespace primrosecroft
 {
