Count the crash of a gang's worker against the members that ran there, and no others

Cause: lost workers were counted for the whole gang, by attempt. Two crashes under two members made the gang need a long trial, and the next crash, under a third member, was taken for the failure of that trial. A gang on N workers meets N times the crashes of one task, so it failed the sooner the wider it was.

Invariant: the loss of a worker speaks against the tasks that ran there, and against no others. Each member has its own record, as a task outside of gangs: the same counts, trials, pauses, refusals, unsettled losses and stored row. `lossesOf()`, the walks over a gang for pauses and refusals, and the losses that one member left to another are gone. Of several members on one worker each is counted; none of them makes the trial of another one there ambiguous, since whichever crashes its workers, their job can't be done.

Two things had hung on the common record. A member's trial is passed only once all members run, since none works before. Rows of earlier versions tell of the gang as a whole: each member starts in a trial then (a long one if the gang was to have one), and no crash is taken for proven under it.

`cut_workers`, "the crash of one of a gang's workers counts though another one was only cut off", had a row of the gang's common record, of which the product no longer reads the silent workers. It now has the rows of two members, and checks both: the one whose worker was cut off is cleared, the other's crash is proven. Before it couldn't tell them apart.

--- a/src/libprimrosecroft/cell/cell.cpp
+++ b/src/libprimrosecroft/cell/cell.cpp
@@ -208,8 +208,7 @@
                 continue;
             }
             const auto suspects = std::ranges::count_if(each.pendingTasks, [&](std::int32_t task) {
-                return isSuspect(state, job.accepted.spec.steps[index].isGang, each,
-                                 each.tasks[static_cast<std::size_t>(task)]);
+                return isSuspect(state, each.tasks[static_cast<std::size_t>(task)]);
             });
             const auto avoiding = std::ranges::count_if(each.pendingTasks, [&](std::int32_t task) {
                 return !each.tasks[static_cast<std::size_t>(task)].avoidedWorkers.empty();
--- a/src/libprimrosecroft/cell/cell.h
+++ b/src/libprimrosecroft/cell/cell.h
@@ -88,20 +88,19 @@
     bool isTrial = false;
 };
 
-/// A lost worker under a task or a gang, while this owner remembers for which attempt it is counted.
+/// A lost worker under a task, while this owner remembers for which attempt it is counted.
 struct counted_loss
 {
     std::uint32_t lost_workers::*count = nullptr; ///< in which it is counted besides; nullptr if it only is proven
     bool isProven = false;
 };
 
-/// The workers lost under a task or a gang. A later owner has to know of them before the next start.
+/// The workers lost under a task. A later owner has to know of them before the next start.
 struct loss_record
 {
     lost_workers counts;
     lost_workers stored; ///< counts that a commit has stored
-    /// By attempt. One attempt counts once, however many workers its gang has lost: they say no more than one.
-    std::map<std::uint32_t, counted_loss> byAttempt {};
+    std::map<std::uint32_t, counted_loss> byAttempt {}; ///< by attempt
     /// The next start, or the one under way, is counted ahead among the workers lost soon: so a later owner knows of it
     /// even if this one doesn't see how it ends.
     bool isNextCounted = false;
@@ -118,7 +117,7 @@
     bool wasBegunBefore = false; ///< an earlier owner stored the start
     std::uint32_t lastAttempt = 0; ///< number of the latest attempt; the next one gets a higher number
     std::vector<task_run> runs; ///< more than one only if the step allows copies
-    loss_record losses; ///< of a task that is in no gang
+    loss_record losses; ///< of its own workers, also if it is a member of a gang
     bool needsCopy = false; ///< its run is late or its worker unresponsive, so a copy may start
     std::set<worker_id> avoidedWorkers; ///< on which it failed or stalled; it rather goes to others, for a while
     instant pendingSince; ///< when the task last became pending, under this owner
@@ -160,7 +159,6 @@
     instant incompleteSince; ///< a member of the gang isn't expected to run since then, while others are; zero if none
     std::uint32_t attemptLimit = 0; ///< attempts up to this number may start; a later owner's are higher
     std::uint32_t reservedAttempts = 0; ///< a higher limit that is stored, or is about to be; 0 for none
-    loss_record gangLosses; ///< of the whole gang
     bool hasPassedTrial = false; ///< a worker has survived a task that was suspected to crash it
     step_advice advice;
     step_times times; ///< of the tasks that have ended
--- a/src/libprimrosecroft/cell/detail/trials.h
+++ b/src/libprimrosecroft/cell/detail/trials.h
@@ -13,8 +13,14 @@
 /// Returns whether so many workers were lost under the task that its trial takes long.
 bool needsLongTrial(const loss_record &losses);
 
-/// Returns whether the worker has answered long enough after the start of the run there, or has shown it at work.
-bool isSurvived(const worker_state &worker, const task_run &run, const loss_record &losses);
+/// Returns the losses of a gang's member with what the counts of the whole gang tell of it, which earlier versions
+/// stored. Any member may be why those workers were lost, so its next start is a trial, a long one if the gang's was to
+/// be. None is known to have run on one of them.
+lost_workers suspectedByGang(lost_workers own, const lost_workers &gang);
+
+/// Returns whether the worker has answered long enough after the start of the run there, or has shown it at work. A run
+/// on trial isn't survived before its trial has ended.
+bool isSurvived(const worker_state &worker, const task_run &run);
 
 /// Returns whether the run has lasted for longer than any trial.
 bool hasOutlastedTrials(const task_run &run, instant now);
--- a/src/libprimrosecroft/cell/detail/unsettled_losses.h
+++ b/src/libprimrosecroft/cell/detail/unsettled_losses.h
@@ -10,7 +10,7 @@
 namespace primrosecroft::detail
 {
 
-/// Keeps a loss of the task, or of its gang, until it is settled.
+/// Keeps a loss of the task until it is settled.
 void keepUnsettledLoss(cell_state &state, const task_ref &ref, const task_view &view, const unsettled_loss &loss,
                        instant now);
 
--- a/src/libprimrosecroft/cell/detail/worker_loss.h
+++ b/src/libprimrosecroft/cell/detail/worker_loss.h
@@ -10,6 +10,10 @@
  * gets no further start until it has survived this one. A task whose trial ends with its worker was alone, so it is to
  * blame. A task that loses workers later in its runs has a longer trial after some of them.
  *
+ * The loss of a worker speaks against the tasks that ran there, and against no others. That also holds for a gang,
+ * whose members on other workers end with it: each member has its own losses and trials, and the job fails once one
+ * member is to blame.
+ *
  * Only a next boot, or another worker at the address, proves that a worker has ended. Silence and a missing entry make
  * suspects: a worker that is cut off from the cell and the platform's store gives both signs, and runs on.
  */
@@ -24,14 +28,11 @@
     silent, ///< its leases have expired unseen
 };
 
-/// Lets the task or gang start sooner, now that some of its losses are settled.
-void shortenPause(const task_view &view, instant now);
-
-/// Workers that were lost under the task or, if it is a member of one, under its gang.
-loss_record &lossesOf(const task_view &view);
+/// Lets the task start sooner, now that some of its losses are settled.
+void shortenPause(task_state &task, instant now);
 
-/// What is counted ahead because workers refuse connections that run the task or its gang.
-lost_workers refusalsOf(const task_view &view);
+/// What is counted ahead because workers refuse connections that run the task.
+lost_workers refusalsOf(const task_state &task);
 
 /// Records that a worker whose loss was only suspected has surely ended.
 void proveLoss(loss_record &losses, counted_loss &counted);
@@ -39,8 +40,8 @@
 /// Returns whether the task starts no more. However many workers fell silent under it, some must surely have ended.
 bool isToBlame(const lost_workers &counts);
 
-/// Returns whether the task, or a member of its gang, may be why a worker was lost or doesn't answer.
-bool isSuspect(const cell_state &state, bool isGang, const step_state &step, const task_state &task);
+/// Returns whether the task may be why a worker was lost or doesn't answer.
+bool isSuspect(const cell_state &state, const task_state &task);
 
 /// Returns whether the task may start as far as lost workers are concerned. The start of a suspect is counted ahead
 /// among them, and has to be stored first, which this function schedules. Fails the job if too many starts were
@@ -59,9 +60,6 @@
 /// also for a later owner.
 void uncountRun(cell_state &state, const task_view &view, task_run &run);
 
-/// Returns whether the task's next trial has to be on a worker where nothing else runs.
-bool needsIsolation(const step_state &step, const task_state &task, bool isGang);
-
 /// Counts the loss of a worker for the tasks that ran there, before their runs are dropped. Fails the jobs of those
 /// that are to blame.
 /// Of runs that may go on in a worker's next boot the loss isn't counted before it is known that they don't.
--- a/src/libprimrosecroft/cell/jobs.cpp
+++ b/src/libprimrosecroft/cell/jobs.cpp
@@ -1,4 +1,5 @@
 #include "cell/detail/cell_parts.h"
+#include "cell/detail/trials.h"
 #include "cell/detail/unsettled_losses.h"
 #include "cell/detail/workspace_limits.h"
 
@@ -52,6 +53,19 @@
     }
 }
 
+/// Sets what is stored of a task of the step.
+void restoreTask(task_state &task, std::int32_t index, const step_progress &stored)
+{
+    task.isDone = static_cast<std::size_t>(index) < stored.done.size() && stored.done[static_cast<std::size_t>(index)];
+    const auto found = stored.tasks.find(index);
+    const auto own = found == stored.tasks.end() ? task_progress {} : found->second;
+    task.failedAttempts = own.failedAttempts;
+    task.checkpoint = own.checkpoint;
+    task.mayHaveBegun = own.mayHaveBegun;
+    task.wasBegunBefore = own.mayHaveBegun;
+    task.losses = restoredLosses(suspectedByGang(own.lost, stored.gangLost), own.unsettled);
+}
+
 /// Makes an occurrence from its stored progress. @p progress is nullptr if none is stored.
 occurrence_state makeOccurrence(const cell_state &state, const accepted_job &job, const occurrence_progress *progress,
                                 instant now)
@@ -70,7 +84,6 @@
         if (stored != nullptr) {
             step.failedGangs = stored->failedGangs;
             step.reservedAttempts = stored->attemptLimit;
-            step.gangLosses = restoredLosses(stored->gangLost, stored->gangUnsettled);
         }
         const auto base = std::max(attemptsBefore(term), step.reservedAttempts);
         step.attemptLimit = std::max(attemptsBefore(term + 1), base);
@@ -79,15 +92,7 @@
             auto &task = step.tasks[number];
             task.lastAttempt = base;
             if (stored != nullptr) {
-                task.isDone = number < stored->done.size() && stored->done[number];
-                if (const auto found = stored->tasks.find(static_cast<std::int32_t>(number));
-                    found != stored->tasks.end()) {
-                    task.failedAttempts = found->second.failedAttempts;
-                    task.checkpoint = found->second.checkpoint;
-                    task.mayHaveBegun = found->second.mayHaveBegun;
-                    task.wasBegunBefore = found->second.mayHaveBegun;
-                    task.losses = restoredLosses(found->second.lost, found->second.unsettled);
-                }
+                restoreTask(task, static_cast<std::int32_t>(number), *stored);
             }
             if (task.isDone) {
                 ++step.doneCount;
@@ -390,8 +395,7 @@
     if (view.task->isDone || isAborted(*view.job)) {
         return;
     }
-    const auto &losses = view.spec->isGang ? view.step->gangLosses : view.task->losses;
-    actions.emplace_back(report_given_up {ref, view.job->accepted.queue.name, worker, losses.counts});
+    actions.emplace_back(report_given_up {ref, view.job->accepted.queue.name, worker, view.task->losses.counts});
     failJob(state, *view.job, job_failure::crashes, now, actions);
 }
 
--- a/src/libprimrosecroft/cell/placing.cpp
+++ b/src/libprimrosecroft/cell/placing.cpp
@@ -59,7 +59,7 @@
     run.attempt = attempt;
     run.sentAt = now;
     run.lastProgressAt = now;
-    run.isCounted = (waiting.spec->isGang ? waiting.step->gangLosses : task.losses).isNextCounted;
+    run.isCounted = task.losses.isNextCounted;
     noteStart(worker, now);
     task.runs.push_back(run);
     task.needsCopy = false;
@@ -84,14 +84,14 @@
     const run_id id {{waiting.job->accepted.id, waiting.occurrenceNumber, waiting.index, index}, run.attempt};
     usable.at(position).worker->trials.insert(id);
     usable.refresh(position);
-    actions.emplace_back(report_trial {id, run.worker, trial_event::begun, lossesOf(viewOf(waiting, task)).counts});
+    actions.emplace_back(report_trial {id, run.worker, trial_event::begun, task.losses.counts});
 }
 
 bool mayStart(const waiting_step &waiting, const task_state &task, instant now)
 {
     // A suspect in a trial has no copy, which might crash another worker.
-    const bool mayHaveCopy = task.needsCopy && task.runs.size() == 1 && !task.runs.front().isCounted
-        && !needsIsolation(*waiting.step, task, waiting.spec->isGang);
+    const bool mayHaveCopy =
+        task.needsCopy && task.runs.size() == 1 && !task.runs.front().isCounted && !needsLongTrial(task.losses);
     const bool isFree = task.runs.empty() || mayHaveCopy;
     return !waiting.job->hasFailed && !task.isDone && isFree && task.notBefore <= now
         && static_cast<std::int32_t>(task.failedAttempts.size()) < waiting.job->accepted.queue.maxFailures;
@@ -108,13 +108,13 @@
 candidate *chooseTarget(const cell_state &state, const usable_workers &usable, const waiting_step &waiting,
                         const task_state &task, std::vector<candidate> &candidates, instant now)
 {
-    if (!isSuspect(state, false, *waiting.step, task)) {
+    if (!isSuspect(state, task)) {
         return chooseCandidate(usable, task, candidates);
     }
     if (isAwaitingTrial(*waiting.step)) {
         return nullptr;
     }
-    if (needsIsolation(*waiting.step, task, false)) {
+    if (needsLongTrial(task.losses)) {
         auto *isolated = chooseCandidate(usable, task, candidates, candidate_choice::isolated);
         if (isolated != nullptr || task.pendingSince + maxIsolationWait > now) {
             return isolated;
@@ -171,21 +171,36 @@
     }
 }
 
+/// As ensureLossesStored() for each member of the gang, so that one commit stores what is counted ahead of them all.
+bool ensureGangLossesStored(cell_state &state, const waiting_step &waiting, instant now, cell_actions &actions)
+{
+    task_ref ref {waiting.job->accepted.id, waiting.occurrenceNumber, waiting.index, 0};
+    bool areStored = true;
+    for (auto &task : waiting.step->tasks) {
+        areStored = ensureLossesStored(state, ref, viewOf(waiting, task), now, actions) && areStored;
+        ++ref.index;
+    }
+    return areStored;
+}
+
 /// Starts all members of the gang at once, or none.
 void placeGang(cell_state &state, usable_workers &usable, const waiting_step &waiting, step_candidates &options,
                instant now, cell_actions &actions)
 {
     const auto &policy = state.rules.policy;
     auto &step = *waiting.step;
-    if (step.pendingTasks.size() != step.tasks.size()
-        || !ensureLossesStored(state, {waiting.job->accepted.id, waiting.occurrenceNumber, waiting.index, 0},
-                               viewOf(waiting, step.tasks.front()), now, actions)
+    if (step.pendingTasks.size() != step.tasks.size() || !ensureGangLossesStored(state, waiting, now, actions)
         || static_cast<std::int32_t>(step.failedGangs.size()) >= waiting.job->accepted.queue.maxFailures
         || !std::ranges::all_of(step.tasks, [now](const task_state &task) { return task.notBefore <= now; })) {
         return;
     }
-    const bool isTrial = isSuspect(state, true, step, step.tasks.front()) && mayWaitForTrial(step.tasks.front(), now);
-    if (isTrial) {
+    std::vector<std::int32_t> tried;
+    for (std::int32_t index = 0; index < std::ssize(step.tasks) && mayWaitForTrial(step.tasks.front(), now); ++index) {
+        if (isSuspect(state, step.tasks[static_cast<std::size_t>(index)])) {
+            tried.push_back(index);
+        }
+    }
+    if (!tried.empty()) {
         std::erase_if(options.candidates,
                       [&](const candidate &each) { return !usable.at(each.worker).hasSurvivedAll; });
     }
@@ -216,8 +231,8 @@
                   actions);
         updateAfterStart(policy, usable, waiting, options, *target);
     }
-    for (std::size_t index = 0; isTrial && index < step.tasks.size(); ++index) {
-        beginTrial(usable, waiting, static_cast<std::int32_t>(index), actions);
+    for (const auto index : tried) {
+        beginTrial(usable, waiting, index, actions);
     }
     step.pendingTasks.clear();
 }
@@ -249,14 +264,13 @@
             clearAvoidedWorkersIfAll(usable, options.allowed, task);
             target = chooseAnyTarget(state, usable, waiting, task, options.candidates, now);
             // A worker that the task avoids, on which it runs or can have no trial may have room for the next one.
-            isFull = target == nullptr && task.avoidedWorkers.empty() && task.runs.empty()
-                && !isSuspect(state, false, *waiting.step, task);
+            isFull = target == nullptr && task.avoidedWorkers.empty() && task.runs.empty() && !isSuspect(state, task);
         }
         if (target == nullptr) {
             stillPending.push_back(index);
             continue;
         }
-        const bool isTrial = isSuspect(state, false, *waiting.step, task) && usable.at(target->worker).hasSurvivedAll;
+        const bool isTrial = isSuspect(state, task) && usable.at(target->worker).hasSurvivedAll;
         startTask(state, waiting, index, task.lastAttempt + 1, *usable.at(target->worker).worker, now, actions);
         --startable;
         if (isTrial) {
--- a/src/libprimrosecroft/cell/recording.cpp
+++ b/src/libprimrosecroft/cell/recording.cpp
@@ -39,8 +39,6 @@
             step_progress progress;
             progress.failedGangs = step.failedGangs;
             progress.attemptLimit = step.reservedAttempts;
-            progress.gangLost = step.gangLosses.counts;
-            progress.gangUnsettled = step.gangLosses.unsettled;
             for (std::size_t taskIndex = 0; taskIndex < step.tasks.size(); ++taskIndex) {
                 const auto &task = step.tasks[taskIndex];
                 task_progress own {task.failedAttempts, task.checkpoint, task.mayHaveBegun, task.losses.counts,
@@ -191,7 +189,6 @@
     for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
             step.attemptLimit = std::max(step.attemptLimit, step.reservedAttempts);
-            step.gangLosses.stored = step.gangLosses.counts;
             for (auto &task : step.tasks) {
                 task.isStartStored = task.mayHaveBegun;
                 task.losses.stored = task.losses.counts;
--- a/src/libprimrosecroft/cell/trials.cpp
+++ b/src/libprimrosecroft/cell/trials.cpp
@@ -22,10 +22,10 @@
 
 /// A worker has survived the task, so it is no suspect any more. It may still crash one later if the trial was a short
 /// one.
-void settleBySurvival(const task_view &view, task_run &run)
+void settleBySurvival(task_state &task, task_run &run)
 {
-    auto &losses = view.task->losses;
-    const auto refusals = refusalsOf(view);
+    auto &losses = task.losses;
+    const auto refusals = refusalsOf(task);
     const auto unexplained = losses.counts.soon - (losses.isNextCounted ? 1 : 0) - refusals.soon;
     const auto later = needsLongTrial(losses) ? refusals.later : losses.counts.later + unexplained;
     if (needsLongTrial(losses)) {
@@ -39,6 +39,43 @@
     run.isCounted = false;
 }
 
+/// Returns whether the worker has answered after @p end with the run there, or has shown it at work. A run of an
+/// earlier boot doesn't last before a list has shown that the present one has it.
+bool hasLasted(const worker_state &worker, const task_run &run, instant end)
+{
+    return run.phase == run_phase::running && (run.percent >= fullPercent || worker.lastSignAt >= end);
+}
+
+/// Returns when the run began to work. The members of a gang wait until all of them run; std::nullopt before that.
+std::optional<instant> workingSince(const task_view &view, const task_run &run)
+{
+    if (!view.spec->isGang) {
+        return run.runningSince;
+    }
+    auto latest = run.runningSince;
+    for (const auto &member : view.step->tasks) {
+        const auto own = std::ranges::find(member.runs, run.attempt, &task_run::attempt);
+        if (own == member.runs.end() || own->phase != run_phase::running) {
+            return std::nullopt;
+        }
+        latest = std::max(latest, own->runningSince);
+    }
+    return latest;
+}
+
+bool hasPassedTrial(const worker_state &worker, const task_view &view, const task_run &run)
+{
+    const auto since = workingSince(view, run);
+    if (!since) {
+        return false;
+    }
+    const bool isLong = needsLongTrial(view.task->losses);
+    if (isLong && worker.lastSignAt < *since + longTrialTime) {
+        return false;
+    }
+    return hasLasted(worker, run, *since + trialTime);
+}
+
 } // namespace
 
 bool needsLongTrial(const loss_record &losses)
@@ -48,12 +85,20 @@
     return counts.later >= laterLossesBeforeLongTrial || soon + counts.later >= lossesBeforeLongTrial;
 }
 
-bool isSurvived(const worker_state &worker, const task_run &run, const loss_record &losses)
+lost_workers suspectedByGang(lost_workers own, const lost_workers &gang)
+{
+    if (needsLongTrial({gang, gang})) {
+        own.later = std::max(own.later, laterLossesBeforeLongTrial);
+        return own;
+    }
+    own.soon = std::max(own.soon, std::min(gang.soon, 1U));
+    own.later = std::max(own.later, std::min(gang.later, 1U));
+    return own;
+}
+
+bool isSurvived(const worker_state &worker, const task_run &run)
 {
-    const bool isLong = run.isTrial && needsLongTrial(losses);
-    const bool isAtWork = !isLong && run.percent >= fullPercent;
-    return run.phase == run_phase::running
-        && (isAtWork || worker.lastSignAt >= run.runningSince + (isLong ? longTrialTime : trialTime));
+    return !run.isTrial && hasLasted(worker, run, run.runningSince + trialTime);
 }
 
 bool hasOutlastedTrials(const task_run &run, instant now)
@@ -88,7 +133,7 @@
 
 void adoptTrial(worker_state &worker, const run_id &id, const task_view &view, task_run &run, cell_actions &actions)
 {
-    auto &losses = lossesOf(view);
+    auto &losses = view.task->losses;
     if (losses.counts.soon == 0) {
         return;
     }
@@ -104,17 +149,16 @@
     for (const auto &id : std::set(worker.trials)) {
         const auto view = findTask(state, id.task);
         auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
-        if (run == nullptr || !isSurvived(worker, *run, lossesOf(*view))) {
+        if (run == nullptr || !hasPassedTrial(worker, *view, *run)) {
             continue;
         }
         worker.trials.erase(id);
         run->isTrial = false;
         view->step->hasPassedTrial = true;
-        if (!view->spec->isGang) { // the workers of its other members may not have survived them yet
-            settleBySurvival(*view, *run);
-            markUnsaved(state, *view->job);
-        }
-        actions.emplace_back(report_trial {id, worker.description.id, trial_event::survived, lossesOf(*view).counts});
+        settleBySurvival(*view->task, *run);
+        markUnsaved(state, *view->job);
+        actions.emplace_back(
+            report_trial {id, worker.description.id, trial_event::survived, view->task->losses.counts});
     }
 }
 
--- a/src/libprimrosecroft/cell/unsettled_losses.cpp
+++ b/src/libprimrosecroft/cell/unsettled_losses.cpp
@@ -12,7 +12,7 @@
 {
 
 constexpr std::size_t maxSilentWorkers = 10'000; ///< the latest ones that are remembered
-constexpr std::size_t maxUnsettledLosses = 4; ///< the latest ones of a task or gang; limits the size of its row
+constexpr std::size_t maxUnsettledLosses = 4; ///< the latest ones of a task; limits the size of its row
 
 /// Lets the worker's next answer settle its losses under the task.
 void awaitAnswer(cell_state &state, const task_ref &ref, const unsettled_loss &loss, instant now)
@@ -38,21 +38,11 @@
     proveLoss(losses, counted);
 }
 
-/// Another worker of a gang may also have been lost in this attempt, which then stays counted for that one.
-bool staysCounted(loss_record &losses, const unsettled_loss &loss)
-{
-    const auto other = std::ranges::find(losses.unsettled, loss.attempt, &unsettled_loss::attempt);
-    if (loss.counted != loss_count::none && other != losses.unsettled.end()) {
-        other->counted = loss.counted;
-        return true;
-    }
-    const auto known = losses.byAttempt.find(loss.attempt);
-    return known != losses.byAttempt.end() && known->second.isProven;
-}
-
 void takeBackUnsettledLoss(loss_record &losses, const unsettled_loss &loss)
 {
-    if (loss.counted == loss_count::none || staysCounted(losses, loss)) {
+    const auto known = losses.byAttempt.find(loss.attempt);
+    const bool isProven = known != losses.byAttempt.end() && known->second.isProven;
+    if (loss.counted == loss_count::none || isProven) {
         return;
     }
     auto &counts = losses.counts;
@@ -61,7 +51,7 @@
     losses.byAttempt.erase(loss.attempt);
 }
 
-/// Settles the losses of the worker under one task or gang. @p presentBoot is unset if the worker has surely ended.
+/// Settles the losses of the worker under one task. @p presentBoot is unset if the worker has surely ended.
 void settleLossesUnder(cell_state &state, const task_ref &ref, const worker_id &worker,
                        std::optional<worker_boot> presentBoot, instant now, cell_actions &actions)
 {
@@ -69,7 +59,7 @@
     if (!view) {
         return;
     }
-    auto &losses = lossesOf(*view);
+    auto &losses = view->task->losses;
     const auto isOfWorker = [&worker](const unsettled_loss &loss) { return loss.worker == worker; };
     std::vector<unsettled_loss> settled;
     std::ranges::copy_if(losses.unsettled, std::back_inserter(settled), isOfWorker);
@@ -89,7 +79,7 @@
         }
         actions.emplace_back(report_loss_settled {{ref, loss.attempt}, worker, isProven, losses.counts});
     }
-    shortenPause(*view, now);
+    shortenPause(*view->task, now);
     if (isSuspectProven && isToBlame(losses.counts)) {
         giveUpTask(state, ref, *view, worker, now, actions);
     }
@@ -112,7 +102,7 @@
 void keepUnsettledLoss(cell_state &state, const task_ref &ref, const task_view &view, const unsettled_loss &loss,
                        instant now)
 {
-    auto &unsettled = lossesOf(view).unsettled;
+    auto &unsettled = view.task->losses.unsettled;
     if (unsettled.size() >= maxUnsettledLosses) {
         unsettled.erase(unsettled.begin());
     }
@@ -141,9 +131,6 @@
         for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
             const auto &step = occurrence.steps[index];
             task_ref ref {job.accepted.id, number, static_cast<std::int32_t>(index), 0};
-            for (const auto &loss : step.gangLosses.unsettled) {
-                awaitAnswer(state, ref, loss, now);
-            }
             for (const auto &task : step.tasks) {
                 for (const auto &loss : task.losses.unsettled) {
                     awaitAnswer(state, ref, loss, now);
--- a/src/libprimrosecroft/cell/worker_loss.cpp
+++ b/src/libprimrosecroft/cell/worker_loss.cpp
@@ -46,10 +46,10 @@
     return "";
 }
 
-/// A task, or a gang as a whole, with runs on a lost worker.
-struct lost_unit
+/// A task with runs on a lost worker.
+struct lost_task
 {
-    task_view view; ///< of the last of its tasks there
+    task_view view;
     task_ref ref;
     std::uint32_t attempt = 0; ///< of its first run there
     bool isSuspect = false;
@@ -60,29 +60,27 @@
     bool isLong = false; ///< one of them had run for longer than any trial
 };
 
-/// The tasks and gangs with runs on the worker, those of ended jobs too, since they may be why it was lost.
-std::vector<lost_unit> unitsOn(cell_state &state, const worker_state &worker, instant now)
+/// The tasks with runs on the worker, those of ended jobs too, since they may be why it was lost.
+std::vector<lost_task> tasksOn(cell_state &state, const worker_state &worker, instant now)
 {
-    std::map<task_ref, lost_unit> units;
+    std::map<task_ref, lost_task> tasks;
     for (const auto &[id, held] : worker.reservations) {
         const auto view = findTask(state, id.task);
         auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
         if (run == nullptr) {
             continue;
         }
-        auto key = id.task;
-        key.index = view->spec->isGang ? 0 : key.index;
-        auto &unit = units.try_emplace(key, lost_unit {*view, id.task, id.attempt}).first->second;
-        unit.runs.push_back(run);
-        if (!isSurvived(worker, *run, lossesOf(*view))) {
-            unit.isSuspect = true;
-            unit.isTrial = unit.isTrial || (run->isTrial && run->phase == run_phase::running);
+        auto &task = tasks.try_emplace(id.task, lost_task {*view, id.task, id.attempt}).first->second;
+        task.runs.push_back(run);
+        if (!isSurvived(worker, *run)) {
+            task.isSuspect = true;
+            task.isTrial = task.isTrial || (run->isTrial && run->phase == run_phase::running);
         }
-        unit.isCounted = unit.isCounted || run->isCounted;
-        unit.refused = run->refusalCount != nullptr ? run : unit.refused;
-        unit.isLong = unit.isLong || hasOutlastedTrials(*run, now);
+        task.isCounted = task.isCounted || run->isCounted;
+        task.refused = run->refusalCount != nullptr ? run : task.refused;
+        task.isLong = task.isLong || hasOutlastedTrials(*run, now);
     }
-    const auto values = std::views::values(units);
+    const auto values = std::views::values(tasks);
     return {values.begin(), values.end()};
 }
 
@@ -92,21 +90,15 @@
     return left.soon == right.soon && left.alone == right.alone && left.later == right.later;
 }
 
-/// Returns whether workers were lost under runs of the unit before, though they had survived this one.
-bool hadLossBefore(const lost_unit &unit)
+/// Returns whether workers were lost under runs of the task before, though they had survived this one.
+bool hadLossBefore(const lost_task &task)
 {
-    return !unit.isSuspect && !hasSameLosses(lossesOf(unit.view).counts, {});
+    return !task.isSuspect && !hasSameLosses(task.view.task->losses.counts, {});
 }
 
-/// Returns whether one unit had a trial there, and no other one may be why the worker was lost. Beside a long trial any
-/// other may, since each task may crash its worker late.
-bool isTrialOfOne(const std::vector<lost_unit> &units)
+bool isSameGang(const task_view &left, const task_view &right)
 {
-    const auto tried = std::ranges::find_if(units, &lost_unit::isTrial);
-    if (tried == units.end() || std::ranges::count_if(units, &lost_unit::isSuspect) != 1) {
-        return false;
-    }
-    return units.size() == 1 || (!needsLongTrial(lossesOf(tried->view)) && !std::ranges::any_of(units, hadLossBefore));
+    return left.spec->isGang && left.step == right.step;
 }
 
 bool mayCoincide(const loss_time &left, const loss_time &right)
@@ -159,62 +151,63 @@
     return counts.soon >= maxSoonLosses || counts.soon + counts.later >= maxLosses || counts.proven >= maxProven;
 }
 
-void uncountRefusal(const task_view &view, task_run &run)
+void uncountRefusal(task_state &task, task_run &run)
 {
     if (run.refusalCount != nullptr) {
-        --(lossesOf(view).counts.*std::exchange(run.refusalCount, nullptr));
+        --(task.losses.counts.*std::exchange(run.refusalCount, nullptr));
     }
 }
 
 /// A run of the task has lasted, so what was lost later in its runs speaks no more against it.
-void forgetLaterLosses(const task_view &view)
+void forgetLaterLosses(task_state &task)
 {
-    auto &losses = lossesOf(view);
-    losses.counts.later = refusalsOf(view).later;
+    auto &losses = task.losses;
+    losses.counts.later = refusalsOf(task).later;
     losses.counts.proven = std::min(losses.counts.proven, losses.counts.soon + losses.counts.later);
     std::erase_if(losses.byAttempt, [](const auto &each) { return each.second.count != &lost_workers::soon; });
     dropLaterLosses(losses);
 }
 
-void countLoss(const lost_unit &unit, loss_evidence evidence, bool isProven)
+void countLoss(const lost_task &lost, loss_evidence evidence, bool isProven)
 {
-    auto &losses = lossesOf(unit.view);
+    auto &task = *lost.view.task;
+    auto &losses = task.losses;
     auto &counts = losses.counts;
-    if (unit.refused != nullptr) {
-        uncountRefusal(unit.view, *unit.refused);
+    if (lost.refused != nullptr) {
+        uncountRefusal(task, *lost.refused);
     }
-    if (unit.isCounted && losses.isNextCounted) {
+    if (lost.isCounted && losses.isNextCounted) {
         losses.isNextCounted = false;
         --counts.soon;
     }
-    if (const auto counted = losses.byAttempt.find(unit.attempt); counted != losses.byAttempt.end()) {
+    if (const auto counted = losses.byAttempt.find(lost.attempt); counted != losses.byAttempt.end()) {
         if (isProven) {
             proveLoss(losses, counted->second);
         }
         return;
     }
-    if (!unit.isSuspect && unit.isLong) {
-        forgetLaterLosses(unit.view);
+    if (!lost.isSuspect && lost.isLong) {
+        forgetLaterLosses(task);
         return;
     }
-    const bool isNoneSuspected = hasSameLosses(counts, refusalsOf(unit.view));
+    const bool isNoneSuspected = hasSameLosses(counts, refusalsOf(task));
     counted_loss counted {nullptr, isProven};
-    if (unit.isSuspect && !(evidence == loss_evidence::ofNone && isNoneSuspected)) {
+    if (lost.isSuspect && !(evidence == loss_evidence::ofNone && isNoneSuspected)) {
         counted.count = &lost_workers::soon;
         counts.alone += evidence == loss_evidence::ofTrial ? 1 : 0;
-    } else if (!unit.isSuspect && evidence == loss_evidence::ofAll) {
+    } else if (!lost.isSuspect && evidence == loss_evidence::ofAll) {
         counted.count = &lost_workers::later;
-    } else if (!unit.isSuspect || !isProven) {
+    } else if (!lost.isSuspect || !isProven) {
         return; // nothing speaks against the run
     }
     if (counted.count != nullptr) {
         ++(counts.*counted.count);
     }
     counts.proven += isProven ? 1 : 0;
-    losses.byAttempt[unit.attempt] = counted;
+    losses.byAttempt[lost.attempt] = counted;
 }
 
-/// How long a task or gang waits after such losses before it starts again.
+/// How long a task waits after such losses before it starts again, and the gang of which it is a member with it.
 std::chrono::milliseconds pauseAfter(const loss_record &losses)
 {
     const auto lost = losses.counts.soon + losses.counts.later - (losses.isNextCounted ? 1 : 0);
@@ -227,120 +220,132 @@
         : std::min(maxLossPause, lossPause * static_cast<std::int64_t>(lost - lossesBeforePause));
 }
 
-/// Sets from when on the task, or each member of its gang, may start, to the later or earlier of that and the end of
-/// the pause after its losses, as @p choose tells.
-template<typename choice>
-void adjustPause(const task_view &view, instant now, choice choose)
-{
-    const auto until = now + pauseAfter(lossesOf(view));
-    if (!view.spec->isGang) {
-        view.task->notBefore = choose(view.task->notBefore, until);
-        return;
-    }
-    for (auto &member : view.step->tasks) {
-        member.notBefore = choose(member.notBefore, until);
-    }
-}
-
-/// Keeps the task or gang from starting for a while, so that its next trial doesn't fall into the same incident.
-void pauseAfterLosses(const task_view &view, instant now)
+/// Keeps the task from starting for a while, so that its next trial doesn't fall into the same incident.
+void pauseAfterLosses(task_state &task, instant now)
 {
-    adjustPause(view, now, [](instant present, instant until) { return std::max(present, until); });
+    task.notBefore = std::max(task.notBefore, now + pauseAfter(task.losses));
 }
 
-/// Counts the loss of a worker for a task or gang there. Fails its job if it is to blame, which takes a proven loss.
-void chargeLoss(cell_state &state, const worker_id &worker, const lost_unit &unit, loss_evidence evidence,
+/// Counts the loss of a worker for a task there. Fails its job if it is to blame, which takes a proven loss.
+void chargeLoss(cell_state &state, const worker_id &worker, const lost_task &lost, loss_evidence evidence,
                 bool isProven, instant now, cell_actions &actions)
 {
-    if (unit.view.task->isDone || isAborted(*unit.view.job)) {
+    auto &task = *lost.view.task;
+    if (task.isDone || isAborted(*lost.view.job)) {
         return;
     }
-    countLoss(unit, evidence, isProven);
-    pauseAfterLosses(unit.view, now);
-    markUnsaved(state, *unit.view.job);
-    if (!unit.isSuspect) {
+    countLoss(lost, evidence, isProven);
+    pauseAfterLosses(task, now);
+    markUnsaved(state, *lost.view.job);
+    if (!lost.isSuspect) {
         return;
     }
-    const auto &counts = lossesOf(unit.view).counts;
-    actions.emplace_back(report_suspect {unit.ref, worker, counts});
+    const auto &counts = task.losses.counts;
+    actions.emplace_back(report_suspect {lost.ref, worker, counts});
     if (isProven && isToBlame(counts)) {
-        giveUpTask(state, unit.ref, unit.view, worker, now, actions);
+        giveUpTask(state, lost.ref, lost.view, worker, now, actions);
     }
 }
 
 /// Keeps what a restart tells of runs that may be over until it is known whether they are.
-void deferLoss(const lost_unit &unit, loss_evidence evidence)
+void deferLoss(const lost_task &lost, loss_evidence evidence)
 {
-    for (auto *run : unit.runs) {
+    for (auto *run : lost.runs) {
         run->lossIfOver = run->lossIfOver.value_or(evidence);
     }
 }
 
-/// Keeps what the worker's next answer may tell of the unit's runs there.
-/// @p isOfOther tells that the attempt is counted for another worker of its gang.
-void keepUnsettled(cell_state &state, const worker_state &worker, const lost_unit &unit, loss_evidence evidenceIfEnded,
-                   bool isOfOther, instant now)
+/// Keeps what the worker's next answer may tell of the task's runs there.
+void keepUnsettled(cell_state &state, const worker_state &worker, const lost_task &lost, loss_evidence evidenceIfEnded,
+                   instant now)
 {
     unsettled_loss loss;
-    loss.attempt = unit.attempt;
+    loss.attempt = lost.attempt;
     loss.worker = worker.description.id;
     loss.boot = worker.description.boot;
     loss.address = worker.description.address;
-    const auto &byAttempt = lossesOf(unit.view).byAttempt;
-    const auto known = byAttempt.find(unit.attempt);
-    if (known != byAttempt.end() && !isOfOther) {
+    const auto &byAttempt = lost.view.task->losses.byAttempt;
+    const auto known = byAttempt.find(lost.attempt);
+    if (known != byAttempt.end()) {
         loss.counted = known->second.count == &lost_workers::later ? loss_count::later : loss_count::soon;
     }
     loss.isTrial = loss.counted == loss_count::soon && evidenceIfEnded == loss_evidence::ofTrial;
     loss.countsLater =
-        known == byAttempt.end() && !unit.isSuspect && !unit.isLong && evidenceIfEnded == loss_evidence::ofAll;
+        known == byAttempt.end() && !lost.isSuspect && !lost.isLong && evidenceIfEnded == loss_evidence::ofAll;
     if (known != byAttempt.end() || loss.countsLater) {
-        keepUnsettledLoss(state, unit.ref, unit.view, loss, now);
-        pauseAfterLosses(unit.view, now);
+        keepUnsettledLoss(state, lost.ref, lost.view, loss, now);
+        pauseAfterLosses(*lost.view.task, now);
     }
 }
 
-/// What the loss of a worker tells if it has surely ended.
-loss_evidence provenEvidence(bool isTrial, coincidence others)
+/// The tasks of a lost worker, and what else tells which of them may be why it was lost.
+struct worker_evidence
+{
+    std::vector<lost_task> tasks;
+    /// One task there had a trial, or several of one gang: whichever of a gang's members is to blame, its job can't be
+    /// done. No other task is a suspect.
+    bool isOfOne = false;
+    bool hasOthers = false; ///< beside that task or gang
+    bool isTrial = false; ///< the trial there is why the worker was lost, unless others were lost too
+    coincidence others = coincidence::none; ///< lost at the same time
+};
+
+/// Returns whether the task had a trial there, and no other one may be why the worker was lost. Beside a long trial any
+/// other may, since each task may crash its worker late.
+bool isTrialOfOne(const worker_evidence &evidence, const lost_task &task)
+{
+    return evidence.isOfOne && task.isTrial && (!evidence.hasOthers || !needsLongTrial(task.view.task->losses));
+}
+
+worker_evidence evidenceOf(cell_state &state, const worker_state &worker, const loss_time &time, instant now)
 {
-    if (isTrial && others == coincidence::none) {
-        return loss_evidence::ofTrial;
+    worker_evidence result {tasksOn(state, worker, now)};
+    result.others = coincidenceOf(state, worker, time, now);
+    const auto &tasks = result.tasks;
+    const auto tried = std::ranges::find_if(tasks, &lost_task::isTrial);
+    if (tried == tasks.end()) {
+        return result;
     }
-    if (others == coincidence::wave) {
+    const auto isOther = [&tried](const lost_task &task) {
+        return task.view.task != tried->view.task && !isSameGang(task.view, tried->view);
+    };
+    result.hasOthers = std::ranges::any_of(tasks, isOther);
+    result.isOfOne = std::ranges::none_of(
+        tasks, [&](const lost_task &task) { return isOther(task) && (task.isSuspect || hadLossBefore(task)); });
+    result.isTrial = std::ranges::any_of(tasks, [&](const lost_task &task) { return isTrialOfOne(result, task); });
+    return result;
+}
+
+/// What the loss of the worker tells of one of its tasks if it has surely ended.
+loss_evidence provenEvidence(const worker_evidence &evidence, const lost_task &task)
+{
+    if (evidence.others == coincidence::wave) {
         return loss_evidence::ofNone;
     }
-    return isTrial ? loss_evidence::ofSuspects : loss_evidence::ofAll;
+    if (!evidence.isTrial) {
+        return loss_evidence::ofAll;
+    }
+    const bool isOfTask = evidence.others == coincidence::none && isTrialOfOne(evidence, task);
+    return isOfTask ? loss_evidence::ofTrial : loss_evidence::ofSuspects;
 }
 
 } // namespace
 
-void shortenPause(const task_view &view, instant now)
+void shortenPause(task_state &task, instant now)
 {
-    adjustPause(view, now, [](instant present, instant until) { return std::min(present, until); });
+    task.notBefore = std::min(task.notBefore, now + pauseAfter(task.losses));
 }
 
-lost_workers refusalsOf(const task_view &view)
+lost_workers refusalsOf(const task_state &task)
 {
     lost_workers result;
-    const auto add = [&result](const task_state &task) {
-        for (const auto &run :
-             task.runs | std::views::filter([](const task_run &run) { return run.refusalCount != nullptr; })) {
-            ++(result.*run.refusalCount);
-        }
-    };
-    if (view.spec->isGang) {
-        std::ranges::for_each(view.step->tasks, add);
-    } else {
-        add(*view.task);
+    for (const auto &run :
+         task.runs | std::views::filter([](const task_run &run) { return run.refusalCount != nullptr; })) {
+        ++(result.*run.refusalCount);
     }
     return result;
 }
 
-loss_record &lossesOf(const task_view &view)
-{
-    return view.spec->isGang ? view.step->gangLosses : view.task->losses;
-}
-
 void proveLoss(loss_record &losses, counted_loss &counted)
 {
     losses.counts.proven += counted.isProven ? 0 : 1;
@@ -352,24 +357,23 @@
     return counts.proven >= provenBeforeBlame && (counts.alone > 0 || mayCrashAnyWorker(counts));
 }
 
-bool isSuspect(const cell_state &state, bool isGang, const step_state &step, const task_state &task)
+bool isSuspect(const cell_state &state, const task_state &task)
 {
-    const auto &losses = isGang ? step.gangLosses : task.losses;
+    const auto &losses = task.losses;
     if (losses.counts.soon > (losses.isNextCounted ? 1 : 0) || needsLongTrial(losses)) {
         return true;
     }
     return std::ranges::any_of(task.runs, [&](const task_run &run) {
         const auto worker = state.workers.find(run.worker);
-        return worker != state.workers.end() && worker->second.isUnresponsive
-            && !isSurvived(worker->second, run, losses);
+        return worker != state.workers.end() && worker->second.isUnresponsive && !isSurvived(worker->second, run);
     });
 }
 
 bool ensureLossesStored(cell_state &state, const task_ref &ref, const task_view &view, instant now,
                         cell_actions &actions)
 {
-    auto &losses = lossesOf(view);
-    const bool isSuspected = isSuspect(state, view.spec->isGang, *view.step, *view.task);
+    auto &losses = view.task->losses;
+    const bool isSuspected = isSuspect(state, *view.task);
     if (!losses.isNextCounted && (isSuspected || !hasSameLosses(losses.counts, {}))) {
         if (isSuspected && isToBlame(losses.counts)) {
             giveUpTask(state, ref, view, {}, now, actions);
@@ -386,17 +390,15 @@
 
 void countRefusal(cell_state &state, worker_state &worker, instant now)
 {
-    for (const auto &unit : unitsOn(state, worker, now)) {
-        // The refusals of several workers of a gang say no more than one.
-        const bool isGangCounted = unit.view.spec->isGang && refusalsOf(unit.view) != lost_workers {};
-        if (unit.refused != nullptr || isGangCounted || unit.isCounted || unit.view.task->isDone
-            || isAborted(*unit.view.job)) {
+    for (const auto &lost : tasksOn(state, worker, now)) {
+        auto &task = *lost.view.task;
+        if (lost.refused != nullptr || lost.isCounted || task.isDone || isAborted(*lost.view.job)) {
             continue;
         }
-        auto *run = findRun(*unit.view.task, worker.description.id, unit.attempt);
-        run->refusalCount = unit.isSuspect ? &lost_workers::soon : &lost_workers::later;
-        ++(lossesOf(unit.view).counts.*run->refusalCount);
-        markUnsaved(state, *unit.view.job);
+        auto *run = findRun(task, worker.description.id, lost.attempt);
+        run->refusalCount = lost.isSuspect ? &lost_workers::soon : &lost_workers::later;
+        ++(task.losses.counts.*run->refusalCount);
+        markUnsaved(state, *lost.view.job);
     }
 }
 
@@ -406,7 +408,7 @@
         const auto view = findTask(state, id.task);
         auto *run = view ? findRun(*view->task, worker.description.id, id.attempt) : nullptr;
         if (run != nullptr && run->refusalCount != nullptr) {
-            uncountRefusal(*view, *run);
+            uncountRefusal(*view->task, *run);
             markUnsaved(state, *view->job);
         }
     }
@@ -418,22 +420,14 @@
         return;
     }
     markUnsaved(state, *view.job);
-    uncountRefusal(view, run);
+    uncountRefusal(*view.task, run);
     if (!run.isCounted) {
         return;
     }
-    auto &losses = lossesOf(view);
+    auto &losses = view.task->losses;
     losses.counts.soon -= losses.isNextCounted ? 1 : 0;
     losses.isNextCounted = false;
     run.isCounted = false;
-    for (auto &member : view.step->tasks | std::views::filter([&](const task_state &) { return view.spec->isGang; })) {
-        std::ranges::for_each(member.runs, [](task_run &other) { other.isCounted = false; });
-    }
-}
-
-bool needsIsolation(const step_state &step, const task_state &task, bool isGang)
-{
-    return needsLongTrial(isGang ? step.gangLosses : task.losses);
 }
 
 void recordWorkerLoss(cell_state &state, worker_state &worker, worker_loss how, instant now, cell_actions &actions)
@@ -449,34 +443,31 @@
     if (isProven) {
         proveLosses(state, worker.description.id, now, actions);
     }
-    const auto units = unitsOn(state, worker, now);
     const auto time = lossTimeOf(worker, now);
-    const auto suspects = std::ranges::count_if(units, &lost_unit::isSuspect);
-    const bool isTrial = isTrialOfOne(units);
-    const auto others = coincidenceOf(state, worker, time, now);
-    const bool isWave = others == coincidence::wave;
-    const auto evidenceIfEnded = provenEvidence(isTrial, others);
-    // A missing entry makes any run there suspect, as if the worker had ended. It proves nothing.
-    const bool isLikely = how == worker_loss::unlisted && evidenceIfEnded == loss_evidence::ofAll;
-    const auto evidence = isProven || isLikely ? evidenceIfEnded : loss_evidence::ofSuspects;
+    const auto known = evidenceOf(state, worker, time, now);
+    const auto suspects = std::ranges::count_if(known.tasks, &lost_task::isSuspect);
     if (how != worker_loss::silent && worker.lastSignAt != instant {}) {
         rememberLoss(state, time);
     }
     actions.emplace_back(report_worker_loss {
         worker.description.id, toString(how),
         std::chrono::duration_cast<std::chrono::milliseconds>(now - std::max(time.from, state.takeOver.takenAt)),
-        static_cast<std::size_t>(suspects), units.size() - static_cast<std::size_t>(suspects), isTrial, isWave});
-    for (const auto &unit : units) {
+        static_cast<std::size_t>(suspects), known.tasks.size() - static_cast<std::size_t>(suspects), known.isTrial,
+        known.others == coincidence::wave});
+    for (const auto &lost : known.tasks) {
+        const auto evidenceIfEnded = provenEvidence(known, lost);
+        // A missing entry makes any run there suspect, as if the worker had ended. It proves nothing.
+        const bool isLikely = how == worker_loss::unlisted && evidenceIfEnded == loss_evidence::ofAll;
+        const auto evidence = isProven || isLikely ? evidenceIfEnded : loss_evidence::ofSuspects;
         const bool mayGoOn =
-            isProven && std::ranges::all_of(unit.runs, [](const task_run *run) { return run->mayBeOver; });
+            isProven && std::ranges::all_of(lost.runs, [](const task_run *run) { return run->mayBeOver; });
         if (mayGoOn) {
-            deferLoss(unit, evidence);
+            deferLoss(lost, evidence);
             continue;
         }
-        const bool isCountedAlready = lossesOf(unit.view).byAttempt.contains(unit.attempt);
-        chargeLoss(state, worker.description.id, unit, evidence, isProven, now, actions);
+        chargeLoss(state, worker.description.id, lost, evidence, isProven, now, actions);
         if (!isProven) {
-            keepUnsettled(state, worker, unit, evidenceIfEnded, isCountedAlready, now);
+            keepUnsettled(state, worker, lost, evidenceIfEnded, now);
         }
     }
 }
@@ -488,9 +479,9 @@
         return false;
     }
     if (const auto evidence = std::exchange(run.lossIfOver, std::nullopt)) {
-        lost_unit unit {view, id.task, id.attempt, true, run.isTrial, run.isCounted, {&run}};
-        unit.refused = run.refusalCount != nullptr ? &run : nullptr;
-        chargeLoss(state, worker.description.id, unit, *evidence, true, now, actions);
+        lost_task lost {view, id.task, id.attempt, true, run.isTrial, run.isCounted, {&run}};
+        lost.refused = run.refusalCount != nullptr ? &run : nullptr;
+        chargeLoss(state, worker.description.id, lost, *evidence, true, now, actions);
     }
     return true;
 }
--- a/src/libprimrosecroft/jobs/job_rows.h
+++ b/src/libprimrosecroft/jobs/job_rows.h
@@ -87,7 +87,7 @@
 /// Returns std::nullopt if @p key isn't the key of a live job's row.
 std::optional<live_key> parseLiveKey(const std::string &key);
 
-/// How many workers were lost under a task or a gang, that is, while a run of it was there.
+/// How many workers were lost under a task, that is, while a run of it was there.
 struct lost_workers
 {
     std::uint32_t soon = 0; ///< before they had survived the start of the run, so it may be why
@@ -130,8 +130,8 @@
     std::set<std::uint32_t> failedAttempts; ///< numbers of the attempts that failed
     std::string checkpoint; ///< the latest one; empty if there is none
     bool mayHaveBegun = false; ///< stored for an at-most-once task before its only start is sent
-    lost_workers lost; ///< of a task that is in no gang
-    std::vector<unsettled_loss> unsettled {}; ///< likewise; earlier versions don't store it
+    lost_workers lost; ///< earlier versions don't store it for members of a gang
+    std::vector<unsettled_loss> unsettled {}; ///< likewise; yet earlier ones store none
 
     friend bool operator==(const task_progress &, const task_progress &) = default;
 };
@@ -143,8 +143,9 @@
     std::map<std::int32_t, task_progress> tasks; ///< by index; only the tasks that have something to store
     std::set<std::uint32_t> failedGangs; ///< numbers of the failed attempts of the whole gang
     std::uint32_t attemptLimit = 0; ///< the highest number that an attempt may have; 0 if the owner's term gives it
-    lost_workers gangLost; ///< of the whole gang
-    std::vector<unsettled_loss> gangUnsettled {}; ///< likewise
+    /// Of the whole gang, whichever members ran there. Only earlier versions store it.
+    lost_workers gangLost;
+    std::vector<unsettled_loss> gangUnsettled {}; ///< likewise; not read any more
 
     friend bool operator==(const step_progress &, const step_progress &) = default;
 };
--- a/tests/unit/crashing_cell.h
+++ b/tests/unit/crashing_cell.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <initializer_list>
 #include <map>
 #include <string>
@@ -133,10 +134,10 @@
         }
     }
 
-    const loss_record &losses(const job_id &id) const
+    /// Returns the losses of one of the job's tasks.
+    const loss_record &losses(const job_id &id, std::int32_t index = 0) const
     {
-        const auto &state = cell.state.jobs.at(id).occurrences.at(0).steps[0];
-        return cell.state.jobs.at(id).accepted.spec.steps[0].isGang ? state.gangLosses : state.tasks[0].losses;
+        return cell.state.jobs.at(id).occurrences.at(0).steps[0].tasks[static_cast<std::size_t>(index)].losses;
     }
 
     bool hasFailed(const job_id &id) const
--- a/tests/unit/cut_workers_test.cpp
+++ b/tests/unit/cut_workers_test.cpp
@@ -150,9 +150,10 @@
     job_progress progress;
     auto &step = progress.open[0].steps[0];
     const auto address = [](const char *id) { return owned_cell::makeWorker(id, "r", {}).address; };
-    step.gangLost = {1, 0, 0, 0};
-    step.gangUnsettled = {{7, "a", crashing_cell::firstBoot, address("a"), loss_count::soon, false, false},
-                          {7, "b", crashing_cell::firstBoot, address("b"), loss_count::none, false, false}};
+    step.tasks[0].lost = {1, 0, 0, 0};
+    step.tasks[0].unsettled = {{7, "a", crashing_cell::firstBoot, address("a"), loss_count::soon, false, false}};
+    step.tasks[1].lost = {1, 0, 0, 0};
+    step.tasks[1].unsettled = {{7, "b", crashing_cell::firstBoot, address("b"), loss_count::soon, false, false}};
     auto gang = crashing_cell::makeStep(2);
     gang.isGang = true;
     crashing_cell cell({"c"});
@@ -161,9 +162,11 @@
     cell.boots["a"] = crashing_cell::firstBoot;
     cell.boots["b"] = crashing_cell::firstBoot + 1;
     cell.comeBack("a");
-    CHECK(cell.losses("gang").counts == lost_workers {1, 0, 0, 0});
+    CHECK(cell.losses("gang", 0).counts == lost_workers {});
+    CHECK(cell.losses("gang", 1).counts == lost_workers {1, 0, 0, 0});
     cell.comeBack("b");
-    CHECK(cell.losses("gang").counts == lost_workers {1, 0, 0, 1});
+    CHECK(cell.losses("gang", 0).counts == lost_workers {});
+    CHECK(cell.losses("gang", 1).counts == lost_workers {1, 0, 0, 1});
 }
 
 TEST_CASE("rows hold the unsettled losses of tasks and gangs, and are read without them")
