--- a/tests/unit/gang_losses_test.cpp
+++ b/tests/unit/gang_losses_test.cpp
@@ -347,6 +347,40 @@
     CHECK(gang.cell.hasFailed("gang"));
 }
 
+// Guards against trials that tell nothing: beside other members of its gang, or other work, a task isn't known to be
+// why its worker was lost.
+TEST_CASE("each suspect of a gang has its trial on a worker of its own, apart from the other members")
+{
+    gang_cell gang(makeGang(4, 0), 6);
+    REQUIRE(gang.startAll());
+    const auto packed = gang.members.at(0);
+    std::set<std::int32_t> suspects;
+    gang.addMembersOn(packed, suspects);
+    REQUIRE(suspects.size() == 4);
+    gang.crashWorker(packed, crash_time::early, crash_sight::restarted);
+    REQUIRE(gang.startAll());
+    std::set<worker_id> workers;
+    std::ranges::copy(std::views::values(gang.members), std::inserter(workers, workers.end()));
+    CHECK(workers.size() == 4);
+    CHECK(std::ranges::all_of(workers, [&gang](const worker_id &id) { return gang.trialsOn(id) == 1; }));
+}
+
+// Guards against a start without a trial because the other members have waited since the gang broke.
+TEST_CASE("a gang's suspect has a trial however long the other members have waited for its worker's end")
+{
+    const auto member = GENERATE(0, 3);
+    gang_cell gang(makeGang(4, 1), 7);
+    REQUIRE(gang.startAll());
+    const auto silent = gang.members.at(member);
+    gang.cell.boots.erase(silent);
+    gang.cell.running[silent].clear();
+    gang.breakRest();
+    REQUIRE(gang.startAll());
+    for (const auto &[index, worker] : gang.members) {
+        CHECK(gang.trialsOn(worker) == (index == member ? 1 : 0));
+    }
+}
+
 // Guards against a deadly member that passes its trial while it waits for the others, and is tried no more.
 TEST_CASE("a gang's suspect hasn't passed its trial before all members run")
 {
