Schedules in which members of gangs crash their workers

The schedules of crashes had single tasks only. Now they also draw gangs of 2 to 6, up to one, two or any number of members a worker, of which one member may crash its workers soon, late, or so that these stay away for long, also while workers crash by themselves.

--- a/tests/standins/cell_emulation.h
+++ b/tests/standins/cell_emulation.h
@@ -78,6 +78,7 @@
     std::chrono::milliseconds maxCrashTime {5'000};
     double startsWithoutConnection = 0; ///< share of the starts that reach no worker and get no answer, at any time
     bool checksGangs = false; ///< gangs run on several workers; also checks that no member waits for others for long
+    bool areGangWaitsExcused = false; ///< faults are drawn that may keep members waiting, so that isn't checked
     bool checksLiveness = false; ///< also checks that no task waits for long that could run
 };
 
--- a/tests/standins/gang_check.h
+++ b/tests/standins/gang_check.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,8 +38,11 @@
 
     bool isPresent(const run_id &run) const;
 
-    /// Ends the other members of the gangs of which one has ended. Returns the violation if a worker has ended a member
-    /// that waited for others; an empty string if none has.
+    /// Called when the worker crashes, before it loses its runs.
+    void recordCrash(const executor_emulator &worker);
+
+    /// Ends the other members of the gangs of which one has ended or was lost with its worker. Returns the violation if
+    /// a worker has ended a member that waited for others; an empty string if none has.
     std::string endMembers(const std::vector<executor_emulator *> &workers);
 
 private:
@@ -46,6 +50,7 @@
 
     std::map<step_ref, std::size_t> m_sizes;
     std::map<gang_ref, std::size_t> m_present;
+    std::set<gang_ref> m_crashed; ///< gangs of which a member was lost with its worker
     std::map<worker_id, std::size_t> m_endsSeen;
 };
 
