--- a/src/libprimrosecroft/cell/trials.cpp
+++ b/src/libprimrosecroft/cell/trials.cpp
@@ -39,8 +39,7 @@
     run.isCounted = false;
 }
 
-/// Returns whether the worker has answered after @p end with the run there, or has shown it at work. A run of an
-/// earlier boot doesn't last before a list has shown that the present one has it.
+/// Returns whether the worker has answered after @p end, or has shown the run there at work.
 bool hasLasted(const worker_state &worker, const task_run &run, instant end)
 {
     return run.phase == run_phase::running && (run.percent >= fullPercent || worker.lastSignAt >= end);
